Add the package layout and one request path end to end

Cause: the project needs its shape before several people build on it. Ruled out: httptools, which only parses and would leave response framing to us.

--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specification of the core protocol."""
--- /dev/null
+++ b/spec/__main__.py
@@ -0,0 +1,3 @@
+"""Checks every model of the specification."""
+
+print("0 checks passed, 0 failed")
--- /dev/null
+++ b/src/jackdawspread/__init__.py
@@ -0,0 +1,1 @@
+"""Database proxy with session consistency."""
--- /dev/null
+++ b/src/jackdawspread/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between messages and bytes."""
--- /dev/null
+++ b/src/jackdawspread/codecs/http_server_codec.py
@@ -0,0 +1,106 @@
+"""Server side of HTTP/1.1 over h11, without I/O."""
+
+from expression import Error, Ok, Result
+from h11 import (
+    NEED_DATA,
+    PAUSED,
+    SERVER,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    RemoteProtocolError,
+    Request,
+    Response,
+)
+
+from jackdawspread.messages.http_request import HttpRequest
+from jackdawspread.messages.http_response import HttpResponse
+
+MAX_HEAD_BYTES = 16 * 1024
+MAX_BODY_BYTES = 1024 * 1024
+
+
+class HttpServerCodec:
+    """Turns received bytes into requests and responses into bytes."""
+
+    def __init__(self) -> None:
+        self._connection = Connection(SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._head: Request | None = None
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request can follow on the connection."""
+        return self._connection.our_state.__name__ in ("IDLE", "DONE")
+
+    @property
+    def idle(self) -> bool:
+        """Whether no byte of a further request has arrived."""
+        return self._head is None and not self._connection.trailing_data[0]
+
+    def receive(self, data: bytes) -> None:
+        """Add bytes read from the socket; empty bytes mean end of file."""
+        self._connection.receive_data(data)
+
+    def next_request(self) -> Result[HttpRequest | None, HttpResponse]:
+        """Return the next whole request, or None if more bytes are needed."""
+        try:
+            return self._read_events()
+        except RemoteProtocolError as error:
+            return Error(_refuse(error.error_status_hint or 400, str(error)))
+
+    def _read_events(self) -> Result[HttpRequest | None, HttpResponse]:
+        while True:
+            event = self._connection.next_event()
+            if event is NEED_DATA or event is PAUSED:
+                return Ok(None)
+            if isinstance(event, Request):
+                self._head = event
+            elif isinstance(event, Data):
+                self._size += len(event.data)
+                if self._size > MAX_BODY_BYTES:
+                    return Error(_refuse(413, f"body exceeds {MAX_BODY_BYTES} bytes"))
+                self._chunks.append(bytes(event.data))
+            elif isinstance(event, EndOfMessage):
+                return Ok(self._take())
+            elif isinstance(event, ConnectionClosed):
+                return Ok(None)
+
+    def _take(self) -> HttpRequest:
+        assert self._head is not None
+        head = self._head
+        request = HttpRequest(
+            head.method.decode("ascii"),
+            head.target.decode("ascii"),
+            {k.decode("ascii"): v.decode("latin-1") for k, v in head.headers},
+            b"".join(self._chunks),
+        )
+        self._head, self._chunks, self._size = None, [], 0
+        return request
+
+    def encode(self, response: HttpResponse, close: bool) -> bytes:
+        """Encode a response; `close` announces the end of the connection."""
+        headers = [*response.headers, ("Content-Length", str(len(response.body)))]
+        if close:
+            headers.append(("Connection", "close"))
+        head = Response(status_code=response.status, headers=headers)
+        parts = [self._connection.send(head)]
+        if response.body:
+            parts.append(self._connection.send(Data(data=response.body)))
+        parts.append(self._connection.send(EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    def start_next(self) -> None:
+        """Prepare for the next request on the same connection."""
+        self._connection.start_next_cycle()
+
+
+def _refuse(status: int, detail: str) -> HttpResponse:
+    body = (
+        '{"code":"malformed_request","ran":"not_run","step":"parse","peer":"",'
+        f'"detail":"{detail.replace(chr(34), chr(39))}"}}'
+    )
+    headers = (("Content-Type", "application/json"),)
+    return HttpResponse(status, headers, body.encode("ascii", "replace"))
--- /dev/null
+++ b/src/jackdawspread/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/jackdawspread/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions over messages and state, free of I/O and clocks."""
--- /dev/null
+++ b/src/jackdawspread/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that callers, peers, databases, the platform and operators exchange."""
--- /dev/null
+++ b/src/jackdawspread/messages/admitted_reply.py
@@ -0,0 +1,12 @@
+"""Reply together with the caller's new session token."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.reply import Reply
+
+
+class AdmittedReply(NamedTuple):
+    """What the gateway returns to a caller connection."""
+
+    reply: Reply
+    session_token: str
--- /dev/null
+++ b/src/jackdawspread/messages/configuration_document.py
@@ -0,0 +1,25 @@
+"""The one configuration document."""
+
+from typing import TypedDict
+
+from jackdawspread.messages.head_office_document import HeadOfficeDocument
+from jackdawspread.messages.key_document import KeyDocument
+from jackdawspread.messages.preset_document import PresetDocument
+from jackdawspread.messages.workspace_document import WorkspaceDocument
+
+
+class ConfigurationDocument(TypedDict):
+    """Everything that operators set; the preset in force is a field of it.
+
+    ``key_by_id`` is keyed by the SHA-256 of the key in hexadecimal. ``version``
+    only grows, and ``write_id`` names the write that made this version.
+    """
+
+    version: int
+    write_id: str
+    preset: str
+    preset_by_name: dict[str, PresetDocument]
+    head_office: HeadOfficeDocument
+    workspace_by_name: dict[str, WorkspaceDocument]
+    key_by_id: dict[str, KeyDocument]
+    leaving_databases: list[str]
--- /dev/null
+++ b/src/jackdawspread/messages/heartbeat_answer.py
@@ -0,0 +1,16 @@
+"""Answer to a heartbeat."""
+
+from typing import NamedTuple
+
+
+class HeartbeatAnswer(NamedTuple):
+    """Vouches for ``vouched_epoch``, or for none if it is 0.
+
+    ``epoch`` is the answering peer's own epoch.
+    """
+
+    incarnation: str
+    epoch: int
+    vouched_epoch: int
+    sequence: int
+    configuration_version: int
--- /dev/null
+++ b/src/jackdawspread/messages/http_call.py
@@ -0,0 +1,34 @@
+"""Call over an HTTP client connection."""
+
+from typing import Any, NamedTuple
+
+from trio import MemorySendChannel
+
+from jackdawspread.messages.http_outcome import HttpOutcome
+
+
+class HttpCall(NamedTuple):
+    """JSON call to be made over one connection.
+
+    Parameters
+    ----------
+    id : int
+        Correlates the outcome with the call.
+    method : str
+        HTTP method.
+    target : str
+        HTTP target.
+    body : dict
+        JSON body.
+    deadline : float
+        Monotonic time in seconds; the connection is closed when it passes.
+    reply_to : trio.MemorySendChannel
+        Takes the single `HttpOutcome`.
+    """
+
+    id: int
+    method: str
+    target: str
+    body: dict[str, Any]
+    deadline: float
+    reply_to: MemorySendChannel[HttpOutcome]
--- /dev/null
+++ b/src/jackdawspread/messages/http_outcome.py
@@ -0,0 +1,30 @@
+"""Outcome of a call over an HTTP client connection."""
+
+from typing import Any, NamedTuple
+
+
+class HttpOutcome(NamedTuple):
+    """Response to a call, or the reason why none arrived.
+
+    Parameters
+    ----------
+    id : int
+        Id of the call.
+    connection : int
+        Id of the connection that made it.
+    status : int
+        HTTP status; 0 if no response arrived.
+    body : dict
+        Decoded JSON body; empty if no response arrived.
+    sent : bool
+        Whether any byte of the call may have reached the other end.
+    error : str
+        Why no response arrived; empty if one did.
+    """
+
+    id: int
+    connection: int
+    status: int
+    body: dict[str, Any]
+    sent: bool
+    error: str = ""
--- /dev/null
+++ b/src/jackdawspread/messages/peer_received.py
@@ -0,0 +1,12 @@
+"""Message received from a peer."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.peer_message import PeerMessage
+
+
+class PeerReceived(NamedTuple):
+    """Message with the peer address of its sender."""
+
+    peer_address: str
+    message: PeerMessage
--- /dev/null
+++ b/src/jackdawspread/messages/ran.py
@@ -0,0 +1,15 @@
+"""Whether a request took effect."""
+
+from enum import StrEnum
+
+
+class Ran(StrEnum):
+    """What is known about the execution of a refused request.
+
+    ``NOT_RUN`` means that no database executed the request and none will.
+    ``RAN`` means that it was executed, ``UNKNOWN`` that it may have been.
+    """
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
--- /dev/null
+++ b/src/jackdawspread/messages/reply.py
@@ -0,0 +1,8 @@
+"""Answer or refusal."""
+
+from expression import Result
+
+from jackdawspread.messages.answer import Answer
+from jackdawspread.messages.refusal import Refusal
+
+Reply = Result[Answer, Refusal]
--- /dev/null
+++ b/src/jackdawspread/settings/__init__.py
@@ -0,0 +1,1 @@
+"""INI settings, parsed once and checked."""
--- /dev/null
+++ b/src/jackdawspread/settings/instance_settings.py
@@ -0,0 +1,38 @@
+"""Settings of an entry instance."""
+
+from typing import NamedTuple
+
+from jackdawspread.settings.database_settings import DatabaseSettings
+
+
+class InstanceSettings(NamedTuple):
+    """Checked settings of an entry instance.
+
+    Parameters
+    ----------
+    caller_address : str
+        ``IP:port`` on which callers are served.
+    admin_address : str
+        ``IP:port`` of the administration API.
+    peer_address : str
+        ``IP:port`` on which other instances connect.
+    failure_domain : str
+        Failure domain of the instance.
+    platform_address : str
+        ``IP:port`` of the platform's service.
+    session_secret : str
+        Secret that signs session tokens, the same on all instances.
+    operator_key_hash : str
+        SHA-256 of the operator's credential, in hexadecimal.
+    database_by_name : dict of str to DatabaseSettings
+        Databases by name.
+    """
+
+    caller_address: str
+    admin_address: str
+    peer_address: str
+    failure_domain: str
+    platform_address: str
+    session_secret: str
+    operator_key_hash: str
+    database_by_name: dict[str, DatabaseSettings]
--- /dev/null
+++ b/src/jackdawspread/settings/instance_settings_file.py
@@ -0,0 +1,92 @@
+"""Reads the settings file of an entry instance."""
+
+from configparser import ConfigParser, SectionProxy
+from configparser import Error as IniError
+from pathlib import Path
+
+from expression import Error, Ok, Result
+
+from jackdawspread.settings.checks import (
+    check_address,
+    check_count,
+    check_hex,
+    check_text,
+)
+from jackdawspread.settings.database_settings import DatabaseSettings
+from jackdawspread.settings.instance_settings import InstanceSettings
+from jackdawspread.settings.section_reader import SectionReader
+from jackdawspread.settings.settings_error import SettingsError
+
+DATABASE_PREFIX = "database "
+
+
+def read_instance_settings(path: Path) -> Result[InstanceSettings, list[SettingsError]]:
+    """Read and check a settings file, reporting every error found."""
+    parser = ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, IniError) as error:
+        reason = str(error).replace("\n", " ")
+        return Error([SettingsError(str(path), "", "", reason, "a readable INI file")])
+    return _check(str(path), parser)
+
+
+def _check(
+    file: str, parser: ConfigParser
+) -> Result[InstanceSettings, list[SettingsError]]:
+    errors: list[SettingsError] = []
+
+    def section(name: str) -> SectionReader:
+        options: SectionProxy | dict[str, str] = (
+            parser[name] if parser.has_section(name) else {}
+        )
+        return SectionReader(file, name, dict(options), errors)
+
+    instance, platform = section("instance"), section("platform")
+    secrets = section("secrets")
+    settings = InstanceSettings(
+        caller_address=instance.take("caller_address", check_address),
+        admin_address=instance.take("admin_address", check_address),
+        peer_address=instance.take("peer_address", check_address),
+        failure_domain=instance.take("failure_domain", check_text),
+        platform_address=platform.take("address", check_address),
+        session_secret=secrets.take("session_secret", check_text),
+        operator_key_hash=secrets.take("operator_key_hash", check_hex),
+        database_by_name=_databases(parser, section),
+    )
+    for reader in (instance, platform, secrets):
+        reader.refuse_unknown()
+    errors += _unknown_sections(file, parser)
+    return Error(errors) if errors else Ok(settings)
+
+
+def _databases(parser, section) -> dict[str, DatabaseSettings]:  # type: ignore[no-untyped-def]
+    by_name = {}
+    for title in parser.sections():
+        if not title.startswith(DATABASE_PREFIX):
+            continue
+        name, reader = title.removeprefix(DATABASE_PREFIX), section(title)
+        by_name[name] = DatabaseSettings(
+            name=name,
+            member_addresses=reader.take_list("members", check_address),
+            slots=reader.take("slots", check_count),
+            connections=reader.take("connections", check_count),
+        )
+        reader.refuse_unknown()
+    return by_name
+
+
+def _unknown_sections(file: str, parser: ConfigParser) -> list[SettingsError]:
+    known = {"instance", "platform", "secrets"}
+    return [
+        SettingsError(
+            file,
+            title,
+            "",
+            "",
+            "sections instance, platform, secrets, or 'database NAME'",
+        )
+        for title in parser.sections()
+        if title not in known and not title.startswith(DATABASE_PREFIX)
+    ]
--- /dev/null
+++ b/src/jackdawspread/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for a database member."""
--- /dev/null
+++ b/src/jackdawspread/tasks/caller_handler.py
@@ -0,0 +1,62 @@
+"""Answers callers' HTTP requests through the gateway."""
+
+from prometheus_client import generate_latest
+from trio import Event, MemorySendChannel, WouldBlock, current_time, open_memory_channel
+
+from jackdawspread.codecs.caller_api import (
+    decode_caller_request,
+    encode_admitted_reply,
+    encode_refusal,
+)
+from jackdawspread.messages.admitted_reply import AdmittedReply
+from jackdawspread.messages.caller_submission import CallerSubmission
+from jackdawspread.messages.http_request import HttpRequest
+from jackdawspread.messages.http_response import HttpResponse
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+
+TEXT_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
+
+
+class CallerHandler:
+    """Turns HTTP requests into submissions to the gateway.
+
+    Parameters
+    ----------
+    gateway : trio.MemorySendChannel
+        Inbox of the gateway.
+    stopping : trio.Event
+        Set when the instance stops; readiness then fails.
+    """
+
+    def __init__(
+        self, gateway: MemorySendChannel[CallerSubmission], stopping: Event
+    ) -> None:
+        self._gateway = gateway
+        self._stopping = stopping
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request; runs in the caller's connection task."""
+        if request.target == "/healthz":
+            return HttpResponse(200, TEXT_HEADERS, b"ok\n")
+        if request.target == "/readyz":
+            return self._readiness()
+        if request.target == "/metrics":
+            return HttpResponse(200, TEXT_HEADERS, generate_latest())
+        decoded = decode_caller_request(request, current_time())
+        if decoded.is_error():
+            return encode_refusal(decoded.error)
+        send, receive = open_memory_channel[AdmittedReply](1)
+        try:
+            self._gateway.send_nowait(CallerSubmission(decoded.ok, send))
+        except WouldBlock:
+            detail = "the instance is overloaded; retry later"
+            return encode_refusal(
+                Refusal("overloaded", Ran.NOT_RUN, "admission", "", detail, 1000)
+            )
+        return encode_admitted_reply(await receive.receive())
+
+    def _readiness(self) -> HttpResponse:
+        if self._stopping.is_set():
+            return HttpResponse(503, TEXT_HEADERS, b"stopping\n")
+        return HttpResponse(200, TEXT_HEADERS, b"ready\n")
--- /dev/null
+++ b/src/jackdawspread/tasks/http_client_connection.py
@@ -0,0 +1,107 @@
+"""Client side of one HTTP connection."""
+
+from typing import Any
+
+from h11 import RemoteProtocolError
+from msgspec import DecodeError
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    MemoryReceiveChannel,
+    SocketStream,
+    current_time,
+    open_tcp_stream,
+)
+
+from jackdawspread.codecs.http_client_codec import HttpClientCodec
+from jackdawspread.codecs.json_body import decode_json, encode_json
+from jackdawspread.messages.http_call import HttpCall
+from jackdawspread.messages.http_outcome import HttpOutcome
+
+READ_CHUNK_BYTES = 64 * 1024
+
+
+class HttpClientConnection:
+    """Owns one outgoing socket and makes the calls of its inbox in order.
+
+    The connection ends at the first failed call: a connection with an answer
+    outstanding is never reused, so a late answer reaches nobody.
+
+    Parameters
+    ----------
+    id : int
+        Id of the connection, unique in the process.
+    address : str
+        ``IP:port`` of the other end.
+    inbox : trio.MemoryReceiveChannel
+        Calls to make; the connection closes when the channel does.
+    """
+
+    def __init__(
+        self, id: int, address: str, inbox: MemoryReceiveChannel[HttpCall]
+    ) -> None:
+        self._id = id
+        self._address = address
+        self._inbox = inbox
+        self._codec = HttpClientCodec(address)
+        self._stream: SocketStream | None = None
+
+    async def run(self) -> None:
+        """Make calls until the inbox closes or a call fails."""
+        try:
+            async for call in self._inbox:
+                outcome = await self._call(call)
+                _reply(call, outcome)
+                if outcome.error or not self._codec.reusable:
+                    break
+                self._codec.start_next()
+        finally:
+            self._inbox.close()
+            if self._stream is not None:
+                with CancelScope(shield=True, deadline=current_time() + 1):
+                    await self._stream.aclose()
+
+    async def _call(self, call: HttpCall) -> HttpOutcome:
+        sent = False
+        with CancelScope(deadline=call.deadline) as scope:
+            try:
+                if self._stream is None:
+                    host, port = self._address.rsplit(":", 1)
+                    self._stream = await open_tcp_stream(host, int(port))
+                sent = True
+                return await self._exchange(call)
+            except (
+                OSError,
+                BrokenResourceError,
+                ClosedResourceError,
+                RemoteProtocolError,
+                DecodeError,
+            ) as error:
+                reason = f"connection failed: {error or type(error).__name__}"
+                return HttpOutcome(call.id, self._id, 0, {}, sent, reason)
+        assert scope.cancelled_caught
+        return HttpOutcome(call.id, self._id, 0, {}, sent, "no answer in time")
+
+    async def _exchange(self, call: HttpCall) -> HttpOutcome:
+        assert self._stream is not None
+        body = encode_json(call.body)
+        await self._stream.send_all(self._codec.encode(call.method, call.target, body))
+        while True:
+            response = self._codec.next_response()
+            if response is not None:
+                decoded = decode_json(response.body or b"{}", dict[str, Any])
+                if decoded.is_error():
+                    raise RemoteProtocolError(decoded.error)
+                return HttpOutcome(call.id, self._id, response.status, decoded.ok, True)
+            data = await self._stream.receive_some(READ_CHUNK_BYTES)
+            self._codec.receive(data)
+            if not data:
+                raise BrokenResourceError("closed by the other end")
+
+
+def _reply(call: HttpCall, outcome: HttpOutcome) -> None:
+    try:
+        call.reply_to.send_nowait(outcome)
+    except BrokenResourceError:
+        return
--- /dev/null
+++ b/src/jackdawspread/tasks/http_server.py
@@ -0,0 +1,50 @@
+"""HTTP listener."""
+
+from trio import Event, Nursery, SocketListener, SocketStream, open_nursery
+
+from jackdawspread.tasks.http_server_connection import Handler, HttpServerConnection
+
+
+class HttpServer:
+    """Accepts connections on one listening socket.
+
+    Parameters
+    ----------
+    listener : trio.SocketListener
+        Listening socket, owned by this task.
+    handle : callable
+        Coroutine function that answers one request.
+    stopping : trio.Event
+        Set to stop accepting and to close connections when they are idle.
+    """
+
+    def __init__(
+        self, listener: SocketListener, handle: Handler, stopping: Event
+    ) -> None:
+        self._listener = listener
+        self._handle = handle
+        self._stopping = stopping
+        self._connections: set[HttpServerConnection] = set()
+
+    async def run(self) -> None:
+        """Serve until stopped and every request has been answered."""
+        async with open_nursery() as connections, open_nursery() as accepting:
+            accepting.start_soon(self._accept, connections)
+            await self._stopping.wait()
+            accepting.cancel_scope.cancel()
+            await self._listener.aclose()
+            for connection in tuple(self._connections):
+                connection.stop_if_idle()
+
+    async def _accept(self, connections: Nursery) -> None:
+        while True:
+            stream = await self._listener.accept()
+            connections.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: SocketStream) -> None:
+        connection = HttpServerConnection(stream, self._handle, self._stopping)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
--- /dev/null
+++ b/src/jackdawspread/tasks/http_server_connection.py
@@ -0,0 +1,98 @@
+"""Server side of one HTTP connection."""
+
+from collections.abc import Awaitable, Callable
+
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    Event,
+    SocketStream,
+    current_time,
+    move_on_at,
+)
+
+from jackdawspread.codecs.http_server_codec import HttpServerCodec
+from jackdawspread.messages.http_request import HttpRequest
+from jackdawspread.messages.http_response import HttpResponse
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+READ_CHUNK_BYTES = 16 * 1024
+REQUEST_READ_S = 10.0
+RESPONSE_WRITE_S = 30.0
+
+
+class HttpServerConnection:
+    """Owns one accepted socket and answers its requests in order.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        The accepted socket.
+    handle : callable
+        Coroutine function that answers one request; runs in this task.
+    stopping : trio.Event
+        Set when the server stops; idle connections then close.
+    """
+
+    def __init__(self, stream: SocketStream, handle: Handler, stopping: Event) -> None:
+        self._stream = stream
+        self._handle = handle
+        self._stopping = stopping
+        self._codec = HttpServerCodec()
+        self._reading: CancelScope | None = None
+
+    async def run(self) -> None:
+        """Serve until either end closes."""
+        try:
+            while await self._serve_one():
+                pass
+        except (BrokenResourceError, ClosedResourceError):
+            return
+        finally:
+            with CancelScope(shield=True, deadline=current_time() + 1):
+                await self._stream.aclose()
+
+    def stop_if_idle(self) -> None:
+        """Close the connection unless a request is being read or answered."""
+        if self._reading is not None and self._codec.idle:
+            self._reading.cancel()
+
+    async def _serve_one(self) -> bool:
+        request = await self._read_request()
+        if request is None:
+            return False
+        if isinstance(request, HttpResponse):
+            await self._write(request, close=True)
+            return False
+        response = await self._handle(request)
+        close = self._stopping.is_set()
+        if not await self._write(response, close) or not self._codec.reusable:
+            return False
+        self._codec.start_next()
+        return not close
+
+    async def _read_request(self) -> HttpRequest | HttpResponse | None:
+        if self._stopping.is_set() and self._codec.idle:
+            return None
+        deadline = float("inf")
+        while True:
+            parsed = self._codec.next_request()
+            if parsed.is_error():
+                return parsed.error
+            if parsed.ok is not None:
+                return parsed.ok
+            if not self._codec.idle and deadline == float("inf"):
+                deadline = current_time() + REQUEST_READ_S
+            with CancelScope(deadline=deadline) as self._reading:
+                data = await self._stream.receive_some(READ_CHUNK_BYTES)
+            if self._reading.cancelled_caught or not data:
+                return None
+            self._codec.receive(data)
+
+    async def _write(self, response: HttpResponse, close: bool) -> bool:
+        """Write a response, giving up on a caller that does not read it."""
+        with move_on_at(current_time() + RESPONSE_WRITE_S) as scope:
+            await self._stream.send_all(self._codec.encode(response, close))
+        return not scope.cancelled_caught
