--- /dev/null
+++ b/features/fakes/rate_fleet.py
@@ -0,0 +1,113 @@
+"""Instances that share a rate, driven in simulated time."""
+
+from heapq import heappop, heappush
+from random import Random
+
+from jackdawspread.decisions.admit_request import AdmitRequest
+from jackdawspread.decisions.ask_peer import AskPeer
+from jackdawspread.decisions.grant_arrived import GrantArrived
+from jackdawspread.decisions.grant_peer import GrantPeer
+from jackdawspread.decisions.peer_asked import PeerAsked
+from jackdawspread.decisions.rate_bucket import RateBucket
+from jackdawspread.decisions.rate_limiter import (
+    RateLimiter,
+    decide_rate,
+    next_rate_deadline,
+)
+from jackdawspread.decisions.rate_share import rate_share
+from jackdawspread.decisions.refuse_request import RefuseRequest
+from jackdawspread.decisions.request_arrived import RequestArrived
+from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.messages.view import View
+from jackdawspread.messages.view_member import ViewMember
+
+MESSAGE_DELAY_S = 0.002
+MESSAGE_LOSS = 0.05
+
+
+class RateFleet:
+    """Runs the rate decisions of several instances with lossy messages."""
+
+    def __init__(self, names: list[str], rate: float, burst: int, seed: int) -> None:
+        self.rate, self.burst = rate, burst
+        self.random = Random(seed)
+        self.now = 0.0
+        self.admitted: list[float] = []
+        self.refused = 0
+        self._events: list[tuple[float, int, str, object]] = []
+        self._count = 0
+        self.views = {name: (self._view(names, 1),) for name in names}
+        self.limiters = {name: RateLimiter(RateBucket(0.0, 0.0)) for name in names}
+        self.thaw_at = dict.fromkeys(names, 0.0)
+        self.dead: set[str] = set()
+        self.wake_at: dict[str, float] = {}
+
+    def _view(self, names: list[str], epoch: int) -> View:
+        return View(epoch, {name: ViewMember(name, "perth") for name in names})
+
+    def post(self, at: float, name: str, event: object) -> None:
+        """Deliver an event to an instance at a time."""
+        self._count += 1
+        heappush(self._events, (at, self._count, name, event))
+
+    def join(self, name: str) -> None:
+        """Start an instance; every instance takes the least of both shares."""
+        old = sorted(self.views)
+        view = self._view([*old, name], 2)
+        for other in old:
+            self.views[other] = (*self.views[other], view)
+        self.views[name] = (self._view(old, 1), view)
+        self.limiters[name] = RateLimiter(RateBucket(0.0, self.now))
+        self.thaw_at[name] = 0.0
+
+    def settle(self) -> None:
+        """Let every instance use its share of the latest view alone."""
+        self.views = {name: views[-1:] for name, views in self.views.items()}
+
+    def run_until(self, end: float) -> None:
+        """Handle events and wake-ups in order of time."""
+        while self._events and self._events[0][0] <= end:
+            self.now, _, name, event = heappop(self._events)
+            if name in self.dead:
+                continue
+            if self.thaw_at[name] > self.now:
+                self.post(self.thaw_at[name], name, event)
+                continue
+            self._handle(name, event)
+        self.now = end
+
+    def _handle(self, name: str, event: object) -> None:
+        peers = tuple(other for other in self.limiters if other != name)
+        match event:
+            case RequestArrived():
+                event = event._replace(peers=peers, deadline=self.now + 5)
+            case TimePassed():
+                self.wake_at.pop(name, None)
+                event = TimePassed(peers)
+            case GrantArrived():
+                event = event._replace(peers=peers)
+        share = rate_share("swap", name, self.views[name], self.rate, self.burst)
+        limiter, effects = decide_rate(event, self.limiters[name], share, self.now)
+        self.limiters[name] = limiter
+        for effect in effects:
+            self._carry_out(name, effect)
+        due = next_rate_deadline(limiter, share)
+        if due < self.wake_at.get(name, float("inf")):
+            self.wake_at[name] = due
+            self.post(due, name, TimePassed(()))
+
+    def _carry_out(self, name: str, effect: object) -> None:
+        match effect:
+            case AdmitRequest():
+                self.admitted.append(self.now)
+            case RefuseRequest():
+                self.refused += 1
+            case AskPeer(peer, ask_id, requests):
+                self._send(peer, PeerAsked(name, ask_id, requests))
+            case GrantPeer(peer, ask_id, requests):
+                self._send(peer, GrantArrived(ask_id, requests, ()))
+
+    def _send(self, peer: str, event: object) -> None:
+        if self.random.random() >= MESSAGE_LOSS:
+            delay = MESSAGE_DELAY_S * (1 + self.random.random())
+            self.post(self.now + delay, peer, event)
--- /dev/null
+++ b/features/rates.feature
@@ -0,0 +1,35 @@
+Feature: Rates and bursts across the fleet
+  No workspace gets more than its rate and burst across all instances together.
+
+  Scenario Outline: No window holds more admissions than burst plus rate over the window
+    # Guards against counting a grant twice, and against shares that overlap while
+    # an instance is frozen, dies or joins.
+    Given <instances> instances, a rate of <rate> per second and a burst of <burst>
+    And an instance is frozen for 2 s, one dies and one joins
+    When the workspace sends <factor> times its rate for 20 s with seed <seed>
+    Then no window holds more admissions than the burst plus the rate over the window
+    And at least <percent> percent of the rate was admitted
+
+    Examples:
+      | instances | rate | burst | factor | seed | percent |
+      | 4         | 100  | 20    | 8      | 1    | 60      |
+      | 4         | 50   | 7     | 8      | 2    | 60      |
+      | 4         | 20   | 2     | 8      | 3    | 60      |
+      | 2         | 100  | 10    | 8      | 4    | 40      |
+
+  Scenario Outline: A workspace inside its rate is not refused though one instance gets all of it
+    # Guards against shares that lie idle at instances without demand.
+    Given 4 instances, a rate of 100 per second and a burst of <burst>
+    When the workspace sends 0.8 times its rate to one instance for 10 s with seed 5
+    Then no request was refused
+
+    Examples:
+      | burst |
+      | 20    |
+      | 40    |
+
+  Scenario: A grant that arrives after its deadline is discarded
+    # Guards against an asker that was paused and uses a grant the granter no longer counts.
+    Given a request that waits for a peer's grant
+    When the grant arrives 0.3 s after it was asked for
+    Then the grant admits nothing
--- /dev/null
+++ b/src/jackdawspread/decisions/admission.py
@@ -0,0 +1,114 @@
+"""Checks that a request passes before it is routed."""
+
+from hashlib import sha256
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from jackdawspread.messages.caller_request import CallerRequest
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.messages.session import Session
+
+BINDING_KINDS = frozenset({RequestKind.WRITE, RequestKind.COMMIT})
+# Ending a transaction frees what it holds, so it is never refused for its rate.
+UNLIMITED_KINDS = frozenset({RequestKind.COMMIT, RequestKind.ROLLBACK})
+
+
+class Admission(NamedTuple):
+    """Workspace and key id of an admitted request, and its database."""
+
+    workspace: str
+    key_id: str
+    database: str
+
+
+def key_id_of(key: str) -> str:
+    """Return the SHA-256 of a key in hexadecimal."""
+    return sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+def admit(
+    request: CallerRequest,
+    session: Session,
+    snapshot: ControlSnapshot,
+    databases: frozenset[str],
+    now: float,
+) -> Result[Admission, Refusal]:
+    """Check authority, key, session, database and form of a request.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        The request.
+    session : Session
+        Session of its token; empty workspace if it carries none.
+    snapshot : ControlSnapshot
+        What the instance currently knows.
+    databases : frozenset of str
+        Names of the databases.
+    now : float
+        Monotonic time in seconds.
+    """
+    if now >= snapshot.authority_deadline:
+        detail = "this instance has lost contact with the others; try another one"
+        return _refuse("no_authority", detail)
+    key_id = key_id_of(request.key)
+    workspace = workspace_of_key(key_id, snapshot)
+    if not request.key or workspace is None:
+        return _refuse("unauthorized", "send a valid key in Authorization: Bearer")
+    if session.workspace and session.workspace != workspace:
+        return _refuse("bad_session_token", "Session-Token is of another workspace")
+    if now >= request.deadline:
+        return _refuse("deadline_exceeded", "the deadline passed before admission")
+    if request.kind in BINDING_KINDS and not request.idempotency_key:
+        detail = "send an Idempotency-Key with every write and commit"
+        return _refuse("idempotency_key_required", detail)
+    database = request.database or database_of_transaction(request.transaction_id)
+    if request.transaction_id and database not in databases:
+        return _refuse("unknown_transaction", "no such transaction")
+    return _check_database(workspace, key_id, database, snapshot, databases)
+
+
+def workspace_of_key(key_id: str, snapshot: ControlSnapshot) -> str | None:
+    """Return the workspace of a key in force, or None."""
+    entry = snapshot.configuration["key_by_id"].get(key_id)
+    if entry is None or entry["withdrawn"]:
+        return None
+    if key_id in snapshot.withdrawn_key_ids:
+        return None
+    return entry["workspace"]
+
+
+def database_of_transaction(transaction_id: str) -> str:
+    """Return the database named by ``<incarnation>.<database>.<number>``."""
+    parts = transaction_id.split(".")
+    return parts[1] if len(parts) == 3 else ""
+
+
+def incarnation_of_transaction(transaction_id: str) -> str:
+    """Return the incarnation that runs a transaction."""
+    return transaction_id.split(".")[0]
+
+
+def _check_database(
+    workspace: str,
+    key_id: str,
+    database: str,
+    snapshot: ControlSnapshot,
+    databases: frozenset[str],
+) -> Result[Admission, Refusal]:
+    if database not in databases:
+        return _refuse("unknown_database", f"there is no database {database[:100]!r}")
+    document = snapshot.configuration["workspace_by_name"].get(workspace)
+    allowed = document["databases"] if document else []
+    if document is None or (allowed and database not in allowed):
+        detail = f"workspace {workspace} may not use database {database}"
+        return _refuse("forbidden", detail)
+    return Ok(Admission(workspace, key_id, database))
+
+
+def _refuse(code: str, detail: str) -> Result[Admission, Refusal]:
+    return Error(Refusal(code, Ran.NOT_RUN, "admission", "", detail))
--- /dev/null
+++ b/src/jackdawspread/decisions/grant_arrived.py
@@ -0,0 +1,11 @@
+"""Event: a peer answered an ask."""
+
+from typing import NamedTuple
+
+
+class GrantArrived(NamedTuple):
+    """Requests granted by a peer, which may be 0, and the peers to ask next."""
+
+    ask_id: str
+    requests: int
+    peers: tuple[str, ...]
--- /dev/null
+++ b/src/jackdawspread/decisions/rate_limiter.py
@@ -0,0 +1,182 @@
+"""Admission of one workspace's requests within its rate."""
+
+from functools import singledispatch
+from typing import NamedTuple
+
+from jackdawspread.decisions.admit_request import AdmitRequest
+from jackdawspread.decisions.ask_peer import AskPeer
+from jackdawspread.decisions.grant_arrived import GrantArrived
+from jackdawspread.decisions.grant_peer import GrantPeer
+from jackdawspread.decisions.peer_asked import PeerAsked
+from jackdawspread.decisions.rate_bucket import RateBucket, grant, refill, spend
+from jackdawspread.decisions.rate_share import RateShare
+from jackdawspread.decisions.refuse_request import RefuseRequest
+from jackdawspread.decisions.request_arrived import RequestArrived
+from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.decisions.waiting_request import WaitingRequest
+
+RateEffect = AdmitRequest | RefuseRequest | AskPeer | GrantPeer
+
+BORROW_WAIT_S = 0.2
+# Shorter than the wait, so that a lost ask or a dead peer costs one of several tries.
+ASK_TIMEOUT_S = 0.05
+MAX_WAITING = 256
+MAX_ASK = 64
+# Peers that had nothing to give are asked again after this time, which bounds the
+# messages that a workspace above its rate can cause.
+ASK_PAUSE_S = 0.05
+
+
+class RateLimiter(NamedTuple):
+    """State of one workspace's rate at one instance.
+
+    Parameters
+    ----------
+    bucket : RateBucket
+        Tokens of this instance.
+    waiting : tuple of WaitingRequest
+        Requests that found the bucket empty, oldest first.
+    ask_id : str
+        Id of the ask in flight; empty if none.
+    ask_deadline : float
+        Monotonic time in seconds after which a grant for it is discarded.
+    peers_to_ask : tuple of str
+        Peers that have not answered in this round of asks.
+    next_round : float
+        Monotonic time in seconds before which no new round starts.
+    asks : int
+        Number of asks made, for their ids.
+    """
+
+    bucket: RateBucket
+    waiting: tuple[WaitingRequest, ...] = ()
+    ask_id: str = ""
+    ask_deadline: float = 0.0
+    peers_to_ask: tuple[str, ...] = ()
+    next_round: float = 0.0
+    asks: int = 0
+
+
+Decided = tuple[RateLimiter, tuple[RateEffect, ...]]
+
+
+@singledispatch
+def decide_rate(
+    event: object, limiter: RateLimiter, share: RateShare, now: float
+) -> Decided:
+    """Decide on one event.
+
+    Parameters
+    ----------
+    event : RequestArrived, GrantArrived, PeerAsked or TimePassed
+        What happened.
+    limiter : RateLimiter
+        State of the workspace.
+    share : RateShare
+        Current share of this instance.
+    now : float
+        Monotonic time in seconds.
+
+    Raises
+    ------
+    TypeError
+        If the type of the event is unknown.
+    """
+    raise TypeError(f"rate limiter cannot handle {type(event).__name__}")
+
+
+@decide_rate.register
+def _(
+    event: RequestArrived, limiter: RateLimiter, share: RateShare, now: float
+) -> Decided:
+    limiter = limiter._replace(bucket=refill(limiter.bucket, share, now))
+    if not limiter.waiting:
+        bucket, taken = spend(limiter.bucket, 1)
+        if taken:
+            return limiter._replace(bucket=bucket), (AdmitRequest(event.id, "own"),)
+    if len(limiter.waiting) >= MAX_WAITING:
+        return limiter, (RefuseRequest(event.id),)
+    deadline = min(event.deadline, now + BORROW_WAIT_S)
+    waiting = (*limiter.waiting, WaitingRequest(event.id, deadline))
+    return _settle(limiter._replace(waiting=waiting), event.peers, now)
+
+
+@decide_rate.register
+def _(event: TimePassed, limiter: RateLimiter, share: RateShare, now: float) -> Decided:
+    limiter = limiter._replace(bucket=refill(limiter.bucket, share, now))
+    return _settle(limiter, event.peers, now)
+
+
+@decide_rate.register
+def _(
+    event: GrantArrived, limiter: RateLimiter, share: RateShare, now: float
+) -> Decided:
+    limiter = limiter._replace(bucket=refill(limiter.bucket, share, now))
+    if event.ask_id != limiter.ask_id:
+        return limiter, ()
+    usable = event.requests if now < limiter.ask_deadline else 0
+    admitted = limiter.waiting[:usable]
+    effects = tuple(AdmitRequest(request.id, "borrowed") for request in admitted)
+    limiter = limiter._replace(waiting=limiter.waiting[usable:], ask_id="")
+    limiter, more = _settle(limiter, event.peers, now)
+    return limiter, effects + more
+
+
+@decide_rate.register
+def _(event: PeerAsked, limiter: RateLimiter, share: RateShare, now: float) -> Decided:
+    limiter = limiter._replace(bucket=refill(limiter.bucket, share, now))
+    limiter, effects = _settle(limiter, (), now)
+    bucket, granted = grant(limiter.bucket, event.requests, now + BORROW_WAIT_S)
+    reply = GrantPeer(event.peer, event.ask_id, granted)
+    return limiter._replace(bucket=bucket), (*effects, reply)
+
+
+def _settle(limiter: RateLimiter, peers: tuple[str, ...], now: float) -> Decided:
+    """Admit from the own bucket, refuse what has waited, and ask peers."""
+    effects: list[RateEffect] = []
+    bucket, taken = spend(limiter.bucket, len(limiter.waiting))
+    effects += [AdmitRequest(r.id, "own") for r in limiter.waiting[:taken]]
+    rest = limiter.waiting[taken:]
+    effects += [RefuseRequest(r.id) for r in rest if r.deadline <= now]
+    rest = tuple(r for r in rest if r.deadline > now)
+    limiter = limiter._replace(bucket=bucket, waiting=rest)
+    limiter, asks = _ask(limiter, peers, now)
+    return limiter, (*effects, *asks)
+
+
+def _ask(limiter: RateLimiter, peers: tuple[str, ...], now: float) -> Decided:
+    if limiter.ask_id and now >= limiter.ask_deadline:
+        limiter = limiter._replace(ask_id="")
+    if not limiter.waiting or limiter.ask_id:
+        return limiter, ()
+    to_ask = tuple(peer for peer in limiter.peers_to_ask if peer in peers)
+    if not to_ask:
+        if now < limiter.next_round or not peers:
+            return limiter, ()
+        to_ask = peers
+        limiter = limiter._replace(next_round=now + ASK_PAUSE_S)
+    ask_id = str(limiter.asks + 1)
+    limiter = limiter._replace(
+        ask_id=ask_id,
+        ask_deadline=now + ASK_TIMEOUT_S,
+        peers_to_ask=to_ask[1:],
+        asks=limiter.asks + 1,
+    )
+    requests = min(len(limiter.waiting), MAX_ASK)
+    return limiter, (AskPeer(to_ask[0], ask_id, requests),)
+
+
+def next_rate_deadline(limiter: RateLimiter, share: RateShare) -> float:
+    """Return the monotonic time at which `TimePassed` is due."""
+    if not limiter.waiting:
+        return float("inf")
+    due = min(request.deadline for request in limiter.waiting)
+    if share.rate > 0 and share.burst > 0:
+        missing = max(0.0, 1.0 - limiter.bucket.tokens)
+        due = min(due, limiter.bucket.refilled_at + missing / share.rate)
+    due = min(due, limiter.ask_deadline if limiter.ask_id else limiter.next_round)
+    return max(due, limiter.bucket.refilled_at + MIN_WAKE_S)
+
+
+# Keeps rounding of the refill from waking the task in a tight loop.
+MIN_WAKE_S = 0.001
--- /dev/null
+++ b/src/jackdawspread/decisions/rate_share.py
@@ -0,0 +1,52 @@
+"""Share of a workspace's rate and burst that one instance holds."""
+
+from typing import NamedTuple
+
+from xxhash import xxh64_intdigest
+
+from jackdawspread.messages.view import View
+
+
+class RateShare(NamedTuple):
+    """Share of one instance.
+
+    Parameters
+    ----------
+    rate : float
+        Requests per second.
+    burst : int
+        Requests.
+    """
+
+    rate: float
+    burst: int
+
+
+def rate_share(
+    workspace: str,
+    incarnation: str,
+    views: tuple[View, ...],
+    rate: float,
+    burst: int,
+) -> RateShare:
+    """Return the least share over all unsettled views.
+
+    Taking the least keeps the sum over all instances within the limit while
+    instances move from one view to the next at different times.
+    """
+    bursts = [_burst_in_view(workspace, incarnation, view, burst) for view in views]
+    share = min(bursts, default=0)
+    return RateShare(rate * share / burst if burst else 0.0, share)
+
+
+def _burst_in_view(workspace: str, incarnation: str, view: View, burst: int) -> int:
+    members = view.member_by_incarnation
+    if incarnation not in members:
+        return 0
+    base, remainder = divmod(burst, len(members))
+    if not remainder:
+        return base
+    ranked = sorted(
+        members, key=lambda name: xxh64_intdigest(f"{workspace}/{name}".encode())
+    )
+    return base + (ranked.index(incarnation) < remainder)
--- /dev/null
+++ b/src/jackdawspread/decisions/refuse_request.py
@@ -0,0 +1,9 @@
+"""Effect: refuse a request."""
+
+from typing import NamedTuple
+
+
+class RefuseRequest(NamedTuple):
+    """Refuses a request because its workspace is above its rate."""
+
+    id: str
--- /dev/null
+++ b/src/jackdawspread/decisions/route.py
@@ -0,0 +1,42 @@
+"""Choice of the instance that runs a request."""
+
+from jackdawspread.decisions.admission import incarnation_of_transaction
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.messages.routed_request import RoutedRequest
+
+# A read has no effect, and a write or outcome is identified by its request id, so
+# running one again is safe whatever became of the first attempt.
+REPEATABLE_KINDS = frozenset({RequestKind.READ, RequestKind.WRITE, RequestKind.OUTCOME})
+# Reasons that concern the chosen instance, not the request.
+REROUTABLE_CODES = frozenset(
+    {"not_owner", "peer_unreachable", "peer_overloaded", "no_authority"}
+)
+
+
+def choose_peer(
+    request: RoutedRequest, snapshot: ControlSnapshot, attempt: int
+) -> str | None:
+    """Return the peer address of the instance to run a request.
+
+    A transaction goes to the instance that began it. Anything else goes to the
+    active seat first and to the other live seats on further attempts.
+    """
+    if request.transaction_id:
+        incarnation = incarnation_of_transaction(request.transaction_id)
+        for view in reversed(snapshot.unsettled_views):
+            member = view.member_by_incarnation.get(incarnation)
+            if member is not None:
+                return member.peer_address
+        return None
+    addresses = snapshot.seat_addresses_by_database.get(request.database, ())
+    return addresses[attempt % len(addresses)] if addresses else None
+
+
+def may_reroute(request: RoutedRequest, refusal: Refusal) -> bool:
+    """Return whether a refused request may be tried at another instance."""
+    if refusal.code not in REROUTABLE_CODES or request.transaction_id:
+        return False
+    return refusal.ran is Ran.NOT_RUN or request.kind in REPEATABLE_KINDS
--- /dev/null
+++ b/src/jackdawspread/messages/link_closed.py
@@ -0,0 +1,10 @@
+"""Event: a stream to a peer ended."""
+
+from typing import NamedTuple
+
+
+class LinkClosed(NamedTuple):
+    """The stream ended; ``reason`` says why."""
+
+    stream: int
+    reason: str
--- /dev/null
+++ b/src/jackdawspread/messages/unsupported_frame.py
@@ -0,0 +1,11 @@
+"""Frame that this version does not understand."""
+
+from typing import NamedTuple
+
+
+class UnsupportedFrame(NamedTuple):
+    """Kind, version and correlation id of a frame of another version."""
+
+    version: int
+    kind: str
+    id: str
--- /dev/null
+++ b/src/jackdawspread/tasks/peer_stream.py
@@ -0,0 +1,138 @@
+"""Stream opened by one peer."""
+
+from contextlib import suppress
+from functools import singledispatchmethod
+
+from absl import logging
+from expression import Error
+from trio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    MemorySendChannel,
+    WouldBlock,
+    current_time,
+    open_memory_channel,
+)
+
+from jackdawspread.codecs.peer_frames import decode_batch
+from jackdawspread.messages.peer_hello import PeerHello
+from jackdawspread.messages.peer_received import PeerReceived
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.routed_reply import RoutedReply
+from jackdawspread.messages.routed_request import RoutedRequest
+from jackdawspread.messages.routed_submission import RoutedSubmission
+from jackdawspread.messages.spend_grant import SpendGrant
+from jackdawspread.messages.spend_request import SpendRequest
+from jackdawspread.messages.unsupported_frame import UnsupportedFrame
+from jackdawspread.tasks.frame_queue import FrameQueue
+
+STREAM_INBOX = 20_000
+
+StreamInput = bytes | RoutedReply
+
+
+class PeerStream:
+    """Owns one incoming stream: passes requests to owners and replies back.
+
+    Parameters
+    ----------
+    queue : FrameQueue
+        Outgoing frames of the stream.
+    owner_by_database : dict of str to trio.MemorySendChannel
+        Inboxes of the owners.
+    control : trio.MemorySendChannel
+        Inbox of the control task.
+    gateway : trio.MemorySendChannel
+        Inbox of the gateway, which takes the messages about rates.
+    """
+
+    def __init__(
+        self,
+        queue: FrameQueue,
+        owner_by_database: dict[str, MemorySendChannel[RoutedSubmission]],
+        control: MemorySendChannel[PeerReceived],
+        gateway: MemorySendChannel[PeerReceived],
+    ) -> None:
+        self._queue = queue
+        self._owner_by_database = owner_by_database
+        self._control = control
+        self._gateway = gateway
+        self._peer_address = ""
+        self._events, self._inbox = open_memory_channel[StreamInput](STREAM_INBOX)
+
+    async def run(self) -> None:
+        """Serve until the stream ends."""
+        with suppress(ClosedResourceError):
+            async for event in self._inbox:
+                if isinstance(event, RoutedReply):
+                    self._queue.put(event)
+                    continue
+                for content in decode_batch(event, current_time()):
+                    self._handle(content)
+
+    def post(self, data: bytes) -> None:
+        """Take a batch that arrived; called in trio's thread."""
+        try:
+            self._events.send_nowait(data)
+        except WouldBlock:
+            logging.warning("peer: stream inbox full peer=%s", self._peer_address)
+        except (BrokenResourceError, ClosedResourceError):
+            return
+
+    def close(self) -> None:
+        """End the task once what has arrived is handled."""
+        self._inbox.close()
+
+    @singledispatchmethod
+    def _handle(self, content: object) -> None:
+        message: PeerReceived = PeerReceived(self._peer_address, content)  # type: ignore[arg-type]
+        _pass_on(self._control, message)
+
+    @_handle.register
+    def _(self, content: PeerHello) -> None:
+        self._peer_address = content.peer_address
+
+    @_handle.register(SpendRequest)
+    @_handle.register(SpendGrant)
+    def _(self, content: SpendRequest | SpendGrant) -> None:
+        _pass_on(self._gateway, PeerReceived(self._peer_address, content))
+
+    @_handle.register
+    def _(self, content: UnsupportedFrame) -> None:
+        logging.warning(
+            "peer: unsupported frame peer=%s version=%s kind=%s",
+            self._peer_address,
+            content.version,
+            content.kind,
+        )
+        if content.id:
+            detail = f"this instance does not support {content.kind} frames"
+            self._refuse(content.id, "unsupported", detail)
+
+    @_handle.register
+    def _(self, content: RoutedReply) -> None:
+        logging.warning("peer: reply on the wrong stream id=%s", content.id)
+
+    @_handle.register
+    def _(self, content: RoutedRequest) -> None:
+        owner = self._owner_by_database.get(content.database)
+        if owner is None:
+            self._refuse(content.id, "not_owner", "no such database here")
+            return
+        try:
+            owner.send_nowait(RoutedSubmission(content, self._events))
+        except WouldBlock:
+            self._refuse(content.id, "peer_overloaded", "the owner's inbox is full")
+
+    def _refuse(self, id: str, code: str, detail: str) -> None:
+        refusal = Refusal(code, Ran.NOT_RUN, "routing", "", detail)
+        self._queue.put(RoutedReply(id, Error(refusal)))
+
+
+def _pass_on(channel: MemorySendChannel[PeerReceived], message: PeerReceived) -> None:
+    try:
+        channel.send_nowait(message)
+    except WouldBlock:
+        # Peers repeat heartbeats and requests that matter.
+        logging.warning("peer: inbox full message=%s", type(message.message).__name__)
--- /dev/null
+++ b/src/jackdawspread/tasks/pending_request.py
@@ -0,0 +1,34 @@
+"""Request between its admission and its reply."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.caller_submission import CallerSubmission
+from jackdawspread.messages.routed_request import RoutedRequest
+from jackdawspread.messages.session import Session
+
+
+class PendingRequest(NamedTuple):
+    """Request that the gateway has yet to reply to.
+
+    Parameters
+    ----------
+    submission : CallerSubmission
+        The caller's request and where its reply goes.
+    session : Session
+        Session of the caller.
+    request : RoutedRequest
+        The current attempt.
+    attempt : int
+        Number of earlier attempts.
+    peer_address : str
+        Instance that runs the attempt; empty before routing.
+    admitted_at : float
+        Monotonic time in seconds.
+    """
+
+    submission: CallerSubmission
+    session: Session
+    request: RoutedRequest
+    attempt: int
+    peer_address: str
+    admitted_at: float
--- /dev/null
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -0,0 +1,168 @@
+"""Rate limiters of all workspaces at one instance."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from absl import logging
+from trio import MemorySendChannel, WouldBlock
+
+from jackdawspread.decisions.admit_request import AdmitRequest
+from jackdawspread.decisions.ask_peer import AskPeer
+from jackdawspread.decisions.grant_arrived import GrantArrived
+from jackdawspread.decisions.grant_peer import GrantPeer
+from jackdawspread.decisions.peer_asked import PeerAsked
+from jackdawspread.decisions.rate_bucket import RateBucket
+from jackdawspread.decisions.rate_limiter import (
+    RateLimiter,
+    decide_rate,
+    next_rate_deadline,
+)
+from jackdawspread.decisions.rate_share import RateShare, rate_share
+from jackdawspread.decisions.refuse_request import RefuseRequest
+from jackdawspread.decisions.request_arrived import RequestArrived
+from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+from jackdawspread.messages.peer_received import PeerReceived
+from jackdawspread.messages.peer_send import PeerSend
+from jackdawspread.messages.spend_grant import SpendGrant
+from jackdawspread.messages.spend_request import SpendRequest
+from jackdawspread.tasks.gateway_metrics import RATE_ADMISSIONS
+from jackdawspread.tasks.peer_hub import HubInput
+
+NO_SHARE = RateShare(0.0, 0)
+
+
+class RateLimits:
+    """Part of the gateway's state: one `RateLimiter` for each workspace.
+
+    Parameters
+    ----------
+    own_address : str
+        Peer address of this instance.
+    hub : trio.MemorySendChannel
+        Inbox of the peer hub.
+    admit : callable
+        Called with the id of each request that is admitted.
+    refuse : callable
+        Called with the id of each request that is refused.
+    """
+
+    def __init__(
+        self,
+        own_address: str,
+        hub: MemorySendChannel[HubInput],
+        admit: Callable[[str], None],
+        refuse: Callable[[str], None],
+    ) -> None:
+        self._own_address = own_address
+        self._hub = hub
+        self._admit = admit
+        self._refuse = refuse
+        self._limiter_by_workspace: dict[str, RateLimiter] = {}
+        self._share_by_workspace: dict[str, RateShare] = {}
+        self._waiting_workspaces: set[str] = set()
+        self._peers: tuple[str, ...] = ()
+        self._authority_deadline = 0.0
+        self._shares_key: tuple[object, ...] = ()
+
+    def use_snapshot(self, snapshot: ControlSnapshot) -> None:
+        """Take over shares and peers from a snapshot."""
+        self._authority_deadline = snapshot.authority_deadline
+        key = (snapshot.configuration["version"], snapshot.unsettled_views)
+        if key == self._shares_key:
+            return
+        self._shares_key = key
+        views = snapshot.unsettled_views
+        members = views[-1].member_by_incarnation if views else {}
+        addresses = (member.peer_address for member in members.values())
+        self._peers = tuple(a for a in addresses if a != self._own_address)
+        for workspace in snapshot.configuration["workspace_by_name"]:
+            limits = effective_limits(snapshot.configuration, workspace)
+            self._share_by_workspace[workspace] = rate_share(
+                workspace, snapshot.incarnation, views, limits.rate, limits.burst
+            )
+
+    def request(self, workspace: str, id: str, deadline: float, now: float) -> None:
+        """Ask for the admission of one request."""
+        self._decide(workspace, RequestArrived(id, deadline, self._peers), now)
+
+    def handle_peer(self, event: PeerReceived, now: float) -> None:
+        """Handle a peer's message about rates."""
+        self._handle(event.message, event.peer_address, now)
+
+    def next_deadline(self) -> float:
+        """Return the monotonic time at which `handle_due` is to be called."""
+        return min(map(self._deadline, self._waiting_workspaces), default=float("inf"))
+
+    def handle_due(self, now: float) -> None:
+        """Handle the deadlines that have come."""
+        for workspace in tuple(self._waiting_workspaces):
+            if self._deadline(workspace) <= now:
+                self._decide(workspace, TimePassed(self._peers), now)
+
+    @singledispatchmethod
+    def _handle(self, message: object, peer: str, now: float) -> None:
+        raise TypeError(f"rate limits cannot handle {type(message).__name__}")
+
+    @_handle.register
+    def _(self, message: SpendRequest, peer: str, now: float) -> None:
+        # Without authority another instance may hold this share already.
+        wanted = message.requests if now < self._authority_deadline else 0
+        self._decide(message.workspace, PeerAsked(peer, message.id, wanted), now)
+
+    @_handle.register
+    def _(self, message: SpendGrant, peer: str, now: float) -> None:
+        event = GrantArrived(message.id, message.requests, self._peers)
+        self._decide(message.workspace, event, now)
+
+    def _deadline(self, workspace: str) -> float:
+        share = self._share_by_workspace.get(workspace, NO_SHARE)
+        return next_rate_deadline(self._limiter_by_workspace[workspace], share)
+
+    def _decide(
+        self,
+        workspace: str,
+        event: RequestArrived | GrantArrived | PeerAsked | TimePassed,
+        now: float,
+    ) -> None:
+        limiter = self._limiter_by_workspace.get(workspace)
+        if limiter is None:
+            limiter = RateLimiter(RateBucket(0.0, now))
+        share = self._share_by_workspace.get(workspace, NO_SHARE)
+        limiter, effects = decide_rate(event, limiter, share, now)
+        self._limiter_by_workspace[workspace] = limiter
+        if limiter.waiting:
+            self._waiting_workspaces.add(workspace)
+        else:
+            self._waiting_workspaces.discard(workspace)
+        for effect in effects:
+            self._carry_out(effect, workspace)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: object, workspace: str) -> None:
+        raise TypeError(f"rate limits cannot carry out {type(effect).__name__}")
+
+    @_carry_out.register
+    def _(self, effect: AdmitRequest, workspace: str) -> None:
+        RATE_ADMISSIONS.labels(workspace, effect.source).inc()
+        self._admit(effect.id)
+
+    @_carry_out.register
+    def _(self, effect: RefuseRequest, workspace: str) -> None:
+        logging.info("rate: refused id=%s workspace=%s", effect.id, workspace)
+        self._refuse(effect.id)
+
+    @_carry_out.register
+    def _(self, effect: AskPeer, workspace: str) -> None:
+        self._send(effect.peer, SpendRequest(effect.ask_id, workspace, effect.requests))
+
+    @_carry_out.register
+    def _(self, effect: GrantPeer, workspace: str) -> None:
+        self._send(effect.peer, SpendGrant(effect.ask_id, workspace, effect.requests))
+
+    def _send(self, peer: str, message: SpendRequest | SpendGrant) -> None:
+        try:
+            self._hub.send_nowait(PeerSend(peer, message))
+        except WouldBlock:
+            # An ask that is lost ends at its deadline.
+            logging.warning("rate: hub inbox full peer=%s", peer)
