--- /dev/null
+++ b/src/jackdawspread/decisions/authority.py
@@ -0,0 +1,45 @@
+"""Authority of an instance to admit work."""
+
+from jackdawspread.decisions.control_state import NEVER, ControlState
+from jackdawspread.decisions.control_timing import AUTHORITY_S
+
+
+def vouch_quorum(members: int) -> int:
+    """Return how many members must vouch for an instance."""
+    return members // 2 + 1
+
+
+def change_quorum(members: int) -> int:
+    """Return how many members must promise before a change of view.
+
+    Every vouch quorum shares a member with it, so after the promises no
+    instance can gather vouches for the old epoch.
+    """
+    return members - vouch_quorum(members) + 1 if members else 0
+
+
+def authority_deadline(state: ControlState, now: float) -> float:
+    """Return the time until which the instance may admit work.
+
+    The time counts from before asking, so an answer that was delayed, for
+    example by a pause of this process, extends nothing.
+    """
+    if not state.is_member:
+        return NEVER
+    members = state.view.member_by_incarnation
+    asked = [
+        at
+        for incarnation, at in state.vouched_at_by_incarnation.items()
+        if incarnation in members and incarnation != state.incarnation
+    ]
+    is_promised = state.promised_epoch >= state.view.epoch
+    asked.append(state.promised_at if is_promised else now)
+    asked.sort(reverse=True)
+    quorum = vouch_quorum(len(members))
+    vouched_at = asked[quorum - 1] if len(asked) >= quorum else NEVER
+    return max(vouched_at, state.platform_vouched_at) + AUTHORITY_S
+
+
+def has_authority(state: ControlState, now: float) -> bool:
+    """Whether the instance may admit work now."""
+    return now < authority_deadline(state, now)
--- /dev/null
+++ b/src/jackdawspread/decisions/configuration_store.py
@@ -0,0 +1,35 @@
+"""Writes of the configuration document."""
+
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control_step import ControlStep
+from jackdawspread.decisions.platform_writes import ABSENT, next_write_id, start_write
+from jackdawspread.messages.configuration_document import ConfigurationDocument
+
+KEY = "configuration"
+RECENT_WRITES = 32
+
+
+def is_row_current(state: ControlState) -> bool:
+    """Whether the row read last holds the newest document that is known.
+
+    A document that a peer pushed comes without the version of its row.
+    """
+    row = state.row_by_key.get(KEY, ABSENT)
+    return bool(row.value.get("version", 0) == state.configuration["version"])
+
+
+def store(
+    state: ControlState, document: ConfigurationDocument, now: float, admin_id: str = ""
+) -> ControlStep:
+    """Write a document as the version after the newest one known."""
+    write_id = next_write_id(state)
+    recent = [*state.configuration.get("recent_write_ids", []), write_id]
+    value = ConfigurationDocument(
+        **{
+            **document,
+            "version": state.configuration["version"] + 1,
+            "write_id": write_id,
+            "recent_write_ids": recent[-RECENT_WRITES:],
+        }
+    )
+    return start_write(state, KEY, dict(value), now, admin_id)
--- /dev/null
+++ b/src/jackdawspread/decisions/configurations.py
@@ -0,0 +1,148 @@
+"""Adoption and storing of the configuration."""
+
+from typing import cast
+
+from jackdawspread.decisions.configuration_changes import (
+    apply_change,
+    commutes,
+    refuse,
+)
+from jackdawspread.decisions.configuration_store import (
+    KEY,
+    is_row_current,
+    store,
+)
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control_step import ControlStep, Effect
+from jackdawspread.decisions.heartbeats import to_peers
+from jackdawspread.decisions.platform_write import PlatformWrite
+from jackdawspread.decisions.withdrawals import answer_withdrawals
+from jackdawspread.messages.admin_answer import AdminAnswer
+from jackdawspread.messages.admin_change import AdminChange
+from jackdawspread.messages.admin_result import AdminResult
+from jackdawspread.messages.configuration_document import ConfigurationDocument
+from jackdawspread.messages.configuration_push import ConfigurationPush
+from jackdawspread.messages.control_log import ControlLog
+from jackdawspread.messages.lost_race import LostRace
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+
+MAX_QUEUED = 100
+
+
+def decode(value: dict[str, object]) -> ConfigurationDocument:
+    """Return the document that a row of the platform holds."""
+    return cast(ConfigurationDocument, value)
+
+
+def adopt_configuration(
+    state: ControlState, document: ConfigurationDocument, now: float
+) -> ControlStep:
+    """Adopt a configuration with a greater version; a lower one never applies."""
+    if document["version"] <= state.configuration["version"]:
+        return state, ()
+    state = state._replace(configuration=document)
+    line = f"control: adopted configuration version={document['version']}"
+    state, answered = answer_withdrawals(state, now)
+    log = ControlLog(f"{line} preset={document['preset']}")
+    return state, (log, *answered)
+
+
+def queue_change(state: ControlState, request: AdminChange, now: float) -> ControlStep:
+    """Queue an operator's change, or refuse it while the platform is down."""
+    if not state.is_platform_up:
+        detail = "the platform cannot be reached, so nothing was changed; try later"
+        return state, _result(request, refuse("platform_unavailable", detail))
+    if len(state.admin_queue) >= MAX_QUEUED:
+        detail = "too many changes are waiting on this instance; try later"
+        return state, _result(request, refuse("overloaded", detail))
+    return state._replace(admin_queue=(*state.admin_queue, request)), ()
+
+
+def advance_changes(state: ControlState, now: float) -> ControlStep:
+    """Start to store the next change, if none is being stored."""
+    effects: tuple[Effect, ...] = ()
+    if state.admin_queue and not is_row_current(state):
+        return state._replace(next_poll_at=now), ()
+    while state.admin_queue and KEY not in state.write_by_key:
+        request = state.admin_queue[0]
+        document = state.configuration
+        changed = apply_change(document, request.change)
+        is_race = request.expected_version not in (0, document["version"])
+        if is_race:
+            yours = changed.ok if changed.is_ok() else document
+            race = LostRace(
+                ConfigurationDocument(**{**yours, "version": request.expected_version}),
+                document,
+            )
+            state, effects = _finish(state), effects + _result(request, race)
+        elif changed.is_error():
+            state = _finish(state)
+            effects += _result(request, changed.error)
+        else:
+            state, written = store(state, changed.ok, now, request.id)
+            effects += written
+    return state, effects
+
+
+def stored(state: ControlState, write: PlatformWrite, now: float) -> ControlStep:
+    """Adopt, push and report a document that the platform has stored."""
+    document = cast(ConfigurationDocument, write.value)
+    state, effects = adopt_configuration(state, document, now)
+    effects += to_peers(state, ConfigurationPush(state.configuration))
+    if is_queued(state, write):
+        request = state.admin_queue[0]
+        body: dict[str, object] = {"version": document["version"]}
+        line = f"admin: stored change={type(request.change).__name__}"
+        log = ControlLog(f"{line} version={document['version']}")
+        effects += (log, *_result(request, AdminAnswer(body)))
+        state = _finish(state)
+    return state, effects
+
+
+def lost(state: ControlState, write: PlatformWrite, now: float) -> ControlStep:
+    """Report a lost race, or make a change again that means the same."""
+    if not is_queued(state, write):
+        return state, ()
+    request = state.admin_queue[0]
+    is_repeatable = not request.expected_version and commutes(request.change)
+    if is_repeatable and not state.is_admin_retry:
+        return state._replace(is_admin_retry=True), ()
+    yours = cast(ConfigurationDocument, write.value)
+    race = LostRace(yours, state.configuration)
+    log = ControlLog(f"admin: lost race change={type(request.change).__name__}")
+    return _finish(state), (log, *_result(request, race))
+
+
+def failed(
+    state: ControlState, write: PlatformWrite, ran: Ran, now: float
+) -> ControlStep:
+    """Report a change that was not stored, or whose outcome stays unknown."""
+    if not is_queued(state, write):
+        return state, ()
+    request = state.admin_queue[0]
+    if ran is Ran.NOT_RUN:
+        code, detail = "platform_unavailable", "nothing was changed; try later"
+    else:
+        code = "outcome_unknown"
+        detail = "the change may have been stored; look before repeating it"
+    refusal = Refusal(
+        code, ran, "administration", "", f"the platform did not answer, {detail}"
+    )
+    log = ControlLog(f"admin: {code} change={type(request.change).__name__}")
+    return _finish(state), (log, *_result(request, refusal))
+
+
+def is_queued(state: ControlState, write: PlatformWrite) -> bool:
+    """Whether a write of the configuration is that of the first change."""
+    return bool(state.admin_queue) and (state.admin_queue[0].id == write.admin_id)
+
+
+def _finish(state: ControlState) -> ControlState:
+    return state._replace(admin_queue=state.admin_queue[1:], is_admin_retry=False)
+
+
+def _result(
+    request: AdminChange, outcome: AdminAnswer | Refusal | LostRace
+) -> tuple[Effect, ...]:
+    return (AdminResult(request.id, outcome),)
--- /dev/null
+++ b/src/jackdawspread/decisions/control_decision.py
@@ -0,0 +1,135 @@
+"""Decisions of the control side of an instance."""
+
+from functools import singledispatch
+
+from jackdawspread.decisions import configurations, heartbeats, seats, withdrawals
+from jackdawspread.decisions.control_state import NEVER, ControlState
+from jackdawspread.decisions.control_status import status_body
+from jackdawspread.decisions.control_step import ControlStep, Effect
+from jackdawspread.decisions.control_timing import PAUSE_S
+from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.peer_decision import decide_peer
+from jackdawspread.decisions.platform_outcomes import poll, take_outcome
+from jackdawspread.decisions.view_changes import advance_proposal
+from jackdawspread.decisions.views import settle_views
+from jackdawspread.messages.admin_answer import AdminAnswer
+from jackdawspread.messages.admin_change import AdminChange
+from jackdawspread.messages.admin_result import AdminResult
+from jackdawspread.messages.admin_status_query import AdminStatusQuery
+from jackdawspread.messages.control_tick import ControlTick
+from jackdawspread.messages.leaving import Leaving
+from jackdawspread.messages.peer_received import PeerReceived
+from jackdawspread.messages.planned_stop import PlannedStop
+from jackdawspread.messages.platform_outcome import PlatformOutcome
+from jackdawspread.messages.term_announcement import TermAnnouncement
+from jackdawspread.messages.withdraw_key import WithdrawKey
+
+ControlEvent = (
+    PeerReceived
+    | TermAnnouncement
+    | PlatformOutcome
+    | AdminChange
+    | AdminStatusQuery
+    | PlannedStop
+    | ControlTick
+)
+
+
+def first_state(
+    incarnation: str,
+    peer_address: str,
+    failure_domain: str,
+    connections_by_database: dict[str, int],
+) -> ControlState:
+    """Return the state of an instance that has just started."""
+    return ControlState(
+        incarnation,
+        peer_address,
+        failure_domain,
+        connections_by_database,
+        first_configuration(),
+    )
+
+
+def decide(state: ControlState, event: ControlEvent, now: float) -> ControlStep:
+    """Return the next state and the effects of an event.
+
+    Parameters
+    ----------
+    state : ControlState
+        State before the event.
+    event : ControlEvent
+        What happened.
+    now : float
+        Monotonic time in seconds.
+    """
+    return _decide(event, state, now)
+
+
+@singledispatch
+def _decide(event: object, state: ControlState, now: float) -> ControlStep:
+    raise TypeError(f"control cannot handle {type(event).__name__}")
+
+
+@_decide.register
+def _(event: ControlTick, state: ControlState, now: float) -> ControlStep:
+    state = _forgive_pause(state, now)
+    state = settle_views(state, now)
+    effects: tuple[Effect, ...] = ()
+    for advance in (
+        seats.settle_seats,
+        heartbeats.send_heartbeats,
+        advance_proposal,
+        seats.write_seats,
+        configurations.advance_changes,
+        withdrawals.store_withdrawals,
+        withdrawals.answer_withdrawals,
+        poll,
+    ):
+        state, more = advance(state, now)
+        effects += more
+    return state, effects
+
+
+def _forgive_pause(state: ControlState, now: float) -> ControlState:
+    """Judge the silence of others only from the end of a pause of our own."""
+    paused = state.ticked_at != NEVER and now >= state.ticked_at + PAUSE_S
+    if paused:
+        heard = dict.fromkeys(state.heard_at_by_incarnation, now)
+        state = state._replace(heard_at_by_incarnation=heard)
+    return state._replace(ticked_at=now)
+
+
+@_decide.register
+def _(event: PeerReceived, state: ControlState, now: float) -> ControlStep:
+    return decide_peer(event.message, state, event.peer_address, now)
+
+
+@_decide.register
+def _(event: TermAnnouncement, state: ControlState, now: float) -> ControlStep:
+    return seats.announce_term(state, event)
+
+
+@_decide.register
+def _(event: PlatformOutcome, state: ControlState, now: float) -> ControlStep:
+    return take_outcome(state, event, now)
+
+
+@_decide.register
+def _(event: AdminChange, state: ControlState, now: float) -> ControlStep:
+    if isinstance(event.change, WithdrawKey):
+        return withdrawals.start_withdrawal(state, event.change.key_id, event.id, now)
+    state, queued = configurations.queue_change(state, event, now)
+    state, advanced = configurations.advance_changes(state, now)
+    return state, queued + advanced
+
+
+@_decide.register
+def _(event: AdminStatusQuery, state: ControlState, now: float) -> ControlStep:
+    return state, (AdminResult(event.id, AdminAnswer(status_body(state, now))),)
+
+
+@_decide.register
+def _(event: PlannedStop, state: ControlState, now: float) -> ControlStep:
+    state = state._replace(is_leaving=True)
+    return state, heartbeats.to_peers(state, Leaving(state.incarnation))
--- /dev/null
+++ b/src/jackdawspread/decisions/control_state.py
@@ -0,0 +1,87 @@
+"""State of the control decisions."""
+
+from typing import NamedTuple
+
+from jackdawspread.decisions.pending_call import PendingCall
+from jackdawspread.decisions.platform_row import PlatformRow
+from jackdawspread.decisions.platform_write import PlatformWrite
+from jackdawspread.decisions.seat_state import SeatState
+from jackdawspread.decisions.view_proposal import ViewProposal
+from jackdawspread.decisions.withdrawal import Withdrawal
+from jackdawspread.messages.admin_change import AdminChange
+from jackdawspread.messages.configuration_document import ConfigurationDocument
+from jackdawspread.messages.view import View
+
+NEVER = float("-inf")
+
+
+class ControlState(NamedTuple):
+    """Everything that the control task of an instance knows.
+
+    Containers are replaced, never changed, so a state can be kept and compared.
+
+    Parameters
+    ----------
+    views : tuple of View
+        Settled view and all later ones that this instance has seen.
+    is_base_settled : bool
+        Whether the first view is settled; false for a newcomer.
+    view_seen_at : float
+        Time at which the newest view was first seen.
+    promised_epoch : int
+        Greatest epoch that this instance no longer vouches for.
+    vouched_at_by_incarnation : dict of str to float
+        Time before asking for the last vouch for the newest epoch.
+    platform_read_at : float
+        Time before the last read of the platform that was answered.
+    platform_vouched_at : float
+        Time before the last read of the platform that showed the newest epoch.
+    row_by_key : dict of str to PlatformRow
+        Newest rows read from the platform.
+    admin_queue : tuple of AdminChange
+        Changes to be stored, in order; the first one may be being written.
+    """
+
+    incarnation: str
+    peer_address: str
+    failure_domain: str
+    connections_by_database: dict[str, int]
+    configuration: ConfigurationDocument
+    restarts: int = 0
+    views: tuple[View, ...] = (View(0, {}),)
+    is_base_settled: bool = False
+    view_seen_at: float = NEVER
+    promised_epoch: int = 0
+    promised_at: float = NEVER
+    proposal: ViewProposal | None = None
+    is_leaving: bool = False
+    leaving_incarnations: frozenset[str] = frozenset()
+    heard_at_by_incarnation: dict[str, float] = {}
+    epoch_by_incarnation: dict[str, int] = {}
+    vouched_at_by_incarnation: dict[str, float] = {}
+    asked_at_by_sequence: dict[int, float] = {}
+    sequence: int = 0
+    platform_read_at: float = NEVER
+    platform_vouched_at: float = NEVER
+    is_platform_up: bool = False
+    row_by_key: dict[str, PlatformRow] = {}
+    call_by_id: dict[int, PendingCall] = {}
+    write_by_key: dict[str, PlatformWrite] = {}
+    next_id: int = 1
+    next_poll_at: float = NEVER
+    next_heartbeat_at: float = NEVER
+    ticked_at: float = NEVER
+    seat_by_database: dict[str, SeatState] = {}
+    withdrawal_by_key_id: dict[str, Withdrawal] = {}
+    admin_queue: tuple[AdminChange, ...] = ()
+    is_admin_retry: bool = False
+
+    @property
+    def view(self) -> View:
+        """Newest view."""
+        return self.views[-1]
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this incarnation belongs to the newest view."""
+        return self.incarnation in self.view.member_by_incarnation
--- /dev/null
+++ b/src/jackdawspread/decisions/control_status.py
@@ -0,0 +1,72 @@
+"""What operators and the other tasks see of the control state."""
+
+from jackdawspread.decisions.authority import authority_deadline
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.effective_limits import effective_limits
+from jackdawspread.decisions.seat_roles import is_live, seat_addresses
+from jackdawspread.decisions.seat_state import NO_SEATS
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+
+LIVE_S = 1.2
+
+
+def snapshot(state: ControlState, now: float) -> ControlSnapshot:
+    """Return what the gateway and the owners need to know."""
+    return ControlSnapshot(
+        incarnation=state.incarnation,
+        authority_deadline=authority_deadline(state, now),
+        configuration=state.configuration,
+        withdrawn_key_ids=frozenset(state.withdrawal_by_key_id),
+        unsettled_views=state.views,
+        seat_addresses_by_database={
+            name: seat_addresses(state, name, now)
+            for name in state.connections_by_database
+        },
+    )
+
+
+def status_body(state: ControlState, now: float) -> dict[str, object]:
+    """Return configuration, members, seats, terms and authority for operators."""
+    document = state.configuration
+    return {
+        "configuration": document,
+        "effective_limits": {
+            name: effective_limits(document, name)
+            for name in document["workspace_by_name"]
+        },
+        "incarnation": state.incarnation,
+        "epoch": state.view.epoch,
+        "is_settled": state.is_base_settled and len(state.views) == 1,
+        "authority_left_ms": max(0, int(1000 * _left(state, now))),
+        "is_platform_up": state.is_platform_up,
+        "pending_withdrawals": sorted(state.withdrawal_by_key_id),
+        "members": [
+            {
+                "incarnation": name,
+                "peer_address": member.peer_address,
+                "failure_domain": member.failure_domain,
+                "is_live": is_live(state, name, LIVE_S, now),
+            }
+            for name, member in state.view.member_by_incarnation.items()
+        ],
+        "databases": {
+            name: _database(state, name, now) for name in state.connections_by_database
+        },
+    }
+
+
+def _left(state: ControlState, now: float) -> float:
+    return max(0.0, authority_deadline(state, now) - now)
+
+
+def _database(state: ControlState, name: str, now: float) -> dict[str, object]:
+    known = state.seat_by_database.get(name, NO_SEATS)
+    return {
+        "generation": known.generation,
+        "seats": list(known.seats),
+        "is_settled": not known.previous,
+        "live_addresses": list(seat_addresses(state, name, now)),
+        "term": known.term,
+        "primary": known.primary,
+        "is_leaving": name in state.configuration["leaving_databases"],
+    }
--- /dev/null
+++ b/src/jackdawspread/decisions/heartbeats.py
@@ -0,0 +1,107 @@
+"""Heartbeats between instances."""
+
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control_step import ControlStep, Effect
+from jackdawspread.decisions.control_timing import AUTHORITY_S, HEARTBEAT_S
+from jackdawspread.messages.configuration_push import ConfigurationPush
+from jackdawspread.messages.heartbeat import Heartbeat
+from jackdawspread.messages.heartbeat_answer import HeartbeatAnswer
+from jackdawspread.messages.key_withdrawal import KeyWithdrawal
+from jackdawspread.messages.peer_message import PeerMessage
+from jackdawspread.messages.peer_send import PeerSend
+
+
+def to_peers(state: ControlState, message: PeerMessage) -> tuple[Effect, ...]:
+    """Return the sends that bring a message to every other member."""
+    return tuple(
+        PeerSend(member.peer_address, message)
+        for name, member in state.view.member_by_incarnation.items()
+        if name != state.incarnation and member.peer_address != state.peer_address
+    )
+
+
+def send_heartbeats(state: ControlState, now: float) -> ControlStep:
+    """Ask every other member to vouch, if a heartbeat is due."""
+    if now < state.next_heartbeat_at:
+        return state, ()
+    sequence = state.sequence + 1
+    asked = {
+        old: at
+        for old, at in state.asked_at_by_sequence.items()
+        if now < at + AUTHORITY_S
+    }
+    state = state._replace(
+        sequence=sequence,
+        next_heartbeat_at=now + HEARTBEAT_S,
+        asked_at_by_sequence={**asked, sequence: now},
+    )
+    heartbeat = Heartbeat(
+        state.incarnation, state.view.epoch, sequence, state.configuration["version"]
+    )
+    return state, to_peers(state, heartbeat)
+
+
+def hear(state: ControlState, incarnation: str, epoch: int, now: float) -> ControlState:
+    """Note that an incarnation is alive and which epoch it has."""
+    heard = state.heard_at_by_incarnation
+    epochs = state.epoch_by_incarnation
+    known = {name for view in state.views for name in view.member_by_incarnation}
+    if incarnation not in known:
+        return state
+    epochs = {name: at for name, at in epochs.items() if name in known}
+    return state._replace(
+        heard_at_by_incarnation={**heard, incarnation: now},
+        epoch_by_incarnation={
+            **epochs,
+            incarnation: max(epoch, epochs.get(incarnation, 0)),
+        },
+    )
+
+
+def answer_heartbeat(
+    state: ControlState, heartbeat: Heartbeat, address: str, now: float
+) -> ControlStep:
+    """Vouch for a member of the same epoch unless a change was promised."""
+    state = hear(state, heartbeat.incarnation, heartbeat.epoch, now)
+    view = state.view
+    vouches = (
+        heartbeat.epoch == view.epoch
+        and state.promised_epoch < view.epoch
+        and state.is_member
+        and heartbeat.incarnation in view.member_by_incarnation
+    )
+    answer = HeartbeatAnswer(
+        state.incarnation,
+        view.epoch,
+        view.epoch if vouches else 0,
+        heartbeat.sequence,
+        state.configuration["version"],
+    )
+    # The withdrawals go before the vouch on the same stream, so no instance keeps
+    # its authority through this one without knowing them.
+    effects: tuple[Effect, ...] = tuple(
+        PeerSend(address, KeyWithdrawal(key_id, key_id))
+        for key_id in state.withdrawal_by_key_id
+    )
+    effects += (PeerSend(address, answer),)
+    return state, effects + _push(state, heartbeat.configuration_version, address)
+
+
+def count_vouch(
+    state: ControlState, answer: HeartbeatAnswer, address: str, now: float
+) -> ControlStep:
+    """Count a vouch from the time at which the heartbeat was sent."""
+    state = hear(state, answer.incarnation, answer.epoch, now)
+    asked_at = state.asked_at_by_sequence.get(answer.sequence)
+    if asked_at is not None and answer.vouched_epoch == state.view.epoch:
+        vouched = state.vouched_at_by_incarnation
+        latest = max(asked_at, vouched.get(answer.incarnation, asked_at))
+        vouched = {**vouched, answer.incarnation: latest}
+        state = state._replace(vouched_at_by_incarnation=vouched)
+    return state, _push(state, answer.configuration_version, address)
+
+
+def _push(state: ControlState, version: int, address: str) -> tuple[Effect, ...]:
+    if version >= state.configuration["version"]:
+        return ()
+    return (PeerSend(address, ConfigurationPush(state.configuration)),)
--- /dev/null
+++ b/src/jackdawspread/decisions/limit_checks.py
@@ -0,0 +1,46 @@
+"""Checks of limits against each other."""
+
+from math import isfinite
+
+from jackdawspread.messages.head_office_document import HeadOfficeDocument
+from jackdawspread.messages.limit_document import LimitDocument
+
+NAMES = ("rate", "burst", "weight")
+
+
+def outside_bounds(limits: LimitDocument, rules: HeadOfficeDocument) -> str:
+    """Return a sentence that names the bound that limits break, or nothing."""
+    values = dict(limits)
+    low, high = dict(rules["lowest"]), dict(rules["highest"])
+    for name in NAMES:
+        value, least, most = values.get(name), low.get(name), high.get(name)
+        if not isinstance(value, int | float):
+            continue
+        if isinstance(least, int | float) and value < least:
+            bound = f"the head office's lowest {name} of {least}"
+            return f"{name} {value} is below {bound}"
+        if isinstance(most, int | float) and value > most:
+            bound = f"the head office's highest {name} of {most}"
+            return f"{name} {value} is above {bound}"
+    return ""
+
+
+def unusable_limit(limits: LimitDocument) -> str:
+    """Return a sentence about a limit that no rule may hold, or nothing."""
+    for name, value in dict(limits).items():
+        if not isinstance(value, int | float) or not isfinite(value) or value <= 0:
+            return f"{name} must be a finite number above 0, not {value}"
+    return ""
+
+
+def unusable_rules(rules: HeadOfficeDocument) -> str:
+    """Return a sentence about rules that contradict each other, or nothing."""
+    for limits in (rules["default"], rules["lowest"], rules["highest"]):
+        problem = unusable_limit(limits)
+        if problem:
+            return problem
+    problem = outside_bounds(rules["default"], rules)
+    if problem:
+        return f"the default {problem}"
+    inverted = outside_bounds(rules["lowest"], {**rules, "lowest": {}})
+    return f"the lowest {inverted}" if inverted else ""
--- /dev/null
+++ b/src/jackdawspread/decisions/platform_outcomes.py
@@ -0,0 +1,198 @@
+"""Polls of the platform and the outcomes of calls to it."""
+
+from jackdawspread.decisions import configurations
+from jackdawspread.decisions.configuration_store import KEY, store
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control_step import ControlStep, Effect
+from jackdawspread.decisions.control_timing import POLL_S, WRITE_S
+from jackdawspread.decisions.pending_call import PendingCall
+from jackdawspread.decisions.platform_row import PlatformRow
+from jackdawspread.decisions.platform_write import PlatformWrite
+from jackdawspread.decisions.platform_writes import (
+    ABSENT,
+    decode_rows,
+    drop_write,
+    made_by,
+    send_write,
+)
+from jackdawspread.decisions.seats import adopt_seats, row_key
+from jackdawspread.decisions.views import adopt_view, decode_view
+from jackdawspread.messages.control_log import ControlLog
+from jackdawspread.messages.platform_call import PlatformCall
+from jackdawspread.messages.platform_outcome import PlatformOutcome
+from jackdawspread.messages.ran import Ran
+
+OK, CONFLICT = 200, 409
+
+
+def poll(state: ControlState, now: float) -> ControlStep:
+    """Read all needed rows in one call, if a poll is due and none is running."""
+    is_running = any(not call.key for call in state.call_by_id.values())
+    if now < state.next_poll_at or is_running:
+        return state, ()
+    keys = ["view", KEY, *(row_key(name) for name in state.connections_by_database)]
+    call = PlatformCall(state.next_id, "/table/read", {"keys": keys})
+    state = state._replace(
+        next_id=state.next_id + 1,
+        next_poll_at=now + POLL_S,
+        call_by_id={**state.call_by_id, call.id: PendingCall(now)},
+    )
+    return state, (call,)
+
+
+def take_outcome(
+    state: ControlState, outcome: PlatformOutcome, now: float
+) -> ControlStep:
+    """Handle the outcome of a poll or of a write."""
+    call = state.call_by_id.get(outcome.id)
+    if call is None:
+        return state, ()
+    calls = {id: c for id, c in state.call_by_id.items() if id != outcome.id}
+    state = state._replace(call_by_id=calls)
+    if call.key:
+        return _take_write(state, call.key, outcome, now)
+    return _take_poll(state, call, outcome, now)
+
+
+def _take_poll(
+    state: ControlState, call: PendingCall, outcome: PlatformOutcome, now: float
+) -> ControlStep:
+    if outcome.status != OK:
+        was_up = state.is_platform_up
+        state = state._replace(is_platform_up=False)
+        state, effects = _give_up(state, now)
+        if was_up:
+            effects += (
+                ControlLog(f"control: platform is down status={outcome.status}"),
+            )
+        return state, effects
+    effects = ()
+    if not state.is_platform_up:
+        effects = (ControlLog("control: platform answers"),)
+    state = state._replace(is_platform_up=True, platform_read_at=call.asked_at)
+    rows = decode_rows(outcome.body)
+    state, adopted = adopt_rows(state, rows, now)
+    view = rows.get("view", ABSENT)
+    if view.value.get("epoch", 0) == state.view.epoch:
+        state = state._replace(platform_vouched_at=call.asked_at)
+    state, first = _store_first(state, rows, now)
+    state, resolved = _resolve(state, call, rows, now)
+    return state, effects + adopted + first + resolved
+
+
+def adopt_rows(
+    state: ControlState, rows: dict[str, PlatformRow], now: float
+) -> ControlStep:
+    """Adopt the rows that are newer than those known."""
+    effects: tuple[Effect, ...] = ()
+    for key, row in rows.items():
+        if row.version <= state.row_by_key.get(key, ABSENT).version:
+            continue
+        state = state._replace(row_by_key={**state.row_by_key, key: row})
+        adopted: tuple[Effect, ...] = ()
+        if key == "view":
+            state, adopted = adopt_view(state, decode_view(row.value), now)
+        elif key == KEY:
+            document = configurations.decode(row.value)
+            state, adopted = configurations.adopt_configuration(state, document, now)
+        elif key.startswith(row_key("")):
+            name = key.removeprefix(row_key(""))
+            state, adopted = adopt_seats(state, name, row.value, now)
+        effects += adopted
+    return state, effects
+
+
+def _store_first(
+    state: ControlState, rows: dict[str, PlatformRow], now: float
+) -> ControlStep:
+    if KEY in rows or KEY in state.write_by_key or state.configuration["version"]:
+        return state, ()
+    return store(state, state.configuration, now)
+
+
+def _take_write(
+    state: ControlState, key: str, outcome: PlatformOutcome, now: float
+) -> ControlStep:
+    write = state.write_by_key.get(key)
+    if write is None:
+        return state, ()
+    if outcome.status == OK:
+        versions = outcome.body.get("versions")
+        assert isinstance(versions, dict)
+        row = PlatformRow(int(versions[key]), write.value)
+        return _succeed(state, write, {key: row}, now)
+    if outcome.status == CONFLICT:
+        rows = decode_rows(outcome.body)
+        if made_by(rows.get(key, ABSENT), write.write_id):
+            return _succeed(state, write, rows, now)
+        state, effects = adopt_rows(state, rows, now)
+        state, lost = _lose(state, write, now)
+        return state, effects + lost
+    # The answer may be lost after the write took effect; a poll reads it back.
+    is_certain = not outcome.sent and write.unknown_since is None
+    if is_certain and write.started_at + WRITE_S <= now:
+        return _fail(state, write, Ran.NOT_RUN, now)
+    write = write._replace(unknown_since=now)
+    writes = {**state.write_by_key, key: write}
+    state = state._replace(write_by_key=writes, next_poll_at=now)
+    return state, (ControlLog(f"control: reads back write row={key}"),)
+
+
+def _resolve(
+    state: ControlState, call: PendingCall, rows: dict[str, PlatformRow], now: float
+) -> ControlStep:
+    """Resolve the writes whose answers were lost before the poll was asked."""
+    effects: tuple[Effect, ...] = ()
+    for write in state.write_by_key.values():
+        if write.unknown_since is None or call.asked_at < write.unknown_since:
+            continue
+        row = rows.get(write.key, ABSENT)
+        if made_by(row, write.write_id):
+            state, more = _succeed(state, write, rows, now)
+        elif row.version > write.expected_version:
+            state, more = _lose(state, write, now)
+        elif now >= write.started_at + WRITE_S:
+            state, more = _fail(state, write, Ran.UNKNOWN, now)
+        else:
+            state, more = send_write(state, write, now)
+        effects += more
+    return state, effects
+
+
+def _give_up(state: ControlState, now: float) -> ControlStep:
+    """Report the writes that could not be read back in time."""
+    effects: tuple[Effect, ...] = ()
+    for write in state.write_by_key.values():
+        if write.unknown_since is not None and now >= write.started_at + WRITE_S:
+            state, more = _fail(state, write, Ran.UNKNOWN, now)
+            effects += more
+    return state, effects
+
+
+def _succeed(
+    state: ControlState,
+    write: PlatformWrite,
+    rows: dict[str, PlatformRow],
+    now: float,
+) -> ControlStep:
+    state, effects = adopt_rows(drop_write(state, write.key), rows, now)
+    if write.key == KEY:
+        state, more = configurations.stored(state, write, now)
+        effects += more
+    return state, effects
+
+
+def _lose(state: ControlState, write: PlatformWrite, now: float) -> ControlStep:
+    state = drop_write(state, write.key)
+    if write.key == KEY:
+        return configurations.lost(state, write, now)
+    return state, (ControlLog(f"control: lost race row={write.key}"),)
+
+
+def _fail(
+    state: ControlState, write: PlatformWrite, ran: Ran, now: float
+) -> ControlStep:
+    state = drop_write(state, write.key)
+    if write.key == KEY:
+        return configurations.failed(state, write, ran, now)
+    return state, (ControlLog(f"control: gave up write row={write.key} ran={ran}"),)
--- /dev/null
+++ b/src/jackdawspread/decisions/platform_row.py
@@ -0,0 +1,10 @@
+"""Row of the platform's table."""
+
+from typing import Any, NamedTuple
+
+
+class PlatformRow(NamedTuple):
+    """Version and value of a row; version 0 means that it is absent."""
+
+    version: int
+    value: dict[str, Any]
--- /dev/null
+++ b/src/jackdawspread/decisions/platform_writes.py
@@ -0,0 +1,71 @@
+"""Compare-and-set writes to the platform and their outcomes."""
+
+from typing import Any
+
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control_step import ControlStep
+from jackdawspread.decisions.pending_call import PendingCall
+from jackdawspread.decisions.platform_row import PlatformRow
+from jackdawspread.decisions.platform_write import PlatformWrite
+from jackdawspread.messages.platform_call import PlatformCall
+
+ABSENT = PlatformRow(0, {})
+
+
+def next_write_id(state: ControlState) -> str:
+    """Return the id of the next write, unique among all instances."""
+    return f"{state.incarnation}-{state.next_id}"
+
+
+def start_write(
+    state: ControlState,
+    key: str,
+    value: dict[str, Any],
+    now: float,
+    admin_id: str = "",
+) -> ControlStep:
+    """Start a write of a row against its newest known version."""
+    row = state.row_by_key.get(key, ABSENT)
+    write_id = next_write_id(state)
+    value = {**value, "write_id": write_id}
+    write = PlatformWrite(write_id, key, row.version, value, now, None, admin_id)
+    return send_write(state, write, now)
+
+
+def send_write(state: ControlState, write: PlatformWrite, now: float) -> ControlStep:
+    """Send a write, or repeat it with the same write id and version."""
+    body: dict[str, object] = {
+        "expect": {write.key: write.expected_version},
+        "put": {write.key: write.value},
+    }
+    call = PlatformCall(state.next_id, "/table/transact", body)
+    write = write._replace(unknown_since=None)
+    state = state._replace(
+        next_id=state.next_id + 1,
+        call_by_id={**state.call_by_id, call.id: PendingCall(now, write.key)},
+        write_by_key={**state.write_by_key, write.key: write},
+    )
+    return state, (call,)
+
+
+def drop_write(state: ControlState, key: str) -> ControlState:
+    """Forget a write whose outcome is known or has been reported."""
+    writes = {k: w for k, w in state.write_by_key.items() if k != key}
+    return state._replace(write_by_key=writes)
+
+
+def made_by(row: PlatformRow, write_id: str) -> bool:
+    """Whether a row shows that a write took effect."""
+    value = row.value
+    return value.get("write_id") == write_id or write_id in value.get(
+        "recent_write_ids", []
+    )
+
+
+def decode_rows(body: dict[str, Any]) -> dict[str, PlatformRow]:
+    """Return the rows of an answer of the platform by key."""
+    return {
+        key: PlatformRow(int(row["version"]), row.get("value") or {})
+        for key, row in body.get("rows", {}).items()
+        if row
+    }
--- /dev/null
+++ b/src/jackdawspread/decisions/seat_roles.py
@@ -0,0 +1,61 @@
+"""What the seat of an instance allows it to do."""
+
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control_timing import SEAT_SILENT_S
+from jackdawspread.decisions.seat_hashing import seat_limit
+from jackdawspread.decisions.seat_state import NO_SEATS
+from jackdawspread.messages.seat_assignment import SeatAssignment
+
+
+def is_live(state: ControlState, incarnation: str, silence: float, now: float) -> bool:
+    """Whether an incarnation was heard within a time and is not stopping."""
+    if incarnation == state.incarnation:
+        return not state.is_leaving
+    if incarnation in state.leaving_incarnations:
+        return False
+    heard_at = state.heard_at_by_incarnation.get(incarnation)
+    return heard_at is not None and now < heard_at + silence
+
+
+def seat_assignment(state: ControlState, database: str, now: float) -> SeatAssignment:
+    """Return the seat of this instance at a database.
+
+    Seat 1 takes over after 600 ms of silence and seat 2 after 1,200 ms, so that
+    they do not compete for the same term at once.
+    """
+    known = state.seat_by_database.get(database, NO_SEATS)
+    if state.incarnation not in known.seats:
+        return SeatAssignment(database, known.generation, -1, False, 0)
+    seat = known.seats.index(state.incarnation)
+    silence = SEAT_SILENT_S * seat
+    is_active = not state.is_leaving and not any(
+        is_live(state, name, silence, now) for name in known.seats[:seat]
+    )
+    return SeatAssignment(
+        database, known.generation, seat, is_active, connection_limit(state, database)
+    )
+
+
+def connection_limit(state: ControlState, database: str) -> int:
+    """Return the limit of connections to one member.
+
+    Until the earlier holders have confirmed the generation, a holder that had no
+    seat has none of the budget, and others have no more than before.
+    """
+    known = state.seat_by_database.get(database, NO_SEATS)
+    connections = state.connections_by_database[database]
+    limit = seat_limit(known.seats, state.incarnation, connections)
+    if not known.previous:
+        return limit
+    return min(limit, known.earlier_limit)
+
+
+def seat_addresses(state: ControlState, database: str, now: float) -> tuple[str, ...]:
+    """Return the peer addresses of the live seat holders, first the active one."""
+    known = state.seat_by_database.get(database, NO_SEATS)
+    members = state.view.member_by_incarnation
+    return tuple(
+        members[name].peer_address
+        for name in known.seats
+        if name in members and is_live(state, name, SEAT_SILENT_S, now)
+    )
--- /dev/null
+++ b/src/jackdawspread/decisions/view_changes.py
@@ -0,0 +1,168 @@
+"""Proposals and promises of view changes."""
+
+from jackdawspread.decisions.authority import change_quorum
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control_step import ControlStep, Effect
+from jackdawspread.decisions.control_timing import (
+    MEMBER_SILENT_S,
+    PLATFORM_FRESH_S,
+    PROMISE_PENDING_S,
+    PROPOSAL_REPEAT_S,
+    PROPOSAL_S,
+)
+from jackdawspread.decisions.platform_writes import start_write
+from jackdawspread.decisions.view_proposal import ViewProposal
+from jackdawspread.decisions.views import encode_view
+from jackdawspread.messages.control_log import ControlLog
+from jackdawspread.messages.peer_send import PeerSend
+from jackdawspread.messages.view import View
+from jackdawspread.messages.view_change_promise import ViewChangePromise
+from jackdawspread.messages.view_change_request import ViewChangeRequest
+from jackdawspread.messages.view_member import ViewMember
+
+
+def is_platform_fresh(state: ControlState, now: float) -> bool:
+    """Whether the platform answered a recent read."""
+    return state.is_platform_up and now < state.platform_read_at + PLATFORM_FRESH_S
+
+
+def silent_members(state: ControlState, now: float) -> frozenset[str]:
+    """Return the members that have been silent long enough to be removed."""
+    return frozenset(
+        name
+        for name in state.view.member_by_incarnation
+        if name != state.incarnation
+        and now >= state.heard_at_by_incarnation.get(name, now) + MEMBER_SILENT_S
+    )
+
+
+def changed_members(state: ControlState, now: float) -> dict[str, ViewMember]:
+    """Return the members that the next view should have.
+
+    An earlier incarnation at this instance's own address is dead: its listening
+    address is bound by this process.
+    """
+    silent = silent_members(state, now)
+    members = {
+        name: member
+        for name, member in state.view.member_by_incarnation.items()
+        if name not in silent
+        and (name == state.incarnation or member.peer_address != state.peer_address)
+    }
+    if state.is_leaving:
+        members.pop(state.incarnation, None)
+    else:
+        us = ViewMember(state.peer_address, state.failure_domain)
+        members[state.incarnation] = us
+    return members
+
+
+def advance_proposal(state: ControlState, now: float) -> ControlStep:
+    """Start, repeat, write or abandon a proposal, as time and promises require."""
+    proposal = state.proposal
+    if proposal is not None and now >= proposal.started_at + PROPOSAL_S:
+        state = state._replace(proposal=None)
+        return state, (
+            ControlLog(f"control: abandoned proposal epoch={proposal.epoch}"),
+        )
+    if proposal is None:
+        return _start(state, now) if _is_change_needed(state, now) else (state, ())
+    effects: tuple[Effect, ...] = ()
+    if now >= proposal.asked_at + PROPOSAL_REPEAT_S:
+        state = state._replace(proposal=proposal._replace(asked_at=now))
+        effects = _requests(state)
+    state, written = write_if_promised(state, now)
+    return state, effects + written
+
+
+def _is_change_needed(state: ControlState, now: float) -> bool:
+    if not is_platform_fresh(state, now) or "view" in state.write_by_key:
+        return False
+    wanted = changed_members(state, now)
+    if wanted == state.view.member_by_incarnation:
+        wait = PROMISE_PENDING_S + 0.2 * _rank(state)
+        is_pending = state.promised_epoch >= state.view.epoch > 0
+        return is_pending and now >= state.promised_at + wait
+    if state.incarnation in wanted and state.is_member:
+        # Only a removal is left; the first live member proposes it, others
+        # follow one after the other in case it does not.
+        silent = silent_members(state, now)
+        heard = state.heard_at_by_incarnation
+        since = max((heard.get(name, now) for name in silent), default=now)
+        return now >= since + MEMBER_SILENT_S + _rank(state)
+    return not state.is_leaving or state.is_member
+
+
+def _rank(state: ControlState) -> int:
+    names = sorted(state.view.member_by_incarnation)
+    return names.index(state.incarnation) if state.incarnation in names else len(names)
+
+
+def _start(state: ControlState, now: float) -> ControlStep:
+    epoch = state.view.epoch
+    state = _promise(state, epoch, now)
+    ours = frozenset(
+        name
+        for name, member in state.view.member_by_incarnation.items()
+        if name == state.incarnation or member.peer_address == state.peer_address
+    )
+    state = state._replace(proposal=ViewProposal(epoch, now, now, ours))
+    log = ControlLog(f"control: proposed view change epoch={epoch}")
+    state, written = write_if_promised(state, now)
+    return state, (log, *_requests(state), *written)
+
+
+def _requests(state: ControlState) -> tuple[Effect, ...]:
+    request = ViewChangeRequest(state.incarnation, state.view.epoch)
+    return tuple(
+        PeerSend(member.peer_address, request)
+        for member in state.view.member_by_incarnation.values()
+        if member.peer_address != state.peer_address
+    )
+
+
+def _promise(state: ControlState, epoch: int, now: float) -> ControlState:
+    if epoch <= state.promised_epoch:
+        return state
+    return state._replace(promised_epoch=epoch, promised_at=now)
+
+
+def answer_request(
+    state: ControlState, request: ViewChangeRequest, address: str, now: float
+) -> ControlStep:
+    """Promise not to vouch for an epoch, unless the platform is out of reach."""
+    if not is_platform_fresh(state, now) or request.epoch < state.view.epoch:
+        log = f"control: refused promise epoch={request.epoch} peer={address}"
+        return state, (ControlLog(log),)
+    state = _promise(state, request.epoch, now)
+    promise = ViewChangePromise(state.incarnation, request.epoch)
+    log = f"control: promised epoch={request.epoch} peer={address}"
+    return state, (PeerSend(address, promise), ControlLog(log))
+
+
+def count_promise(
+    state: ControlState, promise: ViewChangePromise, address: str, now: float
+) -> ControlStep:
+    """Count a promise; a new incarnation promises for the one at its address."""
+    proposal = state.proposal
+    if proposal is None or promise.epoch != proposal.epoch:
+        return state, ()
+    promised = {
+        name
+        for name, member in state.view.member_by_incarnation.items()
+        if name == promise.incarnation or member.peer_address == address
+    }
+    proposal = proposal._replace(promised=proposal.promised | promised)
+    return write_if_promised(state._replace(proposal=proposal), now)
+
+
+def write_if_promised(state: ControlState, now: float) -> ControlStep:
+    """Write the next view once the change quorum has promised."""
+    proposal = state.proposal
+    needed = change_quorum(len(state.view.member_by_incarnation))
+    if proposal is None or len(proposal.promised) < needed:
+        return state, ()
+    if proposal.epoch != state.view.epoch or "view" in state.write_by_key:
+        return state, ()
+    view = View(proposal.epoch + 1, changed_members(state, now))
+    return start_write(state._replace(proposal=None), "view", encode_view(view), now)
--- a/src/jackdawspread/messages/configuration_document.py
+++ b/src/jackdawspread/messages/configuration_document.py
@@ -1,6 +1,6 @@
 """The one configuration document."""
 
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 from jackdawspread.messages.head_office_document import HeadOfficeDocument
 from jackdawspread.messages.key_document import KeyDocument
@@ -13,6 +13,8 @@
 
     ``key_by_id`` is keyed by the SHA-256 of the key in hexadecimal. ``version``
     only grows, and ``write_id`` names the write that made this version.
+    ``recent_write_ids`` holds the last writes, so that a writer whose answer was
+    lost recognises its own version after others have been stored on top.
     """
 
     version: int
@@ -23,3 +25,4 @@
     workspace_by_name: dict[str, WorkspaceDocument]
     key_by_id: dict[str, KeyDocument]
     leaving_databases: list[str]
+    recent_write_ids: NotRequired[list[str]]
--- /dev/null
+++ b/src/jackdawspread/messages/control_log.py
@@ -0,0 +1,9 @@
+"""Log line of a control decision."""
+
+from typing import NamedTuple
+
+
+class ControlLog(NamedTuple):
+    """Text to log, with its prefix and without any key."""
+
+    text: str
--- a/src/jackdawspread/messages/peer_message.py
+++ b/src/jackdawspread/messages/peer_message.py
@@ -6,6 +6,7 @@
 from jackdawspread.messages.key_withdrawal import KeyWithdrawal
 from jackdawspread.messages.key_withdrawal_answer import KeyWithdrawalAnswer
 from jackdawspread.messages.leaving import Leaving
+from jackdawspread.messages.seat_confirmation import SeatConfirmation
 from jackdawspread.messages.spend_grant import SpendGrant
 from jackdawspread.messages.spend_request import SpendRequest
 from jackdawspread.messages.term_announcement import TermAnnouncement
@@ -24,4 +25,5 @@
     | SpendRequest
     | SpendGrant
     | Leaving
+    | SeatConfirmation
 )
--- /dev/null
+++ b/src/jackdawspread/messages/select_preset.py
@@ -0,0 +1,9 @@
+"""Selection of a preset."""
+
+from typing import NamedTuple
+
+
+class SelectPreset(NamedTuple):
+    """Puts a preset in force."""
+
+    name: str
--- /dev/null
+++ b/src/jackdawspread/messages/set_head_office.py
@@ -0,0 +1,13 @@
+"""Change of the head office's rules."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.limit_document import LimitDocument
+
+
+class SetHeadOffice(NamedTuple):
+    """Sets the given defaults and bounds and keeps the others."""
+
+    default: LimitDocument
+    lowest: LimitDocument
+    highest: LimitDocument
--- a/src/jackdawspread/settings/instance_settings.py
+++ b/src/jackdawspread/settings/instance_settings.py
@@ -20,6 +20,8 @@
         Failure domain of the instance.
     platform_address : str
         ``IP:port`` of the platform's service.
+    platform_timeout_ms : int
+        Milliseconds that one call to the platform may take.
     session_secret : str
         Secret that signs session tokens, the same on all instances.
     operator_key_hash : str
@@ -33,6 +35,7 @@
     peer_address: str
     failure_domain: str
     platform_address: str
+    platform_timeout_ms: int
     session_secret: str
     operator_key_hash: str
     database_by_name: dict[str, DatabaseSettings]
--- a/src/jackdawspread/settings/instance_settings_file.py
+++ b/src/jackdawspread/settings/instance_settings_file.py
@@ -51,6 +51,7 @@
         peer_address=instance.take("peer_address", check_address),
         failure_domain=instance.take("failure_domain", check_text),
         platform_address=platform.take("address", check_address),
+        platform_timeout_ms=platform.take("timeout_ms", check_count, "1000"),
         session_secret=secrets.take("session_secret", check_text),
         operator_key_hash=secrets.take("operator_key_hash", check_hex),
         database_by_name=_databases(parser, section),
--- a/src/jackdawspread/settings/section_reader.py
+++ b/src/jackdawspread/settings/section_reader.py
@@ -38,12 +38,12 @@
         self._options = options
         self._errors = errors
 
-    def take(self, option: str, check: Check[T]) -> T:
-        """Return the checked value of a required option.
+    def take(self, option: str, check: Check[T], default: str = "") -> T:
+        """Return the checked value of an option; it is required without a default.
 
         After an error the value is unusable, and the settings are refused.
         """
-        text = self._options.pop(option, "")
+        text = self._options.pop(option, default)
         checked = check(text)
         if checked.is_error():
             self._add(option, text, checked.error)
--- /dev/null
+++ b/src/jackdawspread/tasks/control_task.py
@@ -0,0 +1,178 @@
+"""Control side of an entry instance."""
+
+from collections.abc import Sequence
+from functools import singledispatchmethod
+from typing import TypeVar
+
+from absl import logging
+from trio import (
+    BrokenResourceError,
+    MemoryReceiveChannel,
+    MemorySendChannel,
+    WouldBlock,
+    current_time,
+)
+
+from jackdawspread.decisions.control_decision import ControlEvent, decide, first_state
+from jackdawspread.decisions.control_status import snapshot
+from jackdawspread.decisions.seat_roles import seat_assignment
+from jackdawspread.messages.admin_result import AdminResult
+from jackdawspread.messages.admin_submission import AdminSubmission
+from jackdawspread.messages.control_log import ControlLog
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+from jackdawspread.messages.peer_send import PeerSend
+from jackdawspread.messages.platform_call import PlatformCall
+from jackdawspread.messages.platform_outcome import PlatformOutcome
+from jackdawspread.messages.seat_assignment import SeatAssignment
+from jackdawspread.messages.term_announcement import TermAnnouncement
+from jackdawspread.settings.instance_settings import InstanceSettings
+
+ControlInbox = ControlEvent | AdminSubmission
+OwnerControl = SeatAssignment | TermAnnouncement
+# Subscribers learn a later authority deadline in steps of this many seconds,
+# well under the 3 s that it lasts.
+DEADLINE_STEP_S = 0.2
+T = TypeVar("T")
+
+
+class ControlTask:
+    """Owns the control state and carries out the effects of its decisions.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+    incarnation : str
+        Random id of this process start; without a full stop.
+    inbox : trio.MemoryReceiveChannel
+        Events; outcomes of the platform client and ticks come here too.
+    peer_outbox : trio.MemorySendChannel
+        Inbox of the peer hub. A message is lost when it is full, as on a
+        network; the senders repeat what matters.
+    platform_calls : trio.MemorySendChannel
+        Inbox of the platform client. When it is full, the call counts as one
+        that was not sent.
+    subscribers : sequence of trio.MemorySendChannel
+        Take a `ControlSnapshot` on each change. A full one gets the newest
+        snapshot later.
+    owner_by_database : dict of str to trio.MemorySendChannel
+        Take `SeatAssignment` and learned `TermAnnouncement` messages.
+    """
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        incarnation: str,
+        inbox: MemoryReceiveChannel[ControlInbox],
+        peer_outbox: MemorySendChannel[PeerSend],
+        platform_calls: MemorySendChannel[PlatformCall],
+        subscribers: Sequence[MemorySendChannel[ControlSnapshot]],
+        owner_by_database: dict[str, MemorySendChannel[OwnerControl]],
+    ) -> None:
+        databases = settings.database_by_name
+        self._state = first_state(
+            incarnation,
+            settings.peer_address,
+            settings.failure_domain,
+            {name: database.connections for name, database in databases.items()},
+        )
+        self._inbox = inbox
+        self._peer_outbox = peer_outbox
+        self._platform_calls = platform_calls
+        self._subscribers = subscribers
+        self._owner_by_database = owner_by_database
+        self._reply_by_id: dict[str, MemorySendChannel[AdminResult]] = {}
+        self._snapshots: list[ControlSnapshot | None] = [None] * len(subscribers)
+        self._assignment_by_database: dict[str, SeatAssignment] = {}
+        self._unsent_terms: dict[str, TermAnnouncement] = {}
+
+    async def run(self) -> None:
+        """Handle events until cancelled or the inbox closes."""
+        async for event in self._inbox:
+            if isinstance(event, AdminSubmission):
+                self._reply_by_id[event.request.id] = event.reply_to
+                self._handle(event.request)
+            else:
+                self._handle(event)
+
+    def _handle(self, event: ControlEvent) -> None:
+        now = current_time()
+        self._state, effects = decide(self._state, event, now)
+        for effect in effects:
+            self._carry_out(effect)
+        self._publish(now)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: object) -> None:
+        raise TypeError(f"control task cannot carry out {type(effect).__name__}")
+
+    @_carry_out.register
+    def _(self, effect: ControlLog) -> None:
+        logging.info("%s", effect.text)
+
+    @_carry_out.register
+    def _(self, effect: PeerSend) -> None:
+        try:
+            self._peer_outbox.send_nowait(effect)
+        except WouldBlock:
+            kind = type(effect.message).__name__
+            logging.warning("control: outbox full, dropped kind=%s", kind)
+
+    @_carry_out.register
+    def _(self, effect: PlatformCall) -> None:
+        try:
+            self._platform_calls.send_nowait(effect)
+        except WouldBlock:
+            logging.warning("control: platform client busy call=%d", effect.id)
+            self._handle(PlatformOutcome(effect.id, 0, {}, False))
+
+    @_carry_out.register
+    def _(self, effect: AdminResult) -> None:
+        reply_to = self._reply_by_id.pop(effect.id, None)
+        if reply_to is not None:
+            _offer(reply_to, effect)
+
+    @_carry_out.register
+    def _(self, effect: TermAnnouncement) -> None:
+        self._unsent_terms[effect.database] = effect
+
+    def _publish(self, now: float) -> None:
+        """Send what has changed since it was last delivered."""
+        current = snapshot(self._state, now)
+        for index, subscriber in enumerate(self._subscribers):
+            if _differs(self._snapshots[index], current) and _offer(
+                subscriber, current
+            ):
+                self._snapshots[index] = current
+        for database, owner in self._owner_by_database.items():
+            assignment = seat_assignment(self._state, database, now)
+            if self._assignment_by_database.get(database) != assignment and _offer(
+                owner, assignment
+            ):
+                self._assignment_by_database[database] = assignment
+                logging.info(
+                    "control: assigned database=%s generation=%d seat=%d active=%s "
+                    "connections=%d",
+                    *assignment,
+                )
+            term = self._unsent_terms.get(database)
+            if term is not None and _offer(owner, term):
+                del self._unsent_terms[database]
+
+
+def _differs(last: ControlSnapshot | None, current: ControlSnapshot) -> bool:
+    if last is None or last._replace(authority_deadline=0.0) != current._replace(
+        authority_deadline=0.0
+    ):
+        return True
+    # An earlier deadline is sent at once, a later one in steps.
+    gained = current.authority_deadline - last.authority_deadline
+    return gained < 0 or gained >= DEADLINE_STEP_S
+
+
+def _offer(channel: MemorySendChannel[T], message: T) -> bool:
+    try:
+        channel.send_nowait(message)
+    except (WouldBlock, BrokenResourceError):
+        return False
+    return True
--- /dev/null
+++ b/src/jackdawspread/tasks/control_timer.py
@@ -0,0 +1,30 @@
+"""Timer of the control task."""
+
+from contextlib import suppress
+
+from trio import MemorySendChannel, WouldBlock, current_time, sleep_until
+
+from jackdawspread.messages.control_tick import ControlTick
+
+TICK_S = 0.05
+
+
+class ControlTimer:
+    """Sends a tick to the control task at a fixed interval.
+
+    Parameters
+    ----------
+    control : trio.MemorySendChannel
+        Inbox of the control task; a tick is dropped when it is full, because
+        the next one does the same work.
+    """
+
+    def __init__(self, control: MemorySendChannel[ControlTick]) -> None:
+        self._control = control
+
+    async def run(self) -> None:
+        """Send ticks until cancelled."""
+        while True:
+            with suppress(WouldBlock):
+                self._control.send_nowait(ControlTick())
+            await sleep_until(current_time() + TICK_S)
