Add features for the control side over a simulated fleet

Cause: the control decisions had no test. Change: thirteen scenarios over instances that run the pure decisions in virtual time with delays, cuts, pauses and lost answers; one of them runs random schedules of faults with a fixed seed and checks after every event that shares and connections stay within their wholes. Ruled out: real tasks in these scenarios; the decisions hold all of the logic.

--- /dev/null
+++ b/features/control.feature
@@ -0,0 +1,119 @@
+Feature: Control side of the instances
+  View, authority, seats, configuration and withdrawals hold under faults.
+
+  Scenario: Two operators select presets at once and one answer is lost
+    # Guards against two presets in force, a preset that comes back, and a
+    # lost answer that is reported as a lost change or made twice.
+    Given 4 instances with seed 11 that have run for 10 s
+    When the answers to the writes of "a" are lost
+    And "a" is asked at the same time to select "peak" and "b" to select "maintenance"
+    And 8 s pass
+    Then one operator was told of the success and the other got both versions
+    And the preset of the successful operator is in force on every instance
+    And no instance ever went back to an older configuration
+
+  Scenario: A key is withdrawn while the platform is down
+    # Guards against a withdrawn key that goes on working, or is forgotten,
+    # because the platform cannot store the withdrawal.
+    Given 4 instances with seed 12 that have run for 10 s
+    And a key "k1" of workspace "branch"
+    When the platform is down for 5 s
+    And "a" is asked to withdraw "k1"
+    And 1 s pass
+    Then the withdrawal is answered with state "in_force" and is not stored
+    And every instance refuses "k1"
+    When the platform is up again for 5 s
+    Then the platform shows "k1" as withdrawn
+
+  Scenario: A withdrawal that nobody confirms is reported as pending
+    # Guards against reporting a withdrawal in force that one instance applied.
+    Given 4 instances with seed 13 that have run for 10 s
+    And a key "k1" of workspace "branch"
+    When "a" is isolated
+    And 2 s pass
+    And "a" is asked to withdraw "k1"
+    And 2 s pass
+    Then the withdrawal is answered with state "pending" and is not stored
+    When everything heals
+    And 15 s pass
+    Then the platform shows "k1" as withdrawn
+
+  Scenario: A change during an outage is refused and loses nothing
+    # Guards against accepting a configuration that the platform may lose.
+    Given 4 instances with seed 14 that have run for 10 s
+    When the platform is down for 5 s
+    And "b" is asked to select "peak"
+    And 8 s pass
+    Then the change is refused with code platform_unavailable and ran not_run
+    And the preset "ordinary" is in force on every instance
+
+  Scenario: An isolated instance loses authority and the others keep it
+    # Guards against an isolated instance that admits work with old rules.
+    Given 4 instances with seed 15 that have run for 10 s
+    When "a" is isolated
+    And 3.1 s pass
+    Then "a" has no authority
+    And "b", "c", "d" have authority
+
+  Scenario: A majority keeps authority during a long outage of the platform
+    # Guards against an outage of the platform that stops all work.
+    Given 4 instances with seed 16 that have run for 10 s
+    When the platform is down for 120 s
+    Then "a", "b", "c", "d" have authority
+    When "d" is isolated
+    And 30 s pass
+    Then "d" has no authority
+    And "a", "b", "c" have authority
+    And the view has epoch unchanged
+
+  Scenario: A paused instance wakes without authority
+    # Guards against a process that resumes with a lapsed lease, and against
+    # answers from before the pause that extend it.
+    Given 4 instances with seed 17 that have run for 10 s
+    When "a" is paused for 3.1 s
+    And "a" wakes
+    Then "a" has no authority
+
+  Scenario: An instance that was removed joins again as a new incarnation
+    # Guards against an old incarnation that keeps its seats and shares.
+    Given 4 instances with seed 18 that have run for 10 s
+    When "a" is paused for 16 s
+    And "a" wakes
+    And 10 s pass
+    Then the view has 4 members and "a" has a new incarnation
+
+  Scenario: A whole fleet that was killed starts again
+    # Guards against a change quorum that waits for dead members for ever.
+    Given 4 instances with seed 19 that have run for 10 s
+    When every instance is killed and started again
+    And 20 s pass
+    Then "a", "b", "c", "d" have authority
+
+  Scenario: Shares and connections never overlap under random faults
+    # Guards against two instances that hold the same share of a rate, or
+    # together more connections than a member accepts, while views change.
+    Then no random schedule of faults makes shares or connections overlap
+
+  Scenario: A lagging list of instances does not matter
+    # Guards against decisions that depend on the platform's lagging list.
+    Given 4 instances with seed 20 that have run for 10 s
+    When "a" is killed
+    And 25 s pass
+    Then the view has 3 members
+    And the instances made no call but those to the table
+
+  Scenario: A configuration reaches everyone and never reverts
+    # Guards against an instance that applies an older configuration late.
+    Given 4 instances with seed 21 that have run for 10 s
+    When 6 changes of preset are made one after the other on different instances
+    And "c" gets a push of the oldest configuration
+    And 2 s pass
+    Then the preset "maintenance" is in force on every instance
+    And no instance ever went back to an older configuration
+
+  Scenario: A stop that was planned leaves the view at once
+    # Guards against shares that stay unused after a planned stop.
+    Given 4 instances with seed 22 that have run for 10 s
+    When "a" is asked to stop
+    And 3 s pass
+    Then the view has 3 members
--- /dev/null
+++ b/features/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces, for the features."""
--- a/src/jackdawspread/decisions/control_state.py
+++ b/src/jackdawspread/decisions/control_state.py
@@ -30,6 +30,8 @@
         Time at which the newest view was first seen.
     promised_epoch : int
         Greatest epoch that this instance no longer vouches for.
+    address_by_incarnation : dict of str to str
+        Peer addresses of the members of the newest views.
     vouched_at_by_incarnation : dict of str to float
         Time before asking for the last vouch for the newest epoch.
     platform_read_at : float
@@ -57,6 +59,7 @@
     is_leaving: bool = False
     leaving_incarnations: frozenset[str] = frozenset()
     heard_at_by_incarnation: dict[str, float] = {}
+    address_by_incarnation: dict[str, str] = {}
     epoch_by_incarnation: dict[str, int] = {}
     vouched_at_by_incarnation: dict[str, float] = {}
     asked_at_by_sequence: dict[int, float] = {}
--- a/src/jackdawspread/decisions/platform_outcomes.py
+++ b/src/jackdawspread/decisions/platform_outcomes.py
@@ -128,9 +128,11 @@
         state, effects = adopt_rows(state, rows, now)
         state, lost = _lose(state, write, now)
         return state, effects + lost
-    # The answer may be lost after the write took effect; a poll reads it back.
-    is_certain = not outcome.sent and write.unknown_since is None
-    if is_certain and write.started_at + WRITE_S <= now:
+    # Below 500 the platform refused the write; otherwise its answer may be lost
+    # after the write took effect, and a poll reads it back.
+    may_have_run = outcome.sent and (outcome.status == 0 or outcome.status >= 500)
+    write = write._replace(may_have_run=write.may_have_run or may_have_run)
+    if not write.may_have_run:
         return _fail(state, write, Ran.NOT_RUN, now)
     write = write._replace(unknown_since=now)
     writes = {**state.write_by_key, key: write}
--- a/src/jackdawspread/decisions/platform_write.py
+++ b/src/jackdawspread/decisions/platform_write.py
@@ -17,3 +17,4 @@
     started_at: float
     unknown_since: float | None = None
     admin_id: str = ""
+    may_have_run: bool = False
--- a/src/jackdawspread/decisions/seat_roles.py
+++ b/src/jackdawspread/decisions/seat_roles.py
@@ -1,9 +1,10 @@
 """What the seat of an instance allows it to do."""
 
+from jackdawspread.decisions.authority import authority_deadline
 from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_timing import SEAT_SILENT_S
+from jackdawspread.decisions.control_timing import AUTHORITY_S, SEAT_SILENT_S
 from jackdawspread.decisions.seat_hashing import seat_limit
-from jackdawspread.decisions.seat_state import NO_SEATS
+from jackdawspread.decisions.seat_state import NO_SEATS, SeatState
 from jackdawspread.messages.seat_assignment import SeatAssignment
 
 
@@ -29,11 +30,21 @@
     seat = known.seats.index(state.incarnation)
     silence = SEAT_SILENT_S * seat
     is_active = not state.is_leaving and not any(
-        is_live(state, name, silence, now) for name in known.seats[:seat]
-    )
-    return SeatAssignment(
-        database, known.generation, seat, is_active, connection_limit(state, database)
+        is_live(state, name, silence, now) and is_usable(known, name)
+        for name in known.seats[:seat]
     )
+    limit = connection_limit(state, database)
+    # Others may have removed an instance whose authority lapsed, and divide its
+    # connections once it has had time to close them.
+    if now >= authority_deadline(state, now) + AUTHORITY_S:
+        is_active, limit = False, 0
+    is_active = is_active and is_usable(known, state.incarnation)
+    return SeatAssignment(database, known.generation, seat, is_active, limit)
+
+
+def is_usable(known: SeatState, incarnation: str) -> bool:
+    """Whether a holder may have connections before the generation is settled."""
+    return not known.previous or incarnation in known.previous
 
 
 def connection_limit(state: ControlState, database: str) -> int:
@@ -57,5 +68,7 @@
     return tuple(
         members[name].peer_address
         for name in known.seats
-        if name in members and is_live(state, name, SEAT_SILENT_S, now)
+        if name in members
+        and is_usable(known, name)
+        and is_live(state, name, SEAT_SILENT_S, now)
     )
--- a/src/jackdawspread/decisions/seats.py
+++ b/src/jackdawspread/decisions/seats.py
@@ -5,7 +5,7 @@
 from jackdawspread.decisions.authority import has_authority
 from jackdawspread.decisions.control_state import ControlState
 from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.control_timing import SEAT_CONFIRM_S
+from jackdawspread.decisions.control_timing import AUTHORITY_S, SEAT_CONFIRM_S, SETTLE_S
 from jackdawspread.decisions.heartbeats import to_peers
 from jackdawspread.decisions.platform_writes import start_write
 from jackdawspread.decisions.seat_hashing import choose_seats
@@ -78,8 +78,8 @@
 def settle_seats(state: ControlState, now: float) -> ControlStep:
     """Confirm new generations and settle those that all holders confirmed.
 
-    A holder that left the view counts as gone; its connections end with its
-    process, and a member refuses connections over its own limit.
+    A holder that left the view has closed its connections when its authority
+    has lapsed for long enough, and at once when its address has a new owner.
     """
     effects: tuple[Effect, ...] = ()
     seats = dict(state.seat_by_database)
@@ -88,8 +88,8 @@
         if not known.is_confirmed_by_us and now >= known.seen_at + SEAT_CONFIRM_S:
             confirmed = known.confirmed | {state.incarnation}
             known = known._replace(is_confirmed_by_us=True, confirmed=confirmed)
-        alive = set(known.previous) & set(state.view.member_by_incarnation)
-        if alive <= known.confirmed:
+        waited = {name for name in known.previous if not _is_gone(state, name, now)}
+        if waited <= known.confirmed:
             known = known._replace(previous=())
         elif is_heartbeat_due and known.is_confirmed_by_us:
             effects += to_peers(state, _confirmation(state, database, known))
@@ -97,6 +97,16 @@
     return state._replace(seat_by_database=seats), effects
 
 
+def _is_gone(state: ControlState, incarnation: str, now: float) -> bool:
+    members = state.view.member_by_incarnation
+    if incarnation in members:
+        return False
+    if now >= state.view_seen_at + AUTHORITY_S + SETTLE_S:
+        return True
+    old = state.address_by_incarnation.get(incarnation)
+    return any(member.peer_address == old for member in members.values())
+
+
 def confirm_seat(
     state: ControlState, message: SeatConfirmation, address: str
 ) -> ControlStep:
--- a/src/jackdawspread/decisions/views.py
+++ b/src/jackdawspread/decisions/views.py
@@ -37,7 +37,13 @@
         name: state.heard_at_by_incarnation.get(name, now)
         for name in view.member_by_incarnation
     }
+    addresses = {
+        name: member.peer_address
+        for known in (*state.views, view)
+        for name, member in known.member_by_incarnation.items()
+    }
     state = state._replace(
+        address_by_incarnation=addresses,
         views=(*state.views, view),
         view_seen_at=now,
         proposal=None,
