Check that the control decisions load without an event loop

Cause: a model checker has to drive the decisions without trio or codecs. Ruled out: a lint rule, which would not see indirect imports.

--- a/features/control.feature
+++ b/features/control.feature
@@ -154,3 +154,7 @@
     Then "a" has not settled the view
     When 3.4 s pass on "a" alone
     Then "a" has settled the view
+
+  Scenario: The decisions load without an event loop
+    # Guards against decisions that a model checker cannot drive.
+    Then the control decisions import neither trio nor a codec
--- /dev/null
+++ b/features/steps/control_configuration_steps.py
@@ -0,0 +1,124 @@
+"""Steps for configuration and withdrawals across instances."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.messages.add_key import AddKey
+from jackdawspread.messages.admin_answer import AdminAnswer
+from jackdawspread.messages.configuration_push import ConfigurationPush
+from jackdawspread.messages.create_workspace import CreateWorkspace
+from jackdawspread.messages.lost_race import LostRace
+from jackdawspread.messages.peer_received import PeerReceived
+from jackdawspread.messages.select_preset import SelectPreset
+from jackdawspread.messages.withdraw_key import WithdrawKey
+
+
+@given('a key "{key}" of workspace "{workspace}"')
+def add_key(context: Context, key: str, workspace: str) -> None:
+    for id, change in (
+        ("workspace", CreateWorkspace(workspace)),
+        ("key", AddKey(key, workspace)),
+    ):
+        context.fleet.ask("b", change, id)
+        context.fleet.run(3)
+        outcome = context.fleet.result_by_id[id].outcome
+        assert isinstance(outcome, AdminAnswer), outcome
+
+
+@when('the answers to the writes of "{name}" are lost')
+def lose(context: Context, name: str) -> None:
+    context.fleet.losing_answers.add(name)
+
+
+@when('"a" is asked at the same time to select "{first}" and "b" to select "{second}"')
+def race(context: Context, first: str, second: str) -> None:
+    context.fleet.ask("a", SelectPreset(first), first)
+    context.fleet.ask("b", SelectPreset(second), second)
+
+
+@then("one operator was told of the success and the other got both versions")
+def one_won(context: Context) -> None:
+    results = context.fleet.result_by_id
+    won = [id for id, r in results.items() if isinstance(r.outcome, AdminAnswer)]
+    lost = [r.outcome for r in results.values() if isinstance(r.outcome, LostRace)]
+    assert len(won) == len(lost) == 1, results
+    context.won = won[0]
+    assert lost[0].current["preset"] == won[0] != lost[0].yours["preset"]
+
+
+@then("the preset of the successful operator is in force on every instance")
+def winner_in_force(context: Context) -> None:
+    in_force(context, context.won)
+
+
+@then('the preset "{preset}" is in force on every instance')
+def in_force(context: Context, preset: str) -> None:
+    states = context.fleet.state_by_name.values()
+    found = [state.configuration["preset"] for state in states]
+    assert found == [preset] * 4, found
+
+
+@then("no instance ever went back to an older configuration")
+def never_back(context: Context) -> None:
+    for name, seen in context.fleet.preset_history.items():
+        versions = [version for version, _ in seen]
+        assert versions == sorted(set(versions)), (name, seen)
+    presets: dict[int, str] = {}
+    for seen in context.fleet.preset_history.values():
+        for version, preset in seen:
+            assert presets.setdefault(version, preset) == preset, version
+
+
+@when('"{name}" is asked to withdraw "{key}"')
+def withdraw(context: Context, name: str, key: str) -> None:
+    context.fleet.ask(name, WithdrawKey(key), "withdraw")
+
+
+@when('"{name}" is asked to select "{preset}"')
+def select(context: Context, name: str, preset: str) -> None:
+    context.fleet.ask(name, SelectPreset(preset), "select")
+
+
+@then("the change is refused with code {code} and ran {ran}")
+def change_refused(context: Context, code: str, ran: str) -> None:
+    outcome = context.fleet.result_by_id["select"].outcome
+    assert (outcome.code, outcome.ran) == (code, ran), outcome
+
+
+@then('the withdrawal is answered with state "{state}" and is not stored')
+def withdrawal_answer(context: Context, state: str) -> None:
+    body = context.fleet.result_by_id["withdraw"].outcome.body
+    assert (body["state"], body["stored"]) == (state, False), body
+    assert "a" in body["confirmed_by"], body
+
+
+@then('every instance refuses "{key}"')
+def refuses(context: Context, key: str) -> None:
+    for name, state in context.fleet.state_by_name.items():
+        assert key in state.withdrawal_by_key_id, name
+
+
+@then('the platform shows "{key}" as withdrawn')
+def stored(context: Context, key: str) -> None:
+    value = context.fleet.platform.rows["configuration"]["value"]
+    assert value["key_by_id"][key]["withdrawn"], value
+    assert all(
+        not state.withdrawal_by_key_id for state in context.fleet.state_by_name.values()
+    )
+
+
+@when("6 changes of preset are made one after the other on different instances")
+def six_changes(context: Context) -> None:
+    presets = ["peak", "ordinary", "maintenance"] * 2
+    for number, (name, preset) in enumerate(zip("abcdab", presets, strict=True)):
+        context.fleet.ask(name, SelectPreset(preset), f"change{number}")
+        context.fleet.run(2)
+        outcome = context.fleet.result_by_id[f"change{number}"].outcome
+        assert isinstance(outcome, AdminAnswer), outcome
+
+
+@when('"{name}" gets a push of the oldest configuration')
+def old_push(context: Context, name: str) -> None:
+    push = ConfigurationPush(first_configuration())
+    context.fleet.deliver(name, PeerReceived("b", push))
