--- a/features/fakes/__init__.py
+++ b/features/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Small fakes at the interfaces."""
+"""Small fakes at the interfaces, for the features."""
--- a/src/jackdawspread/decisions/rate_limiter.py
+++ b/src/jackdawspread/decisions/rate_limiter.py
@@ -18,8 +18,11 @@
 RateEffect = AdmitRequest | RefuseRequest | AskPeer | GrantPeer
 
 BORROW_WAIT_S = 0.2
-# Shorter than the wait, so that a lost ask or a dead peer costs one of several tries.
-ASK_TIMEOUT_S = 0.05
+# An asker uses a grant only this long after asking, and the granter counts it this
+# long against its own burst. At 0.2 s the grants counted filled the burst and held
+# borrowing to burst / 0.2 s; being shorter than the wait, it also allows several
+# tries when an ask is lost.
+GRANT_LIFETIME_S = 0.05
 MAX_WAITING = 256
 MAX_ASK = 64
 # Peers that had nothing to give are asked again after this time, which bounds the
@@ -126,7 +129,7 @@
 def _(event: PeerAsked, limiter: RateLimiter, share: RateShare, now: float) -> Decided:
     limiter = limiter._replace(bucket=refill(limiter.bucket, share, now))
     limiter, effects = _settle(limiter, (), now)
-    bucket, granted = grant(limiter.bucket, event.requests, now + BORROW_WAIT_S)
+    bucket, granted = grant(limiter.bucket, event.requests, now + GRANT_LIFETIME_S)
     reply = GrantPeer(event.peer, event.ask_id, granted)
     return limiter._replace(bucket=bucket), (*effects, reply)
 
@@ -158,7 +161,7 @@
     ask_id = str(limiter.asks + 1)
     limiter = limiter._replace(
         ask_id=ask_id,
-        ask_deadline=now + ASK_TIMEOUT_S,
+        ask_deadline=now + GRANT_LIFETIME_S,
         peers_to_ask=to_ask[1:],
         asks=limiter.asks + 1,
     )
--- a/src/jackdawspread/tasks/rate_limits.py
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -8,6 +8,7 @@
 
 from jackdawspread.decisions.admit_request import AdmitRequest
 from jackdawspread.decisions.ask_peer import AskPeer
+from jackdawspread.decisions.effective_limits import effective_limits
 from jackdawspread.decisions.grant_arrived import GrantArrived
 from jackdawspread.decisions.grant_peer import GrantPeer
 from jackdawspread.decisions.peer_asked import PeerAsked
