--- /dev/null
+++ b/features/fake_connection.py
@@ -0,0 +1,64 @@
+"""Connection to a fake member, in place of the HTTP client connection."""
+
+from features.fake_member import FakeMember
+from trio import (
+    CancelScope,
+    MemoryReceiveChannel,
+    current_time,
+    sleep,
+    sleep_forever,
+)
+
+from jackdawspread.messages.http_call import HttpCall
+from jackdawspread.messages.http_outcome import HttpOutcome
+
+
+class FakeConnection:
+    """Makes the calls of its inbox; a lost answer arrives late, after all."""
+
+    def __init__(
+        self, id: int, member: FakeMember, inbox: MemoryReceiveChannel[HttpCall]
+    ) -> None:
+        self._id, self._member, self._inbox = id, member, inbox
+
+    async def run(self) -> None:
+        """Make calls until one fails."""
+        with self._inbox:
+            async for call in self._inbox:
+                outcome = await self._call(call)
+                call.reply_to.send_nowait(outcome)
+                if outcome.error:
+                    return
+
+    async def _call(self, call: HttpCall) -> HttpOutcome:
+        member = self._member
+        if member.is_refusing:
+            error = "connection failed: refused"
+            return HttpOutcome(call.id, self._id, 0, {}, False, error)
+        with CancelScope(deadline=call.deadline):
+            connect = 0.01 if call.target == "/connect" else 0
+            await sleep(member.service + connect)
+            if member.is_cut or self._take(member.swallowed, call):
+                await sleep_forever()
+            if call.target == "/confirm":
+                await sleep(member.lag)
+            now = current_time()
+            status, body = member.handle(self._id, call.target, call.body, now)
+            answer = HttpOutcome(call.id, self._id, status, body, True)
+            if not self._take(member.lost_answers, call):
+                return answer
+            await self._answer_late(call, answer)
+        return HttpOutcome(call.id, self._id, 0, {}, True, "no answer in time")
+
+    async def _answer_late(self, call: HttpCall, answer: HttpOutcome) -> None:
+        """Deliver an answer after the owner has given the connection up."""
+        try:
+            await sleep_forever()
+        finally:
+            self._member.late_answers.append((call.reply_to, answer))
+
+    def _take(self, targets: list[str], call: HttpCall) -> bool:
+        if call.target not in targets:
+            return False
+        targets.remove(call.target)
+        return True
--- /dev/null
+++ b/src/jackdawspread/decisions/finish_request.py
@@ -0,0 +1,11 @@
+"""Effect: reply to a request."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.reply import Reply
+
+
+class FinishRequest(NamedTuple):
+    """Send the reply; the request is over."""
+
+    reply: Reply
--- /dev/null
+++ b/src/jackdawspread/decisions/member_silence.py
@@ -0,0 +1,10 @@
+"""Call to a member without an answer."""
+
+from typing import NamedTuple
+
+
+class MemberSilence(NamedTuple):
+    """Tells whether any byte may have reached the member."""
+
+    was_sent: bool
+    detail: str
--- /dev/null
+++ b/src/jackdawspread/decisions/owner_term.py
@@ -0,0 +1,22 @@
+"""Terms, built from generation, round and seat."""
+
+ROUNDS = 256
+SEATS = 4
+
+
+def make_term(generation: int, round: int, seat: int) -> int:
+    """Return the term of a seat's round in a generation."""
+    return (generation * ROUNDS + round) * SEATS + seat
+
+
+def next_own_term(generation: int, seat: int, above: int) -> int | None:
+    """Return the seat's least term greater than ``above``.
+
+    Returns
+    -------
+    int or None
+        None if the generation has no such term; new seats are then needed.
+    """
+    lowest = make_term(generation, 0, seat)
+    round = 0 if above < lowest else (above - lowest) // SEATS + 1
+    return make_term(generation, round, seat) if round < ROUNDS else None
--- /dev/null
+++ b/src/jackdawspread/decisions/promise_received.py
@@ -0,0 +1,15 @@
+"""Event: a member answered a prepare."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.position import Position
+
+
+class PromiseReceived(NamedTuple):
+    """Answer to ``prepare(term)``; ``promised`` is the member's newest promise."""
+
+    address: str
+    term: int
+    is_granted: bool
+    promised: int
+    position: Position
--- /dev/null
+++ b/src/jackdawspread/decisions/promotion.py
@@ -0,0 +1,150 @@
+"""Failure detection and promotion."""
+
+from functools import singledispatch
+
+from jackdawspread.decisions.member_status import MemberStatus
+from jackdawspread.decisions.open_answered import OpenAnswered
+from jackdawspread.decisions.primary_suspected import PrimarySuspected
+from jackdawspread.decisions.probe_answered import ProbeAnswered
+from jackdawspread.decisions.probe_missed import ProbeMissed
+from jackdawspread.decisions.promise_received import PromiseReceived
+from jackdawspread.decisions.promotion_effect import PromotionEffect
+from jackdawspread.decisions.promotion_phase import PromotionPhase
+from jackdawspread.decisions.promotion_state import PromotionState
+from jackdawspread.decisions.promotion_steps import (
+    adopt_term,
+    advance,
+    choose_and_open,
+    note_promise,
+    put_in_force,
+)
+from jackdawspread.decisions.send_follow import SendFollow
+from jackdawspread.decisions.step_lost import StepLost
+from jackdawspread.decisions.suspicion_cleared import SuspicionCleared
+from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.messages.seat_assignment import SeatAssignment
+from jackdawspread.messages.term_announcement import TermAnnouncement
+
+Step = tuple[PromotionState, list[PromotionEffect]]
+
+
+@singledispatch
+def handle_promotion_event(event: object, state: PromotionState, now: float) -> Step:
+    """Return the state and the effects after an event.
+
+    Raises
+    ------
+    TypeError
+        If the state machine does not know the type of the event.
+    """
+    raise TypeError(f"promotion cannot handle {type(event).__name__}")
+
+
+@handle_promotion_event.register
+def _(event: ProbeAnswered, state: PromotionState, now: float) -> Step:
+    status = event.status
+    address = status.address
+    effects: list[PromotionEffect] = []
+    if address == state.primary and state.misses_by_member.get(address, 0):
+        effects.append(SuspicionCleared(address))
+    state.misses_by_member[address] = 0
+    state.status_by_member[address] = status
+    if address == state.primary:
+        state = state._replace(is_primary_refused=False)
+    state = note_promise(state, status.promised, now)
+    if status.role == "primary":
+        state, more = _meet_primary(state, status, now)
+        effects += more
+    if _must_follow(state, status):
+        effects.append(SendFollow(address, state.term, state.primary))
+    return state, effects
+
+
+@handle_promotion_event.register
+def _(event: ProbeMissed, state: PromotionState, now: float) -> Step:
+    misses = state.misses_by_member.get(event.address, 0) + 1
+    state.misses_by_member[event.address] = misses
+    if event.address != state.primary:
+        return state, []
+    if event.is_refused:
+        state = state._replace(is_primary_refused=True)
+    effects: list[PromotionEffect] = []
+    if misses == 1:
+        effects.append(PrimarySuspected(event.address))
+    return state, effects
+
+
+@handle_promotion_event.register
+def _(event: PromiseReceived, state: PromotionState, now: float) -> Step:
+    state = note_promise(state, event.promised, now)
+    if state.phase is not PromotionPhase.PREPARING or event.term != state.own_term:
+        return state, []
+    if not event.is_granted:
+        refusers = state.refusers | {event.address}
+        return state._replace(refusers=refusers), []
+    promises = {**state.position_by_promiser, event.address: event.position}
+    state = state._replace(position_by_promiser=promises)
+    if 2 * len(promises) <= len(state.members):
+        return state, []
+    return choose_and_open(state, now)
+
+
+@handle_promotion_event.register
+def _(event: OpenAnswered, state: PromotionState, now: float) -> Step:
+    if state.phase is not PromotionPhase.OPENING or event.term != state.own_term:
+        return state, []
+    if event.address != state.chosen:
+        return state, []
+    if event.is_open:
+        return put_in_force(state, now)
+    return state._replace(step_deadline=now), []
+
+
+@handle_promotion_event.register
+def _(event: StepLost, state: PromotionState, now: float) -> Step:
+    if event.term != state.own_term:
+        return state, []
+    return state._replace(asked=state.asked - {event.address}), []
+
+
+@handle_promotion_event.register
+def _(event: TimePassed, state: PromotionState, now: float) -> Step:
+    return advance(state, event.jitter, now)
+
+
+@handle_promotion_event.register
+def _(event: SeatAssignment, state: PromotionState, now: float) -> Step:
+    is_same = (event.generation, event.seat) == (state.generation, state.seat)
+    state = state._replace(
+        generation=event.generation, seat=event.seat, is_active=event.is_active
+    )
+    if not is_same:
+        state = state._replace(phase=PromotionPhase.WATCHING)
+    return state, []
+
+
+@handle_promotion_event.register
+def _(event: TermAnnouncement, state: PromotionState, now: float) -> Step:
+    if event.term <= state.term or event.primary_address not in state.members:
+        return state, []
+    return adopt_term(state, event.term, event.primary_address, now)
+
+
+def _meet_primary(state: PromotionState, status: MemberStatus, now: float) -> Step:
+    is_opening = state.phase is PromotionPhase.OPENING
+    if is_opening and (status.address, status.term) == (state.chosen, state.own_term):
+        return put_in_force(state, now)
+    if status.term > state.term or (status.term == state.term and not state.primary):
+        return adopt_term(state, status.term, status.address, now)
+    return state, []
+
+
+def _must_follow(state: PromotionState, status: MemberStatus) -> bool:
+    """Return whether a member that was unreachable has to be told the primary."""
+    return (
+        state.phase is PromotionPhase.WATCHING
+        and (state.is_active or state.is_engaged)
+        and state.primary not in ("", status.address)
+        and status.term < state.term
+        and status.promised <= state.term
+    )
--- /dev/null
+++ b/src/jackdawspread/decisions/promotion_reason.py
@@ -0,0 +1,68 @@
+"""Reasons for replacing the primary."""
+
+from jackdawspread.decisions.promotion_state import PromotionState
+
+MISSES_TO_REPLACE = 2
+# A replica that heard the primary this recently shows that the fault may lie
+# between the owner and the primary; one more probe tells.
+UPSTREAM_FRESH_SECONDS = 0.3
+STATUS_FRESH_SECONDS = 0.5
+# Another seat's promotion takes less than this when nothing fails.
+NEWER_PROMISE_PATIENCE_SECONDS = 0.3
+
+
+def promotion_reason(state: PromotionState, now: float) -> str:
+    """Return why a promotion should start now; empty if it should not."""
+    if state.seat < 0 or not (state.is_active or state.is_engaged):
+        return ""
+    if now < state.retry_at:
+        return ""
+    if state.own_term > state.term and state.own_term >= state.promised:
+        return "own promotion unfinished"
+    if not state.primary:
+        return _reason_without_primary(state)
+    if state.is_primary_refused:
+        return "primary refuses connections"
+    needed = MISSES_TO_REPLACE + _is_heard_by_replicas(state, now)
+    if state.misses_by_member.get(state.primary, 0) >= needed:
+        return "primary missed probes"
+    return _reason_of_newer_promise(state, now)
+
+
+def has_primary_in(state: PromotionState, term: int) -> bool:
+    """Return whether a reachable member is the primary of at least ``term``."""
+    return any(
+        status.role == "primary"
+        and status.term >= term
+        and not state.misses_by_member.get(status.address, 0)
+        for status in state.status_by_member.values()
+    )
+
+
+def _is_heard_by_replicas(state: PromotionState, now: float) -> bool:
+    return any(
+        status.address != state.primary
+        and status.upstream_age < UPSTREAM_FRESH_SECONDS
+        and now - status.asked_at < STATUS_FRESH_SECONDS
+        for status in state.status_by_member.values()
+    )
+
+
+def _reason_without_primary(state: PromotionState) -> str:
+    for member in state.members:
+        misses = state.misses_by_member.get(member, 0)
+        if member not in state.status_by_member and misses < MISSES_TO_REPLACE:
+            return ""
+    if 2 * len(state.status_by_member) <= len(state.members):
+        return ""
+    return "" if has_primary_in(state, state.promised) else "no primary"
+
+
+def _reason_of_newer_promise(state: PromotionState, now: float) -> str:
+    if not state.is_active or state.promised <= state.term:
+        return ""
+    if now - state.promised_since < NEWER_PROMISE_PATIENCE_SECONDS:
+        return ""
+    if has_primary_in(state, state.promised):
+        return ""
+    return "a member promised a newer term without a primary"
--- /dev/null
+++ b/src/jackdawspread/decisions/promotion_started.py
@@ -0,0 +1,10 @@
+"""Effect: a promotion started."""
+
+from typing import NamedTuple
+
+
+class PromotionStarted(NamedTuple):
+    """Report a promotion in ``term`` and its reason."""
+
+    term: int
+    reason: str
--- /dev/null
+++ b/src/jackdawspread/decisions/read_target.py
@@ -0,0 +1,14 @@
+"""Member chosen for a read."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.position import Position
+
+
+class ReadTarget(NamedTuple):
+    """Member, the position it must hold and how long it may wait for it."""
+
+    address: str
+    role: str
+    position: Position | None
+    wait_ms: int
--- /dev/null
+++ b/src/jackdawspread/decisions/repeat_request.py
@@ -0,0 +1,11 @@
+"""Effect: repeat a request."""
+
+from typing import NamedTuple
+
+from jackdawspread.decisions.running_request import RunningRequest
+
+
+class RepeatRequest(NamedTuple):
+    """Send the request again within its deadline."""
+
+    running: RunningRequest
--- /dev/null
+++ b/src/jackdawspread/decisions/request_check.py
@@ -0,0 +1,62 @@
+"""Checks of a request at the owner."""
+
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+from jackdawspread.messages.preset_document import PresetDocument
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.messages.routed_request import RoutedRequest
+
+CONTINUING = (RequestKind.EXECUTE, RequestKind.COMMIT, RequestKind.ROLLBACK)
+
+
+def preset_in_force(snapshot: ControlSnapshot) -> PresetDocument:
+    """Return the preset that the configuration names."""
+    configuration = snapshot.configuration
+    return configuration["preset_by_name"][configuration["preset"]]
+
+
+def workspace_weight(snapshot: ControlSnapshot, workspace: str) -> float:
+    """Return a workspace's weight in fair queueing, within the bounds."""
+    configuration = snapshot.configuration
+    office = configuration["head_office"]
+    document = configuration["workspace_by_name"].get(workspace)
+    overrides = document["overrides"] if document else {}
+    weight = overrides.get("weight", office["default"].get("weight", 1.0))
+    weight = min(weight, office["highest"].get("weight", weight))
+    weight = max(weight, office["lowest"].get("weight", weight))
+    return weight if weight > 0 else 1.0
+
+
+def check_arrival(snapshot: ControlSnapshot, request: RoutedRequest) -> Refusal | None:
+    """Return why a request is not accepted, or None."""
+    leaving = request.database in snapshot.configuration["leaving_databases"]
+    if leaving and request.kind not in CONTINUING:
+        return refuse("database_leaving", "the database is leaving")
+    return None
+
+
+def check_before_sending(
+    snapshot: ControlSnapshot, request: RoutedRequest, now: float
+) -> Refusal | None:
+    """Return why a request must not be sent to a member, or None."""
+    if now >= snapshot.authority_deadline:
+        return refuse("no_authority", "the instance cannot reach its group")
+    key = snapshot.configuration["key_by_id"].get(request.key_id)
+    if (
+        key is None
+        or key["withdrawn"]
+        or request.key_id in snapshot.withdrawn_key_ids
+        or key["workspace"] != request.workspace
+    ):
+        return refuse("unauthorized", "the key is unknown or withdrawn")
+    preset = preset_in_force(snapshot)
+    writes = (RequestKind.WRITE, RequestKind.BEGIN, RequestKind.COMMIT)
+    if request.kind in writes and not preset["writes_allowed"]:
+        return refuse("writes_not_allowed", "the preset in force allows no writes")
+    return None
+
+
+def refuse(code: str, detail: str, peer: str = "", retry_ms: int = 0) -> Refusal:
+    """Return a refusal of a request that no member has seen."""
+    return Refusal(code, Ran.NOT_RUN, "owner", peer, detail, retry_ms)
--- /dev/null
+++ b/src/jackdawspread/decisions/request_queue.py
@@ -0,0 +1,137 @@
+"""Queueing of requests; the discipline varies with the type of the state."""
+
+from collections import deque
+from functools import singledispatch
+from typing import Any
+
+from jackdawspread.decisions.fair_queue_state import FairQueueState
+from jackdawspread.decisions.fifo_queue_state import FifoQueueState
+from jackdawspread.decisions.queued_request import QueuedRequest
+
+RequestQueue = FairQueueState | FifoQueueState
+
+
+@singledispatch
+def enqueue(state: Any, item: QueuedRequest, weight: float) -> Any:
+    """Return the state with the request added."""
+    raise TypeError(f"no queue discipline for {type(state).__name__}")
+
+
+@singledispatch
+def heads(state: Any) -> list[QueuedRequest]:
+    """Return the requests that may be sent next, in order of preference."""
+    raise TypeError(f"no queue discipline for {type(state).__name__}")
+
+
+@singledispatch
+def remove_head(state: Any, item: QueuedRequest) -> Any:
+    """Return the state without a request that `heads` returned."""
+    raise TypeError(f"no queue discipline for {type(state).__name__}")
+
+
+@singledispatch
+def remove_expired(state: Any, now: float) -> list[QueuedRequest]:
+    """Remove and return the requests whose queue deadline has passed."""
+    raise TypeError(f"no queue discipline for {type(state).__name__}")
+
+
+def queue_size(state: RequestQueue, workspace: str) -> int:
+    """Return how many requests of a workspace wait."""
+    return state.size_by_workspace.get(workspace, 0)
+
+
+def queue_total(state: RequestQueue) -> int:
+    """Return how many requests wait."""
+    return sum(state.size_by_workspace.values())
+
+
+@enqueue.register
+def _(state: FairQueueState, item: QueuedRequest, weight: float) -> FairQueueState:
+    workspace = item.request.workspace
+    finish = state.finish_by_workspace.get(workspace, 0.0)
+    start = max(state.virtual_time, finish)
+    state.finish_by_workspace[workspace] = start + 1.0 / weight
+    flow = (workspace, item.lane)
+    waiting = state.waiting_by_flow.setdefault(flow, deque())
+    waiting.append(item._replace(start_tag=start))
+    _count(state, workspace, 1)
+    return state
+
+
+@heads.register
+def _(state: FairQueueState) -> list[QueuedRequest]:
+    first = [waiting[0] for waiting in state.waiting_by_flow.values()]
+    first.sort(key=lambda item: item.start_tag)
+    return first
+
+
+@remove_head.register
+def _(state: FairQueueState, item: QueuedRequest) -> FairQueueState:
+    flow = (item.request.workspace, item.lane)
+    waiting = state.waiting_by_flow[flow]
+    waiting.popleft()
+    if not waiting:
+        del state.waiting_by_flow[flow]
+    _count(state, item.request.workspace, -1)
+    return state._replace(virtual_time=max(state.virtual_time, item.start_tag))
+
+
+@remove_expired.register
+def _(state: FairQueueState, now: float) -> list[QueuedRequest]:
+    return _expire(state, state.waiting_by_flow, now)
+
+
+@enqueue.register
+def _(state: FifoQueueState, item: QueuedRequest, weight: float) -> FifoQueueState:
+    waiting = state.waiting_by_lane.setdefault(item.lane, deque())
+    waiting.append(item._replace(start_tag=float(state.arrivals)))
+    _count(state, item.request.workspace, 1)
+    return state._replace(arrivals=state.arrivals + 1)
+
+
+@heads.register
+def _(state: FifoQueueState) -> list[QueuedRequest]:
+    first = [waiting[0] for waiting in state.waiting_by_lane.values()]
+    first.sort(key=lambda item: item.start_tag)
+    return first
+
+
+@remove_head.register
+def _(state: FifoQueueState, item: QueuedRequest) -> FifoQueueState:
+    waiting = state.waiting_by_lane[item.lane]
+    waiting.popleft()
+    if not waiting:
+        del state.waiting_by_lane[item.lane]
+    _count(state, item.request.workspace, -1)
+    return state
+
+
+@remove_expired.register
+def _(state: FifoQueueState, now: float) -> list[QueuedRequest]:
+    return _expire(state, state.waiting_by_lane, now)
+
+
+def _expire(
+    state: RequestQueue, waiting_by_key: dict[Any, deque[QueuedRequest]], now: float
+) -> list[QueuedRequest]:
+    expired = []
+    for key, waiting in list(waiting_by_key.items()):
+        late = [item for item in waiting if item.expires_at <= now]
+        if not late:
+            continue
+        expired += late
+        kept = deque(item for item in waiting if item.expires_at > now)
+        waiting_by_key[key] = kept
+        if not kept:
+            del waiting_by_key[key]
+    for item in expired:
+        _count(state, item.request.workspace, -1)
+    return expired
+
+
+def _count(state: RequestQueue, workspace: str, change: int) -> None:
+    size = state.size_by_workspace.get(workspace, 0) + change
+    if size:
+        state.size_by_workspace[workspace] = size
+    else:
+        del state.size_by_workspace[workspace]
--- /dev/null
+++ b/src/jackdawspread/tasks/confirmer.py
@@ -0,0 +1,136 @@
+"""Confirmation of binding writes at replicas."""
+
+from absl import logging
+
+from jackdawspread.decisions.confirm_call import ConfirmCall
+from jackdawspread.decisions.confirmation import (
+    note_answered,
+    note_asked,
+    note_held,
+    position_to_ask,
+    take_confirmed,
+)
+from jackdawspread.decisions.confirmation_state import no_confirmations
+from jackdawspread.decisions.member_status import MemberStatus
+from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.messages.position import Position
+from jackdawspread.tasks.connection_set import ConnectionSet
+from jackdawspread.tasks.member_pools import MemberPools
+
+WAIT_SECONDS = 0.2
+ANSWER_SECONDS = 0.3
+# A replica that does not hold a position yet is not asked again at once.
+REPEAT_SECONDS = 0.05
+
+
+class Confirmer:
+    """Owns the answers that wait until a second member holds them.
+
+    Parameters
+    ----------
+    members : tuple of str
+        Addresses of the members.
+    pools : MemberPools
+        Connections for the questions.
+    connections : ConnectionSet
+        Carries the calls.
+    """
+
+    def __init__(
+        self, members: tuple[str, ...], pools: MemberPools, connections: ConnectionSet
+    ) -> None:
+        self._members = members
+        self._pools = pools
+        self._connections = connections
+        self._primary = ""
+        self._state = no_confirmations(0)
+        self._running_by_id: dict[int, RunningRequest] = {}
+        self._ask_at = dict.fromkeys(members, 0.0)
+
+    @property
+    def held(self) -> Position | None:
+        """Greatest position that a second member holds in the term in force."""
+        return self._state.held
+
+    def is_idle(self) -> bool:
+        """Return whether no answer waits."""
+        return not self._running_by_id
+
+    def enter_term(self, term: int, primary: str) -> list[RunningRequest]:
+        """Start a term; return the requests that were not confirmed before."""
+        asked = self._state.asked_by_member
+        self._state = no_confirmations(term)._replace(asked_by_member=asked)
+        self._primary = primary
+        unconfirmed = list(self._running_by_id.values())
+        self._running_by_id.clear()
+        return unconfirmed
+
+    def add(self, running: RunningRequest) -> None:
+        """Let an answer of the term in force wait."""
+        assert running.answer is not None and running.answer.position is not None
+        self._running_by_id[running.id] = running
+        self._state.waiting_by_id[running.id] = running.answer.position
+
+    def note_status(self, status: MemberStatus) -> None:
+        """Learn from a probe what a replica holds."""
+        term = self._state.term
+        is_current = status.term == term and status.position.term == term
+        if status.address != self._primary and is_current and status.promised <= term:
+            self._state = note_held(self._state, term, status.position)
+
+    def ask(self, now: float) -> None:
+        """Ask both replicas for the positions that are not known to be held."""
+        for member in self._members:
+            if member == self._primary or now < self._ask_at[member]:
+                continue
+            position = position_to_ask(self._state, member)
+            if position is None:
+                continue
+            connection = self._pools.take(member, "confirm")
+            if connection is None:
+                continue
+            note_asked(self._state, member, position)
+            call = ConfirmCall(member, connection, self._state.term, position)
+            body = {
+                "term": call.term,
+                "position": position,
+                "wait_ms": round(WAIT_SECONDS * 1000),
+            }
+            deadline = now + WAIT_SECONDS + ANSWER_SECONDS
+            self._connections.call(connection, "/confirm", body, deadline, call)
+
+    def finish(self, call: ConfirmCall, outcome: HttpOutcome, now: float) -> bool:
+        """Take a replica's answer; return whether it holds the position."""
+        note_answered(self._state, call.address, call.position)
+        if outcome.status == 0:
+            self._pools.close(call.address, call.connection)
+            self._ask_at[call.address] = now + REPEAT_SECONDS
+            return False
+        self._pools.release(call.address, call.connection, now)
+        promised = outcome.body.get("promised", 0)
+        is_held = outcome.status == 200 and outcome.body.get("held") is True
+        if not is_held or promised > call.term:
+            self._ask_at[call.address] = now + REPEAT_SECONDS
+            logging.info(
+                "owner: not confirmed member=%s term=%s promised=%s",
+                call.address,
+                call.term,
+                promised,
+            )
+            return False
+        self._state = note_held(self._state, call.term, call.position)
+        return True
+
+    def take_confirmed(self) -> list[RunningRequest]:
+        """Remove and return the requests that a second member holds."""
+        return [self._running_by_id.pop(id) for id in take_confirmed(self._state)]
+
+    def take_expired(self, now: float) -> list[RunningRequest]:
+        """Remove and return the requests whose deadline has passed."""
+        running = self._running_by_id.values()
+        late = [item for item in running if item.request.deadline <= now]
+        for item in late:
+            del self._running_by_id[item.id]
+            del self._state.waiting_by_id[item.id]
+        return late
--- a/src/jackdawspread/tasks/database_owner.py
+++ b/src/jackdawspread/tasks/database_owner.py
@@ -1,97 +1,225 @@
 """Owner of one database."""
 
-from itertools import count
-from typing import Any
+from functools import singledispatchmethod
+from random import Random
 
 from absl import logging
-from expression import Error, Ok
 from trio import (
+    BrokenResourceError,
+    Event,
     MemoryReceiveChannel,
     MemorySendChannel,
+    WouldBlock,
+    current_time,
+    move_on_after,
     open_memory_channel,
     open_nursery,
 )
 
-from jackdawspread.messages.answer import Answer
-from jackdawspread.messages.http_call import HttpCall
+from jackdawspread.decisions.confirm_call import ConfirmCall
+from jackdawspread.decisions.control_call import ControlCall
+from jackdawspread.decisions.fair_queue_state import empty_fair_queue
+from jackdawspread.decisions.pool_call import PoolCall
+from jackdawspread.decisions.promotion_effect import PromotionEffect
+from jackdawspread.decisions.request_queue import RequestQueue
+from jackdawspread.decisions.statement_call import StatementCall
+from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.http_outcome import HttpOutcome
-from jackdawspread.messages.position import Position
-from jackdawspread.messages.ran import Ran
-from jackdawspread.messages.refusal import Refusal
-from jackdawspread.messages.reply import Reply
-from jackdawspread.messages.request_kind import RequestKind
-from jackdawspread.messages.routed_reply import RoutedReply
 from jackdawspread.messages.routed_submission import RoutedSubmission
-from jackdawspread.messages.statement_result import StatementResult
+from jackdawspread.messages.seat_assignment import SeatAssignment
+from jackdawspread.messages.term_announcement import TermAnnouncement
 from jackdawspread.settings.database_settings import DatabaseSettings
+from jackdawspread.tasks.connection_set import ConnectionFactory
 from jackdawspread.tasks.http_client_connection import HttpClientConnection
+from jackdawspread.tasks.owner_core import OwnerCore
+from jackdawspread.tasks.owner_metrics import QUEUE_LENGTH
+
+OwnerEvent = RoutedSubmission | SeatAssignment | ControlSnapshot | TermAnnouncement
+
+TICK_SECONDS = 0.05
+IDLE_TICK_SECONDS = 1.0
+# A holder that is not active probes at full rate this long after a request.
+ENGAGED_SECONDS = 5.0
 
 
 class DatabaseOwner:
-    """Owns the queue and the connections of one database.
+    """Owns the queue, the connections and the promotions of one database.
 
     Parameters
     ----------
     settings : DatabaseSettings
         The database.
+    incarnation : str
+        Id of this process start.
     inbox : trio.MemoryReceiveChannel
-        Requests to run.
+        Requests, and what the control task knows.
+    outbox : trio.MemorySendChannel
+        Tells the control task of new terms; while it is full, the latest
+        announcement waits.
+    prepare_at_suspicion : bool
+        Whether to make the likely next primary ready when the primary is
+        suspected.
+    queue : RequestQueue or None
+        Empty queue of the discipline to use; fair queueing if None.
+    random : random.Random or None
+        Source of jitter.
+    make_connection : callable
+        Makes the task of a member connection.
     """
 
     def __init__(
-        self, settings: DatabaseSettings, inbox: MemoryReceiveChannel[RoutedSubmission]
+        self,
+        settings: DatabaseSettings,
+        incarnation: str,
+        inbox: MemoryReceiveChannel[OwnerEvent],
+        outbox: MemorySendChannel[TermAnnouncement],
+        *,
+        prepare_at_suspicion: bool = False,
+        queue: RequestQueue | None = None,
+        random: Random | None = None,
+        make_connection: ConnectionFactory = HttpClientConnection,
     ) -> None:
         self._settings = settings
+        self._incarnation = incarnation
         self._inbox = inbox
-        self._ids = count(1)
+        self._outbox = outbox
+        self._prepare_at_suspicion = prepare_at_suspicion
+        self._queue = empty_fair_queue() if queue is None else queue
+        self._random = Random() if random is None else random
+        self._make_connection = make_connection
+        self._snapshot: ControlSnapshot | None = None
+        self._seat = SeatAssignment(settings.name, 0, -1, False, 0)
+        self._engaged_until = 0.0
+        self._wake = Event()
 
     async def run(self) -> None:
-        """Run requests one by one until cancelled."""
+        """Handle events until cancelled."""
+        # Each connection has at most one call in flight.
+        limit = self._settings.connections * len(self._settings.member_addresses)
+        outcomes, outcome_inbox = open_memory_channel[HttpOutcome](2 * limit + 64)
         async with open_nursery() as nursery:
-            calls, call_inbox = open_memory_channel[HttpCall](1)
-            address = self._settings.member_addresses[0]
-            connection = HttpClientConnection(1, address, call_inbox)
-            nursery.start_soon(connection.run)
-            async for submission in self._inbox:
-                reply = await self._run(submission, calls)
-                await submission.reply_to.send(
-                    RoutedReply(submission.request.id, reply)
-                )
-
-    async def _run(
-        self, submission: RoutedSubmission, calls: MemorySendChannel[HttpCall]
-    ) -> Reply:
-        request = submission.request
-        outcomes, outcome_inbox = open_memory_channel[HttpOutcome](1)
-        if request.kind is RequestKind.READ:
-            target = "/read"
-            body: dict[str, Any] = {"statement": request.statements[0]._asdict()}
-        else:
-            statements = [statement._asdict() for statement in request.statements]
-            target, body = "/write", {"statements": statements}
-        call = HttpCall(
-            next(self._ids), "POST", target, body, request.deadline, outcomes
-        )
-        await calls.send(call)
-        logging.info("owner: ran request id=%s target=%s", request.id, target)
-        return _decode(await outcome_inbox.receive(), self._settings)
-
-
-def _decode(outcome: HttpOutcome, settings: DatabaseSettings) -> Reply:
-    peer = settings.member_addresses[0]
-    if outcome.status != 200:
-        code = outcome.body.get("code", "member_unreachable")
-        detail = outcome.body.get("detail", outcome.error)
-        ran = Ran.UNKNOWN if outcome.sent and not outcome.status else Ran.NOT_RUN
-        return Error(Refusal(code, ran, "execution", peer, detail))
-    body = outcome.body
-    results = tuple(
-        StatementResult(
-            tuple(item["columns"]),
-            tuple(tuple(row) for row in item["rows"]),
-            item.get("changes", 0),
+            self._core = OwnerCore(
+                self._settings,
+                self._incarnation,
+                nursery,
+                outcomes,
+                self._make_connection,
+                self._queue,
+                self._random,
+                self._prepare_at_suspicion,
+            )
+            nursery.start_soon(self._take_outcomes, outcome_inbox)
+            nursery.start_soon(self._tick)
+            async for event in self._inbox:
+                self._handle(event, current_time())
+
+    async def _take_outcomes(self, inbox: MemoryReceiveChannel[HttpOutcome]) -> None:
+        async for outcome in inbox:
+            now = current_time()
+            call = self._core.parts.connections.take(outcome)
+            if call is not None:
+                self._finish(call, outcome, now)
+                self._proceed(now)
+
+    async def _tick(self) -> None:
+        core = self._core
+        while True:
+            now = current_time()
+            is_eager = self._seat.is_active or now < self._engaged_until
+            core.watch.engage(now < self._engaged_until)
+            if self._seat.seat >= 0:
+                self._apply(core.watch.tick(now), now)
+            elif core.runner.is_idle():
+                core.parts.pools.set_limit(0)
+            core.runner.expire(now)
+            core.parts.pools.maintain(now)
+            core.drop_transactions(now)
+            QUEUE_LENGTH.labels(self._settings.name).set(core.runner.queue_length())
+            self._proceed(now)
+            is_busy = is_eager or not core.runner.is_idle()
+            self._wake = Event()
+            with move_on_after(TICK_SECONDS if is_busy else IDLE_TICK_SECONDS):
+                await self._wake.wait()
+
+    def _proceed(self, now: float) -> None:
+        core = self._core
+        core.finisher.acknowledge(core.watch.state, now)
+        if self._snapshot is not None:
+            core.runner.dispatch(core.watch.state, self._snapshot, now)
+        if core.announcement is not None:
+            try:
+                self._outbox.send_nowait(core.announcement)
+                core.announcement = None
+            except (BrokenResourceError, WouldBlock):
+                return
+
+    @singledispatchmethod
+    def _handle(self, event: object, now: float) -> None:
+        raise TypeError(f"owner cannot handle {type(event).__name__}")
+
+    @_handle.register
+    def _(self, event: RoutedSubmission, now: float) -> None:
+        has_seat = self._seat.seat >= 0
+        if has_seat and not self._seat.is_active:
+            if now >= self._engaged_until:
+                self._wake.set()
+            self._engaged_until = now + ENGAGED_SECONDS
+        self._core.runner.submit(event, self._snapshot, has_seat, now)
+        self._proceed(now)
+
+    @_handle.register
+    def _(self, event: SeatAssignment, now: float) -> None:
+        logging.info(
+            "owner: seat assigned database=%s generation=%d seat=%d active=%s limit=%d",
+            event.database,
+            event.generation,
+            event.seat,
+            event.is_active,
+            event.connection_limit,
         )
-        for item in body.get("results", [body])
-    )
-    position = Position(*body["position"])
-    return Ok(Answer(results, position, peer, body.get("role", "primary")))
+        self._seat = event
+        self._apply(self._core.watch.handle(event, now), now)
+        if event.seat >= 0:
+            self._core.parts.pools.set_limit(event.connection_limit)
+        else:
+            self._core.watch.stop()
+            self._core.runner.refuse_all_queued(now)
+        self._wake.set()
+
+    @_handle.register
+    def _(self, event: ControlSnapshot, now: float) -> None:
+        self._snapshot = event
+        self._proceed(now)
+
+    @_handle.register
+    def _(self, event: TermAnnouncement, now: float) -> None:
+        self._apply(self._core.watch.handle(event, now), now)
+        # The control task already knows this term.
+        self._core.announcement = None
+        self._proceed(now)
+
+    def _apply(self, effects: list[PromotionEffect], now: float) -> None:
+        for effect in effects:
+            self._core.apply(effect, now)
+
+    @singledispatchmethod
+    def _finish(self, call: object, outcome: HttpOutcome, now: float) -> None:
+        raise TypeError(f"owner cannot finish {type(call).__name__}")
+
+    @_finish.register
+    def _(self, call: ControlCall, outcome: HttpOutcome, now: float) -> None:
+        self._apply(self._core.watch.finish(call, outcome, now), now)
+        self._core.learn(call, outcome)
+
+    @_finish.register
+    def _(self, call: StatementCall, outcome: HttpOutcome, now: float) -> None:
+        self._core.finisher.finish_statement(call, outcome, now)
+
+    @_finish.register
+    def _(self, call: ConfirmCall, outcome: HttpOutcome, now: float) -> None:
+        if self._core.parts.confirmer.finish(call, outcome, now):
+            self._core.parts.placer.note_held(call.address, call.position)
+
+    @_finish.register
+    def _(self, call: PoolCall, outcome: HttpOutcome, now: float) -> None:
+        self._core.parts.pools.finish(call, outcome, now)
--- /dev/null
+++ b/src/jackdawspread/tasks/member_pools.py
@@ -0,0 +1,135 @@
+"""Connection pools of one owner."""
+
+from jackdawspread.decisions.pool import (
+    connections_to_open,
+    due_for_check,
+    forget,
+    has_free_slot,
+    in_flight,
+    release,
+    surplus_connections,
+    take_idle,
+)
+from jackdawspread.decisions.pool_call import PoolCall
+from jackdawspread.decisions.pool_state import PoolState
+from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.settings.database_settings import DatabaseSettings
+from jackdawspread.tasks.connection_set import ConnectionSet
+
+CONNECT_SECONDS = 0.3
+CHECK_SECONDS = 0.3
+# A member that refuses connections is not asked more often than it is probed.
+REOPEN_SECONDS = 0.1
+
+
+class MemberPools:
+    """Keeps connections to each member ready for statements.
+
+    Parameters
+    ----------
+    settings : DatabaseSettings
+        The database.
+    incarnation : str
+        Id of this process start, by which members know the instance.
+    connections : ConnectionSet
+        Carries the calls.
+    """
+
+    def __init__(
+        self, settings: DatabaseSettings, incarnation: str, connections: ConnectionSet
+    ) -> None:
+        self._incarnation = incarnation
+        self._connections = connections
+        self._pool_by_address = {
+            address: PoolState(address, 0, settings.slots, {}, {})
+            for address in settings.member_addresses
+        }
+        self._reopen_at = dict.fromkeys(settings.member_addresses, 0.0)
+        self._wanted_by_address = dict.fromkeys(settings.member_addresses, 0)
+
+    def set_limit(self, limit: int) -> None:
+        """Set the connections to one member that this instance may hold."""
+        for address, pool in self._pool_by_address.items():
+            self._pool_by_address[address] = pool._replace(limit=limit)
+
+    def want(self, address: str, connections: int) -> None:
+        """Keep more connections to a member ready than usual; 0 for the usual."""
+        self._wanted_by_address[address] = connections
+
+    def is_free(self, address: str) -> bool:
+        """Return whether a statement can be sent to the member now."""
+        pool = self._pool_by_address[address]
+        return bool(pool.idle_since_by_id) and has_free_slot(pool)
+
+    def has_any_free_slot(self) -> bool:
+        """Return whether some member may run one more statement."""
+        return any(has_free_slot(pool) for pool in self._pool_by_address.values())
+
+    def has_free_slot(self, address: str) -> bool:
+        """Return whether the member may run one more statement."""
+        return has_free_slot(self._pool_by_address[address])
+
+    def in_flight(self, address: str) -> int:
+        """Return how many statements are in flight at the member."""
+        return in_flight(self._pool_by_address[address])
+
+    def take(self, address: str, use: str) -> int | None:
+        """Take an idle connection for a use, or None if there is none."""
+        return take_idle(self._pool_by_address[address], use)
+
+    def mark(self, address: str, connection: int, use: str) -> None:
+        """Change the use of a taken connection."""
+        self._pool_by_address[address].use_by_id[connection] = use
+
+    def release(self, address: str, connection: int, now: float) -> None:
+        """Return a connection whose answer has arrived."""
+        release(self._pool_by_address[address], connection, now)
+
+    def close(self, address: str, connection: int) -> None:
+        """Close a connection for good."""
+        forget(self._pool_by_address[address], connection)
+        self._connections.close(connection)
+
+    def is_unused(self) -> bool:
+        """Return whether no connection is in use."""
+        return not any(pool.use_by_id for pool in self._pool_by_address.values())
+
+    def maintain(self, now: float) -> None:
+        """Open, check and close connections as needed."""
+        for address, pool in self._pool_by_address.items():
+            for connection in surplus_connections(pool):
+                self.close(address, connection)
+            for connection in due_for_check(pool, now):
+                del pool.idle_since_by_id[connection]
+                pool.use_by_id[connection] = "check"
+                self._call(address, connection, "/status", {}, now + CHECK_SECONDS)
+            if now >= self._reopen_at[address]:
+                wanted = self._wanted_by_address[address]
+                for _ in range(connections_to_open(pool, wanted)):
+                    self._open(pool, now)
+
+    def finish(self, call: PoolCall, outcome: HttpOutcome, now: float) -> None:
+        """Take the outcome of a set-up or a check."""
+        if outcome.status == 200:
+            self.release(call.address, call.connection, now)
+            return
+        self.close(call.address, call.connection)
+        self._reopen_at[call.address] = now + REOPEN_SECONDS
+
+    def _open(self, pool: PoolState, now: float) -> None:
+        connection = self._connections.open(pool.address)
+        pool.use_by_id[connection] = "opening"
+        body = {"instance": self._incarnation}
+        deadline = now + CONNECT_SECONDS
+        self._call(pool.address, connection, "/connect", body, deadline)
+
+    def _call(
+        self,
+        address: str,
+        connection: int,
+        target: str,
+        body: dict[str, str],
+        deadline: float,
+    ) -> None:
+        call = PoolCall(address, connection)
+        self._connections.call(connection, target, body, deadline, call)
--- /dev/null
+++ b/src/jackdawspread/tasks/member_watch.py
@@ -0,0 +1,210 @@
+"""Probes and promotions of one owner."""
+
+from collections import deque
+from random import Random
+from typing import Any
+
+from absl import logging
+
+from jackdawspread.codecs.member_protocol import decode_position, decode_status
+from jackdawspread.decisions.control_call import ControlCall
+from jackdawspread.decisions.open_answered import OpenAnswered
+from jackdawspread.decisions.probe_answered import ProbeAnswered
+from jackdawspread.decisions.probe_missed import ProbeMissed
+from jackdawspread.decisions.promise_received import PromiseReceived
+from jackdawspread.decisions.promotion import handle_promotion_event
+from jackdawspread.decisions.promotion_effect import PromotionEffect
+from jackdawspread.decisions.promotion_event import PromotionEvent
+from jackdawspread.decisions.promotion_state import watch_members
+from jackdawspread.decisions.send_follow import SendFollow
+from jackdawspread.decisions.send_open import SendOpen
+from jackdawspread.decisions.send_prepare import SendPrepare
+from jackdawspread.decisions.step_lost import StepLost
+from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.settings.database_settings import DatabaseSettings
+from jackdawspread.tasks.connection_set import ConnectionSet
+from jackdawspread.tasks.control_link import ControlLink
+
+PROBE_SECONDS = 0.1
+IDLE_PROBE_SECONDS = 1.0
+# A probe unanswered for this long counts as missed.
+ANSWER_SECONDS = 0.3
+PATH_BY_STEP = {
+    "connect": "/connect",
+    "status": "/status",
+    "prepare": "/prepare",
+    "open": "/open",
+    "follow": "/follow",
+}
+
+
+class MemberWatch:
+    """Owns the control connections and the promotion state of a database.
+
+    Parameters
+    ----------
+    settings : DatabaseSettings
+        The database.
+    incarnation : str
+        Id of this process start.
+    connections : ConnectionSet
+        Carries the calls.
+    random : random.Random
+        Source of the jitter between competing promotions.
+    """
+
+    def __init__(
+        self,
+        settings: DatabaseSettings,
+        incarnation: str,
+        connections: ConnectionSet,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._connections = connections
+        self._random = random
+        self._link_by_address = {
+            address: ControlLink(address, deque())
+            for address in settings.member_addresses
+        }
+        self.state = watch_members(settings.member_addresses)
+
+    def handle(self, event: PromotionEvent, now: float) -> list[PromotionEffect]:
+        """Decide on an event, send the steps, and return all effects."""
+        self.state, effects = handle_promotion_event(event, self.state, now)
+        for effect in effects:
+            if isinstance(effect, SendPrepare | SendOpen | SendFollow):
+                self._queue_step(effect)
+        if effects:
+            self._pump_all(now)
+        return effects
+
+    def engage(self, is_engaged: bool) -> None:
+        """Probe at full rate although another seat is active, or stop doing so."""
+        if is_engaged != self.state.is_engaged:
+            self.state = self.state._replace(is_engaged=is_engaged)
+            self.probe_now()
+
+    def tick(self, now: float) -> list[PromotionEffect]:
+        """Send due probes and let the promotion proceed."""
+        effects = self.handle(TimePassed(self._random.random()), now)
+        self._pump_all(now)
+        return effects
+
+    def probe_now(self) -> None:
+        """Probe all members at the next opportunity."""
+        for address, link in self._link_by_address.items():
+            self._link_by_address[address] = link._replace(next_probe_at=0.0)
+
+    def finish(
+        self, call: ControlCall, outcome: HttpOutcome, now: float
+    ) -> list[PromotionEffect]:
+        """Take the outcome of a control call."""
+        link = self._link_by_address[call.address]._replace(outstanding=None)
+        events: list[PromotionEvent] = []
+        if outcome.status == 0 or (call.step == "connect" and outcome.status != 200):
+            self._connections.close(link.connection)
+            events += _lost_steps(call, link)
+            link.queue.clear()
+            link = link._replace(connection=0)
+            if outcome.status == 0:
+                events.append(ProbeMissed(call.address, _is_refused(outcome)))
+        else:
+            event = _decode(call, outcome)
+            events += [] if event is None else [event]
+        self._link_by_address[call.address] = link
+        effects = [effect for event in events for effect in self.handle(event, now)]
+        if outcome.status == 0:
+            effects += self.handle(TimePassed(self._random.random()), now)
+        self._pump(call.address, now)
+        return effects
+
+    def stop(self) -> None:
+        """Close the control connections."""
+        for address, link in self._link_by_address.items():
+            self._connections.close(link.connection)
+            self._link_by_address[address] = ControlLink(address, deque())
+
+    def _queue_step(self, effect: SendPrepare | SendOpen | SendFollow) -> None:
+        step = {SendPrepare: "prepare", SendOpen: "open", SendFollow: "follow"}
+        primary = effect.primary if isinstance(effect, SendFollow) else ""
+        call = ControlCall(effect.address, step[type(effect)], effect.term, primary)
+        queue = self._link_by_address[effect.address].queue
+        # A follow is decided anew on each probe; one in the queue is enough.
+        if call not in queue:
+            queue.append(call)
+
+    def _pump_all(self, now: float) -> None:
+        for address in self._link_by_address:
+            self._pump(address, now)
+
+    def _pump(self, address: str, now: float) -> None:
+        """Make the next call on a member's control connection, if any is due."""
+        link = self._link_by_address[address]
+        is_due = now >= link.next_probe_at
+        if self.state.seat < 0 or link.outstanding is not None:
+            return
+        if not link.connection:
+            if not is_due:
+                return
+            link = link._replace(connection=self._connections.open(address))
+            call = ControlCall(address, "connect")
+        elif link.queue:
+            call = link.queue.popleft()
+        elif is_due or not link.has_probed:
+            call = ControlCall(address, "status")
+        else:
+            return
+        is_eager = self.state.is_active or self.state.is_engaged
+        interval = PROBE_SECONDS if is_eager else IDLE_PROBE_SECONDS
+        if call.step in ("connect", "status"):
+            link = link._replace(next_probe_at=now + interval)
+        call = call._replace(sent_at=now)
+        self._link_by_address[address] = link._replace(
+            outstanding=call, has_probed=call.step != "connect"
+        )
+        body, deadline = self._body(call), now + ANSWER_SECONDS
+        path = PATH_BY_STEP[call.step]
+        self._connections.call(link.connection, path, body, deadline, call)
+
+    def _body(self, call: ControlCall) -> dict[str, Any]:
+        if call.step == "connect":
+            return {"instance": self._incarnation}
+        if call.step == "status":
+            return {}
+        if call.step == "follow":
+            return {"term": call.term, "address": call.primary}
+        return {"term": call.term}
+
+
+def _lost_steps(call: ControlCall, link: ControlLink) -> list[PromotionEvent]:
+    lost = [call, *link.queue]
+    steps = ("prepare", "open")
+    return [StepLost(c.address, c.step, c.term) for c in lost if c.step in steps]
+
+
+def _is_refused(outcome: HttpOutcome) -> bool:
+    return not outcome.sent and outcome.error.startswith("connection failed")
+
+
+def _decode(call: ControlCall, outcome: HttpOutcome) -> PromotionEvent | None:
+    body = outcome.body
+    if call.step == "status":
+        status = decode_status(call.address, call.sent_at, body)
+        if outcome.status != 200 or status is None:
+            return ProbeMissed(call.address, False)
+        return ProbeAnswered(status)
+    if call.step == "prepare":
+        try:
+            position = decode_position(body.get("position", (0, 0)))
+            promised = int(body.get("promised", 0))
+        except (TypeError, ValueError):
+            logging.warning("owner: malformed promise member=%s", call.address)
+            return StepLost(call.address, call.step, call.term)
+        granted = outcome.status == 200 and bool(body.get("granted"))
+        return PromiseReceived(call.address, call.term, granted, promised, position)
+    if call.step == "open":
+        return OpenAnswered(call.address, call.term, outcome.status == 200)
+    return None
--- /dev/null
+++ b/src/jackdawspread/tasks/owner_core.py
@@ -0,0 +1,182 @@
+"""Parts of one owner, and the effects of promotions on them."""
+
+from functools import singledispatchmethod
+from random import Random
+
+from absl import logging
+from trio import MemorySendChannel, Nursery
+
+from jackdawspread.decisions.control_call import ControlCall
+from jackdawspread.decisions.member_call import MemberCall
+from jackdawspread.decisions.primary_suspected import PrimarySuspected
+from jackdawspread.decisions.promotion_failed import PromotionFailed
+from jackdawspread.decisions.promotion_started import PromotionStarted
+from jackdawspread.decisions.promotion_state import is_in_force
+from jackdawspread.decisions.request_queue import RequestQueue
+from jackdawspread.decisions.send_follow import SendFollow
+from jackdawspread.decisions.send_open import SendOpen
+from jackdawspread.decisions.send_prepare import SendPrepare
+from jackdawspread.decisions.statement_call import StatementCall
+from jackdawspread.decisions.suspicion_cleared import SuspicionCleared
+from jackdawspread.decisions.term_in_force import TermInForce
+from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.messages.term_announcement import TermAnnouncement
+from jackdawspread.settings.database_settings import DatabaseSettings
+from jackdawspread.tasks.confirmer import Confirmer
+from jackdawspread.tasks.connection_set import ConnectionFactory, ConnectionSet
+from jackdawspread.tasks.member_pools import MemberPools
+from jackdawspread.tasks.member_watch import MemberWatch
+from jackdawspread.tasks.owner_metrics import FAILOVER_GAP, FALSE_ALARMS, PROMOTIONS
+from jackdawspread.tasks.owner_parts import OwnerParts
+from jackdawspread.tasks.placer import Placer
+from jackdawspread.tasks.reply_book import ReplyBook
+from jackdawspread.tasks.request_finisher import RequestFinisher
+from jackdawspread.tasks.request_runner import RequestRunner
+from jackdawspread.tasks.request_sender import RequestSender
+from jackdawspread.tasks.transaction_table import TransactionTable
+
+
+class OwnerCore:
+    """Builds the parts of one owner and applies promotions to them.
+
+    Parameters
+    ----------
+    settings, incarnation, queue, random, prepare_at_suspicion, make_connection
+        As in `DatabaseOwner`.
+    nursery : trio.Nursery
+        Runs the connection tasks.
+    outcomes : trio.MemorySendChannel
+        Takes the outcomes of calls.
+    """
+
+    def __init__(
+        self,
+        settings: DatabaseSettings,
+        incarnation: str,
+        nursery: Nursery,
+        outcomes: MemorySendChannel[HttpOutcome],
+        make_connection: ConnectionFactory,
+        queue: RequestQueue,
+        random: Random,
+        prepare_at_suspicion: bool,
+    ) -> None:
+        self._settings = settings
+        self._prepare_at_suspicion = prepare_at_suspicion
+        connections = ConnectionSet(nursery, outcomes, make_connection)
+        pools = MemberPools(settings, incarnation, connections)
+        confirmer = Confirmer(settings.member_addresses, pools, connections)
+        prefix = f"{incarnation}.{settings.name}"
+        transactions = TransactionTable(prefix, pools)
+        placer = Placer(pools, transactions)
+        replies = ReplyBook(settings.name, transactions, nursery)
+        self.parts = OwnerParts(
+            connections, pools, confirmer, transactions, placer, replies
+        )
+        self.watch = MemberWatch(settings, incarnation, connections, random)
+        self.sender = RequestSender(self.parts)
+        self.finisher = RequestFinisher(self.parts, self.sender)
+        self.runner = RequestRunner(queue, self.parts, self.sender, self.finisher)
+        self.announcement: TermAnnouncement | None = None
+
+    def learn(self, call: ControlCall, outcome: HttpOutcome) -> None:
+        """Take what a probe tells about positions."""
+        status = self.watch.state.status_by_member.get(call.address)
+        if call.step == "status" and outcome.status == 200 and status is not None:
+            self.parts.confirmer.note_status(status)
+            self.parts.placer.note_status(status, self.watch.state)
+
+    def drop_transactions(self, now: float) -> None:
+        """Roll back the transactions that may not go on."""
+        self.parts.transactions.drop_over(now)
+        if is_in_force(self.watch.state):
+            self.parts.transactions.drop_older(self.watch.state.term)
+
+    @singledispatchmethod
+    def apply(self, effect: object, now: float) -> None:
+        """Apply an effect of the promotion state machine.
+
+        Raises
+        ------
+        TypeError
+            If the type of the effect is unknown.
+        """
+        raise TypeError(f"owner cannot apply {type(effect).__name__}")
+
+    @apply.register
+    def _(self, effect: SendPrepare | SendOpen | SendFollow, now: float) -> None:
+        logging.info(
+            "owner: step database=%s step=%s member=%s term=%d",
+            self._settings.name,
+            type(effect).__name__,
+            effect.address,
+            effect.term,
+        )
+
+    @apply.register
+    def _(self, effect: TermInForce, now: float) -> None:
+        name = self._settings.name
+        logging.info(
+            "owner: term in force database=%s term=%d primary=%s promoted=%s gap_ms=%d",
+            name,
+            effect.term,
+            effect.primary,
+            effect.is_promotion,
+            round(effect.gap * 1000),
+        )
+        if effect.is_promotion:
+            PROMOTIONS.labels(name, "ok").inc()
+        if effect.gap:
+            FAILOVER_GAP.labels(name).observe(effect.gap)
+        self.announcement = TermAnnouncement(name, effect.term, effect.primary)
+        for address in self._settings.member_addresses:
+            self.parts.pools.want(address, 0)
+        self.finisher.enter_term(effect.term, effect.primary, now)
+        for connection in self.sender.connections_to_replaced(effect.primary):
+            self._lose(self.parts.connections.close(connection), now)
+        self.drop_transactions(now)
+
+    @apply.register
+    def _(self, effect: PromotionStarted, now: float) -> None:
+        logging.info(
+            "owner: promotion started database=%s term=%d reason=%s",
+            self._settings.name,
+            effect.term,
+            effect.reason,
+        )
+
+    @apply.register
+    def _(self, effect: PromotionFailed, now: float) -> None:
+        PROMOTIONS.labels(self._settings.name, "failed").inc()
+        logging.warning(
+            "owner: promotion failed database=%s term=%d reason=%s",
+            self._settings.name,
+            effect.term,
+            effect.reason,
+        )
+
+    @apply.register
+    def _(self, effect: PrimarySuspected, now: float) -> None:
+        logging.info("owner: primary suspected member=%s", effect.address)
+        if not self._prepare_at_suspicion:
+            return
+        state = self.watch.state
+        others = [
+            status
+            for status in state.status_by_member.values()
+            if status.address != effect.address
+        ]
+        if others:
+            likely = max(others, key=lambda status: status.position)
+            self.parts.pools.want(likely.address, self._settings.slots + 1)
+            self.parts.pools.maintain(now)
+        self.watch.probe_now()
+
+    @apply.register
+    def _(self, effect: SuspicionCleared, now: float) -> None:
+        FALSE_ALARMS.labels(self._settings.name).inc()
+        self.parts.pools.want(effect.address, 0)
+        logging.info("owner: false alarm member=%s", effect.address)
+
+    def _lose(self, call: MemberCall | None, now: float) -> None:
+        if isinstance(call, StatementCall):
+            self.finisher.lose(call, now)
--- /dev/null
+++ b/src/jackdawspread/tasks/placer.py
@@ -0,0 +1,126 @@
+"""Choice of the member and connection for a request."""
+
+from math import inf
+
+from jackdawspread.decisions.member_status import MemberStatus
+from jackdawspread.decisions.placement import Placement
+from jackdawspread.decisions.position_sample import PositionSample
+from jackdawspread.decisions.promotion_state import PromotionState, is_primary_usable
+from jackdawspread.decisions.read_candidate import ReadCandidate
+from jackdawspread.decisions.read_choice import choose_read_target, data_age
+from jackdawspread.decisions.read_target import ReadTarget
+from jackdawspread.decisions.request_outcome import IN_TRANSACTION
+from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.messages.position import Position
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.tasks.member_pools import MemberPools
+from jackdawspread.tasks.transaction_table import TransactionTable
+
+# 60 s of probes every 100 ms; a read that accepts older data gets newer data.
+MAX_SAMPLES = 600
+SERVICE_SMOOTHING = 0.1
+
+
+class Placer:
+    """Owns the samples of the primary's position and its service time.
+
+    Parameters
+    ----------
+    pools : MemberPools
+        Load of the members.
+    transactions : TransactionTable
+        Pinned connections.
+    """
+
+    def __init__(self, pools: MemberPools, transactions: TransactionTable) -> None:
+        self._pools = pools
+        self._transactions = transactions
+        self._samples: list[PositionSample] = []
+        self._held_by_member: dict[str, Position] = {}
+        self._service_seconds = 0.005
+
+    def enter_term(self) -> None:
+        """Forget the samples of the replaced primary."""
+        self._samples.clear()
+        self._held_by_member.clear()
+
+    def note_status(self, status: MemberStatus, watch: PromotionState) -> None:
+        """Take the primary's position from a probe."""
+        if status.address != watch.primary or status.term != watch.term:
+            return
+        self._samples.append(PositionSample(status.asked_at, status.position))
+        if len(self._samples) > 2 * MAX_SAMPLES:
+            del self._samples[:MAX_SAMPLES]
+
+    def note_held(self, address: str, position: Position) -> None:
+        """Take a position that a member's answer showed it to hold."""
+        known = self._held_by_member.get(address)
+        if known is None or position > known:
+            self._held_by_member[address] = position
+
+    def note_service(self, seconds: float) -> None:
+        """Take the time that the primary needed for a statement."""
+        change = seconds - self._service_seconds
+        self._service_seconds += SERVICE_SMOOTHING * change
+
+    def place(
+        self,
+        running: RunningRequest,
+        watch: PromotionState,
+        replica_reads: bool,
+        queued: int,
+        now: float,
+    ) -> Placement | None:
+        """Return where to send a request, or None if it has to wait."""
+        request = running.request
+        if request.kind in IN_TRANSACTION and not running.is_lookup:
+            return self._place_pinned(running)
+        if request.kind is not RequestKind.READ:
+            if not is_primary_usable(watch) or not self._pools.is_free(watch.primary):
+                return None
+            return Placement(ReadTarget(watch.primary, "primary", None, 0))
+        target = choose_read_target(
+            request,
+            self._candidates(watch),
+            self._samples,
+            replica_reads and not running.is_primary_only,
+            queued * self._service_seconds,
+            now,
+        )
+        return None if target is None else Placement(target)
+
+    def _place_pinned(self, running: RunningRequest) -> Placement | None:
+        transaction = self._transactions.get(running.request.transaction_id)
+        if transaction is None:
+            return Placement(ReadTarget("", "", None, 0))
+        if not self._pools.has_free_slot(transaction.address):
+            return None
+        return Placement(
+            ReadTarget(transaction.address, "primary", None, 0),
+            transaction.connection,
+            transaction.member_transaction,
+        )
+
+    def _candidates(self, watch: PromotionState) -> list[ReadCandidate]:
+        candidates = []
+        for address in watch.members:
+            if address == watch.primary:
+                if is_primary_usable(watch):
+                    candidates.append(self._candidate(address, "primary", None, inf))
+                continue
+            status = watch.status_by_member.get(address)
+            is_reachable = not watch.misses_by_member.get(address, 0)
+            if status is None or status.role != "replica" or not is_reachable:
+                continue
+            lag = data_age(self._samples, status.applied, status.asked_at)
+            applied = self._held_by_member.get(address, status.applied)
+            applied = max(applied, status.applied)
+            candidates.append(self._candidate(address, "replica", applied, lag))
+        return candidates
+
+    def _candidate(
+        self, address: str, role: str, applied: Position | None, lag: float
+    ) -> ReadCandidate:
+        is_free = self._pools.is_free(address)
+        in_flight = self._pools.in_flight(address)
+        return ReadCandidate(address, role, is_free, in_flight, applied, lag)
--- /dev/null
+++ b/src/jackdawspread/tasks/request_finisher.py
@@ -0,0 +1,186 @@
+"""Outcomes of the requests of one owner."""
+
+from functools import singledispatchmethod
+
+from absl import logging
+from expression import Ok
+
+from jackdawspread.codecs.member_protocol import MemberOutcome, decode_outcome
+from jackdawspread.decisions.await_confirmation import AwaitConfirmation
+from jackdawspread.decisions.finish_request import FinishRequest
+from jackdawspread.decisions.member_answer import MemberAnswer
+from jackdawspread.decisions.member_refusal import MemberRefusal
+from jackdawspread.decisions.promotion_state import PromotionState, is_in_force
+from jackdawspread.decisions.repeat_request import RepeatRequest
+from jackdawspread.decisions.request_effect import RequestEffect
+from jackdawspread.decisions.request_outcome import (
+    after_outcome,
+    ends_transaction,
+    expire,
+    is_pinned,
+    repeat_in_new_term,
+)
+from jackdawspread.decisions.retry_budget import (
+    RetryBudget,
+    count_request,
+    take_retry,
+)
+from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.statement_call import StatementCall
+from jackdawspread.messages.answer import Answer
+from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.tasks.owner_parts import OwnerParts
+from jackdawspread.tasks.repeat_list import RepeatList
+from jackdawspread.tasks.request_sender import RequestSender
+
+# A member that refuses for its role or load is not asked again at once.
+REPEAT_SECONDS = 0.05
+
+
+class RequestFinisher:
+    """Owns the retry budget and the requests to be sent again.
+
+    Parameters
+    ----------
+    parts : OwnerParts
+        Parts of the same owner.
+    sender : RequestSender
+        Knows the requests in flight.
+    """
+
+    def __init__(self, parts: OwnerParts, sender: RequestSender) -> None:
+        self._parts = parts
+        self._sender = sender
+        self._budget = RetryBudget()
+        self._term = 0
+        self.repeats = RepeatList()
+
+    def count_request(self, retry_percent: int) -> None:
+        """Add a new request's share to the retry budget."""
+        self._budget = count_request(self._budget, retry_percent)
+
+    def finish_statement(
+        self, call: StatementCall, outcome: HttpOutcome, now: float
+    ) -> None:
+        """Take the outcome of a statement."""
+        running = self._sender.take(call.request_id)
+        decoded = decode_outcome(outcome)
+        effect = after_outcome(decoded, running, self._parts.confirmer.held)
+        if isinstance(decoded, MemberAnswer):
+            self._learn(running, decoded, now - call.sent_at)
+        if isinstance(decoded, MemberRefusal) and running.role == "primary":
+            due_at = now + REPEAT_SECONDS * running.attempts
+        else:
+            due_at = now
+        effect = self._settle_connection(running, outcome, decoded, effect, now)
+        self._apply(effect, running, due_at, now)
+
+    def lose(self, call: StatementCall, now: float) -> None:
+        """Take the loss of a statement whose connection was closed here."""
+        error = "the primary was replaced"
+        outcome = HttpOutcome(0, call.connection, 0, {}, True, error)
+        self.finish_statement(call, outcome, now)
+
+    def enter_term(self, term: int, primary: str, now: float) -> None:
+        """Repeat under a new term what the replaced one did not confirm."""
+        self._term = term
+        self._parts.placer.enter_term()
+        for running in self._parts.confirmer.enter_term(term, primary):
+            effect = RepeatRequest(repeat_in_new_term(running))
+            self._apply(effect, running, now, now)
+
+    def acknowledge(self, watch: PromotionState, now: float) -> None:
+        """Reply to the writes that a second member holds in the term in force."""
+        if not is_in_force(watch) or watch.term != self._term:
+            return
+        for running in self._parts.confirmer.take_confirmed():
+            assert running.answer is not None
+            self._parts.replies.finish(running.id, Ok(running.answer), now)
+
+    def expire(self, now: float) -> None:
+        """Refuse the requests whose deadline has passed."""
+        late = self._parts.confirmer.take_expired(now)
+        late = [running._replace(may_have_run=True) for running in late]
+        for running in late + self.repeats.take_expired(now):
+            self._parts.replies.finish(running.id, expire(running).reply, now)
+
+    def _learn(
+        self, running: RunningRequest, answer: MemberAnswer, seconds: float
+    ) -> None:
+        if running.role == "primary":
+            self._parts.placer.note_service(seconds)
+        elif answer.position is not None:
+            self._parts.placer.note_held(running.address, answer.position)
+
+    def _settle_connection(
+        self,
+        running: RunningRequest,
+        outcome: HttpOutcome,
+        decoded: MemberOutcome,
+        effect: RequestEffect,
+        now: float,
+    ) -> RequestEffect:
+        """Free, close or pin the connection of a finished attempt."""
+        pools, transactions = self._parts.pools, self._parts.transactions
+        address, connection = running.address, running.connection
+        id = running.request.transaction_id
+        if is_pinned(running):
+            if outcome.status == 0:
+                transactions.drop(id, "connection lost")
+            elif ends_transaction(running, decoded):
+                transactions.end(id, now)
+            else:
+                pools.mark(address, connection, "transaction")
+        elif outcome.status == 0:
+            pools.close(address, connection)
+        elif running.request.kind is RequestKind.BEGIN and outcome.status == 200:
+            assert isinstance(decoded, MemberAnswer)
+            id = transactions.begin(running, decoded.transaction, now)
+            return FinishRequest(Ok(Answer(transaction_id=id, served_by=address)))
+        else:
+            pools.release(address, connection, now)
+        return effect
+
+    @singledispatchmethod
+    def _apply(
+        self, effect: object, running: RunningRequest, due_at: float, now: float
+    ) -> None:
+        raise TypeError(f"owner cannot apply {type(effect).__name__}")
+
+    @_apply.register
+    def _(
+        self, effect: FinishRequest, running: RunningRequest, due_at: float, now: float
+    ) -> None:
+        self._parts.replies.finish(running.id, effect.reply, now)
+
+    @_apply.register
+    def _(
+        self,
+        effect: AwaitConfirmation,
+        running: RunningRequest,
+        due_at: float,
+        now: float,
+    ) -> None:
+        if running.term == self._term:
+            self._parts.confirmer.add(effect.running)
+            return
+        repeat = RepeatRequest(repeat_in_new_term(effect.running))
+        self._apply(repeat, running, due_at, now)
+
+    @_apply.register
+    def _(
+        self, effect: RepeatRequest, running: RunningRequest, due_at: float, now: float
+    ) -> None:
+        self._budget, is_granted = take_retry(self._budget)
+        logging.info(
+            "owner: repeat request id=%s granted=%s attempts=%d",
+            running.request.id,
+            is_granted,
+            running.attempts,
+        )
+        if is_granted:
+            self.repeats.add(effect.running, due_at)
+        else:
+            reply = expire(effect.running).reply
+            self._parts.replies.finish(running.id, reply, now)
--- /dev/null
+++ b/src/jackdawspread/tasks/request_runner.py
@@ -0,0 +1,178 @@
+"""Queue of the requests of one owner."""
+
+from itertools import count
+from math import inf
+
+from expression import Error
+
+from jackdawspread.decisions.promotion_state import PromotionState, is_in_force
+from jackdawspread.decisions.queued_request import QueuedRequest
+from jackdawspread.decisions.request_check import (
+    check_arrival,
+    preset_in_force,
+    refuse,
+    workspace_weight,
+)
+from jackdawspread.decisions.request_outcome import IN_TRANSACTION
+from jackdawspread.decisions.request_queue import (
+    RequestQueue,
+    enqueue,
+    heads,
+    queue_size,
+    queue_total,
+    remove_expired,
+    remove_head,
+)
+from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+from jackdawspread.messages.preset_document import PresetDocument
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.messages.routed_request import RoutedRequest
+from jackdawspread.messages.routed_submission import RoutedSubmission
+from jackdawspread.tasks.owner_parts import OwnerParts
+from jackdawspread.tasks.request_finisher import RequestFinisher
+from jackdawspread.tasks.request_sender import RequestSender
+
+
+class RequestRunner:
+    """Owns the queue; each request in it is sent or refused.
+
+    Parameters
+    ----------
+    queue : RequestQueue
+        Empty queue; its type sets the queueing discipline.
+    parts : OwnerParts
+        Parts of the same owner.
+    sender, finisher : RequestSender, RequestFinisher
+        Carry requests out.
+    """
+
+    def __init__(
+        self,
+        queue: RequestQueue,
+        parts: OwnerParts,
+        sender: RequestSender,
+        finisher: RequestFinisher,
+    ) -> None:
+        self._queue = queue
+        self._parts = parts
+        self._sender = sender
+        self._finisher = finisher
+        self._ids = count(1)
+
+    def is_idle(self) -> bool:
+        """Return whether no request is queued, running or in a transaction."""
+        parts = self._parts
+        is_waiting = bool(self._queue.size_by_workspace) or bool(self._finisher.repeats)
+        is_running = not self._sender.is_idle() or not parts.confirmer.is_idle()
+        return not is_waiting and not is_running and not len(parts.transactions)
+
+    def queue_length(self) -> int:
+        """Return how many requests are queued."""
+        return queue_total(self._queue)
+
+    def submit(
+        self,
+        submission: RoutedSubmission,
+        snapshot: ControlSnapshot | None,
+        has_seat: bool,
+        now: float,
+    ) -> None:
+        """Queue a request or refuse it."""
+        request = submission.request
+        refusal = self._refusal_on_arrival(request, snapshot, has_seat)
+        is_lookup = False
+        if refusal is None and request.kind in IN_TRANSACTION:
+            refusal = self._parts.transactions.claim(request)
+            is_lookup = _may_have_committed(request, refusal)
+            refusal = None if is_lookup else refusal
+        if refusal is not None or snapshot is None:
+            refusal = refusal or refuse("no_authority", "no configuration is known")
+            self._parts.replies.send(submission, Error(refusal))
+            return
+        id = next(self._ids)
+        self._parts.replies.add(id, submission, now)
+        preset = preset_in_force(snapshot)
+        self._finisher.count_request(preset["retry_percent"])
+        wait = preset["queue_wait_ms"] / 1000
+        expires_at = min(request.deadline, now + wait)
+        lane = "primary" if is_lookup else _lane(request)
+        item = QueuedRequest(id, request, lane, expires_at, is_lookup=is_lookup)
+        weight = workspace_weight(snapshot, request.workspace)
+        self._queue = enqueue(self._queue, item, weight)
+
+    def dispatch(
+        self, watch: PromotionState, snapshot: ControlSnapshot, now: float
+    ) -> None:
+        """Send what can be sent, in the order of the queueing discipline."""
+        for running in self._finisher.repeats.take_due(now):
+            if not self._sender.try_send(running, watch, snapshot, 0, now):
+                self._finisher.repeats.add(running, now)
+        while self._queue.size_by_workspace and self._parts.pools.has_any_free_slot():
+            if not self._send_first(watch, snapshot, now):
+                break
+        if is_in_force(watch):
+            self._parts.confirmer.ask(now)
+
+    def expire(self, now: float) -> None:
+        """Refuse what has waited for too long."""
+        self._refuse_queued("queue_timeout", now, now)
+        self._finisher.expire(now)
+
+    def refuse_all_queued(self, now: float) -> None:
+        """Refuse the queue of an owner that has lost its seat."""
+        self._refuse_queued("not_owner", inf, now)
+
+    def _refuse_queued(self, code: str, until: float, now: float) -> None:
+        for item in remove_expired(self._queue, until):
+            self._parts.replies.refuse(item.id, code, now)
+
+    def _send_first(
+        self, watch: PromotionState, snapshot: ControlSnapshot, now: float
+    ) -> bool:
+        """Send the first request that a member can take; return whether one was."""
+        queued = queue_total(self._queue)
+        for item in heads(self._queue):
+            running = RunningRequest(item.id, item.request, is_lookup=item.is_lookup)
+            if self._sender.try_send(running, watch, snapshot, queued, now):
+                self._queue = remove_head(self._queue, item)
+                return True
+        return False
+
+    def _refusal_on_arrival(
+        self,
+        request: RoutedRequest,
+        snapshot: ControlSnapshot | None,
+        has_seat: bool,
+    ) -> Refusal | None:
+        transaction = self._parts.transactions.get(request.transaction_id)
+        if not has_seat and transaction is None:
+            return refuse("not_owner", "this instance holds no seat of the database")
+        if snapshot is None:
+            return None
+        preset: PresetDocument = preset_in_force(snapshot)
+        if queue_size(self._queue, request.workspace) >= preset["queue_limit"]:
+            wait = preset["queue_wait_ms"]
+            return refuse("queue_full", "too many requests are queued", "", wait)
+        return check_arrival(snapshot, request)
+
+
+def _may_have_committed(request: RoutedRequest, refusal: Refusal | None) -> bool:
+    """Return whether an earlier commit with the same id has to be looked up."""
+    if refusal is None or refusal.code != "unknown_transaction":
+        return False
+    return request.kind is RequestKind.COMMIT and request.idempotency_key != ""
+
+
+def _lane(request: RoutedRequest) -> str:
+    """Return the lane of a request.
+
+    A begin that waits for a connection must not hold up the commit that frees
+    one, nor a read that a replica can take wait behind one for the primary.
+    """
+    if request.kind is RequestKind.READ and request.max_staleness is not None:
+        return "any"
+    if request.kind is RequestKind.BEGIN:
+        return "begin"
+    return "transaction" if request.kind in IN_TRANSACTION else "primary"
--- /dev/null
+++ b/src/jackdawspread/tasks/request_sender.py
@@ -0,0 +1,123 @@
+"""Sending of the requests of one owner."""
+
+from absl import logging
+from expression import Error
+
+from jackdawspread.codecs.member_protocol import encode_read, encode_statement
+from jackdawspread.decisions.placement import Placement
+from jackdawspread.decisions.promotion_state import PromotionState
+from jackdawspread.decisions.request_check import check_before_sending, preset_in_force
+from jackdawspread.decisions.request_outcome import expire, lose_transaction
+from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.statement_call import StatementCall
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.tasks.owner_parts import OwnerParts
+
+LEAST_ATTEMPT_SECONDS = 0.3
+
+
+class RequestSender:
+    """Owns the requests in flight.
+
+    Parameters
+    ----------
+    parts : OwnerParts
+        Parts of the same owner.
+    """
+
+    def __init__(self, parts: OwnerParts) -> None:
+        self._parts = parts
+        self._running_by_id: dict[int, RunningRequest] = {}
+
+    def is_idle(self) -> bool:
+        """Return whether no request is in flight."""
+        return not self._running_by_id
+
+    def take(self, id: int) -> RunningRequest:
+        """Remove and return a request whose attempt has ended."""
+        return self._running_by_id.pop(id)
+
+    def connections_to_replaced(self, primary: str) -> list[int]:
+        """Return the connections with a statement at a replaced primary."""
+        return [
+            running.connection
+            for running in self._running_by_id.values()
+            if running.role == "primary" and running.address != primary
+        ]
+
+    def try_send(
+        self,
+        running: RunningRequest,
+        watch: PromotionState,
+        snapshot: ControlSnapshot,
+        queued: int,
+        now: float,
+    ) -> bool:
+        """Send or refuse a request; return False if it has to wait."""
+        replies = self._parts.replies
+        if running.request.deadline <= now:
+            return False
+        refusal = check_before_sending(snapshot, running.request, now)
+        if refusal is not None:
+            # An earlier attempt may have run, although this one will not.
+            is_new = not running.may_have_run
+            reply = Error(refusal) if is_new else expire(running).reply
+            replies.finish(running.id, reply, now)
+            return True
+        replica_reads = preset_in_force(snapshot)["replica_reads"]
+        placer = self._parts.placer
+        placement = placer.place(running, watch, replica_reads, queued, now)
+        if placement is None:
+            return False
+        if not placement.target.address:
+            replies.finish(running.id, lose_transaction(running).reply, now)
+            return True
+        return self._send(running, placement, watch.term, now)
+
+    def _send(
+        self, running: RunningRequest, placement: Placement, term: int, now: float
+    ) -> bool:
+        target, connection = placement.target, placement.connection
+        pools = self._parts.pools
+        if connection:
+            pools.mark(target.address, connection, "transaction_statement")
+        else:
+            connection = pools.take(target.address, "statement") or 0
+        if not connection:
+            return False
+        running = running._replace(
+            address=target.address,
+            role=target.role,
+            connection=connection,
+            term=term,
+            attempts=running.attempts + 1,
+        )
+        self._running_by_id[running.id] = running
+        self._call(running, placement, now)
+        logging.info(
+            "owner: sent request id=%s kind=%s workspace=%s member=%s role=%s "
+            "term=%d attempt=%d",
+            running.request.id,
+            running.request.kind,
+            running.request.workspace,
+            running.address,
+            running.role,
+            running.term,
+            running.attempts,
+        )
+        return True
+
+    def _call(self, running: RunningRequest, placement: Placement, now: float) -> None:
+        request = running.request
+        if request.kind is RequestKind.READ:
+            path, body = encode_read(request, placement.target, running.term)
+        else:
+            transaction = placement.member_transaction
+            path, body = encode_statement(running, running.term, transaction)
+        # Half of the remaining time is kept for looking a lost answer up.
+        attempt = max(LEAST_ATTEMPT_SECONDS, (request.deadline - now) / 2)
+        deadline = min(now + attempt, request.deadline)
+        call = StatementCall(running.address, running.connection, running.id, now)
+        connections = self._parts.connections
+        connections.call(running.connection, path, body, deadline, call)
