Add features for the owner of a database

Cause: fairness, promotion, lost answers and truthful refusals of the owner had no test.

Ruled out: the member stand-in, which is written at the same time.

--- a/features/fake_connection.py
+++ b/features/fake_connection.py
@@ -12,6 +12,8 @@
 from jackdawspread.messages.http_call import HttpCall
 from jackdawspread.messages.http_outcome import HttpOutcome
 
+STATEMENTS = ("/read", "/write", "/begin", "/execute", "/commit", "/outcome")
+
 
 class FakeConnection:
     """Makes the calls of its inbox; a lost answer arrives late, after all."""
@@ -23,13 +25,33 @@
 
     async def run(self) -> None:
         """Make calls until one fails."""
+        member = self._member
+        member.connections += 1
+        peak = max(member.peak_connections, member.connections)
+        member.peak_connections = peak
+        try:
+            await self._make_calls()
+        finally:
+            member.connections -= 1
+
+    async def _make_calls(self) -> None:
         with self._inbox:
             async for call in self._inbox:
-                outcome = await self._call(call)
+                outcome = await self._count(call)
                 call.reply_to.send_nowait(outcome)
                 if outcome.error:
                     return
 
+    async def _count(self, call: HttpCall) -> HttpOutcome:
+        member = self._member
+        change = call.target in STATEMENTS
+        member.statements += change
+        member.peak_statements = max(member.peak_statements, member.statements)
+        try:
+            return await self._call(call)
+        finally:
+            member.statements -= change
+
     async def _call(self, call: HttpCall) -> HttpOutcome:
         member = self._member
         if member.is_refusing:
--- a/features/fake_member.py
+++ b/features/fake_member.py
@@ -25,6 +25,8 @@
         self.late_answers: list[Any] = []
         self.swallowed: list[str] = []
         self.ran: list[tuple[str, int, str]] = []
+        self.peak_statements = self.peak_connections = 0
+        self.statements = self.connections = 0
         self.owner_of_transaction: dict[str, int] = {}
 
     def sync(self, now: float) -> None:
--- /dev/null
+++ b/features/owner.feature
@@ -0,0 +1,147 @@
+Feature: Owner of a database
+  The owner queues, places and acknowledges requests, and replaces a failed primary.
+
+  Scenario Outline: A flooding workspace does not crowd out the others
+    # Guards against a queue in which the order of arrival decides alone.
+    Given the queueing discipline is <discipline>
+    When w1 keeps 40 reads queued while w2 sends one read after another
+    Then w2 gets <share> of the service
+
+    Examples:
+      | discipline | share           |
+      | fair       | at least 45%    |
+      | fifo       | less than 20%   |
+
+  Scenario: Weights set the shares of two workspaces that both have work
+    # Guards against weights that are ignored, or applied the wrong way round.
+    When w1 with weight 3 and w2 with weight 1 have 40 reads queued each
+    Then w1 is served 15 of the first 20 reads
+
+  Scenario: A late acknowledgement of a cut-off primary reaches nobody
+    # Guards against acknowledging a write that the new history does not hold.
+    When the primary is cut off after it took a write that no replica holds
+    And its answer arrives after the promotion
+    Then the write is answered once, from the new primary
+    And the new primary's log holds the write once
+
+  Scenario Outline: Two seats promote at once
+    # Guards against two primaries in force, and against seats that block each other.
+    Given the random seed is <seed>
+    When both seats lose the primary at the same moment
+    Then one primary is in force and every acknowledged write is in its log
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+
+  Scenario Outline: A promotion goes on after a lost answer
+    # Guards against a promotion that stops, or opens two members, when an answer is lost.
+    When the primary fails and the answer to <step> is lost
+    Then one primary is in force and every acknowledged write is in its log
+
+    Examples:
+      | step     |
+      | /prepare |
+      | /open    |
+      | /follow  |
+
+  Scenario: A member that was unreachable follows the new primary when it returns
+    # Guards against an old primary that keeps its own history after its return.
+    When the primary is cut off for a promotion and returns
+    Then it follows the new primary
+
+  Scenario: Two seats with the owner's own members never reuse a term
+    # Guards against one term with two possible promoters.
+    When the terms of 3 seats in 3 generations are listed
+    Then no two are equal and each is greater than those of lower generations
+
+  Scenario: A silent connection is closed and its late answer reaches nobody
+    # Guards against a late answer being taken for the answer to another request.
+    When a read's answer is lost and arrives later
+    Then the read is answered once, over another connection
+
+  Scenario Outline: A lost claim is looked up with the same id
+    # Guards against losing or duplicating a claim whose answer was lost.
+    When the answer to a claim is lost <moment> a promotion
+    Then the claim is acknowledged once and the log holds it once
+
+    Examples:
+      | moment |
+      | before |
+      | during |
+      | after  |
+
+  Scenario: A claim that no second member confirms is not acknowledged
+    # Guards against acknowledging a write that only the primary holds.
+    When both replicas stop receiving the log and a claim is sent
+    Then the claim is refused with outcome_unknown and ran unknown
+
+  Scenario: A replica far behind gets no read
+    # Guards against data older than stated, and against losing the replica share.
+    When one replica is 20 s behind and 100 reads of at most 1 s age are sent
+    Then all of them are served by the other replica
+
+  Scenario: A diverged replica never satisfies a token
+    # Guards against comparing positions without their terms.
+    When a replica holds a longer log of an old term and a read carries a token
+    Then the read is not served from the diverged log
+
+  Scenario: Data age is counted on the owner's clock
+    # Guards against counting a replica's data as fresh from the time of the answer.
+    When the primary was at position 5 at time 10 and at position 6 at time 11
+    Then at time 12 a replica at position 5 is 2 s old and one at position 4 is unknown
+
+  Scenario: A withdrawn key stops the requests that are queued
+    # Guards against running queued requests of a key that has been withdrawn.
+    When the key of w1 is withdrawn while its requests are queued
+    Then its queued requests are refused with unauthorized and never sent
+
+  Scenario Outline: A refusal that says not run is true
+    # Guards against a refusal of a request that a member has received.
+    When a request meets <obstacle>
+    Then it is refused with <code> and ran <ran>
+    And a refusal that says not run means that no member received the request
+
+    Examples:
+      | obstacle           | code                | ran     |
+      | no seat            | not_owner           | not_run |
+      | a full queue       | queue_full          | not_run |
+      | a long queue       | queue_timeout       | not_run |
+      | a leaving database | database_leaving    | not_run |
+      | a read-only preset | writes_not_allowed  | not_run |
+      | silent members     | outcome_unknown     | unknown |
+
+  Scenario: Statements of different transactions are never mixed
+    # Guards against a statement on a connection of another transaction or workspace.
+    When two workspaces run transactions in turns and one tries the other's id
+    Then each transaction ran on its own connection
+    And the foreign statement is refused with unknown_transaction and ran not_run
+
+  Scenario: An idle transaction is rolled back
+    # Guards against a caller that holds a connection for ever.
+    When a transaction is left idle for 11 s
+    Then its next statement is refused with unknown_transaction and ran not_run
+
+  Scenario: A commit whose answer is lost is found again
+    # Guards against reporting an unknown commit although the member recorded it.
+    When the answer to a commit is lost
+    Then the commit is acknowledged once and the log holds it once
+
+  Scenario: No more than the slots and the connections are used
+    # Guards against overloading a member and against exceeding the connection limit.
+    When 50 requests are queued at once
+    Then at most 2 statements and 10 connections were in use at each member
+
+  Scenario: A seat that is not active serves requests that reach it
+    # Guards against refusing callers that cannot reach the active seat.
+    When a request is sent to a seat that is not active
+    Then it is answered
+
+  Scenario: A busy database has a bounded number of retries
+    # Guards against a retry storm.
+    When 100 requests are counted and 30 retries are wished for
+    Then 20 retries are granted
--- /dev/null
+++ b/features/steps/owner_decision_steps.py
@@ -0,0 +1,65 @@
+"""Steps for decisions of the owner that need no task."""
+
+from behave import then, when
+from behave.runner import Context
+
+from jackdawspread.decisions.owner_term import next_own_term
+from jackdawspread.decisions.position_sample import PositionSample
+from jackdawspread.decisions.read_choice import data_age
+from jackdawspread.decisions.retry_budget import RetryBudget, count_request, take_retry
+from jackdawspread.messages.position import Position
+
+
+@when("the terms of 3 seats in 3 generations are listed")
+def list_terms(context: Context) -> None:
+    """List every term that each seat can use."""
+    context.terms = {}
+    for generation in (1, 2, 3):
+        for seat in (0, 1, 2):
+            term, terms = next_own_term(generation, seat, 0), []
+            while term is not None:
+                terms.append(term)
+                term = next_own_term(generation, seat, term)
+            context.terms[generation, seat] = terms
+
+
+@then("no two are equal and each is greater than those of lower generations")
+def distinct_terms(context: Context) -> None:
+    """Check all terms together."""
+    everything = [term for terms in context.terms.values() for term in terms]
+    assert len(everything) == len(set(everything)) == 3 * 3 * 256
+    for (generation, _), terms in context.terms.items():
+        assert {term // 1024 for term in terms} == {generation}
+
+
+@when("the primary was at position 5 at time 10 and at position 6 at time 11")
+def sample(context: Context) -> None:
+    """Keep two samples."""
+    context.samples = [
+        PositionSample(10.0, Position(1, 5)),
+        PositionSample(11.0, Position(1, 6)),
+    ]
+
+
+@then("at time 12 a replica at position 5 is 2 s old and one at position 4 is unknown")
+def ages(context: Context) -> None:
+    """Check the ages."""
+    assert data_age(context.samples, Position(1, 5), 12.0) == 2.0
+    assert data_age(context.samples, Position(1, 4), 12.0) == float("inf")
+
+
+@when("100 requests are counted and 30 retries are wished for")
+def wish(context: Context) -> None:
+    """Use the budget of the ordinary preset."""
+    budget, context.granted = RetryBudget(), 0
+    for _ in range(100):
+        budget = count_request(budget, 10)
+    for _ in range(30):
+        budget, is_granted = take_retry(budget)
+        context.granted += is_granted
+
+
+@then("20 retries are granted")
+def granted(context: Context) -> None:
+    """Check the number of retries."""
+    assert context.granted == 20, context.granted
