--- a/features/fakes/rate_fleet.py
+++ b/features/fakes/rate_fleet.py
@@ -17,7 +17,7 @@
 from jackdawspread.decisions.rate_share import rate_share
 from jackdawspread.decisions.refuse_request import RefuseRequest
 from jackdawspread.decisions.request_arrived import RequestArrived
-from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.messages.view import View
 from jackdawspread.messages.view_member import ViewMember
 
@@ -81,9 +81,9 @@
         match event:
             case RequestArrived():
                 event = event._replace(peers=peers, deadline=self.now + 5)
-            case TimePassed():
+            case RateDue():
                 self.wake_at.pop(name, None)
-                event = TimePassed(peers)
+                event = RateDue(peers)
             case GrantArrived():
                 event = event._replace(peers=peers)
         share = rate_share("swap", name, self.views[name], self.rate, self.burst)
@@ -94,7 +94,7 @@
         due = next_rate_deadline(limiter, share)
         if due < self.wake_at.get(name, float("inf")):
             self.wake_at[name] = due
-            self.post(due, name, TimePassed(()))
+            self.post(due, name, RateDue(()))
 
     def _carry_out(self, name: str, effect: object) -> None:
         match effect:
--- /dev/null
+++ b/src/jackdawspread/decisions/rate_due.py
@@ -0,0 +1,9 @@
+"""Event: a deadline of a workspace's rate has come."""
+
+from typing import NamedTuple
+
+
+class RateDue(NamedTuple):
+    """A request has waited long enough, or a token is due; `peers` can be asked."""
+
+    peers: tuple[str, ...]
--- a/src/jackdawspread/decisions/rate_limiter.py
+++ b/src/jackdawspread/decisions/rate_limiter.py
@@ -12,7 +12,7 @@
 from jackdawspread.decisions.rate_share import RateShare
 from jackdawspread.decisions.refuse_request import RefuseRequest
 from jackdawspread.decisions.request_arrived import RequestArrived
-from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.decisions.waiting_request import WaitingRequest
 
 RateEffect = AdmitRequest | RefuseRequest | AskPeer | GrantPeer
@@ -71,7 +71,7 @@
 
     Parameters
     ----------
-    event : RequestArrived, GrantArrived, PeerAsked or TimePassed
+    event : RequestArrived, GrantArrived, PeerAsked or RateDue
         What happened.
     limiter : RateLimiter
         State of the workspace.
@@ -105,7 +105,7 @@
 
 
 @decide_rate.register
-def _(event: TimePassed, limiter: RateLimiter, share: RateShare, now: float) -> Decided:
+def _(event: RateDue, limiter: RateLimiter, share: RateShare, now: float) -> Decided:
     limiter = limiter._replace(bucket=refill(limiter.bucket, share, now))
     return _settle(limiter, event.peers, now)
 
@@ -170,7 +170,7 @@
 
 
 def next_rate_deadline(limiter: RateLimiter, share: RateShare) -> float:
-    """Return the monotonic time at which `TimePassed` is due."""
+    """Return the monotonic time at which `RateDue` is due."""
     if not limiter.waiting:
         return float("inf")
     due = min(request.deadline for request in limiter.waiting)
--- a/src/jackdawspread/decisions/time_passed.py
+++ b/src/jackdawspread/decisions/time_passed.py
@@ -1,9 +1,9 @@
-"""Event: a deadline has come."""
+"""Event: time has passed."""
 
 from typing import NamedTuple
 
 
 class TimePassed(NamedTuple):
-    """Time has passed; ``peers`` can be asked."""
+    """Sent at intervals; ``jitter`` is a random number from 0 to 1."""
 
-    peers: tuple[str, ...]
+    jitter: float
--- a/src/jackdawspread/tasks/rate_limits.py
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -21,7 +21,7 @@
 from jackdawspread.decisions.rate_share import RateShare, rate_share
 from jackdawspread.decisions.refuse_request import RefuseRequest
 from jackdawspread.decisions.request_arrived import RequestArrived
-from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.peer_send import PeerSend
@@ -99,7 +99,7 @@
         """Handle the deadlines that have come."""
         for workspace in tuple(self._waiting_workspaces):
             if self._deadline(workspace) <= now:
-                self._decide(workspace, TimePassed(self._peers), now)
+                self._decide(workspace, RateDue(self._peers), now)
 
     @singledispatchmethod
     def _handle(self, message: object, peer: str, now: float) -> None:
@@ -123,7 +123,7 @@
     def _decide(
         self,
         workspace: str,
-        event: RequestArrived | GrantArrived | PeerAsked | TimePassed,
+        event: RequestArrived | GrantArrived | PeerAsked | RateDue,
         now: float,
     ) -> None:
         limiter = self._limiter_by_workspace.get(workspace)
