Replace the minimal member by a replicated one and add the platform

Change: member and platform stand-ins, each one state-owning task with connection tasks, and pure decisions for the replicated log and the table. Ruled out: extending tasks/http_server.py with per-connection handlers; the stand-ins accept connections themselves and reuse HttpServerConnection.

--- /dev/null
+++ b/src/jackdawspread/commands/standin_platform.py
@@ -0,0 +1,23 @@
+"""Runs a stand-in of the platform."""
+
+from typing import Annotated
+
+from trio import run
+from typer import Argument
+
+from jackdawspread.composition import listen
+from jackdawspread.standins.listening import print_listening
+from jackdawspread.standins.platform.run_platform import run_platform
+
+
+def standin_platform(
+    address: Annotated[str, Argument(help="IP:port to listen on; port 0 picks one.")],
+) -> None:
+    """Run a stand-in of the platform until it is killed."""
+    run(_run, address)
+
+
+async def _run(address: str) -> None:
+    listener = await listen(address)
+    print_listening(listener)
+    await run_platform(listener)
--- /dev/null
+++ b/src/jackdawspread/standins/member/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a database member."""
--- /dev/null
+++ b/src/jackdawspread/standins/member/check_read.py
@@ -0,0 +1,29 @@
+"""Check of a read's term and position."""
+
+from expression import Error, Ok, Result
+
+from jackdawspread.standins.member.check_position import check_position
+from jackdawspread.standins.member.check_term import check_primary
+from jackdawspread.standins.member.member_refusal import MemberRefusal
+from jackdawspread.standins.member.member_state import MemberState
+from jackdawspread.standins.member.position_standing import PositionStanding
+from jackdawspread.standins.member.requests.read import Read
+
+
+def check_read(state: MemberState, request: Read) -> Result[None, MemberRefusal]:
+    """Refuse a read whose term or position the applied entries do not satisfy."""
+    if request.term:
+        checked = check_primary(state, request.term)
+        if checked.is_error():
+            return checked
+    if request.position is None:
+        return Ok(None)
+    standing = check_position(state.log, state.applied, request.position)
+    if standing is PositionStanding.CONTAINED:
+        return Ok(None)
+    fields = {"position": state.applied_end}
+    if standing is PositionStanding.DIVERGED:
+        detail = "the history does not contain the position"
+        return Error(MemberRefusal(409, "diverged", detail, fields))
+    detail = "the position has not been applied yet"
+    return Error(MemberRefusal(409, "behind", detail, fields))
--- /dev/null
+++ b/src/jackdawspread/standins/member/events/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and timers of the member's node task."""
--- /dev/null
+++ b/src/jackdawspread/standins/member/events/work_done.py
@@ -0,0 +1,11 @@
+"""Timer: the service time of a statement is over."""
+
+from typing import NamedTuple
+
+from jackdawspread.standins.member.events.submission import Submission
+
+
+class WorkDone(NamedTuple):
+    """Timer: the service time of a statement is over."""
+
+    submission: Submission
--- /dev/null
+++ b/src/jackdawspread/standins/member/position_standing.py
@@ -0,0 +1,11 @@
+"""Where a position stands in relation to a log."""
+
+from enum import Enum, auto
+
+
+class PositionStanding(Enum):
+    """Whether a history contains a position, may still, or never will."""
+
+    CONTAINED = auto()
+    BEHIND = auto()
+    DIVERGED = auto()
--- /dev/null
+++ b/src/jackdawspread/standins/member/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of the member protocol, one type per file."""
--- /dev/null
+++ b/src/jackdawspread/standins/member/requests/connect.py
@@ -0,0 +1,9 @@
+"""Opens a database connection for a named instance."""
+
+from typing import NamedTuple
+
+
+class Connect(NamedTuple):
+    """Opens a database connection for a named instance."""
+
+    instance: str
--- /dev/null
+++ b/src/jackdawspread/standins/member/requests/outcome.py
@@ -0,0 +1,11 @@
+"""Asks for the recorded result of a request id."""
+
+from typing import NamedTuple
+
+
+class Outcome(NamedTuple):
+    """Asks for the recorded result of a request id."""
+
+    term: int
+    workspace: str
+    request_id: str
--- /dev/null
+++ b/src/jackdawspread/standins/member/requests/replicate.py
@@ -0,0 +1,14 @@
+"""Asks for the log entries after a position."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.position import Position
+
+
+class Replicate(NamedTuple):
+    """Asks for the log entries after a position."""
+
+    term: int
+    after: Position
+    wait_ms: int = 0
+    name: str = ""
--- /dev/null
+++ b/src/jackdawspread/standins/member/requests/status.py
@@ -0,0 +1,7 @@
+"""Asks for role, terms, positions and load."""
+
+from typing import NamedTuple
+
+
+class Status(NamedTuple):
+    """Asks for role, terms, positions and load."""
--- /dev/null
+++ b/src/jackdawspread/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the platform."""
--- /dev/null
+++ b/src/jackdawspread/standins/platform/check_outcome.py
@@ -0,0 +1,10 @@
+"""Outcome of a connect check."""
+
+from typing import NamedTuple
+
+
+class CheckOutcome(NamedTuple):
+    """Whether a registered address accepted a TCP connection."""
+
+    address: str
+    answered: bool
--- /dev/null
+++ b/src/jackdawspread/standins/platform/platform_codec.py
@@ -0,0 +1,56 @@
+"""Requests and answers of the platform protocol."""
+
+from typing import Any
+from urllib.parse import unquote
+
+from expression import Error, Ok, Result
+
+from jackdawspread.codecs.json_body import encode_json
+from jackdawspread.messages.http_request import HttpRequest
+from jackdawspread.messages.http_response import HttpResponse
+from jackdawspread.standins.platform.requests.get_object import GetObject
+from jackdawspread.standins.platform.requests.list_instances import ListInstances
+from jackdawspread.standins.platform.requests.platform_fault import PlatformFault
+from jackdawspread.standins.platform.requests.put_object import PutObject
+from jackdawspread.standins.platform.requests.read_rows import ReadRows
+from jackdawspread.standins.platform.requests.register_instance import RegisterInstance
+from jackdawspread.standins.platform.requests.transact import Transact
+from jackdawspread.standins.request_shape import decode_request, request_shape
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+OBJECTS = "/objects/"
+
+SHAPE_BY_ROUTE = {
+    ("POST", "/table/read"): request_shape(ReadRows),
+    ("POST", "/table/transact"): request_shape(Transact),
+    ("GET", "/instances"): request_shape(ListInstances),
+    ("POST", "/instances"): request_shape(RegisterInstance),
+    ("POST", "/fault"): request_shape(PlatformFault),
+}
+
+
+def decode_platform_request(request: HttpRequest) -> Result[Any, HttpResponse]:
+    """Decode a request, or return the error answer."""
+    if request.target.startswith(OBJECTS):
+        name = unquote(request.target.removeprefix(OBJECTS))
+        if request.method == "PUT":
+            return Ok(PutObject(name, request.body))
+        if request.method == "GET":
+            return Ok(GetObject(name))
+    shape = SHAPE_BY_ROUTE.get((request.method, request.target))
+    if shape is None:
+        detail = f"{request.method} {request.target}"
+        return Error(encode_platform_error(404, "unknown_route", detail))
+    return decode_request(request.body, shape).map_error(
+        lambda detail: encode_platform_error(400, "malformed_request", detail)
+    )
+
+
+def encode_platform_answer(status: int, body: dict[str, Any]) -> HttpResponse:
+    """Encode an answer."""
+    return HttpResponse(status, JSON_HEADERS, encode_json(body))
+
+
+def encode_platform_error(status: int, code: str, detail: str) -> HttpResponse:
+    """Encode an error answer."""
+    return encode_platform_answer(status, {"code": code, "detail": detail})
--- /dev/null
+++ b/src/jackdawspread/standins/platform/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of the platform protocol, one type per file."""
--- /dev/null
+++ b/src/jackdawspread/standins/platform/requests/get_object.py
@@ -0,0 +1,9 @@
+"""Reads an object."""
+
+from typing import NamedTuple
+
+
+class GetObject(NamedTuple):
+    """Reads an object."""
+
+    name: str
--- /dev/null
+++ b/src/jackdawspread/standins/platform/requests/list_instances.py
@@ -0,0 +1,7 @@
+"""Reads the lagging list of instances."""
+
+from typing import NamedTuple
+
+
+class ListInstances(NamedTuple):
+    """Reads the lagging list of instances."""
--- /dev/null
+++ b/src/jackdawspread/standins/platform/run_platform.py
@@ -0,0 +1,29 @@
+"""Wiring of the platform."""
+
+from typing import Any
+
+from trio import (
+    SocketListener,
+    SocketStream,
+    open_memory_channel,
+    open_nursery,
+    serve_listeners,
+)
+
+from jackdawspread.standins.platform.platform_connection import PlatformConnection
+from jackdawspread.standins.platform.platform_node import PlatformNode
+
+# A connection waits when the inbox is full.
+INBOX = 1000
+
+
+async def run_platform(listener: SocketListener) -> None:
+    """Run the platform on a listening socket until cancelled."""
+    events, inbox = open_memory_channel[Any](INBOX)
+
+    async def serve(stream: SocketStream) -> None:
+        await PlatformConnection(stream, events).run()
+
+    async with open_nursery() as nursery:
+        nursery.start_soon(PlatformNode(inbox, events).run)
+        await serve_listeners(serve, [listener])
--- /dev/null
+++ b/src/jackdawspread/standins/schemas/__init__.py
@@ -0,0 +1,1 @@
+"""SQL schemas of the example data sets."""
