Add features of the stand-ins

Cause: the stand-ins decide what the proxy's promises are checked against. Change: features for the replicated log, request ids, transactions, faults, the table and the instance list, in process under a clock that only the steps move. Ruled out: sockets under an autojumping clock, since loopback traffic is not visible to the clock and a jump may overtake it.

--- /dev/null
+++ b/features/member.feature
@@ -0,0 +1,145 @@
+Feature: Database member stand-in
+  The replicated log keeps what was acknowledged and drops what was not.
+
+  Background:
+    Given members a, b and c with a as the primary of term 1
+
+  Scenario Outline: An acknowledged entry survives a promotion by any majority
+    # Guards against choosing a member that lacks an entry two members held.
+    Given replication to <behind> is cut
+    And the write "w1" at a in term 1 is confirmed by <ahead>
+    And member a is cut off
+    And replication to <behind> is restored
+    When b and c promise term 2 and the one with the greatest position opens it
+    Then member <ahead> is the primary
+    And claim "w1" is at b and c
+
+    Examples:
+      | ahead | behind |
+      | b     | c      |
+      | c     | b      |
+
+  Scenario: A diverged tail is dropped
+    # Guards against a replaced primary that keeps entries the new history lacks.
+    Given replication to b is cut
+    And replication to c is cut
+    And the write "lost" at a in term 1 succeeds
+    When b is promoted in term 2 with c and a as replicas
+    And the write "kept" at b in term 2 succeeds
+    Then claim "kept" is at a, b and c
+    And claim "lost" is at none of a, b and c
+    And the logs of a, b and c are equal
+
+  Scenario: A token of a lost tail is not satisfied by a history of the same length
+    # Guards against comparing positions by their sequence numbers alone.
+    Given replication to b is cut
+    And replication to c is cut
+    And the write "lost" at a in term 1 succeeds
+    When b is promoted in term 2 with c and a as replicas
+    Then the logs of a, b and c are equal
+    And a read at a, b and c at the position of "lost" is refused as diverged
+
+  Scenario: A repeat returns the recorded result, also after a promotion
+    # Guards against a binding write that runs twice.
+    Given the write "w1" at a in term 1 is confirmed by b
+    When the write "w1" is repeated at a in term 1
+    Then the answer is the recorded one
+    When b is promoted in term 2 with c as replica
+    And the write "w1" is repeated at b in term 2
+    Then the answer is the recorded one
+    And claim "w1" is at b and c
+
+  Scenario: Another body under the same request id is refused
+    # Guards against an answer that belongs to another request.
+    Given the write "w1" at a in term 1 succeeds
+    When the write "w1" is repeated at a in term 1 with another body
+    Then it is refused as request_id_conflict
+
+  Scenario Outline: A call with an old term is refused
+    # Guards against work for a primary that has been replaced.
+    Given member a has promised term 5
+    When <call> is sent to a with term 1
+    Then it is refused as stale_term
+
+    Examples:
+      | call      |
+      | read      |
+      | write     |
+      | begin     |
+      | commit    |
+      | outcome   |
+      | confirm   |
+      | open      |
+      | follow    |
+      | replicate |
+
+  Scenario: An old term is not promised again
+    # Guards against two promoters that both hold a majority.
+    Given member a has promised term 5
+    When prepare is sent to a with term 4
+    Then the promise is not granted and names term 5
+
+  Scenario: A promise refuses work that is already queued
+    # Guards against a write that commits after its term was replaced.
+    Given statements take 100 ms
+    When the write "w1" is sent to a in term 1 and is in service
+    And member a has promised term 5
+    Then it is refused as stale_term
+    And claim "w1" is at none of a, b and c
+
+  Scenario: A write at a replaced primary stays unconfirmed
+    # Guards against acknowledging a write that the new history lacks.
+    Given member a is cut off from b and c
+    When b is promoted in term 2 with c as replica
+    And the write "late" at a in term 1 succeeds
+    Then no confirmation of "late" comes from b and c in term 1 or 2
+
+  Scenario: A lost connection rolls its transaction back
+    # Guards against statements that outlive the caller's transaction.
+    Given a transaction at a that inserted claim "t1"
+    When its connection is lost
+    Then its commit on another connection is refused as unknown_transaction
+    And claim "t1" is at none of a, b and c
+
+  Scenario: A transaction whose results changed cannot commit
+    # Guards against a commit on data that another transaction has changed.
+    Given a transaction at a that read the number of claims
+    When the write "w1" at a in term 1 succeeds
+    Then its commit is refused as commit_conflict
+
+  Scenario Outline: A read cannot write
+    # Guards against changes that bypass the log.
+    When the read "<sql>" is sent to a
+    Then it is refused as bad_statement
+
+    Examples:
+      | sql                              |
+      | DELETE FROM claims               |
+      | PRAGMA query_only                |
+      | BEGIN                            |
+      | SELECT * FROM _recorded_requests |
+
+  Scenario: A held entry is confirmed before it is applied
+    # Guards against a confirmation that waits for the replication lag.
+    Given replicas hold entries for 200 ms
+    And the write "w1" at a in term 1 is confirmed by b
+    Then a read at b at the position of "w1" is refused as behind
+    And a read at b at the position of "w1" succeeds after waiting 300 ms
+
+  Scenario: A silent connection gets no answer and its work took effect
+    # Guards against an unknown outcome that cannot be resolved by its id.
+    Given statements take 100 ms
+    When the write "w1" is sent to a in term 1 and is in service
+    And the connections of a go silent
+    Then it is never answered
+    And a new connection to a finds the outcome of "w1"
+
+  Scenario: A page ends at its row limit or at 1 MiB
+    # Guards against answers of unbounded size.
+    Then reading 2500 small rows at a takes 3 pages
+    And reading 5 rows of 400 KB at a takes 3 pages
+
+  Scenario: The connection limit counts connections that called connect
+    # Guards against more connections than the member allows.
+    Then a connection to a that did not connect is refused as not_connected
+    And 16 connections to a can be open, and the next is refused
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the steps."""
--- /dev/null
+++ b/features/support/member_cluster.py
@@ -0,0 +1,151 @@
+"""Members in one process, without sockets."""
+
+from itertools import count
+from typing import Any
+
+import trio
+from msgspec import json
+
+from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.messages.http_request import HttpRequest
+from jackdawspread.standins.member.events.connection_lost import ConnectionLost
+from jackdawspread.standins.member.events.connection_opened import ConnectionOpened
+from jackdawspread.standins.member.events.pull_order import PullOrder
+from jackdawspread.standins.member.events.submission import Submission
+from jackdawspread.standins.member.member_codec import decode_member_request
+from jackdawspread.standins.member.member_node import MemberNode
+from jackdawspread.standins.member.member_options import MemberOptions
+from jackdawspread.standins.member.replica_puller import (
+    ANSWER_GRACE_S,
+    ReplicaPuller,
+)
+from jackdawspread.standins.schemas.schema_file import read_schema
+from support.trio_thread import TrioThread
+
+Reply = tuple[int, dict[str, Any]]
+
+
+class MemberCluster:
+    """Members a, b and c with one open connection to each.
+
+    An answer that does not come within `patience` seconds of mock time is
+    returned as status 0.
+    """
+
+    def __init__(self, patience: float = 0.7, **options: Any) -> None:
+        self.trio = TrioThread()
+        self.patience = patience
+        self._ids = count(1)
+        self._inbox_by_name: dict[str, trio.MemorySendChannel[Any]] = {}
+        self.connection_by_name: dict[str, int] = {}
+        schema = read_schema("saltbush")
+        for name in "abc":
+            self._start(MemberOptions(name, schema, **options))
+            self.connection_by_name[name] = self.connect(name)
+
+    def _start(self, options: MemberOptions) -> None:
+        events, inbox = trio.open_memory_channel[Any](1000)
+        self._inbox_by_name[options.name] = events
+        cluster = self
+
+        class InProcessPuller(ReplicaPuller):
+            async def _poll(self, order: PullOrder, _: trio.Nursery) -> HttpOutcome:
+                body = {**order._asdict(), "name": self._name}
+                wait = order.wait_ms / 1000 + ANSWER_GRACE_S
+                connection = cluster.open(self._address)
+                status, answer = await cluster.exchange(
+                    self._address, connection, "/replicate", body, wait
+                )
+                cluster.send(self._address, ConnectionLost(connection))
+                error = "" if status else "no answer in time"
+                return HttpOutcome(1, 1, status, answer, True, error)
+
+        async def run() -> None:
+            await MemberNode(options, inbox, events, InProcessPuller).run()
+
+        self.trio.start(run)
+
+    def send(self, name: str, event: object) -> None:
+        """Send an event to a member; to be called within the loop."""
+        self._inbox_by_name[name].send_nowait(event)
+
+    def open(self, name: str) -> int:
+        """Open a connection; to be called within the loop."""
+        connection = next(self._ids)
+        self.send(name, ConnectionOpened(connection))
+        return connection
+
+    async def exchange(
+        self, name: str, connection: int, target: str, body: Any, wait: float
+    ) -> Reply:
+        """Make a call; to be called within the loop."""
+        request = HttpRequest("POST", target, {}, json.encode(body))
+        decoded = decode_member_request(request)
+        assert decoded.is_ok(), decoded
+        reply_to, replies = trio.open_memory_channel(1)
+        self.send(name, Submission(connection, decoded.ok, reply_to))
+        with trio.move_on_after(wait):
+            response = await replies.receive()
+            return response.status, json.decode(response.body)
+        return 0, {}
+
+    def start_call(
+        self, name: str, target: str, body: Any, connection: int | None = None
+    ) -> list[Reply]:
+        """Start a call; its reply is added to the list that is returned."""
+        replies: list[Reply] = []
+        used = self.connection_by_name[name] if connection is None else connection
+
+        async def run() -> None:
+            replies.append(await self.exchange(name, used, target, body, self.patience))
+
+        self.trio.start(run)
+        return replies
+
+    def call(
+        self, name: str, target: str, body: Any, connection: int | None = None
+    ) -> Reply:
+        """Make a call and move the clock until it has ended."""
+        replies = self.start_call(name, target, body, connection)
+        return self.finish(replies)
+
+    def finish(self, replies: list[Reply]) -> Reply:
+        """Move the clock until a call has ended."""
+        for _ in range(round(self.patience / 0.005) + 2):
+            if replies:
+                return replies[0]
+            self.trio.advance(0.005)
+        raise AssertionError("the call did not end")
+
+    def connect(self, name: str, instance: str = "proxy") -> int:
+        """Open a connection in the name of an instance."""
+
+        async def open_connection() -> int:
+            return self.open(name)
+
+        connection = self.trio.call(open_connection)
+        status, body = self.call(name, "/connect", {"instance": instance}, connection)
+        assert status == 200, body
+        return connection
+
+    def lose(self, name: str, connection: int) -> None:
+        """Lose a connection."""
+
+        async def lose() -> None:
+            self.send(name, ConnectionLost(connection))
+
+        self.trio.call(lose)
+
+    def ok(self, name: str, target: str, body: Any) -> dict[str, Any]:
+        """Make a call that must succeed."""
+        status, answer = self.call(name, target, body)
+        assert status == 200, (name, target, status, answer)
+        return answer
+
+    def promote(self, name: str, term: int, others: str) -> None:
+        """Prepare, open and follow in a term."""
+        for member in name + others:
+            assert self.ok(member, "/prepare", {"term": term})["granted"]
+        self.ok(name, "/open", {"term": term})
+        for member in others:
+            self.ok(member, "/follow", {"term": term, "address": name})
--- /dev/null
+++ b/features/support/trio_thread.py
@@ -0,0 +1,60 @@
+"""Trio loop with a mock clock for steps."""
+
+from collections.abc import Awaitable, Callable
+from queue import SimpleQueue
+from threading import Thread
+from typing import Any
+
+import trio
+from trio.testing import MockClock, wait_all_tasks_blocked
+
+
+class TrioThread:
+    """Runs trio in a thread; its clock moves only in `advance`."""
+
+    def __init__(self) -> None:
+        self._clock = MockClock()
+        self._ready: SimpleQueue[tuple[Any, trio.Nursery]] = SimpleQueue()
+        self._thread = Thread(target=self._run, daemon=True)
+        self._thread.start()
+        self._token, self._nursery = self._ready.get()
+
+    def _run(self) -> None:
+        trio.run(self._main, clock=self._clock)
+
+    async def _main(self) -> None:
+        async with trio.open_nursery() as nursery:
+            self._ready.put((trio.lowlevel.current_trio_token(), nursery))
+            await trio.sleep_forever()
+
+    def call(self, function: Callable[..., Awaitable[Any]], *args: Any) -> Any:
+        """Run a coroutine function and return its result."""
+        return trio.from_thread.run(function, *args, trio_token=self._token)
+
+    def start(self, function: Callable[..., Awaitable[Any]], *args: Any) -> None:
+        """Start a task."""
+
+        async def start() -> None:
+            self._nursery.start_soon(function, *args)
+
+        self.call(start)
+
+    def advance(self, seconds: float, step: float = 0.005) -> None:
+        """Let tasks run while the clock moves on in steps."""
+
+        async def advance() -> None:
+            await wait_all_tasks_blocked()
+            for _ in range(round(seconds / step)):
+                self._clock.jump(step)
+                await wait_all_tasks_blocked()
+
+        self.call(advance)
+
+    def stop(self) -> None:
+        """End every task and the thread."""
+
+        async def stop() -> None:
+            self._nursery.cancel_scope.cancel()
+
+        self.call(stop)
+        self._thread.join()
--- a/src/jackdawspread/standins/platform/platform_node.py
+++ b/src/jackdawspread/standins/platform/platform_node.py
@@ -56,13 +56,19 @@
         Submissions of the connections and outcomes of connect checks.
     events : trio.MemorySendChannel
         Sending side of the inbox, handed to connect checks.
+    check_interval : float
+        Seconds between the connect checks of an instance.
     """
 
     def __init__(
-        self, inbox: MemoryReceiveChannel[Any], events: MemorySendChannel[Any]
+        self,
+        inbox: MemoryReceiveChannel[Any],
+        events: MemorySendChannel[Any],
+        check_interval: float = CHECK_INTERVAL_S,
     ) -> None:
         self._inbox = inbox
         self._events = events
+        self._check_interval = check_interval
         self._state = PlatformState({}, {}, 0)
         self._instances = InstanceList({}, deque())
         self._fault = PlatformFault("up", 0.0, 0.0)
@@ -79,7 +85,7 @@
     async def _check_instances(self) -> None:
         while True:
             async with open_nursery() as checks:
-                checks.start_soon(sleep, CHECK_INTERVAL_S)
+                checks.start_soon(sleep, self._check_interval)
                 for address in tuple(self._instances.record_by_address):
                     checks.start_soon(check_instance, address, self._events)
 
