--- a/features/member.feature
+++ b/features/member.feature
@@ -107,6 +107,23 @@
     Then its commit on another connection is refused as unknown_transaction
     And claim "t1" is at none of a, b and c
 
+  Scenario: A promise refuses an open transaction
+    # Guards against a transaction that commits after its term was replaced.
+    Given a transaction at a that inserted claim "t1"
+    And member a has promised term 5
+    Then its next statement is refused as stale_term
+    And its commit is refused as stale_term
+
+  Scenario: Statements beyond the slots wait in the order of arrival
+    # Guards against a member that runs more at once than it has slots.
+    Given statements take 100 ms
+    When 5 reads are sent to a at once
+    Then after each 100 ms the next 2 of them are answered
+
+  Scenario: A closed connection frees its place
+    # Guards against connections that count although their sockets are gone.
+    Then on a socket, a connection closed while its read waits frees its place
+
   Scenario: A transaction whose results changed cannot commit
     # Guards against a commit on data that another transaction has changed.
     Given a transaction at a that read the number of claims
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -353,6 +353,33 @@
     assert reply[1].get("code") == code, reply
 
 
+@then("its next statement is refused as {code}")
+def statement_refused(context: Context, code: str) -> None:
+    """Run another statement of the transaction."""
+    body = {"transaction": context.transaction, "statement": {"sql": "SELECT 1"}}
+    reply = context.cluster.call("a", "/execute", body, context.connection)
+    assert reply[1].get("code") == code, reply
+
+
+@when("{count:d} reads are sent to a at once")
+def send_reads(context: Context, count: int) -> None:
+    """Send a read on each of several connections."""
+    cluster = context.cluster
+    connections = [cluster.connect("a") for _ in range(count)]
+    body = read_body("SELECT 1")
+    context.replies = [cluster.start_call("a", "/read", body, c) for c in connections]
+    cluster.trio.advance(0.05)
+
+
+@then("after each 100 ms the next 2 of them are answered")
+def answered_in_order(context: Context) -> None:
+    """Check which reads are answered half way through each service time."""
+    for answered in (0, 2, 4, 5):
+        seen = [bool(replies) for replies in context.replies]
+        assert seen == [index < answered for index in range(5)], seen
+        context.cluster.trio.advance(0.1)
+
+
 @when('the read "{sql}" is sent to a')
 def send_read(context: Context, sql: str) -> None:
     """Read with any role."""
