--- a/src/jackdawspread/commands/main.py
+++ b/src/jackdawspread/commands/main.py
@@ -14,6 +14,7 @@
 )
 from jackdawspread.commands.proxy import proxy
 from jackdawspread.commands.standin_member import standin_member
+from jackdawspread.commands.standin_platform import standin_platform
 
 # A traceback with local variables could show the operator's credential.
 app = Typer(
@@ -23,6 +24,7 @@
 )
 app.command()(proxy)
 app.command("standin-member")(standin_member)
+app.command("standin-platform")(standin_platform)
 app.add_typer(workspace.app, name="workspace")
 app.add_typer(key.app, name="key")
 app.add_typer(limits.app, name="limits")
