Add models of promotion, binding writes, session tokens and the view

Cause: the design states these mechanisms only in prose. Change: a small runner over minicheck, and four models with mutants.

--- /dev/null
+++ b/spec/binding/__init__.py
@@ -0,0 +1,1 @@
+"""Binding writes and repeats."""
--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,13 @@
+"""One check to run: a model as designed, or a mutant of it."""
+
+from typing import Any, NamedTuple
+
+from spec.model import Model
+from spec.mutant import Mutant
+
+
+class Check(NamedTuple):
+    """A model and, if it has to be refuted, the mutant of its rules."""
+
+    model: Model[Any, Any]
+    mutant: Mutant[Any] | None
--- /dev/null
+++ b/spec/promotion/__init__.py
@@ -0,0 +1,1 @@
+"""Promotion of a primary."""
--- /dev/null
+++ b/spec/promotion/state.py
@@ -0,0 +1,18 @@
+"""State of the promotion model."""
+
+from typing import NamedTuple
+
+from spec.promotion.member import Member
+from spec.promotion.term import Term
+
+
+class State(NamedTuple):
+    """Members and terms.
+
+    ``replaced`` notes that a write was acknowledged in a term although a newer
+    primary without that write was open.
+    """
+
+    members: tuple[Member, Member, Member]
+    terms: tuple[Term, ...]
+    replaced: bool
--- /dev/null
+++ b/spec/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""Members of a database under promotion in one step, shared by two models."""
--- /dev/null
+++ b/spec/runner.py
@@ -0,0 +1,91 @@
+"""Runs one check with minicheck."""
+
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from minicheck import check_safety
+
+from spec.check import Check
+from spec.model import Model
+from spec.outcome import Outcome
+from spec.refuted import Refuted
+from spec.state_protocol import StateProtocol
+
+
+def successors(model: Model[Any, Any], rules: Any, depths: dict[Any, int]) -> Callable:
+    """Return the transition function; it notes the depth of each state."""
+
+    def transitions(state: Any) -> Iterator[tuple[str, Any]]:
+        depth = depths[state] + 1
+        for action in model.actions:
+            for arguments, following in action(state, rules):
+                if model.canonical:
+                    following = model.canonical(following)
+                if following != state:
+                    depths.setdefault(following, depth)
+                    yield f"{action.__name__}({arguments})", following
+
+    depths[model.initial] = 0
+    return transitions
+
+
+def run_model(model: Model[Any, Any]) -> Outcome:
+    """Check every invariant of the model as designed over all its states."""
+    depths: dict[Any, int] = {}
+    started = time.monotonic()
+    transitions = successors(model, model.rules, depths)
+    protocol = StateProtocol(
+        model.name, False, (), model.initial, transitions, model.invariants
+    )
+    report = check_safety(protocol, max_states=model.max_states)
+    seconds = time.monotonic() - started
+    exhaustive = report["exhaustive"]
+    lines = [
+        f"model {model.name}: states={report['reachable_states']}"
+        f" depth={max(depths.values())} exhaustive={exhaustive} seconds={seconds:.1f}"
+    ]
+    passed = exhaustive
+    for name, found in report["properties"].items():
+        passed = passed and found["holds"] is True
+        lines.append(f"  invariant {name}: holds={found['holds']}")
+        lines += trace_lines(found["counterexample"])
+    return Outcome(passed, tuple(lines))
+
+
+def run_mutant(check: Check) -> Outcome:
+    """Search the shortest counterexample of a mutant."""
+    model, mutant = check
+    assert mutant is not None
+    found = False
+
+    def holds(state: Any) -> bool:
+        nonlocal found
+        found = found or not model.invariants[mutant.invariant](state)
+        return not found
+
+    def transitions(state: Any) -> Iterator[tuple[str, Any]]:
+        if found:
+            raise Refuted(mutant.name)
+        for action in model.actions:
+            for arguments, following in action(state, mutant.rules):
+                yield f"{action.__name__}({arguments})", following
+
+    protocol = StateProtocol(
+        mutant.name, False, (), model.initial, transitions, {mutant.invariant: holds}
+    )
+    report = check_safety(protocol, max_states=model.max_states)
+    trace = report["properties"][mutant.invariant]["counterexample"]
+    verdict = f"refuted in {len(trace) - 1} actions" if trace else "NOT REFUTED"
+    line = f"mutant {model.name}/{mutant.name}: {mutant.invariant} {verdict}"
+    return Outcome(trace is not None, (line, *trace_lines(trace)))
+
+
+def trace_lines(trace: list[dict[str, Any]] | None) -> list[str]:
+    """Return the actions of a counterexample, one line each."""
+    return [f"    {step['label']}" for step in trace or [] if step["label"]]
+
+
+def run_check(check: Check) -> Outcome:
+    """Run a model or a mutant."""
+    return run_mutant(check) if check.mutant else run_model(check.model)
--- /dev/null
+++ b/spec/session/__init__.py
@@ -0,0 +1,1 @@
+"""Session tokens over a change of primary."""
--- /dev/null
+++ b/spec/session/rules.py
@@ -0,0 +1,12 @@
+"""Rules of session tokens that a mutant drops."""
+
+from typing import NamedTuple
+
+
+class Rules(NamedTuple):
+    """Steps and checks of the protocol."""
+
+    token_names_term: bool = True
+    member_checks_token: bool = True
+    confirm_before_acknowledging: bool = True
+    reads_advance_to_confirmed_only: bool = True
--- /dev/null
+++ b/spec/state_protocol.py
@@ -0,0 +1,13 @@
+"""Protocol of minicheck over NamedTuple states."""
+
+from typing import Any
+
+from minicheck import Protocol
+
+
+class StateProtocol(Protocol):  # type: ignore[misc]
+    """Hands the invariants the NamedTuple state itself, not a dictionary of it."""
+
+    def d(self, s: Any) -> Any:
+        """Return the state unchanged."""
+        return s
--- /dev/null
+++ b/spec/view/__init__.py
@@ -0,0 +1,1 @@
+"""View, authority and shares."""
--- /dev/null
+++ b/spec/view/actions.py
@@ -0,0 +1,179 @@
+"""Actions of instances and of the platform.
+
+A step that needs the platform or a peer may never run: outages, lost answers, cuts
+and pauses are steps left out.  A proposer is no part of the state, so a write that
+lands after its proposer died is the same step.
+"""
+
+from collections.abc import Iterator
+
+from spec.view.instance import Instance
+from spec.view.rules import Rules
+from spec.view.state import State
+
+Steps = Iterator[tuple[str, State]]
+VIEWS = (0, 0b011, 0b111, 0b011)
+LAST_EPOCH = 3
+VALIDITY = 2
+WHOLE = 6
+
+
+def with_instance(state: State, index: int, instance: Instance) -> State:
+    """Return the state with one instance replaced."""
+    instances = state.instances[:index] + (instance,) + state.instances[index + 1 :]
+    return state._replace(instances=instances)
+
+
+def is_member(index: int, epoch: int) -> bool:
+    """Return whether an instance is in the view of an epoch."""
+    return bool(VIEWS[epoch] >> index & 1)
+
+
+def vouch_quorum(epoch: int) -> int:
+    """Return how many members keep an authority alive."""
+    return VIEWS[epoch].bit_count() // 2 + 1
+
+
+def change_quorum(epoch: int) -> int:
+    """Return how many promises a change of view needs."""
+    return VIEWS[epoch].bit_count() - vouch_quorum(epoch) + 1
+
+
+def promise(state: State, rules: Rules) -> Steps:
+    """Promise a proposer to stop vouching for the epoch in force."""
+    if state.epoch == LAST_EPOCH:
+        return
+    for index, instance in enumerate(state.instances):
+        if not is_member(index, state.epoch) or not instance.epoch:
+            continue
+        after = state._replace(promises=state.promises | 1 << index)
+        promised = max(instance.promised, state.epoch)
+        yield (
+            f"instance={index} epoch={state.epoch}",
+            with_instance(after, index, instance._replace(promised=promised)),
+        )
+
+
+def change_view(state: State, rules: Rules) -> Steps:
+    """Write the next epoch by compare-and-set."""
+    if state.epoch == LAST_EPOCH:
+        return
+    needed = change_quorum(state.epoch) - rules.change_quorum_short_by
+    if state.promises.bit_count() >= needed:
+        yield (
+            f"epoch={state.epoch + 1}",
+            state._replace(epoch=state.epoch + 1, promises=0),
+        )
+
+
+def adopted(instance: Instance, epoch: int, rules: Rules) -> Instance:
+    """Return the instance in a newer epoch, with no authority yet."""
+    if instance.epoch >= epoch:
+        return instance
+    unsettled = instance.unsettled | 1 << epoch
+    if rules.row_has_earlier_views:
+        for skipped in range(instance.epoch + 1, epoch):
+            unsettled |= 1 << skipped
+    return Instance(epoch, instance.promised, 0, 0, 0, 0, 0, unsettled)
+
+
+def read_platform(state: State, rules: Rules) -> Steps:
+    """Adopt the platform's epoch, and have authority in it if a member."""
+    for index, instance in enumerate(state.instances):
+        after = adopted(instance, state.epoch, rules)
+        if is_member(index, state.epoch):
+            after = after._replace(authority=VALIDITY)
+        if not rules.promise_is_kept:
+            after = after._replace(promised=0)
+        yield (
+            f"instance={index} epoch={state.epoch}",
+            with_instance(state, index, after),
+        )
+
+
+def ask(state: State, rules: Rules) -> Steps:
+    """Start a round of heartbeats; the asker's own vouch counts."""
+    for index, instance in enumerate(state.instances):
+        if instance.epoch and is_member(index, instance.epoch):
+            if vouches(instance, instance.epoch, rules):
+                after = instance._replace(asked=VALIDITY, vouchers=1 << index)
+                yield f"instance={index}", with_instance(state, index, after)
+
+
+def vouches(instance: Instance, epoch: int, rules: Rules) -> bool:
+    """Return whether an instance vouches for an epoch."""
+    fenced = rules.promise_stops_vouching and instance.promised >= epoch
+    return instance.epoch == epoch and not fenced
+
+
+def vouch(state: State, rules: Rules) -> Steps:
+    """Answer a heartbeat; with a quorum the asker has authority."""
+    for index, asker in enumerate(state.instances):
+        for peer, instance in enumerate(state.instances):
+            if not asker.vouchers or not is_member(peer, asker.epoch):
+                continue
+            if peer == index or not vouches(instance, asker.epoch, rules):
+                continue
+            vouchers = asker.vouchers | 1 << peer
+            after = asker._replace(vouchers=vouchers)
+            if vouchers.bit_count() >= vouch_quorum(asker.epoch):
+                until = asker.asked if rules.count_from_asking else VALIDITY
+                authority = max(asker.authority, until)
+                after = asker._replace(authority=authority, asked=0, vouchers=0)
+            yield f"peer={peer} asker={index}", with_instance(state, index, after)
+
+
+def hear(state: State, rules: Rules) -> Steps:
+    """Hear a peer in one's epoch; settle once all earlier members were heard."""
+    for index, instance in enumerate(state.instances):
+        if instance.unsettled.bit_count() < 2:
+            continue
+        earlier = 0
+        for epoch in range(1, LAST_EPOCH + 1):
+            if instance.unsettled >> epoch & 1 and epoch < instance.epoch:
+                earlier |= VIEWS[epoch]
+        earlier &= ~(1 << index)
+        for peer, other in enumerate(state.instances):
+            if peer == index or other.epoch < instance.epoch:
+                continue
+            heard = instance.heard | 1 << peer
+            after = instance._replace(heard=heard)
+            if not earlier & ~heard or not rules.settle_needs_every_member:
+                after = settled(instance)
+            yield f"peer={peer} instance={index}", with_instance(state, index, after)
+
+
+def settled(instance: Instance) -> Instance:
+    """Return the instance with only its own epoch left unsettled."""
+    return instance._replace(unsettled=1 << instance.epoch, heard=0, age=0)
+
+
+def tick(state: State, rules: Rules) -> Steps:
+    """Let one tick pass at all instances."""
+    instances = []
+    for instance in state.instances:
+        asked = max(0, instance.asked - 1)
+        if not rules.count_from_asking:
+            asked = instance.asked
+        after = instance._replace(
+            authority=max(0, instance.authority - 1),
+            asked=asked,
+            vouchers=instance.vouchers if asked else 0,
+        )
+        if after.unsettled.bit_count() > 1:
+            after = after._replace(age=after.age + 1)
+            if after.age >= rules.settle_ticks:
+                after = settled(after)
+        instances.append(after)
+    yield "", state._replace(instances=tuple(instances))
+
+
+def usable(index: int, instance: Instance) -> int:
+    """Return the share that an instance uses."""
+    if not instance.authority:
+        return 0
+    return min(
+        WHOLE // VIEWS[epoch].bit_count() if is_member(index, epoch) else 0
+        for epoch in range(1, LAST_EPOCH + 1)
+        if instance.unsettled >> epoch & 1
+    )
--- /dev/null
+++ b/spec/view/model.py
@@ -0,0 +1,82 @@
+"""Model of the view: an instance joins, then leaves, while others lag."""
+
+from spec.model import Model
+from spec.mutant import Mutant
+from spec.view import actions
+from spec.view.instance import Instance
+from spec.view.rules import Rules
+from spec.view.state import State
+
+MEMBER = Instance(1, 0, actions.VALIDITY, 0, 0, 0, 0, 0b10)
+NEWCOMER = Instance(0, 0, 0, 0, 0, 0, 0, 0)
+
+
+def shares_within_whole(state: State) -> bool:
+    """The usable shares of all instances never exceed the whole."""
+    shares = [actions.usable(i, instance) for i, instance in enumerate(state.instances)]
+    return sum(shares) <= actions.WHOLE
+
+
+def canonical(state: State) -> State:
+    """Return the state with instances 0 and 1, which are alike, in sorted order."""
+    first, second, third = state.instances
+    swap = (0, 2, 1, 3, 4, 6, 5, 7)
+
+    def swapped(instance: Instance) -> Instance:
+        return instance._replace(
+            vouchers=swap[instance.vouchers], heard=swap[instance.heard]
+        )
+
+    other = State(
+        state.epoch,
+        swap[state.promises],
+        (swapped(second), swapped(first), swapped(third)),
+    )
+    return min(state, other)
+
+
+RULES = Rules()
+SHARES = "shares-within-whole"
+MODEL = Model(
+    name="view",
+    initial=State(1, 0, (MEMBER, MEMBER, NEWCOMER)),
+    rules=RULES,
+    actions=(
+        actions.promise,
+        actions.change_view,
+        actions.read_platform,
+        actions.ask,
+        actions.vouch,
+        actions.hear,
+        actions.tick,
+    ),
+    invariants={SHARES: shares_within_whole},
+    canonical=canonical,
+    mutants=(
+        Mutant(
+            "row-without-earlier-views",
+            RULES._replace(row_has_earlier_views=False),
+            SHARES,
+        ),
+        Mutant(
+            "settles-at-first-peer",
+            RULES._replace(settle_needs_every_member=False),
+            SHARES,
+        ),
+        Mutant("settles-early", RULES._replace(settle_ticks=1), SHARES),
+        Mutant(
+            "change-quorum-too-small", RULES._replace(change_quorum_short_by=1), SHARES
+        ),
+        Mutant(
+            "promise-does-not-fence",
+            RULES._replace(promise_stops_vouching=False),
+            SHARES,
+        ),
+        Mutant("promise-forgotten", RULES._replace(promise_is_kept=False), SHARES),
+        Mutant(
+            "validity-counted-from-answer",
+            RULES._replace(count_from_asking=False),
+            SHARES,
+        ),
+    ),
+)
--- /dev/null
+++ b/spec/view/rules.py
@@ -0,0 +1,19 @@
+"""Rules of the view that a mutant drops."""
+
+from typing import NamedTuple
+
+
+class Rules(NamedTuple):
+    """Steps and checks of the protocol.
+
+    ``settle_ticks`` is the validity time of authority; the proxy adds a margin for
+    clock rates.  Changes of view are 1: {0, 1}, 2: {0, 1, 2}, 3: {0, 1}.
+    """
+
+    settle_ticks: int = 2
+    row_has_earlier_views: bool = True
+    settle_needs_every_member: bool = True
+    change_quorum_short_by: int = 0
+    promise_stops_vouching: bool = True
+    promise_is_kept: bool = True
+    count_from_asking: bool = True
