--- /dev/null
+++ b/spec/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration and the preset in force."""
--- /dev/null
+++ b/spec/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rates and bursts with borrowing."""
--- a/spec/view/model.py
+++ b/spec/view/model.py
@@ -58,6 +58,11 @@
             RULES._replace(row_has_earlier_views=False),
             SHARES,
         ),
+        Mutant(
+            "newcomer-uses-share-at-once",
+            RULES._replace(newcomer_waits_for_settlement=False),
+            SHARES,
+        ),
         Mutant(
             "settles-at-first-peer",
             RULES._replace(settle_needs_every_member=False),
--- a/spec/view/rules.py
+++ b/spec/view/rules.py
@@ -12,6 +12,7 @@
 
     settle_ticks: int = 2
     row_has_earlier_views: bool = True
+    newcomer_waits_for_settlement: bool = True
     settle_needs_every_member: bool = True
     change_quorum_short_by: int = 0
     promise_stops_vouching: bool = True
--- /dev/null
+++ b/spec/withdrawal/__init__.py
@@ -0,0 +1,1 @@
+"""Withdrawal of a key."""
--- /dev/null
+++ b/spec/withdrawal/rules.py
@@ -0,0 +1,16 @@
+"""Rules of a withdrawal that a mutant drops."""
+
+from typing import NamedTuple
+
+
+class Rules(NamedTuple):
+    """Steps and checks of the protocol."""
+
+    stored_is_needed: bool = True
+    change_quorum_is_needed: bool = True
+    all_members_suffice: bool = True
+    store_expects_own_epoch: bool = True
+    vouch_carries_withdrawal: bool = True
+    view_change_stores_withdrawal: bool = True
+    read_includes_withdrawals: bool = True
+    promise_stops_confirming: bool = True
