--- /dev/null
+++ b/spec/view/rules.py
@@ -0,0 +1,23 @@
+"""Rules of the view that a mutant drops."""
+
+from typing import NamedTuple
+
+
+class Rules(NamedTuple):
+    """Steps and checks of the protocol.
+
+    ``settle_ticks`` is the validity time of authority; the proxy adds a margin for
+    clock rates.
+
+    ``views`` are the members of each epoch as bits; epoch 0 does not exist.
+    """
+
+    views: tuple[int, ...] = (0, 0b011, 0b111, 0b011)
+    settle_ticks: int = 2
+    row_has_earlier_views: bool = True
+    newcomer_waits_for_settlement: bool = True
+    settle_needs_every_member: bool = True
+    change_quorum_short_by: int = 0
+    promise_stops_vouching: bool = True
+    promise_is_kept: bool = True
+    count_from_asking: bool = True
