Add the launcher of the bench

Cause: load, demo and experiments need whole deployments as processes. Members get no further options when a plan gives none, so that the minimal stand-in starts. Not run yet: the platform stand-in and the member options do not exist. Ruled out: the launcher's children in its own process group, because Ctrl-C would then reach them before the checks.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Launcher, load tool, checker and measured experiments."""
--- /dev/null
+++ b/bench/check/__init__.py
@@ -0,0 +1,1 @@
+"""Compares what callers were told with what the databases hold."""
--- /dev/null
+++ b/bench/client/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP clients of the bench."""
--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measured experiments."""
--- /dev/null
+++ b/bench/launch/__init__.py
@@ -0,0 +1,1 @@
+"""Starts, disturbs and ends the processes of a deployment."""
--- /dev/null
+++ b/bench/launch/fleet.py
@@ -0,0 +1,166 @@
+"""Running deployment."""
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from trio import current_time, sleep
+from trio.to_thread import run_sync
+
+from bench.client.json_call import call_once
+from bench.launch.fleet_layout import FleetLayout
+from bench.launch.layout import choose_layout
+from bench.launch.process_set import PRODUCT, ProcessSet
+from bench.launch.settings_files import write_settings
+from bench.plans.deployment_plan import DeploymentPlan
+
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+class FleetError(Exception):
+    """A process of the deployment did not come up."""
+
+
+class Fleet:
+    """Processes of a deployment and the means to disturb them.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        What was started.
+    layout : FleetLayout
+        Where it listens.
+    processes : ProcessSet
+        The processes, named ``platform``, ``DATABASE-N`` and ``entry-N``.
+    """
+
+    def __init__(
+        self, plan: DeploymentPlan, layout: FleetLayout, processes: ProcessSet
+    ) -> None:
+        self.plan = plan
+        self.layout = layout
+        self.processes = processes
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.processes.signal(name, SIGKILL)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process until it is thawed."""
+        self.processes.signal(name, SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process continue."""
+        self.processes.signal(name, SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop in an orderly way."""
+        self.processes.signal(name, SIGTERM)
+
+    async def stop_instances(self, seconds: float = 8.0) -> list[str]:
+        """Terminate the instances; return those that had to be killed."""
+        for name in self.layout.instance_by_name:
+            self.terminate(name)
+        late = []
+        for name in self.layout.instance_by_name:
+            if not await run_sync(self.processes.wait, name, seconds):
+                self.kill(name)
+                late.append(name)
+        return late
+
+    async def set_member_fault(self, name: str, fault: dict[str, Any]) -> None:
+        """Set faults of a member."""
+        for members in self.layout.members_by_database.values():
+            if name in members:
+                await _set_fault(members[name], fault)
+
+    async def set_platform_fault(self, fault: dict[str, Any]) -> None:
+        """Set a fault of the platform."""
+        await _set_fault(self.layout.platform_address, fault)
+
+    async def primary(self, database: str) -> str:
+        """Return the member that is primary in the highest term, or the first."""
+        members = self.layout.members_by_database[database]
+        found = [(0, next(iter(members)))]
+        for name, address in members.items():
+            status, body = await call_once(address, "POST", "/status", {}, timeout=1)
+            if status == 200 and body.get("role") == "primary":
+                found.append((int(body["term"]) + 1, name))
+        return max(found)[1]
+
+    async def wait_ready(self) -> None:
+        """Wait until every instance is ready."""
+        deadline = current_time() + READY_TIMEOUT_S
+        for name, addresses in self.layout.instance_by_name.items():
+            while (await call_once(addresses.caller, "GET", "/readyz"))[0] != 200:
+                if current_time() > deadline or not self.processes.running(name):
+                    tail = self.processes.log_tail(name)
+                    raise FleetError(f"{name} is not ready; end of its log: {tail}")
+                await sleep(POLL_S)
+
+
+async def _set_fault(address: str, fault: dict[str, Any]) -> None:
+    status, body = await call_once(address, "POST", "/fault", fault)
+    if status != 200:
+        raise FleetError(f"{address} refused the fault: status {status}, {body}")
+
+
+@asynccontextmanager
+async def open_fleet(
+    plan: DeploymentPlan, experiment: Mapping[str, str] | None = None
+) -> AsyncIterator[Fleet]:
+    """Start a deployment, wait until it is ready, and end it afterwards.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        What to start.
+    experiment : mapping of str to str, optional
+        Options of the section ``[experiment]`` of every instance.
+    """
+    with TemporaryDirectory(prefix="jackdawspread-bench-") as path:
+        directory = Path(path)
+        layout = choose_layout(plan)
+        with ProcessSet(directory) as processes:
+            fleet = Fleet(plan, layout, processes)
+            await _start_back_ends(fleet)
+            settings = write_settings(directory, plan, layout, experiment or {})
+            for name, file in settings.items():
+                processes.start(name, (*PRODUCT, "proxy", str(file)))
+            await fleet.wait_ready()
+            yield fleet
+
+
+async def _start_back_ends(fleet: Fleet) -> None:
+    started = {}
+    if fleet.plan.starts_platform:
+        address = fleet.layout.platform_address
+        started["platform"] = address
+        fleet.processes.start("platform", (*PRODUCT, "standin-platform", address))
+    for database in fleet.plan.databases:
+        for name, address in fleet.layout.members_by_database[database.name].items():
+            options = database.member_options
+            if options:
+                options += (
+                    f"--name={name}",
+                    f"--slots={database.slots}",
+                    f"--connections={database.connections}",
+                )
+            command = (*PRODUCT, "standin-member", address, *options)
+            fleet.processes.start(name, command)
+            started[name] = address
+    await _wait_listening(fleet, started)
+
+
+async def _wait_listening(fleet: Fleet, address_by_name: dict[str, str]) -> None:
+    deadline = current_time() + READY_TIMEOUT_S
+    for name, address in address_by_name.items():
+        while not (await call_once(address, "GET", "/healthz", timeout=1))[0]:
+            if current_time() > deadline or not fleet.processes.running(name):
+                tail = fleet.processes.log_tail(name)
+                raise FleetError(f"{name} does not listen; end of its log: {tail}")
+            await sleep(POLL_S)
--- /dev/null
+++ b/bench/launch/process_set.py
@@ -0,0 +1,87 @@
+"""Child processes by name."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from types import TracebackType
+
+PRODUCT = (sys.executable, "-c", "from jackdawspread.commands.main import run; run()")
+MAX_PROCESSES = 40
+
+
+class ProcessSet:
+    """Starts processes and ends every one of them when the block is left.
+
+    Each process has its own session, so that Ctrl-C reaches only the bench,
+    which then ends the processes by id.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Takes one log file for each process.
+    """
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._by_name: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> "ProcessSet":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End every process, undisturbed by a second Ctrl-C."""
+        previous = signal.signal(signal.SIGINT, signal.SIG_IGN)
+        try:
+            for process in self._by_name.values():
+                if process.poll() is None:
+                    process.kill()
+            for process in self._by_name.values():
+                process.wait()
+        finally:
+            signal.signal(signal.SIGINT, previous)
+
+    def start(self, name: str, command: tuple[str, ...]) -> None:
+        """Start a process whose output goes to ``NAME.log``."""
+        if len(self._by_name) >= MAX_PROCESSES:
+            raise RuntimeError(f"more than {MAX_PROCESSES} processes")
+        with (self._directory / f"{name}.log").open("ab") as log:
+            self._by_name[name] = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
+
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._by_name[name].pid
+
+    def running(self, name: str) -> bool:
+        """Whether a process has not ended."""
+        return self._by_name[name].poll() is None
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that has not ended."""
+        if self.running(name):
+            os.kill(self.pid(name), number)
+
+    def log_tail(self, name: str, size: int = 600) -> str:
+        """Return the end of the output of a process."""
+        data = (self._directory / f"{name}.log").read_bytes()
+        return data[-size:].decode(errors="replace")
+
+    def wait(self, name: str, seconds: float) -> bool:
+        """Wait for a process to end and return whether it did."""
+        deadline = time.monotonic() + seconds
+        while self.running(name) and time.monotonic() < deadline:
+            time.sleep(0.02)
+        return not self.running(name)
--- /dev/null
+++ b/bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded open-loop load."""
--- /dev/null
+++ b/bench/plans/__init__.py
@@ -0,0 +1,1 @@
+"""What is started and how it is loaded."""
