Add the load tool, the checker and the demo

Cause: promises must be checked from what callers saw against what the databases hold. Change: operations of both deployments, seeded open-loop schedule, callers that roam over the instances with their session token, ledger, checker over records, totals and logs, faults by time, and python -m bench.demo. Ruled out: a schema option for the members; tables are created through the proxy, so that the bench does not depend on the packaged schema.

--- /dev/null
+++ b/bench/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults that a run applies to its deployment."""
--- /dev/null
+++ b/bench/faults/kill_primary.py
@@ -0,0 +1,9 @@
+"""Kills the primary of a database."""
+
+from typing import NamedTuple
+
+
+class KillPrimary(NamedTuple):
+    """Kills the primary of a database."""
+
+    database: str
--- /dev/null
+++ b/bench/load/caller.py
@@ -0,0 +1,171 @@
+"""Caller of the load."""
+
+from collections import defaultdict
+from itertools import cycle
+
+from trio import MemoryReceiveChannel, MemorySendChannel, current_time, sleep
+
+from bench.client.client_reply import ClientReply
+from bench.client.http_connection import HttpConnection
+from bench.load.answer_body import AnswerBody
+from bench.load.attempt import Attempt
+from bench.load.caller_profile import CallerProfile
+from bench.load.encode_call import encode_call
+from bench.load.operation_record import OperationRecord
+from bench.load.outcome import Outcome
+from bench.load.scheduled_operation import ScheduledOperation
+from bench.operations.prepare_call import prepare_call
+from bench.operations.prepared_call import PreparedCall
+from jackdawspread.codecs.json_body import decode_json
+
+MAX_ATTEMPTS = 40
+# Longer than a failover at the design scale (16 s), so that an unknown outcome is
+# resolved within the operation.
+GIVE_UP_S = 20.0
+BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.0
+# These refusals of a repeated write tell that repeating cannot change the outcome.
+FINAL_CODES = frozenset({"statement_failed", "request_id_conflict", "bad_statement"})
+
+
+class Caller:
+    """Carries out one caller's operations in order, roaming over the instances.
+
+    Owns one connection to each instance, the session token, and the ids of the
+    records acknowledged to the caller.
+
+    Parameters
+    ----------
+    profile : CallerProfile
+        Who calls.
+    instances : list of str
+        ``IP:port`` of the instances; each call goes to the next one.
+    delay : float
+        Seconds between caller and instance, one way.
+    start : float
+        Monotonic time at which the load starts.
+    inbox : trio.MemoryReceiveChannel
+        Operations.
+    records : trio.MemorySendChannel
+        Takes one `OperationRecord` for each operation.
+    """
+
+    def __init__(
+        self,
+        profile: CallerProfile,
+        instances: list[str],
+        delay: float,
+        start: float,
+        inbox: MemoryReceiveChannel[ScheduledOperation],
+        records: MemorySendChannel[OperationRecord],
+    ) -> None:
+        self._profile = profile
+        self._connections = [HttpConnection(address) for address in instances]
+        self._next_connection = cycle(self._connections)
+        self._delay = delay
+        self._start = start
+        self._inbox = inbox
+        self._records = records
+        self._token = ""
+        self._own_by_database: defaultdict[str, set[str]] = defaultdict(set)
+
+    async def run(self) -> None:
+        """Carry out operations until the inbox closes."""
+        try:
+            with self._records:
+                async for scheduled in self._inbox:
+                    await self._records.send(await self._perform(scheduled))
+        finally:
+            for connection in self._connections:
+                await connection.aclose()
+
+    async def _perform(self, scheduled: ScheduledOperation) -> OperationRecord:
+        profile = self._profile
+        call = prepare_call(scheduled.operation, profile.name, scheduled.id)
+        attempts: list[Attempt] = []
+        body: AnswerBody = {}
+        give_up = current_time() + GIVE_UP_S
+        while not attempts or (_repeats(call, attempts) and current_time() < give_up):
+            if attempts:
+                await sleep(min(BACKOFF_S * len(attempts), MAX_BACKOFF_S))
+            attempt, body = await self._attempt(scheduled, call)
+            attempts.append(attempt)
+        record = OperationRecord(
+            id=scheduled.id,
+            kind=type(scheduled.operation).__name__,
+            call=call,
+            caller=profile.name,
+            workspace=profile.workspace,
+            database=scheduled.database,
+            due=scheduled.due,
+            finished=current_time() - self._start,
+            outcome=_outcome(attempts),
+            attempts=tuple(attempts),
+        )
+        return self._judge(record, body)
+
+    async def _attempt(
+        self, scheduled: ScheduledOperation, call: PreparedCall
+    ) -> tuple[Attempt, AnswerBody]:
+        connection = next(self._next_connection)
+        target, body, headers = encode_call(
+            scheduled.database, scheduled.id, call, self._profile.key, self._token
+        )
+        await sleep(self._delay)
+        reply = await connection.call("POST", target, body, headers)
+        await sleep(self._delay)
+        self._token = reply.headers.get("session-token", self._token)
+        return _read_reply(connection.address, reply)
+
+    def _judge(self, record: OperationRecord, body: AnswerBody) -> OperationRecord:
+        if record.outcome is not Outcome.ACKNOWLEDGED:
+            return record
+        results = body.get("results", [])
+        rows = results[-1].get("rows", []) if results else []
+        own = self._own_by_database[record.database]
+        missing: tuple[str, ...] = ()
+        if record.call.reads_own:
+            missing = tuple(sorted(own - {row[1] for row in rows if len(row) > 1}))
+        effective = record.call.binding and bool(results and results[0].get("changes"))
+        if effective:
+            own.add(record.id)
+        return record._replace(
+            role=body.get("role", ""),
+            effective=effective,
+            marker_matches=bool(rows) and all(row[0] == record.id for row in rows),
+            missing=missing,
+        )
+
+
+def _read_reply(address: str, reply: ClientReply) -> tuple[Attempt, AnswerBody]:
+    if not reply.status:
+        code, ran = ("no_answer", "unknown") if reply.sent else ("no_connection", "")
+        return Attempt(address, 0, code, ran or "not_run"), {}
+    decoded = decode_json(reply.body, AnswerBody)
+    if decoded.is_error():
+        return Attempt(address, reply.status, "unreadable_answer", "unknown"), {}
+    if reply.status == 200:
+        return Attempt(address, 200, "", ""), decoded.ok
+    body = decoded.ok
+    code, ran = body.get("code", "no_code"), body.get("ran", "unknown")
+    return Attempt(address, reply.status, code, ran), body
+
+
+def _repeats(call: PreparedCall, attempts: list[Attempt]) -> bool:
+    last = attempts[-1]
+    if not last.code or last.code in FINAL_CODES or len(attempts) >= MAX_ATTEMPTS:
+        return False
+    if last.code == "no_connection":
+        return True
+    unknown = any(attempt.ran == "unknown" for attempt in attempts)
+    return last.ran != "ran" and unknown
+
+
+def _outcome(attempts: list[Attempt]) -> Outcome:
+    last = attempts[-1]
+    if not last.code:
+        return Outcome.ACKNOWLEDGED
+    final = last.code in FINAL_CODES or last.ran == "ran"
+    if not final and any(attempt.ran == "unknown" for attempt in attempts):
+        return Outcome.UNKNOWN
+    return Outcome.REFUSED
--- /dev/null
+++ b/bench/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Operations of the callers."""
--- /dev/null
+++ b/bench/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Complete runs: deployment, load, faults, checks."""
--- /dev/null
+++ b/bench/runs/run_deployment.py
@@ -0,0 +1,89 @@
+"""Carries out a complete run."""
+
+from collections.abc import Callable
+
+from trio import current_time, open_nursery, sleep_until
+
+from bench.check.check_run import check_run
+from bench.check.read_database import read_database, read_log_texts
+from bench.client.administration import create_workspace
+from bench.faults.applied_fault import AppliedFault
+from bench.faults.apply_fault import apply_fault
+from bench.faults.kill_primary import KillPrimary
+from bench.faults.timed_fault import TimedFault
+from bench.launch.fleet import Fleet, open_fleet
+from bench.load.caller_profile import CallerProfile
+from bench.load.load_run import LoadRun
+from bench.load.schedule import make_schedule
+from bench.load.seed_databases import seed_databases
+from bench.runs.progress import show_progress
+from bench.runs.run_plan import RunPlan
+from bench.runs.run_result import RunResult
+
+Print = Callable[[str], None]
+
+
+async def run_deployment(plan: RunPlan, show: Print) -> RunResult:
+    """Start a deployment, load and disturb it, check the promises, and end it.
+
+    Parameters
+    ----------
+    plan : RunPlan
+        What to run.
+    show : callable
+        Takes lines of progress.
+    """
+    async with open_fleet(plan.deployment, plan.experiment) as fleet:
+        show(f"started {plan.deployment.name}; creating workspaces and tables")
+        profiles = await _create_callers(fleet, plan)
+        addresses = [a.caller for a in fleet.layout.instance_by_name.values()]
+        databases = [database.name for database in plan.deployment.databases]
+        name, key, callers = plan.deployment.name, profiles[0].key, len(profiles)
+        await seed_databases(name, databases, addresses[0], key, callers)
+        schedule = make_schedule(plan.deployment, plan.load)
+        load = LoadRun(schedule, profiles, addresses, plan.deployment.client_delay)
+        faults: list[AppliedFault] = []
+        async with open_nursery() as nursery:
+            nursery.start_soon(show_progress, load, faults, show)
+            nursery.start_soon(_apply_faults, fleet, plan.faults, faults, show)
+            await load.run()
+            nursery.cancel_scope.cancel()
+        # The checker needs connections of the members, which the instances hold.
+        killed = await fleet.stop_instances()
+        contents = {name: await read_database(fleet, name) for name in databases}
+        texts, unread = await read_log_texts(fleet)
+        records = load.ledger.records
+        report = check_run(records, contents, texts, unread, faults)
+        return RunResult(records, faults, report, killed)
+
+
+async def _create_callers(fleet: Fleet, plan: RunPlan) -> list[CallerProfile]:
+    """Create the workspaces, spread over the instances, and name the callers."""
+    admins = [a.admin for a in fleet.layout.instance_by_name.values()]
+    profiles: list[CallerProfile] = []
+    for index, workspace in enumerate(plan.deployment.workspaces):
+        key = ""
+        if plan.deployment.starts_platform:
+            admin = admins[index % len(admins)]
+            credential = fleet.layout.operator_credential
+            key = await create_workspace(admin, credential, workspace)
+        for _ in range(plan.load.callers_per_workspace):
+            caller = f"caller-{len(profiles)}"
+            profiles.append(CallerProfile(caller, workspace.name, key))
+    return profiles
+
+
+async def _apply_faults(
+    fleet: Fleet,
+    timed: tuple[TimedFault, ...],
+    applied: list[AppliedFault],
+    show: Print,
+) -> None:
+    start = current_time()
+    for at, fault in timed:
+        await sleep_until(start + at)
+        description = await apply_fault(fault, fleet)
+        database = fault.database if isinstance(fault, KillPrimary) else ""
+        now = current_time() - start
+        applied.append(AppliedFault(now, description, database))
+        show(f"{now:5.1f} s  fault: {description}")
--- /dev/null
+++ b/bench/runs/run_result.py
@@ -0,0 +1,19 @@
+"""Result of a complete run."""
+
+from typing import NamedTuple
+
+from bench.check.check_report import CheckReport
+from bench.faults.applied_fault import AppliedFault
+from bench.load.operation_record import OperationRecord
+
+
+class RunResult(NamedTuple):
+    """Records, applied faults and checks of a run.
+
+    ``killed_at_stop`` names the instances that did not stop in time when asked.
+    """
+
+    records: list[OperationRecord]
+    faults: list[AppliedFault]
+    report: CheckReport
+    killed_at_stop: list[str]
