Add the experiment frame, the relay experiment and checks of the bench

Cause: variants of the proxy need the same load and faults side by side, and the cost of one instance must be known against a bare relay. Change: experiments as NamedTuples, run by singledispatch on their type, with table, JSON and plot; load processes for one instance; a relay written with the product's codecs; features that feed the checker one broken promise each. Ruled out: evenly spaced calls, because those of different load processes fell together.

--- a/bench/check/check_report.py
+++ b/bench/check/check_report.py
@@ -1,5 +1,7 @@
 """Result of the checks of a run."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 
@@ -28,7 +30,7 @@
         Answers without the marker of their request.
     replica_reads, stale_reads : int
         Reads that replicas served, of the reads that may go there.
-    failover_gap_by_database : dict of str to float
+    failover_gap_by_database : mapping of str to float
         Seconds without an acknowledged write around the loss of a primary.
     worst_workspace : str
         Workspace with the smallest share of its operations acknowledged.
@@ -47,13 +49,13 @@
     mismatches: tuple[str, ...]
     refused_not_run: int
     ran_despite_refusal: tuple[str, ...]
-    own_reads: int
-    own_reads_missing: tuple[str, ...]
-    wrong_answers: tuple[str, ...]
-    replica_reads: int
-    stale_reads: int
-    failover_gap_by_database: dict[str, float]
-    worst_workspace: str
-    worst_share: float
     unread: tuple[str, ...]
     logs_unread: tuple[str, ...]
+    own_reads: int = 0
+    own_reads_missing: tuple[str, ...] = ()
+    wrong_answers: tuple[str, ...] = ()
+    replica_reads: int = 0
+    stale_reads: int = 0
+    failover_gap_by_database: Mapping[str, float] = MappingProxyType({})
+    worst_workspace: str = ""
+    worst_share: float = 0.0
--- a/bench/client/administration.py
+++ b/bench/client/administration.py
@@ -1,10 +1,11 @@
 """Client of the administration API."""
 
+from bench.bench_error import BenchError
 from bench.client.json_call import call_once
 from bench.plans.workspace_plan import WorkspacePlan
 
 
-class AdministrationError(Exception):
+class AdministrationError(BenchError):
     """An administration call did not succeed."""
 
 
--- /dev/null
+++ b/bench/experiments/run_experiment.py
@@ -0,0 +1,40 @@
+"""Carries out experiments."""
+
+from collections.abc import Callable
+from functools import singledispatch
+
+from bench.check.violations import list_violations
+from bench.experiments.fleet_experiment import FleetExperiment
+from bench.experiments.measure_relay import measure_relay
+from bench.experiments.relay_experiment import RelayExperiment
+from bench.runs.run_deployment import run_deployment
+from bench.runs.run_plan import RunPlan
+from bench.runs.summary import Row, summarize
+
+Print = Callable[[str], None]
+
+
+@singledispatch
+async def run_experiment(experiment: object, show: Print) -> list[Row]:
+    """Carry out an experiment and return one row for each variant."""
+    raise TypeError(f"no such experiment: {type(experiment).__name__}")
+
+
+@run_experiment.register
+async def _(experiment: FleetExperiment, show: Print) -> list[Row]:
+    rows: list[Row] = []
+    for variant in experiment.variants:
+        show(f"variant {variant.name}")
+        plan = RunPlan(
+            experiment.deployment, experiment.load, experiment.faults, variant.options
+        )
+        result = await run_deployment(plan, show)
+        violations = len(list_violations(result.report))
+        row: Row = {"variant": variant.name, "violations": violations}
+        rows.append(row | summarize(result))
+    return rows
+
+
+@run_experiment.register
+async def _(experiment: RelayExperiment, show: Print) -> list[Row]:
+    return await measure_relay(experiment, show)
--- /dev/null
+++ b/bench/experiments/write_results.py
@@ -0,0 +1,66 @@
+"""Writes the results of an experiment."""
+
+from pathlib import Path
+
+from bench.experiments.fleet_experiment import FleetExperiment
+from bench.experiments.relay_experiment import RelayExperiment
+from bench.runs.summary import Row
+from jackdawspread.codecs.json_body import encode_json
+
+RESULTS = Path(__file__).resolve().parent.parent / "results"
+
+
+def format_table(rows: list[Row]) -> str:
+    """Return rows as a text table, one column for each variant."""
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [[name, *(str(row.get(name, "")) for row in rows)] for name in names]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = (
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        for line in cells
+    )
+    return "\n".join(line.rstrip() for line in lines) + "\n"
+
+
+def write_results(
+    experiment: FleetExperiment | RelayExperiment, rows: list[Row]
+) -> None:
+    """Write a text table, a JSON file with settings and rows, and a plot."""
+    RESULTS.mkdir(exist_ok=True)
+    base = RESULTS / experiment.name
+    base.with_suffix(".txt").write_text(format_table(rows), encoding="utf-8")
+    document = {
+        "experiment": experiment.name,
+        "settings": _plain(experiment),
+        "rows": rows,
+    }
+    base.with_suffix(".json").write_bytes(encode_json(document) + b"\n")
+    _plot(experiment, rows, base.with_suffix(".png"))
+
+
+def _plain(value: object) -> object:
+    """Return nested NamedTuples as objects, faults with the name of their type."""
+    if hasattr(value, "_asdict"):
+        fields = {name: _plain(item) for name, item in value._asdict().items()}
+        return {"type": type(value).__name__, **fields}
+    return [_plain(item) for item in value] if isinstance(value, tuple) else value
+
+
+def _plot(
+    experiment: FleetExperiment | RelayExperiment, rows: list[Row], path: Path
+) -> None:
+    try:
+        import matplotlib
+    except ImportError:
+        return
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(5, 3.5), layout="constrained")
+    heights = [row[experiment.metric] for row in rows]
+    bars = axes.bar([row["variant"] for row in rows], heights)
+    axes.bar_label(bars)
+    axes.set_ylabel(experiment.metric)
+    axes.set_title(experiment.name)
+    figure.savefig(path)
+    pyplot.close(figure)
--- a/bench/launch/fleet.py
+++ b/bench/launch/fleet.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from trio import current_time, sleep
-from trio.to_thread import run_sync
 
+from bench.bench_error import BenchError
 from bench.client.json_call import call_once
 from bench.launch.fleet_layout import FleetLayout
 from bench.launch.layout import choose_layout
@@ -21,7 +21,7 @@
 POLL_S = 0.05
 
 
-class FleetError(Exception):
+class FleetError(BenchError):
     """A process of the deployment did not come up."""
 
 
@@ -67,7 +67,7 @@
             self.terminate(name)
         late = []
         for name in self.layout.instance_by_name:
-            if not await run_sync(self.processes.wait, name, seconds):
+            if not await self.processes.wait(name, seconds):
                 self.kill(name)
                 late.append(name)
         return late
--- a/bench/load/latency.py
+++ b/bench/load/latency.py
@@ -20,4 +20,4 @@
     """Return a percentile in milliseconds; 0 if nothing was recorded."""
     if not histogram.get_total_count():
         return 0.0
-    return histogram.get_value_at_percentile(percentile) / 1000
+    return float(histogram.get_value_at_percentile(percentile) / 1000)
--- a/bench/load/seed_databases.py
+++ b/bench/load/seed_databases.py
@@ -2,6 +2,7 @@
 
 from trio import current_time, open_nursery, sleep
 
+from bench.bench_error import BenchError
 from bench.client.http_connection import HttpConnection
 from bench.load.encode_call import encode_call
 from bench.load.seed_data import (
@@ -22,7 +23,7 @@
 MAX_STATEMENTS = 50
 
 
-class SeedError(Exception):
+class SeedError(BenchError):
     """The initial data could not be written."""
 
 
--- a/bench/plans/deployments.py
+++ b/bench/plans/deployments.py
@@ -47,3 +47,15 @@
     client_delay=0.001,
 )
 DEPLOYMENT_BY_NAME = {plan.name: plan for plan in (SALTBUSH, SAOMAI)}
+
+# One instance before one member, to measure what the instance costs by itself. It
+# runs without platform until the platform stand-in exists; then it needs
+# starts_platform=True and member_options=("--service-ms=0",).
+SINGLE = DeploymentPlan(
+    name="saltbush",
+    databases=(DatabasePlan("swap1", 1, 64, 256, ()),),
+    instances=1,
+    workspaces=(WorkspacePlan("garden1", 1e6, 1_000_000, 1.0, 1.0),),
+    client_delay=0.0,
+    starts_platform=False,
+)
