Bound the time that callers of the load tool pursue operations

Cause: callers waiting in line for a database that does not come back kept a run going for minutes. Change: no call starts later than 20 s after the last scheduled one; what is left is recorded as dropped. Results show the refused calls by code. Ruled out: cancelling the callers, because their records would be lost.

--- a/bench/experiments/write_results.py
+++ b/bench/experiments/write_results.py
@@ -1,5 +1,6 @@
 """Writes the results of an experiment."""
 
+from functools import singledispatch
 from pathlib import Path
 
 from bench.experiments.fleet_experiment import FleetExperiment
@@ -31,6 +32,7 @@
     base.with_suffix(".txt").write_text(format_table(rows), encoding="utf-8")
     document = {
         "experiment": experiment.name,
+        "seed": _seed(experiment),
         "settings": _plain(experiment),
         "rows": rows,
     }
@@ -38,6 +40,21 @@
     _plot(experiment, rows, base.with_suffix(".png"))
 
 
+@singledispatch
+def _seed(experiment: object) -> int:
+    raise TypeError(f"no such experiment: {type(experiment).__name__}")
+
+
+@_seed.register
+def _(experiment: FleetExperiment) -> int:
+    return experiment.load.seed
+
+
+@_seed.register
+def _(experiment: RelayExperiment) -> int:
+    return experiment.seed
+
+
 def _plain(value: object) -> object:
     """Return nested NamedTuples as objects, faults with the name of their type."""
     if hasattr(value, "_asdict"):
--- a/bench/load/load_run.py
+++ b/bench/load/load_run.py
@@ -22,6 +22,9 @@
 
 CALLER_INBOX = 200
 LEDGER_INBOX = 1_000
+# As long as a caller pursues one operation; it bounds a run whose callers wait in
+# line for a database that does not come back.
+DRAIN_S = 20.0
 
 
 class LoadRun:
@@ -82,7 +85,9 @@
         first = index % len(self._instances)
         instances = self._instances[first:] + self._instances[:first]
         records = self._records.clone()
-        return Caller(profile, instances, self._delay, self.start, inbox, records)
+        last = self._schedule[-1].due if self._schedule else 0.0
+        end = self.start + last + DRAIN_S
+        return Caller(profile, instances, self._delay, self.start, end, inbox, records)
 
     async def _send_all(
         self, inboxes: list[MemorySendChannel[ScheduledOperation]]
--- a/bench/load/outcome.py
+++ b/bench/load/outcome.py
@@ -6,7 +6,8 @@
 class Outcome(StrEnum):
     """How an operation ended for its caller.
 
-    ``DROPPED`` means that the load tool itself could not start it.
+    ``DROPPED`` means that the load tool made no call: the caller was still busy
+    with earlier operations.
     """
 
     ACKNOWLEDGED = "acknowledged"
--- a/bench/runs/summary.py
+++ b/bench/runs/summary.py
@@ -1,5 +1,7 @@
 """Rows that summarize a run."""
 
+from collections import Counter
+
 from bench.load.latency import make_histogram, percentile_ms
 from bench.load.outcome import Outcome
 from bench.runs.run_result import RunResult
@@ -19,6 +21,7 @@
     return {
         "operations": len(records),
         **counts,
+        "refused_calls": _refused_calls(result),
         "read_p50_ms": percentile_ms(reads, 50),
         "read_p99_ms": percentile_ms(reads, 99),
         "write_p50_ms": percentile_ms(writes, 50),
@@ -40,3 +43,10 @@
         "logs_unread": len(report.logs_unread),
         "killed_at_stop": len(result.killed_at_stop),
     }
+
+
+def _refused_calls(result: RunResult) -> str:
+    """Return how often each code and ran was answered, over all attempts."""
+    attempts = (a for r in result.records for a in r.attempts if a.code)
+    counts = Counter(f"{a.code}/{a.ran}" for a in attempts)
+    return ", ".join(f"{name}={count}" for name, count in sorted(counts.items()))
--- a/features/steps/bench_caller_steps.py
+++ b/features/steps/bench_caller_steps.py
@@ -1,6 +1,7 @@
 """Steps for the callers of the load tool."""
 
 import sys
+from math import inf
 from pathlib import Path
 
 from behave import given, then, when
@@ -54,7 +55,7 @@
         profile = CallerProfile("caller-1", "garden1", "key")
         await give.send(ScheduledOperation("c1", 0.0, 0, "swap1", ClaimPacket("p")))
         give.close()
-        await Caller(profile, addresses, 0.0, 0.0, inbox, records).run()
+        await Caller(profile, addresses, 0.0, 0.0, inf, inbox, records).run()
         nursery.cancel_scope.cancel()
     return taken.receive_nowait()
 
