Report crashed processes and test what the bench reads

Cause: a run passed although instances had crashed, as long as the promises held. Ruled out: reading the rich traceback of typer from the log, because its last lines are a frame; processes get TYPER_STANDARD_TRACEBACK=1.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -3,11 +3,11 @@
 import sys
 from functools import partial
 
-from bench.check.violations import list_violations
 from bench.faults.kill_primary import KillPrimary
 from bench.faults.timed_fault import TimedFault
 from bench.plans.deployments import DEPLOYMENT_BY_NAME
 from bench.plans.load_plan import LoadPlan
+from bench.runs.list_failures import list_failures
 from bench.runs.run_deployment import run_deployment
 from bench.runs.run_plan import RunPlan
 from bench.runs.run_result import RunResult
@@ -40,7 +40,7 @@
     print()
     for name, value in summarize(result).items():
         print(f"{name:24}{value}")
-    violations = list_violations(result.report)
+    violations = list_failures(result)
     for line in violations:
         print(f"VIOLATED: {line}")
     if not violations:
--- a/bench/experiments/run_experiment.py
+++ b/bench/experiments/run_experiment.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from functools import singledispatch
 
-from bench.check.violations import list_violations
 from bench.experiments.fleet_experiment import FleetExperiment
 from bench.experiments.measure_relay import measure_relay
 from bench.experiments.relay_experiment import RelayExperiment
+from bench.runs.list_failures import list_failures
 from bench.runs.run_deployment import run_deployment
 from bench.runs.run_plan import RunPlan
 from bench.runs.summary import Row, summarize
@@ -29,7 +29,7 @@
             experiment.deployment, experiment.load, experiment.faults, variant.options
         )
         result = await run_deployment(plan, show)
-        violations = len(list_violations(result.report))
+        violations = len(list_failures(result))
         row: Row = {"variant": variant.name, "violations": violations}
         rows.append(row | summarize(result))
     return rows
--- a/bench/launch/process_set.py
+++ b/bench/launch/process_set.py
@@ -11,6 +11,8 @@
 
 PRODUCT = (sys.executable, "-c", "from jackdawspread.commands.main import run; run()")
 MAX_PROCESSES = 40
+# A plain traceback ends with the error, which the last lines of a log then show.
+ENVIRONMENT = {**os.environ, "TYPER_STANDARD_TRACEBACK": "1"}
 POLL_S = 0.02
 
 
@@ -29,6 +31,7 @@
     def __init__(self, directory: Path) -> None:
         self._directory = directory
         self._by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self._ended_on_request: set[str] = set()
 
     def __enter__(self) -> "ProcessSet":
         return self
@@ -57,6 +60,7 @@
         with (self._directory / f"{name}.log").open("ab") as log:
             self._by_name[name] = subprocess.Popen(
                 command,
+                env=ENVIRONMENT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -78,9 +82,19 @@
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that has not ended."""
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self._ended_on_request.add(name)
         if self.running(name):
             os.kill(self.pid(name), number)
 
+    def crashed(self) -> dict[str, str]:
+        """Return the end of the output of every process that ended by itself."""
+        return {
+            name: self.log_tail(name)
+            for name in self._by_name
+            if not self.running(name) and name not in self._ended_on_request
+        }
+
     def log_tail(self, name: str, size: int = 600) -> str:
         """Return the end of the output of a process."""
         data = (self._directory / f"{name}.log").read_bytes()
--- a/bench/load/caller.py
+++ b/bench/load/caller.py
@@ -10,7 +10,7 @@
 from bench.load.answer_body import AnswerBody
 from bench.load.attempt import Attempt
 from bench.load.caller_profile import CallerProfile
-from bench.load.encode_call import encode_call
+from bench.load.encode_call import CALL_TIMEOUT_S, encode_call
 from bench.load.operation_record import OperationRecord
 from bench.load.outcome import Outcome
 from bench.load.scheduled_operation import ScheduledOperation
@@ -113,7 +113,7 @@
             scheduled.database, scheduled.id, call, self._profile.key, self._token
         )
         await sleep(self._delay)
-        reply = await connection.call("POST", target, body, headers)
+        reply = await connection.call("POST", target, body, headers, CALL_TIMEOUT_S)
         await sleep(self._delay)
         self._token = reply.headers.get("session-token", self._token)
         return _read_reply(connection.address, reply)
--- a/bench/load/encode_call.py
+++ b/bench/load/encode_call.py
@@ -5,6 +5,8 @@
 from jackdawspread.codecs.json_body import encode_json
 
 DEADLINE_MS = 5_000
+# An answer at the deadline still has to arrive.
+CALL_TIMEOUT_S = DEADLINE_MS / 1000 + 1.0
 
 
 def encode_call(
--- a/bench/runs/run_deployment.py
+++ b/bench/runs/run_deployment.py
@@ -48,12 +48,13 @@
             await load.run()
             nursery.cancel_scope.cancel()
         # The checker needs connections of the members, which the instances hold.
+        crashed = fleet.processes.crashed()
         killed = await fleet.stop_instances()
         contents = {name: await read_database(fleet, name) for name in databases}
         texts, unread = await read_log_texts(fleet)
         records = load.ledger.records
         report = check_run(records, contents, texts, unread, faults)
-        return RunResult(records, faults, report, killed)
+        return RunResult(records, faults, report, killed, crashed)
 
 
 async def _apply_faults(
--- a/bench/runs/run_result.py
+++ b/bench/runs/run_result.py
@@ -10,10 +10,12 @@
 class RunResult(NamedTuple):
     """Records, applied faults and checks of a run.
 
-    ``killed_at_stop`` names the instances that did not stop in time when asked.
+    ``killed_at_stop`` names the instances that did not stop in time when asked,
+    ``crashed`` the processes that ended by themselves, with the end of their logs.
     """
 
     records: list[OperationRecord]
     faults: list[AppliedFault]
     report: CheckReport
     killed_at_stop: list[str]
+    crashed: dict[str, str]
--- a/bench/runs/summary.py
+++ b/bench/runs/summary.py
@@ -41,6 +41,7 @@
         "worst_workspace": report.worst_workspace,
         "worst_share": round(report.worst_share, 4),
         "logs_unread": len(report.logs_unread),
+        "crashed": len(result.crashed),
         "killed_at_stop": len(result.killed_at_stop),
     }
 
--- a/features/bench.feature
+++ b/features/bench.feature
@@ -51,12 +51,45 @@
     Then only the first instance was called
     And the claim is refused
 
+  Scenario: No call starts after the end of a run
+    # Guards against a run that lasts as long as its slowest caller has work.
+    Given an instance that answers unknown and an instance that acknowledges
+    When a caller claims a packet after the end of the run
+    Then no instance was called
+    And the claim is dropped
+
   Scenario: The schedule depends on the seed alone and is bounded
     # Guards against runs that cannot be repeated or do not end.
     Then two schedules with one seed are equal, and others differ
     And a schedule holds at most its operations and its duration
 
+  Scenario: A process that ends by itself is reported
+    # Guards against a run that passes although a process crashed on the way.
+    When one process ends by itself and another is killed
+    Then only the first one counts as crashed
+
   Scenario: Every process ends with its block, also a frozen one
     # Guards against processes left behind after an error.
     When a block that started a frozen and a running process ends with an error
     Then both processes have ended
+
+  Scenario: The checker reads every page from the primary in the highest term
+    # Guards against records on a later page counting as lost, and against reading a
+    # member that has been replaced.
+    Given a replaced primary without records and a primary with 1500 records
+    When the checker reads the database
+    Then it has found 1500 records
+    And it has connected before it read
+
+  Scenario: A request id anywhere in a member's log is found
+    # Guards against a refused request that ran and is overlooked.
+    Given a replaced primary without records and a primary with 1500 records
+    When the checker reads the logs
+    Then the request id inside the statements of the log is found
+
+  Scenario: A workspace and its key come from the administration API
+    # Guards against a launcher that sends other requests than operators may.
+    Given an administration API
+    When the bench creates a workspace
+    Then the operator's credential came with both requests
+    And the bench has the key
--- a/features/steps/bench_caller_steps.py
+++ b/features/steps/bench_caller_steps.py
@@ -36,11 +36,18 @@
 def claim(context: Context) -> None:
     """Run one caller against both instances."""
     context.requests = ([], [])
-    context.record = run(_claim, context.answers, context.requests)
+    context.record = run(_claim, context.answers, context.requests, inf)
+
+
+@when("a caller claims a packet after the end of the run")
+def late_claim(context: Context) -> None:
+    """Run one caller whose time is over."""
+    context.requests = ([], [])
+    context.record = run(_claim, context.answers, context.requests, -inf)
 
 
 async def _claim(
-    answers: list[tuple[int, dict]], requests: tuple[list[HttpRequest], ...]
+    answers: list[tuple[int, dict]], requests: tuple[list[HttpRequest], ...], end: float
 ) -> OperationRecord:
     stopping, addresses = Event(), []
     async with open_nursery() as nursery:
@@ -55,7 +62,7 @@
         profile = CallerProfile("caller-1", "garden1", "key")
         await give.send(ScheduledOperation("c1", 0.0, 0, "swap1", ClaimPacket("p")))
         give.close()
-        await Caller(profile, addresses, 0.0, 0.0, inf, inbox, records).run()
+        await Caller(profile, addresses, 0.0, 0.0, end, inbox, records).run()
         nursery.cancel_scope.cancel()
     return taken.receive_nowait()
 
@@ -83,6 +90,18 @@
     assert [len(seen) for seen in context.requests] == [1, 0], context.requests
 
 
+@then("no instance was called")
+def no_request(context: Context) -> None:
+    """Check that the caller made no call."""
+    assert [len(seen) for seen in context.requests] == [0, 0], context.requests
+
+
+@then("the claim is dropped")
+def claim_dropped(context: Context) -> None:
+    """Check the record."""
+    assert context.record.outcome is Outcome.DROPPED, context.record
+
+
 @then("the claim is acknowledged and effective")
 def claim_acknowledged(context: Context) -> None:
     """Check the record."""
