--- a/features/fakes/rate_fleet.py
+++ b/features/fakes/rate_fleet.py
@@ -9,6 +9,7 @@
 from jackdawspread.decisions.grant_peer import GrantPeer
 from jackdawspread.decisions.peer_asked import PeerAsked
 from jackdawspread.decisions.rate_bucket import RateBucket
+from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.decisions.rate_limiter import (
     RateLimiter,
     decide_rate,
@@ -17,7 +18,6 @@
 from jackdawspread.decisions.rate_share import rate_share
 from jackdawspread.decisions.refuse_request import RefuseRequest
 from jackdawspread.decisions.request_arrived import RequestArrived
-from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.messages.view import View
 from jackdawspread.messages.view_member import ViewMember
 
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -48,7 +48,7 @@
 
 @when('"{name}" is asked to stop')
 def stop(context: Context, name: str) -> None:
-    context.fleet.deliver(name, PlannedStop())
+    context.fleet.deliver(name, PlannedStop(has_drained=True))
 
 
 @when('"{name}" is isolated')
--- a/src/jackdawspread/commands/proxy.py
+++ b/src/jackdawspread/commands/proxy.py
@@ -8,7 +8,7 @@
 from trio import Event, open_nursery, open_signal_receiver, run
 from typer import Argument, Exit, echo
 
-from jackdawspread.composition import run_instance
+from jackdawspread.composition import Instance
 from jackdawspread.settings.instance_settings import InstanceSettings
 from jackdawspread.settings.instance_settings_file import read_instance_settings
 
@@ -32,7 +32,7 @@
     stopping = Event()
     async with open_nursery() as nursery:
         nursery.start_soon(_stop_on_signal, stopping)
-        await run_instance(settings, stopping)
+        await Instance(settings, stopping).run()
         nursery.cancel_scope.cancel()
 
 
--- a/src/jackdawspread/composition.py
+++ b/src/jackdawspread/composition.py
@@ -1,101 +1,183 @@
 """Composition root of an entry instance."""
 
-from math import inf
 from secrets import token_hex
 
 from trio import (
+    CancelScope,
     Event,
-    MemoryReceiveChannel,
     MemorySendChannel,
+    Nursery,
     SocketListener,
+    current_time,
     open_memory_channel,
     open_nursery,
     open_tcp_listeners,
+    sleep,
 )
 
 from jackdawspread.codecs.session_token import SessionTokenCodec
-from jackdawspread.messages.control_snapshot import ControlSnapshot
-from jackdawspread.messages.routed_submission import RoutedSubmission
-from jackdawspread.messages.seat_assignment import SeatAssignment
-from jackdawspread.messages.term_announcement import TermAnnouncement
+from jackdawspread.messages.instance_listing import InstanceListing
+from jackdawspread.messages.planned_stop import PlannedStop
+from jackdawspread.messages.platform_call import PlatformCall
+from jackdawspread.settings.database_settings import DatabaseSettings
 from jackdawspread.settings.instance_settings import InstanceSettings
+from jackdawspread.tasks.admin_handler import AdminHandler
 from jackdawspread.tasks.caller_handler import CallerHandler
+from jackdawspread.tasks.control_task import ControlInbox, ControlTask
+from jackdawspread.tasks.control_timer import ControlTimer
 from jackdawspread.tasks.database_owner import DatabaseOwner, OwnerEvent
+from jackdawspread.tasks.frame_queue import FrameQueue
 from jackdawspread.tasks.gateway import Gateway, GatewayEvent
 from jackdawspread.tasks.http_server import HttpServer
+from jackdawspread.tasks.instance_registration import InstanceRegistration
+from jackdawspread.tasks.peer_hub import HubInput, PeerHub
+from jackdawspread.tasks.peer_server import PeerServer
+from jackdawspread.tasks.peer_stream import PeerStream
+from jackdawspread.tasks.platform_client import PlatformClient
 
+# Full inboxes refuse further requests, so these bound the memory of an overload.
 GATEWAY_INBOX = 10_000
 OWNER_INBOX = 10_000
+HUB_INBOX = 20_000
+CONTROL_INBOX = 1_000
+PLATFORM_INBOX = 64
+# Peers and the platform learn of a departure within this time.
+DEPARTURE_S = 1.0
 
 
-async def run_instance(settings: InstanceSettings, stopping: Event) -> None:
-    """Wire the parts of an instance and run them until it has stopped."""
-    gateway_send, gateway_inbox = open_memory_channel[GatewayEvent](GATEWAY_INBOX)
-    owner_by_database: dict[str, MemorySendChannel[RoutedSubmission]] = {}
-    incarnation = token_hex(8)
-    async with open_nursery() as nursery:
-        for name, database in settings.database_by_name.items():
-            send, inbox = open_memory_channel[OwnerEvent](OWNER_INBOX)
-            submissions, owner_inbox = open_memory_channel[RoutedSubmission](
-                OWNER_INBOX
+class Instance:
+    """The parts of an entry instance and the channels between them.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+    stopping : trio.Event
+        Set to begin a planned stop.
+    """
+
+    def __init__(self, settings: InstanceSettings, stopping: Event) -> None:
+        self._settings = settings
+        self._stopping = stopping
+        self._closing = Event()
+        self._incarnation = token_hex(8)
+        self._gateway, self._gateway_inbox = open_memory_channel[GatewayEvent](
+            GATEWAY_INBOX
+        )
+        self._control, self._control_inbox = open_memory_channel[ControlInbox](
+            CONTROL_INBOX
+        )
+        self._hub, self._hub_inbox = open_memory_channel[HubInput](HUB_INBOX)
+        self._owner_by_database: dict[str, MemorySendChannel[OwnerEvent]] = {}
+
+    async def run(self) -> None:
+        """Run every part until a planned stop is complete."""
+        async with open_nursery() as parts:
+            self._start_owners(parts)
+            self._start_control(parts)
+            self._start_peers(parts)
+            self._start_gateway(parts)
+            registration = InstanceRegistration(
+                self._settings.platform_address, self._listing()
             )
-            owner_by_database[name] = submissions
-            nursery.start_soon(_forward, owner_inbox, send)
-            # Until the control task exists, the single instance holds seat 0.
-            seat = SeatAssignment(name, 1, 0, True, database.connections)
-            send.send_nowait(seat)
-            send.send_nowait(_open_snapshot())
-            terms, _ = open_memory_channel[TermAnnouncement](1)
-            owner = DatabaseOwner(database, incarnation, inbox, terms)
-            nursery.start_soon(owner.run)
+            parts.start_soon(registration.run, self._stopping)
+            await self._serve()
+            await self._depart()
+            parts.cancel_scope.cancel()
+
+    def _listing(self) -> InstanceListing:
+        settings = self._settings
+        return InstanceListing(settings.caller_address, settings.failure_domain, "live")
+
+    def _start_owners(self, parts: Nursery) -> None:
+        for name, database in self._settings.database_by_name.items():
+            self._owner_by_database[name] = self._start_owner(database, parts)
+
+    def _start_owner(
+        self, database: DatabaseSettings, parts: Nursery
+    ) -> MemorySendChannel[OwnerEvent]:
+        send, inbox = open_memory_channel[OwnerEvent](OWNER_INBOX)
+        owner = DatabaseOwner(
+            database,
+            self._incarnation,
+            inbox,
+            self._control.clone(),
+        )
+        parts.start_soon(owner.run)
+        return send
+
+    def _start_control(self, parts: Nursery) -> None:
+        settings = self._settings
+        calls, call_inbox = open_memory_channel[PlatformCall](PLATFORM_INBOX)
+        client = PlatformClient(
+            settings.platform_address,
+            settings.platform_timeout_ms / 1000,
+            call_inbox,
+            self._control.clone(),
+        )
+        control = ControlTask(
+            settings,
+            self._incarnation,
+            self._control_inbox,
+            self._hub,
+            calls,
+            (self._gateway, *self._owner_by_database.values()),
+            dict(self._owner_by_database),
+        )
+        parts.start_soon(client.run)
+        parts.start_soon(control.run)
+        parts.start_soon(ControlTimer(self._control.clone()).run)
+
+    def _start_peers(self, parts: Nursery) -> None:
+        hub = PeerHub(self._settings.peer_address, self._hub_inbox)
+        server = PeerServer(self._settings.peer_address, self._open_stream)
+        parts.start_soon(hub.run)
+        parts.start_soon(server.run)
+
+    def _open_stream(self, queue: FrameQueue) -> PeerStream:
+        return PeerStream(queue, self._owner_by_database, self._control, self._gateway)
+
+    def _start_gateway(self, parts: Nursery) -> None:
         gateway = Gateway(
-            gateway_inbox,
-            gateway_send,
-            owner_by_database,
-            SessionTokenCodec(settings.session_secret),
+            self._settings.peer_address,
+            self._gateway_inbox,
+            self._gateway,
+            self._owner_by_database,
+            self._hub,
+            SessionTokenCodec(self._settings.session_secret),
         )
-        nursery.start_soon(gateway.run)
-        handler = CallerHandler(gateway_send, stopping)
-        listener = await listen(settings.caller_address)
-        await HttpServer(listener, handler.handle, stopping).run()
-        nursery.cancel_scope.cancel()
-
-
-async def _forward(
-    submissions: MemoryReceiveChannel[RoutedSubmission],
-    owner: MemorySendChannel[OwnerEvent],
-) -> None:
-    async for submission in submissions:
-        await owner.send(submission)
-
-
-def _open_snapshot() -> ControlSnapshot:
-    """Return a snapshot that admits the gateway's only key id, the empty one."""
-    return ControlSnapshot(
-        incarnation="",
-        authority_deadline=inf,
-        configuration={
-            "version": 1,
-            "write_id": "",
-            "preset": "ordinary",
-            "preset_by_name": {
-                "ordinary": {
-                    "queue_limit": 100,
-                    "queue_wait_ms": 1000,
-                    "replica_reads": True,
-                    "retry_percent": 10,
-                    "writes_allowed": True,
-                }
-            },
-            "head_office": {"default": {}, "lowest": {}, "highest": {}},
-            "workspace_by_name": {},
-            "key_by_id": {"": {"workspace": "default", "withdrawn": False}},
-            "leaving_databases": [],
-        },
-        withdrawn_key_ids=frozenset(),
-        unsettled_views=(),
-        seat_addresses_by_database={},
-    )
+        parts.start_soon(gateway.run)
+
+    async def _serve(self) -> None:
+        """Serve callers and operators until the planned stop has drained them."""
+        callers = CallerHandler(self._gateway, self._stopping)
+        admin = AdminHandler(self._control.clone(), self._settings.operator_key_hash)
+        caller_listener = await listen(self._settings.caller_address)
+        admin_listener = await listen(self._settings.admin_address)
+        async with open_nursery() as servers:
+            servers.start_soon(self._drain)
+            servers.start_soon(
+                HttpServer(caller_listener, callers.handle, self._closing).run
+            )
+            servers.start_soon(
+                HttpServer(admin_listener, admin.handle, self._closing).run
+            )
+
+    async def _drain(self) -> None:
+        """Hand over at the stop, and close the listeners a little later.
+
+        The balancer sends new callers here until it sees that the instance is
+        leaving, so the listeners stay open for that time.
+        """
+        await self._stopping.wait()
+        await self._control.send(PlannedStop(has_drained=False))
+        await sleep(self._settings.drain_ms / 1000)
+        self._closing.set()
+
+    async def _depart(self) -> None:
+        with CancelScope(shield=True, deadline=current_time() + DEPARTURE_S):
+            await self._control.send(PlannedStop(has_drained=True))
+            await sleep(DEPARTURE_S)
 
 
 async def listen(address: str) -> SocketListener:
--- a/src/jackdawspread/decisions/control_decision.py
+++ b/src/jackdawspread/decisions/control_decision.py
@@ -131,5 +131,5 @@
 
 @_decide.register
 def _(event: PlannedStop, state: ControlState, now: float) -> ControlStep:
-    state = state._replace(is_leaving=True)
+    state = state._replace(is_leaving=True, has_drained=event.has_drained)
     return state, heartbeats.to_peers(state, Leaving(state.incarnation))
--- a/src/jackdawspread/decisions/control_state.py
+++ b/src/jackdawspread/decisions/control_state.py
@@ -57,6 +57,7 @@
     promised_at: float = NEVER
     proposal: ViewProposal | None = None
     is_leaving: bool = False
+    has_drained: bool = False
     leaving_incarnations: frozenset[str] = frozenset()
     heard_at_by_incarnation: dict[str, float] = {}
     address_by_incarnation: dict[str, str] = {}
--- a/src/jackdawspread/decisions/rate_limiter.py
+++ b/src/jackdawspread/decisions/rate_limiter.py
@@ -9,10 +9,10 @@
 from jackdawspread.decisions.grant_peer import GrantPeer
 from jackdawspread.decisions.peer_asked import PeerAsked
 from jackdawspread.decisions.rate_bucket import RateBucket, grant, refill, spend
+from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.decisions.rate_share import RateShare
 from jackdawspread.decisions.refuse_request import RefuseRequest
 from jackdawspread.decisions.request_arrived import RequestArrived
-from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.decisions.waiting_request import WaitingRequest
 
 RateEffect = AdmitRequest | RefuseRequest | AskPeer | GrantPeer
--- a/src/jackdawspread/decisions/route.py
+++ b/src/jackdawspread/decisions/route.py
@@ -27,9 +27,10 @@
     if request.transaction_id:
         incarnation = incarnation_of_transaction(request.transaction_id)
         for view in reversed(snapshot.unsettled_views):
-            member = view.member_by_incarnation.get(incarnation)
-            if member is not None:
-                return member.peer_address
+            for name, member in view.member_by_incarnation.items():
+                # An instance that rejoins a view adds a suffix to its id.
+                if name.partition(".")[0] == incarnation:
+                    return member.peer_address
         return None
     addresses = snapshot.seat_addresses_by_database.get(request.database, ())
     return addresses[attempt % len(addresses)] if addresses else None
--- a/src/jackdawspread/decisions/views.py
+++ b/src/jackdawspread/decisions/views.py
@@ -51,7 +51,7 @@
         platform_vouched_at=NEVER,
         heard_at_by_incarnation=heard,
     )
-    if was_member and not state.is_member and not state.is_leaving:
+    if was_member and not state.is_member and not state.has_drained:
         root = state.incarnation.partition(".")[0]
         restarts = state.restarts + 1
         state = state._replace(restarts=restarts, incarnation=f"{root}.{restarts}")
--- a/src/jackdawspread/settings/instance_settings.py
+++ b/src/jackdawspread/settings/instance_settings.py
@@ -18,6 +18,8 @@
         ``IP:port`` on which other instances connect.
     failure_domain : str
         Failure domain of the instance.
+    drain_ms : int
+        Milliseconds for which a stopping instance still accepts callers.
     platform_address : str
         ``IP:port`` of the platform's service.
     platform_timeout_ms : int
@@ -34,6 +36,7 @@
     admin_address: str
     peer_address: str
     failure_domain: str
+    drain_ms: int
     platform_address: str
     platform_timeout_ms: int
     session_secret: str
--- a/src/jackdawspread/settings/instance_settings_file.py
+++ b/src/jackdawspread/settings/instance_settings_file.py
@@ -50,6 +50,7 @@
         admin_address=instance.take("admin_address", check_address),
         peer_address=instance.take("peer_address", check_address),
         failure_domain=instance.take("failure_domain", check_text),
+        drain_ms=instance.take("drain_ms", check_count, "3000"),
         platform_address=platform.take("address", check_address),
         platform_timeout_ms=platform.take("timeout_ms", check_count, "1000"),
         session_secret=secrets.take("session_secret", check_text),
--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -1,5 +1,6 @@
 """Admission and routing of callers' requests."""
 
+from collections.abc import Mapping
 from functools import singledispatchmethod
 from itertools import count
 
@@ -66,7 +67,7 @@
         own_address: str,
         inbox: MemoryReceiveChannel[GatewayEvent],
         replies: MemorySendChannel[GatewayEvent],
-        owner_by_database: dict[str, MemorySendChannel[RoutedSubmission]],
+        owner_by_database: Mapping[str, MemorySendChannel[RoutedSubmission]],
         hub: MemorySendChannel[HubInput],
         tokens: SessionTokenCodec,
     ) -> None:
--- a/src/jackdawspread/tasks/peer_stream.py
+++ b/src/jackdawspread/tasks/peer_stream.py
@@ -1,5 +1,6 @@
 """Stream opened by one peer."""
 
+from collections.abc import Mapping
 from contextlib import suppress
 from functools import singledispatchmethod
 
@@ -50,7 +51,7 @@
     def __init__(
         self,
         queue: FrameQueue,
-        owner_by_database: dict[str, MemorySendChannel[RoutedSubmission]],
+        owner_by_database: Mapping[str, MemorySendChannel[RoutedSubmission]],
         control: MemorySendChannel[PeerReceived],
         gateway: MemorySendChannel[PeerReceived],
     ) -> None:
--- a/src/jackdawspread/tasks/rate_limits.py
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -13,6 +13,7 @@
 from jackdawspread.decisions.grant_peer import GrantPeer
 from jackdawspread.decisions.peer_asked import PeerAsked
 from jackdawspread.decisions.rate_bucket import RateBucket
+from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.decisions.rate_limiter import (
     RateLimiter,
     decide_rate,
@@ -21,7 +22,6 @@
 from jackdawspread.decisions.rate_share import RateShare, rate_share
 from jackdawspread.decisions.refuse_request import RefuseRequest
 from jackdawspread.decisions.request_arrived import RequestArrived
-from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.peer_send import PeerSend
@@ -80,7 +80,7 @@
         for workspace in snapshot.configuration["workspace_by_name"]:
             limits = effective_limits(snapshot.configuration, workspace)
             self._share_by_workspace[workspace] = rate_share(
-                workspace, snapshot.incarnation, views, limits.rate, limits.burst
+                workspace, snapshot.incarnation, views, limits["rate"], limits["burst"]
             )
 
     def request(self, workspace: str, id: str, deadline: float, now: float) -> None:
