Split the owner's steps by topic and test recorded answers

Change: steps by topic, one step for all refusals, and a scenario for recorded answers with reachable and cut-off replicas.

Ruled out: nothing.

--- a/features/owner.feature
+++ b/features/owner.feature
@@ -54,7 +54,7 @@
     When the primary is cut off for a promotion and returns
     Then it follows the new primary
 
-  Scenario: Two seats with the owner's own members never reuse a term
+  Scenario: No two seats ever use the same term
     # Guards against one term with two possible promoters.
     When the terms of 3 seats in 3 generations are listed
     Then no two are equal and each is greater than those of lower generations
@@ -80,6 +80,18 @@
       | during |
       | after  |
 
+  Scenario Outline: A recorded answer is confirmed like a new one
+    # Guards against acknowledging a recorded answer that only the primary holds.
+    When a claim is acknowledged and <request> is sent while the replicas are <state>
+    Then the recorded answer is <result>
+
+    Examples:
+      | request     | state     | result           |
+      | its repeat  | reachable | returned         |
+      | its repeat  | cut off   | returned         |
+      | its outcome | reachable | returned         |
+      | a new claim | cut off   | not acknowledged |
+
   Scenario: A claim that no second member confirms is not acknowledged
     # Guards against acknowledging a write that only the primary holds.
     When both replicas stop receiving the log and a claim is sent
--- /dev/null
+++ b/features/steps/owner_answer_steps.py
@@ -0,0 +1,178 @@
+"""Steps for lost answers and refusals."""
+
+from typing import Any
+
+from behave import then, when
+from behave.runner import Context
+from features.owner_play import fail_primary, in_force, play, records
+from features.owner_world import A, B, C, OwnerWorld, snapshot
+from trio import sleep
+
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.messages.seat_assignment import SeatAssignment
+
+READ, BEGIN = RequestKind.READ, RequestKind.BEGIN
+
+
+@when("a read's answer is lost and arrives later")
+def lost_read(context: Context) -> None:
+    """Deliver the late answer after the read was answered."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        world.members[A].lost_answers.append("/read")
+        await world.ask("read", READ)
+        [(reply_to, answer)] = world.members[A].late_answers
+        reply_to.send_nowait(answer)
+        await sleep(1)
+
+    play(context, script)
+
+
+@then("the read is answered once, over another connection")
+def other_connection(context: Context) -> None:
+    """Check that the silent connection was not used again."""
+    world = context.world
+    [reply] = world.replies["read"]
+    assert reply.is_ok()
+    (_, first, _), (_, second, _) = world.ran("read")
+    assert first != second
+    calls = [connection for _, connection, _ in world.members[A].ran]
+    assert first not in calls[calls.index(second) :]
+
+
+@when("10 reads lose their answers and one more read follows")
+def ten_silent(context: Context) -> None:
+    """Lose more connections than the limit holds."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        for number in range(11):
+            if number < 10:
+                world.members[A].lost_answers.append("/read")
+            await world.ask(f"read-{number}", READ)
+
+    play(context, script)
+
+
+@then("all 11 reads are answered")
+def all_answered(context: Context) -> None:
+    """Check the replies."""
+    replies = context.world.replies.values()
+    assert [reply.is_ok() for [reply] in replies] == [True] * 11
+
+
+@when("the answer to a claim is lost {moment} a promotion")
+def lost_claim(context: Context, moment: str) -> None:
+    """Lose the answer at one of the members that is primary at the time."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        if moment == "after":
+            fail_primary(world)
+            await sleep(3)
+        primary = in_force(world) if moment == "after" else world.members[A]
+        primary.lost_answers.append("/write")
+        world.submit("claim")
+        if moment == "during":
+            await sleep(0.1)
+            fail_primary(world)
+        await sleep(6)
+        if moment == "before":
+            fail_primary(world)
+            await sleep(3)
+
+    play(context, script)
+
+
+@then("the {name} is acknowledged once and the log holds it once")
+def acknowledged_once(context: Context, name: str) -> None:
+    """Check the reply and the log in force."""
+    [reply] = context.world.replies[name]
+    assert reply.is_ok(), reply
+    assert records(in_force(context.world)).count(name) == 1
+
+
+@when("both replicas stop receiving the log and a claim is sent")
+def no_confirmation(context: Context) -> None:
+    """Isolate the primary from the replicas only."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        world.members[B].is_isolated = world.members[C].is_isolated = True
+        await world.ask("claim")
+
+    play(context, script)
+
+
+@then("the claim is refused with {code} and ran {ran}")
+@then("it is refused with {code} and ran {ran}")
+@then("the foreign statement is refused with {code} and ran {ran}")
+@then("its next statement is refused with {code} and ran {ran}")
+def claim_refused(context: Context, code: str, ran: str) -> None:
+    """Check the refusal."""
+    [reply] = context.world.replies["claim"]
+    assert (reply.error.code, reply.error.ran) == (code, ran), reply
+
+
+@when("a request meets {obstacle}")
+def obstacle(context: Context, obstacle: str) -> None:
+    """Put the obstacle in the way of a claim."""
+    changes: dict[str, Any] = {
+        "a full queue": {"preset": {"queue_limit": 0}},
+        "a long queue": {"preset": {"queue_wait_ms": 100}},
+        "a leaving database": {"leaving_databases": ["swap"]},
+        "a read-only preset": {"preset": {"writes_allowed": False}},
+    }.get(obstacle, {})
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        world.inboxes[0].send_nowait(snapshot(**changes))
+        if obstacle == "no seat":
+            world.inboxes[0].send_nowait(SeatAssignment("swap", 2, -1, False, 0))
+        if obstacle == "a long queue":
+            world.members[A].service = 0.2
+            world.submit("other-1", READ)
+            world.submit("other-2", READ)
+        if obstacle == "silent members":
+            for member in world.members.values():
+                member.swallowed = ["/write"] * 100
+        await world.ask("claim")
+
+    play(context, script)
+
+
+@then("a refusal that says not run means that no member received the request")
+def not_run_is_true(context: Context) -> None:
+    """Compare the refusal with the calls."""
+    [reply] = context.world.replies["claim"]
+    received = [label for _, _, label in context.world.ran("write")]
+    assert reply.error.ran is not Ran.NOT_RUN or "claim" not in received
+
+
+@when("a claim is acknowledged and {request} is sent while the replicas are {state}")
+def recorded(context: Context, request: str, state: str) -> None:
+    """Ask again under the same id, or under a new one."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        context.first = (await world.ask("claim")).ok
+        if state == "cut off":
+            world.members[B].is_isolated = world.members[C].is_isolated = True
+        is_outcome = request == "its outcome"
+        kind = RequestKind.OUTCOME if is_outcome else RequestKind.WRITE
+        id = "other" if request == "a new claim" else "claim"
+        context.again = await world.ask("again", kind, idempotency_key=id)
+
+    play(context, script)
+
+
+@then("the recorded answer is {result}")
+def recorded_answer(context: Context, result: str) -> None:
+    """Compare the second reply with the first."""
+    if result == "returned":
+        assert context.again.ok.position == context.first.position
+        assert context.again.ok.results == context.first.results
+    else:
+        assert context.again.error.code == "outcome_unknown", context.again
--- /dev/null
+++ b/features/steps/owner_read_steps.py
@@ -0,0 +1,91 @@
+"""Steps for the placement of reads."""
+
+from behave import then, when
+from behave.runner import Context
+from features.owner_play import fail_primary, in_force, play
+from features.owner_world import A, B, C, OwnerWorld
+from trio import current_time, sleep
+
+from jackdawspread.messages.request_kind import RequestKind
+
+READ, BEGIN = RequestKind.READ, RequestKind.BEGIN
+
+
+@when("one replica is 20 s behind and 100 reads of at most 1 s age are sent")
+def far_behind(context: Context) -> None:
+    """Write all the time, so that the lag matters."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        world.members[C].lag = 20
+        for number in range(100):
+            await world.ask(f"claim-{number}")
+            await sleep(0.03)
+        for number in range(100):
+            await world.ask(f"read-{number}", READ, max_staleness=1.0)
+            world.submit(f"more-{number}")
+            await sleep(0.03)
+
+    play(context, script)
+
+
+@then("all of them are served by the other replica")
+def served_by_other(context: Context) -> None:
+    """Check who served the reads."""
+    names = [f"read-{number}" for number in range(100)]
+    served = {context.world.replies[name][0].ok.served_by for name in names}
+    assert served == {B}, served
+
+
+@when("a replica holds a longer log of an old term and a read carries a token")
+def diverged(context: Context) -> None:
+    """Promote another member while the old primary has a longer log."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        fail_primary(world)
+        await sleep(3)
+        old = world.members[A]
+        for _ in range(50):
+            old.append(current_time())
+        token = (await world.ask("claim")).ok.position
+        old.role, old.is_cut = "replica", False
+        old.swallowed = ["/follow"] * 100
+        await sleep(0.5)
+        for number in range(20):
+            age = {"max_staleness": 5.0, "position": token}
+            await world.ask(f"read-{number}", READ, **age)
+
+    play(context, script)
+
+
+@then("the read is not served from the diverged log")
+def not_diverged(context: Context) -> None:
+    """Check that every read was served, and none by the old primary."""
+    world = context.world
+    replies = [world.replies[f"read-{number}"][0] for number in range(20)]
+    assert all(reply.is_ok() and reply.ok.served_by != A for reply in replies)
+    assert len(world.members[A].entries) > len(in_force(world).entries)
+
+
+@when("a read of the primary shows an entry that no second member holds")
+def unheld(context: Context) -> None:
+    """Write to the primary alone, then read from it."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        context.held = (await world.ask("first")).ok.position
+        world.members[A].is_isolated = True
+        world.submit("second")
+        await sleep(0.05)
+        await world.ask("read", READ)
+
+    play(context, script)
+
+
+@then("its answer carries only the position that a second member holds")
+def only_held(context: Context) -> None:
+    """Check the position of the answer."""
+    world = context.world
+    assert world.members[A].entries[-1].position > context.held
+    assert world.replies["read"][0].ok.position == context.held
--- /dev/null
+++ b/features/steps/owner_transaction_steps.py
@@ -0,0 +1,67 @@
+"""Steps for interactive transactions."""
+
+from behave import then, when
+from behave.runner import Context
+from features.owner_play import play
+from features.owner_world import A, OwnerWorld
+from trio import sleep
+
+from jackdawspread.messages.request_kind import RequestKind
+
+READ, BEGIN = RequestKind.READ, RequestKind.BEGIN
+EXECUTE, COMMIT = RequestKind.EXECUTE, RequestKind.COMMIT
+
+
+@when("two workspaces run transactions in turns and one tries the other's id")
+def two_transactions(context: Context) -> None:
+    """Interleave the statements; the last one is foreign."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        first = (await world.ask("b1", BEGIN)).ok.transaction_id
+        second = (await world.ask("b2", BEGIN, workspace="w2")).ok.transaction_id
+        assert first != second and first.startswith("i0.swap.")
+        for turn in range(5):
+            world.submit(f"first-{turn}", EXECUTE, transaction_id=first)
+            other = {"workspace": "w2", "transaction_id": second}
+            await world.ask(f"second-{turn}", EXECUTE, **other)
+            await sleep(0.1)
+        await world.ask("claim", EXECUTE, transaction_id=second)
+
+    play(context, script)
+
+
+@then("each transaction ran on its own connection")
+def own_connection(context: Context) -> None:
+    """Check the connections by the names of the statements."""
+    used: dict[str, set[int]] = {}
+    for _, connection, label in context.world.ran("execute"):
+        used.setdefault(label.split("-")[0], set()).add(connection)
+    assert {name: len(ids) for name, ids in used.items()} == {"first": 1, "second": 1}
+    assert not used["first"] & used["second"]
+
+
+@when("a transaction is left idle for 11 s")
+def left_idle(context: Context) -> None:
+    """Begin, wait, continue."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        id = (await world.ask("begin", BEGIN)).ok.transaction_id
+        await sleep(11)
+        await world.ask("claim", EXECUTE, transaction_id=id)
+
+    play(context, script)
+
+
+@when("the answer to a commit is lost")
+def lost_commit(context: Context) -> None:
+    """Lose the answer, not the commit."""
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        id = (await world.ask("begin", BEGIN)).ok.transaction_id
+        world.members[A].lost_answers.append("/commit")
+        await world.ask("commit", COMMIT, transaction_id=id)
+
+    play(context, script)
