--- a/features/owner.feature
+++ b/features/owner.feature
@@ -54,7 +54,7 @@
     When the primary is cut off for a promotion and returns
     Then it follows the new primary
 
-  Scenario: Two seats with the owner's own members never reuse a term
+  Scenario: No two seats ever use the same term
     # Guards against one term with two possible promoters.
     When the terms of 3 seats in 3 generations are listed
     Then no two are equal and each is greater than those of lower generations
@@ -64,6 +64,11 @@
     When a read's answer is lost and arrives later
     Then the read is answered once, over another connection
 
+  Scenario: Silent connections are replaced
+    # Guards against closed connections that are counted as used for ever.
+    When 10 reads lose their answers and one more read follows
+    Then all 11 reads are answered
+
   Scenario Outline: A lost claim is looked up with the same id
     # Guards against losing or duplicating a claim whose answer was lost.
     When the answer to a claim is lost <moment> a promotion
@@ -75,6 +80,18 @@
       | during |
       | after  |
 
+  Scenario Outline: A recorded answer is confirmed like a new one
+    # Guards against acknowledging a recorded answer that only the primary holds.
+    When a claim is acknowledged and <request> is sent while the replicas are <state>
+    Then the recorded answer is <result>
+
+    Examples:
+      | request     | state     | result           |
+      | its repeat  | reachable | returned         |
+      | its repeat  | cut off   | returned         |
+      | its outcome | reachable | returned         |
+      | a new claim | cut off   | not acknowledged |
+
   Scenario: A claim that no second member confirms is not acknowledged
     # Guards against acknowledging a write that only the primary holds.
     When both replicas stop receiving the log and a claim is sent
@@ -145,3 +162,34 @@
     # Guards against a retry storm.
     When 100 requests are counted and 30 retries are wished for
     Then 20 retries are granted
+
+  Scenario: One missed probe does not replace the primary
+    # Guards against replacing a primary that is only slow for a moment.
+    Given the owner prepares at suspicion
+    When one probe of the primary is lost
+    Then the primary stays and one false alarm is counted
+
+  Scenario: A primary that refuses connections is replaced at once
+    # Guards against waiting for probes when the primary's process is known to be gone.
+    When the primary refuses connections while a claim is sent
+    Then the claim is acknowledged within 0.2 s of the owner's clock
+
+  Scenario: A claim in flight is repeated as soon as the new primary is open
+    # Guards against waiting for the answer of a replaced primary.
+    When the primary fails with a claim in flight
+    Then the claim is acknowledged within 1.5 s of the owner's clock
+
+  Scenario Outline: A member that promised a newer term without a primary
+    # Guards against a promise that blocks the database, and against needless promotions.
+    When a replica promised a newer term and the seat is <activity>
+    Then the term in force is <term>
+
+    Examples:
+      | activity   | term       |
+      | active     | a higher   |
+      | not active | unchanged  |
+
+  Scenario: A read of a replaced primary leaves no position that is lost
+    # Guards against a token that names an entry which the new history lacks.
+    When a read of the primary shows an entry that no second member holds
+    Then its answer carries only the position that a second member holds
