--- a/spec/promotion/model.py
+++ b/spec/promotion/model.py
@@ -96,6 +96,11 @@
             RULES._replace(confirm_needs_position=False),
             LOST,
         ),
+        Mutant(
+            "promise-not-checked",
+            RULES._replace(confirm_needs_no_newer_promise=False),
+            "replaced-primary",
+        ),
         Mutant(
             "restarted-promoter-reuses-term",
             RULES._replace(open_once=False),
