Leave the view only after the requests of a planned stop have finished

Cause: a planned stop left the view at once, which ends authority and later closes the connections of requests that still run; and an instance that had missed a push reported a lost race to an operator who expected a newer version. Change: PlannedStop passes the seats on and is repeated to the peers; LeaveView leaves the view. An expected version ahead of the one known waits for a poll. Ruled out: a time limit for leaving in the decisions; the composition root knows when the last request has ended.

--- a/features/control.feature
+++ b/features/control.feature
@@ -119,13 +119,27 @@
     Then the preset "maintenance" is in force on every instance
     And no instance ever went back to an older configuration
 
-  Scenario: A stop that was planned leaves the view at once
-    # Guards against shares that stay unused after a planned stop.
+  Scenario: A planned stop passes the seats on before it leaves the view
+    # Guards against a stop that cuts requests by leaving too early, and against
+    # shares that stay unused after it.
     Given 4 instances with seed 22 that have run for 10 s
     When "a" is asked to stop
     And 3 s pass
+    Then the view has 4 members
+    And "a" has an active seat nowhere and "a" has authority
+    And every database has one active seat
+    When "a" may leave the view
+    And 3 s pass
     Then the view has 3 members
 
+  Scenario: An operator expects a version that has not reached the instance
+    # Guards against a lost race that is reported because a push was lost.
+    Given 4 instances with seed 27 that have run for 10 s
+    When "a" is asked to select "peak" while it cannot reach its peers
+    And "b" is asked to select "maintenance" with expected version 2
+    And 2 s pass
+    Then the preset "maintenance" is in force on every instance
+
   Scenario: A member that promised a change vouches no more
     # Guards against a removed instance that keeps authority through a member
     # which promised its removal and then lost the platform.
--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -122,3 +122,18 @@
 def old_push(context: Context, name: str) -> None:
     push = ConfigurationPush(first_configuration())
     context.fleet.deliver(name, PeerReceived("b", push))
+
+
+@when('"a" is asked to select "{preset}" while it cannot reach its peers')
+def select_alone(context: Context, preset: str) -> None:
+    context.fleet.cut_pairs = {frozenset({"a", other}) for other in "bcd"}
+    context.fleet.ask("a", SelectPreset(preset), "alone")
+    while "alone" not in context.fleet.result_by_id:
+        context.fleet.run(0.01)
+    assert context.fleet.state_by_name["b"].configuration["version"] == 1
+    context.fleet.heal()
+
+
+@when('"{name}" is asked to select "{preset}" with expected version {version:d}')
+def select_expected(context: Context, name: str, preset: str, version: int) -> None:
+    context.fleet.ask(name, SelectPreset(preset), "expected", version)
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -5,14 +5,16 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from features.fakes.control_fleet import ControlFleet
+from features.fakes.control_fleet import CONNECTIONS, ControlFleet
 from features.fakes.fault_schedules import check_random_schedules
 
 from jackdawspread.decisions.control_decision import decide
 from jackdawspread.decisions.heartbeats import hear
+from jackdawspread.decisions.seat_roles import seat_assignment
 from jackdawspread.decisions.views import adopt_view, settle_views
 from jackdawspread.messages.heartbeat import Heartbeat
 from jackdawspread.messages.heartbeat_answer import HeartbeatAnswer
+from jackdawspread.messages.leave_view import LeaveView
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.planned_stop import PlannedStop
 from jackdawspread.messages.view import View
@@ -193,3 +195,31 @@
         "assert not names & {'trio', 'h11', 'msgspec', 'absl'}, names"
     )
     subprocess.run([sys.executable, "-c", code], check=True)
+
+
+@when('"{name}" may leave the view')
+def leave(context: Context, name: str) -> None:
+    context.fleet.deliver(name, LeaveView())
+
+
+def active_holders(context: Context, database: str) -> list[str]:
+    """Return the instances that hold an active seat of a database."""
+    fleet = context.fleet
+    return [
+        name
+        for name, state in fleet.state_by_name.items()
+        if seat_assignment(state, database, fleet.now).is_active
+    ]
+
+
+@then('"{name}" has an active seat nowhere and "a" has authority')
+def no_active_seat(context: Context, name: str) -> None:
+    for database in CONNECTIONS:
+        assert name not in active_holders(context, database), database
+    assert context.fleet.has_authority(name)
+
+
+@then("every database has one active seat")
+def one_active_seat(context: Context) -> None:
+    for database in CONNECTIONS:
+        assert len(active_holders(context, database)) == 1, database
--- a/src/jackdawspread/decisions/configurations.py
+++ b/src/jackdawspread/decisions/configurations.py
@@ -63,6 +63,7 @@
     if len(state.admin_queue) >= MAX_QUEUED:
         detail = "too many changes are waiting on this instance; try later"
         return state, _result(request, refuse("overloaded", detail))
+    request = request._replace(asked_at=now)
     return state._replace(admin_queue=(*state.admin_queue, request)), ()
 
 
@@ -83,6 +84,10 @@
     while state.admin_queue and KEY not in state.write_by_key:
         request = state.admin_queue[0]
         document = state.configuration
+        is_ahead = request.expected_version > document["version"]
+        if is_ahead and state.platform_read_at <= request.asked_at:
+            # The operator may have seen a version that has not reached us.
+            return state._replace(next_poll_at=now), effects
         changed = apply_change(document, request.change)
         is_race = request.expected_version not in (0, document["version"])
         if is_race:
--- a/src/jackdawspread/decisions/control_decision.py
+++ b/src/jackdawspread/decisions/control_decision.py
@@ -16,7 +16,9 @@
 from jackdawspread.messages.admin_change import AdminChange
 from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.admin_status_query import AdminStatusQuery
+from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.control_tick import ControlTick
+from jackdawspread.messages.leave_view import LeaveView
 from jackdawspread.messages.leaving import Leaving
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.planned_stop import PlannedStop
@@ -31,6 +33,7 @@
     | AdminChange
     | AdminStatusQuery
     | PlannedStop
+    | LeaveView
     | ControlTick
 )
 
@@ -132,4 +135,11 @@
 @_decide.register
 def _(event: PlannedStop, state: ControlState, now: float) -> ControlStep:
     state = state._replace(is_leaving=True)
-    return state, heartbeats.to_peers(state, Leaving(state.incarnation))
+    log = ControlLog("control: planned stop begins")
+    return state, (log, *heartbeats.to_peers(state, Leaving(state.incarnation)))
+
+
+@_decide.register
+def _(event: LeaveView, state: ControlState, now: float) -> ControlStep:
+    log = ControlLog("control: leaves the view")
+    return state._replace(is_leaving=True, may_leave_view=True), (log,)
--- a/src/jackdawspread/decisions/control_state.py
+++ b/src/jackdawspread/decisions/control_state.py
@@ -57,6 +57,7 @@
     promised_at: float = NEVER
     proposal: ViewProposal | None = None
     is_leaving: bool = False
+    may_leave_view: bool = False
     leaving_incarnations: frozenset[str] = frozenset()
     heard_at_by_incarnation: dict[str, float] = {}
     address_by_incarnation: dict[str, str] = {}
--- a/src/jackdawspread/decisions/heartbeats.py
+++ b/src/jackdawspread/decisions/heartbeats.py
@@ -7,6 +7,7 @@
 from jackdawspread.messages.heartbeat import Heartbeat
 from jackdawspread.messages.heartbeat_answer import HeartbeatAnswer
 from jackdawspread.messages.key_withdrawal import KeyWithdrawal
+from jackdawspread.messages.leaving import Leaving
 from jackdawspread.messages.peer_message import PeerMessage
 from jackdawspread.messages.peer_send import PeerSend
 
@@ -38,7 +39,11 @@
     heartbeat = Heartbeat(
         state.incarnation, state.view.epoch, sequence, state.configuration["version"]
     )
-    return state, to_peers(state, heartbeat)
+    effects = to_peers(state, heartbeat)
+    if state.is_leaving:
+        # Repeated, because the first announcement may have been lost.
+        effects += to_peers(state, Leaving(state.incarnation))
+    return state, effects
 
 
 def hear(state: ControlState, incarnation: str, epoch: int, now: float) -> ControlState:
--- a/src/jackdawspread/decisions/view_changes.py
+++ b/src/jackdawspread/decisions/view_changes.py
@@ -49,7 +49,7 @@
         if name not in silent
         and (name == state.incarnation or member.peer_address != state.peer_address)
     }
-    if state.is_leaving:
+    if state.may_leave_view:
         members.pop(state.incarnation, None)
     else:
         us = ViewMember(state.peer_address, state.failure_domain)
@@ -90,7 +90,7 @@
         heard = state.heard_at_by_incarnation
         since = max((heard.get(name, now) for name in silent), default=now)
         return now >= since + MEMBER_SILENT_S + _rank(state)
-    return not state.is_leaving or state.is_member
+    return not state.is_leaving or state.may_leave_view and state.is_member
 
 
 def _rank(state: ControlState) -> int:
--- a/src/jackdawspread/decisions/withdrawals.py
+++ b/src/jackdawspread/decisions/withdrawals.py
@@ -42,7 +42,9 @@
 ) -> ControlStep:
     """Refuse a key here at once and tell the peers."""
     if key_id not in state.configuration["key_by_id"]:
-        refusal = refuse("unknown_key", "no key has this id")
+        version = state.configuration["version"]
+        detail = f"no key has this id in version {version} of the configuration"
+        refusal = refuse("unknown_key", detail)
         return state, (AdminResult(admin_id, refusal),)
     ours = frozenset({state.incarnation})
     new = Withdrawal(key_id, ours, now, now)
--- a/src/jackdawspread/messages/planned_stop.py
+++ b/src/jackdawspread/messages/planned_stop.py
@@ -4,4 +4,7 @@
 
 
 class PlannedStop(NamedTuple):
-    """Asks the control decisions to announce the stop and leave the view."""
+    """Asks the control decisions to announce the stop and pass the seats on.
+
+    The instance stays in the view until `LeaveView`, so that requests can finish.
+    """
