Wait for the detected outage instead of a fixed time in a feature

Cause: the scenario slept 1.5 s, which a busy machine could exceed. Change: the scenario asks for the status until the outage shows. Ruled out: a longer sleep.

--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -120,7 +120,10 @@
 def platform_down(context: Context, preset: str) -> None:
     async def script(instance: ControlInstance, invoke: Invoke) -> None:
         instance.handler.platform.is_up = False
-        await sleep(1.5)
+        status = await invoke("status show --output json")
+        while json.decode(status.output)["is_platform_up"]:
+            await sleep(0.1)
+            status = await invoke("status show --output json")
         context.result = await invoke(f"preset select {preset}")
 
     with_instance(script)
