Check that the fleet recovers after each random schedule of faults

Cause: the random schedules checked safety only; a fleet that never becomes whole again would have passed. Change: after each schedule every fault ends, and 40 s later all four instances must have authority, one settled view of four, and the whole connection limit. Ruled out: more schedules in the feature, for its running time.

--- a/features/control.feature
+++ b/features/control.feature
@@ -99,7 +99,8 @@
 
   Scenario: Shares and connections never overlap under random faults
     # Guards against two instances that hold the same share of a rate, or
-    # together more connections than a member accepts, while views change.
+    # together more connections than a member accepts, while views change, and
+    # against a fleet that does not recover when the faults have ended.
     Then no random schedule of faults makes shares or connections overlap
 
   Scenario: A lagging list of instances does not matter
--- a/features/fakes/fault_schedules.py
+++ b/features/fakes/fault_schedules.py
@@ -49,6 +49,21 @@
             fleet.heal()
 
 
+def check_recovery(fleet: ControlFleet) -> None:
+    """Check that the fleet is whole again after every fault has ended."""
+    fleet.heal()
+    for name in NAMES:
+        fleet.wake(name)
+        apply_fault(fleet, "start", name, name)
+    fleet.run(40, check_overlap)
+    for name, state in fleet.state_by_name.items():
+        assert fleet.has_authority(name), name
+        assert len(state.view.member_by_incarnation) == 4, (name, state.view)
+        assert len(state.views) == 1, (name, state.views)
+    for database, connections in CONNECTIONS.items():
+        assert fleet.connection_sum(database) == connections, database
+
+
 @seed(20250)
 @settings(
     max_examples=40,
@@ -68,3 +83,4 @@
     for fault, name, other, seconds in steps:
         apply_fault(fleet, fault, name, other)
         fleet.run(seconds, check_overlap)
+    check_recovery(fleet)
