--- a/src/jackdawspread/composition.py
+++ b/src/jackdawspread/composition.py
@@ -17,6 +17,7 @@
 
 from jackdawspread.codecs.session_token import SessionTokenCodec
 from jackdawspread.messages.instance_listing import InstanceListing
+from jackdawspread.messages.leave_view import LeaveView
 from jackdawspread.messages.planned_stop import PlannedStop
 from jackdawspread.messages.platform_call import PlatformCall
 from jackdawspread.settings.database_settings import DatabaseSettings
@@ -170,13 +171,13 @@
         leaving, so the listeners stay open for that time.
         """
         await self._stopping.wait()
-        await self._control.send(PlannedStop(has_drained=False))
+        await self._control.send(PlannedStop())
         await sleep(self._settings.drain_ms / 1000)
         self._closing.set()
 
     async def _depart(self) -> None:
         with CancelScope(shield=True, deadline=current_time() + DEPARTURE_S):
-            await self._control.send(PlannedStop(has_drained=True))
+            await self._control.send(LeaveView())
             await sleep(DEPARTURE_S)
 
 
--- a/src/jackdawspread/messages/planned_stop.py
+++ b/src/jackdawspread/messages/planned_stop.py
@@ -4,10 +4,7 @@
 
 
 class PlannedStop(NamedTuple):
-    """Asks the control decisions to hand over, and to leave the view once drained.
+    """Asks the control decisions to announce the stop and pass the seats on.
 
-    Until ``has_drained`` the instance stays in the view, because it goes on
-    admitting the requests that still reach it.
+    The instance stays in the view until `LeaveView`, so that requests can finish.
     """
-
-    has_drained: bool
