Make an operator's change on a version read after it was asked for

Cause: the demo created two workspaces through two instances, and the second one lost a race against the first, which had long been stored: the instance had not polled in between. Change: a change without an expected version waits for a platform read begun after the change arrived. Ruled out: retrying every lost change, which would let one operator undo another's without seeing it.

--- a/features/fakes/control_instance.py
+++ b/features/fakes/control_instance.py
@@ -26,6 +26,7 @@
         admin_address="127.0.0.1:2",
         peer_address="127.0.0.1:3",
         failure_domain="zone-1",
+        drain_ms=1,
         platform_address=platform_address,
         platform_timeout_ms=200,
         session_secret="secret",
--- a/src/jackdawspread/decisions/configurations.py
+++ b/src/jackdawspread/decisions/configurations.py
@@ -85,8 +85,12 @@
         request = state.admin_queue[0]
         document = state.configuration
         is_ahead = request.expected_version > document["version"]
-        if is_ahead and state.platform_read_at <= request.asked_at:
-            # The operator may have seen a version that has not reached us.
+        is_unconditional = not request.expected_version
+        if (is_ahead or is_unconditional) and (
+            state.platform_read_at <= request.asked_at
+        ):
+            # A version stored through another instance may not have reached us, and
+            # a change made on top of an older one would lose a race that is over.
             return state._replace(next_poll_at=now), effects
         changed = apply_change(document, request.change)
         is_race = request.expected_version not in (0, document["version"])
