Report readiness from the gateway and the next offset of a page

Cause: /readyz answered "ready" before the instance had joined a view, so a balancer sent it callers that it had to refuse; a page said that more rows remain but not where they start. Change: /readyz asks the gateway whether it has authority; a page with more rows carries next_offset. Ruled out: a flag shared between tasks.

--- a/src/jackdawspread/codecs/caller_api.py
+++ b/src/jackdawspread/codecs/caller_api.py
@@ -106,13 +106,15 @@
     )
 
 
-def encode_admitted_reply(reply: AdmittedReply) -> HttpResponse:
-    """Encode an answer or a refusal."""
+def encode_admitted_reply(reply: AdmittedReply, offset: int = 0) -> HttpResponse:
+    """Encode an answer or a refusal; `offset` is the row at which its page starts."""
     headers: tuple[tuple[str, str], ...] = (JSON_HEADER,)
     if reply.session_token:
         headers += (("Session-Token", reply.session_token),)
     if reply.reply.is_ok():
-        return HttpResponse(200, headers, encode_json(_answer_body(reply.reply.ok)))
+        return HttpResponse(
+            200, headers, encode_json(_answer_body(reply.reply.ok, offset))
+        )
     return encode_refusal(reply.reply.error, headers)
 
 
@@ -127,7 +129,7 @@
     return HttpResponse(status, headers, encode_json(refusal._asdict()))
 
 
-def _answer_body(answer: Answer) -> dict[str, object]:
+def _answer_body(answer: Answer, offset: int) -> dict[str, object]:
     body: dict[str, object] = {
         "results": [result._asdict() for result in answer.results],
         "served_by": answer.served_by,
@@ -137,6 +139,7 @@
         body["replayed"] = True
     if answer.more and answer.results:
         body["more"] = True
+        body["next_offset"] = offset + len(answer.results[0].rows)
     if answer.transaction_id:
         body["transaction_id"] = answer.transaction_id
     if not answer.found:
--- a/src/jackdawspread/tasks/caller_handler.py
+++ b/src/jackdawspread/tasks/caller_handler.py
@@ -13,6 +13,8 @@
 from jackdawspread.messages.http_request import HttpRequest
 from jackdawspread.messages.http_response import HttpResponse
 from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.readiness import Readiness
+from jackdawspread.messages.readiness_query import ReadinessQuery
 from jackdawspread.messages.refusal import Refusal
 
 TEXT_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
@@ -30,7 +32,9 @@
     """
 
     def __init__(
-        self, gateway: MemorySendChannel[CallerSubmission], stopping: Event
+        self,
+        gateway: MemorySendChannel[CallerSubmission | ReadinessQuery],
+        stopping: Event,
     ) -> None:
         self._gateway = gateway
         self._stopping = stopping
@@ -40,7 +44,7 @@
         if request.target == "/healthz":
             return HttpResponse(200, TEXT_HEADERS, b"ok\n")
         if request.target == "/readyz":
-            return self._readiness()
+            return await self._readiness()
         if request.target == "/metrics":
             return HttpResponse(200, TEXT_HEADERS, generate_latest())
         decoded = decode_caller_request(request, current_time())
@@ -54,9 +58,17 @@
             return encode_refusal(
                 Refusal("overloaded", Ran.NOT_RUN, "admission", "", detail, 1000)
             )
-        return encode_admitted_reply(await receive.receive())
+        return encode_admitted_reply(await receive.receive(), decoded.ok.offset)
 
-    def _readiness(self) -> HttpResponse:
+    async def _readiness(self) -> HttpResponse:
         if self._stopping.is_set():
             return HttpResponse(503, TEXT_HEADERS, b"stopping\n")
+        send, receive = open_memory_channel[Readiness](1)
+        try:
+            self._gateway.send_nowait(ReadinessQuery(send))
+        except WouldBlock:
+            return HttpResponse(503, TEXT_HEADERS, b"overloaded\n")
+        readiness = await receive.receive()
+        if not readiness.has_authority:
+            return HttpResponse(503, TEXT_HEADERS, b"no authority\n")
         return HttpResponse(200, TEXT_HEADERS, b"ready\n")
--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -23,6 +23,8 @@
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.readiness import Readiness
+from jackdawspread.messages.readiness_query import ReadinessQuery
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.reply import Reply
 from jackdawspread.messages.routed_reply import RoutedReply
@@ -36,7 +38,9 @@
 from jackdawspread.tasks.pending_request import PendingRequest
 from jackdawspread.tasks.rate_limits import RateLimits
 
-GatewayEvent = CallerSubmission | RoutedReply | ControlSnapshot | PeerReceived
+GatewayEvent = (
+    CallerSubmission | ReadinessQuery | RoutedReply | ControlSnapshot | PeerReceived
+)
 REROUTE_PAUSE_S = 0.02
 # The owner replies at a request's deadline; the gateway waits a little longer so
 # that the owner's more precise refusal reaches the caller.
@@ -123,6 +127,12 @@
             if self._has_lost_its_peer(pending, event):
                 self._reroute(id, "peer_silent")
 
+    @_handle.register
+    def _(self, event: ReadinessQuery) -> None:
+        snapshot = self._snapshot
+        is_ready = snapshot is not None and snapshot.authority_deadline > current_time()
+        event.reply_to.send_nowait(Readiness(is_ready))
+
     @_handle.register
     def _(self, event: PeerReceived) -> None:
         self._limits.handle_peer(event, current_time())
