Call a request "not run" only if no attempt ran

Cause: when a peer became unreachable with a write under way, the gateway tried the write elsewhere and passed on the refusal of the last attempt; a queue_full there said NOT_RUN although the first attempt could have run. Change: a pending request remembers that an attempt may have run, and a refusal of a later attempt becomes outcome_unknown. Measured: features/routing.feature, 11 scenarios; without the change the scenario "may have run" of a write fails. Ruled out: not trying again, which would lose the writes that a second instance can resolve by their id.

--- /dev/null
+++ b/features/routing.feature
@@ -0,0 +1,32 @@
+Feature: Routing between instances
+  A request is tried at another instance only where that is safe, and is called
+  "not run" only if no attempt ran.
+
+  Scenario Outline: Trying a refused request at another instance
+    # Guards against a statement of a transaction or an unrepeatable request that runs twice.
+    Given a <kind> request that was sent to a peer
+    When the peer refuses it with <code> and ran <ran>
+    Then trying it elsewhere is <allowed>
+
+    Examples:
+      | kind    | code             | ran     | allowed   |
+      | read    | peer_unreachable | unknown | allowed   |
+      | write   | peer_unreachable | unknown | allowed   |
+      | write   | not_owner        | not_run | allowed   |
+      | begin   | not_owner        | not_run | allowed   |
+      | begin   | peer_unreachable | unknown | forbidden |
+      | write   | statement_failed | not_run | forbidden |
+      | execute | peer_unreachable | unknown | forbidden |
+      | commit  | not_owner        | not_run | forbidden |
+
+  Scenario Outline: The last attempt was refused before it ran
+    # Guards against "not run" for a write whose first attempt lost its answer.
+    Given a <kind> request whose first attempt <first>
+    When the last attempt is refused with queue_full and ran not_run
+    Then the caller is told ran <told>
+
+    Examples:
+      | kind  | first            | told    |
+      | write | may have run     | unknown |
+      | write | did not run      | not_run |
+      | read  | may have run     | not_run |
--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,54 @@
+"""Steps for routing between instances."""
+
+from behave import given, then, when
+from behave.runner import Context
+from expression import Error
+
+from jackdawspread.decisions.route import conclude, may_reroute
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.messages.routed_request import RoutedRequest
+
+PINNED_KINDS = {RequestKind.EXECUTE, RequestKind.COMMIT}
+
+
+def _request(kind: str) -> RoutedRequest:
+    parsed = RequestKind(kind)
+    transaction = "i1.swap1.1" if parsed in PINNED_KINDS else ""
+    return RoutedRequest(
+        "1", parsed, "garden", "", "swap1", (), "", None, None, 5.0, transaction
+    )
+
+
+@given("a {kind} request that was sent to a peer")
+def sent(context: Context, kind: str) -> None:
+    context.request = _request(kind)
+
+
+@when("the peer refuses it with {code} and ran {ran}")
+def peer_refuses(context: Context, code: str, ran: str) -> None:
+    refusal = Refusal(code, Ran(ran), "routing", "", "")
+    context.is_allowed = may_reroute(context.request, refusal)
+
+
+@then("trying it elsewhere is {allowed}")
+def elsewhere(context: Context, allowed: str) -> None:
+    assert context.is_allowed == (allowed == "allowed")
+
+
+@given("a {kind} request whose first attempt {first}")
+def first_attempt(context: Context, kind: str, first: str) -> None:
+    context.request = _request(kind)
+    context.may_have_run = first == "may have run"
+
+
+@when("the last attempt is refused with {code} and ran {ran}")
+def last_refused(context: Context, code: str, ran: str) -> None:
+    refusal = Refusal(code, Ran(ran), "queue", "", "")
+    context.reply = conclude(context.request, Error(refusal), context.may_have_run)
+
+
+@then("the caller is told ran {ran}")
+def told(context: Context, ran: str) -> None:
+    assert context.reply.error.ran is Ran(ran)
--- a/src/jackdawspread/decisions/route.py
+++ b/src/jackdawspread/decisions/route.py
@@ -1,9 +1,12 @@
 """Choice of the instance that runs a request."""
 
+from expression import Error
+
 from jackdawspread.decisions.admission import incarnation_of_transaction
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.ran import Ran
 from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.reply import Reply
 from jackdawspread.messages.request_kind import RequestKind
 from jackdawspread.messages.routed_request import RoutedRequest
 
@@ -36,6 +39,23 @@
     return addresses[attempt % len(addresses)] if addresses else None
 
 
+def conclude(request: RoutedRequest, reply: Reply, may_have_run: bool) -> Reply:
+    """Return the reply to a request whose earlier attempts may have run.
+
+    A refusal speaks of the last attempt only; the caller is told "not run" only
+    if that holds for all of them.
+    """
+    if reply.is_ok() or not may_have_run or request.kind is RequestKind.READ:
+        return reply
+    refusal = reply.error
+    if refusal.ran is not Ran.NOT_RUN:
+        return reply
+    detail = f"an earlier attempt may have run; the last one got {refusal.code}"
+    return Error(
+        refusal._replace(code="outcome_unknown", ran=Ran.UNKNOWN, detail=detail)
+    )
+
+
 def may_reroute(request: RoutedRequest, refusal: Refusal) -> bool:
     """Return whether a refused request may be tried at another instance."""
     if refusal.code not in REROUTABLE_CODES or request.transaction_id:
--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -17,7 +17,12 @@
 
 from jackdawspread.codecs.session_token import SessionTokenCodec
 from jackdawspread.decisions.admission import UNLIMITED_KINDS, Admission, admit
-from jackdawspread.decisions.route import REPEATABLE_KINDS, choose_peer, may_reroute
+from jackdawspread.decisions.route import (
+    REPEATABLE_KINDS,
+    choose_peer,
+    conclude,
+    may_reroute,
+)
 from jackdawspread.messages.admitted_reply import AdmittedReply
 from jackdawspread.messages.caller_submission import CallerSubmission
 from jackdawspread.messages.control_snapshot import ControlSnapshot
@@ -125,7 +130,7 @@
         self._limits.use_snapshot(event)
         for id, pending in tuple(self._pending_by_id.items()):
             if self._has_lost_its_peer(pending, event):
-                self._reroute(id, "peer_silent")
+                self._reroute(id, "peer_silent", may_have_run=True)
 
     @_handle.register
     def _(self, event: ReadinessQuery) -> None:
@@ -160,9 +165,11 @@
         if pending is None:
             return
         if event.reply.is_error() and may_reroute(pending.request, event.reply.error):
-            self._reroute(event.id, event.reply.error.code)
+            refusal = event.reply.error
+            self._reroute(event.id, refusal.code, refusal.ran is not Ran.NOT_RUN)
         else:
-            self._reply(event.id, event.reply)
+            reply = conclude(pending.request, event.reply, pending.may_have_run)
+            self._reply(event.id, reply)
 
     def _check(
         self, event: CallerSubmission, now: float
@@ -249,15 +256,18 @@
             detail = "the instance that ran the transaction is gone; it is rolled back"
             self._refuse(id, "unknown_transaction", Ran.NOT_RUN, detail)
         else:
-            self._reroute(id, "no_owner")
+            self._reroute(id, "no_owner", may_have_run=False)
 
-    def _reroute(self, id: str, code: str) -> None:
+    def _reroute(self, id: str, code: str, may_have_run: bool) -> None:
         """Try a request again under a new id, so that a late reply is dropped."""
         pending = self._pending_by_id.pop(id)
         REROUTES.labels(code).inc()
         renamed = pending.request._replace(id=self._new_id())
         self._pending_by_id[renamed.id] = pending._replace(
-            request=renamed, attempt=pending.attempt + 1, peer_address=""
+            request=renamed,
+            attempt=pending.attempt + 1,
+            peer_address="",
+            may_have_run=pending.may_have_run or may_have_run,
         )
         self._deadlines.add(renamed.id, renamed.deadline + OWNER_REPLY_GRACE_S)
         pause = REROUTE_PAUSE_S * (pending.attempt + 1)
@@ -274,7 +284,7 @@
 
     def _expire(self, id: str) -> None:
         pending = self._pending_by_id[id]
-        was_sent = pending.peer_address or pending.attempt
+        was_sent = bool(pending.peer_address) or pending.may_have_run
         if was_sent and pending.request.kind is not pending.request.kind.READ:
             detail = "no answer in time; ask for the outcome with the same request id"
             self._refuse(id, "outcome_unknown", Ran.UNKNOWN, detail)
@@ -283,8 +293,10 @@
             self._refuse(id, "deadline_exceeded", ran, "no answer in time")
 
     def _refuse(self, id: str, code: str, ran: Ran, detail: str) -> None:
-        peer = self._pending_by_id[id].peer_address
-        self._reply(id, Error(Refusal(code, ran, "routing", peer, detail)))
+        pending = self._pending_by_id[id]
+        refusal = Refusal(code, ran, "routing", pending.peer_address, detail)
+        reply: Reply = Error(refusal)
+        self._reply(id, conclude(pending.request, reply, pending.may_have_run))
 
     def _reply(self, id: str, reply: Reply) -> None:
         pending = self._pending_by_id.pop(id)
--- a/src/jackdawspread/tasks/pending_request.py
+++ b/src/jackdawspread/tasks/pending_request.py
@@ -24,6 +24,8 @@
         Instance that runs the attempt; empty before routing.
     admitted_at : float
         Monotonic time in seconds.
+    may_have_run : bool
+        Whether an earlier attempt may have taken effect.
     """
 
     submission: CallerSubmission
@@ -32,3 +34,4 @@
     attempt: int
     peer_address: str
     admitted_at: float
+    may_have_run: bool = False
