Let a rate bucket earn at the share that was held at the time

Cause: a bucket was made at the first request of its workspace and refilled at the newest share, so the first request of a workspace always waited, and an instance whose share rose earned it for the time before. Ruled out: starting full, which doubles the burst when an instance is replaced.

--- /dev/null
+++ b/features/fakes/gateway_world.py
@@ -0,0 +1,121 @@
+"""A gateway whose owner and peers are channels of the test."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from trio import (
+    MemoryReceiveChannel,
+    current_time,
+    open_memory_channel,
+    open_nursery,
+    run,
+)
+from trio.testing import MockClock, wait_all_tasks_blocked
+
+from jackdawspread.codecs.session_token import SessionTokenCodec
+from jackdawspread.decisions.admission import key_id_of
+from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.messages.admitted_reply import AdmittedReply
+from jackdawspread.messages.caller_request import CallerRequest
+from jackdawspread.messages.caller_submission import CallerSubmission
+from jackdawspread.messages.control_snapshot import ControlSnapshot
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.messages.routed_submission import RoutedSubmission
+from jackdawspread.messages.statement import Statement
+from jackdawspread.messages.view import View
+from jackdawspread.messages.view_member import ViewMember
+from jackdawspread.tasks.gateway import Gateway, GatewayEvent
+from jackdawspread.tasks.peer_hub import HubInput
+
+OWN_ADDRESS = "self"
+KEY = "the-key-of-garden"
+WITHDRAWN_KEY = "the-withdrawn-key"
+PEER_WITHDRAWN_KEY = "the-key-withdrawn-by-a-peer"
+
+
+class GatewayWorld:
+    """Runs a gateway on a mock clock and talks to it."""
+
+    def __init__(self) -> None:
+        self.tokens = SessionTokenCodec("secret")
+        self.seats: tuple[str, ...] = (OWN_ADDRESS,)
+        self.authority_deadline = 1e9
+        self.earlier_views: tuple[View, ...] = ()
+
+    def run(self, script: Callable[["GatewayWorld"], Awaitable[Any]]) -> Any:
+        """Run a script against the gateway and return its result."""
+
+        async def main() -> Any:
+            self.inbox, inbox = open_memory_channel[GatewayEvent](1000)
+            owner, self.owner = open_memory_channel[RoutedSubmission](1000)
+            hub, self.hub = open_memory_channel[HubInput](1000)
+            gateway = Gateway(
+                OWN_ADDRESS,
+                inbox,
+                self.inbox,
+                {"swap1": owner, "swap2": owner},
+                hub,
+                self.tokens,
+            )
+            async with open_nursery() as nursery:
+                nursery.start_soon(gateway.run)
+                self.inform()
+                result = await script(self)
+                nursery.cancel_scope.cancel()
+            return result
+
+        return run(main, clock=MockClock(autojump_threshold=0.01))
+
+    def inform(self) -> None:
+        """Send the gateway a snapshot."""
+        view = View(1, {"i0": ViewMember(OWN_ADDRESS, "perth")})
+        self.inbox.send_nowait(
+            ControlSnapshot(
+                "i0",
+                self.authority_deadline,
+                self._configuration(),
+                frozenset({key_id_of(PEER_WITHDRAWN_KEY)}),
+                (*self.earlier_views, view),
+                {"swap1": self.seats, "swap2": self.seats},
+            )
+        )
+
+    def _configuration(self) -> Any:
+        document = first_configuration()
+        keys = {
+            key_id_of(KEY): ("garden", False),
+            key_id_of(WITHDRAWN_KEY): ("garden", True),
+            key_id_of(PEER_WITHDRAWN_KEY): ("garden", False),
+        }
+        document["key_by_id"] = {
+            id: {"workspace": workspace, "withdrawn": withdrawn}
+            for id, (workspace, withdrawn) in keys.items()
+        }
+        document["workspace_by_name"] = {
+            "garden": {"overrides": {}, "databases": ["swap1"]},
+            "orchard": {"overrides": {}, "databases": []},
+        }
+        return document
+
+    def request(self, kind: str, **fields: Any) -> CallerRequest:
+        """Return a request with a valid key."""
+        request = CallerRequest(
+            kind=RequestKind(kind),
+            key=KEY,
+            database="swap1",
+            statements=(Statement("SELECT 1"),),
+            idempotency_key="claim-1" if kind == "write" else "",
+            session_token="",
+            max_staleness=None,
+            deadline=current_time() + 5,
+        )
+        return request._replace(**fields)
+
+    async def submit(
+        self, request: CallerRequest
+    ) -> MemoryReceiveChannel[AdmittedReply]:
+        """Send a request and let the gateway handle it."""
+        send, receive = open_memory_channel[AdmittedReply](1)
+        self.inbox.send_nowait(CallerSubmission(request, send))
+        await wait_all_tasks_blocked()
+        return receive
--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -127,7 +127,7 @@
     @_handle.register
     def _(self, event: ControlSnapshot) -> None:
         self._snapshot = event
-        self._limits.use_snapshot(event)
+        self._limits.use_snapshot(event, current_time())
         for id, pending in tuple(self._pending_by_id.items()):
             if self._has_lost_its_peer(pending, event):
                 self._reroute(id, "peer_silent", may_have_run=True)
--- a/src/jackdawspread/tasks/rate_limits.py
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -12,7 +12,7 @@
 from jackdawspread.decisions.grant_arrived import GrantArrived
 from jackdawspread.decisions.grant_peer import GrantPeer
 from jackdawspread.decisions.peer_asked import PeerAsked
-from jackdawspread.decisions.rate_bucket import RateBucket
+from jackdawspread.decisions.rate_bucket import RateBucket, refill
 from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.decisions.rate_limiter import (
     RateLimiter,
@@ -66,8 +66,12 @@
         self._authority_deadline = 0.0
         self._shares_key: tuple[object, ...] = ()
 
-    def use_snapshot(self, snapshot: ControlSnapshot) -> None:
-        """Take over shares and peers from a snapshot."""
+    def use_snapshot(self, snapshot: ControlSnapshot, now: float) -> None:
+        """Take over shares and peers from a snapshot.
+
+        Buckets earn at the old share up to now, and new ones start empty: time
+        before a share is held earns nothing, because others held it then.
+        """
         self._authority_deadline = snapshot.authority_deadline
         key = (snapshot.configuration["version"], snapshot.unsettled_views)
         if key == self._shares_key:
@@ -79,10 +83,20 @@
         self._peers = tuple(a for a in addresses if a != self._own_address)
         for workspace in snapshot.configuration["workspace_by_name"]:
             limits = effective_limits(snapshot.configuration, workspace)
+            self._earn(workspace, now)
             self._share_by_workspace[workspace] = rate_share(
                 workspace, snapshot.incarnation, views, limits["rate"], limits["burst"]
             )
 
+    def _earn(self, workspace: str, now: float) -> None:
+        limiter = self._limiter_by_workspace.get(workspace)
+        if limiter is None:
+            limiter = RateLimiter(RateBucket(0.0, now))
+        share = self._share_by_workspace.get(workspace, NO_SHARE)
+        self._limiter_by_workspace[workspace] = limiter._replace(
+            bucket=refill(limiter.bucket, share, now)
+        )
+
     def request(self, workspace: str, id: str, deadline: float, now: float) -> None:
         """Ask for the admission of one request."""
         self._decide(workspace, RequestArrived(id, deadline, self._peers), now)
