Show for each promise that its feature fails without the mechanism

Cause: a feature that passes proves little unless it has been seen to fail. The fleet of the rate features has slow messages, and its instances learn of a new view one after the other. Ruled out: judging by coverage.

--- a/features/fakes/rate_fleet.py
+++ b/features/fakes/rate_fleet.py
@@ -22,6 +22,10 @@
 from jackdawspread.messages.view_member import ViewMember
 
 MESSAGE_DELAY_S = 0.002
+# Some messages take nearly as long as a grant lives.
+SLOW_MESSAGE_S = 0.04
+SLOW_SHARE = 0.2
+LEARN_S = 0.7
 MESSAGE_LOSS = 0.05
 
 
@@ -40,6 +44,7 @@
         self.limiters = {name: RateLimiter(RateBucket(0.0, 0.0)) for name in names}
         self.thaw_at = dict.fromkeys(names, 0.0)
         self.dead: set[str] = set()
+        self.slow_messages = False
         self.wake_at: dict[str, float] = {}
 
     def _view(self, names: list[str], epoch: int) -> View:
@@ -51,11 +56,11 @@
         heappush(self._events, (at, self._count, name, event))
 
     def join(self, name: str) -> None:
-        """Start an instance; every instance takes the least of both shares."""
+        """Start an instance; the others learn of its view one after the other."""
         old = sorted(self.views)
         view = self._view([*old, name], 2)
-        for other in old:
-            self.views[other] = (*self.views[other], view)
+        for number, other in enumerate(old, 1):
+            self.post(self.now + number * LEARN_S, other, view)
         self.views[name] = (self._view(old, 1), view)
         self.limiters[name] = RateLimiter(RateBucket(0.0, self.now))
         self.thaw_at[name] = 0.0
@@ -77,6 +82,9 @@
         self.now = end
 
     def _handle(self, name: str, event: object) -> None:
+        if isinstance(event, View):
+            self.views[name] = (*self.views[name], event)
+            return
         peers = tuple(other for other in self.limiters if other != name)
         match event:
             case RequestArrived():
@@ -109,5 +117,7 @@
 
     def _send(self, peer: str, event: object) -> None:
         if self.random.random() >= MESSAGE_LOSS:
-            delay = MESSAGE_DELAY_S * (1 + self.random.random())
+            is_slow = self.slow_messages and self.random.random() < SLOW_SHARE
+            delay = SLOW_MESSAGE_S if is_slow else MESSAGE_DELAY_S
+            delay *= 1 + 0.2 * self.random.random()
             self.post(self.now + delay, peer, event)
--- a/features/rates.feature
+++ b/features/rates.feature
@@ -16,6 +16,7 @@
       | 4         | 50   | 7     | 8      | 2    | 60      |
       | 4         | 20   | 2     | 8      | 3    | 60      |
       | 2         | 100  | 10    | 8      | 4    | 40      |
+      | 4         | 200  | 4     | 3      | 6    | 20      |
 
   Scenario Outline: A workspace inside its rate is not refused though one instance gets all of it
     # Guards against shares that lie idle at instances without demand.
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -19,6 +19,17 @@
       | execute | peer_unreachable | unknown | forbidden |
       | commit  | not_owner        | not_run | forbidden |
 
+  Scenario Outline: A read asks the member for its session's position
+    # Guards against a member that answers from before the session's last write.
+    Given a read of a session at position 1024/7
+    When it is sent to a <role> in term 2048
+    Then the call asks for position 1024/7
+
+    Examples:
+      | role    |
+      | primary |
+      | replica |
+
   Scenario Outline: The last attempt was refused before it ran
     # Guards against "not run" for a write whose first attempt lost its answer.
     Given a <kind> request whose first attempt <first>
--- a/features/steps/rate_steps.py
+++ b/features/steps/rate_steps.py
@@ -67,6 +67,7 @@
         level += 1
         fleet.post(at, name, RequestArrived(f"r{at}", 0.0, ()))
     if context.faults:
+        fleet.slow_messages = True
         _cause_faults(context, fleet, random, end)
     fleet.run_until(end + 1)
     context.fleet, context.seconds = fleet, seconds
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -4,11 +4,15 @@
 from behave.runner import Context
 from expression import Error
 
+from jackdawspread.codecs.member_protocol import encode_read
+from jackdawspread.decisions.read_target import ReadTarget
 from jackdawspread.decisions.route import conclude, may_reroute
+from jackdawspread.messages.position import Position
 from jackdawspread.messages.ran import Ran
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.request_kind import RequestKind
 from jackdawspread.messages.routed_request import RoutedRequest
+from jackdawspread.messages.statement import Statement
 
 PINNED_KINDS = {RequestKind.EXECUTE, RequestKind.COMMIT}
 
@@ -37,6 +41,25 @@
     assert context.is_allowed == (allowed == "allowed")
 
 
+@given("a read of a session at position {term:d}/{sequence:d}")
+def read_of_session(context: Context, term: int, sequence: int) -> None:
+    read = _request("read")._replace(
+        statements=(Statement("SELECT 1"),), position=Position(term, sequence)
+    )
+    context.request = read
+
+
+@when("it is sent to a {role} in term {term:d}")
+def read_sent(context: Context, role: str, term: int) -> None:
+    target = ReadTarget("member", role, context.request.position, 0)
+    context.call = encode_read(context.request, target, term)
+
+
+@then("the call asks for position {term:d}/{sequence:d}")
+def asks_for(context: Context, term: int, sequence: int) -> None:
+    assert context.call[1]["position"] == Position(term, sequence)
+
+
 @given("a {kind} request whose first attempt {first}")
 def first_attempt(context: Context, kind: str, first: str) -> None:
     context.request = _request(kind)
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developers."""
