Refill a bucket in stretches between the expiries of its grants

Cause: a refill that spanned the expiry of a grant applied the limit after the expiry to everything earned before it. With a burst of 2 and a rate of 40/s, a granter that had given 2 requests at time 0 held 2 tokens again at 0.05 s, when a peer may have used the grant just before; that window held 4 admissions instead of 2. A step-by-step comparison with the model of rates found it: buckets (2, 2, 2), model (2, 1, 2). Change: tokens are earned stretch by stretch under the limit of each. The tighter limit costs borrowing, so peers are asked again after 0.02 s. Measured: the same case now holds 0 tokens. Ruled out: a grant lifetime of 0.03 s, which also refused none but discards grants on slower links.

--- a/src/jackdawspread/decisions/rate_bucket.py
+++ b/src/jackdawspread/decisions/rate_bucket.py
@@ -15,7 +15,8 @@
     refilled_at : float
         Monotonic time in seconds of the last refill.
     grants : tuple of (float, int)
-        Grants to peers that may still be used: expiry time and requests.
+        Grants to peers that may still be used: expiry time and requests, in order
+        of expiry.
     """
 
     tokens: float
@@ -27,13 +28,24 @@
     """Add the tokens earned since the last refill.
 
     Tokens and unexpired grants together never exceed the burst, so no window
-    holds more admissions than the burst plus the rate over the window.
+    holds more admissions than the burst plus the rate over the window. Each
+    stretch between two expiries has its own limit: a peer may use a grant up to
+    its expiry, so nothing earned under a full limit may be there just after it.
     """
+    tokens, at = bucket.tokens, bucket.refilled_at
+    counted = sum(requests for _, requests in bucket.grants)
+    for expiry, requests in bucket.grants:
+        if expiry > now:
+            break
+        tokens = _earn(tokens, share, counted, expiry - at)
+        at, counted = max(at, expiry), counted - requests
     grants = tuple(grant for grant in bucket.grants if grant[0] > now)
-    granted = sum(requests for _, requests in grants)
-    earned = share.rate * max(0.0, now - bucket.refilled_at)
-    limit = max(0.0, share.burst - granted)
-    return RateBucket(min(limit, bucket.tokens + earned), now, grants)
+    return RateBucket(_earn(tokens, share, counted, now - at), now, grants)
+
+
+def _earn(tokens: float, share: RateShare, counted: int, seconds: float) -> float:
+    limit = max(0.0, share.burst - counted)
+    return min(limit, tokens + share.rate * max(0.0, seconds))
 
 
 def spend(bucket: RateBucket, requests: int) -> tuple[RateBucket, int]:
--- a/src/jackdawspread/decisions/rate_limiter.py
+++ b/src/jackdawspread/decisions/rate_limiter.py
@@ -26,8 +26,9 @@
 MAX_WAITING = 256
 MAX_ASK = 64
 # Peers that had nothing to give are asked again after this time, which bounds the
-# messages that a workspace above its rate can cause.
-ASK_PAUSE_S = 0.05
+# messages that a workspace above its rate can cause. At 0.05 s, 9 of 19,150 requests
+# within the rate were refused in simulation; at 0.02 s none.
+ASK_PAUSE_S = 0.02
 
 
 class RateLimiter(NamedTuple):
