--- /dev/null
+++ b/features/conformance/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the source and models of the specification, run side by side."""
--- /dev/null
+++ b/features/conformance/rate_machine.py
@@ -0,0 +1,158 @@
+"""Rate limiters of three instances against the model of rates."""
+
+from unittest.mock import patch
+
+from features.conformance.model_run import ModelRun
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.strategies import integers
+from spec.rates import actions
+from spec.rates.model import rate_and_burst
+from spec.rates.rules import Rules
+from spec.rates.state import State
+
+from jackdawspread.decisions import rate_limiter
+from jackdawspread.decisions.admit_request import AdmitRequest
+from jackdawspread.decisions.ask_peer import AskPeer
+from jackdawspread.decisions.grant_arrived import GrantArrived
+from jackdawspread.decisions.grant_peer import GrantPeer
+from jackdawspread.decisions.peer_asked import PeerAsked
+from jackdawspread.decisions.rate_bucket import RateBucket, refill
+from jackdawspread.decisions.rate_due import RateDue
+from jackdawspread.decisions.rate_limiter import RateLimiter, decide_rate
+from jackdawspread.decisions.rate_share import RateShare
+from jackdawspread.decisions.request_arrived import RequestArrived
+
+SHARE = RateShare(actions.SHARE_OF_RATE, actions.SHARE_OF_BURST)
+# The model's tick is half the lifetime of a grant; the times are rounded to it.
+TICKS_BY_CONSTANT = {
+    name: round(getattr(rate_limiter, name) * actions.ASK_TICKS / 0.05)
+    for name in ("GRANT_LIFETIME_S", "BORROW_WAIT_S", "ASK_PAUSE_S")
+}
+# The code earns nothing under a counted grant up to its very expiry, the model
+# nothing until the tick of the expiry; one tick more makes both the same.
+RULES = Rules(count_grant_ticks=actions.ASK_TICKS + 1)
+# More than one run can take, since the model never frees what is not given.
+SLOTS = 400
+INSTANCES = integers(0, actions.INSTANCES - 1)
+
+
+class RateMachine(RuleBasedStateMachine):
+    """Events reach the limiters in any order; each admission must be a model's.
+
+    An ask for several requests is that many grants of the model, of which the
+    first ones are given. The model refills at each tick, the code when it is asked.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.constants = patch.multiple(rate_limiter, **TICKS_BY_CONSTANT)
+        self.constants.start()
+        slots = (actions.FREE,) * SLOTS
+        tokens = (actions.SHARE_OF_BURST,) * actions.INSTANCES
+        self.model = ModelRun(State(tokens, slots, 0), RULES)
+        bucket = RateBucket(float(actions.SHARE_OF_BURST), 0.0)
+        self.limiters = [RateLimiter(bucket) for _ in tokens]
+        self.now = 0
+        self.requests = 0
+        self.asks: list[tuple[int, AskPeer, list[int]]] = []
+        self.grants: list[tuple[int, GrantPeer, list[int]]] = []
+
+    def teardown(self) -> None:
+        """Restore the constants."""
+        self.constants.stop()
+
+    def decide(self, index: int, event: object, usable: list[int]) -> list[GrantPeer]:
+        """Let an instance decide, and the model take each of its effects."""
+        limiter = self.limiters[index]
+        limiter, effects = decide_rate(event, limiter, SHARE, self.now)
+        self.limiters[index] = limiter
+        borrowed = [e for e in effects if e == AdmitRequest(e[0], "borrowed")]
+        for _, slot in zip(borrowed, usable, strict=False):
+            name = f"asker={index} id={slot}"
+            assert self.model.take(actions.use_grant, name), name
+        assert len(borrowed) <= len(usable), effects
+        for effect in effects:
+            if effect == AdmitRequest(effect[0], "own"):
+                assert self.model.take(actions.admit, f"instance={index}"), effect
+            if isinstance(effect, AskPeer):
+                self.ask(index, effect)
+        return [effect for effect in effects if isinstance(effect, GrantPeer)]
+
+    def ask(self, index: int, effect: AskPeer) -> None:
+        """Take an ask for each of its requests."""
+        slots = []
+        for _ in range(effect.requests):
+            slots.append(self.model.state.grants.index(actions.FREE))
+            assert self.model.take(actions.ask, f"asker={index} id={slots[-1]}")
+        self.asks.append((index, effect, slots))
+
+    def peers(self, index: int) -> tuple[str, ...]:
+        """Return the one peer that the model lets an instance ask."""
+        return (str((index + 1) % actions.INSTANCES),)
+
+    @rule(index=INSTANCES)
+    def arrive(self, index: int) -> None:
+        """Let a request arrive; it is admitted if the model has a token for it."""
+        self.requests += 1
+        id = str(self.requests)
+        event = RequestArrived(id, self.now + 100.0, self.peers(index))
+        ahead = len(self.limiters[index].waiting)
+        expected = self.model.state.tokens[index] > ahead
+        self.decide(index, event, [])
+        waits = any(r.id == id for r in self.limiters[index].waiting)
+        assert waits != expected, (index, self.limiters[index])
+
+    @rule(index=INSTANCES)
+    def due(self, index: int) -> None:
+        """Wake an instance; it admits what waits from the tokens of the model."""
+        waiting = len(self.limiters[index].waiting)
+        left = max(0, self.model.state.tokens[index] - waiting)
+        self.decide(index, RateDue(self.peers(index)), [])
+        assert self.model.state.tokens[index] == left
+
+    @rule(which=integers(0, 50))
+    def deliver_ask(self, which: int) -> None:
+        """Deliver an ask, perhaps late; the model gives as much as the code."""
+        if not self.asks:
+            return
+        asker, ask, slots = self.asks.pop(which % len(self.asks))
+        at = int(ask.peer)
+        (reply,) = self.decide(at, PeerAsked(str(asker), ask.ask_id, ask.requests), [])
+        assert reply.requests == min(ask.requests, self.model.state.tokens[at]), reply
+        for slot in slots[: reply.requests]:
+            assert self.model.take(actions.give, f"granter={at} id={slot}")
+        self.grants.append((asker, reply, slots[: reply.requests]))
+
+    @rule(which=integers(0, 50), again=integers(0, 3))
+    def deliver_grant(self, which: int, again: int) -> None:
+        """Deliver a grant, perhaps late or twice; a timely one is used."""
+        if not self.grants:
+            return
+        which %= len(self.grants)
+        asker, reply, slots = self.grants[which]
+        self.grants[which] = (asker, reply, [])
+        if again:
+            del self.grants[which]
+        limiter = self.limiters[asker]
+        grants = self.model.state.grants
+        timely = [s for s in slots if grants[s].asked and grants[s].asker == asker]
+        expected = min(len(timely), len(limiter.waiting))
+        event = GrantArrived(reply.ask_id, reply.requests, self.peers(asker))
+        self.decide(asker, event, timely)
+        used = [s for s in timely if self.model.state.grants[s].uses]
+        assert len(used) == expected, (reply, used, expected)
+
+    @rule(ticks=integers(1, 4))
+    def tick(self, ticks: int) -> None:
+        """Let time pass."""
+        for _ in range(ticks):
+            assert self.model.take(actions.tick, "")
+        self.now += ticks
+
+    @invariant()
+    def same_tokens(self) -> None:
+        """Check the tokens that each instance has now, and the model's limit."""
+        buckets = [refill(item.bucket, SHARE, self.now) for item in self.limiters]
+        tokens = tuple(bucket.tokens for bucket in buckets)
+        assert tokens == self.model.state.tokens, (tokens, self.model.state.tokens)
+        assert rate_and_burst(self.model.state)
