Count every epoch since the last settled view in a share

Cause: an instance took the least share over the views that it had seen. One that skipped an epoch used a share that a member of only that epoch could still hold.

Change: the row of the view carries the views of the last 16 epochs, as what each change added and removed. An instance adds the epochs that it skipped to its unsettled views. If the row does not reach back, epoch 0 without members stands for the unknown ones, so the share is 0 and only time settles it. The flag is_base_settled follows from the epochs and is removed: a newcomer whose row reaches back to epoch 1 may also settle by hearing every earlier member, as in the spec.

Ruled out: the same fault in seats. A holder uses more than its old limit only after each earlier holder has confirmed exactly its generation, so one that skipped the generation keeps the others at their old limits; the random schedules check the sum of connections.

--- a/features/control.feature
+++ b/features/control.feature
@@ -170,6 +170,30 @@
     When 3.4 s pass on "a" alone
     Then "a" has settled the view
 
+  Scenario: An instance that skips an epoch counts its share in that epoch
+    # Guards against a share taken from a member that only the skipped epoch had:
+    # "a" knows the epochs before and after, "c" still holds a third in between.
+    Given 2 instances with seed 28 that have run for 10 s
+    When "a" is isolated
+    And "c" is started
+    And 6 s pass
+    And "c" leaves the view and is isolated when the platform shows it
+    And "a" is connected again
+    Then the shares stay within the whole for 8 s
+    And "a", "b" have authority
+
+  Scenario: A row that does not reach back leaves no share until time has passed
+    # Guards against a share in epochs that nobody can know any more.
+    Given 4 instances with seed 29 that have run for 10 s
+    When "a" is shown a view 20 epochs later whose row carries 16 epochs
+    Then "a" has a share of 0 and has not settled the view by hearing everyone
+    When 3.4 s pass on "a" alone
+    Then "a" has settled the view
+
+  Scenario: The row of the view gives back the earlier views
+    # Guards against an earlier view that is rebuilt with the wrong members.
+    Then 20 random changes of 8 members are read back as the last 17 views
+
   Scenario: The decisions load without an event loop
     # Guards against decisions that a model checker cannot drive.
     Then the control decisions import neither trio nor a codec
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -21,10 +21,10 @@
 from jackdawspread.messages.view_change_request import ViewChangeRequest
 
 
-@given("4 instances with seed {seed:d} that have run for {seconds:g} s")
-def start(context: Context, seed: int, seconds: float) -> None:
+@given("{number:d} instances with seed {seed:d} that have run for {seconds:g} s")
+def start(context: Context, number: int, seed: int, seconds: float) -> None:
     context.fleet = ControlFleet(seed)
-    for name in "abcd":
+    for name in "abcd"[:number]:
         context.fleet.start(name)
     context.fleet.run(seconds)
     context.epoch = context.fleet.state_by_name["a"].view.epoch
--- /dev/null
+++ b/features/steps/control_view_steps.py
@@ -0,0 +1,80 @@
+"""Steps for epochs that an instance has not seen."""
+
+from random import Random
+
+from behave import then, when
+from behave.runner import Context
+from features.fakes.fault_schedules import check_overlap
+
+from jackdawspread.decisions.heartbeats import hear
+from jackdawspread.decisions.rate_share import rate_share
+from jackdawspread.decisions.views import (
+    adopt_view,
+    decode_views,
+    encode_view,
+    settle_views,
+)
+from jackdawspread.messages.leave_view import LeaveView
+from jackdawspread.messages.view import View
+from jackdawspread.messages.view_member import ViewMember
+
+
+@when('"{name}" is started')
+def start_one(context: Context, name: str) -> None:
+    context.fleet.start(name)
+
+
+@when('"{name}" is connected again')
+def connect(context: Context, name: str) -> None:
+    fleet = context.fleet
+    fleet.cut_from_platform.discard(name)
+    kept = {pair for pair in fleet.cut_pairs if name not in pair or "c" in pair}
+    fleet.cut_pairs = kept
+
+
+@when('"{name}" leaves the view and is isolated when the platform shows it')
+def leave_unseen(context: Context, name: str) -> None:
+    fleet = context.fleet
+    epoch = fleet.platform.rows["view"]["value"]["epoch"]
+    fleet.losing_answers.add(name)
+    fleet.deliver(name, LeaveView())
+    while fleet.platform.rows["view"]["value"]["epoch"] == epoch:
+        fleet.run(0.001)
+    fleet.isolate(name)
+    assert fleet.state_by_name[name].view.epoch == epoch
+    assert fleet.has_authority(name)
+
+
+@then("the shares stay within the whole for {seconds:g} s")
+def shares_hold(context: Context, seconds: float) -> None:
+    context.fleet.run(seconds, check_overlap)
+
+
+@when('"{name}" is shown a view 20 epochs later whose row carries 16 epochs')
+def late_view(context: Context, name: str) -> None:
+    fleet, state = context.fleet, context.fleet.state_by_name[name]
+    members = state.view.member_by_incarnation
+    later = [View(state.view.epoch + step, members) for step in range(4, 21)]
+    state, _ = adopt_view(state, later[-1], fleet.now, tuple(later[:-1]))
+    for other in members:
+        state = hear(state, other, later[-1].epoch, fleet.now)
+    context.alone = settle_views(state, fleet.now)
+
+
+@then('"{name}" has a share of 0 and has not settled the view by hearing everyone')
+def no_share(context: Context, name: str) -> None:
+    state = context.alone
+    assert len(state.views) > 1, state.views
+    share = rate_share("branch", state.incarnation, state.views, 10.0, 20)
+    assert share == (0.0, 0), share
+
+
+@then("20 random changes of 8 members are read back as the last 17 views")
+def read_back_views(context: Context) -> None:
+    random, views, row = Random(41), (View(1, {}),), encode_view(View(1, {}))
+    for epoch in range(2, 22):
+        names = random.sample("abcdefgh", random.randint(0, 8))
+        members = {name: ViewMember(f"address-{name}", "zone") for name in names}
+        row = encode_view(View(epoch, members), decode_views(row))
+        views = (*views, View(epoch, members))
+    assert decode_views(row) == views[-17:]
--- a/src/jackdawspread/decisions/control_state.py
+++ b/src/jackdawspread/decisions/control_state.py
@@ -23,9 +23,8 @@
     Parameters
     ----------
     views : tuple of View
-        Settled view and all later ones that this instance has seen.
-    is_base_settled : bool
-        Whether the first view is settled; false for a newcomer.
+        Last settled view and all later ones, seen here or not. Epoch 0 has no
+        members; it comes first for a newcomer and before unknown epochs.
     view_seen_at : float
         Time at which the newest view was first seen.
     promised_epoch : int
@@ -51,7 +50,6 @@
     configuration: ConfigurationDocument
     restarts: int = 0
     views: tuple[View, ...] = (View(0, {}),)
-    is_base_settled: bool = False
     view_seen_at: float = NEVER
     promised_epoch: int = 0
     promised_at: float = NEVER
--- a/src/jackdawspread/decisions/control_status.py
+++ b/src/jackdawspread/decisions/control_status.py
@@ -36,7 +36,7 @@
         },
         "incarnation": state.incarnation,
         "epoch": state.view.epoch,
-        "is_settled": state.is_base_settled and len(state.views) == 1,
+        "is_settled": state.view.epoch > 0 and len(state.views) == 1,
         "authority_left_ms": max(0, int(1000 * _left(state, now))),
         "is_platform_up": state.is_platform_up,
         "pending_withdrawals": sorted(state.withdrawal_by_key_id),
--- a/src/jackdawspread/decisions/platform_outcomes.py
+++ b/src/jackdawspread/decisions/platform_outcomes.py
@@ -16,7 +16,7 @@
     send_write,
 )
 from jackdawspread.decisions.seats import adopt_seats, row_key
-from jackdawspread.decisions.views import adopt_view, decode_view
+from jackdawspread.decisions.views import adopt_view, decode_views
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.platform_call import PlatformCall
 from jackdawspread.messages.platform_outcome import PlatformOutcome
@@ -91,7 +91,8 @@
         state = state._replace(row_by_key={**state.row_by_key, key: row})
         adopted: tuple[Effect, ...] = ()
         if key == "view":
-            state, adopted = adopt_view(state, decode_view(row.value), now)
+            *earlier, view = decode_views(row.value)
+            state, adopted = adopt_view(state, view, now, tuple(earlier))
         elif key == KEY:
             document = configurations.decode(row.value)
             state, adopted = configurations.adopt_configuration(state, document, now)
--- a/src/jackdawspread/decisions/view_changes.py
+++ b/src/jackdawspread/decisions/view_changes.py
@@ -12,7 +12,7 @@
 )
 from jackdawspread.decisions.platform_writes import start_write
 from jackdawspread.decisions.view_proposal import ViewProposal
-from jackdawspread.decisions.views import encode_view
+from jackdawspread.decisions.views import decode_views, encode_view
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.peer_send import PeerSend
 from jackdawspread.messages.view import View
@@ -165,4 +165,6 @@
     if proposal.epoch != state.view.epoch or "view" in state.write_by_key:
         return state, ()
     view = View(proposal.epoch + 1, changed_members(state, now))
-    return start_write(state._replace(proposal=None), "view", encode_view(view), now)
+    row = state.row_by_key.get("view")
+    value = encode_view(view, decode_views(row.value) if row else ())
+    return start_write(state._replace(proposal=None), "view", value, now)
--- a/src/jackdawspread/decisions/views.py
+++ b/src/jackdawspread/decisions/views.py
@@ -1,5 +1,8 @@
 """Adoption and settling of views."""
 
+from itertools import pairwise
+from typing import Any
+
 from jackdawspread.decisions.control_state import NEVER, ControlState
 from jackdawspread.decisions.control_step import ControlStep
 from jackdawspread.decisions.control_timing import SETTLE_S
@@ -7,31 +10,66 @@
 from jackdawspread.messages.view import View
 from jackdawspread.messages.view_member import ViewMember
 
+# An instance that lags by more epochs has no share until it settles by time.
+EARLIER_VIEWS = 16
+UNKNOWN_EPOCHS = View(0, {})
+
+
+def decode_views(value: dict[str, Any]) -> tuple[View, ...]:
+    """Return the views that a row of the platform holds, the newest last."""
+    members = {name: ViewMember(*pair) for name, pair in value["members"].items()}
+    views = [View(int(value["epoch"]), members)]
+    for change in value.get("earlier", ()):
+        members = {k: v for k, v in members.items() if k not in change["joined"]}
+        for name, pair in change["left"].items():
+            members[name] = ViewMember(*pair)
+        views.append(View(views[-1].epoch - 1, members))
+    return tuple(reversed(views))
 
-def decode_view(value: dict[str, object]) -> View:
-    """Return the view that a row of the platform holds."""
-    members = value.get("members", {})
-    epoch = value.get("epoch", 0)
-    assert isinstance(members, dict) and isinstance(epoch, int)
-    return View(epoch, {name: ViewMember(*pair) for name, pair in members.items()})
+
+def encode_view(view: View, earlier: tuple[View, ...] = ()) -> dict[str, object]:
+    """Return the row that holds a view and the views of earlier epochs.
+
+    Earlier views are stored as what each change of view added and removed, the
+    newest first, because every instance reads the row once a second.
+    """
+    kept = (*earlier[-EARLIER_VIEWS:], view)
+    changes = [_encode_change(old, new) for old, new in pairwise(kept)]
+    members = _encode_members(view.member_by_incarnation)
+    return {"epoch": view.epoch, "members": members, "earlier": changes[::-1]}
 
 
-def encode_view(view: View) -> dict[str, object]:
-    """Return the row that holds a view."""
-    members = {
-        name: list(member) for name, member in view.member_by_incarnation.items()
+def _encode_change(old: View, new: View) -> dict[str, object]:
+    before, after = old.member_by_incarnation, new.member_by_incarnation
+    left = {name: member for name, member in before.items() if name not in after}
+    return {
+        "joined": [name for name in after if name not in before],
+        "left": _encode_members(left),
     }
-    return {"epoch": view.epoch, "members": members}
 
 
-def adopt_view(state: ControlState, view: View, now: float) -> ControlStep:
+def _encode_members(members: dict[str, ViewMember]) -> dict[str, list[str]]:
+    return {name: list(member) for name, member in members.items()}
+
+
+def adopt_view(
+    state: ControlState, view: View, now: float, earlier: tuple[View, ...] = ()
+) -> ControlStep:
     """Add a view read from the platform, if it is newer.
 
+    The views of the epochs that this instance skipped count too, because their
+    members may still use the shares of these epochs. If ``earlier`` does not
+    reach back to them, a view without members stands for those that are unknown.
+
     An instance that was removed joins again as a new incarnation, so that its
     old seats and shares stay with nobody.
     """
     if view.epoch <= state.view.epoch:
         return state, ()
+    skipped = tuple(old for old in earlier if old.epoch > state.view.epoch)
+    views = (*state.views, *skipped, view)
+    if not _is_gapless(views) and views[0] != UNKNOWN_EPOCHS:
+        views = (UNKNOWN_EPOCHS, *views)
     was_member = state.is_member
     heard = {
         name: state.heard_at_by_incarnation.get(name, now)
@@ -39,12 +77,12 @@
     }
     addresses = {
         name: member.peer_address
-        for known in (*state.views, view)
+        for known in views
         for name, member in known.member_by_incarnation.items()
     }
     state = state._replace(
         address_by_incarnation=addresses,
-        views=(*state.views, view),
+        views=views,
         view_seen_at=now,
         proposal=None,
         vouched_at_by_incarnation={},
@@ -64,22 +102,23 @@
     """Drop the older views once nobody can use a share of them.
 
     By time, every authority of an older epoch has lapsed. Earlier, all members
-    of the older views must be known to have left them; that needs a settled
-    first view and no gap, or an unseen view could have other members.
+    of the older views must be known to have left them; that needs views without a
+    gap, or an unknown view could have other members.
     """
-    if state.is_base_settled and len(state.views) == 1:
+    if len(state.views) == 1:
         return state
     if now >= state.view_seen_at + SETTLE_S or _all_heard(state):
-        return state._replace(views=(state.view,), is_base_settled=True)
+        return state._replace(views=(state.view,))
     return state
 
 
+def _is_gapless(views: tuple[View, ...]) -> bool:
+    return all(old.epoch + 1 == new.epoch for old, new in pairwise(views))
+
+
 def _all_heard(state: ControlState) -> bool:
-    epochs = [view.epoch for view in state.views]
-    if not state.is_base_settled or epochs != list(range(epochs[0], epochs[-1] + 1)):
-        return False
     older = {name for view in state.views[:-1] for name in view.member_by_incarnation}
-    return all(
+    return _is_gapless(state.views) and all(
         state.epoch_by_incarnation.get(name, 0) >= state.view.epoch
         for name in older - {state.incarnation}
     )
--- a/src/jackdawspread/messages/control_snapshot.py
+++ b/src/jackdawspread/messages/control_snapshot.py
@@ -20,7 +20,8 @@
     withdrawn_key_ids : frozenset of str
         Withdrawals known beyond the configuration.
     unsettled_views : tuple of View
-        The settled view and all later ones; a share is the least over them.
+        The last settled view and all later ones, also those that this instance
+        skipped; a share is the least over them.
     seat_addresses_by_database : dict of str to tuple of str
         Peer addresses of the live seat holders, first the active one.
     """
