Decide a change by the write id at its version

Cause: a write was decided by whether its id occurred anywhere among the recent ids. After 32 later changes a stored change was reported as a lost race, and a 409 to a repeat was taken as a loss while the platform still held the expected version.

Change: write_outcome looks up the id under the expected version + 1. A row at the expected version leaves the write undecided, and a row whose history no longer reaches back makes it UNKNOWN. A 409 is read back by a poll, because its rows hold only what the write expected. The message of an unknown outcome no longer says that the platform did not answer.

--- a/features/control.feature
+++ b/features/control.feature
@@ -20,6 +20,40 @@
       | 33   |
       | 34   |
 
+  Scenario Outline: A change is decided by the write id at its version
+    # Guards against a stored change that is reported as a lost race because
+    # later changes hid its write id, and against a guess when the row forgot it.
+    Given 4 instances with seed 35 that have run for 10 s
+    When the answers to the writes of "a" are lost
+    And "a" is asked to select "peak"
+    And the platform stores the change of "a" and <later> later changes
+    And 4 s pass
+    Then the operator was told "<outcome>"
+
+    Examples:
+      | later | outcome         |
+      | 0     | stored          |
+      | 1     | stored          |
+      | 31    | stored          |
+      | 32    | outcome_unknown |
+      | 40    | outcome_unknown |
+
+  Scenario Outline: A conflict reported to a repeated write is read back
+    # Guards against a change that is refused while the platform still holds the
+    # version it expects, and against a change that is reported as lost because
+    # its own earlier copy was stored first.
+    Given 4 instances with seed 36 that have run for 10 s
+    When "a" is asked to select "peak"
+    And the write of "a" gets a conflict and the platform holds <row>
+    And 4 s pass
+    Then the operator was told "<outcome>"
+
+    Examples:
+      | row                  | outcome   |
+      | the expected version | stored    |
+      | its own earlier copy | stored    |
+      | another change       | lost race |
+
   Scenario: A key is withdrawn while the platform is down
     # Guards against a withdrawn key that goes on working, or is forgotten,
     # because the platform cannot store the withdrawal.
--- a/src/jackdawspread/decisions/configurations.py
+++ b/src/jackdawspread/decisions/configurations.py
@@ -147,13 +147,11 @@
         return state, ()
     request = state.admin_queue[0]
     if ran is Ran.NOT_RUN:
-        code, detail = "platform_unavailable", "nothing was changed; try later"
+        code, detail = "platform_unavailable", "did not take the change; try later"
     else:
         code = "outcome_unknown"
-        detail = "the change may have been stored; look before repeating it"
-    refusal = Refusal(
-        code, ran, "administration", "", f"the platform did not answer, {detail}"
-    )
+        detail = "does not tell whether it stored the change; look before repeating it"
+    refusal = Refusal(code, ran, "administration", "", f"the platform {detail}")
     log = ControlLog(f"admin: {code} change={type(request.change).__name__}")
     return _finish(state), (log, *_result(request, refusal))
 
--- a/src/jackdawspread/decisions/platform_outcomes.py
+++ b/src/jackdawspread/decisions/platform_outcomes.py
@@ -12,11 +12,12 @@
     ABSENT,
     decode_rows,
     drop_write,
-    made_by,
     send_write,
+    write_outcome,
 )
 from jackdawspread.decisions.seats import adopt_seats, row_key
 from jackdawspread.decisions.views import adopt_view, decode_views
+from jackdawspread.decisions.write_outcome import WriteOutcome
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.platform_call import PlatformCall
 from jackdawspread.messages.platform_outcome import PlatformOutcome
@@ -123,38 +124,39 @@
         row = PlatformRow(int(versions[key]), write.value)
         return _succeed(state, write, {key: row}, now)
     if outcome.status == CONFLICT:
-        rows = decode_rows(outcome.body)
-        if made_by(rows.get(key, ABSENT), write.write_id):
-            return _succeed(state, write, rows, now)
-        state, effects = adopt_rows(state, rows, now)
-        state, lost = _lose(state, write, now)
-        return state, effects + lost
+        # An earlier copy of the write may have caused the conflict, and the rows
+        # of the answer hold only what the write expected; a poll decides it.
+        return _read_back(state, write, now)
     # Below 500 the platform refused the write; otherwise its answer may be lost
     # after the write took effect, and a poll reads it back.
     may_have_run = outcome.sent and (outcome.status == 0 or outcome.status >= 500)
     write = write._replace(may_have_run=write.may_have_run or may_have_run)
     if not write.may_have_run:
         return _fail(state, write, Ran.NOT_RUN, now)
+    return _read_back(state, write, now)
+
+
+def _read_back(state: ControlState, write: PlatformWrite, now: float) -> ControlStep:
     write = write._replace(unknown_since=now)
-    writes = {**state.write_by_key, key: write}
+    writes = {**state.write_by_key, write.key: write}
     state = state._replace(write_by_key=writes, next_poll_at=now)
-    return state, (ControlLog(f"control: reads back write row={key}"),)
+    return state, (ControlLog(f"control: reads back write row={write.key}"),)
 
 
 def _resolve(
     state: ControlState, call: PendingCall, rows: dict[str, PlatformRow], now: float
 ) -> ControlStep:
-    """Resolve the writes whose answers were lost before the poll was asked."""
+    """Resolve the writes without a clear answer before the poll was asked."""
     effects: tuple[Effect, ...] = ()
     for write in state.write_by_key.values():
         if write.unknown_since is None or call.asked_at < write.unknown_since:
             continue
-        row = rows.get(write.key, ABSENT)
-        if made_by(row, write.write_id):
+        outcome = write_outcome(write, rows.get(write.key, ABSENT))
+        if outcome is WriteOutcome.STORED:
             state, more = _succeed(state, write, rows, now)
-        elif row.version > write.expected_version:
+        elif outcome is WriteOutcome.LOST:
             state, more = _lose(state, write, now)
-        elif now >= write.started_at + WRITE_S:
+        elif outcome is WriteOutcome.FORGOTTEN or now >= write.started_at + WRITE_S:
             state, more = _fail(state, write, Ran.UNKNOWN, now)
         else:
             state, more = send_write(state, write, now)
--- a/src/jackdawspread/decisions/platform_writes.py
+++ b/src/jackdawspread/decisions/platform_writes.py
@@ -7,6 +7,7 @@
 from jackdawspread.decisions.pending_call import PendingCall
 from jackdawspread.decisions.platform_row import PlatformRow
 from jackdawspread.decisions.platform_write import PlatformWrite
+from jackdawspread.decisions.write_outcome import WriteOutcome
 from jackdawspread.messages.platform_call import PlatformCall
 
 ABSENT = PlatformRow(0, {})
@@ -54,12 +55,20 @@
     return state._replace(write_by_key=writes)
 
 
-def made_by(row: PlatformRow, write_id: str) -> bool:
-    """Whether a row shows that a write took effect."""
-    value = row.value
-    return value.get("write_id") == write_id or write_id in value.get(
-        "recent_write_ids", []
-    )
+def write_outcome(write: PlatformWrite, row: PlatformRow) -> WriteOutcome:
+    """Decide a write by the id under the version after the expected one."""
+    if row.version <= write.expected_version:
+        return WriteOutcome.UNDECIDED
+    # Versions of rows count the writes of the whole table, so the place in the
+    # history follows from the versions of the documents.
+    ids, later = [row.value.get("write_id")], 0
+    if "recent_write_ids" in row.value:
+        ids = row.value["recent_write_ids"]
+        later = row.value["version"] - write.value["version"]
+    if later >= len(ids):
+        return WriteOutcome.FORGOTTEN
+    is_ours = ids[-1 - later] == write.write_id
+    return WriteOutcome.STORED if is_ours else WriteOutcome.LOST
 
 
 def decode_rows(body: dict[str, Any]) -> dict[str, PlatformRow]:
