--- a/features/control.feature
+++ b/features/control.feature
@@ -20,6 +20,40 @@
       | 33   |
       | 34   |
 
+  Scenario Outline: A change is decided by the write id at its version
+    # Guards against a stored change that is reported as a lost race because
+    # later changes hid its write id, and against a guess when the row forgot it.
+    Given 4 instances with seed 35 that have run for 10 s
+    When the answers to the writes of "a" are lost
+    And "a" is asked to select "peak"
+    And the platform stores the change of "a" and <later> later changes
+    And 4 s pass
+    Then the operator was told "<outcome>"
+
+    Examples:
+      | later | outcome         |
+      | 0     | stored          |
+      | 1     | stored          |
+      | 31    | stored          |
+      | 32    | outcome_unknown |
+      | 40    | outcome_unknown |
+
+  Scenario Outline: A conflict reported to a repeated write is read back
+    # Guards against a change that is refused while the platform still holds the
+    # version it expects, and against a change that is reported as lost because
+    # its own earlier copy was stored first.
+    Given 4 instances with seed 36 that have run for 10 s
+    When "a" is asked to select "peak"
+    And the write of "a" gets a conflict and the platform holds <row>
+    And 4 s pass
+    Then the operator was told "<outcome>"
+
+    Examples:
+      | row                  | outcome   |
+      | the expected version | stored    |
+      | its own earlier copy | stored    |
+      | another change       | lost race |
+
   Scenario: A key is withdrawn while the platform is down
     # Guards against a withdrawn key that goes on working, or is forgotten,
     # because the platform cannot store the withdrawal.
@@ -170,6 +204,30 @@
     When 3.4 s pass on "a" alone
     Then "a" has settled the view
 
+  Scenario: An instance that skips an epoch counts its share in that epoch
+    # Guards against a share taken from a member that only the skipped epoch had:
+    # "a" knows the epochs before and after, "c" still holds a third in between.
+    Given 2 instances with seed 28 that have run for 10 s
+    When "a" is isolated
+    And "c" is started
+    And 6 s pass
+    And "c" leaves the view and is isolated when the platform shows it
+    And "a" is connected again
+    Then the shares stay within the whole for 8 s
+    And "a", "b" have authority
+
+  Scenario: A row that does not reach back leaves no share until time has passed
+    # Guards against a share in epochs that nobody can know any more.
+    Given 4 instances with seed 29 that have run for 10 s
+    When "a" is shown a view 20 epochs later whose row carries 16 epochs
+    Then "a" has a share of 0 and has not settled the view by hearing everyone
+    When 3.4 s pass on "a" alone
+    Then "a" has settled the view
+
+  Scenario: The row of the view gives back the earlier views
+    # Guards against an earlier view that is rebuilt with the wrong members.
+    Then 20 random changes of 8 members are read back as the last 17 views
+
   Scenario: The decisions load without an event loop
     # Guards against decisions that a model checker cannot drive.
     Then the control decisions import neither trio nor a codec
