Check failovers over real processes in a feature

A fleet of four entry instances, six members and the platform starts once for the feature and ends by process id, also after an error. The scenarios cover a primary that is cut off or frozen, claims whose answer is lost, and silent connections. start_fleet separates starting a fleet from ending it, because the steps run outside of the trio loop.

--- a/bench/launch/fleet.py
+++ b/bench/launch/fleet.py
@@ -36,14 +36,26 @@
         Where it listens.
     processes : ProcessSet
         The processes, named ``platform``, ``DATABASE-N`` and ``entry-N``.
+    settings : mapping of str to pathlib.Path
+        Settings file of each instance.
     """
 
     def __init__(
-        self, plan: DeploymentPlan, layout: FleetLayout, processes: ProcessSet
+        self,
+        plan: DeploymentPlan,
+        layout: FleetLayout,
+        processes: ProcessSet,
+        settings: Mapping[str, Path],
     ) -> None:
         self.plan = plan
         self.layout = layout
         self.processes = processes
+        self._settings = settings
+
+    def start_instance(self, name: str) -> None:
+        """Start an entry instance, for the first time or after it has ended."""
+        command = (*PRODUCT, "proxy", str(self._settings[name]))
+        self.processes.start(name, command)
 
     def kill(self, name: str) -> None:
         """Kill a process at once."""
@@ -92,10 +104,12 @@
                 found.append((int(body["term"]) + 1, name))
         return max(found)[1]
 
-    async def wait_ready(self) -> None:
-        """Wait until every instance is ready."""
+    async def wait_ready(self, spares: tuple[str, ...] = ()) -> None:
+        """Wait until every instance but the spares is ready."""
         deadline = current_time() + READY_TIMEOUT_S
         for name, addresses in self.layout.instance_by_name.items():
+            if name in spares:
+                continue
             while (await call_once(addresses.caller, "GET", "/readyz"))[0] != 200:
                 if current_time() > deadline or not self.processes.running(name):
                     tail = self.processes.log_tail(name)
@@ -124,15 +138,41 @@
     """
     with TemporaryDirectory(prefix="jackdawspread-bench-") as path:
         directory = Path(path)
-        layout = choose_layout(plan)
         with ProcessSet(directory) as processes:
-            fleet = Fleet(plan, layout, processes)
-            await _start_back_ends(fleet)
-            settings = write_settings(directory, plan, layout, experiment or {})
-            for name, file in settings.items():
-                processes.start(name, (*PRODUCT, "proxy", str(file)))
-            await fleet.wait_ready()
-            yield fleet
+            yield await start_fleet(plan, directory, processes, experiment)
+
+
+async def start_fleet(
+    plan: DeploymentPlan,
+    directory: Path,
+    processes: ProcessSet,
+    experiment: Mapping[str, str] | None = None,
+    spares: tuple[str, ...] = (),
+) -> Fleet:
+    """Start a deployment whose processes the caller ends.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        What to start.
+    directory : pathlib.Path
+        Takes the settings files.
+    processes : ProcessSet
+        Starts and ends the processes.
+    experiment : mapping of str to str, optional
+        Options of the section ``[experiment]`` of every instance.
+    spares : tuple of str, optional
+        Instances that have addresses and settings but are not started yet.
+    """
+    layout = choose_layout(plan)
+    settings = write_settings(directory, plan, layout, experiment or {})
+    fleet = Fleet(plan, layout, processes, settings)
+    await _start_back_ends(fleet)
+    for name in settings:
+        if name not in spares:
+            fleet.start_instance(name)
+    await fleet.wait_ready(spares)
+    return fleet
 
 
 async def _start_back_ends(fleet: Fleet) -> None:
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,32 @@
+"""Fleets of processes that live as long as a feature."""
+
+import sys
+from pathlib import Path
+
+from behave.model import Feature, Scenario
+from behave.runner import Context
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from features.support.process_world import ProcessWorld
+
+
+def before_feature(context: Context, feature: Feature) -> None:
+    """Start a fleet for a feature that is tagged with it."""
+    if "fleet" in feature.tags:
+        world = ProcessWorld()
+        context.add_cleanup(world.close)
+        context.world = world
+        world.start()
+
+
+def before_scenario(context: Context, scenario: Scenario) -> None:
+    """Forget the requests of the scenario before."""
+    if "fleet" in scenario.feature.tags:
+        context.world.replies.clear()
+
+
+def after_scenario(context: Context, scenario: Scenario) -> None:
+    """End the load and the faults of a scenario, also after a failure."""
+    if "fleet" in scenario.feature.tags:
+        context.world.recover()
--- a/features/steps/bench_reading_steps.py
+++ b/features/steps/bench_reading_steps.py
@@ -73,7 +73,8 @@
 
 def _fleet(addresses: list[str], processes: ProcessSet) -> Fleet:
     members = {f"swap1-{n}": address for n, address in enumerate(addresses, 1)}
-    return Fleet(SALTBUSH, FleetLayout("", {"swap1": members}, {}, "", ""), processes)
+    layout = FleetLayout("", {"swap1": members}, {}, "", "")
+    return Fleet(SALTBUSH, layout, processes, {})
 
 
 @given("a replaced primary without records and a primary with {count:d} records")
