--- a/bench/launch/process_set.py
+++ b/bench/launch/process_set.py
@@ -72,6 +72,10 @@
         if not self.running(name):
             del self._by_name[name]
 
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the processes that were started."""
+        return tuple(self._by_name)
+
     def pid(self, name: str) -> int:
         """Return the id of a process."""
         return self._by_name[name].pid
--- a/features/support/process_world.py
+++ b/features/support/process_world.py
@@ -79,6 +79,10 @@
             await self.fault(name, {"cut": [], "service_ms": 2})
         await self.fleet.set_platform_fault({"mode": "up", "delay_ms": 0})
         await self.stop_load()
+        for name in SPARES:
+            if name in self.processes.names() and self.processes.running(name):
+                self.fleet.terminate(name)
+                assert await self.processes.wait(name, PATIENCE_S), name
         for name in ENTRIES:
             if not self.processes.running(name):
                 self.fleet.start_instance(name)
@@ -118,6 +122,14 @@
 
         await self.eventually(is_settled, f"{entries} are settled", 2 * PATIENCE_S)
 
+    async def rejoined(self, entry: str) -> None:
+        """Wait until an instance serves with authority again."""
+
+        async def serves() -> bool:
+            return (await self.claim(entry)).status == 200
+
+        await self.eventually(serves, f"{entry} serves again", 2 * PATIENCE_S)
+
     async def eventually(
         self,
         check: Callable[[], Awaitable[Any]],
@@ -165,6 +177,13 @@
         await self.eventually(known, "the key is known")
         return str(answer["key"]), str(answer["key_id"])
 
+    async def owner(self, database: str) -> str:
+        """Return the instance that owns a database."""
+        status = await self.status("entry-1")
+        address = status["databases"][database]["live_addresses"][0]
+        layout = self.fleet.layout.instance_by_name
+        return next(name for name, at in layout.items() if at.peer == address)
+
     def caller(self, entry: str, key: str | None = None) -> ProxyCaller:
         """Return a caller of an instance."""
         address = self.fleet.layout.instance_by_name[entry].caller
