Run the relay experiment against the whole proxy

Cause: the experiment had one member and no platform, so it never measured the product. The workspaces' rates were sent with their creation, where the API passes them over, so every workspace of the bench ran at the default 50/s; the relay's connections were not registered with the member, which refused all.

The step that compares the administration calls is stricter than before: it lists three calls and checks the limits.

--- a/bench/experiments/measure_relay.py
+++ b/bench/experiments/measure_relay.py
@@ -8,8 +8,8 @@
 from trio import sleep
 
 from bench.bench_error import BenchError
+from bench.client.administration import raise_bounds
 from bench.client.http_connection import HttpConnection
-from bench.client.json_call import call_once
 from bench.experiments.relay_experiment import RelayExperiment
 from bench.experiments.resident_memory import resident_mb
 from bench.experiments.run_workers import run_workers
@@ -76,15 +76,26 @@
     experiment: RelayExperiment, fleet: Fleet
 ) -> dict[str, WorkerPlan]:
     database = fleet.plan.databases[0].name
-    member = next(iter(fleet.layout.members_by_database[database].values()))
-    entry = next(iter(fleet.layout.instance_by_name.values())).caller
-    relay = free_addresses(1)[0]
-    command = (sys.executable, "-m", "bench.relay", relay, member)
-    fleet.processes.start("relay", (*command, str(RELAY_CONNECTIONS)))
-    await _wait_answering(relay)
+    addresses = next(iter(fleet.layout.instance_by_name.values()))
+    workspace = fleet.plan.workspaces[0]
+    # The head office's highest rate would otherwise bound the measurement.
+    await raise_bounds(
+        addresses.admin,
+        fleet.layout.operator_credential,
+        workspace.rate,
+        workspace.burst,
+    )
     key = (await create_callers(fleet, 1))[0].key
     headers = [("Authorization", f"Bearer {key}")] if key else []
     target = f"/v1/databases/{database}/read"
+    await _wait_answering(addresses.caller, "POST", target, dict(headers))
+    # The first read shows that the owner has opened the primary.
+    name = await fleet.primary(database)
+    member = fleet.layout.members_by_database[database][name]
+    relay = free_addresses(1)[0]
+    command = (sys.executable, "-m", "bench.relay", relay, member)
+    fleet.processes.start("relay", (*command, str(RELAY_CONNECTIONS)))
+    await _wait_answering(relay, "GET", "/healthz", {})
     direct = WorkerPlan(
         address=member,
         target="/read",
@@ -100,16 +111,22 @@
     return {
         "member": direct,
         "relay": through._replace(address=relay),
-        "instance": through._replace(address=entry, headers=headers),
+        "instance": through._replace(address=addresses.caller, headers=headers),
     }
 
 
-async def _wait_answering(address: str) -> None:
+async def _wait_answering(
+    address: str, method: str, target: str, headers: dict[str, str]
+) -> None:
     for _ in range(ATTEMPTS):
-        if (await call_once(address, "GET", "/healthz"))[0]:
+        connection = HttpConnection(address)
+        body = STATEMENT.encode() if method == "POST" else b""
+        reply = await connection.call(method, target, body, tuple(headers.items()))
+        await connection.aclose()
+        if reply.status == 200:
             return
         await sleep(RETRY_S)
-    raise BenchError(f"the relay at {address} does not answer")
+    raise BenchError(f"no answer to {method} {target} at {address}")
 
 
 async def _idle_memory(fleet: Fleet, count: int) -> Row:
--- a/bench/plans/deployments.py
+++ b/bench/plans/deployments.py
@@ -48,14 +48,12 @@
 )
 DEPLOYMENT_BY_NAME = {plan.name: plan for plan in (SALTBUSH, SAOMAI)}
 
-# One instance before one member, to measure what the instance costs by itself. It
-# runs without platform until the platform stand-in exists; then it needs
-# starts_platform=True and member_options=("--service-ms=0",).
+# One instance before one database, to measure what the instance costs by itself.
+# Three members, since an owner opens a primary only with a majority of promises.
 SINGLE = DeploymentPlan(
     name="saltbush",
-    databases=(DatabasePlan("swap1", 1, 64, 256, ()),),
+    databases=(DatabasePlan("swap1", 3, 64, 256, ("--service-ms=0",)),),
     instances=1,
     workspaces=(WorkspacePlan("garden1", 1e6, 1_000_000, 1.0, 1.0),),
     client_delay=0.0,
-    starts_platform=False,
 )
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -41,6 +41,13 @@
         for _ in range(connections):
             self._give.send_nowait(HttpConnection(upstream))
 
+    async def connect(self) -> None:
+        """Register every connection with the member, which refuses others."""
+        for _ in range(self._take.statistics().current_buffer_used):
+            connection = await self._take.receive()
+            await connection.call("POST", "/connect", b'{"instance":"relay"}')
+            self._give.send_nowait(connection)
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request; the connection belongs to this task meanwhile."""
         if request.method != "POST":
@@ -56,6 +63,7 @@
 
 async def _run(address: str, upstream: str, connections: str) -> None:
     relay = Relay(upstream, int(connections))
+    await relay.connect()
     await HttpServer(await listen(address), relay.handle, Event()).run()
 
 
--- a/features/steps/bench_reading_steps.py
+++ b/features/steps/bench_reading_steps.py
@@ -146,11 +146,14 @@
     context.key = run(_serve, context.answers, context.seen, use)
 
 
-@then("the operator's credential came with both requests")
+@then("the operator's credential came with every request")
 def credential(context: Context) -> None:
-    """Check targets and credential."""
+    """Check targets, limits and credential."""
     targets = [request.target for request in context.seen]
-    assert targets == ["/v1/workspaces", "/v1/workspaces/garden1/keys"], targets
+    garden = "/v1/workspaces/garden1"
+    assert targets == ["/v1/workspaces", f"{garden}/limits", f"{garden}/keys"], targets
+    limits = decode_json(context.seen[1].body, dict[str, float]).ok
+    assert limits == {"rate": 200.0, "burst": 100, "weight": 1.0}, limits
     headers = {request.headers["authorization"] for request in context.seen}
     assert headers == {"Bearer credential"}, headers
 
