Let settings choose the policies that experiments compare

Cause: the bench writes a section [experiment], which the settings refused, so no policy could be measured against its baseline. The bench also sent a workspace's limits with its creation, where the API takes none: every workspace ran at the head office's 50 requests/s. Change: checked options for queueing, pooling, rates, preparation, replica reads and retries, wired to the owner, the gateway and the rate limits; the bench sets limits with PUT .../limits and records when a call began. Ruled out: database, instance and replication lag; the service time was the same over databases, instances and roles, and only the two workspaces near 50 requests/s were slow.

--- a/bench/client/administration.py
+++ b/bench/client/administration.py
@@ -12,30 +12,40 @@
 async def create_workspace(
     address: str, credential: str, workspace: WorkspacePlan
 ) -> str:
-    """Create a workspace and return a key for it.
+    """Create a workspace with its limits and return a key for it.
 
     Raises
     ------
     AdministrationError
         If a call is refused or not answered.
     """
-    limits = {
-        "name": workspace.name,
+    limits: dict[str, object] = {
         "rate": workspace.rate,
         "burst": workspace.burst,
         "weight": workspace.weight,
     }
-    await _post(address, credential, "/v1/workspaces", limits)
-    target = f"/v1/workspaces/{workspace.name}/keys"
-    return str((await _post(address, credential, target, {}))["key"])
+    body: dict[str, object] = {"name": workspace.name}
+    await change(address, credential, "POST", "/v1/workspaces", body)
+    target = f"/v1/workspaces/{workspace.name}"
+    # Creation takes no limits; without this call the head office's rate applies.
+    await change(address, credential, "PUT", f"{target}/limits", limits)
+    answer = await change(address, credential, "POST", f"{target}/keys", {})
+    return str(answer["key"])
 
 
-async def _post(
-    address: str, credential: str, target: str, body: dict[str, object]
+async def change(
+    address: str, credential: str, method: str, target: str, body: dict[str, object]
 ) -> dict[str, object]:
+    """Make a change through the administration API and return the answer.
+
+    Raises
+    ------
+    AdministrationError
+        If the call is refused or not answered.
+    """
     headers = (("Authorization", f"Bearer {credential}"),)
-    status, answer = await call_once(address, "POST", target, body, headers)
+    status, answer = await call_once(address, method, target, body, headers)
     if not 200 <= status < 300:
-        detail = f"POST {target} at {address}: status {status}, {answer}"
+        detail = f"{method} {target} at {address}: status {status}, {answer}"
         raise AdministrationError(detail)
     return answer
--- a/bench/load/caller.py
+++ b/bench/load/caller.py
@@ -86,7 +86,8 @@
         call = prepare_call(scheduled.operation, profile.name, scheduled.id)
         attempts: list[Attempt] = []
         body: AnswerBody = {}
-        give_up = min(current_time() + GIVE_UP_S, self._end)
+        began = current_time()
+        give_up = min(began + GIVE_UP_S, self._end)
         while current_time() < give_up and _repeats(call, attempts):
             await sleep(_backoff(attempts, len(self._connections)))
             attempt, body = await self._attempt(scheduled, call)
@@ -102,6 +103,7 @@
             finished=current_time() - self._start,
             outcome=_outcome(attempts),
             attempts=tuple(attempts),
+            started=began - self._start,
         )
         return self._judge(record, body)
 
--- a/bench/load/operation_record.py
+++ b/bench/load/operation_record.py
@@ -34,6 +34,8 @@
         Whether the answer carried the marker of this operation.
     missing : tuple of str
         Own acknowledged records that a read did not return.
+    started : float
+        Time of the first call; later than ``due`` if the caller was busy.
     """
 
     id: str
@@ -50,3 +52,4 @@
     effective: bool = False
     marker_matches: bool = True
     missing: tuple[str, ...] = ()
+    started: float = 0.0
--- a/features/bench.feature
+++ b/features/bench.feature
@@ -88,8 +88,10 @@
     Then the request id inside the statements of the log is found
 
   Scenario: A workspace and its key come from the administration API
-    # Guards against a launcher that sends other requests than operators may.
+    # Guards against a launcher that sends other requests than operators may, and
+    # against a workspace that runs at the head office's rate instead of its own.
     Given an administration API
     When the bench creates a workspace
-    Then the operator's credential came with both requests
+    Then the operator's credential came with each request
+    And the second request sets the limits of the plan
     And the bench has the key
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -64,3 +64,15 @@
       | line             | status | text                                |
       | timeout_ms = 500 | 0      | accepted                            |
       | timeout_ms = no  | 2      | expected a whole number of at least |
+
+  Scenario Outline: The policies of an experiment are checked
+    # Guards against an experiment that measures the default because a name is
+    # wrong.
+    When an operator checks settings with "<line>" in section experiment
+    Then the check ends with status <status> and says "<text>"
+
+    Examples:
+      | line                  | status | text                          |
+      | pooling = independent | 0      | accepted                      |
+      | queueing = random     | 2      | expected fair or fifo         |
+      | rate = even           | 2      | no such option in this section |
--- a/features/owner.feature
+++ b/features/owner.feature
@@ -163,6 +163,17 @@
     When 100 requests are counted and 30 retries are wished for
     Then 20 retries are granted
 
+  Scenario: The baseline of the retry experiment has no bound
+    # Guards against an experiment that compares the budget with itself.
+    When 30 retries are wished for without a budget
+    Then 30 retries are granted
+
+  Scenario: An independent owner serves claims without a seat and promotes nobody
+    # Guards against a baseline in which every instance competes for the term.
+    Given owners are independent
+    When claims reach an owner without a seat before and after a promotion
+    Then both claims are answered and only the seat promoted
+
   Scenario: One missed probe does not replace the primary
     # Guards against replacing a primary that is only slow for a moment.
     Given the owner prepares at suspicion
--- a/features/steps/bench_reading_steps.py
+++ b/features/steps/bench_reading_steps.py
@@ -146,15 +146,28 @@
     context.key = run(_serve, context.answers, context.seen, use)
 
 
-@then("the operator's credential came with both requests")
+@then("the operator's credential came with each request")
 def credential(context: Context) -> None:
     """Check targets and credential."""
     targets = [request.target for request in context.seen]
-    assert targets == ["/v1/workspaces", "/v1/workspaces/garden1/keys"], targets
+    workspace = "/v1/workspaces/garden1"
+    expected = ["/v1/workspaces", f"{workspace}/limits", f"{workspace}/keys"]
+    assert targets == expected, targets
     headers = {request.headers["authorization"] for request in context.seen}
     assert headers == {"Bearer credential"}, headers
 
 
+@then("the second request sets the limits of the plan")
+def limits_set(context: Context) -> None:
+    """Compare the body with the plan of the workspace."""
+    plan = SALTBUSH.workspaces[0]
+    request = context.seen[1]
+    expected = {"rate": plan.rate, "burst": plan.burst, "weight": plan.weight}
+    assert request.method == "PUT", request.method
+    body = decode_json(request.body, dict[str, float])
+    assert body.is_ok() and body.ok == expected, request.body
+
+
 @then("the bench has the key")
 def has_key(context: Context) -> None:
     """Check the key."""
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -160,21 +160,21 @@
     assert context.assignments[-1] == ("swap1", 1, 0, True, n), context.assignments
 
 
-@when('an operator checks settings with "{line}" in section platform')
-def check_settings(context: Context, line: str) -> None:
+@when('an operator checks settings with "{line}" in section {section}')
+def check_settings(context: Context, line: str, section: str) -> None:
     text = f"""
 [instance]
 caller_address = 127.0.0.1:1
 admin_address = 127.0.0.1:2
 peer_address = 127.0.0.1:3
 failure_domain = zone-1
-[platform]
-address = 127.0.0.1:4
-{line}
 [secrets]
 session_secret = secret
 operator_key_hash = {"0" * 64}
+[platform]
+address = 127.0.0.1:4
 """
+    text += f"{line}\n" if section == "platform" else f"[{section}]\n{line}\n"
     with TemporaryDirectory() as directory:
         path = Path(directory) / "instance.ini"
         path.write_text(text, encoding="utf-8")
--- a/features/steps/owner_decision_steps.py
+++ b/features/steps/owner_decision_steps.py
@@ -7,6 +7,7 @@
 from jackdawspread.decisions.position_sample import PositionSample
 from jackdawspread.decisions.read_choice import data_age
 from jackdawspread.decisions.retry_budget import RetryBudget, count_request, take_retry
+from jackdawspread.decisions.unlimited_retries import UnlimitedRetries
 from jackdawspread.messages.position import Position
 
 
@@ -59,7 +60,16 @@
         context.granted += is_granted
 
 
-@then("20 retries are granted")
-def granted(context: Context) -> None:
+@when("30 retries are wished for without a budget")
+def wish_plain(context: Context) -> None:
+    """Use the baseline of the experiments."""
+    rule, context.granted = count_request(UnlimitedRetries(), 10), 0
+    for _ in range(30):
+        rule, is_granted = take_retry(rule)
+        context.granted += is_granted
+
+
+@then("{number:d} retries are granted")
+def granted(context: Context, number: int) -> None:
     """Check the number of retries."""
-    assert context.granted == 20, context.granted
+    assert context.granted == number, context.granted
--- a/features/steps/owner_detection_steps.py
+++ b/features/steps/owner_detection_steps.py
@@ -8,12 +8,13 @@
 from trio import current_time, sleep
 
 from jackdawspread.messages.position import Position
+from jackdawspread.settings.experiment_settings import ExperimentSettings
 
 
 @given("the owner prepares at suspicion")
 def prepares(context: Context) -> None:
     """Switch the preparation on."""
-    context.options = {"prepare_at_suspicion": True}
+    context.options = {"experiment": ExperimentSettings(preparation="on")}
 
 
 def false_alarms() -> float:
--- a/features/steps/owner_queue_steps.py
+++ b/features/steps/owner_queue_steps.py
@@ -6,9 +6,9 @@
 from features.owner_world import A, OwnerWorld, snapshot
 from trio import open_nursery, sleep
 
-from jackdawspread.decisions.fifo_queue_state import empty_fifo_queue
 from jackdawspread.messages.ran import Ran
 from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.settings.experiment_settings import ExperimentSettings
 
 READ, BEGIN = RequestKind.READ, RequestKind.BEGIN
 
@@ -16,7 +16,7 @@
 @given("the queueing discipline is {name}")
 def discipline(context: Context, name: str) -> None:
     """Choose the discipline."""
-    context.options = {"queue": empty_fifo_queue()} if name == "fifo" else {}
+    context.options = {"experiment": ExperimentSettings(queueing=name)}
 
 
 @when("w1 keeps 40 reads queued while w2 sends one read after another")
--- a/src/jackdawspread/composition.py
+++ b/src/jackdawspread/composition.py
@@ -103,6 +103,7 @@
             self._incarnation,
             inbox,
             self._control.clone(),
+            experiment=self._settings.experiment,
         )
         parts.start_soon(owner.run)
         return send
@@ -146,6 +147,7 @@
             self._owner_by_database,
             self._hub,
             SessionTokenCodec(self._settings.session_secret),
+            self._settings.experiment,
         )
         parts.start_soon(gateway.run)
 
--- a/src/jackdawspread/decisions/seat_roles.py
+++ b/src/jackdawspread/decisions/seat_roles.py
@@ -61,6 +61,25 @@
     return min(limit, known.earlier_limit)
 
 
+def independent_assignment(
+    state: ControlState, database: str, now: float
+) -> SeatAssignment:
+    """Return the seat with an equal share of each member's connections.
+
+    The least share over the unsettled views keeps the sum within the budget while
+    instances move from one view to the next.
+    """
+    assignment = seat_assignment(state, database, now)
+    if now >= authority_deadline(state, now) + AUTHORITY_S:
+        return assignment
+    members = [view.member_by_incarnation for view in state.views]
+    if not members or not all(state.incarnation in known for known in members):
+        return assignment._replace(connection_limit=0)
+    connections = state.connections_by_database[database]
+    limit = min(connections // len(known) for known in members)
+    return assignment._replace(connection_limit=limit)
+
+
 def seat_addresses(state: ControlState, database: str, now: float) -> tuple[str, ...]:
     """Return the peer addresses of the live seat holders, first the active one."""
     known = state.seat_by_database.get(database, NO_SEATS)
--- a/src/jackdawspread/settings/checks.py
+++ b/src/jackdawspread/settings/checks.py
@@ -1,5 +1,6 @@
 """Checks of single settings values."""
 
+from collections.abc import Callable
 from ipaddress import ip_address
 
 from expression import Error, Ok, Result
@@ -32,6 +33,15 @@
     return Ok(text) if text else Error("a text that is not empty")
 
 
+def check_choice(*choices: str) -> Callable[[str], Result[str, str]]:
+    """Return a check that accepts one of some words."""
+
+    def check(text: str) -> Result[str, str]:
+        return Ok(text) if text in choices else Error(" or ".join(choices))
+
+    return check
+
+
 def check_hex(text: str) -> Result[str, str]:
     """Accept a SHA-256 digest in hexadecimal."""
     digits = set("0123456789abcdef")
--- a/src/jackdawspread/settings/instance_settings.py
+++ b/src/jackdawspread/settings/instance_settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from jackdawspread.settings.database_settings import DatabaseSettings
+from jackdawspread.settings.experiment_settings import ExperimentSettings
 
 
 class InstanceSettings(NamedTuple):
@@ -30,6 +31,8 @@
         SHA-256 of the operator's credential, in hexadecimal.
     database_by_name : dict of str to DatabaseSettings
         Databases by name.
+    experiment : ExperimentSettings
+        Policies that experiments compare.
     """
 
     caller_address: str
@@ -42,3 +45,4 @@
     session_secret: str
     operator_key_hash: str
     database_by_name: dict[str, DatabaseSettings]
+    experiment: ExperimentSettings = ExperimentSettings()
--- a/src/jackdawspread/settings/instance_settings_file.py
+++ b/src/jackdawspread/settings/instance_settings_file.py
@@ -8,11 +8,13 @@
 
 from jackdawspread.settings.checks import (
     check_address,
+    check_choice,
     check_count,
     check_hex,
     check_text,
 )
 from jackdawspread.settings.database_settings import DatabaseSettings
+from jackdawspread.settings.experiment_settings import ExperimentSettings
 from jackdawspread.settings.instance_settings import InstanceSettings
 from jackdawspread.settings.section_reader import SectionReader
 from jackdawspread.settings.settings_error import SettingsError
@@ -44,7 +46,7 @@
         return SectionReader(file, name, dict(options), errors)
 
     instance, platform = section("instance"), section("platform")
-    secrets = section("secrets")
+    secrets, experiment = section("secrets"), section("experiment")
     settings = InstanceSettings(
         caller_address=instance.take("caller_address", check_address),
         admin_address=instance.take("admin_address", check_address),
@@ -56,13 +58,31 @@
         session_secret=secrets.take("session_secret", check_text),
         operator_key_hash=secrets.take("operator_key_hash", check_hex),
         database_by_name=_databases(parser, section),
+        experiment=_experiment(experiment),
     )
-    for reader in (instance, platform, secrets):
+    for reader in (instance, platform, secrets, experiment):
         reader.refuse_unknown()
     errors += _unknown_sections(file, parser)
     return Error(errors) if errors else Ok(settings)
 
 
+def _experiment(reader: SectionReader) -> ExperimentSettings:
+    default = ExperimentSettings()
+
+    def take(option: str, *choices: str) -> str:
+        chosen: str = getattr(default, option)
+        return reader.take(option, check_choice(*choices), chosen)
+
+    return ExperimentSettings(
+        queueing=take("queueing", "fair", "fifo"),
+        pooling=take("pooling", "owner", "independent"),
+        rates=take("rates", "borrow", "even"),
+        preparation=take("preparation", "on", "off"),
+        replica_reads=take("replica_reads", "on", "off"),
+        retries=take("retries", "budget", "plain"),
+    )
+
+
 def _databases(parser, section) -> dict[str, DatabaseSettings]:  # type: ignore[no-untyped-def]
     by_name = {}
     for title in parser.sections():
@@ -80,14 +100,14 @@
 
 
 def _unknown_sections(file: str, parser: ConfigParser) -> list[SettingsError]:
-    known = {"instance", "platform", "secrets"}
+    known = {"instance", "platform", "secrets", "experiment"}
     return [
         SettingsError(
             file,
             title,
             "",
             "",
-            "sections instance, platform, secrets, or 'database NAME'",
+            "sections instance, platform, secrets, experiment, or 'database NAME'",
         )
         for title in parser.sections()
         if title not in known and not title.startswith(DATABASE_PREFIX)
--- a/src/jackdawspread/tasks/control_task.py
+++ b/src/jackdawspread/tasks/control_task.py
@@ -15,7 +15,7 @@
 
 from jackdawspread.decisions.control_decision import ControlEvent, decide, first_state
 from jackdawspread.decisions.control_status import snapshot
-from jackdawspread.decisions.seat_roles import seat_assignment
+from jackdawspread.decisions.seat_roles import independent_assignment, seat_assignment
 from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.admin_submission import AdminSubmission
 from jackdawspread.messages.control_log import ControlLog
@@ -76,6 +76,8 @@
             settings.failure_domain,
             {name: database.connections for name, database in databases.items()},
         )
+        is_independent = settings.experiment.pooling == "independent"
+        self._assign = independent_assignment if is_independent else seat_assignment
         self._inbox = inbox
         self._peer_outbox = peer_outbox
         self._platform_calls = platform_calls
@@ -145,7 +147,7 @@
             ):
                 self._snapshots[index] = current
         for database, owner in self._owner_by_database.items():
-            assignment = seat_assignment(self._state, database, now)
+            assignment = self._assign(self._state, database, now)
             if self._assignment_by_database.get(database) != assignment and _offer(
                 owner, assignment
             ):
--- a/src/jackdawspread/tasks/database_owner.py
+++ b/src/jackdawspread/tasks/database_owner.py
@@ -18,10 +18,8 @@
 
 from jackdawspread.decisions.confirm_call import ConfirmCall
 from jackdawspread.decisions.control_call import ControlCall
-from jackdawspread.decisions.fair_queue_state import empty_fair_queue
 from jackdawspread.decisions.pool_call import PoolCall
 from jackdawspread.decisions.promotion_effect import PromotionEffect
-from jackdawspread.decisions.request_queue import RequestQueue
 from jackdawspread.decisions.statement_call import StatementCall
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.http_outcome import HttpOutcome
@@ -29,13 +27,16 @@
 from jackdawspread.messages.seat_assignment import SeatAssignment
 from jackdawspread.messages.term_announcement import TermAnnouncement
 from jackdawspread.settings.database_settings import DatabaseSettings
+from jackdawspread.settings.experiment_settings import ExperimentSettings
 from jackdawspread.tasks.connection_set import ConnectionFactory
 from jackdawspread.tasks.http_client_connection import HttpClientConnection
 from jackdawspread.tasks.owner_core import OwnerCore
 from jackdawspread.tasks.owner_metrics import QUEUE_LENGTH
+from jackdawspread.tasks.owner_policy import owner_policy
 
 OwnerEvent = RoutedSubmission | SeatAssignment | ControlSnapshot | TermAnnouncement
 
+PRODUCT_CHOICE = ExperimentSettings()
 TICK_SECONDS = 0.05
 IDLE_TICK_SECONDS = 1.0
 # A holder that is not active probes at full rate this long after a request.
@@ -56,11 +57,8 @@
     outbox : trio.MemorySendChannel
         Tells the control task of new terms; while it is full, the latest
         announcement waits.
-    prepare_at_suspicion : bool
-        Whether to make the likely next primary ready when the primary is
-        suspected.
-    queue : RequestQueue or None
-        Empty queue of the discipline to use; fair queueing if None.
+    experiment : ExperimentSettings
+        Policies; the default is the product's choice.
     random : random.Random or None
         Source of jitter.
     make_connection : callable
@@ -74,8 +72,7 @@
         inbox: MemoryReceiveChannel[OwnerEvent],
         outbox: MemorySendChannel[TermAnnouncement],
         *,
-        prepare_at_suspicion: bool = False,
-        queue: RequestQueue | None = None,
+        experiment: ExperimentSettings = PRODUCT_CHOICE,
         random: Random | None = None,
         make_connection: ConnectionFactory = HttpClientConnection,
     ) -> None:
@@ -83,8 +80,7 @@
         self._incarnation = incarnation
         self._inbox = inbox
         self._outbox = outbox
-        self._prepare_at_suspicion = prepare_at_suspicion
-        self._queue = empty_fair_queue() if queue is None else queue
+        self._policy = owner_policy(experiment)
         self._random = Random() if random is None else random
         self._make_connection = make_connection
         self._snapshot: ControlSnapshot | None = None
@@ -104,9 +100,8 @@
                 nursery,
                 outcomes,
                 self._make_connection,
-                self._queue,
+                self._policy,
                 self._random,
-                self._prepare_at_suspicion,
             )
             nursery.start_soon(self._take_outcomes, outcome_inbox)
             nursery.start_soon(self._tick)
@@ -126,8 +121,9 @@
         while True:
             now = current_time()
             is_eager = self._seat.is_active or now < self._engaged_until
+            is_eager = is_eager or self._policy.is_independent
             core.watch.engage(now < self._engaged_until)
-            if self._seat.seat >= 0:
+            if self._is_serving():
                 self._apply(core.watch.tick(now), now)
             elif core.runner.is_idle():
                 core.parts.pools.set_limit(0)
@@ -153,14 +149,20 @@
             except (BrokenResourceError, WouldBlock):
                 return
 
+    def _is_serving(self) -> bool:
+        """Return whether requests may run here; an independent owner needs no seat."""
+        has_connections = self._seat.connection_limit > 0
+        return self._seat.seat >= 0 or (self._policy.is_independent and has_connections)
+
     @singledispatchmethod
     def _handle(self, event: object, now: float) -> None:
         raise TypeError(f"owner cannot handle {type(event).__name__}")
 
     @_handle.register
     def _(self, event: RoutedSubmission, now: float) -> None:
-        has_seat = self._seat.seat >= 0
-        if has_seat and not self._seat.is_active:
+        has_seat = self._is_serving()
+        is_standby = has_seat and not self._seat.is_active
+        if is_standby and not self._policy.is_independent:
             if now >= self._engaged_until:
                 self._wake.set()
             self._engaged_until = now + ENGAGED_SECONDS
@@ -179,7 +181,7 @@
         )
         self._seat = event
         self._apply(self._core.watch.handle(event, now), now)
-        if event.seat >= 0:
+        if self._is_serving():
             self._core.parts.pools.set_limit(event.connection_limit)
         else:
             self._core.watch.stop()
--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -30,6 +30,7 @@
 from jackdawspread.messages.routed_send import RoutedSend
 from jackdawspread.messages.routed_submission import RoutedSubmission
 from jackdawspread.messages.session import Session
+from jackdawspread.settings.experiment_settings import ExperimentSettings
 from jackdawspread.tasks.deadline_queue import DeadlineQueue
 from jackdawspread.tasks.gateway_metrics import REQUEST_SECONDS, REQUESTS, REROUTES
 from jackdawspread.tasks.peer_hub import HubInput
@@ -60,6 +61,8 @@
         Inbox of the peer hub.
     tokens : SessionTokenCodec
         Codec of session tokens.
+    experiment : ExperimentSettings
+        Policies; those of rates and pooling concern the gateway.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         owner_by_database: Mapping[str, MemorySendChannel[RoutedSubmission]],
         hub: MemorySendChannel[HubInput],
         tokens: SessionTokenCodec,
+        experiment: ExperimentSettings,
     ) -> None:
         self._own_address = own_address
         self._inbox = inbox
@@ -83,7 +87,14 @@
         self._deadlines = DeadlineQueue()
         self._reroutes = DeadlineQueue()
         self._ids = count(1)
-        self._limits = RateLimits(own_address, hub, self._admitted, self._rate_refused)
+        self._is_independent = experiment.pooling == "independent"
+        self._limits = RateLimits(
+            own_address,
+            hub,
+            self._admitted,
+            self._rate_refused,
+            experiment.rates == "borrow",
+        )
 
     async def run(self) -> None:
         """Handle events until the inbox closes."""
@@ -117,6 +128,10 @@
 
     @_handle.register
     def _(self, event: ControlSnapshot) -> None:
+        if self._is_independent:
+            own: tuple[str, ...] = (self._own_address,)
+            by_database = dict.fromkeys(self._databases, own)
+            event = event._replace(seat_addresses_by_database=by_database)
         self._snapshot = event
         self._limits.use_snapshot(event)
         for id, pending in tuple(self._pending_by_id.items()):
--- a/src/jackdawspread/tasks/member_watch.py
+++ b/src/jackdawspread/tasks/member_watch.py
@@ -52,6 +52,8 @@
         Carries the calls.
     random : random.Random
         Source of the jitter between competing promotions.
+    is_independent : bool
+        Whether to probe at full rate in any seat and without one.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         incarnation: str,
         connections: ConnectionSet,
         random: Random,
+        is_independent: bool = False,
     ) -> None:
+        self._is_independent = is_independent
         self._settings = settings
         self._incarnation = incarnation
         self._connections = connections
@@ -144,7 +148,8 @@
         """Make the next call on a member's control connection, if any is due."""
         link = self._link_by_address[address]
         is_due = now >= link.next_probe_at
-        if self.state.seat < 0 or link.outstanding is not None:
+        may_probe = self.state.seat >= 0 or self._is_independent
+        if not may_probe or link.outstanding is not None:
             return
         if not link.connection:
             if not is_due:
@@ -158,6 +163,7 @@
         else:
             return
         is_eager = self.state.is_active or self.state.is_engaged
+        is_eager = is_eager or self._is_independent
         interval = PROBE_SECONDS if is_eager else IDLE_PROBE_SECONDS
         if call.step in ("connect", "status"):
             link = link._replace(next_probe_at=now + interval)
--- a/src/jackdawspread/tasks/owner_core.py
+++ b/src/jackdawspread/tasks/owner_core.py
@@ -12,7 +12,6 @@
 from jackdawspread.decisions.promotion_failed import PromotionFailed
 from jackdawspread.decisions.promotion_started import PromotionStarted
 from jackdawspread.decisions.promotion_state import is_in_force
-from jackdawspread.decisions.request_queue import RequestQueue
 from jackdawspread.decisions.send_follow import SendFollow
 from jackdawspread.decisions.send_open import SendOpen
 from jackdawspread.decisions.send_prepare import SendPrepare
@@ -28,6 +27,7 @@
 from jackdawspread.tasks.member_watch import MemberWatch
 from jackdawspread.tasks.owner_metrics import FAILOVER_GAP, FALSE_ALARMS, PROMOTIONS
 from jackdawspread.tasks.owner_parts import OwnerParts
+from jackdawspread.tasks.owner_policy import OwnerPolicy
 from jackdawspread.tasks.placer import Placer
 from jackdawspread.tasks.reply_book import ReplyBook
 from jackdawspread.tasks.request_finisher import RequestFinisher
@@ -41,7 +41,7 @@
 
     Parameters
     ----------
-    settings, incarnation, queue, random, prepare_at_suspicion, make_connection
+    settings, incarnation, policy, random, make_connection
         As in `DatabaseOwner`.
     nursery : trio.Nursery
         Runs the connection tasks.
@@ -56,12 +56,11 @@
         nursery: Nursery,
         outcomes: MemorySendChannel[HttpOutcome],
         make_connection: ConnectionFactory,
-        queue: RequestQueue,
+        policy: OwnerPolicy,
         random: Random,
-        prepare_at_suspicion: bool,
     ) -> None:
         self._settings = settings
-        self._prepare_at_suspicion = prepare_at_suspicion
+        self._policy = policy
         connections = ConnectionSet(nursery, outcomes, make_connection)
         pools = MemberPools(settings, incarnation, connections)
         confirmer = Confirmer(settings.member_addresses, pools, connections)
@@ -72,10 +71,14 @@
         self.parts = OwnerParts(
             connections, pools, confirmer, transactions, placer, replies
         )
-        self.watch = MemberWatch(settings, incarnation, connections, random)
-        self.sender = RequestSender(self.parts)
-        self.finisher = RequestFinisher(self.parts, self.sender)
-        self.runner = RequestRunner(queue, self.parts, self.sender, self.finisher)
+        self.watch = MemberWatch(
+            settings, incarnation, connections, random, policy.is_independent
+        )
+        self.sender = RequestSender(self.parts, policy.replica_reads)
+        self.finisher = RequestFinisher(self.parts, self.sender, policy.retries)
+        self.runner = RequestRunner(
+            policy.queue, self.parts, self.sender, self.finisher
+        )
         self.announcement: TermAnnouncement | None = None
 
     def learn(self, call: ControlCall, outcome: HttpOutcome) -> None:
@@ -157,7 +160,7 @@
     @apply.register
     def _(self, effect: PrimarySuspected, now: float) -> None:
         logging.info("owner: primary suspected member=%s", effect.address)
-        if not self._prepare_at_suspicion:
+        if not self._policy.prepare_at_suspicion:
             return
         state = self.watch.state
         others = [
--- /dev/null
+++ b/src/jackdawspread/tasks/owner_policy.py
@@ -0,0 +1,48 @@
+"""Policies of one owner."""
+
+from typing import NamedTuple
+
+from jackdawspread.decisions.fair_queue_state import empty_fair_queue
+from jackdawspread.decisions.fifo_queue_state import empty_fifo_queue
+from jackdawspread.decisions.request_queue import RequestQueue
+from jackdawspread.decisions.retry_budget import Retries, RetryBudget
+from jackdawspread.decisions.unlimited_retries import UnlimitedRetries
+from jackdawspread.settings.experiment_settings import ExperimentSettings
+
+
+class OwnerPolicy(NamedTuple):
+    """Initial states whose types set the policies, and switches.
+
+    Parameters
+    ----------
+    queue : RequestQueue
+        Empty queue; its type sets the queueing discipline.
+    retries : Retries
+        Its type sets the retry rule.
+    prepare_at_suspicion : bool
+        Whether to make the likely next primary ready when the primary is
+        suspected.
+    replica_reads : bool
+        Whether replicas may serve reads.
+    is_independent : bool
+        Whether the owner schedules its instance's requests even without a seat.
+    """
+
+    queue: RequestQueue
+    retries: Retries
+    prepare_at_suspicion: bool
+    replica_reads: bool
+    is_independent: bool
+
+
+def owner_policy(experiment: ExperimentSettings) -> OwnerPolicy:
+    """Return the policies that the settings name, with an empty queue."""
+    is_fifo = experiment.queueing == "fifo"
+    is_plain = experiment.retries == "plain"
+    return OwnerPolicy(
+        queue=empty_fifo_queue() if is_fifo else empty_fair_queue(),
+        retries=UnlimitedRetries() if is_plain else RetryBudget(),
+        prepare_at_suspicion=experiment.preparation == "on",
+        replica_reads=experiment.replica_reads == "on",
+        is_independent=experiment.pooling == "independent",
+    )
--- a/src/jackdawspread/tasks/rate_limits.py
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -46,6 +46,8 @@
         Called with the id of each request that is admitted.
     refuse : callable
         Called with the id of each request that is refused.
+    may_borrow : bool
+        Whether peers are asked to spend for this instance, and it for them.
     """
 
     def __init__(
@@ -54,7 +56,9 @@
         hub: MemorySendChannel[HubInput],
         admit: Callable[[str], None],
         refuse: Callable[[str], None],
+        may_borrow: bool = True,
     ) -> None:
+        self._may_borrow = may_borrow
         self._own_address = own_address
         self._hub = hub
         self._admit = admit
@@ -76,7 +80,9 @@
         views = snapshot.unsettled_views
         members = views[-1].member_by_incarnation if views else {}
         addresses = (member.peer_address for member in members.values())
-        self._peers = tuple(a for a in addresses if a != self._own_address)
+        self._peers = tuple(
+            a for a in addresses if self._may_borrow and a != self._own_address
+        )
         for workspace in snapshot.configuration["workspace_by_name"]:
             limits = effective_limits(snapshot.configuration, workspace)
             self._share_by_workspace[workspace] = rate_share(
@@ -108,7 +114,8 @@
     @_handle.register
     def _(self, message: SpendRequest, peer: str, now: float) -> None:
         # Without authority another instance may hold this share already.
-        wanted = message.requests if now < self._authority_deadline else 0
+        may_spend = self._may_borrow and now < self._authority_deadline
+        wanted = message.requests if may_spend else 0
         self._decide(message.workspace, PeerAsked(peer, message.id, wanted), now)
 
     @_handle.register
--- a/src/jackdawspread/tasks/request_finisher.py
+++ b/src/jackdawspread/tasks/request_finisher.py
@@ -21,7 +21,7 @@
     repeat_in_new_term,
 )
 from jackdawspread.decisions.retry_budget import (
-    RetryBudget,
+    Retries,
     count_request,
     take_retry,
 )
@@ -47,12 +47,16 @@
         Parts of the same owner.
     sender : RequestSender
         Knows the requests in flight.
+    budget : Retries
+        Initial state of the retry rule.
     """
 
-    def __init__(self, parts: OwnerParts, sender: RequestSender) -> None:
+    def __init__(
+        self, parts: OwnerParts, sender: RequestSender, budget: Retries
+    ) -> None:
         self._parts = parts
         self._sender = sender
-        self._budget = RetryBudget()
+        self._budget = budget
         self._term = 0
         self.repeats = RepeatList()
 
--- a/src/jackdawspread/tasks/request_sender.py
+++ b/src/jackdawspread/tasks/request_sender.py
@@ -24,10 +24,13 @@
     ----------
     parts : OwnerParts
         Parts of the same owner.
+    replica_reads : bool
+        Whether replicas may serve reads when the preset in force lets them.
     """
 
-    def __init__(self, parts: OwnerParts) -> None:
+    def __init__(self, parts: OwnerParts, replica_reads: bool) -> None:
         self._parts = parts
+        self._replica_reads = replica_reads
         self._running_by_id: dict[int, RunningRequest] = {}
 
     def is_idle(self) -> bool:
@@ -65,7 +68,8 @@
             reply = Error(refusal) if is_new else expire(running).reply
             replies.finish(running.id, reply, now)
             return True
-        replica_reads = preset_in_force(snapshot)["replica_reads"]
+        preset = preset_in_force(snapshot)
+        replica_reads = self._replica_reads and preset["replica_reads"]
         placer = self._parts.placer
         placement = placer.place(running, watch, replica_reads, queued, now)
         if placement is None:
