Add experiments that compare each policy with its baseline

Cause: the catalogue could not vary faults and load by variant, its flood was refused by the rate limit before it reached a queue, and promotion was tried only with killed primaries. Change: faults that freeze or cut off a primary, let a replica fall behind or change the preset; variants with their own faults, deployment and load; columns for max-min fair shares, rate windows, stated age and the instances' counters.

--- a/bench/experiments/fleet_experiment.py
+++ b/bench/experiments/fleet_experiment.py
@@ -25,6 +25,8 @@
         Faults by time.
     metric : str
         Column to plot.
+    probes_age : bool
+        Whether to check the stated age.
     """
 
     name: str
@@ -33,3 +35,4 @@
     variants: tuple[Variant, ...]
     faults: tuple[TimedFault, ...]
     metric: str
+    probes_age: bool = False
--- a/bench/experiments/run_experiment.py
+++ b/bench/experiments/run_experiment.py
@@ -9,6 +9,7 @@
 from bench.runs.list_failures import list_failures
 from bench.runs.run_deployment import run_deployment
 from bench.runs.run_plan import RunPlan
+from bench.runs.summarize_policy import summarize_policy
 from bench.runs.summary import Row, summarize
 
 Print = Callable[[str], None]
@@ -25,13 +26,20 @@
     rows: list[Row] = []
     for variant in experiment.variants:
         show(f"variant {variant.name}")
+        faults = experiment.faults if variant.faults is None else variant.faults
         plan = RunPlan(
-            experiment.deployment, experiment.load, experiment.faults, variant.options
+            variant.deployment or experiment.deployment,
+            variant.load or experiment.load,
+            faults,
+            variant.options,
+            experiment.probes_age,
         )
         result = await run_deployment(plan, show)
-        violations = len(list_failures(result))
-        row: Row = {"variant": variant.name, "violations": violations}
-        rows.append(row | summarize(result))
+        failures = list_failures(result)
+        for line in failures:
+            show(f"VIOLATED: {line}")
+        row: Row = {"variant": variant.name, "violations": len(failures)}
+        rows.append(row | summarize(result) | summarize_policy(plan, result))
     return rows
 
 
--- a/bench/faults/apply_fault.py
+++ b/bench/faults/apply_fault.py
@@ -2,9 +2,13 @@
 
 from functools import singledispatch
 
+from bench.faults.change_preset import ChangePreset
+from bench.faults.cut_primary import CutPrimary
+from bench.faults.freeze_primary import FreezePrimary
 from bench.faults.freeze_process import FreezeProcess
 from bench.faults.kill_primary import KillPrimary
 from bench.faults.kill_process import KillProcess
+from bench.faults.lag_replica import LagReplica
 from bench.faults.member_fault import MemberFault
 from bench.faults.platform_fault import PlatformFault
 from bench.faults.terminate_process import TerminateProcess
@@ -25,6 +29,37 @@
     return f"killed {name}, the primary of {fault.database}"
 
 
+@apply_fault.register
+async def _(fault: FreezePrimary, fleet: Fleet) -> str:
+    name = await fleet.primary(fault.database)
+    fleet.freeze(name)
+    return f"froze {name}, the primary of {fault.database}"
+
+
+@apply_fault.register
+async def _(fault: CutPrimary, fleet: Fleet) -> str:
+    name = await fleet.primary(fault.database)
+    others = set(fleet.layout.members_by_database[fault.database]) - {name}
+    cut = sorted(others | await fleet.incarnations())
+    await fleet.set_member_fault(name, {"cut": cut})
+    return f"cut off {name}, the primary of {fault.database}"
+
+
+@apply_fault.register
+async def _(fault: ChangePreset, fleet: Fleet) -> str:
+    seconds = await fleet.change_preset(fault.name)
+    return f"preset {fault.name} in force on every instance after {seconds:.3f} s"
+
+
+@apply_fault.register
+async def _(fault: LagReplica, fleet: Fleet) -> str:
+    primary = await fleet.primary(fault.database)
+    members = fleet.layout.members_by_database[fault.database]
+    name = next(member for member in members if member != primary)
+    await fleet.set_member_fault(name, {"replication_lag_ms": fault.lag_ms})
+    return f"replica {name} is {fault.lag_ms} ms behind"
+
+
 @apply_fault.register
 async def _(fault: KillProcess, fleet: Fleet) -> str:
     fleet.kill(fault.name)
--- a/bench/launch/fleet.py
+++ b/bench/launch/fleet.py
@@ -19,6 +19,7 @@
 
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
+PRESET_TIMEOUT_S, PRESET_POLL_S = 10.0, 0.01
 
 
 class FleetError(BenchError):
@@ -82,6 +83,49 @@
         """Set a fault of the platform."""
         await _set_fault(self.layout.platform_address, fault)
 
+    async def heal(self) -> None:
+        """Thaw every process, and end the cuts of members and the outage."""
+        for name in self.layout.instance_by_name:
+            self.thaw(name)
+        for members in self.layout.members_by_database.values():
+            for name, address in members.items():
+                self.thaw(name)
+                if self.processes.running(name):
+                    await _set_fault(address, {"cut": []})
+        await self.set_platform_fault({"mode": "up"})
+
+    async def incarnations(self) -> set[str]:
+        """Return the ids under which members know the instances."""
+        addresses = self.layout.instance_by_name.values()
+        statuses = [await self._admin("GET", a.admin, "status") for a in addresses]
+        # An instance that rejoins a view adds a suffix that members do not see.
+        return {s["incarnation"].partition(".")[0] for s in statuses if s}
+
+    async def change_preset(self, name: str) -> float:
+        """Put a preset in force; return the seconds until all instances have it.
+
+        Raises
+        ------
+        FleetError
+            If an instance does not have it after 10 s.
+        """
+        addresses = [a.admin for a in self.layout.instance_by_name.values()]
+        start = current_time()
+        await self._admin("PUT", addresses[0], "preset", {"name": name})
+        for address in addresses:
+            while (await self._admin("GET", address, "presets")).get("preset") != name:
+                if current_time() > start + PRESET_TIMEOUT_S:
+                    raise FleetError(f"{address} does not have preset {name}")
+                await sleep(PRESET_POLL_S)
+        return current_time() - start
+
+    async def _admin(
+        self, method: str, address: str, route: str, body: dict[str, Any] | None = None
+    ) -> dict[str, Any]:
+        headers = (("Authorization", f"Bearer {self.layout.operator_credential}"),)
+        target = f"/v1/{route}"
+        return (await call_once(address, method, target, body, headers, 2.0))[1]
+
     async def primary(self, database: str) -> str:
         """Return the member that is primary in the highest term, or the first."""
         members = self.layout.members_by_database[database]
--- a/bench/plans/load_plan.py
+++ b/bench/plans/load_plan.py
@@ -18,6 +18,9 @@
         Callers, each with its own session, in each workspace.
     seed : int
         Seed of the schedule.
+    entry_weights : tuple of int
+        Calls of each caller that go to each instance before the next one; empty
+        for one call to each in turn.
     """
 
     rate: float
@@ -25,3 +28,10 @@
     max_operations: int
     callers_per_workspace: int
     seed: int
+    entry_weights: tuple[int, ...] = ()
+
+    def entries(self, addresses: list[str]) -> list[str]:
+        """Return the instances that callers use in turn, with repetitions."""
+        weights = self.entry_weights or (1,) * len(addresses)
+        pairs = zip(addresses, weights, strict=True)
+        return [address for address, weight in pairs for _ in range(weight)]
--- a/bench/runs/run_plan.py
+++ b/bench/runs/run_plan.py
@@ -9,9 +9,13 @@
 
 
 class RunPlan(NamedTuple):
-    """Deployment, load, faults by time, and experiment options of the proxies."""
+    """Deployment, load, faults by time, and experiment options of the proxies.
+
+    ``probes_age`` adds a writer and readers that check the stated age.
+    """
 
     deployment: DeploymentPlan
     load: LoadPlan
     faults: tuple[TimedFault, ...]
     experiment: Mapping[str, str]
+    probes_age: bool = False
--- a/src/jackdawspread/tasks/owner_metrics.py
+++ b/src/jackdawspread/tasks/owner_metrics.py
@@ -12,6 +12,11 @@
     "Requests that wait in the queue of a database.",
     ["database"],
 )
+REPEATS = Counter(
+    "jackdawspread_owner_repeats",
+    "Requests that owners wished to send again, by whether the rule granted it.",
+    ["granted"],
+)
 PROMOTIONS = Counter(
     "jackdawspread_owner_promotions",
     "Promotions by this instance.",
--- a/src/jackdawspread/tasks/request_finisher.py
+++ b/src/jackdawspread/tasks/request_finisher.py
@@ -30,6 +30,7 @@
 from jackdawspread.messages.answer import Answer
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.tasks.owner_metrics import REPEATS
 from jackdawspread.tasks.owner_parts import OwnerParts
 from jackdawspread.tasks.repeat_list import RepeatList
 from jackdawspread.tasks.request_sender import RequestSender
@@ -182,6 +183,7 @@
         self, effect: RepeatRequest, running: RunningRequest, due_at: float, now: float
     ) -> None:
         self._budget, is_granted = take_retry(self._budget)
+        REPEATS.labels(is_granted).inc()
         logging.info(
             "owner: repeat request id=%s granted=%s attempts=%d",
             running.request.id,
