Let a bucket earn from when its share counts, not from the first request

Cause: a limiter began with an empty bucket at its workspace's first request, so that request waited at every instance; and a refill counted the time before a change of share at the new share, also the time in which it was 0. Change: buckets start when the share becomes known and are settled at the old share when it changes.

--- a/bench/runs/summarize_policy.py
+++ b/bench/runs/summarize_policy.py
@@ -42,6 +42,9 @@
         "rate_excess": round(_rate_excess(plan, by_workspace), 1),
         **{name: int(value) for name, value in result.counters.items()},
     }
+    gaps = result.report.failover_gap_by_database.values()
+    if gaps:
+        row["failover_gaps_s"] = ", ".join(f"{gap:.3f}" for gap in gaps)
     if plan.probes_age:
         row |= {"age_reads": result.ages.reads, "age_too_old": result.ages.too_old}
     if any(isinstance(timed.fault, ChangePreset) for timed in plan.faults):
--- a/features/rates.feature
+++ b/features/rates.feature
@@ -28,6 +28,19 @@
       | 20    |
       | 40    |
 
+  Scenario: The first requests of a workspace find its burst
+    # Guards against a bucket that starts empty at the first request, which then
+    # waits or is refused although the workspace is within its rate.
+    Given an instance alone in its view, with a rate of 10/s and a burst of 5
+    When 5 requests arrive 1 s after it learned of the workspace
+    Then 5 requests are admitted at once
+
+  Scenario: A newcomer earns nothing before its share counts
+    # Guards against a refill at the new share for the time in which it was 0.
+    Given an instance that is new in its view, with a rate of 10/s and a burst of 5
+    When the view is settled after 3 s and 5 requests arrive
+    Then 0 requests are admitted at once
+
   Scenario: A grant that arrives after its deadline is discarded
     # Guards against an asker that was paused and uses a grant the granter no longer counts.
     Given a request that waits for a peer's grant
--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -133,7 +133,7 @@
             by_database = dict.fromkeys(self._databases, own)
             event = event._replace(seat_addresses_by_database=by_database)
         self._snapshot = event
-        self._limits.use_snapshot(event)
+        self._limits.use_snapshot(event, current_time())
         for id, pending in tuple(self._pending_by_id.items()):
             if self._has_lost_its_peer(pending, event):
                 self._reroute(id, "peer_silent")
--- a/src/jackdawspread/tasks/rate_limits.py
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -12,7 +12,7 @@
 from jackdawspread.decisions.grant_arrived import GrantArrived
 from jackdawspread.decisions.grant_peer import GrantPeer
 from jackdawspread.decisions.peer_asked import PeerAsked
-from jackdawspread.decisions.rate_bucket import RateBucket
+from jackdawspread.decisions.rate_bucket import RateBucket, refill
 from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.decisions.rate_limiter import (
     RateLimiter,
@@ -70,7 +70,7 @@
         self._authority_deadline = 0.0
         self._shares_key: tuple[object, ...] = ()
 
-    def use_snapshot(self, snapshot: ControlSnapshot) -> None:
+    def use_snapshot(self, snapshot: ControlSnapshot, now: float) -> None:
         """Take over shares and peers from a snapshot."""
         self._authority_deadline = snapshot.authority_deadline
         key = (snapshot.configuration["version"], snapshot.unsettled_views)
@@ -85,9 +85,24 @@
         )
         for workspace in snapshot.configuration["workspace_by_name"]:
             limits = effective_limits(snapshot.configuration, workspace)
-            self._share_by_workspace[workspace] = rate_share(
+            share = rate_share(
                 workspace, snapshot.incarnation, views, limits["rate"], limits["burst"]
             )
+            self._change_share(workspace, share, now)
+
+    def _change_share(self, workspace: str, share: RateShare, now: float) -> None:
+        """Settle what the old share earned, so that the new one earns from now on.
+
+        A bucket starts here rather than at the first request, which would find it
+        empty at every instance.
+        """
+        limiter = self._limiter_by_workspace.get(workspace)
+        if limiter is None:
+            limiter = RateLimiter(RateBucket(0.0, now))
+        old = self._share_by_workspace.get(workspace, NO_SHARE)
+        limiter = limiter._replace(bucket=refill(limiter.bucket, old, now))
+        self._limiter_by_workspace[workspace] = limiter
+        self._share_by_workspace[workspace] = share
 
     def request(self, workspace: str, id: str, deadline: float, now: float) -> None:
         """Ask for the admission of one request."""
