--- a/bench/experiments/write_results.py
+++ b/bench/experiments/write_results.py
@@ -73,11 +73,14 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    figure, axes = pyplot.subplots(figsize=(5, 3.5), layout="constrained")
-    heights = [row[experiment.metric] for row in rows]
-    bars = axes.bar([row["variant"] for row in rows], heights)
-    axes.bar_label(bars)
-    axes.set_ylabel(experiment.metric)
+    size = (5, 1.5 + 0.3 * len(rows))
+    figure, axes = pyplot.subplots(figsize=size, layout="constrained")
+    lengths = [row[experiment.metric] for row in rows]
+    bars = axes.barh([row["variant"] for row in rows], lengths)
+    axes.bar_label(bars, padding=2)
+    axes.margins(x=0.15)
+    axes.invert_yaxis()
+    axes.set_xlabel(experiment.metric)
     axes.set_title(experiment.name)
     figure.savefig(path)
     pyplot.close(figure)
