--- a/bench/client/administration.py
+++ b/bench/client/administration.py
@@ -1,14 +1,9 @@
 """Client of the administration API."""
 
-from trio import sleep
-
 from bench.bench_error import BenchError
 from bench.client.json_call import call_once
 from bench.plans.workspace_plan import WorkspacePlan
 
-# An instance is ready for callers a little before it has read the platform.
-ATTEMPTS, RETRY_S = 100, 0.05
-
 
 class AdministrationError(BenchError):
     """An administration call did not succeed."""
@@ -17,22 +12,25 @@
 async def create_workspace(
     address: str, credential: str, workspace: WorkspacePlan
 ) -> str:
-    """Create a workspace and return a key for it.
+    """Create a workspace with its limits and return a key for it.
 
     Raises
     ------
     AdministrationError
         If a call is refused or not answered.
     """
-    target = f"/v1/workspaces/{workspace.name}"
     limits: dict[str, object] = {
         "rate": workspace.rate,
         "burst": workspace.burst,
         "weight": workspace.weight,
     }
-    await _call(address, credential, "POST", "/v1/workspaces", {"name": workspace.name})
-    await _call(address, credential, "PUT", f"{target}/limits", limits)
-    return str((await _call(address, credential, "POST", f"{target}/keys", {}))["key"])
+    body: dict[str, object] = {"name": workspace.name}
+    await change(address, credential, "POST", "/v1/workspaces", body)
+    target = f"/v1/workspaces/{workspace.name}"
+    # Creation takes no limits; without this call the head office's rate applies.
+    await change(address, credential, "PUT", f"{target}/limits", limits)
+    answer = await change(address, credential, "POST", f"{target}/keys", {})
+    return str(answer["key"])
 
 
 async def raise_bounds(address: str, credential: str, rate: float, burst: int) -> None:
@@ -44,18 +42,21 @@
         If the call is refused or not answered.
     """
     highest: dict[str, object] = {"highest": {"rate": rate, "burst": burst}}
-    await _call(address, credential, "PUT", "/v1/head-office", highest)
+    await change(address, credential, "PUT", "/v1/head-office", highest)
 
 
-async def _call(
+async def change(
     address: str, credential: str, method: str, target: str, body: dict[str, object]
 ) -> dict[str, object]:
+    """Make a change through the administration API and return the answer.
+
+    Raises
+    ------
+    AdministrationError
+        If the call is refused or not answered.
+    """
     headers = (("Authorization", f"Bearer {credential}"),)
-    for _ in range(ATTEMPTS):
-        status, answer = await call_once(address, method, target, body, headers)
-        if answer.get("code") != "platform_unavailable":
-            break
-        await sleep(RETRY_S)
+    status, answer = await call_once(address, method, target, body, headers)
     if not 200 <= status < 300:
         detail = f"{method} {target} at {address}: status {status}, {answer}"
         raise AdministrationError(detail)
--- a/src/jackdawspread/tasks/request_finisher.py
+++ b/src/jackdawspread/tasks/request_finisher.py
@@ -21,7 +21,7 @@
     repeat_in_new_term,
 )
 from jackdawspread.decisions.retry_budget import (
-    RetryBudget,
+    Retries,
     count_request,
     take_retry,
 )
@@ -30,6 +30,7 @@
 from jackdawspread.messages.answer import Answer
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.tasks.owner_metrics import REPEATS
 from jackdawspread.tasks.owner_parts import OwnerParts
 from jackdawspread.tasks.repeat_list import RepeatList
 from jackdawspread.tasks.request_sender import RequestSender
@@ -47,12 +48,16 @@
         Parts of the same owner.
     sender : RequestSender
         Knows the requests in flight.
+    budget : Retries
+        Initial state of the retry rule.
     """
 
-    def __init__(self, parts: OwnerParts, sender: RequestSender) -> None:
+    def __init__(
+        self, parts: OwnerParts, sender: RequestSender, budget: Retries
+    ) -> None:
         self._parts = parts
         self._sender = sender
-        self._budget = RetryBudget()
+        self._budget = budget
         self._term = 0
         self.repeats = RepeatList()
 
@@ -178,6 +183,7 @@
         self, effect: RepeatRequest, running: RunningRequest, due_at: float, now: float
     ) -> None:
         self._budget, is_granted = take_retry(self._budget)
+        REPEATS.labels(is_granted).inc()
         logging.info(
             "owner: repeat request id=%s granted=%s attempts=%d",
             running.request.id,
