Set a workspace's limits when it is created

Cause: the process feature that floods a workspace saw a window 10 requests above its limit, in the first 2 s. The trace shows all of it right after the creation: a workspace was created at the head office's default of 50/s and burst 100, and got its own 40/s and 20 by a second change, which instances learn a little later. A request that has waited for its rate is checked for authority again before it is routed, and overdue ones are refused first. Ruled out: waiting in the feature until all instances know the new limit, which would hide the gap from operators.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -54,6 +54,12 @@
     When 100 callers send reads as soon as the view has settled
     Then at most 1 of them was routed at once
 
+  Scenario: An instance wakes from a pause with requests that waited for their rate
+    # Guards against a paused instance that spends a share which the others hold by now.
+    Given a gateway with workspaces "garden" and "orchard"
+    When 150 callers send reads and the instance is paused for 8 s before it can go on
+    Then at most 101 of them were routed
+
   Scenario: Nobody answers
     # Guards against a caller that waits for ever, and against "not run" after sending.
     Given a gateway with workspaces "garden" and "orchard"
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -15,7 +15,7 @@
     WITHDRAWN_KEY,
     GatewayWorld,
 )
-from trio import WouldBlock, sleep
+from trio import WouldBlock, current_time, sleep
 from trio.testing import wait_all_tasks_blocked
 
 from jackdawspread.codecs.json_body import encode_json
@@ -32,6 +32,7 @@
 
 # The bucket of a new instance starts empty and fills within this time.
 FILL_S = 2.0
+AUTHORITY_S = 3.0
 
 
 @given('a gateway with workspaces "garden" and "orchard"')
@@ -187,6 +188,28 @@
     _run(context)
 
 
+@when(
+    "{callers:d} callers send reads and the instance is paused for {seconds:d} s"
+    " before it can go on"
+)
+def pause(context: Context, callers: int, seconds: int) -> None:
+    async def script(world: GatewayWorld) -> Any:
+        world.authority_deadline = current_time() + FILL_S + AUTHORITY_S
+        world.inform()
+        await sleep(FILL_S)
+        for _ in range(callers):
+            await world.submit(world.request("read"))
+        # Nothing else runs while the clock jumps, as in a stopped process.
+        world.clock.jump(seconds)
+        await wait_all_tasks_blocked()
+        await sleep(0.01)
+        return None, _routed(world)
+
+    context.script = script
+    _run(context)
+
+
+@then("at most {limit:d} of them were routed")
 @then("at most {limit:d} of them was routed at once")
 def at_most(context: Context, limit: int) -> None:
     assert len(context.routed) <= limit, len(context.routed)
--- a/src/jackdawspread/codecs/admin_api.py
+++ b/src/jackdawspread/codecs/admin_api.py
@@ -84,10 +84,11 @@
 
 
 def _create_workspace(body: WorkspaceBody) -> CreateWorkspace:
-    return CreateWorkspace(body["name"], tuple(body.get("databases", ())))
+    databases = tuple(body.get("databases", ()))
+    return CreateWorkspace(body["name"], databases, _limits(body))
 
 
-def _limits(body: LimitsBody) -> LimitDocument:
+def _limits(body: LimitsBody | WorkspaceBody) -> LimitDocument:
     limits = LimitDocument()
     if "rate" in body:
         limits["rate"] = body["rate"]
--- a/src/jackdawspread/codecs/admin_bodies.py
+++ b/src/jackdawspread/codecs/admin_bodies.py
@@ -17,6 +17,9 @@
 
     name: str
     databases: NotRequired[list[str]]
+    rate: NotRequired[float]
+    burst: NotRequired[int]
+    weight: NotRequired[float]
 
 
 class LimitsBody(ChangeBody):
--- a/src/jackdawspread/commands/limits.py
+++ b/src/jackdawspread/commands/limits.py
@@ -3,15 +3,19 @@
 from typing import Annotated
 from urllib.parse import quote
 
-from typer import Argument, BadParameter, Option, Typer
+from typer import Argument, BadParameter, Typer
 
 from jackdawspread.commands.admin_connection import AdminConnection
 from jackdawspread.commands.options import (
     Admin,
+    Burst,
     Credential,
     ExpectedVersion,
     Output,
     OutputFormat,
+    Rate,
+    Weight,
+    given_limits,
 )
 from jackdawspread.commands.run_call import run_call
 
@@ -23,20 +27,15 @@
     name: Annotated[str, Argument(help="Name of the workspace.")],
     admin: Admin,
     credential: Credential,
-    rate: Annotated[
-        float | None, Option(help="Requests per second, over all instances.")
-    ] = None,
-    burst: Annotated[int | None, Option(help="Requests that may come at once.")] = None,
-    weight: Annotated[
-        float | None, Option(help="Share of a busy database, against the others.")
-    ] = None,
+    rate: Rate = None,
+    burst: Burst = None,
+    weight: Weight = None,
     expected_version: ExpectedVersion = 0,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Override limits of a workspace within the head office's bounds."""
     connection = AdminConnection(admin, credential)
-    given = {"rate": rate, "burst": burst, "weight": weight}
-    body = {option: value for option, value in given.items() if value is not None}
+    body = given_limits(rate, burst, weight)
     if not body:
         raise BadParameter("give at least one of --rate, --burst and --weight")
     target = f"/v1/workspaces/{quote(name, safe='')}/limits"
--- a/src/jackdawspread/commands/options.py
+++ b/src/jackdawspread/commands/options.py
@@ -31,6 +31,11 @@
     ),
 ]
 Output = Annotated[OutputFormat, Option("--output", help="Format of the output.")]
+Rate = Annotated[float | None, Option(help="Requests per second, over all instances.")]
+Burst = Annotated[int | None, Option(help="Requests that may come at once.")]
+Weight = Annotated[
+    float | None, Option(help="Share of a busy database, against the others.")
+]
 ExpectedVersion = Annotated[
     int,
     Option(
@@ -40,3 +45,11 @@
         "0 means the newest one.",
     ),
 ]
+
+
+def given_limits(
+    rate: float | None, burst: int | None, weight: float | None
+) -> dict[str, object]:
+    """Return the limits that were given on the command line."""
+    limits = {"rate": rate, "burst": burst, "weight": weight}
+    return {name: value for name, value in limits.items() if value is not None}
--- a/src/jackdawspread/commands/workspace.py
+++ b/src/jackdawspread/commands/workspace.py
@@ -7,10 +7,14 @@
 from jackdawspread.commands.admin_connection import AdminConnection
 from jackdawspread.commands.options import (
     Admin,
+    Burst,
     Credential,
     ExpectedVersion,
     Output,
     OutputFormat,
+    Rate,
+    Weight,
+    given_limits,
 )
 from jackdawspread.commands.run_call import run_call
 
@@ -29,12 +33,16 @@
             "Without it, all of them."
         ),
     ] = [],  # noqa: B006
+    rate: Rate = None,
+    burst: Burst = None,
+    weight: Weight = None,
     expected_version: ExpectedVersion = 0,
     output: Output = OutputFormat.TABLE,
 ) -> None:
-    """Create a workspace."""
+    """Create a workspace; limits not given are the head office's defaults."""
     connection = AdminConnection(admin, credential)
-    body = {"name": name, "databases": database}
+    limits = given_limits(rate, burst, weight)
+    body = {"name": name, "databases": database, **limits}
     run_call(connection, output, "POST", "/v1/workspaces", body, expected_version)
 
 
--- a/src/jackdawspread/decisions/configuration_changes.py
+++ b/src/jackdawspread/decisions/configuration_changes.py
@@ -57,21 +57,31 @@
         return Error(refuse("bad_change", "the workspace's name must not be empty"))
     if change.name in document["workspace_by_name"]:
         return Error(refuse("exists", f"workspace {change.name} exists already"))
-    added = WorkspaceDocument(overrides={}, databases=list(change.databases))
+    refusal = _limits_refusal(change.limits, document["head_office"])
+    if refusal is not None:
+        return Error(refusal)
+    added = WorkspaceDocument(overrides=change.limits, databases=list(change.databases))
     return Ok(_with_workspace(document, change.name, added))
 
 
+def _limits_refusal(
+    limits: LimitDocument, office: HeadOfficeDocument
+) -> Refusal | None:
+    problem = unusable_limit(limits)
+    if problem:
+        return refuse("bad_change", problem)
+    problem = outside_bounds(limits, office)
+    return refuse("outside_bounds", problem) if problem else None
+
+
 @_apply.register
 def _(change: SetLimits, document: ConfigurationDocument) -> Changed:
     known = document["workspace_by_name"].get(change.workspace)
     if known is None:
         return Error(_no_workspace(change.workspace))
-    problem = unusable_limit(change.limits)
-    if problem:
-        return Error(refuse("bad_change", problem))
-    problem = outside_bounds(change.limits, document["head_office"])
-    if problem:
-        return Error(refuse("outside_bounds", problem))
+    refusal = _limits_refusal(change.limits, document["head_office"])
+    if refusal is not None:
+        return Error(refusal)
     overrides = LimitDocument(**{**known["overrides"], **change.limits})
     changed = WorkspaceDocument(overrides=overrides, databases=known["databases"])
     return Ok(_with_workspace(document, change.workspace, changed))
--- a/src/jackdawspread/decisions/rate_limiter.py
+++ b/src/jackdawspread/decisions/rate_limiter.py
@@ -136,14 +136,13 @@
 
 
 def _settle(limiter: RateLimiter, peers: tuple[str, ...], now: float) -> Decided:
-    """Admit from the own bucket, refuse what has waited, and ask peers."""
-    effects: list[RateEffect] = []
-    bucket, taken = spend(limiter.bucket, len(limiter.waiting))
-    effects += [AdmitRequest(r.id, "own") for r in limiter.waiting[:taken]]
-    rest = limiter.waiting[taken:]
-    effects += [RefuseRequest(r.id) for r in rest if r.deadline <= now]
-    rest = tuple(r for r in rest if r.deadline > now)
-    limiter = limiter._replace(bucket=bucket, waiting=rest)
+    """Refuse what has waited, admit from the own bucket, and ask peers."""
+    overdue = [RefuseRequest(r.id) for r in limiter.waiting if r.deadline <= now]
+    waiting = tuple(r for r in limiter.waiting if r.deadline > now)
+    bucket, taken = spend(limiter.bucket, len(waiting))
+    admitted = [AdmitRequest(r.id, "own") for r in waiting[:taken]]
+    effects: tuple[RateEffect, ...] = (*overdue, *admitted)
+    limiter = limiter._replace(bucket=bucket, waiting=waiting[taken:])
     limiter, asks = _ask(limiter, peers, now)
     return limiter, (*effects, *asks)
 
--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -149,9 +149,7 @@
 
     @_handle.register
     def _(self, event: ReadinessQuery) -> None:
-        snapshot = self._snapshot
-        is_ready = snapshot is not None and snapshot.authority_deadline > current_time()
-        event.reply_to.send_nowait(Readiness(is_ready))
+        event.reply_to.send_nowait(Readiness(self._has_authority()))
 
     @_handle.register
     def _(self, event: PeerReceived) -> None:
@@ -229,8 +227,18 @@
         return f"{incarnation}-{next(self._ids)}"
 
     def _admitted(self, id: str) -> None:
-        if id in self._pending_by_id:
+        if id not in self._pending_by_id:
+            return
+        # The request may have waited for its rate, or the process may have been
+        # paused, so what held on arrival is checked again.
+        if self._has_authority():
             self._route(id)
+        else:
+            self._refuse(id, "no_authority", Ran.NOT_RUN, "authority lapsed meanwhile")
+
+    def _has_authority(self) -> bool:
+        snapshot = self._snapshot
+        return snapshot is not None and current_time() < snapshot.authority_deadline
 
     def _rate_refused(self, id: str) -> None:
         if id in self._pending_by_id:
