Handle waiting events of the gateway without a cancel scope each

Cause: the gateway opened a cancel scope and yielded for each event; a statement has two. Change: after the first event, up to 32 that wait already are handled at once. Measured: gateway alone, 24 callers, an owner that replies at once, CPU of the whole process per request, best of 5 x 1,440: 207 to 209 us before, 178 us after. In the whole instance the effect is below the noise of a shared machine (1,339 to 1,514 us before, 1,320 to 1,679 us after). Ruled out: batches in the owner, whose event loop has no scope per event.

--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -41,6 +41,8 @@
 # The owner replies at a request's deadline; the gateway waits a little longer so
 # that the owner's more precise refusal reaches the caller.
 OWNER_REPLY_GRACE_S = 0.1
+# Bounds the time before due requests and the other tasks get their turn.
+MAX_BATCH_EVENTS = 32
 
 
 class Gateway:
@@ -93,8 +95,18 @@
                     self._handle(await self._inbox.receive())
                 except EndOfChannel:
                     return
+            self._handle_waiting()
             self._handle_due(current_time())
 
+    def _handle_waiting(self) -> None:
+        """Handle what has arrived already, without a cancel scope for each event."""
+        for _ in range(MAX_BATCH_EVENTS):
+            try:
+                event = self._inbox.receive_nowait()
+            except (WouldBlock, EndOfChannel):
+                return
+            self._handle(event)
+
     def _next_deadline(self) -> float:
         return min(
             self._deadlines.next_deadline(),
