--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes from which docs/CAPACITY.md is worked out."""
