Compare promotion, binding writes and reads step by step with the models

Two owners and three members take the actions of the models of promotion, binding writes and sessions through the real decisions; logs, promises, roles, attempts and the caller's position are compared after each step.

--- a/features/conformance.feature
+++ b/features/conformance.feature
@@ -6,5 +6,8 @@
     Then <runs> runs of <steps> steps of the <part> agree with the model
 
     Examples:
-      | part  | runs | steps |
-      | rates | 150  | 40    |
+      | part           | runs | steps |
+      | promotions     | 250  | 50    |
+      | binding writes | 250  | 40    |
+      | sessions       | 200  | 40    |
+      | rates          | 150  | 40    |
--- /dev/null
+++ b/features/conformance/binding_machine.py
@@ -0,0 +1,176 @@
+"""Owners' decisions on a binding write against the model of binding writes."""
+
+from features.conformance.replica_machine import (
+    INDEXES,
+    ReplicaMachine,
+    make_request,
+)
+from hypothesis.stateful import invariant, rule
+from hypothesis.strategies import booleans, integers
+from spec.binding import actions
+from spec.binding.model import MODEL
+from spec.replicas import steps
+
+from jackdawspread.codecs.member_protocol import encode_statement
+from jackdawspread.decisions.await_confirmation import AwaitConfirmation
+from jackdawspread.decisions.confirmation import (
+    note_answered,
+    note_asked,
+    note_held,
+    position_to_ask,
+    take_confirmed,
+)
+from jackdawspread.decisions.confirmation_state import no_confirmations
+from jackdawspread.decisions.finish_request import FinishRequest
+from jackdawspread.decisions.member_answer import MemberAnswer
+from jackdawspread.decisions.member_refusal import MemberRefusal
+from jackdawspread.decisions.member_silence import MemberSilence
+from jackdawspread.decisions.repeat_request import RepeatRequest
+from jackdawspread.decisions.request_outcome import (
+    after_outcome,
+    expire,
+    repeat_in_new_term,
+)
+from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.request_kind import RequestKind
+
+SUBMISSIONS = integers(0, 1)
+READY, SENT, WAITING, DONE = "ready", "sent", "waiting", "done"
+
+
+class BindingMachine(ReplicaMachine):
+    """Two submissions of one request id through two owners.
+
+    An owner of the code sends the next attempt only after an answer or a silence,
+    and it refuses at its deadline; the model may do both at any time.
+    """
+
+    actions, first_state, rules_of_model = actions, MODEL.initial, MODEL.rules
+
+    def __init__(self) -> None:
+        super().__init__()
+        request = make_request(RequestKind.WRITE, actions.WRITE)
+        self.running = [RunningRequest(id, request) for id in range(2)]
+        self.stage = [READY, READY]
+        self.left = [list(attempts) for attempts in actions.SUBMISSIONS]
+        self.current = [-1, -1]
+        self.lost = [False, False]
+        self.confirming = [no_confirmations(0)] * 2
+        self.calls: dict[int, tuple[str, object]] = {}
+        self.outcomes: dict[int, object] = {}
+
+    @rule(owner=SUBMISSIONS, index=INDEXES)
+    def send(self, owner: int, index: int) -> None:
+        """Send an attempt to a primary that the owner knows."""
+        state = self.stores[index].state
+        known = self.primary_of(state.term) == index
+        if self.stage[owner] != READY or not self.left[owner] or not known:
+            return
+        attempt = self.left[owner].pop(0)
+        self.current[owner], self.stage[owner] = attempt, SENT
+        self.running[owner] = self.running[owner]._replace(
+            address=str(index), role="primary", term=state.term
+        )
+        self.calls[attempt] = encode_statement(self.running[owner], state.term, "")
+        assert self.model.take(actions.send, f"attempt={attempt} term={state.term}")
+
+    @rule(attempt=INDEXES, other=INDEXES)
+    def deliver(self, attempt: int, other: int) -> None:
+        """Deliver an attempt to its primary, or to a member that is not."""
+        if attempt not in self.calls:
+            return
+        target, body = self.calls.pop(attempt)
+        at = self.primary_of(body["term"])
+        outcome = self.call(other if at is None else at, target, body)
+        self.outcomes[attempt] = outcome
+        name = f"attempt={attempt} refused"
+        if isinstance(outcome, MemberAnswer):
+            kind = "replayed" if outcome.is_replayed else "ran"
+            name = f"attempt={attempt} {kind} member={at}"
+        assert self.model.take(actions.deliver, name), name
+        if isinstance(outcome, MemberAnswer):
+            found = self.model.state.attempts[attempt].position
+            assert outcome.position.sequence == found, (outcome, found)
+
+    @rule(owner=SUBMISSIONS, is_lost=booleans())
+    def hear(self, owner: int, is_lost: bool) -> None:
+        """Let an owner hear the outcome of its attempt, or nothing."""
+        attempt = self.current[owner]
+        if self.stage[owner] != SENT or not (is_lost or attempt in self.outcomes):
+            return
+        outcome = self.outcomes.get(attempt)
+        if is_lost:
+            outcome = MemberSilence(True, "no answer")
+        self.lost[owner] |= not isinstance(outcome, MemberRefusal)
+        effect = after_outcome(outcome, self.running[owner], None)
+        if isinstance(effect, FinishRequest):
+            raise AssertionError(effect)
+        self.running[owner] = effect.running
+        self.stage[owner] = READY
+        if isinstance(effect, AwaitConfirmation):
+            assert isinstance(outcome, MemberAnswer), outcome
+            self.stage[owner] = WAITING
+            waiting = {owner: effect.running.answer.position}
+            state = no_confirmations(effect.running.term)
+            self.confirming[owner] = state._replace(waiting_by_id=waiting)
+        else:
+            assert isinstance(effect, RepeatRequest), effect
+
+    @rule(owner=SUBMISSIONS, index=INDEXES)
+    def confirm(self, owner: int, index: int) -> None:
+        """Ask a second member and acknowledge if it holds the write.
+
+        The model acknowledges only while the primary stands; the code may do so a
+        little later, which the model of promotion covers.
+        """
+        if self.stage[owner] != WAITING:
+            return
+        term = self.running[owner].term
+        at = self.primary_of(term)
+        if at in (None, index):
+            return
+        state = self.confirming[owner]
+        position = position_to_ask(state, str(index))
+        assert position == self.running[owner].answer.position, position
+        note_asked(state, str(index), position)
+        is_held = self.is_confirmed(term, position, index)
+        note_answered(state, str(index), position)
+        members = self.model.state.members
+        entry = members[at].log[position.sequence - 1]
+        held = steps.held(members[index], term, position.sequence, entry)
+        assert is_held == held, (index, position)
+        if is_held:
+            state = self.confirming[owner] = note_held(state, term, position)
+        acknowledged = take_confirmed(state)
+        assert acknowledged == ([owner] if held else []), (state, held)
+        if acknowledged:
+            self.stage[owner] = DONE
+            name = f"attempt={self.current[owner]}"
+            assert self.model.take(actions.acknowledge, name), name
+
+    @rule(owner=SUBMISSIONS)
+    def enter_term(self, owner: int) -> None:
+        """Let an owner learn of a newer term before the confirmation came."""
+        newest = max(store.state.term for store in self.stores)
+        if self.stage[owner] == WAITING and newest > self.running[owner].term:
+            self.running[owner] = repeat_in_new_term(self.running[owner])
+            self.stage[owner] = READY
+
+    @rule(owner=SUBMISSIONS)
+    def expire(self, owner: int) -> None:
+        """Refuse at the deadline: not run only if every attempt was refused."""
+        if self.stage[owner] != READY or self.current[owner] < 0:
+            return
+        self.stage[owner] = DONE
+        refusal = expire(self.running[owner]).reply.error
+        is_not_run = refusal.ran is Ran.NOT_RUN
+        assert is_not_run != self.lost[owner], refusal
+        if is_not_run:
+            assert self.model.take(actions.refuse, f"submission={owner}"), refusal
+
+    @invariant()
+    def holds(self) -> None:
+        """Check the model's invariants."""
+        for name, invariant_of_model in MODEL.invariants.items():
+            assert invariant_of_model(self.model.state), name
--- a/features/steps/conformance_steps.py
+++ b/features/steps/conformance_steps.py
@@ -2,17 +2,29 @@
 
 from behave import then
 from behave.runner import Context
+from features.conformance.binding_machine import BindingMachine
+from features.conformance.promotion_machine import PromotionMachine
 from features.conformance.rate_machine import RateMachine
-from hypothesis import HealthCheck, settings
+from features.conformance.session_machine import SessionMachine
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-MACHINES = {"rates": RateMachine}
+MACHINES = {
+    "promotions": PromotionMachine,
+    "binding writes": BindingMachine,
+    "sessions": SessionMachine,
+    "rates": RateMachine,
+}
 
 
 @then("{count:d} runs of {steps:d} steps of the {name} agree with the model")
 def agree(context: Context, count: int, steps: int, name: str) -> None:
     """Run the decisions and the model side by side."""
+    # The script that mutates decisions needs no smallest example.
+    is_quick = "quick" in context.config.userdata
+    phases = [Phase.generate] + [Phase.shrink] * (not is_quick)
     bounds = settings(
+        phases=phases,
         max_examples=count,
         stateful_step_count=steps,
         derandomize=True,
