--- a/features/conformance/binding_machine.py
+++ b/features/conformance/binding_machine.py
@@ -117,6 +117,14 @@
         else:
             assert isinstance(effect, RepeatRequest), effect
 
+    @rule(owner=SUBMISSIONS, is_lost=booleans())
+    def run_attempt(self, owner: int, is_lost: bool) -> None:
+        """Send an attempt to the newest primary, deliver and answer it at once."""
+        newest = self.primary_of(max(store.state.term for store in self.stores))
+        self.send(owner, newest)
+        self.deliver(self.current[owner], newest)
+        self.hear(owner, is_lost)
+
     @rule(owner=SUBMISSIONS, index=INDEXES)
     def confirm(self, owner: int, index: int) -> None:
         """Ask a second member and acknowledge if it holds the write.
@@ -140,6 +148,8 @@
         entry = members[at].log[position.sequence - 1]
         held = steps.held(members[index], term, position.sequence, entry)
         assert is_held == held, (index, position)
+        # A confirmation of an older term may still arrive.
+        assert note_held(state, term - 1, position) == state
         if is_held:
             state = self.confirming[owner] = note_held(state, term, position)
         acknowledged = take_confirmed(state)
--- a/features/conformance/promotion_machine.py
+++ b/features/conformance/promotion_machine.py
@@ -131,14 +131,10 @@
         if m.promised in REAL_TERMS[:-3]:
             self.tell(owner, ProbeAnswered(status))
 
-    @rule(owner=OWNERS, index=INDEXES)
-    def miss(self, owner: int, index: int) -> None:
-        """Let a connection of an owner be refused."""
-        self.tell(owner, ProbeMissed(str(index), True))
-
     @rule(owner=OWNERS, long=booleans())
-    def pass_time(self, owner: int, long: bool) -> None:
-        """Let an owner start, repeat or give up its promotion."""
+    def start(self, owner: int, long: bool) -> None:
+        """Let an owner start, repeat or give up a promotion."""
+        self.tell(owner, ProbeMissed(self.owners[owner].primary, True))
         self.now += 0.7 if long else 0.1
         known = max(self.owners[owner].promised, self.owners[owner].own_term)
         if known < REAL_TERMS[-3]:
@@ -157,24 +153,44 @@
         if self.answers:
             self.tell(*self.answers[-1 - back % len(self.answers)])
 
-    @rule(owner=OWNERS, cut=integers(0, 3), rounds=integers(2, 3))
-    def promote(self, owner: int, cut: int, rounds: int) -> None:
-        """Let an owner's newest messages and their answers arrive at once."""
-        self.miss(owner, int(self.owners[owner].primary))
-        self.pass_time(owner, True)
+    def exchange(self, owner: int, cut: int) -> None:
+        """Deliver an owner's newest messages and answers, save at one member."""
+        sent = [effect for sender, effect in self.sent if sender == owner]
+        for effect in sent[-3:]:
+            if effect.address != str(cut):
+                self.arrive(owner, effect)
+        for sender, answer in self.answers[-3:]:
+            if sender == owner:
+                self.tell(owner, answer)
+
+    @rule(owner=OWNERS, cut=integers(0, 3), rounds=integers(2, 3), writes=INDEXES)
+    def promote(self, owner: int, cut: int, rounds: int, writes: int) -> None:
+        """Run a promotion, after which members that still may do write."""
+        self.start(owner, True)
+        for _ in range(rounds):
+            self.exchange(owner, cut)
+        for index in (0, 1, 2):
+            for _ in range(writes):
+                self.write(index)
+            self.confirm(index, 0, 2)
+
+    @rule(owner=OWNERS, rounds=INDEXES, cut=integers(0, 3))
+    def compete(self, owner: int, rounds: int, cut: int) -> None:
+        """Let the other owner's prepare overtake a step of a promotion."""
+        self.start(owner, True)
         for _ in range(rounds):
-            for sender, effect in self.sent[-3:]:
-                if effect.address != str(cut):
-                    self.arrive(sender, effect)
-            for sender, answer in self.answers[-3:]:
-                self.tell(sender, answer)
+            self.exchange(owner, cut)
+        self.start(1 - owner, True)
+        self.exchange(1 - owner, 3)
+        self.exchange(owner, cut)
+        self.exchange(1 - owner, 3)
 
-    @rule(at=INDEXES, index=INDEXES, writes=integers(1, 2))
-    def commit(self, at: int, index: int, writes: int) -> None:
-        """Write, replicate to a member and let it confirm."""
-        for _ in range(writes):
+    @rule(at=INDEXES, index=INDEXES, size=integers(1, 5))
+    def commit(self, at: int, index: int, size: int) -> None:
+        """Write, replicate some of it to a member and let it confirm."""
+        for _ in range(2):
             self.write(at)
-        self.replicate(index, 5)
+        self.replicate(index, size)
         self.confirm(index, 0, 100)
 
     def arrive(self, owner: int, effect: object) -> None:
--- a/features/conformance/rate_machine.py
+++ b/features/conformance/rate_machine.py
@@ -125,7 +125,7 @@
             assert self.model.take(actions.give, f"granter={at} id={slot}")
         self.grants.append((asker, reply, slots[: reply.requests]))
 
-    @rule(which=integers(0, 50), again=integers(0, 3))
+    @rule(which=integers(0, 50), again=integers(0, 1))
     def deliver_grant(self, which: int, again: int) -> None:
         """Deliver a grant, perhaps late or twice; a timely one is used."""
         if not self.grants:
@@ -144,6 +144,17 @@
         used = [s for s in timely if self.model.state.grants[s].uses]
         assert len(used) == expected, (reply, used, expected)
 
+    @rule(index=INSTANCES)
+    def outlive_grant(self, index: int) -> None:
+        """Ask anew while the grant for an earlier ask is still on its way."""
+        for _ in range(actions.SHARE_OF_BURST + 1):
+            self.arrive(index)
+        self.deliver_ask(len(self.asks) - 1)
+        self.tick(actions.ASK_TICKS)
+        self.arrive(index)
+        self.arrive(index)
+        self.deliver_grant(len(self.grants) - 1, 0)
+
     @rule(ticks=integers(1, 4))
     def tick(self, ticks: int) -> None:
         """Let time pass."""
--- a/features/conformance/replica_machine.py
+++ b/features/conformance/replica_machine.py
@@ -112,6 +112,14 @@
             if self.model.state.members[index].log != log:
                 assert self.model.take(self.actions.replicate, name), name
 
+    @rule(index=INDEXES)
+    def catch_up(self, index: int) -> None:
+        """Replicate from the newest primary until nothing is missing."""
+        newest = max(store.state.term for store in self.stores)
+        source = self.primary_of(newest)
+        for _ in range(4 if source is not None else 0):
+            self.replicate(source, index)
+
     def log_of(self, store: MemberStore) -> tuple[Entry, ...]:
         """Return a log as the model has it."""
         return tuple(
