Answer HEAD without a body and refuse CONNECT

Cause: h11 raises LocalProtocolError when a body is sent in answer to HEAD or after a 2xx answer to CONNECT, and the detail of a refused request was put into JSON without escaping backslashes. Before: HEAD /healthz and CONNECT /healthz raised in the connection's task; a bad header line with a backslash got a body that is no JSON. After: HEAD gets the headers alone, CONNECT gets 405, and the refusal is encoded by the JSON encoder. 300 generated inputs raise nothing.

--- a/src/jackdawspread/codecs/http_server_codec.py
+++ b/src/jackdawspread/codecs/http_server_codec.py
@@ -14,8 +14,11 @@
     Response,
 )
 
+from jackdawspread.codecs.json_body import encode_json
 from jackdawspread.messages.http_request import HttpRequest
 from jackdawspread.messages.http_response import HttpResponse
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 1024 * 1024
@@ -29,6 +32,7 @@
         self._head: Request | None = None
         self._chunks: list[bytes] = []
         self._size = 0
+        self._method = ""
 
     @property
     def reusable(self) -> bool:
@@ -57,6 +61,9 @@
             if event is NEED_DATA or event is PAUSED:
                 return Ok(None)
             if isinstance(event, Request):
+                # A 2xx answer to CONNECT would turn the connection into a tunnel.
+                if event.method == b"CONNECT":
+                    return Error(_refuse(405, "CONNECT is not supported"))
                 self._head = event
             elif isinstance(event, Data):
                 self._size += len(event.data)
@@ -78,6 +85,7 @@
             b"".join(self._chunks),
         )
         self._head, self._chunks, self._size = None, [], 0
+        self._method = request.method
         return request
 
     def encode(self, response: HttpResponse, close: bool) -> bytes:
@@ -87,20 +95,18 @@
             headers.append(("Connection", "close"))
         head = Response(status_code=response.status, headers=headers)
         parts = [self._connection.send(head)]
-        if response.body:
+        if response.body and self._method != "HEAD":
             parts.append(self._connection.send(Data(data=response.body)))
         parts.append(self._connection.send(EndOfMessage()))
         return b"".join(part for part in parts if part)
 
     def start_next(self) -> None:
         """Prepare for the next request on the same connection."""
+        self._method = ""
         self._connection.start_next_cycle()
 
 
 def _refuse(status: int, detail: str) -> HttpResponse:
-    body = (
-        '{"code":"malformed_request","ran":"not_run","step":"parse","peer":"",'
-        f'"detail":"{detail.replace(chr(34), chr(39))}"}}'
-    )
+    refusal = Refusal("malformed_request", Ran.NOT_RUN, "parse", "", detail)
     headers = (("Content-Type", "application/json"),)
-    return HttpResponse(status, headers, body.encode("ascii", "replace"))
+    return HttpResponse(status, headers, encode_json(refusal._asdict()))
