Refuse caller input that raised while it was decoded or sent on

Cause and before: a Deadline-Ms of 5,000 digits raised ValueError; a body nested 5,000 deep raised RecursionError; integers beyond 64 bits passed and raised OverflowError in the frames between instances; a Session-Token with a byte above 127 was echoed into a response header and raised UnicodeError. After: each is refused as malformed_request, not_run. Header numbers take at most 9 digits, integers 64 bits, and the token must be ASCII.

--- a/src/jackdawspread/codecs/caller_api.py
+++ b/src/jackdawspread/codecs/caller_api.py
@@ -1,8 +1,9 @@
 """Caller API over HTTP and JSON."""
 
-from typing import NotRequired, TypedDict
+from typing import Annotated, NotRequired, TypedDict
 
 from expression import Error, Ok, Result
+from msgspec import Meta
 
 from jackdawspread.codecs.json_body import decode_json, encode_json
 from jackdawspread.messages.admitted_reply import AdmittedReply
@@ -13,13 +14,17 @@
 from jackdawspread.messages.ran import Ran
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.request_kind import RequestKind
-from jackdawspread.messages.statement import Scalar, Statement
+from jackdawspread.messages.statement import Statement
 
 DEFAULT_DEADLINE_MS = 5_000
 MAX_DEADLINE_MS = 60_000
 MAX_PAGE_ROWS = 1_000
 MAX_STATEMENTS = 100
 MAX_NAME_LENGTH = 128
+MAX_DIGITS = 9
+# Larger numbers fit neither the frames between instances nor a database.
+Integer = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
+BodyScalar = str | Integer | float | bool | None
 JSON_HEADER = ("Content-Type", "application/json")
 
 STATUS_BY_CODE = {
@@ -49,14 +54,14 @@
     """One statement of a body."""
 
     sql: str
-    parameters: NotRequired[list[Scalar]]
+    parameters: NotRequired[list[BodyScalar]]
 
 
 class ReadBody(StatementBody):
     """Body of a read."""
 
-    page_rows: NotRequired[int]
-    offset: NotRequired[int]
+    page_rows: NotRequired[Integer]
+    offset: NotRequired[Integer]
 
 
 class WriteBody(TypedDict):
@@ -148,6 +153,11 @@
     return Refusal("malformed_request", Ran.NOT_RUN, "parse", "", detail)
 
 
+def _is_number(text: str) -> bool:
+    # int() raises on texts of several thousand digits.
+    return text.isdecimal() and len(text) <= MAX_DIGITS
+
+
 def _base(
     request: HttpRequest,
     kind: RequestKind,
@@ -160,10 +170,13 @@
     deadline = headers.get("deadline-ms", str(DEFAULT_DEADLINE_MS))
     staleness = headers.get("max-staleness-ms", "")
     request_id = headers.get("idempotency-key", "")
-    if not deadline.isdecimal() or not 1 <= int(deadline) <= MAX_DEADLINE_MS:
+    if not _is_number(deadline) or not 1 <= int(deadline) <= MAX_DEADLINE_MS:
         return Error(_malformed(f"Deadline-Ms must be 1 to {MAX_DEADLINE_MS}"))
-    if staleness and (not staleness.isdecimal() or len(staleness) > 9):
+    if staleness and not _is_number(staleness):
         return Error(_malformed("Max-Staleness-Ms must be whole milliseconds"))
+    token = headers.get("session-token", "")
+    if not token.isascii():
+        return Error(_malformed("Session-Token must be ASCII"))
     if len(request_id) > MAX_NAME_LENGTH:
         limit = f"at most {MAX_NAME_LENGTH} characters"
         return Error(_malformed(f"Idempotency-Key must have {limit}"))
@@ -174,7 +187,7 @@
             database=database,
             statements=(),
             idempotency_key=request_id,
-            session_token=headers.get("session-token", ""),
+            session_token=token,
             max_staleness=int(staleness) / 1000 if staleness else None,
             deadline=now + int(deadline) / 1000,
             transaction_id=transaction,
--- a/src/jackdawspread/codecs/json_body.py
+++ b/src/jackdawspread/codecs/json_body.py
@@ -19,5 +19,5 @@
     """Decode and validate JSON, returning a message that says what to fix."""
     try:
         return Ok(json.decode(body, type=shape))
-    except (DecodeError, ValidationError) as error:
+    except (DecodeError, ValidationError, RecursionError, UnicodeError) as error:
         return Error(f"body is not valid: {error}")
