Keep the other frames of a batch when one has another shape

Cause: a batch was decoded as a whole. Before: a frame with a version of another type, or bytes that are no batch, raised ValidationError and ended the stream's task; a deadline that is not a number was accepted. After: each frame is decoded by itself and becomes an UnsupportedFrame with its id where it can be read, so that the stream continues.

--- a/src/jackdawspread/codecs/peer_frames.py
+++ b/src/jackdawspread/codecs/peer_frames.py
@@ -5,6 +5,7 @@
 """
 
 from functools import singledispatch
+from math import isfinite
 from typing import Any, get_args
 
 from expression import Error, Ok
@@ -19,6 +20,7 @@
 from jackdawspread.messages.unsupported_frame import UnsupportedFrame
 
 WIRE_VERSION = 1
+UNREADABLE = (DecodeError, ValidationError, RecursionError, UnicodeError)
 
 PeerContent = PeerHello | PeerMessage | RoutedRequest | RoutedReply
 Frame = tuple[int, str, str, Raw]
@@ -32,7 +34,10 @@
 REFUSAL_KIND = Refusal.__name__
 
 _encoder = msgpack.Encoder()
-_batch_decoder = msgpack.Decoder(list[Frame])
+_batch_decoder = msgpack.Decoder(list[Raw])
+_frame_decoder = msgpack.Decoder(Frame)
+_parts_decoder = msgpack.Decoder(list[Raw])
+_id_decoder = msgpack.Decoder(str)
 _request_decoder = msgpack.Decoder(RoutedRequest)
 _answer_decoder = msgpack.Decoder(Answer)
 _refusal_decoder = msgpack.Decoder(Refusal)
@@ -46,10 +51,15 @@
 def decode_batch(data: bytes, now: float) -> list[PeerContent | UnsupportedFrame]:
     """Decode a batch.
 
-    A frame of another version or kind, or with a body of another shape, becomes
-    an `UnsupportedFrame`, so that instances of two versions can work together.
+    A frame of another version or kind, or of another shape, becomes an
+    `UnsupportedFrame`, so that instances of two versions can work together. Bytes
+    that are no batch become one `UnsupportedFrame` without an id.
     """
-    return [_decode_frame(frame, now) for frame in _batch_decoder.decode(data)]
+    try:
+        frames = _batch_decoder.decode(data)
+    except UNREADABLE:
+        return [UnsupportedFrame(0, "", "")]
+    return [_decode_frame(frame, now) for frame in frames]
 
 
 @singledispatch
@@ -71,19 +81,32 @@
     return WIRE_VERSION, REFUSAL_KIND, content.id, content.reply.error
 
 
-def _decode_frame(frame: Frame, now: float) -> PeerContent | UnsupportedFrame:
-    version, kind, id, body = frame
+def _decode_frame(data: Raw, now: float) -> PeerContent | UnsupportedFrame:
+    try:
+        version, kind, id, body = _frame_decoder.decode(data)
+    except UNREADABLE:
+        return UnsupportedFrame(0, "", _id_of(data))
     if version == WIRE_VERSION:
         try:
             return _decode_body(kind, id, body, now)
-        except (DecodeError, ValidationError, KeyError):
+        except (*UNREADABLE, KeyError):
             return UnsupportedFrame(version, kind, id)
     return UnsupportedFrame(version, kind, id)
 
 
+def _id_of(data: Raw) -> str:
+    """Return the id of a frame of another shape, so that it can be refused."""
+    try:
+        return _id_decoder.decode(_parts_decoder.decode(data)[2])
+    except (*UNREADABLE, IndexError):
+        return ""
+
+
 def _decode_body(kind: str, id: str, body: Raw, now: float) -> PeerContent:
     if kind == REQUEST_KIND:
         request = _request_decoder.decode(body)
+        if not isfinite(request.deadline):
+            raise ValidationError("the deadline is no time")
         return request._replace(deadline=now + request.deadline)
     if kind == ANSWER_KIND:
         return RoutedReply(id, Ok(_answer_decoder.decode(body)))
