Treat a member's answer with unusable values as malformed

Before: an upstream_age_ms beyond a float or an infinite term raised OverflowError, and rows with nested values passed and could not be decoded by another instance. After: such an answer is MemberSilence, or no status; results are checked against their declared types.

--- a/src/jackdawspread/codecs/member_protocol.py
+++ b/src/jackdawspread/codecs/member_protocol.py
@@ -3,6 +3,8 @@
 from hashlib import sha256
 from typing import Any
 
+from msgspec import convert
+
 from jackdawspread.codecs.json_body import encode_json
 from jackdawspread.decisions.member_answer import MemberAnswer
 from jackdawspread.decisions.member_refusal import MemberRefusal
@@ -19,6 +21,8 @@
 
 MemberOutcome = MemberAnswer | MemberRefusal | MemberSilence
 Call = tuple[str, dict[str, Any]]
+# ValueError includes msgspec's ValidationError.
+UNREADABLE = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 
 
 def encode_read(request: RoutedRequest, target: ReadTarget, term: int) -> Call:
@@ -66,7 +70,7 @@
         return MemberRefusal(code, str(body.get("detail", "")))
     try:
         return _answer(body)
-    except (KeyError, TypeError, ValueError):
+    except UNREADABLE:
         return MemberSilence(True, "the member's answer is malformed")
 
 
@@ -85,7 +89,7 @@
             upstream_age=_seconds(body.get("upstream_age_ms")),
             asked_at=asked_at,
         )
-    except (KeyError, TypeError, ValueError):
+    except UNREADABLE:
         return None
 
 
@@ -116,7 +120,8 @@
 
 def _result(item: dict[str, Any]) -> StatementResult:
     rows = tuple(tuple(row) for row in item["rows"])
-    return StatementResult(tuple(item["columns"]), rows, item.get("changes", 0))
+    result = (tuple(item["columns"]), rows, item.get("changes", 0))
+    return convert(result, StatementResult)
 
 
 def _statement(statement: Statement) -> dict[str, Any]:
