Refuse operators' numbers that the stored document cannot hold

Before: a burst or an expected_version beyond 64 bits passed and raised OverflowError when it was sent to the other instances. After: it is refused as malformed_request, not_run.

--- a/src/jackdawspread/codecs/admin_api.py
+++ b/src/jackdawspread/codecs/admin_api.py
@@ -5,6 +5,7 @@
 from urllib.parse import unquote
 
 from expression import Error, Ok, Result
+from msgspec import msgpack
 
 from jackdawspread.codecs.admin_bodies import (
     ChangeBody,
@@ -75,6 +76,11 @@
     body = decode_json(request.body or b"{}", shape)
     if body.is_error():
         return Error(Refusal("malformed_request", Ran.NOT_RUN, "parse", "", body.error))
+    try:
+        msgpack.encode(body.ok)
+    except OverflowError:
+        detail = "a number is too large"
+        return Error(Refusal("malformed_request", Ran.NOT_RUN, "parse", "", detail))
     bare: ChangeBody = body.ok
     expected = bare.get("expected_version", 0)
     if expected < 0:
