Refuse settings numbers of more than nine digits

Before: a port or a count of 5,000 digits raised ValueError. After: it is an error that names file, section, option, value and what is accepted.

--- a/src/jackdawspread/settings/checks.py
+++ b/src/jackdawspread/settings/checks.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok, Result
 
 MAX_PORT = 65535
+MAX_DIGITS = 9
 
 
 def check_address(text: str) -> Result[str, str]:
@@ -15,16 +16,16 @@
         ip_address(host)
     except ValueError:
         return Error(accepted)
-    if not port.isdecimal() or int(port) > MAX_PORT:
+    if not _is_number(port) or int(port) > MAX_PORT:
         return Error(accepted)
     return Ok(text)
 
 
 def check_count(text: str) -> Result[int, str]:
     """Accept a whole number of at least 1."""
-    if text.isdecimal() and int(text) >= 1:
+    if _is_number(text) and int(text) >= 1:
         return Ok(int(text))
-    return Error("a whole number of at least 1")
+    return Error(f"a whole number of at least 1, with at most {MAX_DIGITS} digits")
 
 
 def check_text(text: str) -> Result[str, str]:
@@ -38,3 +39,8 @@
     if len(text) == 64 and set(text) <= digits:
         return Ok(text)
     return Error("64 hexadecimal digits, the SHA-256 of the operator credential")
+
+
+def _is_number(text: str) -> bool:
+    # int() raises on texts of several thousand digits.
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
