Check the names of databases in the settings

Before: an empty name, or one with a dot or a slash, was accepted; with a dot, no transaction of the database could be found again, since its id is split at dots, and with a slash no route reaches the database. After: a name has letters, digits, - and _, and the error names the section.

--- a/src/jackdawspread/settings/checks.py
+++ b/src/jackdawspread/settings/checks.py
@@ -33,6 +33,13 @@
     return Ok(text) if text else Error("a text that is not empty")
 
 
+def check_name(text: str) -> Result[str, str]:
+    """Accept a name that can stand in a path and in a transaction's id."""
+    if text.isascii() and text.replace("-", "").replace("_", "").isalnum():
+        return Ok(text)
+    return Error("a name of letters, digits, - and _")
+
+
 def check_hex(text: str) -> Result[str, str]:
     """Accept a SHA-256 digest in hexadecimal."""
     digits = set("0123456789abcdef")
--- a/src/jackdawspread/settings/instance_settings_file.py
+++ b/src/jackdawspread/settings/instance_settings_file.py
@@ -10,6 +10,7 @@
     check_address,
     check_count,
     check_hex,
+    check_name,
     check_text,
 )
 from jackdawspread.settings.database_settings import DatabaseSettings
@@ -69,6 +70,7 @@
         if not title.startswith(DATABASE_PREFIX):
             continue
         name, reader = title.removeprefix(DATABASE_PREFIX), section(title)
+        reader.check_title(name, check_name)
         by_name[name] = DatabaseSettings(
             name=name,
             member_addresses=reader.take_list("members", check_address),
--- a/src/jackdawspread/settings/section_reader.py
+++ b/src/jackdawspread/settings/section_reader.py
@@ -61,6 +61,12 @@
                 values.append(checked.ok)
         return tuple(values)
 
+    def check_title(self, name: str, check: Check[str]) -> None:
+        """Check the name in the section's title."""
+        checked = check(name)
+        if checked.is_error():
+            self._add("", name, checked.error)
+
     def refuse_unknown(self) -> None:
         """Report every option that has not been taken."""
         for option, text in self._options.items():
