Send bad input over a caller's connection

Ten kinds of bad input go over memory streams to a gateway with an owner, under a mock clock: the connection goes on or ends as HTTP demands, and another caller is answered within a second.

--- /dev/null
+++ b/features/steps/bad_input_steps.py
@@ -0,0 +1,208 @@
+"""Steps that send bad input over a caller's connection."""
+
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+from typing import Any
+
+from behave import then, when
+from behave.runner import Context
+from features.fakes.caller import Caller
+from features.owner_play import play
+from features.owner_world import OwnerWorld, snapshot
+from trio import Event, Nursery, current_time, open_memory_channel, open_nursery, sleep
+from trio.testing import lockstep_stream_pair, memory_stream_pair
+
+from jackdawspread.codecs.http_server_codec import MAX_BODY_BYTES
+from jackdawspread.codecs.session_token import SessionTokenCodec
+from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.messages.view import View
+from jackdawspread.messages.view_member import ViewMember
+from jackdawspread.tasks.caller_handler import CallerHandler
+from jackdawspread.tasks.gateway import Gateway
+from jackdawspread.tasks.http_server_connection import HttpServerConnection
+
+ADDRESS = "127.0.0.1:9"
+READ = "/v1/databases/swap/read"
+BEGIN = "/v1/databases/swap/transactions"
+BODY = {"sql": "claim"}
+KEY, OTHER_KEY = {"Authorization": "Bearer k1"}, {"Authorization": "Bearer k2"}
+Reply = tuple[int, dict[str, Any]]
+BadInput = Callable[["Entry"], Awaitable[Reply]]
+
+
+class Entry:
+    """Gateway with one owner; the caller under test and its connection."""
+
+    def __init__(self, world: OwnerWorld, nursery: Nursery) -> None:
+        self.world, self.nursery = world, nursery
+        self.ended = Event()
+
+    async def start(self) -> None:
+        """Start the gateway with keys of two workspaces."""
+        await self.world.add_owner()
+        keys = {
+            sha256(f"k{n}".encode()).hexdigest(): {
+                "workspace": f"w{n}",
+                "withdrawn": False,
+            }
+            for n in (1, 2)
+        }
+        workspace = {"overrides": {}, "databases": []}
+        known = snapshot(
+            key_by_id=keys,
+            workspace_by_name={"w1": workspace, "w2": workspace},
+            head_office=first_configuration()["head_office"],
+        )._replace(
+            unsettled_views=(View(1, {"i0": ViewMember(ADDRESS, "perth")}),),
+            seat_addresses_by_database={"swap": (ADDRESS,)},
+        )
+        events, inbox = open_memory_channel[Any](100)
+        hub, self._hub_inbox = open_memory_channel[Any](100)
+        owners = {"swap": self.world.inboxes[0]}
+        tokens = SessionTokenCodec("secret")
+        gateway = Gateway(ADDRESS, inbox, events, owners, hub, tokens)
+        self.nursery.start_soon(gateway.run)
+        self._handler = CallerHandler(events, Event())
+        for channel in (events, self.world.inboxes[0]):
+            await channel.send(known)
+        # A newcomer's bucket is empty.
+        await sleep(1)
+
+    def connect(self, pair: Any = memory_stream_pair, ended: Any = None) -> Caller:
+        """Open a connection."""
+        client, server = pair()
+        connection = HttpServerConnection(server, self._handler.handle, Event())
+
+        async def serve() -> None:
+            await connection.run()
+            if ended is not None:
+                ended.set()
+
+        self.nursery.start_soon(serve)
+        return Caller(client)
+
+    async def read(self, caller: Caller) -> None:
+        """Check that a caller gets an answer, and soon."""
+        started = current_time()
+        status, body = await caller.ask("POST", READ, BODY, **KEY)
+        assert status == 200 and current_time() - started < 1, (status, body)
+
+
+async def foreign_transaction(entry: Entry) -> Reply:
+    """Begin in one workspace and continue in another."""
+    _, begun = await entry.caller.ask("POST", BEGIN, **KEY)
+    target = f"/v1/transactions/{begun['transaction_id']}/statements"
+    refused = await entry.caller.ask("POST", target, BODY, **OTHER_KEY)
+    own = await entry.caller.ask("POST", target, BODY, **KEY)
+    assert own[0] == 200, own
+    return refused
+
+
+async def expiring(entry: Entry) -> Reply:
+    """Read within a deadline in which no member answers."""
+    for member in entry.world.members.values():
+        member.is_cut = True
+    reply = await entry.caller.ask("POST", READ, BODY, Deadline_Ms="20", **KEY)
+    for member in entry.world.members.values():
+        member.is_cut = False
+    await sleep(5)
+    return reply
+
+
+async def trickled(entry: Entry) -> Reply:
+    """Send a byte per second until the connection ends."""
+    started = current_time()
+    for byte in b"GET /healthz HTTP/1.1\r\nHost: a\r\n":
+        if entry.ended.is_set():
+            break
+        await entry.caller.stream.send_all(bytes([byte]))
+        await entry.read(entry.connect())
+        await sleep(1)
+    assert 10 <= current_time() - started < 13, current_time() - started
+    return await entry.caller.receive()
+
+
+async def unread(entry: Entry) -> Reply:
+    """Send a request and read nothing until the connection ends."""
+    head = b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"
+    entry.caller = entry.connect(lockstep_stream_pair, entry.ended)
+    await entry.caller.stream.send_all(head)
+    started = current_time()
+    await entry.read(entry.connect())
+    await entry.ended.wait()
+    assert 30 <= current_time() - started < 32, current_time() - started
+    return 0, {}
+
+
+async def too_large(entry: Entry) -> Reply:
+    """Send a body above the bound."""
+    size = MAX_BODY_BYTES + 1
+    return await entry.caller.ask("POST", READ, "x" * size, **KEY)
+
+
+def plain(method: str, target: str, body: Any = None, **headers: str) -> BadInput:
+    """Return a bad input that is one request."""
+
+    async def send(entry: Entry) -> Reply:
+        return await entry.caller.ask(method, target, body, **headers)
+
+    return send
+
+
+INPUTS: dict[str, BadInput] = {
+    "a request without a key": plain("POST", READ, BODY),
+    "a request with a wrong key": plain("POST", READ, BODY, Authorization="Bearer x"),
+    "a session token that is not ASCII": plain(
+        "POST", READ, BODY, Session_Token="\xe9", **KEY
+    ),
+    "a HEAD request": plain("HEAD", "/healthz"),
+    "a CONNECT request": plain("CONNECT", "/healthz"),
+    "a body that is too large": too_large,
+    "a statement in a foreign transaction": foreign_transaction,
+    "a read with a deadline that expires": expiring,
+    "a head one byte per second": trickled,
+    "a request and reads no answer": unread,
+}
+
+
+@when("bad input arrives: {input}")
+def send_bad_input(context: Context, input: str) -> None:
+    """Send the input, then good requests on this and another connection."""
+
+    async def script(world: OwnerWorld) -> None:
+        async with open_nursery() as nursery:
+            entry = Entry(world, nursery)
+            await entry.start()
+            other = entry.connect()
+            entry.caller = entry.connect(ended=entry.ended)
+            await entry.read(other)
+            context.reply = await INPUTS[input](entry)
+            await sleep(0.1)
+            context.is_over = entry.ended.is_set()
+            if not context.is_over:
+                await entry.read(entry.caller)
+            await entry.read(other)
+            context.is_other_answered = True
+            nursery.cancel_scope.cancel()
+
+    play(context, script)
+
+
+@then("it is answered with {status:d} {code}")
+def answered(context: Context, status: int, code: str) -> None:
+    """Check status and code, and that nothing ran."""
+    found, body = context.reply
+    assert found == status, context.reply
+    assert body.get("code", "nothing") == code, body
+
+
+@then("its connection {state}")
+def connection_state(context: Context, state: str) -> None:
+    """Check whether the connection could be used again."""
+    assert context.is_over == (state == "ends"), context.is_over
+
+
+@then("another caller is answered in time")
+def other_answered(context: Context) -> None:
+    """Check that the other connection was served after the bad input."""
+    assert context.is_other_answered
