--- a/src/jackdawspread/codecs/json_body.py
+++ b/src/jackdawspread/codecs/json_body.py
@@ -24,5 +24,5 @@
         decoder = _decoder_by_shape[shape] = json.Decoder(shape)
     try:
         return Ok(decoder.decode(body))
-    except (DecodeError, ValidationError) as error:
+    except (DecodeError, ValidationError, RecursionError, UnicodeError) as error:
         return Error(f"body is not valid: {error}")
