Report a withdrawal in force only when it is stored and confirmed

Cause: a withdrawal counted as in force when it was stored, or when a change quorum had confirmed it.

Change: in force means read back from the platform's row and confirmed by a change quorum in one epoch, or confirmed by all members. A member that has promised answers with epoch 0, which counts for nothing. Promises and heartbeat answers carry the withdrawals that their sender knows. The write that changes the view stores them in the same transaction, and the write that only stores them expects the row of the view. A withdrawal is kept until the operator has an answer, also when it is stored before.

Ruled out: pushing the document before the vouch instead of naming the keys in it, because the outbox drops single messages when it is full. Open: an instance that confirmed and was killed keeps nothing, so a view change promised by new incarnations only may miss a withdrawal that all had confirmed and nobody has stored; the others store it when they read the new view.

--- a/features/control.feature
+++ b/features/control.feature
@@ -80,6 +80,72 @@
     And 15 s pass
     Then the platform shows "k1" as withdrawn
 
+  Scenario: Confirmations without the platform do not put a withdrawal in force
+    # Guards against a key that works on an instance which is cut from its peers
+    # and keeps its authority by reading the platform.
+    Given 4 instances with seed 37 that have run for 10 s
+    And a key "k1" of workspace "branch"
+    When "a" cannot reach the platform
+    And "d" cannot reach its peers
+    And "a" is asked to withdraw "k1"
+    Then for 8 s no authority accepts "k1" 3 s after it was reported in force
+    And the withdrawal is answered with state "pending" and is not stored
+
+  Scenario: The platform without confirmations does not put a withdrawal in force
+    # Guards against a key that works on a majority which is cut from the platform
+    # and keeps its authority by vouching.
+    Given 4 instances with seed 38 that have run for 10 s
+    And a key "k1" of workspace "branch"
+    When "b", "c", "d" cannot reach the platform
+    And "a" cannot reach its peers
+    And "a" is asked to withdraw "k1"
+    Then for 8 s no authority accepts "k1" 3 s after it was reported in force
+    And the withdrawal is answered with state "pending" and is stored
+
+  Scenario: A withdrawal is in force when it is stored and a change quorum confirmed
+    # Guards against a withdrawal that waits for an instance that is cut off.
+    Given 4 instances with seed 39 that have run for 10 s
+    And a key "k1" of workspace "branch"
+    When "d" is isolated
+    And "a" is asked to withdraw "k1"
+    Then for 8 s no authority accepts "k1" 3 s after it was reported in force
+    And the withdrawal is answered with state "in_force" and is stored
+
+  Scenario: A member that promised a change does not confirm a withdrawal
+    # Guards against a confirmation that the next view does not know of.
+    Given 4 instances with seed 40 that have run for 10 s
+    And a key "k1" of workspace "branch"
+    When "b" is asked by "c" to promise a change of the view
+    Then "b" does not confirm the withdrawal of "k1" in its epoch
+
+  Scenario: A change of the view stores the withdrawals of those that promised
+    # Guards against a new view whose members read the platform and miss a
+    # withdrawal that the members of the old view confirmed.
+    Given 4 instances with seed 41 that have run for 10 s
+    And a key "k1" of workspace "branch"
+    When "a" cannot reach the platform
+    And "a" is asked to withdraw "k1"
+    And 0.2 s pass
+    And "e" is started
+    And the platform shows the next view
+    Then the platform shows "k1" as withdrawn at the same time
+
+  Scenario: A vouch carries the withdrawals that its sender knows
+    # Guards against an instance that keeps its authority through a member whose
+    # separate message about the withdrawal was lost.
+    Given 4 instances with seed 42 that have run for 10 s
+    And a key "k1" of workspace "branch"
+    When "d" hears only heartbeat answers
+    And "a" cannot reach the platform
+    And "a" is asked to withdraw "k1"
+    And 1 s pass
+    Then "d" refuses "k1"
+
+  Scenario: A withdrawn key stays withdrawn whoever is cut off
+    # Guards against a withdrawal that is reported in force while an instance
+    # that keeps its authority, or a later view, does not know of it.
+    Then none of 80 schedules of cuts lets a withdrawn key pass
+
   Scenario: A change during an outage is refused and loses nothing
     # Guards against accepting a configuration that the platform may lose.
     Given 4 instances with seed 14 that have run for 10 s
--- a/features/fakes/control_fleet.py
+++ b/features/fakes/control_fleet.py
@@ -14,6 +14,7 @@
 from jackdawspread.messages.admin_change import AdminChange
 from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.control_tick import ControlTick
+from jackdawspread.messages.heartbeat_answer import HeartbeatAnswer
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.peer_send import PeerSend
 from jackdawspread.messages.platform_call import PlatformCall
@@ -37,6 +38,8 @@
         self.cut_from_platform: set[str] = set()
         self.losing_answers: set[str] = set()
         self.result_by_id: dict[str, AdminResult] = {}
+        self.result_at_by_id: dict[str, float] = {}
+        self.answers_only: set[str] = set()
         self.preset_history: dict[str, list[tuple[int, str]]] = {}
         self._queue: list[tuple[float, int, Any]] = []
         self._order = count()
@@ -132,6 +135,7 @@
         for effect in effects:
             if isinstance(effect, AdminResult):
                 self.result_by_id[effect.id] = effect
+                self.result_at_by_id[effect.id] = self.now
             elif isinstance(effect, PlatformCall):
                 self._call(name, state.incarnation, effect)
             elif isinstance(effect, PeerSend):
@@ -149,6 +153,8 @@
         to = effect.peer_address
         if frozenset({name, to}) in self.cut_pairs:
             return
+        if to in self.answers_only and not isinstance(effect.message, HeartbeatAnswer):
+            return
         arrival = self.now + self.random.uniform(0.001, 0.03)
         arrival = max(arrival, self._last_arrival.get((name, to), 0.0))
         self._last_arrival[name, to] = arrival
--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -86,10 +86,10 @@
     assert (outcome.code, outcome.ran) == (code, ran), outcome
 
 
-@then('the withdrawal is answered with state "{state}" and is not stored')
-def withdrawal_answer(context: Context, state: str) -> None:
+@then('the withdrawal is answered with state "{state}" and {verb} stored')
+def withdrawal_answer(context: Context, state: str, verb: str) -> None:
     body = context.fleet.result_by_id["withdraw"].outcome.body
-    assert (body["state"], body["stored"]) == (state, False), body
+    assert (body["state"], body["stored"]) == (state, verb == "is"), body
     assert "a" in body["confirmed_by"], body
 
 
--- a/src/jackdawspread/decisions/configuration_changes.py
+++ b/src/jackdawspread/decisions/configuration_changes.py
@@ -1,5 +1,6 @@
 """Changes of the configuration document."""
 
+from collections.abc import Iterable
 from functools import singledispatch
 
 from expression import Error, Ok, Result
@@ -36,6 +37,17 @@
     return _apply(change, document)
 
 
+def with_withdrawals(
+    document: ConfigurationDocument, key_ids: Iterable[str]
+) -> ConfigurationDocument:
+    """Return the document with those of its keys withdrawn."""
+    for key_id in key_ids:
+        key = document["key_by_id"].get(key_id)
+        if key is not None and not key["withdrawn"]:
+            document = _with_key(document, key_id, key["workspace"], True)
+    return document
+
+
 def commutes(change: ConfigurationChange) -> bool:
     """Whether a change means the same on any later version."""
     return isinstance(change, AddKey | WithdrawKey)
--- a/src/jackdawspread/decisions/configuration_store.py
+++ b/src/jackdawspread/decisions/configuration_store.py
@@ -18,13 +18,21 @@
     return bool(row.value.get("version", 0) == state.configuration["version"])
 
 
-def store(
-    state: ControlState, document: ConfigurationDocument, now: float, admin_id: str = ""
-) -> ControlStep:
-    """Write a document as the version after the newest one known."""
+def is_being_stored(state: ControlState) -> bool:
+    """Whether a write of this instance that changes the document is unresolved."""
+    return any(
+        key == KEY or KEY in write.other_values
+        for key, write in state.write_by_key.items()
+    )
+
+
+def next_version(
+    state: ControlState, document: ConfigurationDocument
+) -> ConfigurationDocument:
+    """Return a document as the version after the newest one known."""
     write_id = next_write_id(state)
     recent = [*state.configuration.get("recent_write_ids", []), write_id]
-    value = ConfigurationDocument(
+    return ConfigurationDocument(
         **{
             **document,
             "version": state.configuration["version"] + 1,
@@ -32,4 +40,16 @@
             "recent_write_ids": recent[-RECENT_WRITES:],
         }
     )
-    return start_write(state, KEY, dict(value), now, admin_id)
+
+
+def store(
+    state: ControlState,
+    document: ConfigurationDocument,
+    now: float,
+    admin_id: str = "",
+    is_view_expected: bool = False,
+) -> ControlStep:
+    """Write a document, if asked to only while the view is the newest one known."""
+    value = dict(next_version(state, document))
+    others = ("view",) if is_view_expected else ()
+    return start_write(state, KEY, value, now, admin_id, others)
--- a/src/jackdawspread/decisions/configurations.py
+++ b/src/jackdawspread/decisions/configurations.py
@@ -8,7 +8,7 @@
     refuse,
 )
 from jackdawspread.decisions.configuration_store import (
-    KEY,
+    is_being_stored,
     is_row_current,
     store,
 )
@@ -81,7 +81,7 @@
     effects: tuple[Effect, ...] = ()
     if state.admin_queue and not is_row_current(state):
         return state._replace(next_poll_at=now), ()
-    while state.admin_queue and KEY not in state.write_by_key:
+    while state.admin_queue and not is_being_stored(state):
         request = state.admin_queue[0]
         document = state.configuration
         is_ahead = request.expected_version > document["version"]
--- a/src/jackdawspread/decisions/heartbeats.py
+++ b/src/jackdawspread/decisions/heartbeats.py
@@ -3,6 +3,10 @@
 from jackdawspread.decisions.control_state import ControlState
 from jackdawspread.decisions.control_step import ControlStep, Effect
 from jackdawspread.decisions.control_timing import AUTHORITY_S, HEARTBEAT_S
+from jackdawspread.decisions.withdrawal_knowledge import (
+    learn_key_ids,
+    withdrawn_beyond,
+)
 from jackdawspread.messages.configuration_push import ConfigurationPush
 from jackdawspread.messages.heartbeat import Heartbeat
 from jackdawspread.messages.heartbeat_answer import HeartbeatAnswer
@@ -81,9 +85,10 @@
         view.epoch if vouches else 0,
         heartbeat.sequence,
         state.configuration["version"],
+        # No instance keeps its authority through this one without knowing them.
+        withdrawn_beyond(state, heartbeat.configuration_version),
     )
-    # The withdrawals go before the vouch on the same stream, so no instance keeps
-    # its authority through this one without knowing them.
+    # Each asks for a confirmation again, because an earlier one may be lost.
     effects: tuple[Effect, ...] = tuple(
         PeerSend(address, KeyWithdrawal(key_id, key_id))
         for key_id in state.withdrawal_by_key_id
@@ -97,6 +102,7 @@
 ) -> ControlStep:
     """Count a vouch from the time at which the heartbeat was sent."""
     state = hear(state, answer.incarnation, answer.epoch, now)
+    state = learn_key_ids(state, answer.withdrawn_key_ids, now)
     asked_at = state.asked_at_by_sequence.get(answer.sequence)
     if asked_at is not None and answer.vouched_epoch == state.view.epoch:
         vouched = state.vouched_at_by_incarnation
--- a/src/jackdawspread/decisions/platform_outcomes.py
+++ b/src/jackdawspread/decisions/platform_outcomes.py
@@ -1,7 +1,7 @@
 """Polls of the platform and the outcomes of calls to it."""
 
 from jackdawspread.decisions import configurations
-from jackdawspread.decisions.configuration_store import KEY, store
+from jackdawspread.decisions.configuration_store import KEY, is_being_stored, store
 from jackdawspread.decisions.control_state import ControlState
 from jackdawspread.decisions.control_step import ControlStep, Effect
 from jackdawspread.decisions.control_timing import POLL_S, WRITE_S
@@ -12,6 +12,7 @@
     ABSENT,
     decode_rows,
     drop_write,
+    known_versions,
     send_write,
     write_outcome,
 )
@@ -107,7 +108,7 @@
 def _store_first(
     state: ControlState, rows: dict[str, PlatformRow], now: float
 ) -> ControlStep:
-    if KEY in rows or KEY in state.write_by_key or state.configuration["version"]:
+    if KEY in rows or is_being_stored(state) or state.configuration["version"]:
         return state, ()
     return store(state, state.configuration, now)
 
@@ -121,8 +122,9 @@
     if outcome.status == OK:
         versions = outcome.body.get("versions")
         assert isinstance(versions, dict)
-        row = PlatformRow(int(versions[key]), write.value)
-        return _succeed(state, write, {key: row}, now)
+        values = {key: write.value, **write.other_values}
+        stored = {k: PlatformRow(int(versions[k]), v) for k, v in values.items()}
+        return _succeed(state, write, stored, now)
     if outcome.status == CONFLICT:
         # An earlier copy of the write may have caused the conflict, and the rows
         # of the answer hold only what the write expected; a poll decides it.
@@ -159,11 +161,23 @@
         elif outcome is WriteOutcome.FORGOTTEN or now >= write.started_at + WRITE_S:
             state, more = _fail(state, write, Ran.UNKNOWN, now)
         else:
-            state, more = send_write(state, write, now)
+            state, more = _repeat(state, write, now)
         effects += more
     return state, effects
 
 
+def _repeat(state: ControlState, write: PlatformWrite, now: float) -> ControlStep:
+    """Send an undecided write again, against the newest versions of other rows.
+
+    What a write stores in other rows was made from their old versions, so a newer
+    one ends it; its first row then has a new write made.
+    """
+    others = known_versions(state, write.other_versions)
+    if others != write.other_versions and write.other_values:
+        return _lose(state, write, now)
+    return send_write(state, write._replace(other_versions=others), now)
+
+
 def _give_up(state: ControlState, now: float) -> ControlStep:
     """Report the writes that could not be read back in time."""
     effects: tuple[Effect, ...] = ()
--- a/src/jackdawspread/decisions/platform_write.py
+++ b/src/jackdawspread/decisions/platform_write.py
@@ -7,7 +7,8 @@
     """Write of one row that has not been resolved.
 
     ``unknown_since`` is the time at which its answer was lost; None while the
-    answer is awaited.
+    answer is awaited. ``other_versions`` are expected of further rows, of which
+    ``other_values`` are stored in the same transaction.
     """
 
     write_id: str
@@ -18,3 +19,5 @@
     unknown_since: float | None = None
     admin_id: str = ""
     may_have_run: bool = False
+    other_versions: dict[str, int] = {}
+    other_values: dict[str, dict[str, Any]] = {}
--- a/src/jackdawspread/decisions/platform_writes.py
+++ b/src/jackdawspread/decisions/platform_writes.py
@@ -1,5 +1,6 @@
 """Compare-and-set writes to the platform and their outcomes."""
 
+from collections.abc import Iterable
 from typing import Any
 
 from jackdawspread.decisions.control_state import ControlState
@@ -24,20 +25,39 @@
     value: dict[str, Any],
     now: float,
     admin_id: str = "",
+    others: tuple[str, ...] = (),
+    other_values: dict[str, dict[str, Any]] | None = None,
 ) -> ControlStep:
-    """Start a write of a row against its newest known version."""
+    """Start a write of a row against its newest known version.
+
+    The rows ``others`` must have their newest known versions too.
+    """
     row = state.row_by_key.get(key, ABSENT)
     write_id = next_write_id(state)
     value = {**value, "write_id": write_id}
-    write = PlatformWrite(write_id, key, row.version, value, now, None, admin_id)
+    write = PlatformWrite(
+        write_id,
+        key,
+        row.version,
+        value,
+        now,
+        admin_id=admin_id,
+        other_versions=known_versions(state, others),
+        other_values=other_values or {},
+    )
     return send_write(state, write, now)
 
 
+def known_versions(state: ControlState, keys: Iterable[str]) -> dict[str, int]:
+    """Return the newest known versions of rows."""
+    return {key: state.row_by_key.get(key, ABSENT).version for key in keys}
+
+
 def send_write(state: ControlState, write: PlatformWrite, now: float) -> ControlStep:
     """Send a write, or repeat it with the same write id and version."""
     body: dict[str, object] = {
-        "expect": {write.key: write.expected_version},
-        "put": {write.key: write.value},
+        "expect": {write.key: write.expected_version, **write.other_versions},
+        "put": {write.key: write.value, **write.other_values},
     }
     call = PlatformCall(state.next_id, "/table/transact", body)
     write = write._replace(unknown_since=None)
--- a/src/jackdawspread/decisions/view_changes.py
+++ b/src/jackdawspread/decisions/view_changes.py
@@ -1,6 +1,13 @@
 """Proposals and promises of view changes."""
 
 from jackdawspread.decisions.authority import change_quorum
+from jackdawspread.decisions.configuration_changes import with_withdrawals
+from jackdawspread.decisions.configuration_store import (
+    KEY,
+    is_being_stored,
+    is_row_current,
+    next_version,
+)
 from jackdawspread.decisions.control_state import ControlState
 from jackdawspread.decisions.control_step import ControlStep, Effect
 from jackdawspread.decisions.control_timing import (
@@ -13,6 +20,7 @@
 from jackdawspread.decisions.platform_writes import start_write
 from jackdawspread.decisions.view_proposal import ViewProposal
 from jackdawspread.decisions.views import decode_views, encode_view
+from jackdawspread.decisions.withdrawal_knowledge import has_unread_keys, learn_key_ids
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.peer_send import PeerSend
 from jackdawspread.messages.view import View
@@ -135,7 +143,8 @@
         log = f"control: refused promise epoch={request.epoch} peer={address}"
         return state, (ControlLog(log),)
     state = _promise(state, request.epoch, now)
-    promise = ViewChangePromise(state.incarnation, request.epoch)
+    key_ids = tuple(sorted(state.withdrawal_by_key_id))
+    promise = ViewChangePromise(state.incarnation, request.epoch, key_ids)
     log = f"control: promised epoch={request.epoch} peer={address}"
     return state, (PeerSend(address, promise), ControlLog(log))
 
@@ -144,6 +153,7 @@
     state: ControlState, promise: ViewChangePromise, address: str, now: float
 ) -> ControlStep:
     """Count a promise; a new incarnation promises for the one at its address."""
+    state = learn_key_ids(state, promise.withdrawn_key_ids, now)
     proposal = state.proposal
     if proposal is None or promise.epoch != proposal.epoch:
         return state, ()
@@ -157,7 +167,11 @@
 
 
 def write_if_promised(state: ControlState, now: float) -> ControlStep:
-    """Write the next view once the change quorum has promised."""
+    """Write the next view once the change quorum has promised.
+
+    The same transaction stores the withdrawals that those members know, so nobody
+    reads the new view without them.
+    """
     proposal = state.proposal
     needed = change_quorum(len(state.view.member_by_incarnation))
     if proposal is None or len(proposal.promised) < needed:
@@ -167,4 +181,15 @@
     view = View(proposal.epoch + 1, changed_members(state, now))
     row = state.row_by_key.get("view")
     value = encode_view(view, decode_views(row.value) if row else ())
-    return start_write(state._replace(proposal=None), "view", value, now)
+    if has_unread_keys(state):
+        return state._replace(next_poll_at=now), ()
+    document = with_withdrawals(state.configuration, state.withdrawal_by_key_id)
+    if document == state.configuration:
+        return start_write(state._replace(proposal=None), "view", value, now)
+    if is_being_stored(state):
+        return state, ()
+    if not is_row_current(state):
+        return state._replace(next_poll_at=now), ()
+    stored = {KEY: dict(next_version(state, document))}
+    state = state._replace(proposal=None)
+    return start_write(state, "view", value, now, "", (KEY,), stored)
--- a/src/jackdawspread/decisions/withdrawals.py
+++ b/src/jackdawspread/decisions/withdrawals.py
@@ -1,40 +1,52 @@
 """Withdrawals of keys until the configuration shows them."""
 
 from jackdawspread.decisions.authority import change_quorum
-from jackdawspread.decisions.configuration_changes import apply_change, refuse
-from jackdawspread.decisions.configuration_store import KEY, is_row_current, store
+from jackdawspread.decisions.configuration_changes import refuse, with_withdrawals
+from jackdawspread.decisions.configuration_store import (
+    KEY,
+    is_being_stored,
+    is_row_current,
+    store,
+)
 from jackdawspread.decisions.control_state import ControlState
 from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.control_timing import (
-    WITHDRAWAL_ANSWER_S,
-    WITHDRAWAL_TAKEOVER_S,
-)
+from jackdawspread.decisions.control_timing import WITHDRAWAL_ANSWER_S
 from jackdawspread.decisions.heartbeats import to_peers
+from jackdawspread.decisions.platform_writes import ABSENT
 from jackdawspread.decisions.withdrawal import Withdrawal
+from jackdawspread.decisions.withdrawal_knowledge import (
+    is_stored,
+    learn_key_ids,
+    may_confirm,
+)
 from jackdawspread.messages.admin_answer import AdminAnswer
 from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.key_withdrawal import KeyWithdrawal
 from jackdawspread.messages.key_withdrawal_answer import KeyWithdrawalAnswer
 from jackdawspread.messages.peer_send import PeerSend
-from jackdawspread.messages.withdraw_key import WithdrawKey
 
 
-def is_stored(state: ControlState, key_id: str) -> bool:
-    """Whether the configuration shows a key as withdrawn."""
-    key = state.configuration["key_by_id"].get(key_id)
-    return key is not None and key["withdrawn"]
+def is_in_force(state: ControlState, known: Withdrawal) -> bool:
+    """Whether no instance can have authority for long without the withdrawal.
 
+    Either all members confirmed it, or it is stored and enough of them confirmed
+    it: then no other member gathers a vouch quorum, and one that reads the
+    platform reads it. Only rows read there count as stored; a document that a peer
+    pushed may have been stored in a later epoch than ours.
+    """
+    members = set(state.view.member_by_incarnation)
+    confirmed = len(known.confirmed & members)
+    if not members or known.epoch != state.view.epoch:
+        return False
+    is_enough = confirmed >= change_quorum(len(members)) and _is_read(state, known)
+    return is_enough or confirmed == len(members)
 
-def is_in_force(state: ControlState, withdrawal: Withdrawal) -> bool:
-    """Whether enough members refuse the key.
 
-    A member without the withdrawal then cannot gather a vouch quorum, because
-    each of these members sends the withdrawal before it vouches.
-    """
-    members = state.view.member_by_incarnation
-    needed = max(1, change_quorum(len(members)))
-    return len(withdrawal.confirmed & set(members)) >= needed
+def _is_read(state: ControlState, known: Withdrawal) -> bool:
+    row = state.row_by_key.get(KEY, ABSENT)
+    key = row.value.get("key_by_id", {}).get(known.key_id)
+    return key is not None and bool(key["withdrawn"])
 
 
 def start_withdrawal(
@@ -46,8 +58,7 @@
         detail = f"no key has this id in version {version} of the configuration"
         refusal = refuse("unknown_key", detail)
         return state, (AdminResult(admin_id, refusal),)
-    ours = frozenset({state.incarnation})
-    new = Withdrawal(key_id, ours, now, now)
+    new = Withdrawal(key_id, now, now)
     known = state.withdrawal_by_key_id.get(key_id, new)
     known = known._replace(
         started_at=now, store_at=now, admin_ids=(*known.admin_ids, admin_id)
@@ -63,73 +74,86 @@
     state: ControlState, message: KeyWithdrawal, address: str, now: float
 ) -> ControlStep:
     """Refuse a key from now on and confirm it to the peer."""
-    answer = KeyWithdrawalAnswer(state.incarnation, message.withdrawal_id)
-    reply = PeerSend(address, answer)
     key_id = message.key_id
-    if is_stored(state, key_id) or key_id in state.withdrawal_by_key_id:
-        return state, (reply,)
-    ours = frozenset({state.incarnation})
-    store_at = now + WITHDRAWAL_TAKEOVER_S
-    state = _put(state, Withdrawal(key_id, ours, now, store_at))
-    log = ControlLog(f"control: withdrew key_id={key_id[:8]} peer={address}")
-    return state, (reply, log)
+    is_new = not is_stored(state, key_id) and key_id not in state.withdrawal_by_key_id
+    state = learn_key_ids(state, (key_id,), now)
+    epoch = state.view.epoch if may_confirm(state) else 0
+    answer = KeyWithdrawalAnswer(state.incarnation, message.withdrawal_id, epoch)
+    effects: tuple[Effect, ...] = (PeerSend(address, answer),)
+    if is_new:
+        log = f"control: withdrew key_id={key_id[:8]} peer={address}"
+        effects += (ControlLog(log),)
+    return state, effects
 
 
 def count_withdrawal(
     state: ControlState, message: KeyWithdrawalAnswer, now: float
 ) -> ControlStep:
-    """Count the confirmation of a peer."""
+    """Count the confirmation of a peer in our epoch."""
     known = state.withdrawal_by_key_id.get(message.withdrawal_id)
-    if known is None:
+    if known is None or message.epoch != state.view.epoch:
         return state, ()
-    confirmed = known.confirmed | {message.incarnation}
-    return answer_withdrawals(_put(state, known._replace(confirmed=confirmed)), now)
+    known = _confirmed_here(state, known)
+    known = known._replace(confirmed=known.confirmed | {message.incarnation})
+    return answer_withdrawals(_put(state, known), now)
+
+
+def _confirmed_here(state: ControlState, known: Withdrawal) -> Withdrawal:
+    """Return the withdrawal in our epoch, with our own confirmation if it counts."""
+    epoch = state.view.epoch
+    if known.epoch != epoch:
+        known = known._replace(epoch=epoch, confirmed=frozenset())
+    if may_confirm(state):
+        ours = known.confirmed | {state.incarnation}
+        known = known._replace(confirmed=ours)
+    return known
 
 
 def answer_withdrawals(state: ControlState, now: float) -> ControlStep:
     """Answer operators and forget the withdrawals that are stored."""
     effects: tuple[Effect, ...] = ()
     remaining = {}
-    for key_id, known in state.withdrawal_by_key_id.items():
-        stored = is_stored(state, key_id)
-        in_force = stored or is_in_force(state, known)
+    for key_id, earlier in state.withdrawal_by_key_id.items():
+        known = _confirmed_here(state, earlier)
+        in_force = is_in_force(state, known)
         if in_force or now >= known.started_at + WITHDRAWAL_ANSWER_S:
-            body = _body(state, known, stored, in_force)
+            body = _body(state, known, in_force)
             effects += tuple(
                 AdminResult(admin_id, AdminAnswer(body)) for admin_id in known.admin_ids
             )
             known = known._replace(admin_ids=())
-        if not stored:
+        if known.admin_ids or not is_stored(state, key_id):
             remaining[key_id] = known
     return state._replace(withdrawal_by_key_id=remaining), effects
 
 
 def store_withdrawals(state: ControlState, now: float) -> ControlStep:
-    """Store the withdrawals that are due, in one write, until they are stored."""
-    document = state.configuration
+    """Store the withdrawals that are due, in one write, until they are stored.
+
+    The write expects the view of this instance, so that whoever reads a later
+    view reads the withdrawals too.
+    """
     due = [
         known.key_id
         for known in state.withdrawal_by_key_id.values()
-        if now >= known.store_at and known.key_id in document["key_by_id"]
+        if now >= known.store_at
     ]
-    if not due or not state.is_platform_up or KEY in state.write_by_key:
+    document = with_withdrawals(state.configuration, due)
+    is_needed = document != state.configuration
+    if not is_needed or not state.is_platform_up or is_being_stored(state):
         return state, ()
     if not is_row_current(state):
         return state._replace(next_poll_at=now), ()
-    for key_id in due:
-        document = apply_change(document, WithdrawKey(key_id)).ok
-    state, effects = store(state, document, now)
+    state, effects = store(state, document, now, is_view_expected=True)
     return state, (*effects, ControlLog(f"control: storing withdrawals={len(due)}"))
 
 
-def _body(
-    state: ControlState, known: Withdrawal, stored: bool, in_force: bool
-) -> dict[str, object]:
+def _body(state: ControlState, known: Withdrawal, in_force: bool) -> dict[str, object]:
     members = state.view.member_by_incarnation
     return {
         "key_id": known.key_id,
         "state": "in_force" if in_force else "pending",
-        "stored": stored,
+        "stored": is_stored(state, known.key_id),
         "confirmed_by": sorted(
             member.peer_address
             for name, member in members.items()
--- a/src/jackdawspread/messages/heartbeat_answer.py
+++ b/src/jackdawspread/messages/heartbeat_answer.py
@@ -6,7 +6,8 @@
 class HeartbeatAnswer(NamedTuple):
     """Vouches for ``vouched_epoch``, or for none if it is 0.
 
-    ``epoch`` is the answering peer's own epoch.
+    ``epoch`` is the answering peer's own epoch, ``withdrawn_key_ids`` what it knows
+    beyond the configuration that the heartbeat named.
     """
 
     incarnation: str
@@ -14,3 +15,4 @@
     vouched_epoch: int
     sequence: int
     configuration_version: int
+    withdrawn_key_ids: tuple[str, ...] = ()
