Bind the decisions about the view to the specification

A hypothesis state machine drives the control decisions of three instances and the model of spec/view through the same steps: read, ask, answer, promise, change_view, hear, tick. After each step it compares epoch, promise, ticks of authority, unsettled epochs and share. Writes and heartbeats may arrive late, and writes again.

Not bound yet: withdrawal and configuration.

--- /dev/null
+++ b/features/binding/__init__.py
@@ -0,0 +1,1 @@
+"""Real control decisions in step with the models of the specification."""
--- /dev/null
+++ b/features/binding/control_play.py
@@ -0,0 +1,109 @@
+"""Instances whose messages and platform calls are carried out one by one."""
+
+from math import ceil
+from typing import Any
+
+from features.fakes.fake_platform import FakePlatform
+
+from jackdawspread.decisions.authority import authority_deadline
+from jackdawspread.decisions.control_decision import decide, first_state
+from jackdawspread.decisions.control_state import NEVER, ControlState
+from jackdawspread.decisions.heartbeats import send_heartbeats
+from jackdawspread.decisions.platform_outcomes import poll
+from jackdawspread.decisions.rate_share import rate_share
+from jackdawspread.decisions.views import settle_views
+from jackdawspread.messages.control_tick import ControlTick
+from jackdawspread.messages.heartbeat import Heartbeat
+from jackdawspread.messages.peer_received import PeerReceived
+from jackdawspread.messages.peer_send import PeerSend
+from jackdawspread.messages.platform_call import PlatformCall
+from jackdawspread.messages.platform_outcome import PlatformOutcome
+
+# Authority of 3 s lapses after two ticks and 3.3 s settle after two, as in the
+# models with a validity of 2.
+TICK_S = 1.6501
+WHOLE = 12
+
+
+class ControlPlay:
+    """Runs real decisions; nothing arrives unless a step carries it.
+
+    An instance's index serves as its address.
+    """
+
+    def __init__(self, instances: int) -> None:
+        self.platform = FakePlatform()
+        self.now = 100.0
+        self.states = [
+            first_state(f"i{index}", str(index), "zone", {})
+            for index in range(instances)
+        ]
+        self.sent: list[tuple[int, PeerSend]] = []
+        self.writes: list[tuple[int, PlatformCall]] = []
+
+    def handle(self, index: int, event: Any) -> tuple[Any, ...]:
+        """Let an instance handle an event and keep what it sends."""
+        state, effects = decide(self.states[index], event, self.now)
+        self._take(index, state, effects)
+        return effects
+
+    def read(self, index: int) -> None:
+        """Let an instance read the platform."""
+        self.states[index] = self.states[index]._replace(next_poll_at=NEVER)
+        pending = self.states[index].call_by_id
+        polls = {id: call for id, call in pending.items() if call.key}
+        state = self.states[index]._replace(call_by_id=polls)
+        state, (call,) = poll(state, self.now)
+        self.states[index] = state
+        status, body = self.platform.call(call.target, call.body)
+        self.handle(index, PlatformOutcome(call.id, status, body, True))
+
+    def heartbeat(self, index: int) -> Heartbeat:
+        """Let an instance ask its peers to vouch; return what it sends."""
+        state = self.states[index]._replace(next_heartbeat_at=NEVER)
+        self.states[index], effects = send_heartbeats(state, self.now)
+        messages = [e.message for e in effects if isinstance(e, PeerSend)]
+        return next(m for m in messages if isinstance(m, Heartbeat))
+
+    def answer(self, index: int, peer: int, heartbeat: Heartbeat) -> None:
+        """Bring a heartbeat to a peer and its answer back."""
+        for effect in self.handle(peer, PeerReceived(str(index), heartbeat)):
+            if isinstance(effect, PeerSend):
+                self.handle(index, PeerReceived(str(peer), effect.message))
+
+    def settle(self, index: int) -> None:
+        """Settle at once what the models settle without a tick."""
+        self.states[index] = settle_views(self.states[index], self.now)
+
+    def tick(self) -> None:
+        """Let one tick of the models pass."""
+        self.now += TICK_S
+        for index in range(len(self.states)):
+            self.handle(index, ControlTick())
+
+    def write(self, number: int) -> int:
+        """Carry out a write at the platform and lose its answer."""
+        index, call = self.writes[number]
+        status, _ = self.platform.call(call.target, call.body)
+        self.handle(index, PlatformOutcome(call.id, 0, {}, True))
+        return status
+
+    def authority(self, index: int) -> int:
+        """Ticks of authority that an instance has left."""
+        left = authority_deadline(self.states[index], self.now) - self.now
+        return max(0, ceil(left / TICK_S)) if left > 0 else 0
+
+    def share(self, index: int) -> int:
+        """Share of the whole that an instance uses."""
+        state = self.states[index]
+        if not self.authority(index):
+            return 0
+        return rate_share("w", state.incarnation, state.views, 1.0, WHOLE).burst
+
+    def _take(self, index: int, state: ControlState, effects: tuple[Any, ...]) -> None:
+        self.states[index] = state
+        for effect in effects:
+            if isinstance(effect, PeerSend):
+                self.sent.append((index, effect))
+            elif isinstance(effect, PlatformCall) and effect.target != "/table/read":
+                self.writes.append((index, effect))
--- /dev/null
+++ b/features/binding/view_machine.py
@@ -0,0 +1,233 @@
+"""Real decisions in step with the model of the view."""
+
+from collections.abc import Callable
+from typing import Any
+
+from features.binding.control_play import ControlPlay
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from spec.view import actions
+from spec.view.model import MEMBER, NEWCOMER, RULES, within_whole
+from spec.view.state import State
+
+from jackdawspread.decisions.authority import has_authority
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.view_changes import is_platform_fresh
+from jackdawspread.decisions.views import encode_view
+from jackdawspread.messages.control_tick import ControlTick
+from jackdawspread.messages.heartbeat import Heartbeat
+from jackdawspread.messages.leave_view import LeaveView
+from jackdawspread.messages.peer_received import PeerReceived
+from jackdawspread.messages.view import View
+from jackdawspread.messages.view_change_promise import ViewChangePromise
+from jackdawspread.messages.view_change_request import ViewChangeRequest
+from jackdawspread.messages.view_member import ViewMember
+
+INSTANCE = st.integers(0, 2)
+NEWCOMER_INDEX = 2
+
+
+class ViewMachine(RuleBasedStateMachine):
+    """Joins and removes instance 2 while the others lag."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.play = ControlPlay(3)
+        self.heartbeat_by_asker: dict[int, tuple[int, Heartbeat]] = {}
+        self.model = State(1, 0, (MEMBER, MEMBER, NEWCOMER))
+        members = {f"i{index}": ViewMember(str(index), "zone") for index in range(2)}
+        row = encode_view(View(1, members))
+        document = {**first_configuration(), "version": 1}
+        body = {"expect": {}, "put": {"view": row, "configuration": document}}
+        self.play.platform.call("/table/transact", body)
+        for index in range(2):
+            self.play.read(index)
+            self.play.settle(index)
+
+    @rule(index=INSTANCE)
+    def read_platform(self, index: int) -> None:
+        """An instance reads the platform."""
+        self.play.read(index)
+        self.step(actions.read_platform, f"instance={index} epoch={self.model.epoch}")
+        # The decisions also count who was heard in an epoch before it was adopted.
+        state = self.play.states[index]
+        for peer in range(3):
+            heard = state.epoch_by_incarnation.get(f"i{peer}", 0)
+            if heard >= state.view.epoch:
+                self.hear(peer, index)
+        self.play.settle(index)
+
+    @rule(index=INSTANCE, peer=INSTANCE)
+    def vouch(self, index: int, peer: int) -> None:
+        """An instance sends a heartbeat to a peer and takes the answer."""
+        self.heartbeat_by_asker.pop(index, None)
+        self.ask(index, peer)
+        self.answer(index)
+
+    @rule(index=INSTANCE, peer=INSTANCE)
+    def ask(self, index: int, peer: int) -> None:
+        """An instance sends a heartbeat, which may take long to arrive."""
+        asker = self.play.states[index]
+        known = asker.view.member_by_incarnation
+        if index == peer or f"i{peer}" not in known or not asker.is_member:
+            return
+        if asker.promised_epoch >= asker.view.epoch:
+            return
+        self.close_round(index)
+        self.try_step(actions.ask, f"instance={index}")
+        self.heartbeat_by_asker[index] = (peer, self.play.heartbeat(index))
+
+    @rule(index=INSTANCE)
+    def answer(self, index: int) -> None:
+        """The last heartbeat arrives, and its answer at once."""
+        if index not in self.heartbeat_by_asker:
+            return
+        peer, heartbeat = self.heartbeat_by_asker.pop(index)
+        is_current = heartbeat.epoch >= self.play.states[peer].view.epoch
+        self.play.answer(index, peer, heartbeat)
+        if is_current:
+            self.hear(index, peer)
+        self.try_step(actions.vouch, f"peer={peer} asker={index}")
+        self.close_round(index)
+        self.hear(peer, index)
+        self.play.settle(peer)
+        self.play.settle(index)
+
+    @rule(index=INSTANCE, is_answer_lost=st.booleans())
+    def promise(self, index: int, is_answer_lost: bool) -> None:
+        """An instance is asked for a promise by instance 2, and may answer."""
+        proposer = self.play.states[NEWCOMER_INDEX]
+        state = self.play.states[index]
+        if index == NEWCOMER_INDEX or proposer.proposal is None:
+            return
+        request = ViewChangeRequest(proposer.incarnation, proposer.proposal.epoch)
+        effects = self.play.handle(index, PeerReceived("2", request))
+        is_stale = request.epoch < state.view.epoch
+        if is_stale or not is_platform_fresh(state, self.play.now):
+            assert self.play.states[index] == state
+            return
+        if request.epoch == self.model.epoch:
+            self.step(actions.promise, f"instance={index} epoch={request.epoch}")
+        for effect in effects:
+            message = getattr(effect, "message", None)
+            if isinstance(message, ViewChangePromise) and not is_answer_lost:
+                event = PeerReceived(str(index), message)
+                self.play.handle(NEWCOMER_INDEX, event)
+
+    @rule(number=st.integers(0, 9))
+    def change_view(self, number: int) -> None:
+        """The platform carries out a write, also again or late; no answer comes."""
+        own = [
+            n
+            for n, (index, _) in enumerate(self.play.writes)
+            if index == NEWCOMER_INDEX
+        ]
+        if own and self.play.write(own[number % len(own)]) == 200:
+            self.step(actions.change_view, f"epoch={self.model.epoch + 1}")
+
+    @rule(peers=st.sets(st.integers(0, 1), min_size=1), is_late=st.booleans())
+    def change(self, peers: set[int], is_late: bool) -> None:
+        """Instance 2 joins or leaves as far as the peers promise."""
+        self.read_platform(NEWCOMER_INDEX)
+        if self.play.states[NEWCOMER_INDEX].is_member:
+            self.play.handle(NEWCOMER_INDEX, LeaveView())
+        # A tick without any time starts the proposal.
+        self.play.handle(NEWCOMER_INDEX, ControlTick())
+        self.follow_promises()
+        for peer in sorted(peers):
+            self.promise(peer, False)
+        if not is_late:
+            self.change_view(-1)
+
+    @rule()
+    def tick(self) -> None:
+        """Time passes; instances propose and settle."""
+        self.play.tick()
+        self.step(actions.tick, "")
+        self.follow_promises()
+
+    def follow_promises(self) -> None:
+        """Promise in the model what proposers promised themselves."""
+        for index, state in enumerate(self.play.states):
+            if self.promised(index, state) != self.model.instances[index].promised:
+                epoch = state.promised_epoch
+                self.step(actions.promise, f"instance={index} epoch={epoch}")
+
+    @invariant()
+    def agrees(self) -> None:
+        """Both sides know and may do the same."""
+        rows = self.play.platform.rows
+        assert rows["view"]["value"]["epoch"] == self.model.epoch
+        for index, state in enumerate(self.play.states):
+            known = self.model.instances[index]
+            unsettled = sum(1 << view.epoch for view in state.views if view.epoch)
+            found = (
+                state.view.epoch,
+                self.promised(index, state),
+                self.play.authority(index),
+                unsettled,
+                self.play.share(index),
+            )
+            share = actions.usable(index, known, RULES) if known.authority else 0
+            expected = (
+                known.epoch,
+                known.promised,
+                known.authority,
+                known.unsettled,
+                share,
+            )
+            assert found == expected, (index, found, expected)
+            assert has_authority(state, self.play.now) == (known.authority > 0)
+        assert within_whole(RULES, self.model)
+
+    def promised(self, index: int, state: ControlState) -> int:
+        """Return the promise that counts: a member's, for its epoch or a later one."""
+        epoch = state.promised_epoch
+        is_binding = epoch >= max(1, state.view.epoch)
+        return epoch if is_binding and actions.is_member(index, epoch, RULES) else 0
+
+    def hear(self, peer: int, index: int) -> None:
+        """Let the model hear a peer, where it still matters there."""
+        self.try_step(actions.hear, f"peer={peer} instance={index}")
+
+    def close_round(self, index: int) -> None:
+        """Leave no heartbeat round open in the model; each has one answer here."""
+        instance = self.model.instances[index]._replace(asked=0, vouchers=0)
+        self.model = actions.with_instance(self.model, index, instance)
+
+    def step(self, action: Callable[..., Any], arguments: str) -> None:
+        """Take a step of the model that must be enabled."""
+        found = self.enabled(action, arguments)
+        assert found, f"{action.__name__} {arguments} is not enabled"
+        self.model = found[0]
+
+    def try_step(self, action: Callable[..., Any], arguments: str) -> None:
+        """Take a step of the model if it is enabled."""
+        for after in self.enabled(action, arguments)[:1]:
+            self.model = after
+
+    def enabled(self, action: Callable[..., Any], arguments: str) -> list[State]:
+        """Return the states after a step with these arguments."""
+        steps = action(self.model, RULES)
+        return [after for name, after in steps if name == arguments]
+
+
+def check_view_binding() -> None:
+    """Run the machine with a fixed seed."""
+    run_state_machine_as_test(
+        ViewMachine,
+        settings=settings(
+            max_examples=300,
+            stateful_step_count=40,
+            deadline=None,
+            database=None,
+            derandomize=True,
+        ),
+    )
--- a/features/control.feature
+++ b/features/control.feature
@@ -294,6 +294,10 @@
     # Guards against an earlier view that is rebuilt with the wrong members.
     Then 20 random changes of 8 members are read back as the last 17 views
 
+  Scenario: The decisions about the view keep step with the specification
+    # Guards against decisions that differ from the model that was checked.
+    Then the decisions and the model of the view agree after every step
+
   Scenario: The decisions load without an event loop
     # Guards against decisions that a model checker cannot drive.
     Then the control decisions import neither trio nor a codec
