Keep the end of an instance's own vouch at its first promise

Cause: a promise for a later epoch moved the time until which the instance counts itself, although an earlier promise had ended that vouch.

Change: the time moves only if no earlier promise covers the epoch. A promise is never taken back, as before.

Measured: the new scenario failed before (authority for 3 s instead of 2 s after the second promise) and passes now, with the random schedules and the binding to the model of the view.

--- a/features/control.feature
+++ b/features/control.feature
@@ -248,6 +248,13 @@
     When "b" is asked by "c" to promise a change of the view
     Then "b" does not vouch for "a"
 
+  Scenario: A later promise does not bring back an instance's own vouch
+    # Guards against a vouch quorum that counts the instance itself until its
+    # promise for a later epoch, although it promised for its own before.
+    Given 4 instances with seed 43 that have run for 10 s
+    When "b" promises to change its epoch and 1 s later to change the next one
+    Then with 2 vouches "b" has authority for 2 s and no longer
+
   Scenario: A member promises nothing while the platform is down
     # Guards against a promise that takes authority away during an outage.
     Given 4 instances with seed 24 that have run for 10 s
--- a/features/steps/control_view_steps.py
+++ b/features/steps/control_view_steps.py
@@ -6,6 +6,8 @@
 from behave.runner import Context
 from features.fakes.fault_schedules import check_overlap
 
+from jackdawspread.decisions.authority import authority_deadline
+from jackdawspread.decisions.control_decision import decide
 from jackdawspread.decisions.heartbeats import hear
 from jackdawspread.decisions.rate_share import rate_share
 from jackdawspread.decisions.views import (
@@ -15,7 +17,9 @@
     settle_views,
 )
 from jackdawspread.messages.leave_view import LeaveView
+from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.view import View
+from jackdawspread.messages.view_change_request import ViewChangeRequest
 from jackdawspread.messages.view_member import ViewMember
 
 
@@ -78,3 +82,25 @@
         row = encode_view(View(epoch, members), decode_views(row))
         views = (*views, View(epoch, members))
     assert decode_views(row) == views[-17:]
+
+
+@when('"{name}" promises to change its epoch and 1 s later to change the next one')
+def promise_twice(context: Context, name: str) -> None:
+    fleet, state = context.fleet, context.fleet.state_by_name[name]
+    for later in (0, 1):
+        request = ViewChangeRequest("c3", state.view.epoch + later)
+        event = PeerReceived("c", request)
+        state, _ = decide(state, event, fleet.now + later)
+        assert state.promised_epoch == request.epoch
+    context.alone = state
+
+
+@then('with 2 vouches "{name}" has authority for 2 s and no longer')
+def authority_from_first_promise(context: Context, name: str) -> None:
+    state, now = context.alone, context.fleet.now + 1
+    others = set(state.view.member_by_incarnation) - {state.incarnation}
+    vouched = dict.fromkeys(sorted(others)[:2], now)
+    state = state._replace(
+        vouched_at_by_incarnation=vouched, platform_vouched_at=float("-inf")
+    )
+    assert abs(authority_deadline(state, now) - (now + 2)) < 1e-6
--- a/src/jackdawspread/decisions/view_changes.py
+++ b/src/jackdawspread/decisions/view_changes.py
@@ -132,7 +132,10 @@
 def _promise(state: ControlState, epoch: int, now: float) -> ControlState:
     if epoch <= state.promised_epoch:
         return state
-    return state._replace(promised_epoch=epoch, promised_at=now)
+    # The own vouch for this epoch ended with the first promise that covers it.
+    is_covered = 0 < state.view.epoch <= state.promised_epoch
+    promised_at = state.promised_at if is_covered else now
+    return state._replace(promised_epoch=epoch, promised_at=promised_at)
 
 
 def answer_request(
