Set a workspace's limits by their own request in the bench

Cause: the bench sent rate, burst and weight with the creation of a workspace.

The step that listed the two requests asserted the faulty sequence; it now checks all three with methods and the limits in the body.

--- a/bench/client/administration.py
+++ b/bench/client/administration.py
@@ -20,22 +20,24 @@
         If a call is refused or not answered.
     """
     limits = {
-        "name": workspace.name,
         "rate": workspace.rate,
         "burst": workspace.burst,
         "weight": workspace.weight,
     }
-    await _post(address, credential, "/v1/workspaces", limits)
-    target = f"/v1/workspaces/{workspace.name}/keys"
-    return str((await _post(address, credential, target, {}))["key"])
+    own = f"/v1/workspaces/{workspace.name}"
+    created = {"name": workspace.name}
+    await _change(address, credential, "POST", "/v1/workspaces", created)
+    await _change(address, credential, "PUT", f"{own}/limits", limits)
+    answer = await _change(address, credential, "POST", f"{own}/keys", {})
+    return str(answer["key"])
 
 
-async def _post(
-    address: str, credential: str, target: str, body: dict[str, object]
+async def _change(
+    address: str, credential: str, method: str, target: str, body: dict[str, object]
 ) -> dict[str, object]:
     headers = (("Authorization", f"Bearer {credential}"),)
-    status, answer = await call_once(address, "POST", target, body, headers)
+    status, answer = await call_once(address, method, target, body, headers)
     if not 200 <= status < 300:
-        detail = f"POST {target} at {address}: status {status}, {answer}"
+        detail = f"{method} {target} at {address}: status {status}, {answer}"
         raise AdministrationError(detail)
     return answer
--- a/features/bench.feature
+++ b/features/bench.feature
@@ -88,8 +88,9 @@
     Then the request id inside the statements of the log is found
 
   Scenario: A workspace and its key come from the administration API
-    # Guards against a launcher that sends other requests than operators may.
+    # Guards against a launcher that sends other requests than operators may, and
+    # against workspaces that run at the default limits instead of the planned ones.
     Given an administration API
     When the bench creates a workspace
-    Then the operator's credential came with both requests
+    Then the operator's credential came with all requests, and the limits with one
     And the bench has the key
--- a/features/steps/bench_reading_steps.py
+++ b/features/steps/bench_reading_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from msgspec import json
 from trio import Event, open_nursery, open_tcp_listeners, run
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
@@ -147,11 +148,16 @@
     context.key = run(_serve, context.answers, context.seen, use)
 
 
-@then("the operator's credential came with both requests")
+@then("the operator's credential came with all requests, and the limits with one")
 def credential(context: Context) -> None:
-    """Check targets and credential."""
-    targets = [request.target for request in context.seen]
-    assert targets == ["/v1/workspaces", "/v1/workspaces/garden1/keys"], targets
+    """Check methods, targets, limits and credential."""
+    calls = [(request.method, request.target) for request in context.seen]
+    own = "/v1/workspaces/garden1"
+    limits = ("PUT", f"{own}/limits")
+    assert calls == [("POST", "/v1/workspaces"), limits, ("POST", f"{own}/keys")], calls
+    garden = SALTBUSH.workspaces[0]
+    sent = {"rate": garden.rate, "burst": garden.burst, "weight": garden.weight}
+    assert json.decode(context.seen[1].body) == sent, context.seen[1]
     headers = {request.headers["authorization"] for request in context.seen}
     assert headers == {"Bearer credential"}, headers
 
