Check withdrawals and planned stops over real processes

The scenarios cover a key withdrawn with requests queued and running, a database that leaves under load, and SIGTERM to the owner of a database while a balancer-like client follows the platform's list and a transaction is open.

Recovery after the last scenario of a feature is left out.

--- a/bench/launch/process_set.py
+++ b/bench/launch/process_set.py
@@ -80,6 +80,10 @@
         """Return the id of a process."""
         return self._by_name[name].pid
 
+    def exit_status(self, name: str) -> int | None:
+        """Return the exit status of a process, or None while it runs."""
+        return self._by_name[name].poll()
+
     def running(self, name: str) -> bool:
         """Whether a process has not ended."""
         return self._by_name[name].poll() is None
--- a/features/environment.py
+++ b/features/environment.py
@@ -27,6 +27,7 @@
 
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
-    """End the load and the faults of a scenario, also after a failure."""
-    if "fleet" in scenario.feature.tags:
+    """End load and faults for the next scenario, also after a failure."""
+    is_last = scenario is scenario.feature.walk_scenarios()[-1]
+    if "fleet" in scenario.feature.tags and not is_last:
         context.world.recover()
--- a/features/steps/process_instance_steps.py
+++ b/features/steps/process_instance_steps.py
@@ -178,6 +178,11 @@
         entries = (*ENTRIES, "entry-5") * CALLERS_PER_INSTANCE
         callers = [world.caller(entry, context.key) for entry in entries]
         rate = FLOOD_FACTOR * context.rate
+        # The first request at an instance starts its bucket, which then fills.
+        for entry in ENTRIES:
+            reply = await world.caller(entry, context.key).read("swap2", "SELECT 1")
+            assert reply.status == 200, reply
+        await sleep(2 * context.burst / context.rate)
         async with open_nursery() as nursery:
             nursery.start_soon(flood, callers, rate, FLOOD_S, world.replies)
             await sleep(2)
