Check platform outages and racing operators over real processes

The scenarios cover a failover, a withdrawal, a preset change and a planned stop while the platform is down, lost answers to a preset change, and five races on presets.

--- /dev/null
+++ b/features/steps/process_platform_steps.py
@@ -0,0 +1,236 @@
+"""Steps for outages of the platform and for operators that race."""
+
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from bench.client.json_call import call_once
+from features.support.process_world import ENTRIES, ProcessWorld
+from trio import open_nursery, sleep
+
+RACES = 5
+# Longer than an instance takes to poll the platform.
+OBSERVED_S = 2.0
+RUSH = {
+    "queue_limit": 50,
+    "queue_wait_ms": 500,
+    "replica_reads": True,
+    "retry_percent": 5,
+    "writes_allowed": True,
+}
+
+
+@given("the platform is down")
+def platform_down(context: Context) -> None:
+    world = context.world
+    world.loop.call(world.fleet.set_platform_fault, {"mode": "down"})
+
+
+@given("the configurations of all instances are watched")
+def watched(context: Context) -> None:
+    world = context.world
+    context.watched = []
+    world.loop.call(define_rush, world)
+    for entry in ENTRIES:
+        world.writers += 1
+        world.loop.start(watch_configuration, world, entry, context.watched)
+
+
+@given("the platform loses the answers to its writes")
+def loses_answers(context: Context) -> None:
+    world = context.world
+    world.loop.call(world.fleet.set_platform_fault, {"mode": "lose_answers"})
+
+
+@when("the platform is up again")
+def platform_up(context: Context) -> None:
+    world = context.world
+    world.loop.call(world.fleet.set_platform_fault, {"mode": "up"})
+
+
+@then("the platform's row of {database} names the new primary within seconds")
+def row_names(context: Context, database: str) -> None:
+    async def run(world: ProcessWorld) -> None:
+        layout = world.fleet.layout
+        address = layout.members_by_database[database][context.new_primary]
+        key = f"database/{database}"
+
+        async def named() -> bool:
+            _, body = await call_once(
+                layout.platform_address, "POST", "/table/read", {"keys": [key]}
+            )
+            return bool(body["rows"][key]["value"]["primary"] == address)
+
+        await world.eventually(named, "the row names the new primary")
+
+    context.world.loop.call(run, context.world)
+
+
+@then("the answer says in force only if every instance has confirmed the withdrawal")
+def all_confirmed(context: Context) -> None:
+    body = context.withdrawal
+    is_complete = len(body["confirmed_by"]) == len(ENTRIES)
+    assert not body["stored"]
+    assert (body["state"] == "in_force") == is_complete, body
+
+
+@then("every instance shows the withdrawal as stored within seconds")
+def stored(context: Context) -> None:
+    async def run(world: ProcessWorld) -> None:
+        for entry in ENTRIES:
+
+            async def shown(entry: str = entry) -> bool:
+                _, body = await world.admin(entry, "GET", "/v1/configuration")
+                return bool(body["key_by_id"][context.key_id]["withdrawn"])
+
+            await world.eventually(shown, f"{entry} shows the withdrawal")
+
+    context.world.loop.call(run, context.world)
+
+
+async def define_rush(world: ProcessWorld) -> None:
+    """Define the preset rush at one instance."""
+    await world.change("PUT", "/v1/presets/rush", {"preset": RUSH})
+    world.is_loading = True
+
+
+async def watch_configuration(
+    world: ProcessWorld, entry: str, seen: list[tuple[str, int, str]]
+) -> None:
+    """Note incarnation, version and preset until the load stops."""
+    while world.is_loading:
+        body = await world.status(entry)
+        if body:
+            seen.append((body["incarnation"], body["version"], body["preset"]))
+        await sleep(0.05)
+    world.writers -= 1
+
+
+async def select(
+    world: ProcessWorld, entry: str, name: str, answers: list[Any], version: int = 0
+) -> None:
+    """Select a preset and keep the answer."""
+    body = {"name": name}
+    if version:
+        body["expected_version"] = version
+    answer = await world.admin(entry, "PUT", "/v1/preset", body, 12)
+    answers.append((name, *answer))
+
+
+async def race(world: ProcessWorld, up_after: float) -> list[Any]:
+    """Select two presets at the same version; the platform is up a little later."""
+    status = await world.status("entry-1")
+    answers: list[Any] = []
+    async with open_nursery() as nursery:
+        for entry, name in (("entry-1", "peak"), ("entry-2", "rush")):
+            version = status["version"]
+            nursery.start_soon(select, world, entry, name, answers, version)
+        await sleep(up_after)
+        await world.fleet.set_platform_fault({"mode": "up"})
+    return [(status["version"], status["preset"], *answer) for answer in answers]
+
+
+async def wait_same(world: ProcessWorld) -> dict[str, Any]:
+    """Wait until all instances show the same configuration as the platform."""
+    platform = world.fleet.layout.platform_address
+    keys = {"keys": ["configuration"]}
+
+    async def same() -> dict[str, Any]:
+        _, body = await call_once(platform, "POST", "/table/read", keys)
+        stored = body["rows"]["configuration"]["value"]
+        shown = [await world.status(entry) for entry in ENTRIES]
+        wanted = (stored["version"], stored["preset"])
+        is_same = all((s.get("version"), s.get("preset")) == wanted for s in shown)
+        return stored if is_same else {}
+
+    return dict(await world.eventually(same, "one configuration everywhere"))
+
+
+def check_answers(answers: list[Any], stored: dict[str, Any]) -> None:
+    """Check what the operators of one race were told against what is stored."""
+    (before, preset, *_), _ = answers
+    made = [a for a in answers if a[3] == 200]
+    refused = [a for a in answers if a[4].get("ran") == "not_run"]
+    unknown = [a for a in answers if a not in made and a not in refused]
+    assert len(made) <= 1, answers
+    assert stored["version"] in (before, before + 1), (stored["version"], answers)
+    if made:
+        assert stored["preset"] == made[0][2], (stored["preset"], answers)
+    elif not unknown:
+        assert stored["preset"] == preset, (stored["preset"], answers)
+    for answer in refused:
+        if answer[3] == 409:
+            assert "yours" in answer[4] and "current" in answer[4], answer
+
+
+@when(
+    "an operator selects peak at entry-1 and rush at entry-2, with the platform up"
+    " later"
+)
+def select_two(context: Context) -> None:
+    context.races = [context.world.loop.call(race, context.world, 7.0)]
+
+
+@when("operators select peak at entry-1 and rush at entry-2 five times at once")
+def select_race(context: Context) -> None:
+    async def run(world: ProcessWorld) -> list[Any]:
+        races = []
+        for number in range(RACES):
+            await wait_same(world)
+            if number % 2:
+                await world.fleet.set_platform_fault({"mode": "lose_answers"})
+            races.append(await race(world, 0.3))
+            check_answers(races[-1], await wait_same(world))
+        return races
+
+    context.races = context.world.loop.call(run, context.world)
+
+
+@then("one preset is in force everywhere, as the operators were told")
+def one_preset(context: Context) -> None:
+    world = context.world
+    check_answers(context.races[-1], world.loop.call(wait_same, world))
+
+
+@then("no instance went back to an older configuration")
+def never_back(context: Context) -> None:
+    context.world.loop.call(sleep, OBSERVED_S)
+    context.world.loop.call(context.world.stop_load)
+    preset_by_version: dict[int, str] = {}
+    version_by_incarnation: dict[str, int] = {}
+    for incarnation, version, preset in context.watched:
+        assert preset_by_version.setdefault(version, preset) == preset, version
+        last = version_by_incarnation.get(incarnation, 0)
+        assert version >= last, (incarnation, last, version)
+        version_by_incarnation[incarnation] = version
+    assert len(version_by_incarnation) == len(ENTRIES)
+
+
+@given("callers claim packets in swap1 through the instances that are ready")
+def ready_only(context: Context) -> None:
+    async def call(world: ProcessWorld, entry: str) -> None:
+        address = world.fleet.layout.instance_by_name[entry].caller
+        caller = world.caller(entry)
+        while world.is_loading:
+            if (await call_once(address, "GET", "/readyz"))[0] != 200:
+                break
+            world.replies.append(await caller.claim("swap1", world.new_id()))
+            await sleep(0.02)
+        await caller.connection.aclose()
+        world.writers -= 1
+
+    world = context.world
+    world.is_loading = True
+    for entry in ENTRIES * 3:
+        world.writers += 1
+        world.loop.start(call, world, entry)
+    world.loop.call(world.acknowledged_after, 50)
+
+
+@when("the owner of swap1 gets SIGTERM")
+def terminate(context: Context) -> None:
+    async def run(world: ProcessWorld) -> None:
+        context.owner = await world.owner("swap1")
+        world.fleet.terminate(context.owner)
+
+    context.world.loop.call(run, context.world)
