--- a/src/jackdawspread/tasks/gateway.py
+++ b/src/jackdawspread/tasks/gateway.py
@@ -17,12 +17,19 @@
 
 from jackdawspread.codecs.session_token import SessionTokenCodec
 from jackdawspread.decisions.admission import UNLIMITED_KINDS, Admission, admit
-from jackdawspread.decisions.route import REPEATABLE_KINDS, choose_peer, may_reroute
+from jackdawspread.decisions.route import (
+    REPEATABLE_KINDS,
+    choose_peer,
+    conclude,
+    may_reroute,
+)
 from jackdawspread.messages.admitted_reply import AdmittedReply
 from jackdawspread.messages.caller_submission import CallerSubmission
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.readiness import Readiness
+from jackdawspread.messages.readiness_query import ReadinessQuery
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.reply import Reply
 from jackdawspread.messages.routed_reply import RoutedReply
@@ -30,13 +37,16 @@
 from jackdawspread.messages.routed_send import RoutedSend
 from jackdawspread.messages.routed_submission import RoutedSubmission
 from jackdawspread.messages.session import Session
+from jackdawspread.settings.experiment_settings import ExperimentSettings
 from jackdawspread.tasks.deadline_queue import DeadlineQueue
 from jackdawspread.tasks.gateway_metrics import REQUEST_SECONDS, REQUESTS, REROUTES
 from jackdawspread.tasks.peer_hub import HubInput
 from jackdawspread.tasks.pending_request import PendingRequest
 from jackdawspread.tasks.rate_limits import RateLimits
 
-GatewayEvent = CallerSubmission | RoutedReply | ControlSnapshot | PeerReceived
+GatewayEvent = (
+    CallerSubmission | ReadinessQuery | RoutedReply | ControlSnapshot | PeerReceived
+)
 REROUTE_PAUSE_S = 0.02
 # The owner replies at a request's deadline; the gateway waits a little longer so
 # that the owner's more precise refusal reaches the caller.
@@ -60,6 +70,8 @@
         Inbox of the peer hub.
     tokens : SessionTokenCodec
         Codec of session tokens.
+    experiment : ExperimentSettings
+        Policies; those of rates and pooling concern the gateway.
     """
 
     def __init__(
@@ -70,6 +82,7 @@
         owner_by_database: Mapping[str, MemorySendChannel[RoutedSubmission]],
         hub: MemorySendChannel[HubInput],
         tokens: SessionTokenCodec,
+        experiment: ExperimentSettings,
     ) -> None:
         self._own_address = own_address
         self._inbox = inbox
@@ -83,7 +96,14 @@
         self._deadlines = DeadlineQueue()
         self._reroutes = DeadlineQueue()
         self._ids = count(1)
-        self._limits = RateLimits(own_address, hub, self._admitted, self._rate_refused)
+        self._is_independent = experiment.pooling == "independent"
+        self._limits = RateLimits(
+            own_address,
+            hub,
+            self._admitted,
+            self._rate_refused,
+            experiment.rates == "borrow",
+        )
 
     async def run(self) -> None:
         """Handle events until the inbox closes."""
@@ -117,11 +137,21 @@
 
     @_handle.register
     def _(self, event: ControlSnapshot) -> None:
+        if self._is_independent:
+            own: tuple[str, ...] = (self._own_address,)
+            by_database = dict.fromkeys(self._databases, own)
+            event = event._replace(seat_addresses_by_database=by_database)
         self._snapshot = event
-        self._limits.use_snapshot(event)
+        self._limits.use_snapshot(event, current_time())
         for id, pending in tuple(self._pending_by_id.items()):
             if self._has_lost_its_peer(pending, event):
-                self._reroute(id, "peer_silent")
+                self._reroute(id, "peer_silent", may_have_run=True)
+
+    @_handle.register
+    def _(self, event: ReadinessQuery) -> None:
+        snapshot = self._snapshot
+        is_ready = snapshot is not None and snapshot.authority_deadline > current_time()
+        event.reply_to.send_nowait(Readiness(is_ready))
 
     @_handle.register
     def _(self, event: PeerReceived) -> None:
@@ -150,9 +180,11 @@
         if pending is None:
             return
         if event.reply.is_error() and may_reroute(pending.request, event.reply.error):
-            self._reroute(event.id, event.reply.error.code)
+            refusal = event.reply.error
+            self._reroute(event.id, refusal.code, refusal.ran is not Ran.NOT_RUN)
         else:
-            self._reply(event.id, event.reply)
+            reply = conclude(pending.request, event.reply, pending.may_have_run)
+            self._reply(event.id, reply)
 
     def _check(
         self, event: CallerSubmission, now: float
@@ -239,15 +271,18 @@
             detail = "the instance that ran the transaction is gone; it is rolled back"
             self._refuse(id, "unknown_transaction", Ran.NOT_RUN, detail)
         else:
-            self._reroute(id, "no_owner")
+            self._reroute(id, "no_owner", may_have_run=False)
 
-    def _reroute(self, id: str, code: str) -> None:
+    def _reroute(self, id: str, code: str, may_have_run: bool) -> None:
         """Try a request again under a new id, so that a late reply is dropped."""
         pending = self._pending_by_id.pop(id)
         REROUTES.labels(code).inc()
         renamed = pending.request._replace(id=self._new_id())
         self._pending_by_id[renamed.id] = pending._replace(
-            request=renamed, attempt=pending.attempt + 1, peer_address=""
+            request=renamed,
+            attempt=pending.attempt + 1,
+            peer_address="",
+            may_have_run=pending.may_have_run or may_have_run,
         )
         self._deadlines.add(renamed.id, renamed.deadline + OWNER_REPLY_GRACE_S)
         pause = REROUTE_PAUSE_S * (pending.attempt + 1)
@@ -264,7 +299,7 @@
 
     def _expire(self, id: str) -> None:
         pending = self._pending_by_id[id]
-        was_sent = pending.peer_address or pending.attempt
+        was_sent = bool(pending.peer_address) or pending.may_have_run
         if was_sent and pending.request.kind is not pending.request.kind.READ:
             detail = "no answer in time; ask for the outcome with the same request id"
             self._refuse(id, "outcome_unknown", Ran.UNKNOWN, detail)
@@ -273,8 +308,10 @@
             self._refuse(id, "deadline_exceeded", ran, "no answer in time")
 
     def _refuse(self, id: str, code: str, ran: Ran, detail: str) -> None:
-        peer = self._pending_by_id[id].peer_address
-        self._reply(id, Error(Refusal(code, ran, "routing", peer, detail)))
+        pending = self._pending_by_id[id]
+        refusal = Refusal(code, ran, "routing", pending.peer_address, detail)
+        reply: Reply = Error(refusal)
+        self._reply(id, conclude(pending.request, reply, pending.may_have_run))
 
     def _reply(self, id: str, reply: Reply) -> None:
         pending = self._pending_by_id.pop(id)
--- a/src/jackdawspread/tasks/rate_limits.py
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -12,7 +12,7 @@
 from jackdawspread.decisions.grant_arrived import GrantArrived
 from jackdawspread.decisions.grant_peer import GrantPeer
 from jackdawspread.decisions.peer_asked import PeerAsked
-from jackdawspread.decisions.rate_bucket import RateBucket
+from jackdawspread.decisions.rate_bucket import RateBucket, refill
 from jackdawspread.decisions.rate_due import RateDue
 from jackdawspread.decisions.rate_limiter import (
     RateLimiter,
@@ -46,6 +46,8 @@
         Called with the id of each request that is admitted.
     refuse : callable
         Called with the id of each request that is refused.
+    may_borrow : bool
+        Whether peers are asked to spend for this instance, and it for them.
     """
 
     def __init__(
@@ -54,7 +56,9 @@
         hub: MemorySendChannel[HubInput],
         admit: Callable[[str], None],
         refuse: Callable[[str], None],
+        may_borrow: bool = True,
     ) -> None:
+        self._may_borrow = may_borrow
         self._own_address = own_address
         self._hub = hub
         self._admit = admit
@@ -66,8 +70,12 @@
         self._authority_deadline = 0.0
         self._shares_key: tuple[object, ...] = ()
 
-    def use_snapshot(self, snapshot: ControlSnapshot) -> None:
-        """Take over shares and peers from a snapshot."""
+    def use_snapshot(self, snapshot: ControlSnapshot, now: float) -> None:
+        """Take over shares and peers from a snapshot.
+
+        Buckets earn at the old share up to now, and new ones start empty: time
+        before a share is held earns nothing, because others held it then.
+        """
         self._authority_deadline = snapshot.authority_deadline
         key = (snapshot.configuration["version"], snapshot.unsettled_views)
         if key == self._shares_key:
@@ -76,12 +84,25 @@
         views = snapshot.unsettled_views
         members = views[-1].member_by_incarnation if views else {}
         addresses = (member.peer_address for member in members.values())
-        self._peers = tuple(a for a in addresses if a != self._own_address)
+        self._peers = tuple(
+            a for a in addresses if self._may_borrow and a != self._own_address
+        )
         for workspace in snapshot.configuration["workspace_by_name"]:
             limits = effective_limits(snapshot.configuration, workspace)
-            self._share_by_workspace[workspace] = rate_share(
+            share = rate_share(
                 workspace, snapshot.incarnation, views, limits["rate"], limits["burst"]
             )
+            self._change_share(workspace, share, now)
+
+    def _change_share(self, workspace: str, share: RateShare, now: float) -> None:
+        """Settle what the old share earned, so that the new one earns from now on."""
+        limiter = self._limiter_by_workspace.get(workspace)
+        if limiter is None:
+            limiter = RateLimiter(RateBucket(0.0, now))
+        old = self._share_by_workspace.get(workspace, NO_SHARE)
+        limiter = limiter._replace(bucket=refill(limiter.bucket, old, now))
+        self._limiter_by_workspace[workspace] = limiter
+        self._share_by_workspace[workspace] = share
 
     def request(self, workspace: str, id: str, deadline: float, now: float) -> None:
         """Ask for the admission of one request."""
@@ -108,7 +129,8 @@
     @_handle.register
     def _(self, message: SpendRequest, peer: str, now: float) -> None:
         # Without authority another instance may hold this share already.
-        wanted = message.requests if now < self._authority_deadline else 0
+        may_spend = self._may_borrow and now < self._authority_deadline
+        wanted = message.requests if may_spend else 0
         self._decide(message.workspace, PeerAsked(peer, message.id, wanted), now)
 
     @_handle.register
