--- a/features/fakes/gateway_world.py
+++ b/features/fakes/gateway_world.py
@@ -66,7 +66,8 @@
                 nursery.cancel_scope.cancel()
             return result
 
-        return run(main, clock=MockClock(autojump_threshold=0.01))
+        self.clock = MockClock(autojump_threshold=0.01)
+        return run(main, clock=self.clock)
 
     def inform(self) -> None:
         """Send the gateway a snapshot."""
