--- a/features/support/process_members.py
+++ b/bench/runs/process_members.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from bench.client.json_call import call_once
-from features.support.process_world import ProcessWorld
+from bench.runs.process_world import ProcessWorld
 
 
 async def member_status(world: ProcessWorld, member: str) -> dict[str, Any]:
--- a/features/support/process_world.py
+++ b/bench/runs/process_world.py
@@ -6,6 +6,8 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
+from trio import current_time, sleep
+
 from bench.check.member_log import MemberLog, read_member_log
 from bench.client.json_call import call_once
 from bench.client.proxy_caller import ProxyCaller
@@ -15,7 +17,6 @@
 from bench.launch.process_set import ProcessSet
 from bench.operations.sql import SALTBUSH_TABLES
 from bench.plans.deployments import SALTBUSH
-from trio import current_time, sleep
 
 PLAN = SALTBUSH._replace(databases=SALTBUSH.databases[:2], instances=5)
 ENTRIES = ("entry-1", "entry-2", "entry-3", "entry-4")
--- a/features/environment.py
+++ b/features/environment.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from features.support.process_world import ProcessWorld
+from bench.runs.process_world import ProcessWorld
 
 
 def before_feature(context: Context, feature: Feature) -> None:
--- a/features/steps/process_failover_steps.py
+++ b/features/steps/process_failover_steps.py
@@ -4,20 +4,17 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from bench.client.proxy_caller import ProxyCaller
-from bench.client.typed_reply import TypedReply
-from features.support.process_members import (
+from bench.runs.lost_answers import CLAIMS, ask_and_repeat, lose_answers
+from bench.runs.process_members import (
     member_status,
     wait_following,
     wait_promoted,
 )
-from features.support.process_world import ENTRIES, ProcessWorld
+from bench.runs.process_world import ENTRIES, ProcessWorld
 from trio import move_on_after, open_nursery, sleep
 
 # Longer than a write takes at the primary, so that some run there unconfirmed.
 UNCONFIRMED_S = 0.5
-CLAIMS = 10
-STEP_S = 0.002
 
 
 async def cut_off(world: ProcessWorld, database: str) -> str:
@@ -86,55 +83,6 @@
     world.loop.call(world.stop_load)
 
 
-async def claim_and_leave(caller: ProxyCaller, request_id: str, after: float) -> None:
-    """Send a claim and close the connection without reading the answer."""
-    with move_on_after(after):
-        await caller.claim("swap1", request_id)
-    await caller.connection.aclose()
-
-
-async def lose_answers(world: ProcessWorld, entry: str, how: str) -> list[str]:
-    """Send claims through an instance whose answers are lost."""
-    ids = [world.new_id() for _ in range(CLAIMS)]
-    async with open_nursery() as nursery:
-        for number, request_id in enumerate(ids, 1):
-            caller = world.caller(entry)
-            nursery.start_soon(claim_and_leave, caller, request_id, number * STEP_S)
-        if how == "the instance is killed":
-            await sleep(CLAIMS / 2 * STEP_S)
-            world.fleet.kill(entry)
-    return ids
-
-
-async def ask_and_repeat(world: ProcessWorld, entry: str, ids: list[str]) -> None:
-    """Ask for each outcome, repeat each claim until served, and ask again."""
-
-    async def repeat(request_id: str) -> None:
-        caller = world.caller(entry)
-
-        async def known() -> TypedReply | None:
-            reply = await caller.outcome("swap1", request_id)
-            return reply if reply.status == 200 else None
-
-        async def served() -> bool:
-            reply = await caller.claim("swap1", request_id)
-            world.replies.append(reply)
-            return reply.status == 200
-
-        before = await world.eventually(known, f"the outcome of {request_id}")
-        await world.eventually(served, f"{request_id} is served")
-        if before.body.get("found", True):
-            last = [r for r in world.replies if r.request_id == request_id][-1]
-            assert last.body.get("replayed"), (before, last)
-        after = await caller.outcome("swap1", request_id)
-        assert after.status == 200 and after.body.get("found", True), after
-        await caller.connection.aclose()
-
-    async with open_nursery() as nursery:
-        for request_id in ids:
-            nursery.start_soon(repeat, request_id)
-
-
 @given("claims whose answers are lost because {how}")
 def lost(context: Context, how: str) -> None:
     context.how = how
--- a/features/steps/process_instance_steps.py
+++ b/features/steps/process_instance_steps.py
@@ -5,7 +5,7 @@
 from bench.check.rate_windows import largest_excess
 from bench.client.proxy_caller import ProxyCaller
 from bench.load.flood import CALLERS_PER_INSTANCE, flood
-from features.support.process_world import ENTRIES, PATIENCE_S, ProcessWorld
+from bench.runs.process_world import ENTRIES, PATIENCE_S, ProcessWorld
 from trio import open_nursery, sleep
 
 FLOOD_S = 18.0
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from features.support.process_members import wait_promoted
-from features.support.process_world import ENTRIES
+from bench.runs.process_members import wait_promoted
+from bench.runs.process_world import ENTRIES
 
 RECENT = 20
 
--- a/features/steps/process_withdrawal_steps.py
+++ b/features/steps/process_withdrawal_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from bench.client.balancer_client import BalancerClient
-from features.support.process_world import ENTRIES, ProcessWorld
+from bench.runs.process_world import ENTRIES, ProcessWorld
 from trio import sleep
 
 SLOW_MS = 100
