--- a/features/steps/process_instance_steps.py
+++ b/features/steps/process_instance_steps.py
@@ -5,7 +5,7 @@
 from bench.check.rate_windows import largest_excess
 from bench.client.proxy_caller import ProxyCaller
 from bench.load.flood import CALLERS_PER_INSTANCE, flood
-from features.support.process_world import ENTRIES, PATIENCE_S, ProcessWorld
+from bench.runs.process_world import ENTRIES, PATIENCE_S, ProcessWorld
 from trio import open_nursery, sleep
 
 FLOOD_S = 18.0
@@ -178,6 +178,11 @@
         entries = (*ENTRIES, "entry-5") * CALLERS_PER_INSTANCE
         callers = [world.caller(entry, context.key) for entry in entries]
         rate = FLOOD_FACTOR * context.rate
+        # The first request at an instance starts its bucket, which then fills.
+        for entry in ENTRIES:
+            reply = await world.caller(entry, context.key).read("swap2", "SELECT 1")
+            assert reply.status == 200, reply
+        await sleep(2 * context.burst / context.rate)
         async with open_nursery() as nursery:
             nursery.start_soon(flood, callers, rate, FLOOD_S, world.replies)
             await sleep(2)
