Tell refusals within the rate from refusals of a backlog

Cause: callers that a frozen instance held up send their backlog at once, which is above the rate, and the share of refusals counted it as wrongly refused. Change: a replay through one central bucket decides what was within the rate.

--- a/bench/runs/summarize_policy.py
+++ b/bench/runs/summarize_policy.py
@@ -4,6 +4,7 @@
 
 from bench.check.fair_share import max_min_shares
 from bench.check.rate_windows import greatest_excess
+from bench.check.wrongly_refused import count_wrongly_refused
 from bench.faults.change_preset import ChangePreset
 from bench.load.latency import make_histogram, percentile_ms
 from bench.load.operation_record import OperationRecord
@@ -39,6 +40,7 @@
         "worst_fair_share": round(min(shares.values(), default=0.0), 4),
         "worst_p99_ms_but_largest": max(p99s, default=0.0),
         "rate_limited_share": round(limited / max(1, len(result.records)), 5),
+        "in_rate_refused": _in_rate_refused(plan, by_workspace),
         "rate_excess": round(_rate_excess(plan, by_workspace), 1),
         **{name: int(value) for name, value in result.counters.items()},
     }
@@ -61,6 +63,21 @@
     return percentile_ms(make_histogram(r.finished - r.due for r in done), 99)
 
 
+def _in_rate_refused(
+    plan: RunPlan, by_workspace: dict[str, list[OperationRecord]]
+) -> int:
+    """Return the requests refused within the rate, whatever the reason."""
+    wrong = 0
+    for workspace in plan.deployment.workspaces:
+        calls = [
+            (r.started, r.outcome is Outcome.REFUSED)
+            for r in by_workspace.get(workspace.name, [])
+            if r.attempts
+        ]
+        wrong += count_wrongly_refused(calls, workspace.rate, workspace.burst)
+    return wrong
+
+
 def _rate_excess(
     plan: RunPlan, by_workspace: dict[str, list[OperationRecord]]
 ) -> float:
--- a/features/bench_policy.feature
+++ b/features/bench_policy.feature
@@ -17,6 +17,11 @@
     Then a limit of 20/s with a burst of 10 is exceeded by 20 requests
     And a limit of 200/s with a burst of 20 is kept
 
+  Scenario: A refusal within the rate is told from one above it
+    # Guards against counting a flood's refusals as wrong.
+    When 8 requests arrive at once and the first and the last are refused
+    Then with a burst of 5 one refusal was within the rate
+
   Scenario: Callers can favour an instance
     # Guards against a skewed load that is spread evenly.
     When callers weight three instances with 3, 1 and 0
--- a/features/steps/bench_policy_steps.py
+++ b/features/steps/bench_policy_steps.py
@@ -11,6 +11,7 @@
 
 from bench.check.fair_share import max_min_shares
 from bench.check.rate_windows import greatest_excess
+from bench.check.wrongly_refused import count_wrongly_refused
 from bench.load.age_probe import AgeProbe
 from bench.plans.load_plan import LoadPlan
 
@@ -57,6 +58,18 @@
     assert greatest_excess(context.spans, 200.0, 20) <= 0
 
 
+@when("8 requests arrive at once and the first and the last are refused")
+def burst(context: Context) -> None:
+    """Refuse one request inside the burst and one beyond it."""
+    context.calls = [(1.0 + n / 1000, n in (0, 7)) for n in range(8)]
+
+
+@then("with a burst of 5 one refusal was within the rate")
+def within(context: Context) -> None:
+    """Check the count."""
+    assert count_wrongly_refused(context.calls, 10.0, 5) == 1
+
+
 @when("callers weight three instances with 3, 1 and 0")
 def weight(context: Context) -> None:
     """Choose the instances that callers use in turn."""
