Keep a virtual time for each resource in fair queueing

Cause: reads that replicas serve at once and claims that wait for the primary shared one virtual time. A flood's reads moved it to the end of the flood's queue, and others' requests were placed behind that queue, as in fifo. Change: tags and virtual times by resource; where two resources compete for the primary, their first requests take turns.

--- a/features/owner.feature
+++ b/features/owner.feature
@@ -12,6 +12,20 @@
       | fair       | at least 45%    |
       | fifo       | less than 20%   |
 
+  Scenario: A flood's reads at replicas do not put others behind its queue
+    # Guards against a virtual time shared by the primary and the replicas, with
+    # which a flood of reads and claims made fair queueing as bad as fifo.
+    Given w1 has 50 claims queued while replicas serve its reads at once
+    When w2 queues a claim
+    Then at most 1 claim of w1 is sent before it
+
+  Scenario: Reads that wait for the primary take turns with claims
+    # Guards against starving the requests of one resource when both wait for the
+    # same member.
+    Given w1 has 50 claims queued while replicas serve its reads at once
+    When w2 queues a read that only the primary can serve
+    Then at most 1 claim of w1 is sent before it
+
   Scenario: Weights set the shares of two workspaces that both have work
     # Guards against weights that are ignored, or applied the wrong way round.
     When w1 with weight 3 and w2 with weight 1 have 40 reads queued each
--- a/features/steps/owner_policy_steps.py
+++ b/features/steps/owner_policy_steps.py
@@ -6,6 +6,11 @@
 from features.owner_world import OwnerWorld
 from trio import sleep
 
+from jackdawspread.decisions.fair_queue_state import FairQueueState, empty_fair_queue
+from jackdawspread.decisions.queued_request import QueuedRequest
+from jackdawspread.decisions.request_queue import enqueue, heads, remove_head
+from jackdawspread.messages.request_kind import RequestKind
+from jackdawspread.messages.routed_request import RoutedRequest
 from jackdawspread.messages.seat_assignment import SeatAssignment
 from jackdawspread.settings.experiment_settings import ExperimentSettings
 
@@ -40,3 +45,61 @@
         [reply] = context.world.replies[id]
         assert reply.is_ok(), (id, reply)
     assert in_force(context.world).term % 4 == 0, in_force(context.world).term
+
+
+def _add(state: FairQueueState, id: int, workspace: str, lane: str) -> FairQueueState:
+    request = RoutedRequest(
+        id=str(id),
+        kind=RequestKind.READ if lane == "any" else RequestKind.WRITE,
+        workspace=workspace,
+        key_id="k",
+        database="swap",
+        statements=(),
+        idempotency_key="",
+        position=None,
+        max_staleness=None,
+        deadline=10.0,
+        transaction_id="",
+        page_rows=1,
+        offset=0,
+    )
+    return enqueue(state, QueuedRequest(id, request, lane, 10.0), 1.0)
+
+
+def _sent_before(state: FairQueueState, id: int) -> list[QueuedRequest]:
+    sent = []
+    while (first := heads(state)[0]).id != id:
+        sent.append(first)
+        state = remove_head(state, first)
+    return sent
+
+
+@given("w1 has 50 claims queued while replicas serve its reads at once")
+def flood_of_both(context: Context) -> None:
+    """Queue claims, and send each read as soon as it is queued."""
+    state = empty_fair_queue()
+    for number in range(50):
+        state = _add(state, 2 * number, "w1", "primary")
+        state = _add(state, 2 * number + 1, "w1", "any")
+        [read] = [item for item in heads(state) if item.lane == "any"]
+        state = remove_head(state, read)
+    context.queue = state
+
+
+@when("w2 queues a claim")
+def other_claim(context: Context) -> None:
+    """Queue one claim of another workspace."""
+    context.queue = _add(context.queue, 1000, "w2", "primary")
+
+
+@when("w2 queues a read that only the primary can serve")
+def other_read(context: Context) -> None:
+    """Queue one read that takes its turn with the claims."""
+    context.queue = _add(context.queue, 1000, "w2", "any")
+
+
+@then("at most 1 claim of w1 is sent before it")
+def sent_early(context: Context) -> None:
+    """Count what is sent before the request."""
+    sent = _sent_before(context.queue, 1000)
+    assert len(sent) <= 1, len(sent)
--- a/src/jackdawspread/decisions/fair_queue_state.py
+++ b/src/jackdawspread/decisions/fair_queue_state.py
@@ -7,14 +7,29 @@
 
 
 class FairQueueState(NamedTuple):
-    """Virtual time and the waiting requests by (workspace, lane)."""
+    """Virtual times and the waiting requests by (workspace, lane).
 
-    virtual_time: float
-    finish_by_workspace: dict[str, float]
+    Parameters
+    ----------
+    virtual_time_by_resource : dict of str to float
+        Start tag of the last request sent, by the resource that requests wait for.
+    finish_by_flow : dict of (str, str) to float
+        Finish tag of the last request, by resource and workspace.
+    turn_by_resource : dict of str to int
+        Number of the turn in which a request for the resource was sent last.
+    size_by_workspace : dict of str to int
+        Number of waiting requests.
+    waiting_by_flow : dict of (str, str) to deque of QueuedRequest
+        Waiting requests by workspace and lane.
+    """
+
+    virtual_time_by_resource: dict[str, float]
+    finish_by_flow: dict[tuple[str, str], float]
+    turn_by_resource: dict[str, int]
     size_by_workspace: dict[str, int]
     waiting_by_flow: dict[tuple[str, str], deque[QueuedRequest]]
 
 
 def empty_fair_queue() -> FairQueueState:
     """Return a queue without requests."""
-    return FairQueueState(0.0, {}, {}, {})
+    return FairQueueState({}, {}, {}, {}, {})
--- a/src/jackdawspread/decisions/request_queue.py
+++ b/src/jackdawspread/decisions/request_queue.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from functools import singledispatch
+from math import inf
 from typing import Any
 
 from jackdawspread.decisions.fair_queue_state import FairQueueState
@@ -48,9 +49,10 @@
 @enqueue.register
 def _(state: FairQueueState, item: QueuedRequest, weight: float) -> FairQueueState:
     workspace = item.request.workspace
-    finish = state.finish_by_workspace.get(workspace, 0.0)
-    start = max(state.virtual_time, finish)
-    state.finish_by_workspace[workspace] = start + 1.0 / weight
+    resource = _resource(item)
+    finish = state.finish_by_flow.get((resource, workspace), 0.0)
+    start = max(state.virtual_time_by_resource.get(resource, 0.0), finish)
+    state.finish_by_flow[(resource, workspace)] = start + 1.0 / weight
     flow = (workspace, item.lane)
     waiting = state.waiting_by_flow.setdefault(flow, deque())
     waiting.append(item._replace(start_tag=start))
@@ -61,7 +63,19 @@
 @heads.register
 def _(state: FairQueueState) -> list[QueuedRequest]:
     first = [waiting[0] for waiting in state.waiting_by_flow.values()]
-    first.sort(key=lambda item: item.start_tag)
+    # Tags of different resources do not compare: the first request of each has
+    # lag 0, and the resources take turns.
+    least: dict[str, float] = {}
+    for item in first:
+        resource = _resource(item)
+        least[resource] = min(item.start_tag, least.get(resource, inf))
+    turns = state.turn_by_resource
+
+    def rank(item: QueuedRequest) -> tuple[float, int]:
+        resource = _resource(item)
+        return item.start_tag - least[resource], turns.get(resource, 0)
+
+    first.sort(key=rank)
     return first
 
 
@@ -73,7 +87,12 @@
     if not waiting:
         del state.waiting_by_flow[flow]
     _count(state, item.request.workspace, -1)
-    return state._replace(virtual_time=max(state.virtual_time, item.start_tag))
+    resource = _resource(item)
+    known = state.virtual_time_by_resource.get(resource, 0.0)
+    state.virtual_time_by_resource[resource] = max(known, item.start_tag)
+    turns = state.turn_by_resource
+    turns[resource] = 1 + max(turns.values(), default=0)
+    return state
 
 
 @remove_expired.register
@@ -111,6 +130,16 @@
     return _expire(state, state.waiting_by_lane, now)
 
 
+def _resource(item: QueuedRequest) -> str:
+    """Return what a request waits for.
+
+    With one virtual time for both, a flood's reads that replicas served at once
+    moved it to the end of the flood's queue for the primary, and the requests of
+    others that arrived then went behind that queue.
+    """
+    return "replicas" if item.lane == "any" else "primary"
+
+
 def _expire(
     state: RequestQueue, waiting_by_key: dict[Any, deque[QueuedRequest]], now: float
 ) -> list[QueuedRequest]:
