--- a/bench/experiments/catalogue.py
+++ b/bench/experiments/catalogue.py
@@ -82,7 +82,7 @@
     return FleetExperiment(name, flooded, FLOOD_LOAD, variants, (), metric)
 
 
-def _rates(plan: DeploymentPlan) -> FleetExperiment:
+def _rates(plan: DeploymentPlan, name: str, *scenarios: str) -> FleetExperiment:
     frozen = (
         TimedFault(4.0, FreezeProcess("entry-2")),
         TimedFault(9.0, ThawProcess("entry-2")),
@@ -96,10 +96,11 @@
     variants = tuple(
         Variant(f"{rates}, {name}", {"rates": rates}, faults)
         for name, faults in faults_by_name.items()
+        if name in scenarios
         for rates in ("borrow", "even")
     )
-    limited = _limited(plan, SHARED_RATE, SHARED_BURST)
-    name, metric = f"rates-{plan.name}", "rate_limited_share"
+    limited, metric = _limited(plan, SHARED_RATE, SHARED_BURST), "rate_limited_share"
+    name = f"{name}-{plan.name}"
     return FleetExperiment(name, limited, SHARED_LOAD, variants, (), metric)
 
 
@@ -156,7 +157,8 @@
         make(f"replicas-{name}", plan, LOAD, replicas, lag, "replica_share", True),
         make(f"pooling-{name}", slow, SLOW_LOAD, pooling, (), "write_p99_ms"),
         _queueing(plan),
-        _rates(plan),
+        _rates(plan, "rates", "skew", "outage"),
+        _rates(plan, "rates-faults", "death", "frozen"),
         _preparation(plan),
         make(f"retries-{name}", slow, SLOW_LOAD, retries, half_speed, "goodput_per_s"),
         _presets(plan),
