--- a/bench/experiments/catalogue.py
+++ b/bench/experiments/catalogue.py
@@ -76,6 +76,7 @@
         Variant("calm", {"queueing": "fair"}, (), calm, CALM_LOAD),
         Variant("fair", {"queueing": "fair"}),
         Variant("fifo", {"queueing": "fifo"}),
+        Variant("independent pools", {"pooling": "independent"}),
     )
     flooded = _limited(slow, FLOOD_RATE, FLOOD_BURST, 8.0)
     name, metric = f"queueing-{plan.name}", "worst_fair_share"
