Let a promise carry only what its sender knows by then

Cause: the model of a withdrawal stored with a change of view whatever those that promised knew at the time of the change. The decisions store what the promises carried, so the model left out steps that can happen.

Change: the state records whether a promise carried the withdrawal.

--- a/spec/withdrawal/actions.py
+++ b/spec/withdrawal/actions.py
@@ -87,23 +87,23 @@
         return
     for index, instance in enumerate(state.instances):
         if is_member(index, state.epoch):
-            after = state._replace(promises=state.promises | 1 << index)
+            after = state._replace(
+                promises=state.promises | 1 << index,
+                carried=state.carried or instance.knows,
+            )
             promised = instance._replace(promised=state.epoch)
             yield f"instance={index}", with_instance(after, index, promised)
 
 
 def change_view(state: State, rules: Rules) -> Steps:
-    """Write the next epoch, and with it the withdrawals that promisers know."""
+    """Write the next epoch, and with it the withdrawals that promises carried."""
     if state.epoch == LAST_EPOCH or state.promises.bit_count() < CHANGE_QUORUM:
         return
-    known = any(
-        instance.knows and state.promises >> index & 1
-        for index, instance in enumerate(state.instances)
-    )
     stored = state.stored
-    if known and rules.view_change_stores_withdrawal:
+    if state.carried and rules.view_change_stores_withdrawal:
         stored = stored or state.epoch
-    yield "", state._replace(epoch=state.epoch + 1, promises=0, stored=stored)
+    after = state._replace(epoch=state.epoch + 1, promises=0, carried=False)
+    yield "", after._replace(stored=stored)
 
 
 def read_platform(state: State, rules: Rules) -> Steps:
