Bind the decisions about withdrawals to the specification

A second state machine drives three instances through withdraw, tell, confirm, promise, change_view, store, read, ask, answer and tick, in step with spec/withdrawal. It compares epoch, promise, knowledge, ticks of authority and what is stored; a withdrawal that is reported in force must be reportable in the model, and the invariant withdrawn-key must hold.

Each of six one-line changes by hand made it fail and was undone: in force without the stored half; without the confirmed half; heartbeat answers without withdrawals; a confirmation after a promise; promises without withdrawals; storing without expecting the view.

Not bound yet: configuration.

--- a/features/binding/control_play.py
+++ b/features/binding/control_play.py
@@ -12,8 +12,10 @@
 from jackdawspread.decisions.platform_outcomes import poll
 from jackdawspread.decisions.rate_share import rate_share
 from jackdawspread.decisions.views import settle_views
+from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.control_tick import ControlTick
 from jackdawspread.messages.heartbeat import Heartbeat
+from jackdawspread.messages.heartbeat_answer import HeartbeatAnswer
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.peer_send import PeerSend
 from jackdawspread.messages.platform_call import PlatformCall
@@ -40,6 +42,7 @@
         ]
         self.sent: list[tuple[int, PeerSend]] = []
         self.writes: list[tuple[int, PlatformCall]] = []
+        self.results: list[tuple[int, AdminResult]] = []
 
     def handle(self, index: int, event: Any) -> tuple[Any, ...]:
         """Let an instance handle an event and keep what it sends."""
@@ -66,10 +69,11 @@
         return next(m for m in messages if isinstance(m, Heartbeat))
 
     def answer(self, index: int, peer: int, heartbeat: Heartbeat) -> None:
-        """Bring a heartbeat to a peer and its answer back."""
+        """Bring a heartbeat to a peer and its answer back; lose all else."""
         for effect in self.handle(peer, PeerReceived(str(index), heartbeat)):
-            if isinstance(effect, PeerSend):
-                self.handle(index, PeerReceived(str(peer), effect.message))
+            message = getattr(effect, "message", None)
+            if isinstance(message, HeartbeatAnswer):
+                self.handle(index, PeerReceived(str(peer), message))
 
     def settle(self, index: int) -> None:
         """Settle at once what the models settle without a tick."""
@@ -107,3 +111,5 @@
                 self.sent.append((index, effect))
             elif isinstance(effect, PlatformCall) and effect.target != "/table/read":
                 self.writes.append((index, effect))
+            elif isinstance(effect, AdminResult):
+                self.results.append((index, effect))
--- /dev/null
+++ b/features/binding/withdrawal_machine.py
@@ -0,0 +1,320 @@
+"""Real decisions in step with the model of a withdrawal."""
+
+from collections.abc import Callable
+from typing import Any
+
+from features.binding.control_play import TICK_S, ControlPlay
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from spec.withdrawal import actions
+from spec.withdrawal.model import MEMBER, NEWCOMER, RULES, withdrawn_key
+from spec.withdrawal.state import State
+
+from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control_timing import MEMBER_SILENT_S
+from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.view_changes import is_platform_fresh
+from jackdawspread.decisions.views import encode_view
+from jackdawspread.decisions.withdrawal_knowledge import is_stored
+from jackdawspread.messages.admin_change import AdminChange
+from jackdawspread.messages.control_tick import ControlTick
+from jackdawspread.messages.heartbeat import Heartbeat
+from jackdawspread.messages.key_withdrawal import KeyWithdrawal
+from jackdawspread.messages.key_withdrawal_answer import KeyWithdrawalAnswer
+from jackdawspread.messages.peer_received import PeerReceived
+from jackdawspread.messages.view import View
+from jackdawspread.messages.view_change_promise import ViewChangePromise
+from jackdawspread.messages.view_change_request import ViewChangeRequest
+from jackdawspread.messages.view_member import ViewMember
+from jackdawspread.messages.withdraw_key import WithdrawKey
+
+INSTANCE = st.integers(0, 2)
+PROPOSER = 2
+KEY = "k1"
+
+
+class WithdrawalMachine(RuleBasedStateMachine):
+    """Withdraws a key while instance 2 replaces instance 0 in the view."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.play = ControlPlay(3)
+        self.accepting: int | None = None
+        self.heartbeat_by_asker: dict[int, tuple[int, Heartbeat]] = {}
+        self.model = State(1, 0, 0, (0, 0, 0), None, (MEMBER, MEMBER, NEWCOMER))
+        members = {f"i{index}": ViewMember(str(index), "zone") for index in range(2)}
+        document = {**first_configuration(), "version": 1, "recent_write_ids": []}
+        document["key_by_id"] = {KEY: {"workspace": "branch", "withdrawn": False}}
+        put = {"view": encode_view(View(1, members)), "configuration": document}
+        self.play.platform.call("/table/transact", {"expect": {}, "put": put})
+        for index in range(2):
+            self.play.read(index)
+            self.play.settle(index)
+
+    @rule(index=INSTANCE)
+    def withdraw(self, index: int) -> None:
+        """An operator withdraws the key at an instance with authority."""
+        if self.accepting is None and self.play.authority(index):
+            self.accepting = index
+            self.play.handle(index, AdminChange("w", WithdrawKey(KEY)))
+            self.step(actions.withdraw, f"instance={index}")
+            self.confirm_own(index)
+
+    @rule(index=INSTANCE, is_answer_lost=st.booleans())
+    def tell(self, index: int, is_answer_lost: bool) -> None:
+        """A peer learns the withdrawal and answers."""
+        is_told = self.accepting is None or index == self.accepting
+        if is_told or not self.model.instances[index].epoch:
+            return
+        message = PeerReceived(str(self.accepting), KeyWithdrawal(KEY, KEY))
+        effects = self.play.handle(index, message)
+        self.step(actions.broadcast, f"instance={index}")
+        self.confirm_own(index)
+        for effect in effects:
+            answer = getattr(effect, "message", None)
+            if isinstance(answer, KeyWithdrawalAnswer):
+                if answer.epoch:
+                    self.step(actions.confirm, f"instance={index}")
+                if not is_answer_lost:
+                    event = PeerReceived(str(index), answer)
+                    self.play.handle(self.accepting, event)
+
+    @rule(
+        accepting=INSTANCE,
+        told=st.sets(INSTANCE, min_size=1),
+        is_stored=st.booleans(),
+        is_read=st.booleans(),
+        is_promised=st.booleans(),
+    )
+    def withdraw_and_tell(
+        self,
+        accepting: int,
+        told: set[int],
+        is_stored: bool,
+        is_read: bool,
+        is_promised: bool,
+    ) -> None:
+        """A withdrawal, perhaps after a promise, reaches members and platform."""
+        if is_promised and accepting != PROPOSER:
+            self.change(accepting, True)
+        self.withdraw(accepting)
+        if self.accepting is None:
+            return
+        if is_stored:
+            self.work(self.accepting)
+            self.write(-1)
+        if is_read:
+            self.read_platform(self.accepting)
+        for index in sorted(told):
+            self.tell(index, False)
+
+    @rule(index=INSTANCE)
+    def work(self, index: int) -> None:
+        """An instance sends the writes that are due; no time passes."""
+        if index != PROPOSER:
+            state = self.play.states[index]._replace(ticked_at=self.play.now)
+            self.play.states[index] = state
+            self.play.handle(index, ControlTick())
+            self.confirm_own(index)
+
+    @rule(number=st.integers(0, 9))
+    def write(self, number: int) -> None:
+        """The platform carries out a write, also again or late; no answer comes."""
+        if not self.play.writes:
+            return
+        number %= len(self.play.writes)
+        index, call = self.play.writes[number]
+        put: Any = call.body["put"]
+        is_stored = self.is_stored()
+        if "view" in put and index != PROPOSER:
+            return
+        if self.play.write(number) != 200:
+            return
+        if "view" not in put:
+            self.step(actions.store, f"instance={index}")
+            return
+        if self.is_stored() and not is_stored and not self.model.carried:
+            # The proposer knows what none of those that promised knows.
+            self.step(actions.store, f"instance={index}")
+        self.step(actions.change_view, "")
+
+    @rule(index=st.integers(0, 1), is_late=st.booleans())
+    def change(self, index: int, is_late: bool) -> None:
+        """Instance 2 asks a member to promise that it replaces instance 0."""
+        self.read_platform(PROPOSER)
+        state = self.play.states[PROPOSER]
+        if state.is_member:
+            return
+        long_ago = {"i0": self.play.now - MEMBER_SILENT_S - 1}
+        self.play.states[PROPOSER] = state._replace(
+            heard_at_by_incarnation=long_ago, ticked_at=self.play.now
+        )
+        self.play.handle(PROPOSER, ControlTick())
+        self.promise(index)
+        if not is_late:
+            self.write(-1)
+
+    def promise(self, index: int) -> None:
+        """A member is asked for a promise and answers."""
+        proposal = self.play.states[PROPOSER].proposal
+        state = self.play.states[index]
+        if proposal is None or not is_platform_fresh(state, self.play.now):
+            return
+        request = ViewChangeRequest("i2", proposal.epoch)
+        if request.epoch != self.model.epoch or request.epoch < state.view.epoch:
+            return
+        effects = self.play.handle(index, PeerReceived("2", request))
+        self.step(actions.promise, f"instance={index}")
+        for effect in effects:
+            message = getattr(effect, "message", None)
+            if isinstance(message, ViewChangePromise):
+                knew = self.play.states[PROPOSER].withdrawal_by_key_id
+                self.play.handle(PROPOSER, PeerReceived(str(index), message))
+                if message.withdrawn_key_ids and not knew:
+                    self.try_step(actions.broadcast, f"instance={PROPOSER}")
+
+    @rule(index=INSTANCE)
+    def read_platform(self, index: int) -> None:
+        """An instance reads view and configuration."""
+        self.play.read(index)
+        self.step(actions.read_platform, f"instance={index}")
+        self.play.settle(index)
+        self.confirm_own(index)
+
+    @rule(index=INSTANCE, peer=INSTANCE)
+    def vouch(self, index: int, peer: int) -> None:
+        """An instance sends a heartbeat to a peer and takes the answer."""
+        self.heartbeat_by_asker.pop(index, None)
+        self.ask(index, peer)
+        self.answer(index)
+
+    @rule(index=INSTANCE, peer=INSTANCE)
+    def ask(self, index: int, peer: int) -> None:
+        """An instance sends a heartbeat, which may take long to arrive."""
+        asker = self.play.states[index]
+        known = asker.view.member_by_incarnation
+        if index == peer or f"i{peer}" not in known or not asker.is_member:
+            return
+        if asker.promised_epoch >= asker.view.epoch:
+            return
+        self.close_round(index)
+        self.try_step(actions.ask, f"instance={index}")
+        self.heartbeat_by_asker[index] = (peer, self.play.heartbeat(index))
+
+    @rule(index=INSTANCE)
+    def answer(self, index: int) -> None:
+        """The last heartbeat arrives, and its answer at once."""
+        if index not in self.heartbeat_by_asker:
+            return
+        peer, heartbeat = self.heartbeat_by_asker.pop(index)
+        self.play.answer(index, peer, heartbeat)
+        self.try_step(actions.vouch, f"peer={peer} asker={index}")
+        self.close_round(index)
+        # An answer tells of the withdrawal also where it does not vouch.
+        if self.knows(index) and not self.model.instances[index].knows:
+            self.step(actions.broadcast, f"instance={index}")
+        self.confirm_own(index)
+        self.play.settle(index)
+
+    @rule()
+    def tick(self) -> None:
+        """Time passes for all."""
+        self.play.now += TICK_S
+        for index, state in enumerate(self.play.states):
+            # Nobody is removed for silence but by the step that replaces instance 0.
+            self.play.states[index] = state._replace(
+                ticked_at=self.play.now, heard_at_by_incarnation={}
+            )
+            self.play.settle(index)
+        self.step(actions.tick, "")
+
+    @invariant()
+    def agrees(self) -> None:
+        """Both sides know and may do the same."""
+        self.follow_reports()
+        rows = self.play.platform.rows
+        assert rows["view"]["value"]["epoch"] == self.model.epoch
+        assert self.is_stored() == (self.model.stored > 0)
+        for index, state in enumerate(self.play.states):
+            known = self.model.instances[index]
+            found = (
+                state.view.epoch,
+                self.is_fenced(index),
+                self.knows(index),
+                self.play.authority(index),
+            )
+            is_fenced = known.promised >= known.epoch > 0
+            expected = (known.epoch, is_fenced, known.knows, known.authority)
+            assert found == expected, (index, found, expected)
+        assert withdrawn_key(self.model)
+
+    def follow_reports(self) -> None:
+        """Report in the model what an operator was told; it must hold there."""
+        while self.play.results:
+            index, result = self.play.results.pop()
+            if result.outcome.body["state"] == "in_force":
+                epoch = self.play.states[index].view.epoch
+                self.step(actions.report, f"epoch={epoch}")
+
+    def confirm_own(self, index: int) -> None:
+        """Confirm in the model where the instance counts itself."""
+        if self.knows(index):
+            self.try_step(actions.confirm, f"instance={index}")
+
+    def knows(self, index: int) -> bool:
+        """Whether an instance refuses the key."""
+        state = self.play.states[index]
+        return is_stored(state, KEY) or KEY in state.withdrawal_by_key_id
+
+    def is_fenced(self, index: int) -> bool:
+        """Whether a member has promised to change its epoch."""
+        state: ControlState = self.play.states[index]
+        epoch = state.promised_epoch
+        is_binding = epoch >= max(1, state.view.epoch)
+        return is_binding and actions.is_member(index, epoch)
+
+    def is_stored(self) -> bool:
+        """Whether the platform holds the withdrawal."""
+        document = self.play.platform.rows["configuration"]["value"]
+        return bool(document["key_by_id"][KEY]["withdrawn"])
+
+    def close_round(self, index: int) -> None:
+        """Leave no heartbeat round open in the model; each has one answer here."""
+        instance = self.model.instances[index]._replace(asked=0)
+        self.model = actions.with_instance(self.model, index, instance)
+
+    def step(self, action: Callable[..., Any], arguments: str) -> None:
+        """Take a step of the model that must be enabled."""
+        found = self.enabled(action, arguments)
+        assert found, f"{action.__name__} {arguments} is not enabled"
+        self.model = found[0]
+
+    def try_step(self, action: Callable[..., Any], arguments: str) -> None:
+        """Take a step of the model if it is enabled."""
+        for after in self.enabled(action, arguments)[:1]:
+            self.model = after
+
+    def enabled(self, action: Callable[..., Any], arguments: str) -> list[State]:
+        """Return the states after a step with these arguments."""
+        steps = action(self.model, RULES)
+        return [after for name, after in steps if name == arguments]
+
+
+def check_withdrawal_binding() -> None:
+    """Run the machine with a fixed seed."""
+    run_state_machine_as_test(
+        WithdrawalMachine,
+        settings=settings(
+            max_examples=300,
+            stateful_step_count=40,
+            deadline=None,
+            database=None,
+            derandomize=True,
+        ),
+    )
--- a/features/control.feature
+++ b/features/control.feature
@@ -305,6 +305,10 @@
     # Guards against decisions that differ from the model that was checked.
     Then the decisions and the model of the view agree after every step
 
+  Scenario: The decisions about a withdrawal keep step with the specification
+    # Guards against a withdrawal that is reported where the model would not.
+    Then the decisions and the model of a withdrawal agree after every step
+
   Scenario: The decisions load without an event loop
     # Guards against decisions that a model checker cannot drive.
     Then the control decisions import neither trio nor a codec
--- a/features/steps/control_binding_steps.py
+++ b/features/steps/control_binding_steps.py
@@ -3,8 +3,14 @@
 from behave import then
 from behave.runner import Context
 from features.binding.view_machine import check_view_binding
+from features.binding.withdrawal_machine import check_withdrawal_binding
 
 
 @then("the decisions and the model of the view agree after every step")
 def view_binding(context: Context) -> None:
     check_view_binding()
+
+
+@then("the decisions and the model of a withdrawal agree after every step")
+def withdrawal_binding(context: Context) -> None:
+    check_withdrawal_binding()
