--- a/bench/runs/process_world.py
+++ b/bench/runs/process_world.py
@@ -170,12 +170,8 @@
 
     async def workspace(self, name: str, rate: float, burst: int) -> tuple[str, str]:
         """Create a workspace; return a key and its id once all instances know it."""
-        created, limits = {"name": name}, {"rate": rate, "burst": burst}
-        for method, target, body in (
-            ("POST", "/v1/workspaces", created),
-            ("PUT", f"/v1/workspaces/{name}/limits", limits),
-        ):
-            await self.change(method, target, body)
+        body = {"name": name, "rate": rate, "burst": burst}
+        await self.change("POST", "/v1/workspaces", body)
         return await self.issue_key(name)
 
     async def issue_key(self, workspace: str) -> tuple[str, str]:
