--- a/src/jackdawspread/decisions/views.py
+++ b/src/jackdawspread/decisions/views.py
@@ -66,10 +66,7 @@
     """
     if view.epoch <= state.view.epoch:
         return state, ()
-    skipped = tuple(old for old in earlier if old.epoch > state.view.epoch)
-    views = (*state.views, *skipped, view)
-    if not _is_gapless(views) and views[0] != UNKNOWN_EPOCHS:
-        views = (UNKNOWN_EPOCHS, *views)
+    views = _with_skipped(state.views, view, earlier)
     was_member = state.is_member
     heard = {
         name: state.heard_at_by_incarnation.get(name, now)
@@ -90,14 +87,28 @@
         heard_at_by_incarnation=heard,
     )
     if was_member and not state.is_member and not state.is_leaving:
-        root = state.incarnation.partition(".")[0]
-        restarts = state.restarts + 1
-        state = state._replace(restarts=restarts, incarnation=f"{root}.{restarts}")
+        state = _renew_incarnation(state)
     members = len(view.member_by_incarnation)
     line = f"control: adopted view epoch={view.epoch} members={members}"
     return state, (ControlLog(f"{line} member={state.is_member}"),)
 
 
+def _with_skipped(
+    known: tuple[View, ...], view: View, earlier: tuple[View, ...]
+) -> tuple[View, ...]:
+    skipped = tuple(old for old in earlier if old.epoch > known[-1].epoch)
+    views = (*known, *skipped, view)
+    if not _is_gapless(views) and views[0] != UNKNOWN_EPOCHS:
+        return (UNKNOWN_EPOCHS, *views)
+    return views
+
+
+def _renew_incarnation(state: ControlState) -> ControlState:
+    root = state.incarnation.partition(".")[0]
+    restarts = state.restarts + 1
+    return state._replace(restarts=restarts, incarnation=f"{root}.{restarts}")
+
+
 def settle_views(state: ControlState, now: float) -> ControlState:
     """Drop the older views once nobody can use a share of them.
 
