--- a/features/binding/control_play.py
+++ b/features/binding/control_play.py
@@ -5,13 +5,13 @@
 
 from features.fakes.fake_platform import FakePlatform
 
-from jackdawspread.decisions.authority import authority_deadline
-from jackdawspread.decisions.control_decision import decide, first_state
-from jackdawspread.decisions.control_state import NEVER, ControlState
-from jackdawspread.decisions.heartbeats import send_heartbeats
-from jackdawspread.decisions.platform_outcomes import poll
-from jackdawspread.decisions.rate_share import rate_share
-from jackdawspread.decisions.views import settle_views
+from jackdawspread.decisions.control.authority import authority_deadline
+from jackdawspread.decisions.control.control_decision import decide, first_state
+from jackdawspread.decisions.control.control_state import NEVER, ControlState
+from jackdawspread.decisions.control.heartbeats import send_heartbeats
+from jackdawspread.decisions.control.platform_outcomes import poll
+from jackdawspread.decisions.control.views import settle_views
+from jackdawspread.decisions.rates.rate_share import rate_share
 from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.control_tick import ControlTick
 from jackdawspread.messages.heartbeat import Heartbeat
--- a/features/binding/view_machine.py
+++ b/features/binding/view_machine.py
@@ -16,11 +16,11 @@
 from spec.view.model import MEMBER, NEWCOMER, RULES, within_whole
 from spec.view.state import State
 
-from jackdawspread.decisions.authority import has_authority
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.first_configuration import first_configuration
-from jackdawspread.decisions.view_changes import is_platform_fresh
-from jackdawspread.decisions.views import encode_view
+from jackdawspread.decisions.control.authority import has_authority
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.first_configuration import first_configuration
+from jackdawspread.decisions.control.view_changes import is_platform_fresh
+from jackdawspread.decisions.control.views import encode_view
 from jackdawspread.messages.control_tick import ControlTick
 from jackdawspread.messages.heartbeat import Heartbeat
 from jackdawspread.messages.leave_view import LeaveView
--- a/features/binding/withdrawal_machine.py
+++ b/features/binding/withdrawal_machine.py
@@ -16,12 +16,12 @@
 from spec.withdrawal.model import MEMBER, NEWCOMER, RULES, withdrawn_key
 from spec.withdrawal.state import State
 
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_timing import MEMBER_SILENT_S
-from jackdawspread.decisions.first_configuration import first_configuration
-from jackdawspread.decisions.view_changes import is_platform_fresh
-from jackdawspread.decisions.views import encode_view
-from jackdawspread.decisions.withdrawal_knowledge import is_stored
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_timing import MEMBER_SILENT_S
+from jackdawspread.decisions.control.first_configuration import first_configuration
+from jackdawspread.decisions.control.view_changes import is_platform_fresh
+from jackdawspread.decisions.control.views import encode_view
+from jackdawspread.decisions.control.withdrawal_knowledge import is_stored
 from jackdawspread.messages.admin_change import AdminChange
 from jackdawspread.messages.control_tick import ControlTick
 from jackdawspread.messages.heartbeat import Heartbeat
--- a/features/conformance/binding_machine.py
+++ b/features/conformance/binding_machine.py
@@ -12,26 +12,26 @@
 from spec.replicas import steps
 
 from jackdawspread.codecs.member_protocol import encode_statement
-from jackdawspread.decisions.await_confirmation import AwaitConfirmation
-from jackdawspread.decisions.confirmation import (
+from jackdawspread.decisions.owner.await_confirmation import AwaitConfirmation
+from jackdawspread.decisions.owner.confirmation import (
     note_answered,
     note_asked,
     note_held,
     position_to_ask,
     take_confirmed,
 )
-from jackdawspread.decisions.confirmation_state import no_confirmations
-from jackdawspread.decisions.finish_request import FinishRequest
-from jackdawspread.decisions.member_answer import MemberAnswer
-from jackdawspread.decisions.member_refusal import MemberRefusal
-from jackdawspread.decisions.member_silence import MemberSilence
-from jackdawspread.decisions.repeat_request import RepeatRequest
-from jackdawspread.decisions.request_outcome import (
+from jackdawspread.decisions.owner.confirmation_state import no_confirmations
+from jackdawspread.decisions.owner.finish_request import FinishRequest
+from jackdawspread.decisions.owner.member_answer import MemberAnswer
+from jackdawspread.decisions.owner.member_refusal import MemberRefusal
+from jackdawspread.decisions.owner.member_silence import MemberSilence
+from jackdawspread.decisions.owner.repeat_request import RepeatRequest
+from jackdawspread.decisions.owner.request_outcome import (
     after_outcome,
     expire,
     repeat_in_new_term,
 )
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.running_request import RunningRequest
 from jackdawspread.messages.ran import Ran
 from jackdawspread.messages.request_kind import RequestKind
 
--- a/features/conformance/rate_machine.py
+++ b/features/conformance/rate_machine.py
@@ -11,17 +11,17 @@
 from spec.rates.rules import Rules
 from spec.rates.state import State
 
-from jackdawspread.decisions import rate_limiter
-from jackdawspread.decisions.admit_request import AdmitRequest
-from jackdawspread.decisions.ask_peer import AskPeer
-from jackdawspread.decisions.grant_arrived import GrantArrived
-from jackdawspread.decisions.grant_peer import GrantPeer
-from jackdawspread.decisions.peer_asked import PeerAsked
-from jackdawspread.decisions.rate_bucket import RateBucket, refill
-from jackdawspread.decisions.rate_due import RateDue
-from jackdawspread.decisions.rate_limiter import RateLimiter, decide_rate
-from jackdawspread.decisions.rate_share import RateShare
-from jackdawspread.decisions.request_arrived import RequestArrived
+from jackdawspread.decisions.rates import rate_limiter
+from jackdawspread.decisions.rates.admit_request import AdmitRequest
+from jackdawspread.decisions.rates.ask_peer import AskPeer
+from jackdawspread.decisions.rates.grant_arrived import GrantArrived
+from jackdawspread.decisions.rates.grant_peer import GrantPeer
+from jackdawspread.decisions.rates.peer_asked import PeerAsked
+from jackdawspread.decisions.rates.rate_bucket import RateBucket, refill
+from jackdawspread.decisions.rates.rate_due import RateDue
+from jackdawspread.decisions.rates.rate_limiter import RateLimiter, decide_rate
+from jackdawspread.decisions.rates.rate_share import RateShare
+from jackdawspread.decisions.rates.request_arrived import RequestArrived
 
 SHARE = RateShare(actions.SHARE_OF_RATE, actions.SHARE_OF_BURST)
 # The model's tick is half the lifetime of a grant; the times are rounded to it.
--- a/features/conformance/session_machine.py
+++ b/features/conformance/session_machine.py
@@ -11,11 +11,11 @@
 from spec.session import actions
 from spec.session.model import MODEL
 
-from jackdawspread.decisions.confirmation import note_held
-from jackdawspread.decisions.confirmation_state import no_confirmations
-from jackdawspread.decisions.member_answer import MemberAnswer
-from jackdawspread.decisions.request_outcome import after_outcome
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.confirmation import note_held
+from jackdawspread.decisions.owner.confirmation_state import no_confirmations
+from jackdawspread.decisions.owner.member_answer import MemberAnswer
+from jackdawspread.decisions.owner.request_outcome import after_outcome
+from jackdawspread.decisions.owner.running_request import RunningRequest
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.request_kind import RequestKind
 
--- a/features/fakes/control_fleet.py
+++ b/features/fakes/control_fleet.py
@@ -7,10 +7,10 @@
 
 from features.fakes.fake_platform import FakePlatform
 
-from jackdawspread.decisions.authority import authority_deadline, has_authority
-from jackdawspread.decisions.control_decision import decide, first_state
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.seat_roles import seat_assignment
+from jackdawspread.decisions.control.authority import authority_deadline, has_authority
+from jackdawspread.decisions.control.control_decision import decide, first_state
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.seat_roles import seat_assignment
 from jackdawspread.messages.admin_change import AdminChange
 from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.control_tick import ControlTick
--- a/features/fakes/gateway_world.py
+++ b/features/fakes/gateway_world.py
@@ -14,7 +14,7 @@
 
 from jackdawspread.codecs.session_token import SessionTokenCodec
 from jackdawspread.decisions.admission import key_id_of
-from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.control.first_configuration import first_configuration
 from jackdawspread.messages.admitted_reply import AdmittedReply
 from jackdawspread.messages.caller_request import CallerRequest
 from jackdawspread.messages.caller_submission import CallerSubmission
--- a/features/fakes/rate_fleet.py
+++ b/features/fakes/rate_fleet.py
@@ -3,21 +3,21 @@
 from heapq import heappop, heappush
 from random import Random
 
-from jackdawspread.decisions.admit_request import AdmitRequest
-from jackdawspread.decisions.ask_peer import AskPeer
-from jackdawspread.decisions.grant_arrived import GrantArrived
-from jackdawspread.decisions.grant_peer import GrantPeer
-from jackdawspread.decisions.peer_asked import PeerAsked
-from jackdawspread.decisions.rate_bucket import RateBucket
-from jackdawspread.decisions.rate_due import RateDue
-from jackdawspread.decisions.rate_limiter import (
+from jackdawspread.decisions.rates.admit_request import AdmitRequest
+from jackdawspread.decisions.rates.ask_peer import AskPeer
+from jackdawspread.decisions.rates.grant_arrived import GrantArrived
+from jackdawspread.decisions.rates.grant_peer import GrantPeer
+from jackdawspread.decisions.rates.peer_asked import PeerAsked
+from jackdawspread.decisions.rates.rate_bucket import RateBucket
+from jackdawspread.decisions.rates.rate_due import RateDue
+from jackdawspread.decisions.rates.rate_limiter import (
     RateLimiter,
     decide_rate,
     next_rate_deadline,
 )
-from jackdawspread.decisions.rate_share import rate_share
-from jackdawspread.decisions.refuse_request import RefuseRequest
-from jackdawspread.decisions.request_arrived import RequestArrived
+from jackdawspread.decisions.rates.rate_share import rate_share
+from jackdawspread.decisions.rates.refuse_request import RefuseRequest
+from jackdawspread.decisions.rates.request_arrived import RequestArrived
 from jackdawspread.messages.view import View
 from jackdawspread.messages.view_member import ViewMember
 
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -14,7 +14,7 @@
 
 from jackdawspread.codecs.http_server_codec import MAX_BODY_BYTES
 from jackdawspread.codecs.session_token import SessionTokenCodec
-from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.control.first_configuration import first_configuration
 from jackdawspread.messages.view import View
 from jackdawspread.messages.view_member import ViewMember
 from jackdawspread.tasks.caller_handler import CallerHandler
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -8,9 +8,9 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
-from jackdawspread.decisions.configuration_changes import apply_change
-from jackdawspread.decisions.effective_limits import effective_limits
-from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.control.configuration_changes import apply_change
+from jackdawspread.decisions.control.effective_limits import effective_limits
+from jackdawspread.decisions.control.first_configuration import first_configuration
 from jackdawspread.messages.add_key import AddKey
 from jackdawspread.messages.configuration_change import ConfigurationChange
 from jackdawspread.messages.create_workspace import CreateWorkspace
--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.control.first_configuration import first_configuration
 from jackdawspread.messages.add_key import AddKey
 from jackdawspread.messages.admin_answer import AdminAnswer
 from jackdawspread.messages.configuration_push import ConfigurationPush
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -8,10 +8,10 @@
 from features.fakes.control_fleet import CONNECTIONS, ControlFleet
 from features.fakes.fault_schedules import check_random_schedules
 
-from jackdawspread.decisions.control_decision import decide
-from jackdawspread.decisions.heartbeats import hear
-from jackdawspread.decisions.seat_roles import seat_assignment
-from jackdawspread.decisions.views import adopt_view, settle_views
+from jackdawspread.decisions.control.control_decision import decide
+from jackdawspread.decisions.control.heartbeats import hear
+from jackdawspread.decisions.control.seat_roles import seat_assignment
+from jackdawspread.decisions.control.views import adopt_view, settle_views
 from jackdawspread.messages.heartbeat import Heartbeat
 from jackdawspread.messages.heartbeat_answer import HeartbeatAnswer
 from jackdawspread.messages.leave_view import LeaveView
@@ -190,7 +190,7 @@
 @then("the control decisions import neither trio nor a codec")
 def pure_imports(context: Context) -> None:
     code = (
-        "import sys, jackdawspread.decisions.control_decision\n"
+        "import sys, jackdawspread.decisions.control.control_decision\n"
         "names = {name.split('.')[0] for name in sys.modules}\n"
         "assert not names & {'trio', 'h11', 'msgspec', 'absl'}, names"
     )
--- a/features/steps/control_view_steps.py
+++ b/features/steps/control_view_steps.py
@@ -6,16 +6,16 @@
 from behave.runner import Context
 from features.fakes.fault_schedules import check_overlap
 
-from jackdawspread.decisions.authority import authority_deadline
-from jackdawspread.decisions.control_decision import decide
-from jackdawspread.decisions.heartbeats import hear
-from jackdawspread.decisions.rate_share import rate_share
-from jackdawspread.decisions.views import (
+from jackdawspread.decisions.control.authority import authority_deadline
+from jackdawspread.decisions.control.control_decision import decide
+from jackdawspread.decisions.control.heartbeats import hear
+from jackdawspread.decisions.control.views import (
     adopt_view,
     decode_views,
     encode_view,
     settle_views,
 )
+from jackdawspread.decisions.rates.rate_share import rate_share
 from jackdawspread.messages.leave_view import LeaveView
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.view import View
--- a/features/steps/control_withdrawal_steps.py
+++ b/features/steps/control_withdrawal_steps.py
@@ -5,7 +5,7 @@
 from features.fakes.withdrawal_schedules import check_withdrawal_cuts
 from features.fakes.withdrawn_check import check_withdrawn, refuses_key
 
-from jackdawspread.decisions.control_decision import decide
+from jackdawspread.decisions.control.control_decision import decide
 from jackdawspread.messages.key_withdrawal import KeyWithdrawal
 from jackdawspread.messages.key_withdrawal_answer import KeyWithdrawalAnswer
 from jackdawspread.messages.peer_received import PeerReceived
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -18,8 +18,8 @@
 from jackdawspread.codecs.peer_frames import decode_batch
 from jackdawspread.codecs.session_token import SessionTokenCodec
 from jackdawspread.decisions.admission import admit
-from jackdawspread.decisions.first_configuration import first_configuration
-from jackdawspread.decisions.member_answer import MemberAnswer
+from jackdawspread.decisions.control.first_configuration import first_configuration
+from jackdawspread.decisions.owner.member_answer import MemberAnswer
 from jackdawspread.messages.answer import Answer
 from jackdawspread.messages.caller_request import CallerRequest
 from jackdawspread.messages.control_snapshot import ControlSnapshot
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -21,7 +21,7 @@
 from jackdawspread.codecs.json_body import encode_json
 from jackdawspread.codecs.member_protocol import encode_statement
 from jackdawspread.codecs.peer_frames import encode_batch, encode_frame
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.running_request import RunningRequest
 from jackdawspread.messages.answer import Answer
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.routed_reply import RoutedReply
--- a/features/steps/gateway_token_steps.py
+++ b/features/steps/gateway_token_steps.py
@@ -15,7 +15,7 @@
 )
 
 from jackdawspread.codecs.session_token import SessionTokenCodec
-from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.control.first_configuration import first_configuration
 from jackdawspread.messages.admitted_reply import AdmittedReply
 from jackdawspread.messages.answer import Answer
 from jackdawspread.messages.caller_request import CallerRequest
--- a/features/steps/owner_decision_steps.py
+++ b/features/steps/owner_decision_steps.py
@@ -3,11 +3,15 @@
 from behave import then, when
 from behave.runner import Context
 
-from jackdawspread.decisions.owner_term import next_own_term
-from jackdawspread.decisions.position_sample import PositionSample
-from jackdawspread.decisions.read_choice import data_age
-from jackdawspread.decisions.retry_budget import RetryBudget, count_request, take_retry
-from jackdawspread.decisions.unlimited_retries import UnlimitedRetries
+from jackdawspread.decisions.owner.owner_term import next_own_term
+from jackdawspread.decisions.owner.position_sample import PositionSample
+from jackdawspread.decisions.owner.read_choice import data_age
+from jackdawspread.decisions.owner.retry_budget import (
+    RetryBudget,
+    count_request,
+    take_retry,
+)
+from jackdawspread.decisions.owner.unlimited_retries import UnlimitedRetries
 from jackdawspread.messages.position import Position
 
 
--- a/features/steps/owner_policy_steps.py
+++ b/features/steps/owner_policy_steps.py
@@ -6,9 +6,12 @@
 from features.owner_world import OwnerWorld
 from trio import sleep
 
-from jackdawspread.decisions.fair_queue_state import FairQueueState, empty_fair_queue
-from jackdawspread.decisions.queued_request import QueuedRequest
-from jackdawspread.decisions.request_queue import enqueue, heads, remove_head
+from jackdawspread.decisions.owner.fair_queue_state import (
+    FairQueueState,
+    empty_fair_queue,
+)
+from jackdawspread.decisions.owner.queued_request import QueuedRequest
+from jackdawspread.decisions.owner.request_queue import enqueue, heads, remove_head
 from jackdawspread.messages.request_kind import RequestKind
 from jackdawspread.messages.routed_request import RoutedRequest
 from jackdawspread.messages.seat_assignment import SeatAssignment
--- a/features/steps/rate_share_steps.py
+++ b/features/steps/rate_share_steps.py
@@ -4,7 +4,7 @@
 from behave.runner import Context
 from trio import open_memory_channel
 
-from jackdawspread.decisions.first_configuration import first_configuration
+from jackdawspread.decisions.control.first_configuration import first_configuration
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.view import View
 from jackdawspread.messages.view_member import ViewMember
--- a/features/steps/rate_steps.py
+++ b/features/steps/rate_steps.py
@@ -6,12 +6,12 @@
 from behave.runner import Context
 from features.fakes.rate_fleet import RateFleet
 
-from jackdawspread.decisions.admit_request import AdmitRequest
-from jackdawspread.decisions.grant_arrived import GrantArrived
-from jackdawspread.decisions.rate_bucket import RateBucket
-from jackdawspread.decisions.rate_limiter import RateLimiter, decide_rate
-from jackdawspread.decisions.rate_share import RateShare
-from jackdawspread.decisions.request_arrived import RequestArrived
+from jackdawspread.decisions.rates.admit_request import AdmitRequest
+from jackdawspread.decisions.rates.grant_arrived import GrantArrived
+from jackdawspread.decisions.rates.rate_bucket import RateBucket
+from jackdawspread.decisions.rates.rate_limiter import RateLimiter, decide_rate
+from jackdawspread.decisions.rates.rate_share import RateShare
+from jackdawspread.decisions.rates.request_arrived import RequestArrived
 
 # Sums of floating-point refills.
 ROUNDING = 1e-6
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -5,7 +5,7 @@
 from expression import Error
 
 from jackdawspread.codecs.member_protocol import encode_read
-from jackdawspread.decisions.read_target import ReadTarget
+from jackdawspread.decisions.owner.read_target import ReadTarget
 from jackdawspread.decisions.route import conclude, may_reroute
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.ran import Ran
--- a/scripts/proofs/catalogue.py
+++ b/scripts/proofs/catalogue.py
@@ -24,7 +24,7 @@
     Proof(
         "replaced-primary",
         "the confirmation by a second member",
-        "decisions/request_outcome.py",
+        "decisions/owner/request_outcome.py",
         "return AwaitConfirmation(running._replace(answer=answer))",
         "return FinishRequest(Ok(answer))",
         "owner.feature",
@@ -42,7 +42,7 @@
     Proof(
         "own-workspace",
         "the workspace check of a transaction",
-        "decisions/transaction_check.py",
+        "decisions/owner/transaction_check.py",
         "if transaction is None or transaction.workspace != request.workspace:",
         "if transaction is None:",
         "owner.feature",
@@ -69,7 +69,7 @@
     Proof(
         "withdrawn-key",
         "the check before sending",
-        "decisions/request_check.py",
+        "decisions/owner/request_check.py",
         "        or request.key_id in snapshot.withdrawn_key_ids\n",
         "",
         "owner.feature",
@@ -87,7 +87,7 @@
     Proof(
         "rate-and-burst",
         "counting a grant against the granter's burst",
-        "decisions/rate_bucket.py",
+        "decisions/rates/rate_bucket.py",
         "bucket = bucket._replace(grants=(*bucket.grants, (expiry, taken)))",
         "bucket = bucket._replace(grants=bucket.grants)",
         "conformance.feature",
@@ -96,7 +96,7 @@
     Proof(
         "rate-and-burst",
         "the least share over all unsettled views",
-        "decisions/rate_share.py",
+        "decisions/rates/rate_share.py",
         "share = min(bursts, default=0)",
         "share = bursts[-1] if bursts else 0",
         "rates.feature",
@@ -105,7 +105,7 @@
     Proof(
         "rate-and-burst",
         "the deadline of a grant",
-        "decisions/rate_limiter.py",
+        "decisions/rates/rate_limiter.py",
         "usable = event.requests if now < limiter.ask_deadline else 0",
         "usable = event.requests",
         "rates.feature",
@@ -141,7 +141,7 @@
     Proof(
         "not-run-is-true",
         "remembering that a statement was sent",
-        "decisions/request_outcome.py",
+        "decisions/owner/request_outcome.py",
         "ran = Ran.UNKNOWN if running.may_have_run else Ran.NOT_RUN",
         "ran = Ran.NOT_RUN",
         "owner.feature",
@@ -159,7 +159,7 @@
     Proof(
         "leaving-database",
         "the refusal of new work",
-        "decisions/request_check.py",
+        "decisions/owner/request_check.py",
         "if leaving and request.kind not in CONTINUING:",
         "if False:",
         "owner.feature",
@@ -168,7 +168,7 @@
     Proof(
         "planned-stop",
         "staying in the view until the last request has finished",
-        "decisions/control_decision.py",
+        "decisions/control/control_decision.py",
         "state = state._replace(is_leaving=True)",
         "state = state._replace(is_leaving=True, may_leave_view=True)",
         "control.feature",
@@ -177,7 +177,7 @@
     Proof(
         "configuration",
         "the refusal of a lower version",
-        "decisions/configurations.py",
+        "decisions/control/configurations.py",
         'if document["version"] <= state.configuration["version"]:',
         'if document["version"] == state.configuration["version"]:',
         "control.feature",
@@ -188,7 +188,8 @@
         "fair queueing",
         "tasks/database_owner.py",
         "import empty_fair_queue\n",
-        "import empty_fair_queue as _\nfrom jackdawspread.decisions.fifo_queue_state "
+        "import empty_fair_queue as _\n"
+        "from jackdawspread.decisions.owner.fifo_queue_state "
         "import empty_fifo_queue as empty_fair_queue\n",
         "owner.feature",
         "A flooding workspace",
--- a/src/jackdawspread/codecs/member_protocol.py
+++ b/src/jackdawspread/codecs/member_protocol.py
@@ -6,12 +6,12 @@
 from msgspec import convert
 
 from jackdawspread.codecs.json_body import encode_json
-from jackdawspread.decisions.member_answer import MemberAnswer
-from jackdawspread.decisions.member_refusal import MemberRefusal
-from jackdawspread.decisions.member_silence import MemberSilence
-from jackdawspread.decisions.member_status import MemberStatus
-from jackdawspread.decisions.read_target import ReadTarget
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.member_answer import MemberAnswer
+from jackdawspread.decisions.owner.member_refusal import MemberRefusal
+from jackdawspread.decisions.owner.member_silence import MemberSilence
+from jackdawspread.decisions.owner.member_status import MemberStatus
+from jackdawspread.decisions.owner.read_target import ReadTarget
+from jackdawspread.decisions.owner.running_request import RunningRequest
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.request_kind import RequestKind
--- a/src/jackdawspread/decisions/authority.py
+++ b/src/jackdawspread/decisions/control/authority.py
@@ -1,7 +1,7 @@
 """Authority of an instance to admit work."""
 
-from jackdawspread.decisions.control_state import NEVER, ControlState
-from jackdawspread.decisions.control_timing import AUTHORITY_S
+from jackdawspread.decisions.control.control_state import NEVER, ControlState
+from jackdawspread.decisions.control.control_timing import AUTHORITY_S
 
 
 def vouch_quorum(members: int) -> int:
--- a/src/jackdawspread/decisions/configuration_changes.py
+++ b/src/jackdawspread/decisions/control/configuration_changes.py
@@ -5,7 +5,7 @@
 
 from expression import Error, Ok, Result
 
-from jackdawspread.decisions.limit_checks import (
+from jackdawspread.decisions.control.limit_checks import (
     outside_bounds,
     unusable_limit,
     unusable_rules,
--- a/src/jackdawspread/decisions/configuration_store.py
+++ b/src/jackdawspread/decisions/control/configuration_store.py
@@ -1,8 +1,12 @@
 """Writes of the configuration document."""
 
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep
-from jackdawspread.decisions.platform_writes import ABSENT, next_write_id, start_write
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep
+from jackdawspread.decisions.control.platform_writes import (
+    ABSENT,
+    next_write_id,
+    start_write,
+)
 from jackdawspread.messages.configuration_document import ConfigurationDocument
 
 KEY = "configuration"
--- a/src/jackdawspread/decisions/configurations.py
+++ b/src/jackdawspread/decisions/control/configurations.py
@@ -2,21 +2,21 @@
 
 from typing import cast
 
-from jackdawspread.decisions.configuration_changes import (
+from jackdawspread.decisions.control.configuration_changes import (
     apply_change,
     commutes,
     refuse,
 )
-from jackdawspread.decisions.configuration_store import (
+from jackdawspread.decisions.control.configuration_store import (
     is_being_stored,
     is_row_current,
     store,
 )
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.heartbeats import to_peers
-from jackdawspread.decisions.platform_write import PlatformWrite
-from jackdawspread.decisions.withdrawals import answer_withdrawals
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep, Effect
+from jackdawspread.decisions.control.heartbeats import to_peers
+from jackdawspread.decisions.control.platform_write import PlatformWrite
+from jackdawspread.decisions.control.withdrawals import answer_withdrawals
 from jackdawspread.messages.admin_answer import AdminAnswer
 from jackdawspread.messages.admin_change import AdminChange
 from jackdawspread.messages.admin_result import AdminResult
--- a/src/jackdawspread/decisions/control_decision.py
+++ b/src/jackdawspread/decisions/control/control_decision.py
@@ -2,16 +2,21 @@
 
 from functools import singledispatch
 
-from jackdawspread.decisions import configurations, heartbeats, seats, withdrawals
-from jackdawspread.decisions.control_state import NEVER, ControlState
-from jackdawspread.decisions.control_status import status_body
-from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.control_timing import PAUSE_S
-from jackdawspread.decisions.first_configuration import first_configuration
-from jackdawspread.decisions.peer_decision import decide_peer
-from jackdawspread.decisions.platform_outcomes import poll, take_outcome
-from jackdawspread.decisions.view_changes import advance_proposal
-from jackdawspread.decisions.views import settle_views
+from jackdawspread.decisions.control import (
+    configurations,
+    heartbeats,
+    seats,
+    withdrawals,
+)
+from jackdawspread.decisions.control.control_state import NEVER, ControlState
+from jackdawspread.decisions.control.control_status import status_body
+from jackdawspread.decisions.control.control_step import ControlStep, Effect
+from jackdawspread.decisions.control.control_timing import PAUSE_S
+from jackdawspread.decisions.control.first_configuration import first_configuration
+from jackdawspread.decisions.control.peer_decision import decide_peer
+from jackdawspread.decisions.control.platform_outcomes import poll, take_outcome
+from jackdawspread.decisions.control.view_changes import advance_proposal
+from jackdawspread.decisions.control.views import settle_views
 from jackdawspread.messages.admin_answer import AdminAnswer
 from jackdawspread.messages.admin_change import AdminChange
 from jackdawspread.messages.admin_result import AdminResult
--- a/src/jackdawspread/decisions/control_state.py
+++ b/src/jackdawspread/decisions/control/control_state.py
@@ -2,12 +2,12 @@
 
 from typing import NamedTuple
 
-from jackdawspread.decisions.pending_call import PendingCall
-from jackdawspread.decisions.platform_row import PlatformRow
-from jackdawspread.decisions.platform_write import PlatformWrite
-from jackdawspread.decisions.seat_state import SeatState
-from jackdawspread.decisions.view_proposal import ViewProposal
-from jackdawspread.decisions.withdrawal import Withdrawal
+from jackdawspread.decisions.control.pending_call import PendingCall
+from jackdawspread.decisions.control.platform_row import PlatformRow
+from jackdawspread.decisions.control.platform_write import PlatformWrite
+from jackdawspread.decisions.control.seat_state import SeatState
+from jackdawspread.decisions.control.view_proposal import ViewProposal
+from jackdawspread.decisions.control.withdrawal import Withdrawal
 from jackdawspread.messages.admin_change import AdminChange
 from jackdawspread.messages.configuration_document import ConfigurationDocument
 from jackdawspread.messages.view import View
--- a/src/jackdawspread/decisions/control_status.py
+++ b/src/jackdawspread/decisions/control/control_status.py
@@ -1,10 +1,10 @@
 """What operators and the other tasks see of the control state."""
 
-from jackdawspread.decisions.authority import authority_deadline
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.effective_limits import effective_limits
-from jackdawspread.decisions.seat_roles import is_live, seat_addresses
-from jackdawspread.decisions.seat_state import NO_SEATS
+from jackdawspread.decisions.control.authority import authority_deadline
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.effective_limits import effective_limits
+from jackdawspread.decisions.control.seat_roles import is_live, seat_addresses
+from jackdawspread.decisions.control.seat_state import NO_SEATS
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 
 LIVE_S = 1.2
--- a/src/jackdawspread/decisions/control_step.py
+++ b/src/jackdawspread/decisions/control/control_step.py
@@ -1,6 +1,6 @@
 """Result of one control decision."""
 
-from jackdawspread.decisions.control_state import ControlState
+from jackdawspread.decisions.control.control_state import ControlState
 from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.peer_send import PeerSend
--- a/src/jackdawspread/decisions/heartbeats.py
+++ b/src/jackdawspread/decisions/control/heartbeats.py
@@ -1,9 +1,9 @@
 """Heartbeats between instances."""
 
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.control_timing import AUTHORITY_S, HEARTBEAT_S
-from jackdawspread.decisions.withdrawal_knowledge import (
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep, Effect
+from jackdawspread.decisions.control.control_timing import AUTHORITY_S, HEARTBEAT_S
+from jackdawspread.decisions.control.withdrawal_knowledge import (
     learn_key_ids,
     withdrawn_beyond,
 )
--- a/src/jackdawspread/decisions/peer_decision.py
+++ b/src/jackdawspread/decisions/control/peer_decision.py
@@ -2,11 +2,11 @@
 
 from functools import singledispatch
 
-from jackdawspread.decisions import seats, view_changes, withdrawals
-from jackdawspread.decisions.configurations import adopt_configuration
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep
-from jackdawspread.decisions.heartbeats import answer_heartbeat, count_vouch
+from jackdawspread.decisions.control import seats, view_changes, withdrawals
+from jackdawspread.decisions.control.configurations import adopt_configuration
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep
+from jackdawspread.decisions.control.heartbeats import answer_heartbeat, count_vouch
 from jackdawspread.messages.configuration_push import ConfigurationPush
 from jackdawspread.messages.heartbeat import Heartbeat
 from jackdawspread.messages.heartbeat_answer import HeartbeatAnswer
--- a/src/jackdawspread/decisions/platform_outcomes.py
+++ b/src/jackdawspread/decisions/control/platform_outcomes.py
@@ -1,14 +1,18 @@
 """Polls of the platform and the outcomes of calls to it."""
 
-from jackdawspread.decisions import configurations
-from jackdawspread.decisions.configuration_store import KEY, is_being_stored, store
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.control_timing import POLL_S, WRITE_S
-from jackdawspread.decisions.pending_call import PendingCall
-from jackdawspread.decisions.platform_row import PlatformRow
-from jackdawspread.decisions.platform_write import PlatformWrite
-from jackdawspread.decisions.platform_writes import (
+from jackdawspread.decisions.control import configurations
+from jackdawspread.decisions.control.configuration_store import (
+    KEY,
+    is_being_stored,
+    store,
+)
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep, Effect
+from jackdawspread.decisions.control.control_timing import POLL_S, WRITE_S
+from jackdawspread.decisions.control.pending_call import PendingCall
+from jackdawspread.decisions.control.platform_row import PlatformRow
+from jackdawspread.decisions.control.platform_write import PlatformWrite
+from jackdawspread.decisions.control.platform_writes import (
     ABSENT,
     decode_rows,
     drop_write,
@@ -16,9 +20,9 @@
     send_write,
     write_outcome,
 )
-from jackdawspread.decisions.seats import adopt_seats, row_key
-from jackdawspread.decisions.views import adopt_view, decode_views
-from jackdawspread.decisions.write_outcome import WriteOutcome
+from jackdawspread.decisions.control.seats import adopt_seats, row_key
+from jackdawspread.decisions.control.views import adopt_view, decode_views
+from jackdawspread.decisions.owner.write_outcome import WriteOutcome
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.platform_call import PlatformCall
 from jackdawspread.messages.platform_outcome import PlatformOutcome
--- a/src/jackdawspread/decisions/platform_writes.py
+++ b/src/jackdawspread/decisions/control/platform_writes.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterable
 from typing import Any
 
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep
-from jackdawspread.decisions.pending_call import PendingCall
-from jackdawspread.decisions.platform_row import PlatformRow
-from jackdawspread.decisions.platform_write import PlatformWrite
-from jackdawspread.decisions.write_outcome import WriteOutcome
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep
+from jackdawspread.decisions.control.pending_call import PendingCall
+from jackdawspread.decisions.control.platform_row import PlatformRow
+from jackdawspread.decisions.control.platform_write import PlatformWrite
+from jackdawspread.decisions.owner.write_outcome import WriteOutcome
 from jackdawspread.messages.platform_call import PlatformCall
 
 ABSENT = PlatformRow(0, {})
--- a/src/jackdawspread/decisions/seat_roles.py
+++ b/src/jackdawspread/decisions/control/seat_roles.py
@@ -1,10 +1,10 @@
 """What the seat of an instance allows it to do."""
 
-from jackdawspread.decisions.authority import authority_deadline
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_timing import AUTHORITY_S, SEAT_SILENT_S
-from jackdawspread.decisions.seat_hashing import seat_limit
-from jackdawspread.decisions.seat_state import NO_SEATS, SeatState
+from jackdawspread.decisions.control.authority import authority_deadline
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_timing import AUTHORITY_S, SEAT_SILENT_S
+from jackdawspread.decisions.control.seat_hashing import seat_limit
+from jackdawspread.decisions.control.seat_state import NO_SEATS, SeatState
 from jackdawspread.messages.seat_assignment import SeatAssignment
 
 
--- a/src/jackdawspread/decisions/seats.py
+++ b/src/jackdawspread/decisions/control/seats.py
@@ -2,15 +2,19 @@
 
 from typing import Any
 
-from jackdawspread.decisions.authority import has_authority
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.control_timing import AUTHORITY_S, SEAT_CONFIRM_S, SETTLE_S
-from jackdawspread.decisions.heartbeats import to_peers
-from jackdawspread.decisions.platform_writes import start_write
-from jackdawspread.decisions.seat_hashing import choose_seats
-from jackdawspread.decisions.seat_roles import connection_limit
-from jackdawspread.decisions.seat_state import NO_SEATS, SeatState
+from jackdawspread.decisions.control.authority import has_authority
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep, Effect
+from jackdawspread.decisions.control.control_timing import (
+    AUTHORITY_S,
+    SEAT_CONFIRM_S,
+    SETTLE_S,
+)
+from jackdawspread.decisions.control.heartbeats import to_peers
+from jackdawspread.decisions.control.platform_writes import start_write
+from jackdawspread.decisions.control.seat_hashing import choose_seats
+from jackdawspread.decisions.control.seat_roles import connection_limit
+from jackdawspread.decisions.control.seat_state import NO_SEATS, SeatState
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.peer_send import PeerSend
 from jackdawspread.messages.seat_confirmation import SeatConfirmation
--- a/src/jackdawspread/decisions/view_changes.py
+++ b/src/jackdawspread/decisions/control/view_changes.py
@@ -1,26 +1,29 @@
 """Proposals and promises of view changes."""
 
-from jackdawspread.decisions.authority import change_quorum
-from jackdawspread.decisions.configuration_changes import with_withdrawals
-from jackdawspread.decisions.configuration_store import (
+from jackdawspread.decisions.control.authority import change_quorum
+from jackdawspread.decisions.control.configuration_changes import with_withdrawals
+from jackdawspread.decisions.control.configuration_store import (
     KEY,
     is_being_stored,
     is_row_current,
     next_version,
 )
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.control_timing import (
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep, Effect
+from jackdawspread.decisions.control.control_timing import (
     MEMBER_SILENT_S,
     PLATFORM_FRESH_S,
     PROMISE_PENDING_S,
     PROPOSAL_REPEAT_S,
     PROPOSAL_S,
 )
-from jackdawspread.decisions.platform_writes import start_write
-from jackdawspread.decisions.view_proposal import ViewProposal
-from jackdawspread.decisions.views import decode_views, encode_view
-from jackdawspread.decisions.withdrawal_knowledge import has_unread_keys, learn_key_ids
+from jackdawspread.decisions.control.platform_writes import start_write
+from jackdawspread.decisions.control.view_proposal import ViewProposal
+from jackdawspread.decisions.control.views import decode_views, encode_view
+from jackdawspread.decisions.control.withdrawal_knowledge import (
+    has_unread_keys,
+    learn_key_ids,
+)
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.peer_send import PeerSend
 from jackdawspread.messages.view import View
--- a/src/jackdawspread/decisions/views.py
+++ b/src/jackdawspread/decisions/control/views.py
@@ -3,9 +3,9 @@
 from itertools import pairwise
 from typing import Any
 
-from jackdawspread.decisions.control_state import NEVER, ControlState
-from jackdawspread.decisions.control_step import ControlStep
-from jackdawspread.decisions.control_timing import SETTLE_S
+from jackdawspread.decisions.control.control_state import NEVER, ControlState
+from jackdawspread.decisions.control.control_step import ControlStep
+from jackdawspread.decisions.control.control_timing import SETTLE_S
 from jackdawspread.messages.control_log import ControlLog
 from jackdawspread.messages.view import View
 from jackdawspread.messages.view_member import ViewMember
--- a/src/jackdawspread/decisions/withdrawal_knowledge.py
+++ b/src/jackdawspread/decisions/control/withdrawal_knowledge.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_timing import WITHDRAWAL_TAKEOVER_S
-from jackdawspread.decisions.withdrawal import Withdrawal
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_timing import WITHDRAWAL_TAKEOVER_S
+from jackdawspread.decisions.control.withdrawal import Withdrawal
 
 
 def is_stored(state: ControlState, key_id: str) -> bool:
--- a/src/jackdawspread/decisions/withdrawals.py
+++ b/src/jackdawspread/decisions/control/withdrawals.py
@@ -1,20 +1,23 @@
 """Withdrawals of keys until the configuration shows them."""
 
-from jackdawspread.decisions.authority import change_quorum
-from jackdawspread.decisions.configuration_changes import refuse, with_withdrawals
-from jackdawspread.decisions.configuration_store import (
+from jackdawspread.decisions.control.authority import change_quorum
+from jackdawspread.decisions.control.configuration_changes import (
+    refuse,
+    with_withdrawals,
+)
+from jackdawspread.decisions.control.configuration_store import (
     KEY,
     is_being_stored,
     is_row_current,
     store,
 )
-from jackdawspread.decisions.control_state import ControlState
-from jackdawspread.decisions.control_step import ControlStep, Effect
-from jackdawspread.decisions.control_timing import WITHDRAWAL_ANSWER_S
-from jackdawspread.decisions.heartbeats import to_peers
-from jackdawspread.decisions.platform_writes import ABSENT
-from jackdawspread.decisions.withdrawal import Withdrawal
-from jackdawspread.decisions.withdrawal_knowledge import (
+from jackdawspread.decisions.control.control_state import ControlState
+from jackdawspread.decisions.control.control_step import ControlStep, Effect
+from jackdawspread.decisions.control.control_timing import WITHDRAWAL_ANSWER_S
+from jackdawspread.decisions.control.heartbeats import to_peers
+from jackdawspread.decisions.control.platform_writes import ABSENT
+from jackdawspread.decisions.control.withdrawal import Withdrawal
+from jackdawspread.decisions.control.withdrawal_knowledge import (
     is_stored,
     learn_key_ids,
     may_confirm,
--- /dev/null
+++ b/src/jackdawspread/decisions/owner/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the owner of a database."""
--- a/src/jackdawspread/decisions/confirmation.py
+++ b/src/jackdawspread/decisions/owner/confirmation.py
@@ -1,6 +1,6 @@
 """Confirmation of binding writes by a second member."""
 
-from jackdawspread.decisions.confirmation_state import ConfirmationState
+from jackdawspread.decisions.owner.confirmation_state import ConfirmationState
 from jackdawspread.messages.position import Position
 
 # A second call takes the writes that arrive while the first one waits.
--- a/src/jackdawspread/decisions/fair_queue_state.py
+++ b/src/jackdawspread/decisions/owner/fair_queue_state.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from jackdawspread.decisions.queued_request import QueuedRequest
+from jackdawspread.decisions.owner.queued_request import QueuedRequest
 
 
 class FairQueueState(NamedTuple):
--- a/src/jackdawspread/decisions/placement.py
+++ b/src/jackdawspread/decisions/owner/placement.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from jackdawspread.decisions.read_target import ReadTarget
+from jackdawspread.decisions.owner.read_target import ReadTarget
 
 
 class Placement(NamedTuple):
--- a/src/jackdawspread/decisions/pool.py
+++ b/src/jackdawspread/decisions/owner/pool.py
@@ -1,6 +1,6 @@
 """Sharing of a member's connections among statements."""
 
-from jackdawspread.decisions.pool_state import PoolState
+from jackdawspread.decisions.owner.pool_state import PoolState
 
 CONTROL_CONNECTIONS = 1
 # The member may still count a connection that was just closed here.
--- a/src/jackdawspread/decisions/probe_answered.py
+++ b/src/jackdawspread/decisions/owner/probe_answered.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from jackdawspread.decisions.member_status import MemberStatus
+from jackdawspread.decisions.owner.member_status import MemberStatus
 
 
 class ProbeAnswered(NamedTuple):
--- a/src/jackdawspread/decisions/promotion.py
+++ b/src/jackdawspread/decisions/owner/promotion.py
@@ -2,26 +2,26 @@
 
 from functools import singledispatch
 
-from jackdawspread.decisions.member_status import MemberStatus
-from jackdawspread.decisions.open_answered import OpenAnswered
-from jackdawspread.decisions.primary_suspected import PrimarySuspected
-from jackdawspread.decisions.probe_answered import ProbeAnswered
-from jackdawspread.decisions.probe_missed import ProbeMissed
-from jackdawspread.decisions.promise_received import PromiseReceived
-from jackdawspread.decisions.promotion_effect import PromotionEffect
-from jackdawspread.decisions.promotion_phase import PromotionPhase
-from jackdawspread.decisions.promotion_state import PromotionState
-from jackdawspread.decisions.promotion_steps import (
+from jackdawspread.decisions.owner.member_status import MemberStatus
+from jackdawspread.decisions.owner.open_answered import OpenAnswered
+from jackdawspread.decisions.owner.primary_suspected import PrimarySuspected
+from jackdawspread.decisions.owner.probe_answered import ProbeAnswered
+from jackdawspread.decisions.owner.probe_missed import ProbeMissed
+from jackdawspread.decisions.owner.promise_received import PromiseReceived
+from jackdawspread.decisions.owner.promotion_effect import PromotionEffect
+from jackdawspread.decisions.owner.promotion_phase import PromotionPhase
+from jackdawspread.decisions.owner.promotion_state import PromotionState
+from jackdawspread.decisions.owner.promotion_steps import (
     adopt_term,
     advance,
     choose_and_open,
     note_promise,
     put_in_force,
 )
-from jackdawspread.decisions.send_follow import SendFollow
-from jackdawspread.decisions.step_lost import StepLost
-from jackdawspread.decisions.suspicion_cleared import SuspicionCleared
-from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.decisions.owner.send_follow import SendFollow
+from jackdawspread.decisions.owner.step_lost import StepLost
+from jackdawspread.decisions.owner.suspicion_cleared import SuspicionCleared
+from jackdawspread.decisions.owner.time_passed import TimePassed
 from jackdawspread.messages.seat_assignment import SeatAssignment
 from jackdawspread.messages.term_announcement import TermAnnouncement
 
--- a/src/jackdawspread/decisions/promotion_reason.py
+++ b/src/jackdawspread/decisions/owner/promotion_reason.py
@@ -1,6 +1,6 @@
 """Reasons for replacing the primary."""
 
-from jackdawspread.decisions.promotion_state import PromotionState
+from jackdawspread.decisions.owner.promotion_state import PromotionState
 
 MISSES_TO_REPLACE = 2
 # A replica that heard the primary this recently shows that the fault may lie
--- a/src/jackdawspread/decisions/promotion_state.py
+++ b/src/jackdawspread/decisions/owner/promotion_state.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from jackdawspread.decisions.member_status import MemberStatus
-from jackdawspread.decisions.promotion_phase import PromotionPhase
+from jackdawspread.decisions.owner.member_status import MemberStatus
+from jackdawspread.decisions.owner.promotion_phase import PromotionPhase
 from jackdawspread.messages.position import Position
 
 
--- a/src/jackdawspread/decisions/promotion_steps.py
+++ b/src/jackdawspread/decisions/owner/promotion_steps.py
@@ -1,16 +1,16 @@
 """Steps of a promotion."""
 
-from jackdawspread.decisions.owner_term import next_own_term
-from jackdawspread.decisions.promotion_effect import PromotionEffect
-from jackdawspread.decisions.promotion_failed import PromotionFailed
-from jackdawspread.decisions.promotion_phase import PromotionPhase
-from jackdawspread.decisions.promotion_reason import promotion_reason
-from jackdawspread.decisions.promotion_started import PromotionStarted
-from jackdawspread.decisions.promotion_state import PromotionState
-from jackdawspread.decisions.send_follow import SendFollow
-from jackdawspread.decisions.send_open import SendOpen
-from jackdawspread.decisions.send_prepare import SendPrepare
-from jackdawspread.decisions.term_in_force import TermInForce
+from jackdawspread.decisions.owner.owner_term import next_own_term
+from jackdawspread.decisions.owner.promotion_effect import PromotionEffect
+from jackdawspread.decisions.owner.promotion_failed import PromotionFailed
+from jackdawspread.decisions.owner.promotion_phase import PromotionPhase
+from jackdawspread.decisions.owner.promotion_reason import promotion_reason
+from jackdawspread.decisions.owner.promotion_started import PromotionStarted
+from jackdawspread.decisions.owner.promotion_state import PromotionState
+from jackdawspread.decisions.owner.send_follow import SendFollow
+from jackdawspread.decisions.owner.send_open import SendOpen
+from jackdawspread.decisions.owner.send_prepare import SendPrepare
+from jackdawspread.decisions.owner.term_in_force import TermInForce
 
 # A step repeats within this time; then a new round starts with a higher term.
 STEP_SECONDS = 0.6
--- a/src/jackdawspread/decisions/read_choice.py
+++ b/src/jackdawspread/decisions/owner/read_choice.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable, Sequence
 from math import inf
 
-from jackdawspread.decisions.position_sample import PositionSample
-from jackdawspread.decisions.read_candidate import ReadCandidate
-from jackdawspread.decisions.read_target import ReadTarget
+from jackdawspread.decisions.owner.position_sample import PositionSample
+from jackdawspread.decisions.owner.read_candidate import ReadCandidate
+from jackdawspread.decisions.owner.read_target import ReadTarget
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.routed_request import RoutedRequest
 
--- a/src/jackdawspread/decisions/repeat_request.py
+++ b/src/jackdawspread/decisions/owner/repeat_request.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.running_request import RunningRequest
 
 
 class RepeatRequest(NamedTuple):
--- /dev/null
+++ b/src/jackdawspread/decisions/owner/request_effect.py
@@ -0,0 +1,7 @@
+"""Effects of a member's answer on a request."""
+
+from jackdawspread.decisions.owner.await_confirmation import AwaitConfirmation
+from jackdawspread.decisions.owner.finish_request import FinishRequest
+from jackdawspread.decisions.owner.repeat_request import RepeatRequest
+
+RequestEffect = FinishRequest | AwaitConfirmation | RepeatRequest
--- a/src/jackdawspread/decisions/request_outcome.py
+++ b/src/jackdawspread/decisions/owner/request_outcome.py
@@ -4,14 +4,14 @@
 
 from expression import Error, Ok
 
-from jackdawspread.decisions.await_confirmation import AwaitConfirmation
-from jackdawspread.decisions.finish_request import FinishRequest
-from jackdawspread.decisions.member_answer import MemberAnswer
-from jackdawspread.decisions.member_refusal import MemberRefusal
-from jackdawspread.decisions.member_silence import MemberSilence
-from jackdawspread.decisions.repeat_request import RepeatRequest
-from jackdawspread.decisions.request_effect import RequestEffect
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.await_confirmation import AwaitConfirmation
+from jackdawspread.decisions.owner.finish_request import FinishRequest
+from jackdawspread.decisions.owner.member_answer import MemberAnswer
+from jackdawspread.decisions.owner.member_refusal import MemberRefusal
+from jackdawspread.decisions.owner.member_silence import MemberSilence
+from jackdawspread.decisions.owner.repeat_request import RepeatRequest
+from jackdawspread.decisions.owner.request_effect import RequestEffect
+from jackdawspread.decisions.owner.running_request import RunningRequest
 from jackdawspread.messages.answer import Answer
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.ran import Ran
--- a/src/jackdawspread/decisions/request_queue.py
+++ b/src/jackdawspread/decisions/owner/request_queue.py
@@ -5,9 +5,9 @@
 from math import inf
 from typing import Any
 
-from jackdawspread.decisions.fair_queue_state import FairQueueState
-from jackdawspread.decisions.fifo_queue_state import FifoQueueState
-from jackdawspread.decisions.queued_request import QueuedRequest
+from jackdawspread.decisions.owner.fair_queue_state import FairQueueState
+from jackdawspread.decisions.owner.fifo_queue_state import FifoQueueState
+from jackdawspread.decisions.owner.queued_request import QueuedRequest
 
 RequestQueue = FairQueueState | FifoQueueState
 
--- a/src/jackdawspread/decisions/retry_budget.py
+++ b/src/jackdawspread/decisions/owner/retry_budget.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 from typing import Any, NamedTuple
 
-from jackdawspread.decisions.unlimited_retries import UnlimitedRetries
+from jackdawspread.decisions.owner.unlimited_retries import UnlimitedRetries
 
 PERCENT_PER_RETRY = 100
 INITIAL_RETRIES = 10
--- a/src/jackdawspread/decisions/transaction_check.py
+++ b/src/jackdawspread/decisions/owner/transaction_check.py
@@ -1,7 +1,7 @@
 """Checks and lifetime of interactive transactions."""
 
-from jackdawspread.decisions.request_check import refuse
-from jackdawspread.decisions.transaction import Transaction
+from jackdawspread.decisions.owner.request_check import refuse
+from jackdawspread.decisions.owner.transaction import Transaction
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.routed_request import RoutedRequest
 
--- /dev/null
+++ b/src/jackdawspread/decisions/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about rates and bursts."""
--- a/src/jackdawspread/decisions/rate_bucket.py
+++ b/src/jackdawspread/decisions/rates/rate_bucket.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from jackdawspread.decisions.rate_share import RateShare
+from jackdawspread.decisions.rates.rate_share import RateShare
 
 
 class RateBucket(NamedTuple):
--- a/src/jackdawspread/decisions/rate_limiter.py
+++ b/src/jackdawspread/decisions/rates/rate_limiter.py
@@ -3,17 +3,17 @@
 from functools import singledispatch
 from typing import NamedTuple
 
-from jackdawspread.decisions.admit_request import AdmitRequest
-from jackdawspread.decisions.ask_peer import AskPeer
-from jackdawspread.decisions.grant_arrived import GrantArrived
-from jackdawspread.decisions.grant_peer import GrantPeer
-from jackdawspread.decisions.peer_asked import PeerAsked
-from jackdawspread.decisions.rate_bucket import RateBucket, grant, refill, spend
-from jackdawspread.decisions.rate_due import RateDue
-from jackdawspread.decisions.rate_share import RateShare
-from jackdawspread.decisions.refuse_request import RefuseRequest
-from jackdawspread.decisions.request_arrived import RequestArrived
-from jackdawspread.decisions.waiting_request import WaitingRequest
+from jackdawspread.decisions.rates.admit_request import AdmitRequest
+from jackdawspread.decisions.rates.ask_peer import AskPeer
+from jackdawspread.decisions.rates.grant_arrived import GrantArrived
+from jackdawspread.decisions.rates.grant_peer import GrantPeer
+from jackdawspread.decisions.rates.peer_asked import PeerAsked
+from jackdawspread.decisions.rates.rate_bucket import RateBucket, grant, refill, spend
+from jackdawspread.decisions.rates.rate_due import RateDue
+from jackdawspread.decisions.rates.rate_share import RateShare
+from jackdawspread.decisions.rates.refuse_request import RefuseRequest
+from jackdawspread.decisions.rates.request_arrived import RequestArrived
+from jackdawspread.decisions.rates.waiting_request import WaitingRequest
 
 RateEffect = AdmitRequest | RefuseRequest | AskPeer | GrantPeer
 
--- a/src/jackdawspread/tasks/confirmer.py
+++ b/src/jackdawspread/tasks/confirmer.py
@@ -2,17 +2,17 @@
 
 from absl import logging
 
-from jackdawspread.decisions.confirm_call import ConfirmCall
-from jackdawspread.decisions.confirmation import (
+from jackdawspread.decisions.owner.confirm_call import ConfirmCall
+from jackdawspread.decisions.owner.confirmation import (
     note_answered,
     note_asked,
     note_held,
     position_to_ask,
     take_confirmed,
 )
-from jackdawspread.decisions.confirmation_state import no_confirmations
-from jackdawspread.decisions.member_status import MemberStatus
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.confirmation_state import no_confirmations
+from jackdawspread.decisions.owner.member_status import MemberStatus
+from jackdawspread.decisions.owner.running_request import RunningRequest
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.messages.position import Position
 from jackdawspread.tasks.connection_set import ConnectionSet
--- a/src/jackdawspread/tasks/connection_set.py
+++ b/src/jackdawspread/tasks/connection_set.py
@@ -13,7 +13,7 @@
     open_memory_channel,
 )
 
-from jackdawspread.decisions.member_call import MemberCall
+from jackdawspread.decisions.owner.member_call import MemberCall
 from jackdawspread.messages.http_call import HttpCall
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.tasks.connection_task import ConnectionFactory
--- a/src/jackdawspread/tasks/control_link.py
+++ b/src/jackdawspread/tasks/control_link.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from jackdawspread.decisions.control_call import ControlCall
+from jackdawspread.decisions.owner.control_call import ControlCall
 
 
 class ControlLink(NamedTuple):
--- a/src/jackdawspread/tasks/control_task.py
+++ b/src/jackdawspread/tasks/control_task.py
@@ -13,9 +13,16 @@
     current_time,
 )
 
-from jackdawspread.decisions.control_decision import ControlEvent, decide, first_state
-from jackdawspread.decisions.control_status import snapshot
-from jackdawspread.decisions.seat_roles import independent_assignment, seat_assignment
+from jackdawspread.decisions.control.control_decision import (
+    ControlEvent,
+    decide,
+    first_state,
+)
+from jackdawspread.decisions.control.control_status import snapshot
+from jackdawspread.decisions.control.seat_roles import (
+    independent_assignment,
+    seat_assignment,
+)
 from jackdawspread.messages.admin_result import AdminResult
 from jackdawspread.messages.admin_submission import AdminSubmission
 from jackdawspread.messages.control_log import ControlLog
--- a/src/jackdawspread/tasks/database_owner.py
+++ b/src/jackdawspread/tasks/database_owner.py
@@ -16,11 +16,11 @@
     open_nursery,
 )
 
-from jackdawspread.decisions.confirm_call import ConfirmCall
-from jackdawspread.decisions.control_call import ControlCall
-from jackdawspread.decisions.pool_call import PoolCall
-from jackdawspread.decisions.promotion_effect import PromotionEffect
-from jackdawspread.decisions.statement_call import StatementCall
+from jackdawspread.decisions.owner.confirm_call import ConfirmCall
+from jackdawspread.decisions.owner.control_call import ControlCall
+from jackdawspread.decisions.owner.pool_call import PoolCall
+from jackdawspread.decisions.owner.promotion_effect import PromotionEffect
+from jackdawspread.decisions.owner.statement_call import StatementCall
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.messages.routed_submission import RoutedSubmission
--- a/src/jackdawspread/tasks/member_pools.py
+++ b/src/jackdawspread/tasks/member_pools.py
@@ -1,6 +1,6 @@
 """Connection pools of one owner."""
 
-from jackdawspread.decisions.pool import (
+from jackdawspread.decisions.owner.pool import (
     connections_to_open,
     due_for_check,
     forget,
@@ -10,8 +10,8 @@
     surplus_connections,
     take_idle,
 )
-from jackdawspread.decisions.pool_call import PoolCall
-from jackdawspread.decisions.pool_state import PoolState
+from jackdawspread.decisions.owner.pool_call import PoolCall
+from jackdawspread.decisions.owner.pool_state import PoolState
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.settings.database_settings import DatabaseSettings
 from jackdawspread.tasks.connection_set import ConnectionSet
--- a/src/jackdawspread/tasks/member_watch.py
+++ b/src/jackdawspread/tasks/member_watch.py
@@ -7,20 +7,20 @@
 from absl import logging
 
 from jackdawspread.codecs.member_protocol import decode_position, decode_status
-from jackdawspread.decisions.control_call import ControlCall
-from jackdawspread.decisions.open_answered import OpenAnswered
-from jackdawspread.decisions.probe_answered import ProbeAnswered
-from jackdawspread.decisions.probe_missed import ProbeMissed
-from jackdawspread.decisions.promise_received import PromiseReceived
-from jackdawspread.decisions.promotion import handle_promotion_event
-from jackdawspread.decisions.promotion_effect import PromotionEffect
-from jackdawspread.decisions.promotion_event import PromotionEvent
-from jackdawspread.decisions.promotion_state import watch_members
-from jackdawspread.decisions.send_follow import SendFollow
-from jackdawspread.decisions.send_open import SendOpen
-from jackdawspread.decisions.send_prepare import SendPrepare
-from jackdawspread.decisions.step_lost import StepLost
-from jackdawspread.decisions.time_passed import TimePassed
+from jackdawspread.decisions.owner.control_call import ControlCall
+from jackdawspread.decisions.owner.open_answered import OpenAnswered
+from jackdawspread.decisions.owner.probe_answered import ProbeAnswered
+from jackdawspread.decisions.owner.probe_missed import ProbeMissed
+from jackdawspread.decisions.owner.promise_received import PromiseReceived
+from jackdawspread.decisions.owner.promotion import handle_promotion_event
+from jackdawspread.decisions.owner.promotion_effect import PromotionEffect
+from jackdawspread.decisions.owner.promotion_event import PromotionEvent
+from jackdawspread.decisions.owner.promotion_state import watch_members
+from jackdawspread.decisions.owner.send_follow import SendFollow
+from jackdawspread.decisions.owner.send_open import SendOpen
+from jackdawspread.decisions.owner.send_prepare import SendPrepare
+from jackdawspread.decisions.owner.step_lost import StepLost
+from jackdawspread.decisions.owner.time_passed import TimePassed
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.settings.database_settings import DatabaseSettings
 from jackdawspread.tasks.connection_set import ConnectionSet
--- a/src/jackdawspread/tasks/owner_core.py
+++ b/src/jackdawspread/tasks/owner_core.py
@@ -6,18 +6,18 @@
 from absl import logging
 from trio import MemorySendChannel, Nursery
 
-from jackdawspread.decisions.control_call import ControlCall
-from jackdawspread.decisions.member_call import MemberCall
-from jackdawspread.decisions.primary_suspected import PrimarySuspected
-from jackdawspread.decisions.promotion_failed import PromotionFailed
-from jackdawspread.decisions.promotion_started import PromotionStarted
-from jackdawspread.decisions.promotion_state import is_in_force
-from jackdawspread.decisions.send_follow import SendFollow
-from jackdawspread.decisions.send_open import SendOpen
-from jackdawspread.decisions.send_prepare import SendPrepare
-from jackdawspread.decisions.statement_call import StatementCall
-from jackdawspread.decisions.suspicion_cleared import SuspicionCleared
-from jackdawspread.decisions.term_in_force import TermInForce
+from jackdawspread.decisions.owner.control_call import ControlCall
+from jackdawspread.decisions.owner.member_call import MemberCall
+from jackdawspread.decisions.owner.primary_suspected import PrimarySuspected
+from jackdawspread.decisions.owner.promotion_failed import PromotionFailed
+from jackdawspread.decisions.owner.promotion_started import PromotionStarted
+from jackdawspread.decisions.owner.promotion_state import is_in_force
+from jackdawspread.decisions.owner.send_follow import SendFollow
+from jackdawspread.decisions.owner.send_open import SendOpen
+from jackdawspread.decisions.owner.send_prepare import SendPrepare
+from jackdawspread.decisions.owner.statement_call import StatementCall
+from jackdawspread.decisions.owner.suspicion_cleared import SuspicionCleared
+from jackdawspread.decisions.owner.term_in_force import TermInForce
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.messages.term_announcement import TermAnnouncement
 from jackdawspread.settings.database_settings import DatabaseSettings
--- a/src/jackdawspread/tasks/owner_policy.py
+++ b/src/jackdawspread/tasks/owner_policy.py
@@ -2,11 +2,11 @@
 
 from typing import NamedTuple
 
-from jackdawspread.decisions.fair_queue_state import empty_fair_queue
-from jackdawspread.decisions.fifo_queue_state import empty_fifo_queue
-from jackdawspread.decisions.request_queue import RequestQueue
-from jackdawspread.decisions.retry_budget import Retries, RetryBudget
-from jackdawspread.decisions.unlimited_retries import UnlimitedRetries
+from jackdawspread.decisions.owner.fair_queue_state import empty_fair_queue
+from jackdawspread.decisions.owner.fifo_queue_state import empty_fifo_queue
+from jackdawspread.decisions.owner.request_queue import RequestQueue
+from jackdawspread.decisions.owner.retry_budget import Retries, RetryBudget
+from jackdawspread.decisions.owner.unlimited_retries import UnlimitedRetries
 from jackdawspread.settings.experiment_settings import ExperimentSettings
 
 
--- a/src/jackdawspread/tasks/placer.py
+++ b/src/jackdawspread/tasks/placer.py
@@ -2,15 +2,18 @@
 
 from math import inf
 
-from jackdawspread.decisions.member_status import MemberStatus
-from jackdawspread.decisions.placement import Placement
-from jackdawspread.decisions.position_sample import PositionSample
-from jackdawspread.decisions.promotion_state import PromotionState, is_primary_usable
-from jackdawspread.decisions.read_candidate import ReadCandidate
-from jackdawspread.decisions.read_choice import choose_read_target, data_age
-from jackdawspread.decisions.read_target import ReadTarget
-from jackdawspread.decisions.request_outcome import IN_TRANSACTION
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.member_status import MemberStatus
+from jackdawspread.decisions.owner.placement import Placement
+from jackdawspread.decisions.owner.position_sample import PositionSample
+from jackdawspread.decisions.owner.promotion_state import (
+    PromotionState,
+    is_primary_usable,
+)
+from jackdawspread.decisions.owner.read_candidate import ReadCandidate
+from jackdawspread.decisions.owner.read_choice import choose_read_target, data_age
+from jackdawspread.decisions.owner.read_target import ReadTarget
+from jackdawspread.decisions.owner.request_outcome import IN_TRANSACTION
+from jackdawspread.decisions.owner.running_request import RunningRequest
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.request_kind import RequestKind
 from jackdawspread.tasks.member_pools import MemberPools
--- a/src/jackdawspread/tasks/rate_limits.py
+++ b/src/jackdawspread/tasks/rate_limits.py
@@ -6,22 +6,22 @@
 from absl import logging
 from trio import MemorySendChannel, WouldBlock
 
-from jackdawspread.decisions.admit_request import AdmitRequest
-from jackdawspread.decisions.ask_peer import AskPeer
-from jackdawspread.decisions.effective_limits import effective_limits
-from jackdawspread.decisions.grant_arrived import GrantArrived
-from jackdawspread.decisions.grant_peer import GrantPeer
-from jackdawspread.decisions.peer_asked import PeerAsked
-from jackdawspread.decisions.rate_bucket import RateBucket, refill
-from jackdawspread.decisions.rate_due import RateDue
-from jackdawspread.decisions.rate_limiter import (
+from jackdawspread.decisions.control.effective_limits import effective_limits
+from jackdawspread.decisions.rates.admit_request import AdmitRequest
+from jackdawspread.decisions.rates.ask_peer import AskPeer
+from jackdawspread.decisions.rates.grant_arrived import GrantArrived
+from jackdawspread.decisions.rates.grant_peer import GrantPeer
+from jackdawspread.decisions.rates.peer_asked import PeerAsked
+from jackdawspread.decisions.rates.rate_bucket import RateBucket, refill
+from jackdawspread.decisions.rates.rate_due import RateDue
+from jackdawspread.decisions.rates.rate_limiter import (
     RateLimiter,
     decide_rate,
     next_rate_deadline,
 )
-from jackdawspread.decisions.rate_share import RateShare, rate_share
-from jackdawspread.decisions.refuse_request import RefuseRequest
-from jackdawspread.decisions.request_arrived import RequestArrived
+from jackdawspread.decisions.rates.rate_share import RateShare, rate_share
+from jackdawspread.decisions.rates.refuse_request import RefuseRequest
+from jackdawspread.decisions.rates.request_arrived import RequestArrived
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.peer_received import PeerReceived
 from jackdawspread.messages.peer_send import PeerSend
--- a/src/jackdawspread/tasks/repeat_list.py
+++ b/src/jackdawspread/tasks/repeat_list.py
@@ -1,6 +1,6 @@
 """Requests that wait to be sent again."""
 
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.running_request import RunningRequest
 
 
 class RepeatList:
--- a/src/jackdawspread/tasks/reply_book.py
+++ b/src/jackdawspread/tasks/reply_book.py
@@ -3,8 +3,8 @@
 from expression import Error
 from trio import BrokenResourceError, ClosedResourceError, Nursery, WouldBlock
 
-from jackdawspread.decisions.request_check import refuse
-from jackdawspread.decisions.waiting_reply import WaitingReply
+from jackdawspread.decisions.owner.request_check import refuse
+from jackdawspread.decisions.owner.waiting_reply import WaitingReply
 from jackdawspread.messages.reply import Reply
 from jackdawspread.messages.routed_reply import RoutedReply
 from jackdawspread.messages.routed_submission import RoutedSubmission
--- a/src/jackdawspread/tasks/request_finisher.py
+++ b/src/jackdawspread/tasks/request_finisher.py
@@ -6,27 +6,27 @@
 from expression import Ok
 
 from jackdawspread.codecs.member_protocol import MemberOutcome, decode_outcome
-from jackdawspread.decisions.await_confirmation import AwaitConfirmation
-from jackdawspread.decisions.finish_request import FinishRequest
-from jackdawspread.decisions.member_answer import MemberAnswer
-from jackdawspread.decisions.member_refusal import MemberRefusal
-from jackdawspread.decisions.promotion_state import PromotionState, is_in_force
-from jackdawspread.decisions.repeat_request import RepeatRequest
-from jackdawspread.decisions.request_effect import RequestEffect
-from jackdawspread.decisions.request_outcome import (
+from jackdawspread.decisions.owner.await_confirmation import AwaitConfirmation
+from jackdawspread.decisions.owner.finish_request import FinishRequest
+from jackdawspread.decisions.owner.member_answer import MemberAnswer
+from jackdawspread.decisions.owner.member_refusal import MemberRefusal
+from jackdawspread.decisions.owner.promotion_state import PromotionState, is_in_force
+from jackdawspread.decisions.owner.repeat_request import RepeatRequest
+from jackdawspread.decisions.owner.request_effect import RequestEffect
+from jackdawspread.decisions.owner.request_outcome import (
     after_outcome,
     ends_transaction,
     expire,
     is_pinned,
     repeat_in_new_term,
 )
-from jackdawspread.decisions.retry_budget import (
+from jackdawspread.decisions.owner.retry_budget import (
     Retries,
     count_request,
     take_retry,
 )
-from jackdawspread.decisions.running_request import RunningRequest
-from jackdawspread.decisions.statement_call import StatementCall
+from jackdawspread.decisions.owner.running_request import RunningRequest
+from jackdawspread.decisions.owner.statement_call import StatementCall
 from jackdawspread.messages.answer import Answer
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.messages.request_kind import RequestKind
--- a/src/jackdawspread/tasks/request_runner.py
+++ b/src/jackdawspread/tasks/request_runner.py
@@ -5,16 +5,16 @@
 
 from expression import Error
 
-from jackdawspread.decisions.promotion_state import PromotionState, is_in_force
-from jackdawspread.decisions.queued_request import QueuedRequest
-from jackdawspread.decisions.request_check import (
+from jackdawspread.decisions.owner.promotion_state import PromotionState, is_in_force
+from jackdawspread.decisions.owner.queued_request import QueuedRequest
+from jackdawspread.decisions.owner.request_check import (
     check_arrival,
     preset_in_force,
     refuse,
     workspace_weight,
 )
-from jackdawspread.decisions.request_outcome import IN_TRANSACTION
-from jackdawspread.decisions.request_queue import (
+from jackdawspread.decisions.owner.request_outcome import IN_TRANSACTION
+from jackdawspread.decisions.owner.request_queue import (
     RequestQueue,
     enqueue,
     heads,
@@ -23,7 +23,7 @@
     remove_expired,
     remove_head,
 )
-from jackdawspread.decisions.running_request import RunningRequest
+from jackdawspread.decisions.owner.running_request import RunningRequest
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.preset_document import PresetDocument
 from jackdawspread.messages.refusal import Refusal
--- a/src/jackdawspread/tasks/request_sender.py
+++ b/src/jackdawspread/tasks/request_sender.py
@@ -4,12 +4,15 @@
 from expression import Error
 
 from jackdawspread.codecs.member_protocol import encode_read, encode_statement
-from jackdawspread.decisions.placement import Placement
-from jackdawspread.decisions.promotion_state import PromotionState
-from jackdawspread.decisions.request_check import check_before_sending, preset_in_force
-from jackdawspread.decisions.request_outcome import expire, lose_transaction
-from jackdawspread.decisions.running_request import RunningRequest
-from jackdawspread.decisions.statement_call import StatementCall
+from jackdawspread.decisions.owner.placement import Placement
+from jackdawspread.decisions.owner.promotion_state import PromotionState
+from jackdawspread.decisions.owner.request_check import (
+    check_before_sending,
+    preset_in_force,
+)
+from jackdawspread.decisions.owner.request_outcome import expire, lose_transaction
+from jackdawspread.decisions.owner.running_request import RunningRequest
+from jackdawspread.decisions.owner.statement_call import StatementCall
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.request_kind import RequestKind
 from jackdawspread.tasks.owner_parts import OwnerParts
--- a/src/jackdawspread/tasks/transaction_table.py
+++ b/src/jackdawspread/tasks/transaction_table.py
@@ -4,9 +4,9 @@
 
 from absl import logging
 
-from jackdawspread.decisions.running_request import RunningRequest
-from jackdawspread.decisions.transaction import Transaction
-from jackdawspread.decisions.transaction_check import (
+from jackdawspread.decisions.owner.running_request import RunningRequest
+from jackdawspread.decisions.owner.transaction import Transaction
+from jackdawspread.decisions.owner.transaction_check import (
     IDLE_SECONDS,
     LONGEST_SECONDS,
     check_transaction,
