Bind the decisions about the configuration to the specification

Cause: the configuration was the one model without a binding; nothing showed that the decisions about lost answers, repeats and pushes are those that were checked. Change: a state machine drives two instances and the platform through submissions, writes, late and lost answers, repeats, polls and pushes, and compares row, applied versions and reported outcomes with the model after each step. Ruled out: driving the control task, which adds time and no decisions.

--- /dev/null
+++ b/features/binding/configuration_machine.py
@@ -0,0 +1,210 @@
+"""Real decisions in step with the model of the configuration."""
+
+from collections.abc import Callable
+from typing import Any
+
+from features.binding.control_play import ControlPlay
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from spec.configuration import actions
+from spec.configuration.model import MODEL, RULES
+from spec.configuration.state import State
+
+from jackdawspread.decisions.control.first_configuration import first_configuration
+from jackdawspread.decisions.control.views import encode_view
+from jackdawspread.messages.admin_answer import AdminAnswer
+from jackdawspread.messages.admin_change import AdminChange
+from jackdawspread.messages.configuration_push import ConfigurationPush
+from jackdawspread.messages.lost_race import LostRace
+from jackdawspread.messages.peer_received import PeerReceived
+from jackdawspread.messages.platform_outcome import PlatformOutcome
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.select_preset import SelectPreset
+from jackdawspread.messages.view import View
+from jackdawspread.messages.view_member import ViewMember
+
+INSTANCE = st.integers(0, 1)
+WHICH = st.integers(0, 50)
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Two instances store three changes, each the selection of its own preset."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.play = ControlPlay(2)
+        self.model: State = MODEL.initial
+        self.handled = 0
+        members = {f"i{index}": ViewMember(str(index), "zone") for index in range(2)}
+        document: dict[str, Any] = {**first_configuration(), "version": 1}
+        preset = document["preset_by_name"]["ordinary"]
+        document["preset_by_name"] = {str(number): preset for number in range(4)}
+        document["preset"] = "0"
+        view = encode_view(View(1, members))
+        body = {"expect": {}, "put": {"view": view, "configuration": document}}
+        self.play.platform.call("/table/transact", body)
+        for index in range(2):
+            self.play.read(index)
+
+    @rule(index=INSTANCE, number=st.integers(1, 3))
+    def submit(self, index: int, number: int) -> None:
+        """An operator asks for a change of the version that the instance has."""
+        state = self.play.states[index]
+        if self.model.changes[number - 1].expected >= 0 or state.admin_queue:
+            return
+        if not state.is_platform_up:
+            return
+        self.step(actions.submit, f"change={number} instance={index}")
+        version = state.configuration["version"]
+        change = AdminChange(str(number), SelectPreset(str(number)), version)
+        self.play.handle(index, change)
+        self.follow()
+
+    @rule(which=WHICH, is_lost=st.booleans())
+    def write(self, which: int, is_lost: bool) -> None:
+        """The platform carries a copy of a write out; its answer may be lost."""
+        writes = [
+            (index, call)
+            for index, call in self.play.writes
+            if list(call.body["put"]) == ["configuration"]
+        ]
+        if not writes:
+            return
+        index, call = writes[which % len(writes)]
+        number = int(call.body["put"]["configuration"]["preset"])
+        enabled = self.enabled(actions.write, f"change={number}")
+        status, body = self.play.platform.call(call.target, call.body)
+        assert (status == 200) == bool(enabled), (status, enabled)
+        if enabled:
+            self.model = enabled[0]
+        outcome = PlatformOutcome(call.id, status, body, True)
+        if is_lost:
+            outcome = PlatformOutcome(call.id, 0, {}, True)
+        self.play.handle(index, outcome)
+        self.follow()
+
+    @rule(which=WHICH)
+    def delay(self, which: int) -> None:
+        """A write is not answered in time; a copy may still arrive later."""
+        if self.play.writes:
+            index, call = self.play.writes[which % len(self.play.writes)]
+            self.play.handle(index, PlatformOutcome(call.id, 0, {}, True))
+            self.follow()
+
+    @rule(first=INSTANCE, number=st.integers(1, 3))
+    def repeat(self, first: int, number: int) -> None:
+        """A write that was delayed is repeated, and both copies arrive."""
+        self.poll(first)
+        self.submit(first, number)
+        self.delay(-1)
+        self.poll(first)
+        self.tick()
+        self.write(-2, True)
+        self.write(-1, False)
+        self.poll(first)
+
+    @rule(first=INSTANCE, numbers=st.permutations((1, 2, 3)))
+    def overtake(self, first: int, numbers: list[int]) -> None:
+        """A change is stored after another one whose answer was lost."""
+        for index, number, is_lost in (
+            (first, numbers[0], True),
+            (1 - first, numbers[1], False),
+        ):
+            self.poll(index)
+            self.submit(index, number)
+            self.write(-1, is_lost)
+        self.poll(first)
+
+    @rule(index=INSTANCE)
+    def poll(self, index: int) -> None:
+        """An instance reads the platform."""
+        self.play.read(index)
+        self.step(actions.poll, f"instance={index}")
+        self.follow()
+
+    @rule(which=WHICH)
+    def push(self, which: int) -> None:
+        """A push arrives, perhaps late or again."""
+        pushes = [
+            (sender, sent)
+            for sender, sent in self.play.sent
+            if isinstance(sent.message, ConfigurationPush)
+        ]
+        if not pushes:
+            return
+        sender, sent = pushes[which % len(pushes)]
+        index = int(sent.peer_address)
+        self.play.handle(index, PeerReceived(str(sender), sent.message))
+        version = sent.message.document["version"]
+        self.step(actions.push, f"instance={index} version={version}")
+        self.follow()
+
+    @rule()
+    def tick(self) -> None:
+        """Time passes; an instance gives a write up after a while."""
+        self.play.tick()
+        self.follow()
+
+    def follow(self) -> None:
+        """Take in the model what instances adopted and reported."""
+        for index, state in enumerate(self.play.states):
+            version = state.configuration["version"]
+            if version > self.model.instances[index].version:
+                self.step(actions.push, f"instance={index} version={version}")
+        for _, result in self.play.results[self.handled :]:
+            self.report(int(result.id), result.outcome)
+        self.handled = len(self.play.results)
+
+    def report(self, number: int, outcome: object) -> None:
+        """Report a change in the model; an unknown outcome stays open there."""
+        if isinstance(outcome, AdminAnswer | LostRace):
+            verdict = "accepted" if isinstance(outcome, AdminAnswer) else "refused"
+            self.step(actions.read_back, f"change={number} {verdict}")
+        else:
+            assert outcome.ran is Ran.UNKNOWN, outcome
+
+    @invariant()
+    def agrees(self) -> None:
+        """The row and what instances apply are those of the model."""
+        row = self.play.platform.rows["configuration"]["value"]
+        assert (row["version"], row["preset"]) == (
+            len(self.model.row),
+            str(self.model.row[-1]),
+        )
+        for known, state in zip(self.model.instances, self.play.states, strict=True):
+            document = state.configuration
+            found = (document["version"], document["preset"])
+            assert found == (known.version, str(known.preset)), (found, known)
+        for name, holds in MODEL.invariants.items():
+            assert holds(self.model), name
+
+    def step(self, action: Callable[..., Any], arguments: str) -> None:
+        """Take a step of the model that must be enabled."""
+        found = self.enabled(action, arguments)
+        assert found, f"{action.__name__} {arguments} is not enabled"
+        self.model = found[0]
+
+    def enabled(self, action: Callable[..., Any], arguments: str) -> list[State]:
+        """Return the states after a step with these arguments."""
+        steps = action(self.model, RULES)
+        return [after for name, after in steps if name == arguments]
+
+
+def check_configuration_binding() -> None:
+    """Run the machine with a fixed seed."""
+    run_state_machine_as_test(
+        ConfigurationMachine,
+        settings=settings(
+            max_examples=300,
+            stateful_step_count=40,
+            deadline=None,
+            database=None,
+            derandomize=True,
+        ),
+    )
--- a/features/control.feature
+++ b/features/control.feature
@@ -312,3 +312,7 @@
   Scenario: The decisions load without an event loop
     # Guards against decisions that a model checker cannot drive.
     Then the control decisions import neither trio nor a codec
+
+  Scenario: The decisions about the configuration keep step with the specification
+    # Guards against decisions that drift away from the model that was checked.
+    Then the decisions and the model of the configuration agree after every step
--- a/features/steps/control_binding_steps.py
+++ b/features/steps/control_binding_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then
 from behave.runner import Context
+from features.binding.configuration_machine import check_configuration_binding
 from features.binding.view_machine import check_view_binding
 from features.binding.withdrawal_machine import check_withdrawal_binding
 
@@ -14,3 +15,8 @@
 @then("the decisions and the model of a withdrawal agree after every step")
 def withdrawal_binding(context: Context) -> None:
     check_withdrawal_binding()
+
+
+@then("the decisions and the model of the configuration agree after every step")
+def configuration_binding(context: Context) -> None:
+    check_configuration_binding()
