Adapt three proofs to mechanisms that have moved or are guarded twice

Cause: a run of all proofs on the merged code had 3 of 21 fail: authority is now checked twice at the gateway, a request of 0.3 s is refused as overdue before its late grant matters, and the queue is chosen in another module. Change: the proof of authority lengthens it where it is computed; the late grant arrives after 0.1 s, past its lifetime but within the request's wait, which is stricter; the last one names the new module. Measured: the three and their promises again, 6 passed, 0 failed; the other 18 were noticed in the run before; features/rates.feature 10 scenarios passed. Ruled out: dropping the proofs.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -45,5 +45,5 @@
   Scenario: A grant that arrives after its deadline is discarded
     # Guards against an asker that was paused and uses a grant the granter no longer counts.
     Given a request that waits for a peer's grant
-    When the grant arrives 0.3 s after it was asked for
+    When the grant arrives 0.1 s after it was asked for
     Then the grant admits nothing
--- a/scripts/proofs/catalogue.py
+++ b/scripts/proofs/catalogue.py
@@ -78,11 +78,11 @@
     Proof(
         "withdrawn-key",
         "the loss of authority",
-        "decisions/admission.py",
-        "if now >= snapshot.authority_deadline:",
-        "if False:",
-        "gateway.feature",
-        "A request that may not run",
+        "decisions/control/authority.py",
+        "return max(vouched_at, state.platform_vouched_at) + AUTHORITY_S",
+        "return max(vouched_at, state.platform_vouched_at) + 1000 * AUTHORITY_S",
+        "control.feature",
+        "An isolated instance loses authority",
     ),
     Proof(
         "rate-and-burst",
@@ -186,11 +186,9 @@
     Proof(
         "no workspace crowds out the others",
         "fair queueing",
-        "tasks/database_owner.py",
-        "import empty_fair_queue\n",
-        "import empty_fair_queue as _\n"
-        "from jackdawspread.decisions.owner.fifo_queue_state "
-        "import empty_fifo_queue as empty_fair_queue\n",
+        "tasks/owner_policy.py",
+        "empty_fifo_queue() if is_fifo else empty_fair_queue()",
+        "empty_fifo_queue()",
         "owner.feature",
         "A flooding workspace",
     ),
