Share the model steps of the three control bindings

Change: features/binding/model_machine.py holds them once; steps, settings and assertions are unchanged. Ruled out: ModelRun of features/conformance, which has no step that must be enabled and would need every call site changed.

--- a/features/binding/configuration_machine.py
+++ b/features/binding/configuration_machine.py
@@ -1,16 +1,13 @@
 """Real decisions in step with the model of the configuration."""
 
-from collections.abc import Callable
 from typing import Any
 
 from features.binding.control_play import ControlPlay
-from hypothesis import settings
+from features.binding.model_machine import ModelMachine, check_binding
 from hypothesis import strategies as st
 from hypothesis.stateful import (
-    RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 from spec.configuration import actions
 from spec.configuration.model import MODEL, RULES
@@ -33,9 +30,11 @@
 WHICH = st.integers(0, 50)
 
 
-class ConfigurationMachine(RuleBasedStateMachine):
+class ConfigurationMachine(ModelMachine):
     """Two instances store three changes, each the selection of its own preset."""
 
+    model_rules = RULES
+
     def __init__(self) -> None:
         super().__init__()
         self.play = ControlPlay(2)
@@ -184,27 +183,7 @@
         for name, holds in MODEL.invariants.items():
             assert holds(self.model), name
 
-    def step(self, action: Callable[..., Any], arguments: str) -> None:
-        """Take a step of the model that must be enabled."""
-        found = self.enabled(action, arguments)
-        assert found, f"{action.__name__} {arguments} is not enabled"
-        self.model = found[0]
-
-    def enabled(self, action: Callable[..., Any], arguments: str) -> list[State]:
-        """Return the states after a step with these arguments."""
-        steps = action(self.model, RULES)
-        return [after for name, after in steps if name == arguments]
-
 
 def check_configuration_binding() -> None:
     """Run the machine with a fixed seed."""
-    run_state_machine_as_test(
-        ConfigurationMachine,
-        settings=settings(
-            max_examples=300,
-            stateful_step_count=40,
-            deadline=None,
-            database=None,
-            derandomize=True,
-        ),
-    )
+    check_binding(ConfigurationMachine)
--- a/features/binding/view_machine.py
+++ b/features/binding/view_machine.py
@@ -1,16 +1,11 @@
 """Real decisions in step with the model of the view."""
 
-from collections.abc import Callable
-from typing import Any
-
 from features.binding.control_play import ControlPlay
-from hypothesis import settings
+from features.binding.model_machine import ModelMachine, check_binding
 from hypothesis import strategies as st
 from hypothesis.stateful import (
-    RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 from spec.view import actions
 from spec.view.model import MEMBER, NEWCOMER, RULES, within_whole
@@ -34,9 +29,11 @@
 NEWCOMER_INDEX = 2
 
 
-class ViewMachine(RuleBasedStateMachine):
+class ViewMachine(ModelMachine):
     """Joins and removes instance 2 while the others lag."""
 
+    model_rules = RULES
+
     def __init__(self) -> None:
         super().__init__()
         self.play = ControlPlay(3)
@@ -202,32 +199,7 @@
         instance = self.model.instances[index]._replace(asked=0, vouchers=0)
         self.model = actions.with_instance(self.model, index, instance)
 
-    def step(self, action: Callable[..., Any], arguments: str) -> None:
-        """Take a step of the model that must be enabled."""
-        found = self.enabled(action, arguments)
-        assert found, f"{action.__name__} {arguments} is not enabled"
-        self.model = found[0]
-
-    def try_step(self, action: Callable[..., Any], arguments: str) -> None:
-        """Take a step of the model if it is enabled."""
-        for after in self.enabled(action, arguments)[:1]:
-            self.model = after
-
-    def enabled(self, action: Callable[..., Any], arguments: str) -> list[State]:
-        """Return the states after a step with these arguments."""
-        steps = action(self.model, RULES)
-        return [after for name, after in steps if name == arguments]
-
 
 def check_view_binding() -> None:
     """Run the machine with a fixed seed."""
-    run_state_machine_as_test(
-        ViewMachine,
-        settings=settings(
-            max_examples=300,
-            stateful_step_count=40,
-            deadline=None,
-            database=None,
-            derandomize=True,
-        ),
-    )
+    check_binding(ViewMachine)
--- a/features/binding/withdrawal_machine.py
+++ b/features/binding/withdrawal_machine.py
@@ -1,16 +1,13 @@
 """Real decisions in step with the model of a withdrawal."""
 
-from collections.abc import Callable
 from typing import Any
 
 from features.binding.control_play import TICK_S, ControlPlay
-from hypothesis import settings
+from features.binding.model_machine import ModelMachine, check_binding
 from hypothesis import strategies as st
 from hypothesis.stateful import (
-    RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 from spec.withdrawal import actions
 from spec.withdrawal.model import MEMBER, NEWCOMER, RULES, withdrawn_key
@@ -39,9 +36,11 @@
 KEY = "k1"
 
 
-class WithdrawalMachine(RuleBasedStateMachine):
+class WithdrawalMachine(ModelMachine):
     """Withdraws a key while instance 2 replaces instance 0 in the view."""
 
+    model_rules = RULES
+
     def __init__(self) -> None:
         super().__init__()
         self.play = ControlPlay(3)
@@ -289,32 +288,7 @@
         instance = self.model.instances[index]._replace(asked=0)
         self.model = actions.with_instance(self.model, index, instance)
 
-    def step(self, action: Callable[..., Any], arguments: str) -> None:
-        """Take a step of the model that must be enabled."""
-        found = self.enabled(action, arguments)
-        assert found, f"{action.__name__} {arguments} is not enabled"
-        self.model = found[0]
-
-    def try_step(self, action: Callable[..., Any], arguments: str) -> None:
-        """Take a step of the model if it is enabled."""
-        for after in self.enabled(action, arguments)[:1]:
-            self.model = after
-
-    def enabled(self, action: Callable[..., Any], arguments: str) -> list[State]:
-        """Return the states after a step with these arguments."""
-        steps = action(self.model, RULES)
-        return [after for name, after in steps if name == arguments]
-
 
 def check_withdrawal_binding() -> None:
     """Run the machine with a fixed seed."""
-    run_state_machine_as_test(
-        WithdrawalMachine,
-        settings=settings(
-            max_examples=300,
-            stateful_step_count=40,
-            deadline=None,
-            database=None,
-            derandomize=True,
-        ),
-    )
+    check_binding(WithdrawalMachine)
