--- a/bench/relay.py
+++ b/bench/relay.py
@@ -15,10 +15,10 @@
 )
 
 from bench.client.http_connection import HttpConnection
-from jackdawspread.composition import listen
 from jackdawspread.messages.http_request import HttpRequest
 from jackdawspread.messages.http_response import HttpResponse
 from jackdawspread.tasks.http_server import HttpServer
+from jackdawspread.tasks.listen import listen
 
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
--- a/src/jackdawspread/commands/standin_platform.py
+++ b/src/jackdawspread/commands/standin_platform.py
@@ -5,9 +5,9 @@
 from trio import run
 from typer import Argument
 
-from jackdawspread.composition import listen
 from jackdawspread.standins.listening import print_listening
 from jackdawspread.standins.platform.run_platform import run_platform
+from jackdawspread.tasks.listen import listen
 
 
 def standin_platform(
--- a/src/jackdawspread/composition.py
+++ b/src/jackdawspread/composition.py
@@ -7,11 +7,9 @@
     Event,
     MemorySendChannel,
     Nursery,
-    SocketListener,
     current_time,
     open_memory_channel,
     open_nursery,
-    open_tcp_listeners,
     sleep,
 )
 
@@ -31,6 +29,7 @@
 from jackdawspread.tasks.gateway import Gateway, GatewayEvent
 from jackdawspread.tasks.http_server import HttpServer
 from jackdawspread.tasks.instance_registration import InstanceRegistration
+from jackdawspread.tasks.listen import listen
 from jackdawspread.tasks.peer_hub import HubInput, PeerHub
 from jackdawspread.tasks.peer_server import PeerServer
 from jackdawspread.tasks.peer_stream import PeerStream
@@ -181,10 +180,3 @@
         with CancelScope(shield=True, deadline=current_time() + DEPARTURE_S):
             await self._control.send(LeaveView())
             await sleep(DEPARTURE_S)
-
-
-async def listen(address: str) -> SocketListener:
-    """Open a listening socket on ``IP:port``."""
-    host, port = address.rsplit(":", 1)
-    listeners = await open_tcp_listeners(int(port), host=host)
-    return listeners[0]
--- /dev/null
+++ b/src/jackdawspread/decisions/members/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about members, their positions and connections."""
--- /dev/null
+++ b/src/jackdawspread/decisions/members/leader_sample.py
@@ -0,0 +1,12 @@
+"""Log position of a primary at a known time."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.position import Position
+
+
+class LeaderSample(NamedTuple):
+    """Every commit acknowledged before ``at`` is at or before ``position``."""
+
+    position: Position
+    at: float
--- /dev/null
+++ b/src/jackdawspread/decisions/members/read_targets.py
@@ -0,0 +1,77 @@
+"""Members that may serve a request, and on which terms."""
+
+from collections.abc import Iterator, Mapping
+
+from jackdawspread.decisions.members.group_view import GroupView
+from jackdawspread.decisions.members.group_views import recent_lags
+from jackdawspread.decisions.members.lease_terms import LeaseTerms
+from jackdawspread.decisions.members.member_candidate import MemberCandidate
+from jackdawspread.decisions.members.pool_load import PoolLoad
+from jackdawspread.decisions.members.position_evidence import (
+    newest_position,
+    oldest_within,
+)
+from jackdawspread.messages.fleet.connection_need import ConnectionNeed
+from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+
+# Part of the allowed age that is left for the way to the member and its queue.
+STALENESS_RESERVE = 0.2
+# A member that failed is passed over for reads during this time.
+FAILURE_AVOIDANCE_S = 0.5
+# Replicas that lacked a position this often lately are passed over.
+MAX_RECENT_LAGS = 2
+# Part of the drain time during which a leaving primary is still used.
+LEAVING_USE = 0.75
+
+
+def usable_primary(view: GroupView, now: float, drain_s: float) -> str:
+    """Return the member that may get new work as the primary, empty if none may."""
+    leaving_at = view.leaving_at_by_member.get(view.primary)
+    if leaving_at is not None and now - leaving_at > LEAVING_USE * drain_s:
+        return ""
+    return view.primary
+
+
+def fresh_candidates(
+    view: GroupView,
+    request: ConnectionRequest,
+    load_by_member: Mapping[str, PoolLoad],
+    failure_domain: str,
+    now: float,
+) -> Iterator[MemberCandidate]:
+    """Yield the members that may answer a read of bounded age."""
+    for id, listing in view.listing_by_id.items():
+        load = load_by_member.get(id)
+        lags = recent_lags(view, id, now)
+        failed_at = view.failed_at_by_member.get(id, -FAILURE_AVOIDANCE_S)
+        if load is None or listing.leaving or id in request.excluded:
+            continue
+        if now - failed_at < FAILURE_AVOIDANCE_S:
+            continue
+        lagging = id != view.primary and lags >= MAX_RECENT_LAGS
+        if lagging or lease_terms(view, request, id, now) is None:
+            continue
+        yield MemberCandidate(
+            id=id,
+            in_use=len(load.leased_by_id) + len(load.waiting),
+            slots=listing.slots,
+            has_idle=load.has_idle(request.workspace),
+            can_open=load.can_serve(request.workspace, now),
+            near=listing.failure_domain == failure_domain,
+            leads=id == view.primary,
+            lag_refusals=lags,
+        )
+
+
+def lease_terms(
+    view: GroupView, request: ConnectionRequest, member: str, now: float
+) -> LeaseTerms | None:
+    """Return the terms on which a member may serve, None if it may not."""
+    if request.need is not ConnectionNeed.FRESH or member == view.primary:
+        return LeaseTerms(as_primary=True)
+    earliest = now - (1 - STALENESS_RESERVE) * request.max_staleness_s
+    sample = oldest_within(view.samples, earliest)
+    if sample is None:
+        return None
+    after = newest_position(sample.position, request.session_position)
+    return LeaseTerms(False, after, now - sample.at)
--- /dev/null
+++ b/src/jackdawspread/decisions/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about callers' sessions."""
--- /dev/null
+++ b/src/jackdawspread/decisions/sessions/operation_check.py
@@ -0,0 +1,61 @@
+"""Checks an operation against the configuration."""
+
+from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
+from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+
+STEP = "admission"
+RETRY_AFTER_MS = 500
+
+
+def check_operation(
+    configuration: FleetConfiguration | None,
+    age_s: float,
+    max_age_s: float,
+    database: str,
+    key: str,
+) -> OperationAdmitted | Refusal:
+    """Return route and workspace of an operation, or why it may not start.
+
+    Parameters
+    ----------
+    configuration : FleetConfiguration or None
+        Configuration in force, None if none was read yet.
+    age_s : float
+        Time since the store last confirmed it.
+    max_age_s : float
+        Age from which a withdrawn key could still be accepted, so all are refused.
+    database : str
+        Database that the caller named.
+    key : str
+        The caller's key.
+    """
+    if configuration is None:
+        return _refuse("busy", "no configuration has been read yet", RETRY_AFTER_MS)
+    if age_s > max_age_s:
+        detail = f"the configuration was last confirmed {age_s:.1f} s ago"
+        return _refuse("busy", detail, RETRY_AFTER_MS)
+    route = configuration.route_by_database.get(database)
+    if route is None:
+        return _refuse("nodb", f"no route leads to the database {database}")
+    workspace = configuration.workspace_by_key.get(key, "")
+    if not workspace and not route.public:
+        return _refuse("noauth", "the key is not valid")
+    return OperationAdmitted(
+        route,
+        workspace,
+        configuration.version,
+        age_s,
+        configuration.transaction_idle_s,
+    )
+
+
+def refuse_rate(workspace: str, fraction: float, wait_s: float) -> Refusal:
+    """Return the refusal of an operation above the workspace's rate."""
+    detail = f"workspace {workspace} is above its rate, of which {fraction:.2f} is here"
+    return _refuse("busy", detail, max(1, round(1000 * min(wait_s, 5.0))))
+
+
+def _refuse(code: str, detail: str, retry_after_ms: int = 0) -> Refusal:
+    return Refusal(code, Ran.NOT_RUN, STEP, "", detail, retry_after_ms)
--- /dev/null
+++ b/src/jackdawspread/decisions/sessions/statement_plan.py
@@ -0,0 +1,146 @@
+"""Chooses what to do with a caller's statement."""
+
+from functools import singledispatch
+
+from jackdawspread.decisions.sessions.answer_now import AnswerNow
+from jackdawspread.decisions.sessions.finish_transaction import FinishTransaction
+from jackdawspread.decisions.sessions.member_names import member_name
+from jackdawspread.decisions.sessions.run_statement import RunStatement
+from jackdawspread.decisions.sessions.session_state import SessionState
+from jackdawspread.decisions.sessions.start_transaction import StartTransaction
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.begin_transaction import BeginTransaction
+from jackdawspread.messages.statements.commit_transaction import CommitTransaction
+from jackdawspread.messages.statements.execute_prepared import ExecutePrepared
+from jackdawspread.messages.statements.forget_statement import ForgetStatement
+from jackdawspread.messages.statements.malformed_statement import MalformedStatement
+from jackdawspread.messages.statements.prepare_statement import PrepareStatement
+from jackdawspread.messages.statements.read_item import ReadItem
+from jackdawspread.messages.statements.rollback_transaction import RollbackTransaction
+from jackdawspread.messages.statements.session_phase import SessionPhase
+from jackdawspread.messages.statements.session_statement import SessionStatement
+from jackdawspread.messages.statements.set_value import SetValue
+from jackdawspread.messages.statements.statement_success import StatementSuccess
+from jackdawspread.messages.statements.write_item import WriteItem
+
+Plan = AnswerNow | StartTransaction | RunStatement | FinishTransaction
+
+SESSION = "session"
+
+
+def plan_statement(statement: SessionStatement, state: SessionState) -> Plan:
+    """Return what to do with a statement in the present phase of the session."""
+    if state.phase is SessionPhase.FAILED and not isinstance(
+        statement, CommitTransaction | RollbackTransaction
+    ):
+        detail = "the transaction failed; send ROLLBACK before other statements"
+        return AnswerNow(_refuse("malformed", detail), state)
+    return _plan(statement, state)
+
+
+def fail_transaction(state: SessionState) -> SessionState:
+    """Return the state after an error: an open transaction can only roll back."""
+    if state.phase is SessionPhase.IDLE:
+        return state
+    return state._replace(phase=SessionPhase.FAILED)
+
+
+def end_transaction(state: SessionState) -> SessionState:
+    """Return the state after the end of a transaction."""
+    return state._replace(phase=SessionPhase.IDLE, read_only=False, wrote=False)
+
+
+@singledispatch
+def _plan(statement: object, state: SessionState) -> Plan:
+    raise TypeError(f"no plan for a {type(statement).__name__}")
+
+
+@_plan.register
+def _(statement: MalformedStatement, state: SessionState) -> Plan:
+    refusal = _refuse("malformed", statement.reason)
+    return AnswerNow(refusal, fail_transaction(state))
+
+
+@_plan.register
+def _(statement: BeginTransaction, state: SessionState) -> Plan:
+    if state.phase is SessionPhase.IDLE:
+        return StartTransaction(statement.read_only)
+    refusal = _refuse("malformed", "a transaction is already open")
+    return AnswerNow(refusal, fail_transaction(state))
+
+
+@_plan.register
+def _(statement: CommitTransaction, state: SessionState) -> Plan:
+    if state.phase is SessionPhase.IN_TRANSACTION:
+        return FinishTransaction(commit=True)
+    if state.phase is SessionPhase.IDLE:
+        return AnswerNow(_refuse("malformed", "no transaction is open"), state)
+    detail = "the transaction had failed and was rolled back"
+    return AnswerNow(_refuse("aborted", detail), end_transaction(state))
+
+
+@_plan.register
+def _(statement: RollbackTransaction, state: SessionState) -> Plan:
+    if state.phase is SessionPhase.IN_TRANSACTION:
+        return FinishTransaction(commit=False)
+    return AnswerNow(StatementSuccess(), end_transaction(state))
+
+
+@_plan.register
+def _(statement: ReadItem, state: SessionState) -> Plan:
+    return RunStatement(statement, writes=False)
+
+
+@_plan.register
+def _(statement: WriteItem, state: SessionState) -> Plan:
+    return _write(statement, state)
+
+
+@_plan.register
+def _(statement: SetValue, state: SessionState) -> Plan:
+    values = {**state.value_by_name, statement.name: statement.value}
+    return AnswerNow(StatementSuccess(), state._replace(value_by_name=values))
+
+
+@_plan.register
+def _(statement: PrepareStatement, state: SessionState) -> Plan:
+    shape = (statement.writes, statement.shape)
+    shapes = {**state.shape_by_name, statement.name: shape}
+    return AnswerNow(StatementSuccess(), state._replace(shape_by_name=shapes))
+
+
+@_plan.register
+def _(statement: ForgetStatement, state: SessionState) -> Plan:
+    shapes = dict(state.shape_by_name)
+    if shapes.pop(statement.name, None) is None:
+        return _unknown_name(statement.name, state)
+    return AnswerNow(StatementSuccess(), state._replace(shape_by_name=shapes))
+
+
+@_plan.register
+def _(statement: ExecutePrepared, state: SessionState) -> Plan:
+    prepared = state.shape_by_name.get(statement.name)
+    if prepared is None:
+        return _unknown_name(statement.name, state)
+    writes, shape = prepared
+    renamed = ExecutePrepared(member_name(writes, shape), statement.arguments)
+    if writes:
+        return _write(renamed, state)
+    return RunStatement(renamed, writes=False)
+
+
+def _write(statement: SessionStatement, state: SessionState) -> Plan:
+    if state.phase is SessionPhase.IN_TRANSACTION and state.read_only:
+        refusal = _refuse("readonly", "the transaction was begun for reading only")
+        return AnswerNow(refusal, fail_transaction(state))
+    return RunStatement(statement, writes=True)
+
+
+def _unknown_name(name: str, state: SessionState) -> AnswerNow:
+    refusal = _refuse("nostmt", f"no prepared statement is named {name}")
+    return AnswerNow(refusal, fail_transaction(state))
+
+
+def _refuse(code: str, detail: str) -> Refusal:
+    return Refusal(code, Ran.NOT_RUN, SESSION, "", detail)
--- /dev/null
+++ b/src/jackdawspread/decisions/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about shares of the workspaces' rates."""
--- /dev/null
+++ b/src/jackdawspread/decisions/shares/store_clock.py
@@ -0,0 +1,30 @@
+"""Relation between the store's clock and ours."""
+
+from math import inf
+from typing import NamedTuple
+
+
+class StoreClock(NamedTuple):
+    """Largest known difference between the store's clock and ours, in seconds.
+
+    An answer is on its way for some time, so each difference is too small, and the
+    largest one is the closest to the truth. Times of the store that are derived
+    from it are never too late.
+    """
+
+    offset_s: float = -inf
+
+
+def note_answer(clock: StoreClock, store_s: float, local_s: float) -> StoreClock:
+    """Return the clock after an answer of the store that was read at ``local_s``."""
+    return StoreClock(max(clock.offset_s, store_s - local_s))
+
+
+def to_store(clock: StoreClock, local_s: float) -> float:
+    """Return the store's time at one of ours."""
+    return local_s + clock.offset_s
+
+
+def to_local(clock: StoreClock, store_s: float) -> float:
+    """Return our time at one of the store's, never later than now."""
+    return store_s - clock.offset_s
--- /dev/null
+++ b/src/jackdawspread/decisions/succession/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about the succession of a lost or leaving primary."""
--- /dev/null
+++ b/src/jackdawspread/decisions/succession/duty_record.py
@@ -0,0 +1,21 @@
+"""Record of the duty to promote in one group."""
+
+from typing import TypedDict
+
+
+class DutyRecord(TypedDict):
+    """Who may promote in a group.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token; each attempt takes the next one.
+    holder : str
+        Instance that holds the token.
+    until : float
+        Time of the store's clock in seconds until which others keep away.
+    """
+
+    token: int
+    holder: str
+    until: float
--- /dev/null
+++ b/src/jackdawspread/decisions/succession/suspicion.py
@@ -0,0 +1,49 @@
+"""Evidence against a primary."""
+
+from typing import NamedTuple
+
+# Writes that stay unconfirmed this often, with none confirmed in between, show that
+# the primary has lost its replicas.
+STALLED_WRITES = 3
+STALLED_WINDOW_S = 2.0
+
+
+class Suspicion(NamedTuple):
+    """What speaks against the primary of a group since it last proved to lead.
+
+    Parameters
+    ----------
+    proved_at : float
+        Monotonic time at which it last proved to lead.
+    failures : int
+        Failed connections and exchanges since then.
+    stalled_at : tuple of float
+        Times of writes that were not confirmed, since one last was.
+    """
+
+    proved_at: float = 0.0
+    failures: int = 0
+    stalled_at: tuple[float, ...] = ()
+
+
+def note_proof(suspicion: Suspicion, at: float) -> Suspicion:
+    """Forget failures, as the primary answered a question sent at ``at``."""
+    return suspicion._replace(proved_at=max(at, suspicion.proved_at), failures=0)
+
+
+def note_write(suspicion: Suspicion) -> Suspicion:
+    """Forget stalled writes, as one was confirmed."""
+    return suspicion._replace(stalled_at=())
+
+
+def note_failure(suspicion: Suspicion, at: float, stalled_write: bool) -> Suspicion:
+    """Count a failure that happened at ``at``."""
+    if not stalled_write:
+        return suspicion._replace(failures=suspicion.failures + 1)
+    recent = (t for t in suspicion.stalled_at if t > at - STALLED_WINDOW_S)
+    return suspicion._replace(stalled_at=(*recent, at))
+
+
+def is_stalled(suspicion: Suspicion) -> bool:
+    """Whether the primary no longer gets writes confirmed."""
+    return len(suspicion.stalled_at) >= STALLED_WRITES
--- /dev/null
+++ b/src/jackdawspread/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs with a bounded volume."""
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Knowledge of routes, workspaces and members, and messages about it."""
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/connection_need.py
@@ -0,0 +1,11 @@
+"""Kind of member that a statement needs."""
+
+from enum import StrEnum
+
+
+class ConnectionNeed(StrEnum):
+    """Whether the primary, any fresh enough member, or a named member is needed."""
+
+    PRIMARY = "primary"
+    FRESH = "fresh"
+    NAMED = "named"
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/readiness_asked.py
@@ -0,0 +1,11 @@
+"""Question whether this instance can serve."""
+
+from typing import NamedTuple
+
+from trio import MemorySendChannel
+
+
+class ReadinessAsked(NamedTuple):
+    """Asks for the reason why the instance can't serve, empty if it can."""
+
+    reply_to: MemorySendChannel[str]
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/record_outcome.py
@@ -0,0 +1,26 @@
+"""Outcome of a read or write of a record."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.fleet.record_status import RecordStatus
+
+
+class RecordOutcome(NamedTuple):
+    """What the store says of a record.
+
+    Parameters
+    ----------
+    status : RecordStatus
+        Whether the call took effect.
+    version : int
+        Current version of the record; 0 if it does not exist.
+    value : bytes
+        Current content after a read or a conflict.
+    store_time_s : float
+        The store's steady clock in seconds; 0 if it did not answer.
+    """
+
+    status: RecordStatus
+    version: int = 0
+    value: bytes = b""
+    store_time_s: float = 0.0
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/record_read.py
@@ -0,0 +1,14 @@
+"""Read of a kept record."""
+
+from typing import NamedTuple
+
+from trio import MemorySendChannel
+
+from jackdawspread.messages.fleet.record_outcome import RecordOutcome
+
+
+class RecordRead(NamedTuple):
+    """Asks the platform's store for one record."""
+
+    name: str
+    reply_to: MemorySendChannel[RecordOutcome]
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/record_write.py
@@ -0,0 +1,28 @@
+"""Conditional write of a kept record."""
+
+from typing import NamedTuple
+
+from trio import MemorySendChannel
+
+from jackdawspread.messages.fleet.record_outcome import RecordOutcome
+
+
+class RecordWrite(NamedTuple):
+    """Writes a record if it still has the version that the writer saw.
+
+    Parameters
+    ----------
+    name : str
+        Name of the record.
+    expected_version : int
+        Version that the record must have; 0 if it must not exist.
+    value : bytes
+        New content.
+    reply_to : trio.MemorySendChannel
+        Takes the outcome.
+    """
+
+    name: str
+    expected_version: int
+    value: bytes
+    reply_to: MemorySendChannel[RecordOutcome]
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/router_event.py
@@ -0,0 +1,29 @@
+"""Events that the member router handles."""
+
+from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
+from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
+from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
+from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.instances_seen import InstancesSeen
+from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
+from jackdawspread.messages.fleet.lease_returned import LeaseReturned
+from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
+from jackdawspread.messages.fleet.members_seen import MembersSeen
+from jackdawspread.messages.fleet.position_seen import PositionSeen
+from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
+from jackdawspread.messages.fleet.suspicion_cleared import SuspicionCleared
+
+RouterEvent = (
+    ConfigurationSeen
+    | ConnectionClosed
+    | ConnectionOpened
+    | ConnectionRequest
+    | InstancesSeen
+    | LeadershipRefused
+    | LeaseReturned
+    | MemberUnreachable
+    | MembersSeen
+    | PositionSeen
+    | ReplicaLagged
+    | SuspicionCleared
+)
--- a/src/jackdawspread/messages/http_call.py
+++ b/src/jackdawspread/messages/http_call.py
@@ -19,11 +19,13 @@
     target : str
         HTTP target.
     body : dict
-        JSON body.
+        JSON body; a ``GET`` carries none.
     deadline : float
         Monotonic time in seconds; the connection is closed when it passes.
     reply_to : trio.MemorySendChannel
         Takes the single `HttpOutcome`.
+    headers : tuple of (str, str)
+        Headers besides those that every call has.
     """
 
     id: int
@@ -32,3 +34,4 @@
     body: dict[str, Any]
     deadline: float
     reply_to: MemorySendChannel[HttpOutcome]
+    headers: tuple[tuple[str, str], ...] = ()
--- /dev/null
+++ b/src/jackdawspread/messages/statements/__init__.py
@@ -0,0 +1,1 @@
+"""Statements of callers' sessions, and what members answer."""
--- /dev/null
+++ b/src/jackdawspread/messages/statements/close_session.py
@@ -0,0 +1,7 @@
+"""Last message of a caller's session."""
+
+from typing import NamedTuple
+
+
+class CloseSession(NamedTuple):
+    """Ends the session."""
--- /dev/null
+++ b/src/jackdawspread/messages/statements/forget_statement.py
@@ -0,0 +1,9 @@
+"""Removal of a prepared name."""
+
+from typing import NamedTuple
+
+
+class ForgetStatement(NamedTuple):
+    """Drops a prepared name of the session."""
+
+    name: str
--- /dev/null
+++ b/src/jackdawspread/messages/statements/rollback_transaction.py
@@ -0,0 +1,7 @@
+"""End of a transaction that drops its writes."""
+
+from typing import NamedTuple
+
+
+class RollbackTransaction(NamedTuple):
+    """Rolls the open transaction back."""
--- /dev/null
+++ b/src/jackdawspread/messages/statements/session_answer.py
@@ -0,0 +1,14 @@
+"""Answer to a caller's statement."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.session_phase import SessionPhase
+from jackdawspread.messages.statements.statement_success import StatementSuccess
+
+
+class SessionAnswer(NamedTuple):
+    """Result of a statement and the phase in which it leaves the session."""
+
+    result: StatementSuccess | Refusal
+    phase: SessionPhase
--- /dev/null
+++ b/src/jackdawspread/messages/statements/session_phase.py
@@ -0,0 +1,11 @@
+"""Phase of a session's transaction."""
+
+from enum import StrEnum
+
+
+class SessionPhase(StrEnum):
+    """Whether a transaction is open, and whether it can still commit."""
+
+    IDLE = "idle"
+    IN_TRANSACTION = "in_transaction"
+    FAILED = "failed"
--- /dev/null
+++ b/src/jackdawspread/messages/statements/session_request.py
@@ -0,0 +1,12 @@
+"""Statement of a caller with its id."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.statements.session_statement import SessionStatement
+
+
+class SessionRequest(NamedTuple):
+    """Statement under the id that the caller chose."""
+
+    id: str
+    statement: SessionStatement
--- /dev/null
+++ b/src/jackdawspread/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter between the product and the users' platform."""
--- /dev/null
+++ b/src/jackdawspread/platform/caller_wire.py
@@ -0,0 +1,102 @@
+"""Wire protocol towards callers."""
+
+from functools import singledispatchmethod
+
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.close_session import CloseSession
+from jackdawspread.messages.statements.malformed_statement import MalformedStatement
+from jackdawspread.messages.statements.open_session import OpenSession
+from jackdawspread.messages.statements.session_answer import SessionAnswer
+from jackdawspread.messages.statements.session_phase import SessionPhase
+from jackdawspread.messages.statements.session_request import SessionRequest
+from jackdawspread.messages.statements.statement_success import StatementSuccess
+from jackdawspread.platform.positions import LETTER_BY_PHASE, NO_POSITION
+from jackdawspread.platform.statement_texts import parse_statement
+from jackdawspread.platform.wire_lines import WireLines, encode_line
+
+# Ids and proofs of statements that no caller sent.
+NO_ID = "-"
+# Codes of the product that the wire protocol does not have.
+CODE_ON_WIRE = {"unreachable": "BUSY", "overloaded": "BUSY"}
+
+
+class CallerWire:
+    """Decodes the lines of one caller and encodes the answers."""
+
+    def __init__(self) -> None:
+        self._lines = WireLines()
+
+    @property
+    def has_partial(self) -> bool:
+        """Whether a part of a further message has arrived."""
+        return self._lines.has_partial
+
+    def receive(self, data: bytes) -> None:
+        """Add bytes read from the socket."""
+        self._lines.receive(data)
+
+    def next_opening(self) -> OpenSession | None:
+        """Return the first message, None if bytes are missing.
+
+        Raises
+        ------
+        ValueError
+            If the first message is of another kind.
+        """
+        line = self._lines.next_line()
+        if line is None:
+            return None
+        word, _, rest = line.partition(" ")
+        database, _, key = rest.partition(" ")
+        if word != "START" or not database:
+            raise ValueError("a session must begin with START and a database")
+        return OpenSession(database, key)
+
+    def next_message(self) -> SessionRequest | CloseSession | None:
+        """Return the next message, None if bytes are missing."""
+        line = self._lines.next_line()
+        if line is None:
+            return None
+        word, _, rest = line.partition(" ")
+        if word == "BYE":
+            return CloseSession()
+        id, _, text = rest.partition(" ")
+        if word != "QUERY" or not id or id == NO_ID:
+            malformed = MalformedStatement("a request is QUERY, an id and a text")
+            return SessionRequest(id or NO_ID, malformed)
+        return SessionRequest(id, parse_statement(text))
+
+    def encode_opened(self, refusal: Refusal | None) -> bytes:
+        """Encode the answer to the first message."""
+        if refusal is not None:
+            return _encode_error(refusal)
+        return _encode_ready(SessionPhase.IDLE)
+
+    def encode_answer(self, answer: SessionAnswer) -> bytes:
+        """Encode the answer to a request."""
+        return self._encode_result(answer.result) + _encode_ready(answer.phase)
+
+    @singledispatchmethod
+    def _encode_result(self, result: object) -> bytes:
+        raise TypeError(f"no encoding for a {type(result).__name__}")
+
+    @_encode_result.register
+    def _(self, result: StatementSuccess) -> bytes:
+        rows = b"".join(encode_line("ROW", row) for row in result.rows)
+        return rows + encode_line("DONE", result.proof or NO_ID)
+
+    @_encode_result.register
+    def _(self, result: Refusal) -> bytes:
+        return _encode_error(result)
+
+
+def _encode_ready(phase: SessionPhase) -> bytes:
+    return encode_line("READY", LETTER_BY_PHASE[phase], NO_POSITION)
+
+
+def _encode_error(refusal: Refusal) -> bytes:
+    code = CODE_ON_WIRE.get(refusal.code, refusal.code.upper())
+    text = refusal.detail
+    if refusal.retry_after_ms:
+        text = f"retry-after-ms={refusal.retry_after_ms} {text}"
+    return encode_line("ERR", code, text.replace("\r", " ").replace("\n", " "))
--- /dev/null
+++ b/src/jackdawspread/platform/composition.py
@@ -0,0 +1,171 @@
+"""Composition root of an instance on the users' platform."""
+
+from absl import logging
+from trio import Event, Nursery, current_time, open_memory_channel, open_nursery
+
+from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.demand_seen import DemandSeen
+from jackdawspread.messages.fleet.promotion_order import PromotionOrder
+from jackdawspread.messages.fleet.refresh_members import RefreshMembers
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.fleet.succession_event import SuccessionEvent
+from jackdawspread.platform.caller_wire import CallerWire
+from jackdawspread.platform.configuration_feed import ConfigurationFeed
+from jackdawspread.platform.member_poll import MemberPoll
+from jackdawspread.platform.member_wire import MemberWire
+from jackdawspread.platform.promotion_calls import PromotionCalls
+from jackdawspread.platform.readiness import Readiness
+from jackdawspread.platform.record_store import RecordStore
+from jackdawspread.settings.session_proxy_settings import SessionProxySettings
+from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.fleet.admission_task import AdmissionTask
+from jackdawspread.tasks.fleet.duty_keeper import DutyKeeper
+from jackdawspread.tasks.fleet.member_orders import MemberOrders
+from jackdawspread.tasks.fleet.record_calls import RecordCall, RecordCalls
+from jackdawspread.tasks.fleet.shares_task import SharesTask
+from jackdawspread.tasks.fleet.succession_attempt import SuccessionAttempt
+from jackdawspread.tasks.fleet.succession_task import SuccessionTask
+from jackdawspread.tasks.http_server import HttpServer
+from jackdawspread.tasks.listen import listen
+from jackdawspread.tasks.members.member_router import MemberRouter
+from jackdawspread.tasks.sessions.session_listener import SessionListener
+
+# Full inboxes refuse further requests, so these bound the memory of an overload.
+ROUTER_INBOX = 20_000
+ADMISSION_INBOX = 10_000
+SMALL_INBOX = 64
+METRICS_PORT = 9464
+# The balancer asks once a second and leaves out an instance after two refusals.
+BALANCER_NOTICE_S = 2.3
+# Parts of the grace time after which open transactions end and the process exits.
+TRANSACTION_PART = 0.55
+EXIT_PART = 0.85
+
+
+class PlatformInstance:
+    """The parts of an instance and the channels between them.
+
+    Parameters
+    ----------
+    settings : SessionProxySettings
+        Settings of the instance.
+    stopping : trio.Event
+        Set to begin a planned stop.
+    """
+
+    def __init__(self, settings: SessionProxySettings, stopping: Event) -> None:
+        self._settings = settings
+        self._stopping = stopping
+        self._router, self._router_inbox = open_memory_channel[RouterEvent](
+            ROUTER_INBOX
+        )
+        self._admission, self._admission_inbox = open_memory_channel[AdmissionEvent](
+            ADMISSION_INBOX
+        )
+        self._succession, self._succession_inbox = open_memory_channel[SuccessionEvent](
+            SMALL_INBOX
+        )
+        self._refresh, self._wishes = open_memory_channel[RefreshMembers](1)
+        self._demand, self._demand_inbox = open_memory_channel[DemandSeen](1)
+
+    async def run(self) -> None:
+        """Run every part until a planned stop is complete."""
+        async with open_nursery() as parts:
+            self._start_routing(parts)
+            self._start_store(parts)
+            self._start_shares(parts)
+            self._start_succession(parts)
+            await self._start_servers(parts)
+            listener = SessionListener(
+                await listen(self._settings.session_address),
+                CallerWire,
+                self._admission,
+                self._router,
+                self._settings.max_sessions,
+            )
+            parts.start_soon(listener.run)
+            logging.info(
+                "instance: started name=%s failure_domain=%s address=%s",
+                self._settings.instance,
+                self._settings.failure_domain,
+                self._settings.session_address,
+            )
+            await self._stopping.wait()
+            await listener.stop(self._stop_times())
+            parts.cancel_scope.cancel()
+        logging.info("instance: stopped name=%s", self._settings.instance)
+
+    def _start_routing(self, parts: Nursery) -> None:
+        settings = self._settings
+        router = MemberRouter(
+            settings.failure_domain,
+            settings.drain_s,
+            MemberWire,
+            self._router_inbox,
+            self._router,
+            self._succession,
+            self._refresh,
+        )
+        admission = AdmissionTask(
+            settings.max_configuration_age_s, self._admission_inbox, self._demand
+        )
+        parts.start_soon(router.run)
+        parts.start_soon(admission.run)
+
+    def _start_store(self, parts: Nursery) -> None:
+        address = self._settings.store_address
+        feed = ConfigurationFeed(address, self._admission, self._router)
+        poll = MemberPoll(address, self._wishes, self._router, self._succession)
+        parts.start_soon(feed.run)
+        parts.start_soon(poll.run)
+
+    def _start_shares(self, parts: Nursery) -> None:
+        shares = SharesTask(
+            self._instance_id,
+            self._open_records("shares", parts),
+            self._demand_inbox,
+            self._admission,
+            self._router,
+        )
+        parts.start_soon(shares.run)
+
+    def _start_succession(self, parts: Nursery) -> None:
+        promotions, promotion_inbox = open_memory_channel[PromotionOrder](SMALL_INBOX)
+        calls = PromotionCalls(self._settings.promotion_address, promotion_inbox)
+        attempt = SuccessionAttempt(
+            self._instance_id,
+            MemberOrders(self._router),
+            DutyKeeper(self._instance_id, self._open_records("succession", parts)),
+            promotions,
+            self._router,
+        )
+        succession = SuccessionTask(attempt, self._succession_inbox, self._refresh)
+        parts.start_soon(calls.run)
+        parts.start_soon(succession.run)
+
+    def _open_records(self, user: str, parts: Nursery) -> RecordCalls:
+        """Open a connection to the store of its own for one task."""
+        calls, inbox = open_memory_channel[RecordCall](SMALL_INBOX)
+        store = RecordStore(self._settings.store_address, user, inbox)
+        parts.start_soon(store.run)
+        return RecordCalls(calls)
+
+    async def _start_servers(self, parts: Nursery) -> None:
+        handle = Readiness(self._admission, self._stopping).handle
+        metrics_address = f"{self._settings.ip}:{METRICS_PORT}"
+        for address in (self._settings.readiness_address, metrics_address):
+            server = HttpServer(await listen(address), handle, Event())
+            parts.start_soon(server.run)
+
+    @property
+    def _instance_id(self) -> str:
+        """Name that a restarted instance keeps and a replacement does not have."""
+        return f"{self._settings.instance}@{self._settings.ip}"
+
+    def _stop_times(self) -> StopTimes:
+        now, grace_s = current_time(), self._settings.grace_s
+        return StopTimes(
+            close_at=now + min(BALANCER_NOTICE_S, TRANSACTION_PART * grace_s),
+            abort_at=now + TRANSACTION_PART * grace_s,
+            exit_at=now + EXIT_PART * grace_s,
+        )
--- /dev/null
+++ b/src/jackdawspread/platform/daemon.py
@@ -0,0 +1,76 @@
+"""Runs an instance on the users' platform."""
+
+import signal
+import sys
+from os import environ
+from pathlib import Path
+
+from absl import logging
+from expression import Result
+from trio import Event, open_nursery, open_signal_receiver, run
+
+from jackdawspread.logs.bounded_log_handler import BoundedLogHandler
+from jackdawspread.platform.composition import PlatformInstance
+from jackdawspread.platform.settings_file import read_platform_settings
+from jackdawspread.settings.session_proxy_settings import SessionProxySettings
+from jackdawspread.settings.settings_error import SettingsError
+
+SETTINGS_VARIABLE = "JACKDAWSPREAD_CONFIG"
+DEFAULT_SETTINGS = "/etc/jackdawspread/node.conf"
+EXIT_SETTINGS = 2
+
+Checked = Result[SessionProxySettings, tuple[SettingsError, ...]]
+
+
+def main() -> None:
+    """Read the settings and run until a planned stop is complete."""
+    logger = logging.get_absl_logger()
+    logger.handlers = [BoundedLogHandler()]
+    logger.propagate = False
+    logging.set_verbosity(logging.INFO)
+    path = Path(environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
+    checked = read_platform_settings(path)
+    if checked.is_error():
+        for error in checked.error:
+            logging.error("settings: %s", error)
+        sys.exit(EXIT_SETTINGS)
+    run(_run, checked.ok, path)
+
+
+async def _run(settings: SessionProxySettings, path: Path) -> None:
+    stopping = Event()
+    async with open_nursery() as nursery:
+        nursery.start_soon(_watch_signals, stopping, settings, path)
+        await PlatformInstance(settings, stopping).run()
+        nursery.cancel_scope.cancel()
+
+
+async def _watch_signals(
+    stopping: Event, settings: SessionProxySettings, path: Path
+) -> None:
+    received = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with open_signal_receiver(*received) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                settings = _reload(settings, read_platform_settings(path))
+                continue
+            logging.info("instance: stopping on a signal")
+            stopping.set()
+
+
+def _reload(settings: SessionProxySettings, checked: Checked) -> SessionProxySettings:
+    """Check changed settings; addresses and bounds take effect at the next start."""
+    if checked.is_error():
+        for error in checked.error:
+            logging.error("settings: reload refused, the old ones stay: %s", error)
+        return settings
+    changed = [
+        name
+        for name in settings._fields
+        if getattr(settings, name) != getattr(checked.ok, name)
+    ]
+    logging.info(
+        "settings: reloaded changed=%s, in force at the next start",
+        ",".join(changed) or "none",
+    )
+    return checked.ok
--- /dev/null
+++ b/src/jackdawspread/platform/settings_file.py
@@ -0,0 +1,108 @@
+"""Settings file of the platform."""
+
+from pathlib import Path
+
+from expression import Error, Ok, Result
+
+from jackdawspread.settings.session_proxy_settings import SessionProxySettings
+from jackdawspread.settings.settings_error import SettingsError
+
+REQUIRED = (
+    "NodeName",
+    "Ip",
+    "Zone",
+    "ListenAddrs.Front",
+    "ListenAddrs.Ready",
+    "platform.Address",
+    "CloudApi.Address",
+)
+# Numbers that must be positive, with the values in force where they are missing.
+DEFAULT_BY_NUMBER = {
+    "Bounds.DrainMs": 7000.0,
+    "Bounds.GraceS": 6.0,
+    "Bounds.ConfigApplyMs": 3000.0,
+    "Bounds.SkewMaxMs": 12000.0,
+    "Limits.MaxFds": 1024.0,
+}
+# Descriptors that are not for callers' sessions: files, members, the store.
+RESERVED_DESCRIPTORS = 500
+
+
+def read_platform_settings(
+    path: Path,
+) -> Result[SessionProxySettings, tuple[SettingsError, ...]]:
+    """Read and check a settings file; every error names field and value."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Error((SettingsError(str(path), "", "", str(error), "a text file"),))
+    return parse_platform_settings(text, str(path))
+
+
+def parse_platform_settings(
+    text: str, file: str
+) -> Result[SessionProxySettings, tuple[SettingsError, ...]]:
+    """Check the lines ``name=value`` of a settings file; unknown names are ignored."""
+    pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
+    value_by_name = {name.strip(): value.strip() for name, _, value in pairs}
+    errors = [
+        SettingsError(file, "platform", name, "", "a value")
+        for name in REQUIRED
+        if not value_by_name.get(name)
+    ]
+    errors += [
+        SettingsError(file, "platform", name, value_by_name[name], "IP:port")
+        for name in REQUIRED
+        if ("Address" in name or "Addrs" in name)
+        and value_by_name.get(name)
+        and not _is_address(value_by_name[name])
+    ]
+    number_by_name = {}
+    for name, default in DEFAULT_BY_NUMBER.items():
+        number = _parse_number(value_by_name.get(name, str(default)))
+        if number is None:
+            accepted = "a positive number"
+            errors.append(
+                SettingsError(file, "platform", name, value_by_name[name], accepted)
+            )
+        else:
+            number_by_name[name] = number
+    if errors:
+        return Error(tuple(errors))
+    return Ok(_build(value_by_name, number_by_name))
+
+
+def _build(
+    value_by_name: dict[str, str], number_by_name: dict[str, float]
+) -> SessionProxySettings:
+    apply_ms = number_by_name["Bounds.ConfigApplyMs"]
+    skew_ms = number_by_name["Bounds.SkewMaxMs"]
+    sessions = int(number_by_name["Limits.MaxFds"]) - RESERVED_DESCRIPTORS
+    return SessionProxySettings(
+        instance=value_by_name["NodeName"],
+        failure_domain=value_by_name["Zone"],
+        session_address=value_by_name["ListenAddrs.Front"],
+        readiness_address=value_by_name["ListenAddrs.Ready"],
+        store_address=value_by_name["platform.Address"],
+        promotion_address=value_by_name["CloudApi.Address"],
+        ip=value_by_name["Ip"],
+        drain_s=number_by_name["Bounds.DrainMs"] / 1000,
+        grace_s=number_by_name["Bounds.GraceS"],
+        # A change must be in force this long after its acceptance, even while the
+        # store can't be read.
+        max_configuration_age_s=(apply_ms + skew_ms) / 1000,
+        max_sessions=max(64, sessions),
+    )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+
+
+def _parse_number(text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if 0 < number < float("inf") else None
--- /dev/null
+++ b/src/jackdawspread/platform/store_rows.py
@@ -0,0 +1,47 @@
+"""Rows of the store's tables."""
+
+from base64 import b64decode
+from binascii import Error as Base64Error
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+
+class StoreRow(NamedTuple):
+    """Row of a table.
+
+    Parameters
+    ----------
+    key : str
+        Key within the table.
+    value : bytes
+        Content.
+    version : int
+        Version of the row, from one counter for the whole store.
+    deleted : bool
+        Whether the row was dropped.
+    """
+
+    key: str
+    value: bytes
+    version: int
+    deleted: bool
+
+
+def decode_rows(body: dict[str, Any]) -> Iterator[StoreRow]:
+    """Yield the rows of an answer; rows that can't be read are passed over."""
+    rows = body.get("rows")
+    for row in rows if isinstance(rows, list) else ():
+        if not isinstance(row, dict) or not isinstance(row.get("Key"), str):
+            continue
+        try:
+            value = b64decode(row.get("Value") or "", validate=True)
+            version = int(row.get("Ver") or 0)
+        except (Base64Error, TypeError, ValueError):
+            continue
+        yield StoreRow(row["Key"], value, version, bool(row.get("Tombstone")))
+
+
+def store_time_s(body: dict[str, Any]) -> float:
+    """Return the store's steady clock in seconds, 0 if the answer lacks it."""
+    now_ms = body.get("NowMs")
+    return now_ms / 1000 if isinstance(now_ms, int | float) else 0.0
--- /dev/null
+++ b/src/jackdawspread/platform/wire_lines.py
@@ -0,0 +1,49 @@
+"""Lines of the wire protocol."""
+
+MAX_LINE_BYTES = 1024 * 1024
+LINE_END = b"\r\n"
+
+
+class WireLines:
+    """Splits received bytes into lines and remembers an unfinished one.
+
+    Text is decoded as Latin-1, which maps every byte to one character and back, so
+    that text is forwarded unchanged.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    @property
+    def has_partial(self) -> bool:
+        """Whether bytes have arrived that no line has used."""
+        return bool(self._buffer)
+
+    def receive(self, data: bytes) -> None:
+        """Add received bytes."""
+        self._buffer += data
+
+    def next_line(self) -> str | None:
+        """Return the next line without its end, None if it has not arrived whole.
+
+        Raises
+        ------
+        ValueError
+            If a line is too long, or holds a line break of another kind, behind
+            which a second message could be hidden.
+        """
+        end = self._buffer.find(LINE_END)
+        if end < 0 or end > MAX_LINE_BYTES:
+            if len(self._buffer) > MAX_LINE_BYTES:
+                raise ValueError(f"a line is longer than {MAX_LINE_BYTES} bytes")
+            return None
+        line = bytes(self._buffer[:end])
+        del self._buffer[: end + len(LINE_END)]
+        if b"\r" in line or b"\n" in line or b"\0" in line:
+            raise ValueError("a line holds a line break or a zero byte")
+        return line.decode("latin-1")
+
+
+def encode_line(*fields: str) -> bytes:
+    """Return a line of fields separated by blanks."""
+    return " ".join(fields).encode("latin-1", "replace") + LINE_END
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own the configuration, the shares and the succession."""
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/duty_keeper.py
@@ -0,0 +1,97 @@
+"""Keeps the record of the duty to promote in a group."""
+
+from typing import NamedTuple
+
+from absl import logging
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode, encode
+
+from jackdawspread.decisions.succession.duty import (
+    DUTY_HOLD_S,
+    FREE_DUTY,
+    release_duty,
+    take_duty,
+)
+from jackdawspread.decisions.succession.duty_record import DutyRecord
+from jackdawspread.messages.fleet.record_outcome import RecordOutcome
+from jackdawspread.messages.fleet.record_status import RecordStatus
+from jackdawspread.tasks.fleet.record_calls import RecordCalls
+from jackdawspread.tasks.steady_clock import steady_time
+
+
+class HeldDuty(NamedTuple):
+    """Duty that this instance holds.
+
+    Parameters
+    ----------
+    name : str
+        Name of the record.
+    version : int
+        Version of the record.
+    record : DutyRecord
+        Its content.
+    held_until : float
+        Time in seconds, counting suspension, until which others keep away.
+    """
+
+    name: str
+    version: int
+    record: DutyRecord
+    held_until: float
+
+
+class DutyKeeper:
+    """Takes and releases duties by conditional writes.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    records : RecordCalls
+        Access to the store.
+    """
+
+    def __init__(self, instance: str, records: RecordCalls) -> None:
+        self._instance = instance
+        self._records = records
+
+    async def take(self, group: str) -> HeldDuty | None:
+        """Take the duty of a group, None if another holds it or the store is away."""
+        name = f"duty-{group}"
+        known = await self._records.read(name)
+        if known.status is not RecordStatus.DONE:
+            return None
+        asked_at = steady_time()
+        record = take_duty(_decode(known), self._instance, known.store_time_s)
+        if record is None:
+            return None
+        outcome = await self._records.write(name, known.version, encode(record))
+        if outcome.status is RecordStatus.UNKNOWN:
+            outcome = await self._read_back(name, record)
+        if outcome.status is not RecordStatus.DONE:
+            return None
+        return HeldDuty(name, outcome.version, record, asked_at + DUTY_HOLD_S)
+
+    async def release(self, duty: HeldDuty) -> None:
+        """Give the duty up, so that others need not wait for its end."""
+        record = release_duty(duty.record)
+        outcome = await self._records.write(duty.name, duty.version, encode(record))
+        if outcome.status is not RecordStatus.DONE:
+            logging.info("succession: duty not released name=%s", duty.name)
+
+    async def _read_back(self, name: str, record: DutyRecord) -> RecordOutcome:
+        """Find out whether a write whose answer was lost took effect."""
+        known = await self._records.read(name)
+        if known.status is RecordStatus.DONE and _decode(known) == record:
+            return known
+        return RecordOutcome(RecordStatus.CONFLICT)
+
+
+def _decode(outcome: RecordOutcome) -> DutyRecord:
+    if not outcome.value:
+        return FREE_DUTY
+    try:
+        return decode(outcome.value, type=DutyRecord)
+    except (DecodeError, ValidationError) as error:
+        logging.error("succession: unreadable duty reason=%r", error)
+        raise
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -0,0 +1,29 @@
+"""Metrics of the configuration, the shares and the succession."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+ADMISSIONS = Counter(
+    "jackdawspread_admissions",
+    "Operations by the result of their admission.",
+    ("code",),
+)
+CONFIGURATION_VERSION = Gauge(
+    "jackdawspread_configuration_version", "Version of the configuration in force."
+)
+CONFIGURATION_AGE = Gauge(
+    "jackdawspread_configuration_age_seconds",
+    "Time since the store last confirmed the configuration.",
+)
+SHARE = Gauge(
+    "jackdawspread_rate_share_ratio",
+    "Part of a workspace's rate that this instance may use.",
+    ("workspace",),
+)
+PROMOTIONS = Counter(
+    "jackdawspread_promotions", "Attempts to promote a member, by result.", ("result",)
+)
+PROMOTION_SECONDS = Histogram(
+    "jackdawspread_promotion_seconds",
+    "Time from the first doubt to the accepted promotion.",
+    buckets=(0.1, 0.25, 0.5, 1, 2, 4, 8, 16),
+)
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/member_orders.py
@@ -0,0 +1,101 @@
+"""Questions and orders to members about their logs."""
+
+from trio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    MemorySendChannel,
+    current_time,
+    open_memory_channel,
+    open_nursery,
+)
+
+from jackdawspread.messages.fleet.connection_need import ConnectionNeed
+from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.lease_returned import LeaseReturned
+from jackdawspread.messages.fleet.log_status import LogStatus
+from jackdawspread.messages.fleet.member_lease import MemberLease
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
+from jackdawspread.messages.statements.member_command import MemberCommand
+from jackdawspread.messages.statements.member_exchange import MemberExchange
+from jackdawspread.messages.statements.member_reply import MemberReply
+from jackdawspread.messages.statements.member_statement import MemberStatement
+
+# Name under which the proxy opens connections of its own.
+OWN_WORKSPACE = "jackdawspread"
+ORDER_S = 0.6
+
+
+class MemberOrders:
+    """Sends orders to named members over connections of the router.
+
+    Parameters
+    ----------
+    router : trio.MemorySendChannel
+        Inbox of the member router.
+    """
+
+    def __init__(self, router: MemorySendChannel[RouterEvent]) -> None:
+        self._router = router
+
+    async def send_all(
+        self, members: tuple[MemberListing, ...], order: MemberStatement
+    ) -> dict[str, LogStatus]:
+        """Send an order to members at the same time; return who answered."""
+        status_by_member: dict[str, LogStatus] = {}
+
+        async def send_one(listing: MemberListing) -> None:
+            status = await self.send(listing, order)
+            if status is not None:
+                status_by_member[listing.id] = status
+
+        async with open_nursery() as nursery:
+            for listing in members:
+                nursery.start_soon(send_one, listing)
+        return status_by_member
+
+    async def send(
+        self, listing: MemberListing, order: MemberStatement
+    ) -> LogStatus | None:
+        """Send an order to one member; return its answer, None if none arrived."""
+        deadline = current_time() + ORDER_S
+        lease = await self._lease(listing, deadline)
+        if isinstance(lease, Refusal):
+            return None
+        send, receive = open_memory_channel[MemberReply | ExchangeFailure](1)
+        command = MemberCommand("", order)
+        try:
+            lease.exchanges.send_nowait(MemberExchange((command,), deadline, send))
+        except (BrokenResourceError, ClosedResourceError):
+            self._give_back(lease, False)
+            return None
+        outcome = await receive.receive()
+        self._give_back(lease, isinstance(outcome, MemberReply))
+        if isinstance(outcome, ExchangeFailure) or outcome.log_status is None:
+            return None
+        return outcome.log_status._replace(member=listing.id)
+
+    async def _lease(
+        self, listing: MemberListing, deadline: float
+    ) -> MemberLease | Refusal:
+        send, receive = open_memory_channel[MemberLease | Refusal](1)
+        request = ConnectionRequest(
+            group=listing.group,
+            workspace=OWN_WORKSPACE,
+            need=ConnectionNeed.NAMED,
+            member=listing.id,
+            max_staleness_s=0.0,
+            session_position=None,
+            excluded=frozenset(),
+            priority=0,
+            expires_at=deadline,
+            reply_to=send,
+        )
+        await self._router.send(request)
+        return await receive.receive()
+
+    def _give_back(self, lease: MemberLease, usable: bool) -> None:
+        context = lease.context if usable else None
+        self._router.send_nowait(LeaseReturned(lease.connection, lease.member, context))
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/shares_task.py
@@ -0,0 +1,143 @@
+"""Renewal of this instance's shares of the workspaces' rates."""
+
+from absl import logging
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode, encode
+from trio import MemoryReceiveChannel, MemorySendChannel, current_time
+
+from jackdawspread.decisions.shares.rebalance import (
+    HOLD_S,
+    needed_fractions,
+    rebalance,
+)
+from jackdawspread.decisions.shares.share_book import ShareBook
+from jackdawspread.decisions.shares.store_clock import (
+    StoreClock,
+    note_answer,
+    to_store,
+)
+from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.demand_seen import DemandSeen
+from jackdawspread.messages.fleet.instances_seen import InstancesSeen
+from jackdawspread.messages.fleet.record_outcome import RecordOutcome
+from jackdawspread.messages.fleet.record_status import RecordStatus
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.fleet.shares_held import SharesHeld
+from jackdawspread.tasks.fleet.record_calls import RecordCalls
+from jackdawspread.tasks.steady_clock import steady_time
+
+RECORD = "shares"
+# Shares are renewed this often, and sooner while an operation lacks one.
+RENEWAL_S = 2.5
+STARVED_RENEWAL_S = 0.7
+FAILED_RENEWAL_S = 1.0
+MAX_CONFLICTS = 4
+# The holder stops this much before others may take its shares.
+HOLD_MARGIN_S = 1.0
+
+
+class SharesTask:
+    """Owns this instance's entry in the record of shares.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance, unique in the fleet.
+    records : RecordCalls
+        Access to the store.
+    demand : trio.MemoryReceiveChannel
+        Demand of the workspaces.
+    admission : trio.MemorySendChannel
+        Takes the shares held.
+    router : trio.MemorySendChannel
+        Takes the number of instances.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        records: RecordCalls,
+        demand: MemoryReceiveChannel[DemandSeen],
+        admission: MemorySendChannel[AdmissionEvent],
+        router: MemorySendChannel[RouterEvent],
+    ) -> None:
+        self._instance = instance
+        self._records = records
+        self._demand = demand
+        self._admission = admission
+        self._router = router
+        self._known = RecordOutcome(RecordStatus.UNKNOWN)
+        self._clock = StoreClock()
+        self._held_until = 0.0
+
+    async def run(self) -> None:
+        """Renew the shares until cancelled."""
+        renewed_at, pause_s = -RENEWAL_S, 0.0
+        async for demand in self._demand:
+            wanted_s = min(pause_s, STARVED_RENEWAL_S) if demand.starved else pause_s
+            if current_time() - renewed_at < wanted_s:
+                continue
+            renewed_at = current_time()
+            renewed = await self._renew(demand)
+            pause_s = RENEWAL_S if renewed else FAILED_RENEWAL_S
+
+    async def _renew(self, demand: DemandSeen) -> bool:
+        needed = needed_fractions(demand.rate_by_workspace, demand.limit_by_workspace)
+        for _ in range(MAX_CONFLICTS):
+            if self._known.status is RecordStatus.UNKNOWN:
+                self._remember(await self._records.read(RECORD))
+                if self._known.status is RecordStatus.UNKNOWN:
+                    return False
+            asked_at = steady_time()
+            store_time_s = to_store(self._clock, asked_at)
+            before = self._book()
+            book = rebalance(before, self._instance, needed, store_time_s)
+            # What is lowered is given up before the others can take it.
+            await self._announce(_common(before, book, self._instance))
+            outcome = await self._records.write(
+                RECORD, self._known.version, encode(book)
+            )
+            if outcome.status is RecordStatus.DONE:
+                self._remember(outcome._replace(value=encode(book)))
+                self._held_until = asked_at + HOLD_S - HOLD_MARGIN_S
+                await self._announce(book[self._instance]["held"])
+                await self._router.send(InstancesSeen(len(book)))
+                return True
+            self._remember(outcome)
+            if outcome.status is RecordStatus.REFUSED:
+                return False
+        logging.warning("shares: not renewed, conflicts=%d", MAX_CONFLICTS)
+        return False
+
+    def _remember(self, outcome: RecordOutcome) -> None:
+        """Keep what the store said; after a lost answer the record is read again."""
+        if outcome.store_time_s:
+            self._clock = note_answer(self._clock, outcome.store_time_s, steady_time())
+        if outcome.status in (RecordStatus.DONE, RecordStatus.CONFLICT):
+            self._known = outcome._replace(status=RecordStatus.DONE)
+        elif outcome.status is RecordStatus.UNKNOWN:
+            logging.warning("shares: no answer from the store")
+            self._known = RecordOutcome(RecordStatus.UNKNOWN)
+
+    def _book(self) -> ShareBook:
+        if not self._known.value:
+            return {}
+        try:
+            return decode(self._known.value, type=ShareBook)
+        except (DecodeError, ValidationError) as error:
+            logging.error("shares: unreadable record replaced reason=%r", error)
+            return {}
+
+    async def _announce(self, held: dict[str, float]) -> None:
+        await self._admission.send(SharesHeld(dict(held), self._held_until))
+
+
+def _common(before: ShareBook, after: ShareBook, instance: str) -> dict[str, float]:
+    """Return the shares that an instance holds both before and after a renewal."""
+    if instance not in before:
+        return {}
+    held = after[instance]["held"]
+    return {
+        workspace: min(fraction, held.get(workspace, 0.0))
+        for workspace, fraction in before[instance]["held"].items()
+    }
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/succession_attempt.py
@@ -0,0 +1,193 @@
+"""One attempt to replace the primary of a group."""
+
+from absl import logging
+from trio import MemorySendChannel, current_time, open_memory_channel, sleep
+
+from jackdawspread.decisions.succession.successor import (
+    furthest,
+    next_term,
+    replicas_to_ask,
+)
+from jackdawspread.messages.fleet.log_status import LogStatus
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.primary_suspected import PrimarySuspected
+from jackdawspread.messages.fleet.promotion_order import PromotionOrder
+from jackdawspread.messages.fleet.promotion_result import PromotionResult
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.fleet.suspicion_cleared import SuspicionCleared
+from jackdawspread.messages.statements.pause_replication import PauseReplication
+from jackdawspread.messages.statements.query_status import QueryStatus
+from jackdawspread.messages.statements.resume_replication import ResumeReplication
+from jackdawspread.tasks.fleet.duty_keeper import DutyKeeper, HeldDuty
+from jackdawspread.tasks.fleet.member_orders import MemberOrders
+from jackdawspread.tasks.steady_clock import steady_time
+
+PROBES = 2
+PROBE_PAUSE_S = 0.1
+# A replica that stays has this long to receive what a paused one holds.
+CATCH_UP_S = 0.8
+CATCH_UP_STEP_S = 0.05
+PROMOTION_PAUSE_S = 0.1
+# An acknowledged commit is on the primary and on one replica at least, so one of
+# two replicas that answer holds it.
+MIN_REPLICAS = 2
+
+
+class SuccessionAttempt:
+    """Confirms a doubt and promotes the member that holds every commit.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    orders : MemberOrders
+        Orders to members.
+    duties : DutyKeeper
+        Duties of this instance.
+    promotions : trio.MemorySendChannel
+        Takes orders to promote for the platform.
+    router : trio.MemorySendChannel
+        Inbox of the member router.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        orders: MemberOrders,
+        duties: DutyKeeper,
+        promotions: MemorySendChannel[PromotionOrder],
+        router: MemorySendChannel[RouterEvent],
+    ) -> None:
+        self._instance = instance
+        self._orders = orders
+        self._duties = duties
+        self._promotions = promotions
+        self._router = router
+
+    async def run(
+        self, doubt: PrimarySuspected, listing_by_id: dict[str, MemberListing]
+    ) -> str:
+        """Return the outcome of the attempt in a few words."""
+        primary = listing_by_id.get(doubt.member)
+        in_doubt = primary is not None and not doubt.planned and not doubt.stalled
+        if in_doubt and primary is not None and await self._answers(primary):
+            return "primary answers"
+        replicas = replicas_to_ask(listing_by_id.values(), doubt.group, doubt.member)
+        if len(replicas) < MIN_REPLICAS:
+            return "too few replicas listed"
+        duty = await self._duties.take(doubt.group)
+        if duty is None:
+            return "duty not free"
+        try:
+            return await self._replace(doubt, replicas, duty)
+        finally:
+            await self._duties.release(duty)
+
+    async def _answers(self, primary: MemberListing) -> bool:
+        for _ in range(PROBES):
+            asked_at = current_time()
+            if await self._orders.send(primary, QueryStatus()) is not None:
+                await self._router.send(
+                    SuspicionCleared(primary.group, primary.id, asked_at)
+                )
+                return True
+            await sleep(PROBE_PAUSE_S)
+        return False
+
+    async def _replace(
+        self,
+        doubt: PrimarySuspected,
+        replicas: tuple[MemberListing, ...],
+        duty: HeldDuty,
+    ) -> str:
+        before = await self._orders.send_all(replicas, QueryStatus())
+        if len(before) < len(replicas):
+            return "a replica does not answer"
+        if any(status.leads for status in before.values()):
+            return "another member leads"
+        staying = _staying(replicas, before) if doubt.planned else ""
+        to_pause = tuple(replica for replica in replicas if replica.id != staying)
+        order = PauseReplication(next_term(before.values()))
+        paused = await self._orders.send_all(to_pause, order)
+        chosen = ""
+        if len(paused) == len(to_pause):
+            chosen = await self._choose(replicas, staying, paused)
+        if not chosen:
+            await self._resume(to_pause, duty)
+            return "no replica holds every commit"
+        return await self._promote(doubt, chosen, to_pause, duty)
+
+    async def _choose(
+        self,
+        replicas: tuple[MemberListing, ...],
+        staying: str,
+        paused: dict[str, LogStatus],
+    ) -> str:
+        """Return the member that holds every acknowledged commit, empty if none."""
+        if not staying:
+            leaving = {replica.id for replica in replicas if replica.leaving}
+            best = furthest(paused.values(), leaving) or furthest(paused.values(), ())
+            return best.member if best is not None else ""
+        needed = max(status.received for status in paused.values())
+        listing = next(replica for replica in replicas if replica.id == staying)
+        give_up_at = current_time() + CATCH_UP_S
+        while current_time() < give_up_at:
+            status = await self._orders.send(listing, QueryStatus())
+            if status is not None and status.received >= needed:
+                return staying
+            await sleep(CATCH_UP_STEP_S)
+        return ""
+
+    async def _promote(
+        self,
+        doubt: PrimarySuspected,
+        chosen: str,
+        paused: tuple[MemberListing, ...],
+        duty: HeldDuty,
+    ) -> str:
+        """Order the promotion until it has a definite result.
+
+        An order without an answer may still be carried out, so nothing that makes
+        it safe is undone.
+        """
+        logging.info(
+            "succession: promoting member=%s group=%s token=%d reason=%s",
+            chosen,
+            doubt.group,
+            duty.record["token"],
+            doubt.reason,
+        )
+        result = PromotionResult.NOT_DONE
+        uncertain = False
+        while steady_time() < duty.held_until:
+            send, receive = open_memory_channel[PromotionResult](1)
+            await self._promotions.send(
+                PromotionOrder(
+                    doubt.group, chosen, self._instance, duty.record["token"], send
+                )
+            )
+            result = await receive.receive()
+            uncertain = uncertain or result is PromotionResult.UNKNOWN
+            if result in (PromotionResult.ACCEPTED, PromotionResult.REJECTED):
+                break
+            await sleep(PROMOTION_PAUSE_S)
+        if result is not PromotionResult.ACCEPTED and not uncertain:
+            await self._resume(paused, duty)
+        return f"promotion {result.value} member={chosen}"
+
+    async def _resume(self, paused: tuple[MemberListing, ...], duty: HeldDuty) -> None:
+        """End a pause, unless another instance may rely on it by now."""
+        if steady_time() < duty.held_until:
+            await self._orders.send_all(paused, ResumeReplication())
+        else:
+            logging.warning("succession: pause left in place name=%s", duty.name)
+
+
+def _staying(
+    replicas: tuple[MemberListing, ...], status_by_member: dict[str, LogStatus]
+) -> str:
+    """Return the replica that goes on receiving while a living primary is replaced."""
+    leaving = {replica.id for replica in replicas if replica.leaving}
+    able = [s for s in status_by_member.values() if s.member not in leaving]
+    best = furthest(able, ())
+    return best.member if best is not None else ""
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/succession_task.py
@@ -0,0 +1,102 @@
+"""Replacement of lost and leaving primaries."""
+
+from functools import singledispatchmethod
+
+from absl import logging
+from trio import (
+    MemoryReceiveChannel,
+    MemorySendChannel,
+    Nursery,
+    WouldBlock,
+    current_time,
+    open_nursery,
+    sleep,
+)
+
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.members_seen import MembersSeen
+from jackdawspread.messages.fleet.primary_suspected import PrimarySuspected
+from jackdawspread.messages.fleet.refresh_members import RefreshMembers
+from jackdawspread.messages.fleet.succession_event import SuccessionEvent
+from jackdawspread.tasks.fleet.fleet_metrics import PROMOTION_SECONDS, PROMOTIONS
+from jackdawspread.tasks.fleet.succession_attempt import SuccessionAttempt
+
+# Pause after an attempt, so that a lasting doubt does not fill the store with calls.
+ATTEMPT_PAUSE_S = 0.3
+PROMOTED_PAUSE_S = 1.0
+
+
+class SuccessionTask:
+    """Runs at most one attempt for each group at a time.
+
+    Parameters
+    ----------
+    attempt : SuccessionAttempt
+        Makes the attempts.
+    inbox : trio.MemoryReceiveChannel
+        Doubts and lists of members.
+    refresh : trio.MemorySendChannel
+        Takes wishes for a newer list of members.
+    """
+
+    def __init__(
+        self,
+        attempt: SuccessionAttempt,
+        inbox: MemoryReceiveChannel[SuccessionEvent],
+        refresh: MemorySendChannel[RefreshMembers],
+    ) -> None:
+        self._attempt = attempt
+        self._inbox = inbox
+        self._refresh = refresh
+        self._listing_by_id: dict[str, MemberListing] = {}
+        self._busy: set[str] = set()
+
+    async def run(self) -> None:
+        """Handle events until cancelled."""
+        async with open_nursery() as attempts:
+            async for event in self._inbox:
+                self._handle(event, attempts)
+
+    @singledispatchmethod
+    def _handle(self, event: object, attempts: Nursery) -> None:
+        raise TypeError(f"succession does not handle {type(event).__name__}")
+
+    @_handle.register
+    def _(self, event: MembersSeen, attempts: Nursery) -> None:
+        self._listing_by_id = event.listing_by_id
+
+    @_handle.register
+    def _(self, event: PrimarySuspected, attempts: Nursery) -> None:
+        if event.group not in self._busy:
+            self._busy.add(event.group)
+            attempts.start_soon(self._run, event)
+
+    async def _run(self, doubt: PrimarySuspected) -> None:
+        started_at = current_time()
+        try:
+            outcome = await self._attempt.run(doubt, self._listing_by_id)
+            promoted = outcome.startswith("promotion accepted")
+            elapsed_s = current_time() - started_at
+            PROMOTIONS.labels(outcome.partition(" member=")[0]).inc()
+            if promoted:
+                PROMOTION_SECONDS.observe(elapsed_s)
+            logging.info(
+                "succession: attempt group=%s primary=%s reason=%s elapsed_ms=%.0f "
+                "outcome=%s",
+                doubt.group,
+                doubt.member or "none",
+                doubt.reason,
+                1000 * elapsed_s,
+                outcome,
+            )
+            self._ask_refresh()
+            await sleep(PROMOTED_PAUSE_S if promoted else ATTEMPT_PAUSE_S)
+        finally:
+            self._busy.discard(doubt.group)
+
+    def _ask_refresh(self) -> None:
+        try:
+            self._refresh.send_nowait(RefreshMembers("attempt ended"))
+        except WouldBlock:
+            # A refresh is already asked for.
+            return
--- /dev/null
+++ b/src/jackdawspread/tasks/http_client.py
@@ -0,0 +1,71 @@
+"""Client of one HTTP server."""
+
+from itertools import count
+from typing import Any
+
+from trio import (
+    BrokenResourceError,
+    MemorySendChannel,
+    Nursery,
+    open_memory_channel,
+)
+
+from jackdawspread.messages.http_call import HttpCall
+from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.tasks.http_client_connection import HttpClientConnection
+
+
+class HttpClient:
+    """Makes calls one after the other, over one connection at a time.
+
+    The connection of a failed call is not used again, so a late answer reaches
+    nobody.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the server.
+    nursery : trio.Nursery
+        Runs the connections.
+    """
+
+    def __init__(self, address: str, nursery: Nursery) -> None:
+        self._address = address
+        self._nursery = nursery
+        self._ids = count(1)
+        self._calls: MemorySendChannel[HttpCall] | None = None
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: dict[str, Any],
+        deadline: float,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> HttpOutcome:
+        """Make one call and return its outcome, at the latest at its deadline."""
+        send, receive = open_memory_channel[HttpOutcome](1)
+        call = HttpCall(next(self._ids), method, target, body, deadline, send, headers)
+        try:
+            await self._connect().send(call)
+        except BrokenResourceError:
+            # The previous answer ended the connection; this call was not sent.
+            self.close()
+            await self._connect().send(call)
+        outcome = await receive.receive()
+        if outcome.error:
+            self.close()
+        return outcome
+
+    def close(self) -> None:
+        """Close the connection, if there is one."""
+        if self._calls is not None:
+            self._calls.close()
+            self._calls = None
+
+    def _connect(self) -> MemorySendChannel[HttpCall]:
+        if self._calls is None:
+            self._calls, inbox = open_memory_channel[HttpCall](0)
+            connection = HttpClientConnection(next(self._ids), self._address, inbox)
+            self._nursery.start_soon(connection.run)
+        return self._calls
--- a/src/jackdawspread/tasks/http_client_connection.py
+++ b/src/jackdawspread/tasks/http_client_connection.py
@@ -11,13 +11,13 @@
     MemoryReceiveChannel,
     SocketStream,
     current_time,
-    open_tcp_stream,
 )
 
 from jackdawspread.codecs.http_client_codec import HttpClientCodec
 from jackdawspread.codecs.json_body import decode_json, encode_json
 from jackdawspread.messages.http_call import HttpCall
 from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.tasks.open_stream import open_stream
 
 READ_CHUNK_BYTES = 64 * 1024
 
@@ -67,8 +67,7 @@
         with CancelScope(deadline=call.deadline) as scope:
             try:
                 if self._stream is None:
-                    host, port = self._address.rsplit(":", 1)
-                    self._stream = await open_tcp_stream(host, int(port))
+                    self._stream = await open_stream(self._address)
                 sent = True
                 return await self._exchange(call)
             except (
@@ -85,8 +84,9 @@
 
     async def _exchange(self, call: HttpCall) -> HttpOutcome:
         assert self._stream is not None
-        body = encode_json(call.body)
-        await self._stream.send_all(self._codec.encode(call.method, call.target, body))
+        body = b"" if call.method == "GET" else encode_json(call.body)
+        encoded = self._codec.encode(call.method, call.target, body, call.headers)
+        await self._stream.send_all(encoded)
         while True:
             response = self._codec.next_response()
             if response is not None:
--- /dev/null
+++ b/src/jackdawspread/tasks/members/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own member connections and the beliefs about members."""
--- /dev/null
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -0,0 +1,210 @@
+"""Pools of connections to all members."""
+
+from collections.abc import Callable
+from itertools import count
+
+from absl import logging
+from trio import BrokenResourceError, MemorySendChannel, Nursery
+
+from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
+from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
+from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.lease_returned import LeaseReturned
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.tasks.members.member_codec import MemberCodec
+from jackdawspread.tasks.members.member_connection import MemberConnection
+from jackdawspread.tasks.members.member_pool import MemberPool
+from jackdawspread.tasks.members.pooled_connection import PooledConnection
+
+Grant = Callable[[ConnectionRequest, MemberPool, PooledConnection], bool]
+
+# A member that has no connection left is asked again after this time.
+FULL_BACKOFF_S = 0.2
+STEP = "pool"
+
+
+class ConnectionPools:
+    """Leases member connections and opens or closes them as needed.
+
+    Belongs to the member router.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Runs the connections.
+    make_codec : callable
+        Returns a codec for a new connection.
+    router : trio.MemorySendChannel
+        Inbox of the router, for news of the connections.
+    grant : callable
+        Hands a connection to a request; returns whether it was taken.
+    """
+
+    def __init__(
+        self,
+        nursery: Nursery,
+        make_codec: Callable[[], MemberCodec],
+        router: MemorySendChannel[RouterEvent],
+        grant: Grant,
+    ) -> None:
+        self._nursery = nursery
+        self._make_codec = make_codec
+        self._router = router
+        self._grant = grant
+        self._ids = count(1)
+        self.pool_by_member: dict[str, MemberPool] = {}
+        # Leased connections to members that the list no longer names.
+        self._orphan_by_id: dict[int, PooledConnection] = {}
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any request waits for a connection."""
+        return any(pool.waiting for pool in self.pool_by_member.values())
+
+    def adopt(self, listing_by_id: dict[str, MemberListing], now: float) -> None:
+        """Follow the list of members."""
+        for member, pool in list(self.pool_by_member.items()):
+            listing = listing_by_id.get(member)
+            if listing is None or listing.address != pool.listing.address:
+                self._retire(pool)
+            else:
+                pool.listing = listing
+        for member, listing in listing_by_id.items():
+            if member not in self.pool_by_member:
+                self.pool_by_member[member] = MemberPool(listing)
+
+    def set_limit(self, member: str, limit: int) -> None:
+        """Set how many connections this instance may hold to a member."""
+        pool = self.pool_by_member[member]
+        pool.limit = limit
+        while pool.size > limit and pool.idle:
+            _close(pool.idle.pop(0))
+
+    def request(self, member: str, request: ConnectionRequest, now: float) -> None:
+        """Lease a connection to a member as soon as one is free."""
+        pool = self.pool_by_member[member]
+        pool.waiting.append(request)
+        self._serve(pool, now)
+
+    def opened(self, event: ConnectionOpened, now: float) -> str:
+        """Take a new connection into its pool; return why it failed, if it did."""
+        pool = self.pool_by_member.get(event.member)
+        workspace = None
+        if pool is not None:
+            workspace = pool.workspace_by_opening.pop(event.connection, None)
+        if pool is None or workspace is None:
+            if event.exchanges is not None:
+                event.exchanges.close()
+            return event.error
+        if event.exchanges is None:
+            self._fail_opening(pool, workspace, event, now)
+        else:
+            pool.idle.append(
+                PooledConnection(event.connection, workspace, event.exchanges)
+            )
+        self._serve(pool, now)
+        return event.error
+
+    def returned(self, event: LeaseReturned, now: float) -> None:
+        """Take a leased connection back."""
+        orphan = self._orphan_by_id.pop(event.connection, None)
+        if orphan is not None:
+            _close(orphan)
+        pool = self.pool_by_member.get(event.member)
+        if pool is None:
+            return
+        connection = pool.leased_by_id.pop(event.connection, None)
+        if connection is None:
+            return
+        if event.context is None or pool.size >= pool.limit:
+            _close(connection)
+        else:
+            pool.idle.append(connection._replace(context=event.context))
+        self._serve(pool, now)
+
+    def closed(self, event: ConnectionClosed, now: float) -> None:
+        """Forget an idle connection that has ended."""
+        pool = self.pool_by_member.get(event.member)
+        if pool is not None:
+            pool.idle = [c for c in pool.idle if c.id != event.connection]
+            self._serve(pool, now)
+
+    def drop_idle(self, member: str) -> None:
+        """Close the idle connections of a member that could not be reached."""
+        pool = self.pool_by_member.get(member)
+        if pool is not None:
+            for connection in pool.idle:
+                _close(connection)
+            pool.idle = []
+
+    def expire(self, now: float) -> None:
+        """Refuse requests that have waited long enough, and serve the others."""
+        for pool in self.pool_by_member.values():
+            late = [r for r in pool.waiting if r.expires_at <= now]
+            pool.waiting = [r for r in pool.waiting if r.expires_at > now]
+            for request in late:
+                refuse(request, "busy", "every connection to the member is in use")
+            if pool.waiting:
+                self._serve(pool, now)
+
+    def _serve(self, pool: MemberPool, now: float) -> None:
+        for connection in reversed(pool.idle[:]):
+            self._lease(pool, connection)
+        while (request := pool.next_waiter()) is not None:
+            if pool.size >= pool.limit or now < pool.full_until:
+                oldest = pool.take_oldest_idle()
+                if oldest is None:
+                    return
+                _close(oldest)
+            self._open(pool, request.workspace)
+
+    def _lease(self, pool: MemberPool, connection: PooledConnection) -> None:
+        while (request := pool.take_waiter(connection.workspace)) is not None:
+            if self._grant(request, pool, connection):
+                pool.idle.remove(connection)
+                pool.leased_by_id[connection.id] = connection
+                return
+
+    def _open(self, pool: MemberPool, workspace: str) -> None:
+        id = next(self._ids)
+        pool.workspace_by_opening[id] = workspace
+        connection = MemberConnection(
+            id, pool.listing, workspace, self._make_codec, self._router
+        )
+        self._nursery.start_soon(connection.run)
+
+    def _fail_opening(
+        self, pool: MemberPool, workspace: str, event: ConnectionOpened, now: float
+    ) -> None:
+        if event.error == "toomany":
+            pool.full_until = now + FULL_BACKOFF_S
+            if pool.size > 0:
+                return
+        request = pool.take_waiter(workspace)
+        if request is not None:
+            refuse(request, "unreachable", event.error, pool.listing.id)
+
+    def _retire(self, pool: MemberPool) -> None:
+        del self.pool_by_member[pool.listing.id]
+        for connection in pool.idle:
+            _close(connection)
+        self._orphan_by_id.update(pool.leased_by_id)
+        for request in pool.waiting:
+            refuse(request, "unreachable", "the member has left", pool.listing.id)
+
+
+def refuse(
+    request: ConnectionRequest, code: str, detail: str, member: str = ""
+) -> None:
+    """Tell a request that it gets no connection; nothing was run for it."""
+    try:
+        request.reply_to.send_nowait(Refusal(code, Ran.NOT_RUN, STEP, member, detail))
+    except BrokenResourceError:
+        logging.vlog(1, "pool: the request for a connection is gone")
+
+
+def _close(connection: PooledConnection) -> None:
+    connection.exchanges.close()
--- /dev/null
+++ b/src/jackdawspread/tasks/members/member_codec.py
@@ -0,0 +1,28 @@
+"""Port to the protocol that members speak."""
+
+from typing import Protocol
+
+from jackdawspread.messages.statements.member_command import MemberCommand
+from jackdawspread.messages.statements.member_reply import MemberReply
+
+
+class MemberCodec(Protocol):
+    """Encodes commands for a member and decodes its replies.
+
+    Methods that decode raise ``ValueError`` if the bytes are not understood.
+    """
+
+    def encode_opening(self, group: str, workspace: str, member: str) -> bytes:
+        """Encode the first message of a connection."""
+
+    def encode_command(self, command: MemberCommand) -> bytes:
+        """Encode one command."""
+
+    def receive(self, data: bytes) -> None:
+        """Add bytes read from the socket."""
+
+    def next_opening_reply(self) -> MemberReply | None:
+        """Return the reply to the first message, None if bytes are missing."""
+
+    def next_reply(self) -> MemberReply | None:
+        """Return the next whole reply, None if bytes are missing."""
--- /dev/null
+++ b/src/jackdawspread/tasks/members/member_connection.py
@@ -0,0 +1,185 @@
+"""Connection to one member."""
+
+from collections.abc import Callable
+
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    EndOfChannel,
+    MemoryReceiveChannel,
+    MemorySendChannel,
+    SocketStream,
+    WouldBlock,
+    current_time,
+    open_memory_channel,
+)
+
+from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
+from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
+from jackdawspread.messages.statements.member_command import MemberCommand
+from jackdawspread.messages.statements.member_exchange import MemberExchange
+from jackdawspread.messages.statements.member_reply import MemberReply
+from jackdawspread.tasks.members.member_codec import MemberCodec
+from jackdawspread.tasks.open_stream import open_stream
+
+READ_CHUNK_BYTES = 64 * 1024
+# A new connection takes some 10 ms, and waits for a slot of the member.
+OPEN_S = 0.6
+EXCHANGE_INBOX = 8
+
+
+class MemberConnection:
+    """Owns one socket to a member and makes the exchanges of its inbox in order.
+
+    The connection ends at the first exchange without a whole answer, so that a late
+    answer reaches nobody.
+
+    Parameters
+    ----------
+    id : int
+        Id of the connection, unique in the process.
+    listing : MemberListing
+        The member.
+    workspace : str
+        Workspace under which the connection is opened.
+    make_codec : callable
+        Returns a codec for a new connection.
+    router : trio.MemorySendChannel
+        Takes the news of the opening and the end.
+    """
+
+    def __init__(
+        self,
+        id: int,
+        listing: MemberListing,
+        workspace: str,
+        make_codec: Callable[[], MemberCodec],
+        router: MemorySendChannel[RouterEvent],
+    ) -> None:
+        self._id = id
+        self._listing = listing
+        self._workspace = workspace
+        self._codec = make_codec()
+        self._router = router
+        self._stream: SocketStream | None = None
+
+    async def run(self) -> None:
+        """Open the connection and serve exchanges until the inbox closes."""
+        member = self._listing.id
+        error = await self._open()
+        if error:
+            await self._close()
+            await self._router.send(ConnectionOpened(self._id, member, None, error))
+            return
+        send, inbox = open_memory_channel[MemberExchange](EXCHANGE_INBOX)
+        await self._router.send(ConnectionOpened(self._id, member, send, ""))
+        try:
+            await self._serve(inbox)
+        finally:
+            _refuse_queued(inbox)
+            inbox.close()
+            await self._close()
+        await self._router.send(ConnectionClosed(self._id, member))
+
+    async def _open(self) -> str:
+        listing = self._listing
+        with CancelScope(deadline=current_time() + OPEN_S):
+            try:
+                self._stream = await open_stream(listing.address)
+                opening = self._codec.encode_opening(
+                    listing.group, self._workspace, listing.id
+                )
+                await self._stream.send_all(opening)
+                while (reply := self._codec.next_opening_reply()) is None:
+                    await self._receive()
+                return reply.error
+            except (OSError, BrokenResourceError, ClosedResourceError) as error:
+                return f"connection failed: {error.__cause__ or error}"
+            except ValueError as error:
+                return f"unreadable answer: {error}"
+        return f"no answer within {OPEN_S} s"
+
+    async def _serve(self, inbox: MemoryReceiveChannel[MemberExchange]) -> None:
+        async for exchange in inbox:
+            outcome = await self._exchange(exchange)
+            _reply(exchange, outcome)
+            if isinstance(outcome, ExchangeFailure):
+                return
+
+    async def _exchange(
+        self, exchange: MemberExchange
+    ) -> MemberReply | ExchangeFailure:
+        *first, last = exchange.commands
+        sent = False
+        with CancelScope(deadline=exchange.deadline):
+            try:
+                failed = await self._run_together(first)
+                if failed is not None:
+                    return failed
+                sent_at = current_time()
+                sent = True
+                reply = await self._run(last)
+                return reply._replace(sent_at=sent_at)
+            except (OSError, BrokenResourceError, ClosedResourceError) as error:
+                reason = f"connection failed: {error.__cause__ or error}"
+                return ExchangeFailure(sent, reason)
+            except ValueError as error:
+                return ExchangeFailure(sent, f"unreadable answer: {error}")
+        return ExchangeFailure(sent, "no answer in time", timed_out=True)
+
+    async def _run_together(self, commands: list[MemberCommand]) -> MemberReply | None:
+        """Run commands that prepare the last one; return the first error."""
+        if not commands:
+            return None
+        encode = self._codec.encode_command
+        await self._send(b"".join(encode(command) for command in commands))
+        replies = [await self._next_reply() for _ in commands]
+        errors = [reply for reply in replies if reply.error]
+        return errors[0] if errors else None
+
+    async def _run(self, command: MemberCommand) -> MemberReply:
+        await self._send(self._codec.encode_command(command))
+        return await self._next_reply()
+
+    async def _send(self, data: bytes) -> None:
+        assert self._stream is not None
+        await self._stream.send_all(data)
+
+    async def _next_reply(self) -> MemberReply:
+        while (reply := self._codec.next_reply()) is None:
+            await self._receive()
+        return reply
+
+    async def _receive(self) -> None:
+        assert self._stream is not None
+        data = await self._stream.receive_some(READ_CHUNK_BYTES)
+        if not data:
+            raise BrokenResourceError("closed by the member")
+        self._codec.receive(data)
+
+    async def _close(self) -> None:
+        if self._stream is not None:
+            with CancelScope(shield=True, deadline=current_time() + 1):
+                await self._stream.aclose()
+
+
+def _refuse_queued(inbox: MemoryReceiveChannel[MemberExchange]) -> None:
+    """Answer exchanges that were queued behind the one that ended the connection."""
+    while True:
+        try:
+            exchange = inbox.receive_nowait()
+        except (WouldBlock, EndOfChannel):
+            return
+        _reply(exchange, ExchangeFailure(False, "the connection was lost while idle"))
+
+
+def _reply(exchange: MemberExchange, outcome: MemberReply | ExchangeFailure) -> None:
+    try:
+        exchange.reply_to.send_nowait(outcome)
+    except BrokenResourceError:
+        # The session has ended; its connection is closed by the router.
+        return
--- /dev/null
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -0,0 +1,85 @@
+"""Connections of this instance to one member."""
+
+from collections import Counter
+
+from jackdawspread.decisions.members.next_waiter import next_waiter
+from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.tasks.members.pooled_connection import PooledConnection
+
+
+class MemberPool:
+    """Idle and leased connections, and the requests that wait for one.
+
+    Belongs to the member router; idle connections are in the order of their last
+    use.
+
+    Parameters
+    ----------
+    listing : MemberListing
+        The member.
+    """
+
+    def __init__(self, listing: MemberListing) -> None:
+        self.listing = listing
+        self.idle: list[PooledConnection] = []
+        self.leased_by_id: dict[int, PooledConnection] = {}
+        self.workspace_by_opening: dict[int, str] = {}
+        self.waiting: list[ConnectionRequest] = []
+        self.limit = 1
+        self.full_until = 0.0
+
+    @property
+    def size(self) -> int:
+        """Connections that exist or are being opened."""
+        return len(self.idle) + len(self.leased_by_id) + len(self.workspace_by_opening)
+
+    def has_idle(self, workspace: str) -> bool:
+        """Whether an idle connection of the workspace exists."""
+        return any(connection.workspace == workspace for connection in self.idle)
+
+    def can_serve(self, workspace: str, now: float) -> bool:
+        """Whether a connection can be leased or opened without waiting for another."""
+        if self.has_idle(workspace) or self.idle:
+            return True
+        return self.size < self.limit and now >= self.full_until
+
+    def take_idle(self, workspace: str) -> PooledConnection | None:
+        """Remove and return the most recently used connection of a workspace."""
+        for index in range(len(self.idle) - 1, -1, -1):
+            if self.idle[index].workspace == workspace:
+                return self.idle.pop(index)
+        return None
+
+    def take_oldest_idle(self) -> PooledConnection | None:
+        """Remove and return the idle connection whose last use is longest ago."""
+        return self.idle.pop(0) if self.idle else None
+
+    def take_waiter(self, workspace: str) -> ConnectionRequest | None:
+        """Remove and return the next waiting request of a workspace."""
+        own = [request for request in self.waiting if request.workspace == workspace]
+        return self._take(own)
+
+    def next_waiter(self) -> ConnectionRequest | None:
+        """Return the request that deserves the next connection, without removing it.
+
+        Requests for which a connection is being opened are passed over.
+        """
+        opening = Counter(self.workspace_by_opening.values())
+        left = []
+        for request in self.waiting:
+            if opening[request.workspace] > 0:
+                opening[request.workspace] -= 1
+            else:
+                left.append(request)
+        return next_waiter(left, self._in_use()) if left else None
+
+    def _take(self, requests: list[ConnectionRequest]) -> ConnectionRequest | None:
+        if not requests:
+            return None
+        request = next_waiter(requests, self._in_use())
+        self.waiting.remove(request)
+        return request
+
+    def _in_use(self) -> Counter[str]:
+        return Counter(c.workspace for c in self.leased_by_id.values())
--- /dev/null
+++ b/src/jackdawspread/tasks/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own callers' sessions."""
--- /dev/null
+++ b/src/jackdawspread/tasks/sessions/decision_line.py
@@ -0,0 +1,91 @@
+"""Log line and metrics of an answered statement."""
+
+from functools import singledispatch
+
+from absl import logging
+
+from jackdawspread.decisions.sessions.statement_outcome import StatementOutcome
+from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.session_phase import SessionPhase
+from jackdawspread.messages.statements.session_request import SessionRequest
+from jackdawspread.messages.statements.statement_success import StatementSuccess
+from jackdawspread.tasks.sessions.session_metrics import (
+    READS,
+    STATEMENT_SECONDS,
+    STATEMENTS,
+)
+
+
+def log_statement(
+    database: str,
+    request: SessionRequest,
+    before: SessionPhase,
+    admitted: OperationAdmitted | None,
+    outcome: StatementOutcome,
+    elapsed_s: float,
+) -> None:
+    """Write one line with what decided about a statement, and count it.
+
+    Statements that the proxy answers itself without an error are counted only.
+    """
+    kind = type(request.statement).__name__
+    consistency = admitted.route.consistency.value if admitted else "none"
+    code = _code(outcome.result)
+    STATEMENTS.labels(consistency, kind, code).inc()
+    STATEMENT_SECONDS.labels(consistency, kind).observe(elapsed_s)
+    if outcome.attempts == 0 and code == "done":
+        return
+    if code == "done" and "Read" in kind:
+        READS.labels("primary" if outcome.after == "lead" else "replica").inc()
+    logging.info(
+        "session: statement id=%s kind=%s database=%s workspace=%s phase=%s "
+        "version=%s version_age_ms=%s member=%s terms=%s attempts=%d elapsed_ms=%.1f "
+        "outcome=%s %s",
+        request.id,
+        kind,
+        database,
+        admitted.workspace if admitted else "none",
+        before.value,
+        admitted.version if admitted else "none",
+        round(1000 * admitted.age_s) if admitted else "none",
+        outcome.member or "none",
+        outcome.after or "none",
+        outcome.attempts,
+        1000 * elapsed_s,
+        code,
+        _reason(outcome.result),
+    )
+
+
+@singledispatch
+def _code(result: object) -> str:
+    raise TypeError(f"no code for a {type(result).__name__}")
+
+
+@_code.register
+def _(result: StatementSuccess) -> str:
+    return "done"
+
+
+@_code.register
+def _(result: Refusal) -> str:
+    return result.code
+
+
+@singledispatch
+def _reason(result: object) -> str:
+    raise TypeError(f"no reason for a {type(result).__name__}")
+
+
+@_reason.register
+def _(result: StatementSuccess) -> str:
+    return f"rows={len(result.rows)}"
+
+
+@_reason.register
+def _(result: Refusal) -> str:
+    return (
+        f"ran={result.ran.value} step={result.step} peer={result.peer or 'none'} "
+        f"reason={result.detail!r}"
+    )
--- /dev/null
+++ b/src/jackdawspread/tasks/sessions/session_codec.py
@@ -0,0 +1,35 @@
+"""Port to the protocol that callers speak."""
+
+from typing import Protocol
+
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.close_session import CloseSession
+from jackdawspread.messages.statements.open_session import OpenSession
+from jackdawspread.messages.statements.session_answer import SessionAnswer
+from jackdawspread.messages.statements.session_request import SessionRequest
+
+
+class SessionCodec(Protocol):
+    """Decodes the messages of one caller and encodes the answers.
+
+    Methods that decode raise ``ValueError`` if the session can't go on.
+    """
+
+    @property
+    def has_partial(self) -> bool:
+        """Whether a part of a further message has arrived."""
+
+    def receive(self, data: bytes) -> None:
+        """Add bytes read from the socket."""
+
+    def next_opening(self) -> OpenSession | None:
+        """Return the first message, None if bytes are missing."""
+
+    def next_message(self) -> SessionRequest | CloseSession | None:
+        """Return the next message, None if bytes are missing."""
+
+    def encode_opened(self, refusal: Refusal | None) -> bytes:
+        """Encode the answer to the first message."""
+
+    def encode_answer(self, answer: SessionAnswer) -> bytes:
+        """Encode the answer to a request."""
--- /dev/null
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -0,0 +1,107 @@
+"""Listener for callers."""
+
+from collections.abc import Callable
+
+from absl import logging
+from trio import (
+    MemorySendChannel,
+    Nursery,
+    SocketListener,
+    SocketStream,
+    current_time,
+    open_nursery,
+    sleep,
+    sleep_until,
+)
+
+from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.open_stream import watch_peer
+from jackdawspread.tasks.sessions.caller_session import CallerSession, overloaded
+from jackdawspread.tasks.sessions.session_codec import SessionCodec
+from jackdawspread.tasks.sessions.session_metrics import SESSIONS
+
+STOP_STEP_S = 0.1
+ACCEPT_PAUSE_S = 0.05
+
+
+class SessionListener:
+    """Accepts callers and stops their sessions at a planned stop.
+
+    Parameters
+    ----------
+    listener : trio.SocketListener
+        Listening socket, owned by this task.
+    make_codec : callable
+        Returns a codec for a new session.
+    admission, router : trio.MemorySendChannel
+        Inboxes of the admission task and the member router.
+    max_sessions : int
+        Sessions that may be open at a time.
+    """
+
+    def __init__(
+        self,
+        listener: SocketListener,
+        make_codec: Callable[[], SessionCodec],
+        admission: MemorySendChannel[AdmissionEvent],
+        router: MemorySendChannel[RouterEvent],
+        max_sessions: int,
+    ) -> None:
+        self._listener = listener
+        self._make_codec = make_codec
+        self._admission = admission
+        self._router = router
+        self._max_sessions = max_sessions
+        self._sessions: set[CallerSession] = set()
+
+    async def run(self) -> None:
+        """Accept callers until cancelled."""
+        async with open_nursery() as sessions:
+            while True:
+                try:
+                    stream = await self._listener.accept()
+                except OSError as error:
+                    logging.warning("listener: accept failed reason=%r", error)
+                    await sleep(ACCEPT_PAUSE_S)
+                    continue
+                self._start(stream, sessions)
+
+    async def stop(self, times: StopTimes) -> None:
+        """Let sessions end: first those at rest, later those with a transaction.
+
+        Callers keep coming until the balancer has noticed, so they are served until
+        ``times.close_at``.
+        """
+        await sleep_until(times.close_at)
+        logging.info("listener: closing sessions at rest count=%d", len(self._sessions))
+        while self._sessions and current_time() < times.exit_at:
+            abort_open = current_time() >= times.abort_at
+            for session in tuple(self._sessions):
+                session.stop(abort_open)
+            await sleep(STOP_STEP_S)
+        logging.info("listener: sessions left at exit count=%d", len(self._sessions))
+
+    def _start(self, stream: SocketStream, sessions: Nursery) -> None:
+        watch_peer(stream)
+        if len(self._sessions) >= self._max_sessions:
+            sessions.start_soon(self._turn_away, stream)
+            return
+        session = CallerSession(
+            stream, self._make_codec(), self._admission, self._router
+        )
+        sessions.start_soon(self._serve, session)
+
+    async def _turn_away(self, stream: SocketStream) -> None:
+        async with stream:
+            await stream.send_all(self._make_codec().encode_opened(overloaded()))
+
+    async def _serve(self, session: CallerSession) -> None:
+        self._sessions.add(session)
+        SESSIONS.set(len(self._sessions))
+        try:
+            await session.run()
+        finally:
+            self._sessions.discard(session)
+            SESSIONS.set(len(self._sessions))
--- /dev/null
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -0,0 +1,177 @@
+"""Statements of one session on their way to members."""
+
+from absl import logging
+from trio import MemorySendChannel, WouldBlock, current_time, open_memory_channel
+
+from jackdawspread.decisions.sessions.answer_now import AnswerNow
+from jackdawspread.decisions.sessions.finish_transaction import FinishTransaction
+from jackdawspread.decisions.sessions.operation import Operation
+from jackdawspread.decisions.sessions.run_statement import RunStatement
+from jackdawspread.decisions.sessions.session_state import SessionState
+from jackdawspread.decisions.sessions.start_transaction import StartTransaction
+from jackdawspread.decisions.sessions.statement_outcome import StatementOutcome
+from jackdawspread.decisions.sessions.statement_plan import (
+    end_transaction,
+    fail_transaction,
+    plan_statement,
+)
+from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.admit_operation import AdmitOperation
+from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.open_session import OpenSession
+from jackdawspread.messages.statements.session_answer import SessionAnswer
+from jackdawspread.messages.statements.session_phase import SessionPhase
+from jackdawspread.messages.statements.session_request import SessionRequest
+from jackdawspread.messages.statements.statement_success import StatementSuccess
+from jackdawspread.tasks.sessions.decision_line import log_statement
+from jackdawspread.tasks.sessions.member_calls import MemberCalls
+from jackdawspread.tasks.sessions.single_statement import run_single
+from jackdawspread.tasks.sessions.transaction_runner import TransactionRunner
+
+# Part of a statement's time for which it waits for a member that may serve it.
+HOLD_PART = 0.45
+
+
+class SessionOperations:
+    """Answers the statements of one session; owned by the session's task.
+
+    Parameters
+    ----------
+    opening : OpenSession
+        Database and key of the session.
+    admission : trio.MemorySendChannel
+        Inbox of the admission task.
+    router : trio.MemorySendChannel
+        Inbox of the member router.
+    """
+
+    def __init__(
+        self,
+        opening: OpenSession,
+        admission: MemorySendChannel[AdmissionEvent],
+        router: MemorySendChannel[RouterEvent],
+    ) -> None:
+        self._opening = opening
+        self._admission = admission
+        self._calls = MemberCalls(router)
+        self._state = SessionState()
+        self._admitted: OperationAdmitted | None = None
+        self._transaction: TransactionRunner | None = None
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._state.phase is not SessionPhase.IDLE
+
+    @property
+    def idle_limit_s(self) -> float:
+        """Time for which the open transaction may stay idle, in seconds."""
+        if self._state.phase is not SessionPhase.IN_TRANSACTION:
+            return float("inf")
+        assert self._admitted is not None
+        return self._admitted.transaction_idle_s
+
+    async def check_opening(self) -> Refusal | None:
+        """Return why the session may not open, None if it may."""
+        admitted = await self._admit(spend=False)
+        return admitted if isinstance(admitted, Refusal) else None
+
+    async def answer(self, request: SessionRequest) -> SessionAnswer:
+        """Run one statement and return its answer."""
+        arrived_at = current_time()
+        before = self._state.phase
+        outcome = await self._run(request)
+        self._state = outcome.state
+        log_statement(
+            self._opening.database,
+            request,
+            before,
+            self._admitted,
+            outcome,
+            current_time() - arrived_at,
+        )
+        return SessionAnswer(outcome.result, outcome.state.phase)
+
+    def abort_idle(self) -> None:
+        """Roll the transaction back; later statements are refused until it ends."""
+        self.close()
+        self._state = fail_transaction(self._state)
+
+    def close(self) -> None:
+        """Roll back what is open and return its connection."""
+        if self._transaction is not None:
+            self._transaction.roll_back()
+            self._transaction = None
+
+    async def _run(self, request: SessionRequest) -> StatementOutcome:
+        plan = plan_statement(request.statement, self._state)
+        if isinstance(plan, AnswerNow):
+            if plan.state.phase is not SessionPhase.IN_TRANSACTION:
+                self.close()
+            return StatementOutcome(plan.result, plan.state)
+        if isinstance(plan, StartTransaction):
+            return await self._start(plan)
+        inside = self._state.phase is SessionPhase.IN_TRANSACTION
+        if isinstance(plan, FinishTransaction) and not plan.commit:
+            self.close()
+            return StatementOutcome(StatementSuccess(), end_transaction(self._state))
+        admitted = await self._admit(spend=not inside)
+        if isinstance(admitted, Refusal):
+            self.close()
+            return StatementOutcome(admitted, fail_transaction(self._state))
+        if not inside:
+            self._admitted = admitted
+        return await self._run_at_member(request, plan, inside)
+
+    async def _start(self, plan: StartTransaction) -> StatementOutcome:
+        admitted = await self._admit(spend=True)
+        if isinstance(admitted, Refusal):
+            return StatementOutcome(admitted, self._state)
+        self._admitted = admitted
+        self._transaction = TransactionRunner(self._calls)
+        state = self._state._replace(
+            phase=SessionPhase.IN_TRANSACTION, read_only=plan.read_only
+        )
+        return StatementOutcome(StatementSuccess(), state)
+
+    async def _run_at_member(
+        self,
+        request: SessionRequest,
+        plan: RunStatement | FinishTransaction,
+        inside: bool,
+    ) -> StatementOutcome:
+        operation = self._operation(request)
+        if not inside:
+            assert isinstance(plan, RunStatement)
+            return await run_single(self._calls, operation, plan, self._state)
+        assert self._transaction is not None
+        if isinstance(plan, FinishTransaction):
+            outcome = await self._transaction.commit(operation, self._state)
+        else:
+            outcome = await self._transaction.run(operation, plan, self._state)
+        if outcome.state.phase is not SessionPhase.IN_TRANSACTION:
+            self.close()
+        return outcome
+
+    def _operation(self, request: SessionRequest) -> Operation:
+        assert self._admitted is not None
+        now = current_time()
+        timeout_s = self._admitted.route.statement_timeout_s
+        return Operation(
+            self._admitted, request.id, now + timeout_s, now + HOLD_PART * timeout_s
+        )
+
+    async def _admit(self, spend: bool) -> OperationAdmitted | Refusal:
+        send, receive = open_memory_channel[OperationAdmitted | Refusal](1)
+        opening = self._opening
+        question = AdmitOperation(opening.database, opening.key, spend, send)
+        try:
+            self._admission.send_nowait(question)
+        except WouldBlock:
+            logging.warning("session: admission overloaded")
+            detail = "the instance is overloaded"
+            return Refusal("busy", Ran.NOT_RUN, "admission", "", detail)
+        return await receive.receive()
--- /dev/null
+++ b/src/jackdawspread/tasks/sessions/single_statement.py
@@ -0,0 +1,105 @@
+"""Statements outside of transactions."""
+
+from trio import current_time, sleep
+
+from jackdawspread.decisions.sessions.member_outcomes import (
+    ran,
+    refuse_read,
+    refuse_write,
+)
+from jackdawspread.decisions.sessions.operation import Operation
+from jackdawspread.decisions.sessions.run_statement import RunStatement
+from jackdawspread.decisions.sessions.session_state import SessionState
+from jackdawspread.decisions.sessions.statement_outcome import StatementOutcome
+from jackdawspread.messages.fleet.connection_need import ConnectionNeed
+from jackdawspread.messages.fleet.consistency import Consistency
+from jackdawspread.messages.fleet.database_route import DatabaseRoute
+from jackdawspread.messages.fleet.member_lease import MemberLease
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
+from jackdawspread.messages.statements.member_reply import MemberReply
+from jackdawspread.messages.statements.statement_success import StatementSuccess
+from jackdawspread.tasks.sessions.member_calls import MemberCalls
+from jackdawspread.tasks.sessions.statement_attempt import attempt_statement
+
+MAX_ATTEMPTS = 6
+# Pause before a statement that nobody has run is tried again.
+RETRY_PAUSE_S = 0.03
+
+
+def read_need(route: DatabaseRoute) -> ConnectionNeed:
+    """Return the kind of member that may answer reads of a route."""
+    if route.consistency is Consistency.PRIMARY:
+        return ConnectionNeed.PRIMARY
+    return ConnectionNeed.FRESH
+
+
+async def run_single(
+    calls: MemberCalls, operation: Operation, plan: RunStatement, state: SessionState
+) -> StatementOutcome:
+    """Run a single read or write, trying again while nothing has run.
+
+    A read may be repeated after any failure, as it changes nothing. A write is sent
+    again only if its member says that it has not run it.
+    """
+    need = (
+        ConnectionNeed.PRIMARY if plan.writes else read_need(operation.admitted.route)
+    )
+    refuse = refuse_write if plan.writes else refuse_read
+    excluded: frozenset[str] = frozenset()
+    refusal: Refusal | None = None
+    member = after = ""
+    for attempt in range(1, MAX_ATTEMPTS + 1):
+        lease = await calls.lease(operation, need, state.position, excluded)
+        if isinstance(lease, Refusal):
+            refusal = refusal or lease
+            if not _may_retry(lease, operation):
+                return StatementOutcome(refusal, state, member, attempt, after)
+            await sleep(RETRY_PAUSE_S)
+            continue
+        member, after = lease.member, describe_terms(lease)
+        outcome = await attempt_statement(
+            calls, lease, plan, state, operation.request_id, operation.deadline
+        )
+        if isinstance(outcome, MemberReply) and not outcome.error:
+            done = _succeed(outcome, plan, state)
+            return done._replace(member=member, attempts=attempt, after=after)
+        refusal = refuse(outcome, member)
+        if not _may_repeat(outcome, plan, operation):
+            break
+        excluded = excluded | {member}
+        if need is ConnectionNeed.PRIMARY:
+            await sleep(RETRY_PAUSE_S)
+    assert refusal is not None
+    return StatementOutcome(refusal, state, member, attempt, after)
+
+
+def _succeed(
+    reply: MemberReply, plan: RunStatement, state: SessionState
+) -> StatementOutcome:
+    if plan.writes and reply.position is not None:
+        newest = max(reply.position, state.position or reply.position)
+        state = state._replace(position=newest)
+    return StatementOutcome(StatementSuccess(reply.rows, reply.proof), state)
+
+
+def _may_retry(refusal: Refusal, operation: Operation) -> bool:
+    """Whether to look for a member again after a refusal by the router."""
+    return refusal.code != "busy" and current_time() < operation.hold_until
+
+
+def _may_repeat(
+    outcome: MemberReply | ExchangeFailure, plan: RunStatement, operation: Operation
+) -> bool:
+    if plan.writes and ran(outcome) is not Ran.NOT_RUN:
+        return False
+    return current_time() < operation.hold_until
+
+
+def describe_terms(lease: MemberLease) -> str:
+    """Return the terms of a lease for the log."""
+    if lease.after is None:
+        return "lead"
+    position = f"{lease.after.term}.{lease.after.sequence}"
+    return f"{position} age_ms={1000 * lease.evidence_age_s:.0f}"
--- /dev/null
+++ b/src/jackdawspread/tasks/sessions/statement_attempt.py
@@ -0,0 +1,85 @@
+"""One attempt at a statement outside of transactions."""
+
+from jackdawspread.decisions.sessions.connection_preparation import prepare_connection
+from jackdawspread.decisions.sessions.run_statement import RunStatement
+from jackdawspread.decisions.sessions.session_state import SessionState
+from jackdawspread.messages.fleet.connection_context import ConnectionContext
+from jackdawspread.messages.fleet.member_lease import MemberLease
+from jackdawspread.messages.statements.begin_transaction import BeginTransaction
+from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
+from jackdawspread.messages.statements.member_command import MemberCommand
+from jackdawspread.messages.statements.member_reply import MemberReply
+from jackdawspread.messages.statements.session_phase import SessionPhase
+from jackdawspread.tasks.sessions.member_calls import MemberCalls
+
+
+async def attempt_statement(
+    calls: MemberCalls,
+    lease: MemberLease,
+    plan: RunStatement,
+    state: SessionState,
+    request_id: str,
+    deadline: float,
+) -> MemberReply | ExchangeFailure:
+    """Run a statement on a leased connection and give the connection back."""
+    preparation = prepare_connection(lease.context, state, plan.statement)
+    command = MemberCommand(request_id, plan.statement, lease.after)
+    if lease.as_primary and not plan.writes:
+        return await _read_at_primary(
+            calls, lease, preparation.commands, preparation.context, command, deadline
+        )
+    commands = (*preparation.commands, command)
+    outcome = await calls.exchange(lease, commands, deadline)
+    if plan.writes:
+        _note_write(calls, lease, outcome)
+    calls.give_back(lease, context_after(outcome, preparation.context))
+    return outcome
+
+
+async def _read_at_primary(
+    calls: MemberCalls,
+    lease: MemberLease,
+    preparation: tuple[MemberCommand, ...],
+    context: ConnectionContext,
+    command: MemberCommand,
+    deadline: float,
+) -> MemberReply | ExchangeFailure:
+    """Read inside a transaction, which only the member that leads will begin.
+
+    A former primary refuses the start and every statement of such a transaction, so
+    the read is never stale, without a clock or a lease.
+    """
+    begin = MemberCommand("", BeginTransaction(read_only=False))
+    begun = await calls.begin(lease, (*preparation, begin), deadline)
+    if isinstance(begun, ExchangeFailure):
+        calls.give_back(lease, None)
+        return begun._replace(sent=False)
+    if begun.error:
+        calls.give_back(lease, None)
+        return begun
+    calls.note_position(lease, begun, by_write=False)
+    outcome = await calls.exchange(lease, (command,), deadline)
+    if isinstance(outcome, ExchangeFailure):
+        calls.give_back(lease, None)
+    else:
+        calls.roll_back(lease, context)
+    return outcome
+
+
+def _note_write(
+    calls: MemberCalls, lease: MemberLease, outcome: MemberReply | ExchangeFailure
+) -> None:
+    if isinstance(outcome, ExchangeFailure):
+        if outcome.timed_out:
+            calls.note_stalled_write(lease)
+    elif not outcome.error:
+        calls.note_position(lease, outcome, by_write=True)
+
+
+def context_after(
+    outcome: MemberReply | ExchangeFailure, context: ConnectionContext
+) -> ConnectionContext | None:
+    """Return the state of a connection for its next use, None if it has none."""
+    if isinstance(outcome, ExchangeFailure):
+        return None
+    return context if outcome.phase is SessionPhase.IDLE else None
--- /dev/null
+++ b/src/jackdawspread/tasks/sessions/transaction_runner.py
@@ -0,0 +1,220 @@
+"""Transactions of a session."""
+
+from trio import current_time, sleep
+
+from jackdawspread.decisions.sessions.connection_preparation import prepare_connection
+from jackdawspread.decisions.sessions.member_outcomes import (
+    ran,
+    refuse_busy,
+    refuse_inside,
+    refuse_write,
+)
+from jackdawspread.decisions.sessions.operation import Operation
+from jackdawspread.decisions.sessions.run_statement import RunStatement
+from jackdawspread.decisions.sessions.session_state import SessionState
+from jackdawspread.decisions.sessions.statement_outcome import StatementOutcome
+from jackdawspread.decisions.sessions.statement_plan import (
+    end_transaction,
+    fail_transaction,
+)
+from jackdawspread.messages.fleet.connection_context import (
+    UNKNOWN_CONTEXT,
+    ConnectionContext,
+)
+from jackdawspread.messages.fleet.connection_need import ConnectionNeed
+from jackdawspread.messages.fleet.member_lease import MemberLease
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.begin_transaction import BeginTransaction
+from jackdawspread.messages.statements.commit_transaction import CommitTransaction
+from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
+from jackdawspread.messages.statements.member_command import MemberCommand
+from jackdawspread.messages.statements.member_reply import MemberReply
+from jackdawspread.messages.statements.session_phase import SessionPhase
+from jackdawspread.messages.statements.session_statement import SessionStatement
+from jackdawspread.messages.statements.statement_success import StatementSuccess
+from jackdawspread.tasks.sessions.member_calls import MemberCalls
+from jackdawspread.tasks.sessions.single_statement import (
+    MAX_ATTEMPTS,
+    RETRY_PAUSE_S,
+    describe_terms,
+    read_need,
+)
+
+
+class TransactionRunner:
+    """Runs the statements of one transaction on one member connection.
+
+    The connection is leased at the first statement, so that the pause of a caller
+    after its start holds nothing.
+
+    Parameters
+    ----------
+    calls : MemberCalls
+        Calls to the router and to members.
+    """
+
+    def __init__(self, calls: MemberCalls) -> None:
+        self._calls = calls
+        self._lease: MemberLease | None = None
+        self._context: ConnectionContext | None = None
+        self._changed_inside = False
+        self._terms = ""
+        self._attempts = 0
+
+    async def run(
+        self, operation: Operation, plan: RunStatement, state: SessionState
+    ) -> StatementOutcome:
+        """Run a read or a write inside the transaction."""
+        first = self._lease is None
+        for _ in range(MAX_ATTEMPTS):
+            refusal = await self._ensure_begun(operation, plan.statement, state)
+            if refusal is not None:
+                return self._outcome(refusal, fail_transaction(state))
+            outcome = await self._run_once(operation, plan.statement, state)
+            if isinstance(outcome, MemberReply) and not outcome.error:
+                state = state._replace(wrote=state.wrote or plan.writes)
+                success = StatementSuccess(outcome.rows, outcome.proof)
+                return self._outcome(success, state)
+            if not (first and self._may_restart(outcome, operation)):
+                break
+            self._drop()
+            await sleep(RETRY_PAUSE_S)
+        refusal = refuse_inside(outcome, self._member)
+        done = self._outcome(refusal, fail_transaction(state))
+        self._drop()
+        return done
+
+    async def commit(
+        self, operation: Operation, state: SessionState
+    ) -> StatementOutcome:
+        """Commit at the member; a missing answer leaves the outcome in doubt."""
+        refusal = await self._ensure_begun(operation, None, state)
+        ended = end_transaction(state)
+        if refusal is not None:
+            return self._outcome(refusal._replace(code="aborted"), ended)
+        assert self._lease is not None
+        command = MemberCommand(operation.request_id, CommitTransaction())
+        outcome = await self._calls.exchange(
+            self._lease, (command,), operation.deadline
+        )
+        if isinstance(outcome, MemberReply) and not outcome.error:
+            return self._committed(outcome, state)
+        if state.wrote and ran(outcome) is not Ran.NOT_RUN:
+            refusal = refuse_write(outcome, self._member)
+            if isinstance(outcome, ExchangeFailure) and outcome.timed_out:
+                self._calls.note_stalled_write(self._lease)
+        else:
+            refusal = refuse_inside(outcome, self._member)
+        done = self._outcome(refusal, ended)
+        self._drop()
+        return done
+
+    def roll_back(self) -> None:
+        """Roll back and return the connection, if there is one."""
+        if self._lease is None:
+            return
+        assert self._context is not None
+        context = UNKNOWN_CONTEXT if self._changed_inside else self._context
+        self._calls.roll_back(self._lease, context)
+        self._lease = None
+
+    def _drop(self) -> None:
+        """Close the connection, which rolls back whatever is open on it."""
+        if self._lease is not None:
+            self._calls.give_back(self._lease, None)
+            self._lease = None
+
+    @property
+    def _member(self) -> str:
+        return self._lease.member if self._lease is not None else ""
+
+    def _outcome(
+        self, result: StatementSuccess | Refusal, state: SessionState
+    ) -> StatementOutcome:
+        return StatementOutcome(
+            result, state, self._member, self._attempts, self._terms
+        )
+
+    async def _ensure_begun(
+        self,
+        operation: Operation,
+        statement: SessionStatement | None,
+        state: SessionState,
+    ) -> Refusal | None:
+        """Begin the transaction at a member unless it is open; return why not."""
+        if self._lease is not None:
+            return None
+        need = ConnectionNeed.PRIMARY
+        if state.read_only:
+            need = read_need(operation.admitted.route)
+        excluded: frozenset[str] = frozenset()
+        refusal: Refusal | None = None
+        for self._attempts in range(1, MAX_ATTEMPTS + 1):
+            lease = await self._calls.lease(operation, need, state.position, excluded)
+            if isinstance(lease, Refusal):
+                refusal = refusal or lease
+                if lease.code == "busy":
+                    break
+            else:
+                self._terms = describe_terms(lease)
+                begun = await self._begin(lease, statement, state, operation.deadline)
+                if begun is None:
+                    return None
+                refusal = refuse_busy(begun, lease.member)
+                excluded = excluded | {lease.member}
+            if current_time() >= operation.hold_until:
+                break
+            await sleep(RETRY_PAUSE_S)
+        return refusal
+
+    async def _begin(
+        self,
+        lease: MemberLease,
+        statement: SessionStatement | None,
+        state: SessionState,
+        deadline: float,
+    ) -> MemberReply | ExchangeFailure | None:
+        preparation = prepare_connection(lease.context, state, statement)
+        begin = BeginTransaction(read_only=not lease.as_primary)
+        command = MemberCommand("", begin, lease.after)
+        commands = (*preparation.commands, command)
+        begun = await self._calls.begin(lease, commands, deadline)
+        if isinstance(begun, ExchangeFailure) or begun.error:
+            self._calls.give_back(lease, None)
+            return begun
+        if lease.as_primary:
+            self._calls.note_position(lease, begun, by_write=False)
+        self._lease, self._context = lease, preparation.context
+        return None
+
+    async def _run_once(
+        self, operation: Operation, statement: SessionStatement, state: SessionState
+    ) -> MemberReply | ExchangeFailure:
+        assert self._lease is not None and self._context is not None
+        preparation = prepare_connection(self._context, state, statement)
+        self._context = preparation.context
+        self._changed_inside = self._changed_inside or bool(preparation.commands)
+        command = MemberCommand(operation.request_id, statement)
+        return await self._calls.exchange(
+            self._lease, (*preparation.commands, command), operation.deadline
+        )
+
+    def _may_restart(
+        self, outcome: MemberReply | ExchangeFailure, operation: Operation
+    ) -> bool:
+        """Whether the first statement may move to a new transaction elsewhere."""
+        return ran(outcome) is Ran.NOT_RUN and current_time() < operation.hold_until
+
+    def _committed(self, reply: MemberReply, state: SessionState) -> StatementOutcome:
+        assert self._lease is not None
+        if state.wrote and reply.position is not None:
+            self._calls.note_position(self._lease, reply, by_write=True)
+            newest = max(reply.position, state.position or reply.position)
+            state = state._replace(position=newest)
+        success = StatementSuccess(reply.rows, reply.proof)
+        done = self._outcome(success, end_transaction(state))
+        idle = reply.phase is SessionPhase.IDLE
+        self._calls.give_back(self._lease, self._context if idle else None)
+        self._lease = None
+        return done
