Lend rate tokens between instances, and start ready

Change: an instance without a token asks its peers by datagram and waits up to 25 ms; the lender debits first, so a lost datagram wastes. Operations that nobody ran give their token back. A new bucket holds one second of the rate. Questions that arrive before the first configuration wait for it.

--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -1,10 +1,5 @@
-"""Starts an instance from the source tree of a checkout."""
+"""Starts an instance from the packages that the build has put under target/."""
 
-import sys
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
-
-from jackdawspread.platform.daemon import main  # noqa: E402
+from jackdawspread.platform.daemon import main
 
 main()
--- /dev/null
+++ b/src/jackdawspread/codecs/token_datagrams.py
@@ -0,0 +1,38 @@
+"""Datagrams between instances.
+
+A datagram is a MessagePack array that begins with the version of the format and the
+kind; a datagram of another version or kind is ignored, as instances are replaced one
+by one.
+"""
+
+from msgspec import DecodeError, ValidationError
+from msgspec.msgpack import decode, encode
+
+from jackdawspread.messages.fleet.token_grant import TokenGrant
+from jackdawspread.messages.fleet.token_request import TokenRequest
+
+FORMAT = 1
+REQUEST = 1
+GRANT = 2
+MAX_DATAGRAM_BYTES = 512
+MAX_TOKENS = 1_000
+
+
+def encode_datagram(message: TokenRequest | TokenGrant) -> bytes:
+    """Encode a message."""
+    kind = REQUEST if isinstance(message, TokenRequest) else GRANT
+    return encode((FORMAT, kind, *message))
+
+
+def decode_datagram(data: bytes) -> TokenRequest | TokenGrant | None:
+    """Decode a message, None if it is of another format or kind."""
+    try:
+        fields = decode(data, type=list[int | str])
+    except (DecodeError, ValidationError):
+        return None
+    match fields:
+        case [1, 1, int(id), str(workspace), int(tokens)] if 0 <= tokens <= MAX_TOKENS:
+            return TokenRequest(id, workspace, tokens)
+        case [1, 2, int(id), int(tokens)] if 0 <= tokens <= MAX_TOKENS:
+            return TokenGrant(id, tokens)
+    return None
--- a/src/jackdawspread/decisions/sessions/operation_check.py
+++ b/src/jackdawspread/decisions/sessions/operation_check.py
@@ -2,6 +2,7 @@
 
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
+from jackdawspread.messages.fleet.workspace_limit import WorkspaceLimit
 from jackdawspread.messages.ran import Ran
 from jackdawspread.messages.refusal import Refusal
 
@@ -51,9 +52,12 @@
     )
 
 
-def refuse_rate(workspace: str, fraction: float, wait_s: float) -> Refusal:
+def refuse_rate(limit: WorkspaceLimit, fraction: float, wait_s: float) -> Refusal:
     """Return the refusal of an operation above the workspace's rate."""
-    detail = f"workspace {workspace} is above its rate, of which {fraction:.2f} is here"
+    detail = (
+        f"workspace {limit.workspace} is above its rate of {limit.rate_per_s:g}/s "
+        f"with a burst of {limit.burst:g}, of which {fraction:.2f} is held here"
+    )
     return _refuse("busy", detail, max(1, round(1000 * min(wait_s, 5.0))))
 
 
--- a/src/jackdawspread/decisions/shares/rebalance.py
+++ b/src/jackdawspread/decisions/shares/rebalance.py
@@ -30,7 +30,11 @@
 
 
 def rebalance(
-    book: ShareBook, instance: str, needed: Mapping[str, float], store_time_s: float
+    book: ShareBook,
+    instance: str,
+    address: str,
+    needed: Mapping[str, float],
+    store_time_s: float,
 ) -> ShareBook:
     """Return the book after a renewal by one instance.
 
@@ -40,6 +44,8 @@
         Book as read from the store.
     instance : str
         Name of the instance that renews.
+    address : str
+        Where its peers reach it.
     needed : mapping
         Fractions that it needs, by workspace.
     store_time_s : float
@@ -56,7 +62,9 @@
         workspace: _next_share(workspace, before.get(workspace, 0.0), need, others)
         for workspace, need in needed.items()
     }
-    own = ShareHolder(until=store_time_s + HOLD_S, held=held, needed=dict(needed))
+    own = ShareHolder(
+        address=address, until=store_time_s + HOLD_S, held=held, needed=dict(needed)
+    )
     return {**others, instance: own}
 
 
--- a/src/jackdawspread/decisions/shares/share_holder.py
+++ b/src/jackdawspread/decisions/shares/share_holder.py
@@ -6,10 +6,17 @@
 class ShareHolder(TypedDict):
     """Shares that an instance holds and those that it needs.
 
-    ``until`` is a time of the store's clock in seconds; ``held`` and ``needed``
-    are fractions of each workspace's rate.
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` at which its peers reach it.
+    until : float
+        Time of the store's clock in seconds until which the shares are held.
+    held, needed : dict
+        Fractions of each workspace's rate.
     """
 
+    address: str
     until: float
     held: dict[str, float]
     needed: dict[str, float]
--- a/src/jackdawspread/messages/fleet/admission_event.py
+++ b/src/jackdawspread/messages/fleet/admission_event.py
@@ -2,7 +2,18 @@
 
 from jackdawspread.messages.fleet.admit_operation import AdmitOperation
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
+from jackdawspread.messages.fleet.lend_tokens import LendTokens
+from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.readiness_asked import ReadinessAsked
 from jackdawspread.messages.fleet.shares_held import SharesHeld
+from jackdawspread.messages.fleet.tokens_received import TokensReceived
 
-AdmissionEvent = AdmitOperation | ConfigurationSeen | ReadinessAsked | SharesHeld
+AdmissionEvent = (
+    AdmitOperation
+    | ConfigurationSeen
+    | LendTokens
+    | OperationNotRun
+    | ReadinessAsked
+    | SharesHeld
+    | TokensReceived
+)
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -5,6 +5,7 @@
 
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.demand_seen import DemandSeen
+from jackdawspread.messages.fleet.loan_event import LoanEvent
 from jackdawspread.messages.fleet.promotion_order import PromotionOrder
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -20,6 +21,7 @@
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
 from jackdawspread.tasks.fleet.duty_keeper import DutyKeeper
+from jackdawspread.tasks.fleet.loans_task import LoansTask
 from jackdawspread.tasks.fleet.member_orders import MemberOrders
 from jackdawspread.tasks.fleet.record_calls import RecordCall, RecordCalls
 from jackdawspread.tasks.fleet.shares_task import SharesTask
@@ -67,6 +69,7 @@
         )
         self._refresh, self._wishes = open_memory_channel[RefreshMembers](1)
         self._demand, self._demand_inbox = open_memory_channel[DemandSeen](1)
+        self._loans, self._loan_inbox = open_memory_channel[LoanEvent](SMALL_INBOX)
 
     async def run(self) -> None:
         """Run every part until a planned stop is complete."""
@@ -107,7 +110,10 @@
             self._refresh,
         )
         admission = AdmissionTask(
-            settings.max_configuration_age_s, self._admission_inbox, self._demand
+            settings.max_configuration_age_s,
+            self._admission_inbox,
+            self._demand,
+            self._loans,
         )
         parts.start_soon(router.run)
         parts.start_soon(admission.run)
@@ -122,12 +128,18 @@
     def _start_shares(self, parts: Nursery) -> None:
         shares = SharesTask(
             self._instance_id,
+            self._settings.peer_address,
             self._open_records("shares", parts),
             self._demand_inbox,
             self._admission,
             self._router,
+            self._loans,
+        )
+        loans = LoansTask(
+            self._settings.peer_address, self._loan_inbox, self._admission
         )
         parts.start_soon(shares.run)
+        parts.start_soon(loans.run)
 
     def _start_succession(self, parts: Nursery) -> None:
         promotions, promotion_inbox = open_memory_channel[PromotionOrder](SMALL_INBOX)
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -15,6 +15,7 @@
     "ListenAddrs.Ready",
     "platform.Address",
     "CloudApi.Address",
+    "InternalPorts",
 )
 # Numbers that must be positive, with the values in force where they are missing.
 DEFAULT_BY_NUMBER = {
@@ -67,6 +68,9 @@
             )
         else:
             number_by_name[name] = number
+    port = value_by_name.get("InternalPorts", "").split(",")[0]
+    if port and not _is_address(f"0:{port}"):
+        errors.append(SettingsError(file, "platform", "InternalPorts", port, "a port"))
     if errors:
         return Error(tuple(errors))
     return Ok(_build(value_by_name, number_by_name))
@@ -77,6 +81,7 @@
 ) -> SessionProxySettings:
     apply_ms = number_by_name["Bounds.ConfigApplyMs"]
     skew_ms = number_by_name["Bounds.SkewMaxMs"]
+    port = value_by_name["InternalPorts"].split(",")[0]
     sessions = int(number_by_name["Limits.MaxFds"]) - RESERVED_DESCRIPTORS
     return SessionProxySettings(
         instance=value_by_name["NodeName"],
@@ -86,6 +91,7 @@
         store_address=value_by_name["platform.Address"],
         promotion_address=value_by_name["CloudApi.Address"],
         ip=value_by_name["Ip"],
+        peer_address=f"{value_by_name['Ip']}:{port}",
         drain_s=number_by_name["Bounds.DrainMs"] / 1000,
         grace_s=number_by_name["Bounds.GraceS"],
         # A change must be in force this long after its acceptance, even while the
--- a/src/jackdawspread/settings/session_proxy_settings.py
+++ b/src/jackdawspread/settings/session_proxy_settings.py
@@ -22,6 +22,8 @@
         ``IP:port`` of the service that promotes members.
     ip : str
         Address of the machine.
+    peer_address : str
+        ``IP:port`` for datagrams between instances; the port is the same everywhere.
     drain_s : float
         Time after which a leaving member gets nothing new.
     grace_s : float
@@ -39,6 +41,7 @@
     store_address: str
     promotion_address: str
     ip: str
+    peer_address: str
     drain_s: float
     grace_s: float
     max_configuration_age_s: float
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -9,28 +9,26 @@
     MemorySendChannel,
     WouldBlock,
     current_time,
-    move_on_after,
+    move_on_at,
 )
 
-from jackdawspread.decisions.rates.rate_bucket import RateBucket, refill, spend
 from jackdawspread.decisions.sessions.operation_check import (
     check_operation,
     refuse_rate,
 )
-from jackdawspread.decisions.shares.demand_meter import (
-    DemandMeter,
-    count,
-    current_rate,
-)
-from jackdawspread.decisions.shares.share_of import share_of
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.admit_operation import AdmitOperation
+from jackdawspread.messages.fleet.borrow_tokens import BorrowTokens
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.demand_seen import DemandSeen
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
+from jackdawspread.messages.fleet.lend_tokens import LendTokens
+from jackdawspread.messages.fleet.loan_event import LoanEvent
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
+from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.readiness_asked import ReadinessAsked
 from jackdawspread.messages.fleet.shares_held import SharesHeld
+from jackdawspread.messages.fleet.tokens_received import TokensReceived
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.tasks.fleet.fleet_metrics import (
     ADMISSIONS,
@@ -38,13 +36,20 @@
     CONFIGURATION_VERSION,
     SHARE,
 )
+from jackdawspread.tasks.fleet.rate_desk import RateDesk
+from jackdawspread.tasks.fleet.waiting_question import WaitingQuestion
 from jackdawspread.tasks.steady_clock import steady_time
 
 # The demand is reported this often; the shares task decides when to renew.
 DEMAND_REPORT_S = 0.5
-# A new bucket holds this part of its burst, as an earlier process of this instance
-# may just have used it.
-FIRST_FILL = 0.25
+# Sessions that arrive while the process starts wait for the first configuration.
+START_WAIT_S = 1.0
+# A loan takes one round trip between failure domains.
+LOAN_WAIT_S = 0.025
+# Tokens asked of each peer; more than the bucket of a small share holds is lost.
+LOAN_TOKENS = 1
+# Peers without tokens to spare are asked again after this time.
+LOAN_BACKOFF_S = 0.1
 
 
 class AdmissionTask:
@@ -55,9 +60,11 @@
     max_age_s : float
         Age of the configuration from which operations are refused.
     inbox : trio.MemoryReceiveChannel
-        Questions, configurations and shares.
+        Questions, configurations, shares and loans.
     demand : trio.MemorySendChannel
         Takes the demand of the workspaces.
+    loans : trio.MemorySendChannel
+        Takes wishes for tokens of peers.
     """
 
     def __init__(
@@ -65,25 +72,30 @@
         max_age_s: float,
         inbox: MemoryReceiveChannel[AdmissionEvent],
         demand: MemorySendChannel[DemandSeen],
+        loans: MemorySendChannel[LoanEvent],
     ) -> None:
         self._max_age_s = max_age_s
         self._inbox = inbox
         self._demand = demand
+        self._loans = loans
         self._configuration: FleetConfiguration | None = None
         self._confirmed_at = 0.0
-        self._shares = SharesHeld({}, 0.0)
-        self._bucket_by_workspace: dict[str, RateBucket] = {}
-        self._meter_by_workspace: dict[str, DemandMeter] = {}
+        self._desk = RateDesk()
+        self._waiting: list[WaitingQuestion] = []
+        self._asked_at_by_workspace: dict[str, float] = {}
         self._starved = False
 
     async def run(self) -> None:
         """Answer questions until cancelled."""
         report_at = current_time()
         while True:
-            with move_on_after(max(0.0, report_at - current_time())):
+            wake_at = min([report_at, *(item.answer_by for item in self._waiting)])
+            with move_on_at(wake_at):
                 self._handle(await self._inbox.receive())
-            if current_time() >= report_at:
-                report_at = current_time() + DEMAND_REPORT_S
+            now = current_time()
+            self._answer_late(now)
+            if now >= report_at:
+                report_at = now + DEMAND_REPORT_S
                 self._report_demand()
 
     @singledispatchmethod
@@ -92,18 +104,18 @@
 
     @_handle.register
     def _(self, event: AdmitOperation) -> None:
-        answer = check_operation(
-            self._configuration, self._age(), self._max_age_s, event.database, event.key
-        )
-        if event.spend and isinstance(answer, OperationAdmitted):
-            answer = self._spend(answer)
-        code = answer.code if isinstance(answer, Refusal) else "admitted"
-        if event.spend:
-            ADMISSIONS.labels(code).inc()
-        try:
-            event.reply_to.send_nowait(answer)
-        except BrokenResourceError:
-            logging.vlog(1, "admission: the session is gone")
+        now = current_time()
+        if self._configuration is None or self._desk.shares is None:
+            self._waiting.append(WaitingQuestion(event, now + START_WAIT_S))
+            return
+        checked = self._check(event)
+        limited = self._limited_workspace(event, checked)
+        if limited:
+            self._desk.count_demand(limited, now)
+            if not self._desk.spend(limited, 1, now):
+                self._borrow_or_refuse(event, limited, now)
+                return
+        _answer(event, checked)
 
     @_handle.register
     def _(self, event: ConfigurationSeen) -> None:
@@ -122,14 +134,41 @@
             1000 * (steady_time() - event.as_of),
         )
         self._configuration = newest
+        self._desk.limit_by_workspace = newest.limit_by_workspace
         CONFIGURATION_VERSION.set(newest.version)
         self._report_demand()
+        self._answer_waiting()
 
     @_handle.register
     def _(self, event: SharesHeld) -> None:
-        self._shares = event
+        self._desk.shares = event
         for workspace, fraction in event.fraction_by_workspace.items():
             SHARE.labels(workspace).set(fraction)
+        if event.held_until:
+            self._answer_waiting()
+
+    @_handle.register
+    def _(self, event: OperationNotRun) -> None:
+        self._desk.add(event.workspace, 1, current_time())
+
+    @_handle.register
+    def _(self, event: LendTokens) -> None:
+        lent = self._desk.spare(event.workspace, event.tokens, current_time())
+        event.reply_to.send_nowait(lent)
+
+    @_handle.register
+    def _(self, event: TokensReceived) -> None:
+        """Serve operations that wait for tokens, and keep what is left."""
+        left = event.tokens
+        for item in tuple(self._waiting):
+            checked = self._check(item.question)
+            limited = self._limited_workspace(item.question, checked)
+            if left and limited == event.workspace:
+                self._waiting.remove(item)
+                _answer(item.question, checked)
+                left -= 1
+        if left:
+            self._desk.add(event.workspace, left, current_time())
 
     @_handle.register
     def _(self, event: ReadinessAsked) -> None:
@@ -140,48 +179,82 @@
         else:
             event.reply_to.send_nowait("")
 
+    def _check(self, event: AdmitOperation) -> OperationAdmitted | Refusal:
+        return check_operation(
+            self._configuration, self._age(), self._max_age_s, event.database, event.key
+        )
+
+    def _limited_workspace(
+        self, event: AdmitOperation, checked: OperationAdmitted | Refusal
+    ) -> str:
+        """Return the workspace whose rate an operation counts against, or empty."""
+        if not event.spend or isinstance(checked, Refusal):
+            return ""
+        limited = checked.workspace in self._desk.limit_by_workspace
+        return checked.workspace if limited else ""
+
+    def _borrow_or_refuse(
+        self, event: AdmitOperation, workspace: str, now: float
+    ) -> None:
+        """Ask the peers for tokens, unless they have just had none to spare."""
+        self._starved = True
+        asked_at = self._asked_at_by_workspace.get(workspace, -LOAN_BACKOFF_S)
+        if LOAN_WAIT_S < now - asked_at < LOAN_BACKOFF_S:
+            self._refuse_rate(event, workspace, now)
+            return
+        if now - asked_at >= LOAN_BACKOFF_S:
+            self._asked_at_by_workspace[workspace] = now
+            try:
+                self._loans.send_nowait(BorrowTokens(workspace, LOAN_TOKENS))
+            except WouldBlock:
+                logging.vlog(1, "admission: too many wishes for loans")
+        self._waiting.append(WaitingQuestion(event, now + LOAN_WAIT_S))
+
+    def _answer_waiting(self) -> None:
+        """Look again at questions that came before the process was ready."""
+        waiting, self._waiting = self._waiting, []
+        for item in waiting:
+            self._handle(item.question)
+
+    def _answer_late(self, now: float) -> None:
+        for item in [item for item in self._waiting if item.answer_by <= now]:
+            self._waiting.remove(item)
+            checked = self._check(item.question)
+            limited = self._limited_workspace(item.question, checked)
+            if limited and not self._desk.spend(limited, 1, now):
+                self._refuse_rate(item.question, limited, now)
+            else:
+                _answer(item.question, checked)
+
+    def _refuse_rate(self, event: AdmitOperation, workspace: str, now: float) -> None:
+        limit = self._desk.limit_by_workspace[workspace]
+        wait_s = self._desk.wait_s(workspace, now)
+        _answer(event, refuse_rate(limit, self._desk.fraction(workspace), wait_s))
+
     def _age(self) -> float:
         age = steady_time() - self._confirmed_at
         CONFIGURATION_AGE.set(age)
         return age
 
-    def _spend(self, admitted: OperationAdmitted) -> OperationAdmitted | Refusal:
-        """Take one token of the workspace, if its share has one."""
-        assert self._configuration is not None
-        workspace, now = admitted.workspace, current_time()
-        limit = self._configuration.limit_by_workspace.get(workspace)
-        if limit is None:
-            return admitted
-        meter = self._meter_by_workspace.get(workspace, DemandMeter())
-        self._meter_by_workspace[workspace] = count(meter, now)
-        fraction = self._shares.fraction_by_workspace.get(workspace, 0.0)
-        if steady_time() > self._shares.held_until:
-            fraction = 0.0
-        share = share_of(limit, fraction)
-        bucket = self._bucket_by_workspace.get(workspace)
-        if bucket is None:
-            bucket = RateBucket(FIRST_FILL * share.burst, now)
-        bucket, taken = spend(refill(bucket, share, now), 1)
-        self._bucket_by_workspace[workspace] = bucket
-        if taken:
-            return admitted
-        self._starved = True
-        wait_s = (1 - bucket.tokens) / share.rate if share.rate else 1.0
-        return refuse_rate(workspace, fraction, wait_s)
-
     def _report_demand(self) -> None:
         if self._configuration is None:
             return
-        now = current_time()
         limits = self._configuration.limit_by_workspace
-        rates = {
-            workspace: current_rate(meter, now)
-            for workspace, meter in self._meter_by_workspace.items()
-        }
         rate_limits = {name: limit.rate_per_s for name, limit in limits.items()}
+        demand = self._desk.demand(current_time())
         try:
-            self._demand.send_nowait(DemandSeen(rates, rate_limits, self._starved))
+            self._demand.send_nowait(DemandSeen(demand, rate_limits, self._starved))
             self._starved = False
         except WouldBlock:
             # The shares task is waiting for the store; the next report replaces it.
             logging.vlog(1, "admission: demand not reported")
+
+
+def _answer(question: AdmitOperation, answer: OperationAdmitted | Refusal) -> None:
+    if question.spend:
+        code = answer.code if isinstance(answer, Refusal) else "admitted"
+        ADMISSIONS.labels(code).inc()
+    try:
+        question.reply_to.send_nowait(answer)
+    except BrokenResourceError:
+        logging.vlog(1, "admission: the session is gone")
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -19,6 +19,11 @@
     "Part of a workspace's rate that this instance may use.",
     ("workspace",),
 )
+LOANS = Counter(
+    "jackdawspread_token_loans",
+    "Answers of peers that were asked for tokens.",
+    ("result",),
+)
 PROMOTIONS = Counter(
     "jackdawspread_promotions", "Attempts to promote a member, by result.", ("result",)
 )
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/rate_desk.py
@@ -0,0 +1,85 @@
+"""Rate buckets of this instance."""
+
+from jackdawspread.decisions.rates.rate_bucket import RateBucket, refill, spend
+from jackdawspread.decisions.rates.rate_share import RateShare
+from jackdawspread.decisions.shares.demand_meter import (
+    DemandMeter,
+    count,
+    current_rate,
+)
+from jackdawspread.decisions.shares.share_of import share_of
+from jackdawspread.messages.fleet.shares_held import SharesHeld
+from jackdawspread.messages.fleet.workspace_limit import WorkspaceLimit
+from jackdawspread.tasks.steady_clock import steady_time
+
+# A new bucket holds what was earned while the process started; an earlier process
+# of this instance may have used the burst.
+START_S = 1.0
+
+
+class RateDesk:
+    """Spends, lends and returns tokens; belongs to the admission task."""
+
+    def __init__(self) -> None:
+        self.shares: SharesHeld | None = None
+        self.limit_by_workspace: dict[str, WorkspaceLimit] = {}
+        self._bucket_by_workspace: dict[str, RateBucket] = {}
+        self._meter_by_workspace: dict[str, DemandMeter] = {}
+
+    def count_demand(self, workspace: str, now: float) -> None:
+        """Count an operation that was asked for."""
+        meter = self._meter_by_workspace.get(workspace, DemandMeter())
+        self._meter_by_workspace[workspace] = count(meter, now)
+
+    def demand(self, now: float) -> dict[str, float]:
+        """Return the operations per second that were asked for, by workspace."""
+        return {
+            workspace: current_rate(meter, now)
+            for workspace, meter in self._meter_by_workspace.items()
+        }
+
+    def fraction(self, workspace: str) -> float:
+        """Return the part of a workspace's rate that may be used now."""
+        if self.shares is None or steady_time() > self.shares.held_until:
+            return 0.0
+        return self.shares.fraction_by_workspace.get(workspace, 0.0)
+
+    def spend(self, workspace: str, tokens: int, now: float) -> int:
+        """Take up to some whole tokens; return how many were taken."""
+        bucket, taken = spend(self._refilled(workspace, now), tokens)
+        self._bucket_by_workspace[workspace] = bucket
+        return taken
+
+    def spare(self, workspace: str, wanted: int, now: float) -> int:
+        """Take tokens for a peer; one stays for the next operation here."""
+        if workspace not in self.limit_by_workspace:
+            return 0
+        tokens = self._refilled(workspace, now).tokens
+        return self.spend(workspace, min(wanted, max(0, int(tokens) - 1)), now)
+
+    def add(self, workspace: str, tokens: int, now: float) -> None:
+        """Add tokens up to the burst of this instance's share."""
+        if workspace in self.limit_by_workspace:
+            bucket = self._refilled(workspace, now)
+            full = float(max(1, self._share(workspace).burst))
+            self._bucket_by_workspace[workspace] = bucket._replace(
+                tokens=min(full, bucket.tokens + tokens)
+            )
+
+    def wait_s(self, workspace: str, now: float) -> float:
+        """Return the time until the next token is earned here, in seconds."""
+        share = self._share(workspace)
+        if not share.rate:
+            return START_S
+        return max(0.0, 1 - self._refilled(workspace, now).tokens) / share.rate
+
+    def _share(self, workspace: str) -> RateShare:
+        limit = self.limit_by_workspace[workspace]
+        return share_of(limit, self.fraction(workspace))
+
+    def _refilled(self, workspace: str, now: float) -> RateBucket:
+        share = self._share(workspace)
+        bucket = self._bucket_by_workspace.get(workspace)
+        if bucket is None:
+            return RateBucket(min(share.burst, START_S * share.rate), now)
+        return refill(bucket, share, now)
--- a/src/jackdawspread/tasks/fleet/shares_task.py
+++ b/src/jackdawspread/tasks/fleet/shares_task.py
@@ -19,6 +19,8 @@
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.demand_seen import DemandSeen
 from jackdawspread.messages.fleet.instances_seen import InstancesSeen
+from jackdawspread.messages.fleet.loan_event import LoanEvent
+from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -43,6 +45,8 @@
     ----------
     instance : str
         Name of this instance, unique in the fleet.
+    address : str
+        ``IP:port`` of this instance for its peers.
     records : RecordCalls
         Access to the store.
     demand : trio.MemoryReceiveChannel
@@ -51,17 +55,23 @@
         Takes the shares held.
     router : trio.MemorySendChannel
         Takes the number of instances.
+    loans : trio.MemorySendChannel
+        Takes the addresses of the peers.
     """
 
     def __init__(
         self,
         instance: str,
+        address: str,
         records: RecordCalls,
         demand: MemoryReceiveChannel[DemandSeen],
         admission: MemorySendChannel[AdmissionEvent],
         router: MemorySendChannel[RouterEvent],
+        loans: MemorySendChannel[LoanEvent],
     ) -> None:
         self._instance = instance
+        self._address = address
+        self._loans = loans
         self._records = records
         self._demand = demand
         self._admission = admission
@@ -91,7 +101,9 @@
             asked_at = steady_time()
             store_time_s = to_store(self._clock, asked_at)
             before = self._book()
-            book = rebalance(before, self._instance, needed, store_time_s)
+            book = rebalance(
+                before, self._instance, self._address, needed, store_time_s
+            )
             # What is lowered is given up before the others can take it.
             await self._announce(_common(before, book, self._instance))
             outcome = await self._records.write(
@@ -102,6 +114,7 @@
                 self._held_until = asked_at + HOLD_S - HOLD_MARGIN_S
                 await self._announce(book[self._instance]["held"])
                 await self._router.send(InstancesSeen(len(book)))
+                await self._loans.send(self._peers(book))
                 return True
             self._remember(outcome)
             if outcome.status is RecordStatus.REFUSED:
@@ -128,6 +141,15 @@
             logging.error("shares: unreadable record replaced reason=%r", error)
             return {}
 
+    def _peers(self, book: ShareBook) -> PeersSeen:
+        return PeersSeen(
+            frozenset(
+                holder["address"]
+                for name, holder in book.items()
+                if name != self._instance
+            )
+        )
+
     async def _announce(self, held: dict[str, float]) -> None:
         await self._admission.send(SharesHeld(dict(held), self._held_until))
 
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -18,6 +18,7 @@
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.admit_operation import AdmitOperation
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
+from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.ran import Ran
 from jackdawspread.messages.refusal import Refusal
@@ -146,7 +147,9 @@
         operation = self._operation(request)
         if not inside:
             assert isinstance(plan, RunStatement)
-            return await run_single(self._calls, operation, plan, self._state)
+            single = await run_single(self._calls, operation, plan, self._state)
+            self._return_token(single)
+            return single
         assert self._transaction is not None
         if isinstance(plan, FinishTransaction):
             outcome = await self._transaction.commit(operation, self._state)
@@ -156,6 +159,16 @@
             self.close()
         return outcome
 
+    def _return_token(self, outcome: StatementOutcome) -> None:
+        """Give back the token of an operation that no member has run."""
+        assert self._admitted is not None
+        result = outcome.result
+        if isinstance(result, Refusal) and result.ran is Ran.NOT_RUN:
+            try:
+                self._admission.send_nowait(OperationNotRun(self._admitted.workspace))
+            except WouldBlock:
+                logging.vlog(1, "session: token not returned")
+
     def _operation(self, request: SessionRequest) -> Operation:
         assert self._admitted is not None
         now = current_time()
