Keep the duty after an ordered promotion, and shares over a restart

Change: the duty runs out by itself after an order; the remembered need decays by 0.7 a renewal; entries not renewed for 6 s claim nothing; shares are held 14 s, not 20.

--- a/src/jackdawspread/decisions/shares/rebalance.py
+++ b/src/jackdawspread/decisions/shares/rebalance.py
@@ -10,10 +10,15 @@
 from jackdawspread.decisions.shares.share_book import ShareBook
 from jackdawspread.decisions.shares.share_holder import ShareHolder
 
-# Time for which shares are held without a renewal; outlasts an outage of the store.
-HOLD_S = 20.0
+# Time for which shares are held without a renewal; outlasts most outages of the store.
+HOLD_S = 14.0
+# An instance that has not renewed for this long keeps its shares but claims no others.
+STALE_S = 6.0
 # Demand is granted with this much room, as it varies between two renewals.
 HEADROOM = 1.3
+# Part of the last need that remains, so that a restarted instance keeps its shares
+# until it has measured its demand.
+NEED_MEMORY = 0.7
 
 
 def needed_fractions(
@@ -57,34 +62,52 @@
         if holder["until"] > store_time_s or name == instance
     }
     others = {name: holder for name, holder in live.items() if name != instance}
-    before = live[instance]["held"] if instance in live else {}
-    held = {
-        workspace: _next_share(workspace, before.get(workspace, 0.0), need, others)
+    own = live.get(instance)
+    remembered = own["needed"] if own is not None else {}
+    needs = {
+        workspace: max(need, NEED_MEMORY * remembered.get(workspace, 0.0))
         for workspace, need in needed.items()
     }
-    own = ShareHolder(
-        address=address, until=store_time_s + HOLD_S, held=held, needed=dict(needed)
+    claiming = {
+        name: holder
+        for name, holder in others.items()
+        if holder["until"] > store_time_s + HOLD_S - STALE_S
+    }
+    held = {
+        workspace: _next_share(workspace, need, others, claiming)
+        for workspace, need in needs.items()
+    }
+    renewed = ShareHolder(
+        address=address, until=store_time_s + HOLD_S, held=held, needed=needs
     )
-    return {**others, instance: own}
+    return {**others, instance: renewed}
 
 
 def _next_share(
-    workspace: str, before: float, need: float, others: Mapping[str, ShareHolder]
+    workspace: str,
+    need: float,
+    others: Mapping[str, ShareHolder],
+    claiming: Mapping[str, ShareHolder],
 ) -> float:
-    needs = [holder["needed"].get(workspace, 0.0) for holder in others.values()]
-    target = fair_target(need, needs)
     taken = sum(holder["held"].get(workspace, 0.0) for holder in others.values())
+    stale = sum(
+        holder["held"].get(workspace, 0.0)
+        for name, holder in others.items()
+        if name not in claiming
+    )
+    needs = [holder["needed"].get(workspace, 0.0) for holder in claiming.values()]
+    target = fair_target(need, needs, max(0.0, 1.0 - stale))
     free = max(0.0, 1.0 - taken)
     # Rounding down keeps the sum of all shares at 1 or below.
     return int(1e6 * min(target, free)) / 1e6
 
 
-def fair_target(need: float, others: list[float]) -> float:
-    """Return one instance's share of 1 by max-min fairness.
+def fair_target(need: float, others: list[float], total: float = 1.0) -> float:
+    """Return one instance's part of a total by max-min fairness.
 
     What nobody needs is split evenly, so that a burst finds something anywhere.
     """
-    left, waiting = 1.0, sorted([need, *others])
+    left, waiting = total, sorted([need, *others])
     for index, wanted in enumerate(waiting):
         even = left / (len(waiting) - index)
         if wanted > even:
--- a/src/jackdawspread/tasks/fleet/succession_attempt.py
+++ b/src/jackdawspread/tasks/fleet/succession_attempt.py
@@ -78,10 +78,10 @@
         duty = await self._duties.take(doubt.group)
         if duty is None:
             return "duty not free"
-        try:
-            return await self._replace(doubt, replicas, duty)
-        finally:
+        outcome, ordered = await self._replace(doubt, replicas, duty)
+        if not ordered:
             await self._duties.release(duty)
+        return outcome
 
     async def _answers(self, primary: MemberListing) -> bool:
         for _ in range(PROBES):
@@ -99,12 +99,17 @@
         doubt: PrimarySuspected,
         replicas: tuple[MemberListing, ...],
         duty: HeldDuty,
-    ) -> str:
+    ) -> tuple[str, bool]:
+        """Return the outcome, and whether a promotion was or may have been ordered.
+
+        After an order the duty runs out by itself: until the new primary leads, the
+        members still look as before, and another attempt could choose differently.
+        """
         before = await self._orders.send_all(replicas, QueryStatus())
         if len(before) < len(replicas):
-            return "a replica does not answer"
+            return "a replica does not answer", False
         if any(status.leads for status in before.values()):
-            return "another member leads"
+            return "another member leads", False
         staying = _staying(replicas, before) if doubt.planned else ""
         to_pause = tuple(replica for replica in replicas if replica.id != staying)
         order = PauseReplication(next_term(before.values()))
@@ -114,7 +119,7 @@
             chosen = await self._choose(replicas, staying, paused)
         if not chosen:
             await self._resume(to_pause, duty)
-            return "no replica holds every commit"
+            return "no replica holds every commit", False
         return await self._promote(doubt, chosen, to_pause, duty)
 
     async def _choose(
@@ -144,7 +149,7 @@
         chosen: str,
         paused: tuple[MemberListing, ...],
         duty: HeldDuty,
-    ) -> str:
+    ) -> tuple[str, bool]:
         """Order the promotion until it has a definite result.
 
         An order without an answer may still be carried out, so nothing that makes
@@ -171,9 +176,10 @@
             if result in (PromotionResult.ACCEPTED, PromotionResult.REJECTED):
                 break
             await sleep(PROMOTION_PAUSE_S)
-        if result is not PromotionResult.ACCEPTED and not uncertain:
+        ordered = result is PromotionResult.ACCEPTED or uncertain
+        if not ordered:
             await self._resume(paused, duty)
-        return f"promotion {result.value} member={chosen}"
+        return f"promotion {result.value} member={chosen}", ordered
 
     async def _resume(self, paused: tuple[MemberListing, ...], duty: HeldDuty) -> None:
         """End a pause, unless another instance may rely on it by now."""
