Detect a lost primary sooner and find its successor without the store

Change: a start is given 0.3 s and one probe 0.4 s confirms it; a promotion keeps every commit whether or not the suspicion was right, so the second probe bought little. While the primary fails, the other members are tried in turn; each refuses unless it leads. Ruled out: messages between instances about the primary.

--- a/src/jackdawspread/decisions/members/read_targets.py
+++ b/src/jackdawspread/decisions/members/read_targets.py
@@ -3,7 +3,10 @@
 from collections.abc import Iterator, Mapping
 
 from jackdawspread.decisions.members.group_view import GroupView
-from jackdawspread.decisions.members.group_views import recent_lags
+from jackdawspread.decisions.members.group_views import (
+    CLAIM_DISTRUST_S,
+    recent_lags,
+)
 from jackdawspread.decisions.members.lease_terms import LeaseTerms
 from jackdawspread.decisions.members.member_candidate import MemberCandidate
 from jackdawspread.decisions.members.pool_load import PoolLoad
@@ -20,16 +23,40 @@
 FAILURE_AVOIDANCE_S = 0.5
 # Replicas that lacked a position this often lately are passed over.
 MAX_RECENT_LAGS = 2
+# A primary that failed this often since it last proved to lead is not asked first.
+DOUBTFUL_FAILURES = 2
 # Part of the drain time during which a leaving primary is still used.
 LEAVING_USE = 0.75
 
 
 def usable_primary(view: GroupView, now: float, drain_s: float) -> str:
-    """Return the member that may get new work as the primary, empty if none may."""
+    """Return the member that may get new work as the primary, empty if none may.
+
+    While the primary can't be reached the other members are tried in turn: one of
+    them may have been promoted, and each one refuses unless it leads. An instance
+    that is cut off from the store finds the new primary in this way.
+    """
     leaving_at = view.leaving_at_by_member.get(view.primary)
-    if leaving_at is not None and now - leaving_at > LEAVING_USE * drain_s:
-        return ""
-    return view.primary
+    left = leaving_at is not None and now - leaving_at > LEAVING_USE * drain_s
+    if view.primary and not left and view.suspicion.failures < DOUBTFUL_FAILURES:
+        return view.primary
+    able = [
+        listing
+        for listing in view.listing_by_id.values()
+        if not listing.leaving and _is_untried(view, listing.id, now)
+    ]
+    if not able:
+        return "" if left else view.primary
+    return min(able, key=lambda listing: (not listing.claims_primary, listing.id)).id
+
+
+def _is_untried(view: GroupView, member: str, now: float) -> bool:
+    """Whether a member has neither refused nor failed lately."""
+    refused_at = view.refused_at_by_member.get(member, -CLAIM_DISTRUST_S)
+    failed_at = view.failed_at_by_member.get(member, -FAILURE_AVOIDANCE_S)
+    return (
+        now - refused_at >= CLAIM_DISTRUST_S and now - failed_at >= FAILURE_AVOIDANCE_S
+    )
 
 
 def fresh_candidates(
--- a/src/jackdawspread/tasks/fleet/member_orders.py
+++ b/src/jackdawspread/tasks/fleet/member_orders.py
@@ -25,7 +25,7 @@
 
 # Name under which the proxy opens connections of its own.
 OWN_WORKSPACE = "jackdawspread"
-ORDER_S = 0.6
+ORDER_S = 0.4
 
 
 class MemberOrders:
--- a/src/jackdawspread/tasks/fleet/succession_attempt.py
+++ b/src/jackdawspread/tasks/fleet/succession_attempt.py
@@ -22,8 +22,6 @@
 from jackdawspread.tasks.fleet.member_orders import MemberOrders
 from jackdawspread.tasks.steady_clock import steady_time
 
-PROBES = 2
-PROBE_PAUSE_S = 0.1
 # A replica that stays has this long to receive what a paused one holds.
 CATCH_UP_S = 0.8
 CATCH_UP_STEP_S = 0.05
@@ -84,15 +82,12 @@
         return outcome
 
     async def _answers(self, primary: MemberListing) -> bool:
-        for _ in range(PROBES):
-            asked_at = current_time()
-            if await self._orders.send(primary, QueryStatus()) is not None:
-                await self._router.send(
-                    SuspicionCleared(primary.group, primary.id, asked_at)
-                )
-                return True
-            await sleep(PROBE_PAUSE_S)
-        return False
+        """Ask a primary that has just failed whether it lives."""
+        asked_at = current_time()
+        if await self._orders.send(primary, QueryStatus()) is None:
+            return False
+        await self._router.send(SuspicionCleared(primary.group, primary.id, asked_at))
+        return True
 
     async def _replace(
         self,
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -31,7 +31,7 @@
 
 ROLLBACK_S = 1.0
 # A member answers the start of a transaction without waiting for a slot.
-BEGIN_S = 0.5
+BEGIN_S = 0.3
 
 
 class MemberCalls:
