Test the whole path over stand-ins of the platform

Ruled out: a folder named platform under features, which hides the standard library's module from behave.

--- /dev/null
+++ b/features/steps/platform_session_steps.py
@@ -0,0 +1,383 @@
+"""Steps for sessions through an instance between stand-ins of the platform."""
+
+from time import monotonic
+
+from behave import given, then, when
+from behave.runner import Context
+from features.wire.platform_world import PlatformWorld
+from features.wire.wire_caller import WireCaller
+from trio import open_nursery, sleep
+
+PROOF = "7.1f3.c"
+PATIENCE_S = 20.0
+
+
+def _wait(context: Context, condition) -> None:
+    """Wait until a condition holds; a test without it would hang, so give up late."""
+
+    async def wait() -> None:
+        for _ in range(int(PATIENCE_S / 0.02)):
+            if condition():
+                return
+            await sleep(0.02)
+        raise AssertionError("the condition never held")
+
+    context.platform.call(wait)
+
+
+def _query_until(context: Context, text: str, word: str) -> list[str]:
+    """Repeat a statement in new sessions until its answer holds a word."""
+    answer: list[str] = []
+
+    def is_answered() -> bool:
+        return any(line.startswith(word) for line in answer)
+
+    give_up_at = monotonic() + PATIENCE_S
+    while not is_answered() and monotonic() < give_up_at:
+        answer = context.platform.query(context.platform.open(), text)
+    assert is_answered(), answer
+    return answer
+
+
+@given("an instance between stand-ins of the platform")
+def instance(context: Context) -> None:
+    """Start the stand-ins and an instance."""
+    context.platform = PlatformWorld()
+    context.platform.start()
+    context.add_cleanup(context.platform.close)
+    context.platform.group.runs.clear()
+    context.ids = []
+
+
+@when('a caller of "{database}" sends "{text}"')
+def caller_sends(context: Context, database: str, text: str) -> None:
+    """Open a session and send its first statement."""
+    context.caller = context.platform.open(database)
+    assert context.caller.opened == "READY I -", context.caller.opened
+    it_sends(context, text)
+
+
+@when('it sends "{text}"')
+def it_sends(context: Context, text: str) -> None:
+    """Send a further statement."""
+    context.answer = context.platform.query(context.caller, text)
+    context.ids.append(context.caller.last_id)
+
+
+@when('a caller of "{database}" sends "{text}" and its answer is lost')
+def answer_lost(context: Context, database: str, text: str) -> None:
+    """Let the member commit and close the connection without an answer."""
+    context.platform.group.lose_answers = 1
+    caller_sends(context, database, text)
+
+
+@when('a caller of "{database}" sends "{first}" and "{second}" in one piece')
+def pipelined(context: Context, database: str, first: str, second: str) -> None:
+    """Send two statements without waiting."""
+    caller = context.platform.open(database)
+    data = f"QUERY p1 {first}\r\nQUERY p2 {second}\r\n".encode()
+    context.platform.call(caller.send_raw, data)
+    context.answer = context.platform.call(caller.read_answer)
+    context.second = context.platform.call(caller.read_answer)
+
+
+@when('a caller of "{database}" sends the bytes "{text}"')
+def raw_bytes(context: Context, database: str, text: str) -> None:
+    """Send bytes that are no line of the protocol."""
+    context.caller = context.platform.open(database)
+    data = text.replace("<LF>", "\n").replace("<CR>", "\r").encode()
+    context.platform.call(context.caller.send_raw, data)
+
+
+@when('a caller opens "{database}" with the key "{key}"')
+def opens(context: Context, database: str, key: str) -> None:
+    """Open a session."""
+    context.caller = context.platform.open(database, key)
+
+
+@when('two callers of "{database}" set different values and prepare the same name')
+def two_callers(context: Context, database: str) -> None:
+    """Let two sessions take turns on few connections."""
+    callers = [context.platform.open(database) for _ in range(2)]
+    for number, caller in enumerate(callers):
+        for text in (f"SET zone v{number}", f"PREPARE s1 WRITE shape{number}"):
+            answer = context.platform.query(caller, text)
+            assert answer == ["DONE -", "READY I -"], answer
+    context.expected = []
+    for turn in range(4):
+        for number, caller in enumerate(callers):
+            answer = context.platform.query(caller, f"EXEC s1 i{turn} {number}")
+            assert answer[0] == f"DONE {PROOF}", answer
+            context.expected.append((caller.last_id, f"v{number}"))
+
+
+@when("the members answer BUSY to a caller's write for a short while")
+def busy_members(context: Context) -> None:
+    """Refuse a write first and run it later."""
+    group = context.platform.group
+    group.refuse_with = "BUSY full"
+
+    async def write(caller: WireCaller) -> list[str]:
+        async with open_nursery() as nursery:
+            nursery.start_soon(_recover, group)
+            return await caller.query("WRITE a 1")
+
+    context.caller = context.platform.open()
+    context.answer = context.platform.call(write, context.caller)
+
+
+async def _recover(group) -> None:
+    await sleep(0.05)
+    group.refuse_with = ""
+
+
+@when("a caller's key is withdrawn")
+def withdrawn(context: Context) -> None:
+    """Publish a version without the key."""
+    context.caller = context.platform.open()
+    context.platform.configuration["Tenants"][0]["ApiKeys"] = []
+    context.platform.publish()
+
+
+@when("a caller of the small workspace sends {number:d} writes at once")
+def above_rate(context: Context, number: int) -> None:
+    """Send more writes than the workspace may."""
+    caller = context.platform.open(key="key-of-w2")
+    context.refused, context.done = [], []
+    for item in range(number):
+        answer = context.platform.query(caller, f"WRITE i{item} 1")
+        refused = answer[0].startswith("ERR BUSY")
+        (context.refused if refused else context.done).append(caller.last_id)
+
+
+@when("the primary is killed")
+def primary_killed(context: Context) -> None:
+    """Kill the primary; nobody but the instance orders a promotion."""
+    platform = context.platform
+    context.former = platform.group.primary
+
+    async def kill() -> None:
+        platform.member_by_id[context.former].kill()
+
+    platform.call(kill)
+
+
+@when("the primary announces that it leaves")
+def primary_leaves(context: Context) -> None:
+    """Let the primary's entry say that it is leaving."""
+    context.former = context.platform.group.primary
+    context.platform.group.leaving.add(context.former)
+
+    async def register() -> None:
+        context.platform.group.register()
+
+    context.platform.call(register)
+
+
+@when("the members stop answering")
+def silent(context: Context) -> None:
+    """Keep connections open and answer nothing."""
+    context.platform.group.is_silent = True
+
+
+@when("the store is away")
+def store_away(context: Context) -> None:
+    """Let the store refuse every call."""
+    context.platform.store.is_down = True
+
+
+@when("the store loses the answers of {number:d} writes")
+def store_loses(context: Context, number: int) -> None:
+    """Let writes take effect without an answer."""
+    context.before = context.platform.store.rows["jackdawspread", "shares"][1]
+    context.platform.store.lose_answers = number
+
+
+@when("a caller has a transaction open and the instance is told to stop")
+def stop_in_transaction(context: Context) -> None:
+    """Begin a planned stop while one transaction is open and one session rests."""
+    context.idle = context.platform.open()
+    context.caller = context.platform.open()
+    for text in ("BEGIN", "WRITE a 1"):
+        assert context.platform.query(context.caller, text)[0].startswith("DONE")
+    context.platform.stop()
+
+
+@then('the answer is "{lines}"')
+def answer_is(context: Context, lines: str) -> None:
+    """Compare the whole answer."""
+    assert context.answer == lines.split(" / "), context.answer
+
+
+@then('the answer begins with "{start}"')
+def answer_begins(context: Context, start: str) -> None:
+    """Compare the first line."""
+    assert context.answer[0].startswith(start), context.answer
+
+
+@then("the members ran the statements under the callers' ids")
+def own_ids(context: Context) -> None:
+    """No statement ran that no caller sent."""
+    assert [run.id for run in context.platform.group.runs] == context.ids
+
+
+@then("the read ran inside a transaction at the primary")
+def read_inside(context: Context) -> None:
+    """The member that leads has begun a transaction for it."""
+    run = context.platform.group.runs[-1]
+    assert run.inside and run.member == context.platform.group.primary, run
+
+
+@then("the session is refused with {code}")
+def session_refused(context: Context, code: str) -> None:
+    """The opening is answered with an error and the session ends."""
+    assert context.caller.opened.startswith(f"ERR {code}"), context.caller.opened
+    assert context.platform.call(context.caller.read_line) == ""
+
+
+@then("another caller can read")
+def another_reads(context: Context) -> None:
+    """A new session is served."""
+    answer = context.platform.query(context.platform.open(), "READ bean")
+    assert answer == ["ROW none", f"DONE {PROOF}", "READY I -"], answer
+
+
+@then("its session is closed")
+def session_closed(context: Context) -> None:
+    """Nothing but the end of the session arrives, and nothing has run."""
+    assert context.platform.call(context.caller.read_line) == ""
+    assert not context.platform.group.runs
+
+
+@then("it gets both answers in order")
+def both_answers(context: Context) -> None:
+    """The first answer has no row, the second the written one."""
+    assert context.answer == [f"DONE {PROOF}", "READY I -"], context.answer
+    assert context.second == ["ROW 1", f"DONE {PROOF}", "READY I -"], context.second
+
+
+@then("all runs of the caller were on one connection")
+def one_connection(context: Context) -> None:
+    """The statements shared the transaction's connection."""
+    runs = [run for run in context.platform.group.runs if run.id in context.ids]
+    assert len(runs) == 2, runs
+    assert len({run.connection for run in runs}) == 1, runs
+    assert all(run.inside for run in runs), runs
+
+
+@then('the item "{item}" does not exist')
+def item_missing(context: Context, item: str) -> None:
+    """Nothing of the transaction was kept."""
+    answer = context.platform.query(context.platform.open(), f"READ {item}")
+    assert answer[0] == "ROW none", answer
+
+
+@then("each statement ran with the values and the shape of its session")
+def own_values(context: Context) -> None:
+    """Session values and shapes did not leak."""
+    runs = {run.id: run for run in context.platform.group.runs}
+    shapes = set()
+    for id, value in context.expected:
+        assert runs[id].values == {"zone": value}, runs[id]
+        shapes.add((value, runs[id].text.split(" ")[1]))
+    assert len(shapes) == 2, shapes
+
+
+@then("the write ran once")
+def ran_once(context: Context) -> None:
+    """The log holds one commit and one run of the caller's write."""
+    writes = [run for run in context.platform.group.runs if "WRITE" in run.text]
+    assert len(writes) == 1 and context.platform.group.number == 1, writes
+
+
+@then("its next statements are refused with NOAUTH")
+def refused_noauth(context: Context) -> None:
+    """The connected session notices the withdrawal."""
+
+    def is_refused() -> bool:
+        return context.answers[-1][0].startswith("ERR NOAUTH")
+
+    context.answers = [["DONE"]]
+    give_up_at = monotonic() + PATIENCE_S
+    while not is_refused() and monotonic() < give_up_at:
+        context.answers.append(context.platform.query(context.caller, "READ a"))
+    assert is_refused(), context.answers[-1]
+
+
+@then("those that were refused with BUSY did not run")
+def refused_not_run(context: Context) -> None:
+    """A refusal that says "not run" is true."""
+    ran = {run.id for run in context.platform.group.runs}
+    assert context.refused and not ran & set(context.refused)
+
+
+@then("at most {number:d} ran")
+def at_most(context: Context, number: int) -> None:
+    """Burst, the rate over the time taken, and no more."""
+    assert len(context.done) <= number, len(context.done)
+
+
+@then("a write succeeds at another member")
+def other_member(context: Context) -> None:
+    """Another member takes writes."""
+    _query_until(context, "WRITE after 1", "DONE")
+    _wait(context, lambda: context.platform.group.primary != context.former)
+
+
+@then("each promotion had a token of its own")
+def own_tokens(context: Context) -> None:
+    """No fencing token was used for two attempts."""
+    tokens = context.platform.store.tokens
+    assert tokens and tokens == sorted(set(tokens)), tokens
+
+
+@then("another member leads before it is gone")
+def other_leads(context: Context) -> None:
+    """The handover does not wait for the end of the old primary."""
+    _wait(context, lambda: context.platform.group.primary != context.former)
+    assert context.former not in context.platform.group.dead
+
+
+@then("a read is refused within its time")
+def read_refused(context: Context) -> None:
+    """The statement ends although its member never answers."""
+    answer = context.platform.query(context.platform.open(), "READ bean")
+    assert answer[0].startswith("ERR "), answer
+
+
+@then("a read succeeds once they answer again")
+def read_succeeds(context: Context) -> None:
+    """New connections replace the silent ones."""
+    context.platform.group.is_silent = False
+    _query_until(context, "READ bean", "ROW")
+
+
+@then("the shares are renewed again")
+def renewed(context: Context) -> None:
+    """The record moves on after the lost answers."""
+    rows = context.platform.store.rows
+
+    def is_renewed() -> bool:
+        version = rows["jackdawspread", "shares"][1]
+        return not context.platform.store.lose_answers and version > context.before + 2
+
+    _wait(context, is_renewed)
+
+
+@then("an idle session of another caller ends without an error")
+def idle_ends(context: Context) -> None:
+    """A session at rest is closed with no message."""
+    assert context.platform.call(context.idle.read_line) == ""
+
+
+@then("the transaction can commit")
+def can_commit(context: Context) -> None:
+    """An open transaction has its part of the grace time."""
+    answer = context.platform.query(context.caller, "COMMIT")
+    assert answer == [f"DONE {PROOF}", "READY I -"], answer
+
+
+@then("the instance has stopped")
+def has_stopped(context: Context) -> None:
+    """The process would end by itself."""
+    _wait(context, lambda: context.platform.is_stopped)
--- a/features/support/trio_thread.py
+++ b/features/support/trio_thread.py
@@ -1,4 +1,4 @@
-"""Trio loop with a mock clock for steps."""
+"""Trio loop in a thread, for steps."""
 
 from collections.abc import Awaitable, Callable
 from queue import SimpleQueue
@@ -10,10 +10,16 @@
 
 
 class TrioThread:
-    """Runs trio in a thread; its clock moves only in `advance`."""
+    """Runs trio in a thread.
 
-    def __init__(self) -> None:
-        self._clock = MockClock()
+    Parameters
+    ----------
+    real_time : bool
+        Whether its clock is the real one; else it moves only in `advance`.
+    """
+
+    def __init__(self, real_time: bool = False) -> None:
+        self._clock = None if real_time else MockClock()
         self._ready: SimpleQueue[tuple[Any, trio.Nursery]] = SimpleQueue()
         self._thread = Thread(target=self._run, daemon=True)
         self._thread.start()
--- /dev/null
+++ b/features/wire/table_store.py
@@ -0,0 +1,127 @@
+"""Stand-in of the platform's store and of its duty calls."""
+
+import json
+from base64 import b64decode, b64encode
+from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
+
+from trio import Event, current_time, move_on_after, sleep_forever
+
+from jackdawspread.messages.http_request import HttpRequest
+from jackdawspread.messages.http_response import HttpResponse
+
+Row = dict[str, object]
+
+
+class TableStore:
+    """Rows with versions, conditional writes and a feed.
+
+    Parameters
+    ----------
+    promote : callable
+        Makes a member lead: takes the service and the id, returns a status.
+    """
+
+    def __init__(self, promote: Callable[[str, str], int]) -> None:
+        self._promote = promote
+        self._version = 1
+        self._changed = Event()
+        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self.tokens: list[int] = []
+        self.is_down = False
+        # Writes that take effect without an answer.
+        self.lose_answers = 0
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as the operator or a member does."""
+        self._version += 1
+        self.rows[table, key] = (value, self._version)
+        self._changed.set()
+        self._changed = Event()
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._version += 1
+        self.rows.pop((table, key), None)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        if self.is_down:
+            return _respond(503, {})
+        parts = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/rows-get":
+            return self._get(query)
+        if parts.path == "/rows-feed":
+            return await self._feed(query)
+        if parts.path == "/rows-tx":
+            response = self._transact(json.loads(request.body))
+            if self.lose_answers:
+                self.lose_answers -= 1
+                await sleep_forever()
+            return response
+        if parts.path == "/promote":
+            return self._order(request)
+        return _respond(404, {})
+
+    def _get(self, query: dict[str, str]) -> HttpResponse:
+        start, end = query.get("From", ""), query.get("To", "\U0010ffff")
+        rows = [
+            self._row(table, key)
+            for table, key in sorted(self.rows)
+            if table == query["Table"] and start <= key < end
+        ]
+        return _respond(200, {"rows": rows, "HasMore": False, **self._stamp()})
+
+    async def _feed(self, query: dict[str, str]) -> HttpResponse:
+        after, table = int(query["after"]), query["Table"]
+        with move_on_after(int(query["WaitMs"]) / 1000):
+            while not (changed := self._newer(table, after)):
+                await self._changed.wait()
+        return _respond(200, {"rows": changed, **self._stamp()})
+
+    def _newer(self, table: str, after: int) -> list[Row]:
+        return [
+            self._row(*name)
+            for name, (_, version) in self.rows.items()
+            if name[0] == table and version > after
+        ]
+
+    def _transact(self, body: dict[str, list[Row]]) -> HttpResponse:
+        for row in body["ExpectedRev"]:
+            name = (str(row["Table"]), str(row["Key"]))
+            _, version = self.rows.get(name, (b"", 0))
+            if version != row["Ver"]:
+                known = [self._row(*name)] if version else []
+                return _respond(412, {"rows": known, **self._stamp()})
+        for row in body["Puts"]:
+            value = b64decode(str(row["Value"]))
+            self.put(str(row["Table"]), str(row["Key"]), value)
+        return _respond(200, self._stamp())
+
+    def _order(self, request: HttpRequest) -> HttpResponse:
+        token = int(request.headers["jackdawspread-fencing-token"])
+        if self.tokens and token < max(self.tokens):
+            return _respond(409, {})
+        self.tokens.append(token)
+        body = json.loads(request.body)
+        return _respond(self._promote(body["Service"], body["Id"]), {})
+
+    def _row(self, table: str, key: str) -> Row:
+        value, version = self.rows[table, key]
+        encoded = b64encode(value).decode()
+        return {
+            "Table": table,
+            "part": "",
+            "Key": key,
+            "Value": encoded,
+            "Ver": version,
+        }
+
+    def _stamp(self) -> Row:
+        return {"Ver": self._version, "NowMs": round(1000 * current_time())}
+
+
+def _respond(status: int, body: Row) -> HttpResponse:
+    headers = (("Content-Type", "application/json"),)
+    return HttpResponse(status, headers, json.dumps(body).encode())
--- /dev/null
+++ b/features/wire/wire_member.py
@@ -0,0 +1,151 @@
+"""Stand-in of one member on the wire."""
+
+from itertools import count
+
+from features.wire.member_run import MemberRun
+from features.wire.wire_group import WireGroup
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    SocketListener,
+    SocketStream,
+    open_nursery,
+    sleep_forever,
+)
+
+PROOF = "7.1f3.c"
+_IDS = count(1)
+
+
+class WireMember:
+    """Accepts connections and runs statements against the group's log."""
+
+    def __init__(self, id: str, group: WireGroup, listener: SocketListener) -> None:
+        self.id = id
+        self.group = group
+        self._listener = listener
+        self._scope = CancelScope()
+
+    async def run(self) -> None:
+        """Serve until the member is killed."""
+        with self._scope:
+            async with open_nursery() as connections:
+                while True:
+                    stream = await self._listener.accept()
+                    connections.start_soon(self._serve, stream)
+        await self._listener.aclose()
+
+    def kill(self) -> None:
+        """Close all sockets; the group no longer lists the member."""
+        self.group.dead.add(self.id)
+        self._scope.cancel()
+
+    async def _serve(self, stream: SocketStream) -> None:
+        session = _MemberSession(self, next(_IDS))
+        buffer = b""
+        try:
+            while data := await stream.receive_some(4096):
+                *lines, buffer = (buffer + data).split(b"\r\n")
+                for line in lines:
+                    answer = session.answer(line.decode("latin-1"))
+                    if self.group.is_silent:
+                        await sleep_forever()
+                    await stream.send_all("".join(answer).encode("latin-1"))
+                    if session.is_over:
+                        return
+        except (BrokenResourceError, ClosedResourceError):
+            return
+        finally:
+            await stream.aclose()
+
+
+class _MemberSession:
+    def __init__(self, member: WireMember, number: int) -> None:
+        self._member = member
+        self._group = member.group
+        self._number = number
+        self._values: dict[str, str] = {}
+        self._shapes: dict[str, str] = {}
+        self._writes: dict[str, str] = {}
+        self._state = "I"
+        self._plain = False
+        self.is_over = False
+
+    def answer(self, line: str) -> list[str]:
+        word, _, rest = line.partition(" ")
+        if word == "START":
+            fields = rest.split(" ")
+            if fields[2:] != [self._member.id]:
+                self.is_over = True
+                return ["ERR MISROUTED wrong id\r\n"]
+            return [f"READY I {self._group.position}\r\n"]
+        id, _, text = rest.partition(" ")
+        if text.startswith("AFTER "):
+            _, _, text = text[6:].partition(" ")
+        result = self._run(id, text)
+        if self.is_over:
+            return []
+        return [*result, f"READY {self._state} {self._group.position}\r\n"]
+
+    def _run(self, id: str, text: str) -> list[str]:
+        word, _, rest = text.partition(" ")
+        leads = self._group.primary == self._member.id
+        if self._plain and not leads and word != "ROLLBACK":
+            self._state = "E"
+            return ["ERR READONLY lost the lead\r\n"]
+        if word in ("STATUS", "PAUSE", "RESUME", "DEMOTE"):
+            role = "primary" if leads else "replica"
+            group = self._group
+            row = f"ROW {role} {group.term} {group.position} 0 0 0 1\r\n"
+            return [row, "DONE -\r\n"]
+        if word == "RESET":
+            self._values, self._shapes = {}, {}
+        elif word == "SET":
+            name, _, value = rest.partition(" ")
+            self._values = {**self._values, name: value}
+        elif word == "PREPARE":
+            name, _, shape = rest.partition(" ")
+            self._shapes[name] = shape
+        elif word == "BEGIN":
+            if rest != "READ" and not leads:
+                return ["ERR READONLY not the primary\r\n"]
+            self._state, self._plain = "T", rest != "READ"
+        elif word == "ROLLBACK":
+            self._state, self._plain, self._writes = "I", False, {}
+        else:
+            return self._run_item(id, text, leads)
+        return ["DONE -\r\n"]
+
+    def _run_item(self, id: str, text: str, leads: bool) -> list[str]:
+        word, _, rest = text.partition(" ")
+        if word == "EXEC":
+            name, _, rest = rest.partition(" ")
+            if name not in self._shapes:
+                return ["ERR NOSTMT\r\n"]
+            word = self._shapes[name].partition(" ")[0]
+        inside = self._state == "T"
+        if self._group.refuse_with and word in ("WRITE", "COMMIT"):
+            return [f"ERR {self._group.refuse_with}\r\n"]
+        if word == "WRITE" and not leads:
+            return ["ERR READONLY not the primary\r\n"]
+        run = MemberRun(self._member.id, self._number, id, text, self._values, inside)
+        self._group.runs.append(run)
+        if word == "READ":
+            value = {**self._group.item_by_name, **self._writes}.get(rest, "none")
+            return [f"ROW {value}\r\n", f"DONE {PROOF}\r\n"]
+        if word == "WRITE":
+            item, _, data = rest.partition(" ")
+            self._writes[item] = data
+            if inside:
+                return [f"DONE {PROOF}\r\n"]
+        return self._commit()
+
+    def _commit(self) -> list[str]:
+        if self._writes:
+            self._group.commit(self._writes)
+        self._state, self._plain, self._writes = "I", False, {}
+        if self._group.lose_answers:
+            self._group.lose_answers -= 1
+            self.is_over = True
+        return [f"DONE {PROOF}\r\n"]
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -36,7 +36,6 @@
 ROUTER_INBOX = 20_000
 ADMISSION_INBOX = 10_000
 SMALL_INBOX = 64
-METRICS_PORT = 9464
 # The balancer asks once a second and leaves out an instance after two refusals.
 BALANCER_NOTICE_S = 2.3
 # Parts of the grace time after which open transactions end and the process exits.
@@ -164,8 +163,8 @@
 
     async def _start_servers(self, parts: Nursery) -> None:
         handle = Readiness(self._admission, self._stopping).handle
-        metrics_address = f"{self._settings.ip}:{METRICS_PORT}"
-        for address in (self._settings.readiness_address, metrics_address):
+        settings = self._settings
+        for address in (settings.readiness_address, settings.metrics_address):
             server = HttpServer(await listen(address), handle, Event())
             parts.start_soon(server.run)
 
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -25,6 +25,8 @@
     "Bounds.SkewMaxMs": 12000.0,
     "Limits.MaxFds": 1024.0,
 }
+# The deploy file names this port to the platform's collector.
+METRICS_PORT = 9464
 # Descriptors that are not for callers' sessions: files, members, the store.
 RESERVED_DESCRIPTORS = 500
 
@@ -91,6 +93,7 @@
         store_address=value_by_name["platform.Address"],
         promotion_address=value_by_name["CloudApi.Address"],
         ip=value_by_name["Ip"],
+        metrics_address=f"{value_by_name['Ip']}:{METRICS_PORT}",
         peer_address=f"{value_by_name['Ip']}:{port}",
         drain_s=number_by_name["Bounds.DrainMs"] / 1000,
         grace_s=number_by_name["Bounds.GraceS"],
--- a/src/jackdawspread/settings/session_proxy_settings.py
+++ b/src/jackdawspread/settings/session_proxy_settings.py
@@ -22,6 +22,8 @@
         ``IP:port`` of the service that promotes members.
     ip : str
         Address of the machine.
+    metrics_address : str
+        ``IP:port`` on which metrics are served.
     peer_address : str
         ``IP:port`` for datagrams between instances; the port is the same everywhere.
     drain_s : float
@@ -41,6 +43,7 @@
     store_address: str
     promotion_address: str
     ip: str
+    metrics_address: str
     peer_address: str
     drain_s: float
     grace_s: float
