--- /dev/null
+++ b/features/fakes/succession_world.py
@@ -0,0 +1,86 @@
+"""Fakes around one attempt to replace a primary."""
+
+from trio import Nursery, open_memory_channel, open_nursery
+
+from jackdawspread.messages.fleet.log_status import LogStatus
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.primary_suspected import PrimarySuspected
+from jackdawspread.messages.fleet.promotion_result import PromotionResult
+from jackdawspread.messages.position import Position
+from jackdawspread.messages.statements.pause_replication import PauseReplication
+from jackdawspread.messages.statements.resume_replication import ResumeReplication
+from jackdawspread.tasks.fleet.duty_keeper import HeldDuty
+from jackdawspread.tasks.fleet.succession_attempt import SuccessionAttempt
+from jackdawspread.tasks.steady_clock import steady_time
+
+LISTINGS = {
+    id: MemberListing(id, "g", "10.0.0.1:1", "z1", 2, False, id == "m0")
+    for id in ("m0", "m1", "m2")
+}
+
+
+class SuccessionWorld:
+    """Members, duty and platform as one attempt sees them.
+
+    Parameters
+    ----------
+    silent : set of str
+        Members that do not answer.
+    answers : list of str
+        Results of the orders to promote, in their order.
+    """
+
+    def __init__(self, silent: set[str], answers: list[str]) -> None:
+        self.silent = silent
+        self.answers = [PromotionResult(answer) for answer in answers]
+        self.paused: set[str] = set()
+        self.ordered = 0
+        self.is_taken = False
+        self.is_released = False
+        self.outcome = ""
+
+    async def run(self) -> None:
+        """Run the attempt."""
+        promotions, inbox = open_memory_channel(1)
+        router, _ = open_memory_channel(100)
+        attempt = SuccessionAttempt("i1", self, self, promotions, router)
+        doubt = PrimarySuspected("g", "m0", False, False, "unreachable")
+        async with open_nursery() as nursery:
+            nursery.start_soon(self._answer_orders, inbox)
+            self.outcome = await attempt.run(doubt, LISTINGS)
+            self._end(nursery)
+
+    async def send(self, listing: MemberListing, order: object) -> LogStatus | None:
+        """Answer one order to a member."""
+        if listing.id in self.silent:
+            return None
+        if isinstance(order, PauseReplication):
+            self.paused.add(listing.id)
+        if isinstance(order, ResumeReplication):
+            self.paused.discard(listing.id)
+        return LogStatus(listing.id, False, 3, Position(3, 7))
+
+    async def send_all(
+        self, members: tuple[MemberListing, ...], order: object
+    ) -> dict[str, LogStatus]:
+        """Answer an order to several members."""
+        answers = {member.id: await self.send(member, order) for member in members}
+        return {id: status for id, status in answers.items() if status is not None}
+
+    async def take(self, group: str) -> HeldDuty:
+        """Give the duty to the attempt."""
+        self.is_taken = True
+        record = {"token": 1, "holder": "i1", "until": 3.0}
+        return HeldDuty("duty-g", 1, record, steady_time() + 60)
+
+    async def release(self, duty: HeldDuty) -> None:
+        """Take the duty back."""
+        self.is_released = True
+
+    async def _answer_orders(self, inbox) -> None:
+        async for order in inbox:
+            self.ordered += 1
+            order.reply_to.send_nowait(self.answers.pop(0))
+
+    def _end(self, nursery: Nursery) -> None:
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,136 @@
+"""Steps for the translation between the platform and the product."""
+
+import json
+from base64 import b64encode
+
+from behave import then, when
+from behave.runner import Context
+from msgspec.msgpack import encode
+
+from jackdawspread.codecs.token_datagrams import decode_datagram
+from jackdawspread.messages.statements.member_command import MemberCommand
+from jackdawspread.messages.statements.read_item import ReadItem
+from jackdawspread.platform.member_rows import decode_members
+from jackdawspread.platform.member_wire import MemberWire
+from jackdawspread.platform.settings_file import parse_platform_settings
+from jackdawspread.platform.statement_texts import format_statement, parse_statement
+from jackdawspread.platform.store_rows import StoreRow, decode_rows
+
+ENTRY = {
+    "Service": "g",
+    "Address": "10.0.0.1:80",
+    "Zone": "z1",
+    "State": "ready",
+    "DbRole": "replica",
+    "Slots": 2,
+    "Seq": 4,
+}
+SETTINGS = """NodeName=n1
+Ip=10.1.0.26
+Zone=z1
+ListenAddrs.Front=10.1.0.26:8465
+ListenAddrs.Ready=10.1.0.26:8460
+InternalPorts=7560,7575
+platform.Address=10.200.1.7:8466
+CloudApi.Address=10.200.0.2:8466
+"""
+
+
+@when('the text "{text}" is decoded and encoded again')
+def round_trip(context: Context, text: str) -> None:
+    """Decode and encode a text."""
+    context.original, context.again = text, format_statement(parse_statement(text))
+
+
+@then("it is unchanged")
+def unchanged(context: Context) -> None:
+    """Compare byte for byte."""
+    assert context.again == context.original, context.again
+
+
+@when('a member replies "{lines}"')
+def member_replies(context: Context, lines: str) -> None:
+    """Decode a reply that arrives byte by byte."""
+    wire = MemberWire()
+    wire.encode_command(MemberCommand("c1", ReadItem("a")))
+    context.reply = None
+    try:
+        for byte in (lines.replace("/", "\r\n") + "\r\n").encode():
+            wire.receive(bytes([byte]))
+            context.reply = context.reply or wire.next_reply()
+        context.error = None
+    except ValueError as error:
+        context.error = error
+
+
+@then("the reply is {result}")
+def reply_is(context: Context, result: str) -> None:
+    """Compare what was understood."""
+    if result == "not read":
+        assert context.error is not None
+    elif result == "incomplete":
+        assert context.error is None and context.reply is None
+    elif result == "a success":
+        assert context.reply.proof == "p" and not context.reply.error
+    else:
+        assert context.reply.error == result and not context.reply.proof
+
+
+@when("the list holds a good entry and one whose {field} is {value}")
+def bad_entry(context: Context, field: str, value: str) -> None:
+    """Decode two entries."""
+    bad = {**ENTRY, field: json.loads(value)}
+    rows = [
+        StoreRow("bad", json.dumps(bad).encode(), 1, False),
+        StoreRow("good", json.dumps(ENTRY).encode(), 2, False),
+        StoreRow("bytes", b"\xff\xfe", 3, False),
+    ]
+    context.members = decode_members(rows)
+
+
+@then("only the good entry names a member")
+def only_good(context: Context) -> None:
+    """Compare the ids."""
+    assert list(context.members) == ["good"], context.members
+
+
+@when("the store answers with rows of wrong types and one good row")
+def bad_rows(context: Context) -> None:
+    """Decode an answer."""
+    good = {"Key": "k", "Value": b64encode(b"v").decode(), "Ver": 3}
+    rows = [None, {"Key": 5}, {"Key": "a", "Value": "%%"}, {**good, "Ver": "x"}, good]
+    context.rows = [*decode_rows({"rows": rows}), *decode_rows({"rows": "none"})]
+
+
+@then("one row is read")
+def one_row(context: Context) -> None:
+    """Compare the row."""
+    assert context.rows == [StoreRow("k", b"v", 3, False)], context.rows
+
+
+@when('the settings have "{line}"')
+def settings_line(context: Context, line: str) -> None:
+    """Check a file whose last line changes one field."""
+    context.checked = parse_platform_settings(SETTINGS + line + "\n", "node.conf")
+
+
+@then('the check says "{answer}"')
+def check_says(context: Context, answer: str) -> None:
+    """Compare the error, if there is one."""
+    if answer == "accepted":
+        assert context.checked.is_ok(), context.checked
+        return
+    assert answer in " ".join(str(error) for error in context.checked.error)
+
+
+@when("a datagram holds {fields}")
+def datagram(context: Context, fields: str) -> None:
+    """Decode a datagram."""
+    context.message = decode_datagram(encode(json.loads(fields)))
+
+
+@then("it is {result}")
+def datagram_is(context: Context, result: str) -> None:
+    """Compare the type of the message."""
+    names = {"TokenRequest": "a request", "TokenGrant": "a grant"}
+    assert names.get(type(context.message).__name__, "ignored") == result
