--- a/features/fakes/succession_world.py
+++ b/features/fakes/succession_world.py
@@ -2,6 +2,7 @@
 
 from trio import Nursery, open_memory_channel, open_nursery
 
+from jackdawspread.decisions.succession.held_duty import HeldDuty
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.primary_suspected import PrimarySuspected
@@ -9,7 +10,6 @@
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.statements.pause_replication import PauseReplication
 from jackdawspread.messages.statements.resume_replication import ResumeReplication
-from jackdawspread.tasks.fleet.duty_keeper import HeldDuty
 from jackdawspread.tasks.fleet.succession_attempt import SuccessionAttempt
 from jackdawspread.tasks.steady_clock import steady_time
 
--- a/src/jackdawspread/commands/main.py
+++ b/src/jackdawspread/commands/main.py
@@ -12,6 +12,7 @@
     status,
     workspace,
 )
+from jackdawspread.commands.explain import explain
 from jackdawspread.commands.proxy import proxy
 from jackdawspread.commands.standin_member import standin_member
 from jackdawspread.commands.standin_platform import standin_platform
@@ -23,6 +24,7 @@
     help="Database proxy with session consistency.",
 )
 app.command()(proxy)
+app.command()(explain)
 app.command("standin-member")(standin_member)
 app.command("standin-platform")(standin_platform)
 app.add_typer(workspace.app, name="workspace")
--- a/src/jackdawspread/decisions/shares/rebalance.py
+++ b/src/jackdawspread/decisions/shares/rebalance.py
@@ -63,11 +63,7 @@
     }
     others = {name: holder for name, holder in live.items() if name != instance}
     own = live.get(instance)
-    remembered = own["needed"] if own is not None else {}
-    needs = {
-        workspace: max(need, NEED_MEMORY * remembered.get(workspace, 0.0))
-        for workspace, need in needed.items()
-    }
+    needs = _remember_needs(needed, own)
     claiming = {
         name: holder
         for name, holder in others.items()
@@ -83,6 +79,17 @@
     return {**others, instance: renewed}
 
 
+def _remember_needs(
+    needed: Mapping[str, float], own: ShareHolder | None
+) -> dict[str, float]:
+    """Return the needs, of which each falls by a part a renewal at most."""
+    remembered = own["needed"] if own is not None else {}
+    return {
+        workspace: max(need, NEED_MEMORY * remembered.get(workspace, 0.0))
+        for workspace, need in needed.items()
+    }
+
+
 def _next_share(
     workspace: str,
     need: float,
--- a/src/jackdawspread/platform/daemon.py
+++ b/src/jackdawspread/platform/daemon.py
@@ -19,7 +19,7 @@
 DEFAULT_SETTINGS = "/etc/jackdawspread/node.conf"
 EXIT_SETTINGS = 2
 
-Checked = Result[SessionProxySettings, tuple[SettingsError, ...]]
+Checked = Result[SessionProxySettings, list[SettingsError]]
 
 
 def main() -> None:
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -33,18 +33,18 @@
 
 def read_platform_settings(
     path: Path,
-) -> Result[SessionProxySettings, tuple[SettingsError, ...]]:
+) -> Result[SessionProxySettings, list[SettingsError]]:
     """Read and check a settings file; every error names field and value."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        return Error((SettingsError(str(path), "", "", str(error), "a text file"),))
+        return Error([SettingsError(str(path), "", "", str(error), "a text file")])
     return parse_platform_settings(text, str(path))
 
 
 def parse_platform_settings(
     text: str, file: str
-) -> Result[SessionProxySettings, tuple[SettingsError, ...]]:
+) -> Result[SessionProxySettings, list[SettingsError]]:
     """Check the lines ``name=value`` of a settings file; unknown names are ignored."""
     pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
     value_by_name = {name.strip(): value.strip() for name, _, value in pairs}
@@ -74,7 +74,7 @@
     if port and not _is_address(f"0:{port}"):
         errors.append(SettingsError(file, "platform", "InternalPorts", port, "a port"))
     if errors:
-        return Error(tuple(errors))
+        return Error(errors)
     return Ok(_build(value_by_name, number_by_name))
 
 
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -4,7 +4,6 @@
 
 from absl import logging
 from trio import (
-    BrokenResourceError,
     MemoryReceiveChannel,
     MemorySendChannel,
     WouldBlock,
@@ -30,8 +29,8 @@
 from jackdawspread.messages.fleet.shares_held import SharesHeld
 from jackdawspread.messages.fleet.tokens_received import TokensReceived
 from jackdawspread.messages.refusal import Refusal
+from jackdawspread.tasks.fleet.answer_question import answer_question
 from jackdawspread.tasks.fleet.fleet_metrics import (
-    ADMISSIONS,
     CONFIGURATION_AGE,
     CONFIGURATION_VERSION,
     SHARE,
@@ -115,7 +114,7 @@
             if not self._desk.spend(limited, 1, now):
                 self._borrow_or_refuse(event, limited, now)
                 return
-        _answer(event, checked)
+        answer_question(event, checked)
 
     @_handle.register
     def _(self, event: ConfigurationSeen) -> None:
@@ -165,7 +164,7 @@
             limited = self._limited_workspace(item.question, checked)
             if left and limited == event.workspace:
                 self._waiting.remove(item)
-                _answer(item.question, checked)
+                answer_question(item.question, checked)
                 left -= 1
         if left:
             self._desk.add(event.workspace, left, current_time())
@@ -224,12 +223,14 @@
             if limited and not self._desk.spend(limited, 1, now):
                 self._refuse_rate(item.question, limited, now)
             else:
-                _answer(item.question, checked)
+                answer_question(item.question, checked)
 
     def _refuse_rate(self, event: AdmitOperation, workspace: str, now: float) -> None:
         limit = self._desk.limit_by_workspace[workspace]
         wait_s = self._desk.wait_s(workspace, now)
-        _answer(event, refuse_rate(limit, self._desk.fraction(workspace), wait_s))
+        answer_question(
+            event, refuse_rate(limit, self._desk.fraction(workspace), wait_s)
+        )
 
     def _age(self) -> float:
         age = steady_time() - self._confirmed_at
@@ -248,13 +249,3 @@
         except WouldBlock:
             # The shares task is waiting for the store; the next report replaces it.
             logging.vlog(1, "admission: demand not reported")
-
-
-def _answer(question: AdmitOperation, answer: OperationAdmitted | Refusal) -> None:
-    if question.spend:
-        code = answer.code if isinstance(answer, Refusal) else "admitted"
-        ADMISSIONS.labels(code).inc()
-    try:
-        question.reply_to.send_nowait(answer)
-    except BrokenResourceError:
-        logging.vlog(1, "admission: the session is gone")
--- a/src/jackdawspread/tasks/fleet/duty_keeper.py
+++ b/src/jackdawspread/tasks/fleet/duty_keeper.py
@@ -1,7 +1,5 @@
 """Keeps the record of the duty to promote in a group."""
 
-from typing import NamedTuple
-
 from absl import logging
 from msgspec import DecodeError, ValidationError
 from msgspec.json import decode, encode
@@ -13,33 +11,13 @@
     take_duty,
 )
 from jackdawspread.decisions.succession.duty_record import DutyRecord
+from jackdawspread.decisions.succession.held_duty import HeldDuty
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.tasks.fleet.record_calls import RecordCalls
 from jackdawspread.tasks.steady_clock import steady_time
 
 
-class HeldDuty(NamedTuple):
-    """Duty that this instance holds.
-
-    Parameters
-    ----------
-    name : str
-        Name of the record.
-    version : int
-        Version of the record.
-    record : DutyRecord
-        Its content.
-    held_until : float
-        Time in seconds, counting suspension, until which others keep away.
-    """
-
-    name: str
-    version: int
-    record: DutyRecord
-    held_until: float
-
-
 class DutyKeeper:
     """Takes and releases duties by conditional writes.
 
@@ -55,21 +33,22 @@
         self._instance = instance
         self._records = records
 
-    async def take(self, group: str) -> HeldDuty | None:
-        """Take the duty of a group, None if another holds it or the store is away."""
+    async def take(self, group: str) -> HeldDuty | str:
+        """Take the duty of a group, or return why it can't be taken now."""
         name = f"duty-{group}"
         known = await self._records.read(name)
         if known.status is not RecordStatus.DONE:
-            return None
+            return "the store does not answer"
         asked_at = steady_time()
-        record = take_duty(_decode(known), self._instance, known.store_time_s)
+        present = _decode(known)
+        record = take_duty(present, self._instance, known.store_time_s)
         if record is None:
-            return None
+            return f"the duty is held by {present['holder']}"
         outcome = await self._records.write(name, known.version, encode(record))
         if outcome.status is RecordStatus.UNKNOWN:
             outcome = await self._read_back(name, record)
         if outcome.status is not RecordStatus.DONE:
-            return None
+            return f"the duty was not written: {outcome.status.value}"
         return HeldDuty(name, outcome.version, record, asked_at + DUTY_HOLD_S)
 
     async def release(self, duty: HeldDuty) -> None:
--- a/src/jackdawspread/tasks/fleet/member_orders.py
+++ b/src/jackdawspread/tasks/fleet/member_orders.py
@@ -1,8 +1,6 @@
 """Questions and orders to members about their logs."""
 
 from trio import (
-    BrokenResourceError,
-    ClosedResourceError,
     MemorySendChannel,
     current_time,
     open_memory_channel,
@@ -19,9 +17,9 @@
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
 from jackdawspread.messages.statements.member_command import MemberCommand
-from jackdawspread.messages.statements.member_exchange import MemberExchange
 from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.messages.statements.member_statement import MemberStatement
+from jackdawspread.tasks.members.run_exchange import run_exchange
 
 # Name under which the proxy opens connections of its own.
 OWN_WORKSPACE = "jackdawspread"
@@ -64,14 +62,8 @@
         lease = await self._lease(listing, deadline)
         if isinstance(lease, Refusal):
             return None
-        send, receive = open_memory_channel[MemberReply | ExchangeFailure](1)
         command = MemberCommand("", order)
-        try:
-            lease.exchanges.send_nowait(MemberExchange((command,), deadline, send))
-        except (BrokenResourceError, ClosedResourceError):
-            self._give_back(lease, False)
-            return None
-        outcome = await receive.receive()
+        outcome = await run_exchange(lease, (command,), deadline)
         self._give_back(lease, isinstance(outcome, MemberReply))
         if isinstance(outcome, ExchangeFailure) or outcome.log_status is None:
             return None
--- a/src/jackdawspread/tasks/fleet/succession_attempt.py
+++ b/src/jackdawspread/tasks/fleet/succession_attempt.py
@@ -3,6 +3,7 @@
 from absl import logging
 from trio import MemorySendChannel, current_time, open_memory_channel, sleep
 
+from jackdawspread.decisions.succession.held_duty import HeldDuty
 from jackdawspread.decisions.succession.successor import (
     furthest,
     next_term,
@@ -18,7 +19,7 @@
 from jackdawspread.messages.statements.pause_replication import PauseReplication
 from jackdawspread.messages.statements.query_status import QueryStatus
 from jackdawspread.messages.statements.resume_replication import ResumeReplication
-from jackdawspread.tasks.fleet.duty_keeper import DutyKeeper, HeldDuty
+from jackdawspread.tasks.fleet.duty_keeper import DutyKeeper
 from jackdawspread.tasks.fleet.member_orders import MemberOrders
 from jackdawspread.tasks.steady_clock import steady_time
 
@@ -74,8 +75,8 @@
         if len(replicas) < MIN_REPLICAS:
             return "too few replicas listed"
         duty = await self._duties.take(doubt.group)
-        if duty is None:
-            return "duty not free"
+        if isinstance(duty, str):
+            return duty
         outcome, ordered = await self._replace(doubt, replicas, duty)
         if not ordered:
             await self._duties.release(duty)
--- a/src/jackdawspread/tasks/fleet/succession_task.py
+++ b/src/jackdawspread/tasks/fleet/succession_task.py
@@ -77,7 +77,7 @@
             outcome = await self._attempt.run(doubt, self._listing_by_id)
             promoted = outcome.startswith("promotion accepted")
             elapsed_s = current_time() - started_at
-            PROMOTIONS.labels(outcome.partition(" member=")[0]).inc()
+            PROMOTIONS.labels("accepted" if promoted else "not done").inc()
             if promoted:
                 PROMOTION_SECONDS.observe(elapsed_s)
             logging.info(
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -8,22 +8,18 @@
     BrokenResourceError,
     MemoryReceiveChannel,
     MemorySendChannel,
-    WouldBlock,
     current_time,
     move_on_at,
     open_nursery,
 )
 
 from jackdawspread.decisions.members.connection_limit import connection_limit
-from jackdawspread.decisions.members.group_view import GroupView
-from jackdawspread.decisions.members.group_views import adopt_listing, observe
 from jackdawspread.decisions.members.member_choice import choose_member
 from jackdawspread.decisions.members.read_targets import (
     fresh_candidates,
     lease_terms,
     usable_primary,
 )
-from jackdawspread.decisions.succession.suspect import suspect_primary
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_need import ConnectionNeed
@@ -44,14 +40,13 @@
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.fleet.suspicion_cleared import SuspicionCleared
 from jackdawspread.tasks.members.connection_pools import ConnectionPools, refuse
+from jackdawspread.tasks.members.group_beliefs import GroupBeliefs
 from jackdawspread.tasks.members.member_codec import MemberCodec
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
 
 # Waiting requests are looked at again this often.
 TICK_S = 0.05
-# The same doubt is reported again after this time.
-SUSPICION_REPEAT_S = 0.3
 
 
 class MemberRouter:
@@ -88,12 +83,9 @@
         self._make_codec = make_codec
         self._inbox = inbox
         self._router = router
-        self._succession = succession
-        self._refresh = refresh
-        self._view_by_group: dict[str, GroupView] = {}
+        self._beliefs = GroupBeliefs(succession, refresh)
         self._group_by_name: dict[str, MemberGroup] = {}
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
-        self._suspected_at_by_group: dict[str, float] = {}
         self._instances = 1
         self._pools: ConnectionPools
 
@@ -119,7 +111,7 @@
                 self._waiting_by_group[group] = []
                 for request in waiting:
                     self._place_or_wait(request, now)
-                self._report_doubt(group, now)
+                self._beliefs.report_doubt(group, now)
 
     @singledispatchmethod
     def _handle(self, event: object, now: float) -> None:
@@ -157,18 +149,7 @@
     @_handle.register
     def _(self, event: MembersSeen, now: float) -> None:
         self._pools.adopt(event.listing_by_id, now)
-        groups = {listing.group for listing in event.listing_by_id.values()}
-        for group in groups | self._view_by_group.keys():
-            listings = {
-                id: listing
-                for id, listing in event.listing_by_id.items()
-                if listing.group == group
-            }
-            before = self._view_by_group.get(group, GroupView())
-            view = adopt_listing(before, listings, event.as_of)
-            self._log_primary(group, before, view, "list")
-            self._view_by_group[group] = view
-            self._report_doubt(group, now)
+        self._beliefs.adopt(event, now)
         self._set_limits()
 
     @_handle.register
@@ -185,21 +166,9 @@
             self._set_limits()
 
     def _observe(self, event: MemberObservation, now: float) -> None:
-        before = self._view_by_group.get(event.group, GroupView())
-        view = observe(event, before)
-        self._view_by_group[event.group] = view
-        self._log_primary(event.group, before, view, type(event).__name__)
+        self._beliefs.observe(event, now)
         if isinstance(event, MemberUnreachable) and not event.stalled_write:
-            logging.info(
-                "router: member unreachable member=%s group=%s reason=%r",
-                event.member,
-                event.group,
-                event.reason,
-            )
             self._pools.drop_idle(event.member)
-        if isinstance(event, LeadershipRefused | MemberUnreachable):
-            self._ask_refresh(type(event).__name__)
-            self._report_doubt(event.group, now)
 
     def _place_or_wait(self, request: ConnectionRequest, now: float) -> None:
         if request.expires_at <= now:
@@ -212,12 +181,12 @@
             refuse(request, "unreachable", "the list names no such member", member)
         else:
             self._waiting_by_group.setdefault(request.group, []).append(request)
-            self._ask_refresh("no primary")
+            self._beliefs.ask_refresh("no primary")
 
     def _choose(self, request: ConnectionRequest, now: float) -> str:
         if request.need is ConnectionNeed.NAMED:
             return request.member
-        view = self._view_by_group.get(request.group, GroupView())
+        view = self._beliefs.view(request.group)
         if request.need is ConnectionNeed.FRESH:
             candidates = fresh_candidates(
                 view, request, self._pools.pool_by_member, self._failure_domain, now
@@ -232,7 +201,7 @@
     ) -> bool:
         now = current_time()
         group, member = pool.listing.group, pool.listing.id
-        view = self._view_by_group.get(group, GroupView())
+        view = self._beliefs.view(group)
         terms = lease_terms(view, request, member, now)
         if terms is None:
             refuse(request, "lagging", "no recent position of the primary", member)
@@ -264,34 +233,3 @@
             if group is not None:
                 limit = connection_limit(group.max_connections, self._instances)
                 self._pools.set_limit(member, limit)
-
-    def _ask_refresh(self, reason: str) -> None:
-        try:
-            self._refresh.send_nowait(RefreshMembers(reason))
-        except WouldBlock:
-            # A refresh is already asked for.
-            return
-
-    def _report_doubt(self, group: str, now: float) -> None:
-        doubt = suspect_primary(group, self._view_by_group.get(group), now)
-        last = self._suspected_at_by_group.get(group, 0.0)
-        if doubt is None or now - last < SUSPICION_REPEAT_S:
-            return
-        self._suspected_at_by_group[group] = now
-        try:
-            self._succession.send_nowait(doubt)
-        except WouldBlock:
-            logging.warning("router: doubt dropped group=%s", group)
-
-    def _log_primary(
-        self, group: str, before: GroupView, view: GroupView, source: str
-    ) -> None:
-        if before.primary != view.primary:
-            logging.info(
-                "router: primary changed group=%s from=%s to=%s source=%s members=%d",
-                group,
-                before.primary or "none",
-                view.primary or "none",
-                source,
-                len(view.listing_by_id),
-            )
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -13,8 +13,6 @@
 
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
-from jackdawspread.messages.ran import Ran
-from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.statements.open_session import OpenSession
 from jackdawspread.messages.statements.session_request import SessionRequest
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
@@ -26,7 +24,7 @@
 WRITE_S = 10.0
 # Bytes that a caller sent while its session was closed are read for this long, as
 # closing with unread bytes would reset the connection.
-LINGER_S = 0.2
+LINGER_S = 0.1
 
 
 class CallerSession:
@@ -159,9 +157,3 @@
         except (BrokenResourceError, ClosedResourceError):
             logging.vlog(1, "session: the caller closed first")
         await self._stream.aclose()
-
-
-def overloaded() -> Refusal:
-    """Return the refusal of a session for which there is no room."""
-    detail = "the instance holds as many sessions as it can"
-    return Refusal("busy", Ran.NOT_RUN, "admission", "", detail, 1000)
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -28,6 +28,7 @@
 from jackdawspread.messages.statements.member_exchange import MemberExchange
 from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.messages.statements.rollback_transaction import RollbackTransaction
+from jackdawspread.tasks.members.run_exchange import run_exchange
 
 ROLLBACK_S = 1.0
 # A member answers the start of a transaction without waiting for a slot.
@@ -92,12 +93,7 @@
         self, lease: MemberLease, commands: tuple[MemberCommand, ...], deadline: float
     ) -> MemberReply | ExchangeFailure:
         """Run commands on a leased connection and report what the answer shows."""
-        send, receive = open_memory_channel[MemberReply | ExchangeFailure](1)
-        try:
-            lease.exchanges.send_nowait(MemberExchange(commands, deadline, send))
-        except (BrokenResourceError, ClosedResourceError, WouldBlock):
-            return ExchangeFailure(False, "the connection was lost while idle")
-        outcome = await receive.receive()
+        outcome = await run_exchange(lease, commands, deadline)
         self._report(lease, outcome)
         return outcome
 
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -16,13 +16,23 @@
 
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.ran import Ran
+from jackdawspread.messages.refusal import Refusal
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.open_stream import watch_peer
-from jackdawspread.tasks.sessions.caller_session import CallerSession, overloaded
+from jackdawspread.tasks.sessions.caller_session import CallerSession
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
 from jackdawspread.tasks.sessions.session_metrics import SESSIONS
 
 STOP_STEP_S = 0.1
+OVERLOADED = Refusal(
+    "busy",
+    Ran.NOT_RUN,
+    "admission",
+    "",
+    "the instance holds as many sessions as it can",
+    1000,
+)
 ACCEPT_PAUSE_S = 0.05
 
 
@@ -95,7 +105,7 @@
 
     async def _turn_away(self, stream: SocketStream) -> None:
         async with stream:
-            await stream.send_all(self._make_codec().encode_opened(overloaded()))
+            await stream.send_all(self._make_codec().encode_opened(OVERLOADED))
 
     async def _serve(self, session: CallerSession) -> None:
         self._sessions.add(session)
