Model the succession, and mend what the model refuted

Cause: the succession had no model. The checker refuted it twice: an order without an answer that is carried out late, between another instance's choice and its order, moves the lead and ends the pauses, so the second order promotes a member that lacks acknowledged commits; and a late order between two pauses makes the first log too old. Change: the duty's record names the member before it is ordered, and the next holder prefers it; logs and pauses are read once more after the last pause.

--- a/features/fakes/succession_world.py
+++ b/features/fakes/succession_world.py
@@ -32,8 +32,12 @@
 
     def __init__(self, silent: set[str], answers: list[str]) -> None:
         self.silent = silent
+        self.former_order = ""
         self.answers = [PromotionResult(answer) for answer in answers]
-        self.paused: set[str] = set()
+        self.paused: dict[str, int] = {}
+        # Member whose promotion is carried out late, just after the pauses.
+        self.late = ""
+        self.chosen = ""
         self.ordered = 0
         self.is_taken = False
         self.is_released = False
@@ -55,10 +59,12 @@
         if listing.id in self.silent:
             return None
         if isinstance(order, PauseReplication):
-            self.paused.add(listing.id)
+            self.paused[listing.id] = order.term
         if isinstance(order, ResumeReplication):
-            self.paused.discard(listing.id)
-        return LogStatus(listing.id, False, 3, Position(3, 7))
+            self.paused.pop(listing.id, None)
+        held = self.paused.get(listing.id, 0)
+        leads = bool(held) and listing.id == self.late
+        return LogStatus(listing.id, leads, 3, Position(3, 7), held)
 
     async def send_all(
         self, members: tuple[MemberListing, ...], order: object
@@ -70,9 +76,15 @@
     async def take(self, group: str) -> HeldDuty:
         """Give the duty to the attempt."""
         self.is_taken = True
-        record = {"token": 1, "holder": "i1", "until": 3.0}
+        ordered = self.former_order
+        record = {"token": 1, "holder": "i1", "until": 3.0, "ordered": ordered}
         return HeldDuty("duty-g", 1, record, steady_time() + 60)
 
+    async def announce(self, duty: HeldDuty, member: str) -> HeldDuty:
+        """Record whom the attempt will promote."""
+        self.chosen = member
+        return duty
+
     async def release(self, duty: HeldDuty) -> None:
         """Take the duty back."""
         self.is_released = True
--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -126,6 +126,24 @@
       | m2     |
       | m1,m2  |
 
+  Scenario Outline: The member of an earlier order goes first
+    # Guards against an order without an answer that is carried out late, between the
+    # choice of another member and its promotion (spec succession, mutant
+    # earlier-order-ignored).
+    Given an attempt after an order to promote "<member>" without an answer
+    Then it promotes "<member>" among equal logs
+
+    Examples:
+      | member |
+      | m1     |
+      | m2     |
+
+  Scenario: A pause that a late order has ended counts for nothing
+    # Guards against logs that go on growing after they were read (spec succession,
+    # mutant pauses-not-checked).
+    Given an attempt during which an earlier order promotes "m1"
+    Then no promotion is ordered and the duty is released
+
   Scenario: A primary that answers is not replaced
     # Guards against replacing a primary for one broken connection.
     Given an attempt whose primary answers
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -7,8 +7,16 @@
 from trio.testing import MockClock
 
 
-def _run(context: Context, silent: set[str], answers: list[str]) -> None:
+def _run(
+    context: Context,
+    silent: set[str],
+    answers: list[str],
+    former_order: str = "",
+    late: str = "",
+) -> None:
     context.attempt = SuccessionWorld(silent, answers)
+    context.attempt.former_order = former_order
+    context.attempt.late = late
     trio.run(context.attempt.run, clock=MockClock(autojump_threshold=0))
 
 
@@ -30,13 +38,31 @@
     _run(context, set(), ["accepted"])
 
 
+@given('an attempt after an order to promote "{member}" without an answer')
+def after_order(context: Context, member: str) -> None:
+    """Run an attempt that finds an earlier order in the record."""
+    _run(context, {"m0"}, ["accepted"], former_order=member)
+
+
+@given('an attempt during which an earlier order promotes "{member}"')
+def late_order(context: Context, member: str) -> None:
+    """Run an attempt whose pauses end by a late order."""
+    _run(context, {"m0"}, ["accepted"], late=member)
+
+
+@then('it promotes "{member}" among equal logs')
+def promotes(context: Context, member: str) -> None:
+    """Compare the member that was recorded before the order."""
+    assert context.attempt.chosen == member and context.attempt.ordered == 1
+
+
 @then('the attempt ends with "{outcome}", the duty {duty} and the replicas {state}')
 def ends_with(context: Context, outcome: str, duty: str, state: str) -> None:
     """Compare outcome, duty and pause."""
     attempt = context.attempt
     assert attempt.outcome.startswith(outcome), attempt.outcome
     assert attempt.is_released == (duty == "is released")
-    assert attempt.paused == ({"m1", "m2"} if state == "paused" else set())
+    assert set(attempt.paused) == ({"m1", "m2"} if state == "paused" else set())
 
 
 @then("no promotion is ordered and the duty is released")
--- a/features/wire/wire_group.py
+++ b/features/wire/wire_group.py
@@ -23,6 +23,7 @@
         self.address_by_member: dict[str, str] = {}
         self.dead: set[str] = set()
         self.leaving: set[str] = set()
+        self.paused_by_member: dict[str, int] = {}
         # Commits that take effect without an answer.
         self.lose_answers = 0
         # Connections whose statements are never answered.
@@ -62,6 +63,7 @@
         if member != self.primary:
             self.term += 1
             self.primary = member
+            self.paused_by_member.clear()
             self.register()
         return 200
 
--- a/features/wire/wire_member.py
+++ b/features/wire/wire_member.py
@@ -97,7 +97,10 @@
         if word in ("STATUS", "PAUSE", "RESUME", "DEMOTE"):
             role = "primary" if leads else "replica"
             group = self._group
-            row = f"ROW {role} {group.term} {group.position} 0 0 0 1\r\n"
+            if word in ("PAUSE", "RESUME"):
+                group.paused_by_member[self._member.id] = int(rest or 0)
+            held = group.paused_by_member.get(self._member.id, 0)
+            row = f"ROW {role} {group.term} {group.position} {held} 0 0 1\r\n"
             return [row, "DONE -\r\n"]
         if word == "RESET":
             self._values, self._shapes = {}, {}
--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -9,6 +9,7 @@
 from spec.promotion.model import MODEL_FOUR_TERMS
 from spec.rates.model import MODEL as RATES
 from spec.session.model import MODEL as SESSION
+from spec.succession.model import MODEL as SUCCESSION
 from spec.view.model import MODEL as VIEW
 from spec.view.model import MODEL_JOIN_REMOVE, MODEL_JOIN_THREE
 from spec.withdrawal.model import MODEL as WITHDRAWAL
@@ -24,4 +25,5 @@
     WITHDRAWAL,
     RATES,
     CONFIGURATION,
+    SUCCESSION,
 )
--- /dev/null
+++ b/spec/succession/__init__.py
@@ -0,0 +1,1 @@
+"""Succession of a primary under a fencing token."""
--- /dev/null
+++ b/spec/succession/actions.py
@@ -0,0 +1,184 @@
+"""Actions of members, instances and the platform.
+
+A crash of the primary is a run in which it does nothing more; a pause of an instance
+is a step left out, during which its duty may lapse.
+"""
+
+from collections.abc import Iterator
+
+from spec.succession.attempt import IDLE, Attempt
+from spec.succession.rules import Rules
+from spec.succession.state import State
+
+Steps = Iterator[tuple[str, State]]
+MEMBERS = (0, 1, 2)
+MAX_ENTRIES = 2
+MAX_TOKEN = 3
+
+
+def end_of(log: tuple[int, ...]) -> int:
+    """Return the last entry of a log, 0 if it is empty."""
+    return log[-1] if log else 0
+
+
+def write(state: State, rules: Rules) -> Steps:
+    """Append an entry at the primary."""
+    log = state.logs[state.primary]
+    if len(log) < MAX_ENTRIES:
+        entry = 10 * state.term + len(log)
+        yield "", _with_log(state, state.primary, (*log, entry))
+
+
+def receive(state: State, rules: Rules) -> Steps:
+    """Let a replica receive the primary's next entry."""
+    source = state.logs[state.primary]
+    for member in MEMBERS:
+        log = state.logs[member]
+        if member != state.primary and not state.paused[member] and log != source:
+            longer = source[: len(log) + 1]
+            yield f"member={member}", _with_log(state, member, longer)
+
+
+def acknowledge(state: State, rules: Rules) -> Steps:
+    """Acknowledge an entry that the primary and one replica hold."""
+    for entry in state.logs[state.primary]:
+        replicas = [m for m in MEMBERS if m != state.primary]
+        held = any(entry in state.logs[member] for member in replicas)
+        if held and entry not in state.acknowledged:
+            known = tuple(sorted((*state.acknowledged, entry)))
+            yield f"entry={entry}", state._replace(acknowledged=known)
+
+
+def lapse(state: State, rules: Rules) -> Steps:
+    """Let the time of the duty run out."""
+    if not state.duty_is_free:
+        yield "", state._replace(duty_is_free=True)
+
+
+def take(state: State, rules: Rules) -> Steps:
+    """Take the duty by a conditional write."""
+    if not state.duty_is_free or state.duty_token == MAX_TOKEN:
+        return
+    token = state.duty_token + 1
+    attempt = Attempt(token, state.primary, state.duty_ordered, (-1,) * 3, False, False)
+    for index in range(len(state.attempts)):
+        taken = _with_attempt(state, index, attempt)
+        yield f"instance={index}", taken._replace(duty_token=token, duty_is_free=False)
+
+
+def pause(state: State, rules: Rules) -> Steps:
+    """Pause a replica and read its log's end; a member that leads ends the attempt."""
+    for index, attempt in enumerate(state.attempts):
+        if not attempt.token or attempt.has_ordered:
+            continue
+        for member in MEMBERS:
+            if member == attempt.former or attempt.seen[member] >= 0:
+                continue
+            if member == state.primary:
+                yield f"instance={index} leads", _with_attempt(state, index, IDLE)
+                continue
+            seen = _set(attempt.seen, member, end_of(state.logs[member]))
+            paused = _set(state.paused, member, True)
+            changed = _with_attempt(state, index, attempt._replace(seen=seen))
+            yield f"instance={index} member={member}", changed._replace(paused=paused)
+
+
+def check(state: State, rules: Rules) -> Steps:
+    """Read the logs once more after the last pause; a pause that ended ends it all.
+
+    A late order to promote ends all pauses, and may come between two of ours.
+    """
+    for index, attempt in enumerate(state.attempts):
+        replicas = [m for m in MEMBERS if m != attempt.former]
+        paused = [m for m in replicas if attempt.seen[m] >= 0]
+        if not attempt.token or attempt.has_ordered or attempt.is_checked:
+            continue
+        if rules.pause_all_replicas and len(paused) < len(replicas) or not paused:
+            continue
+        kept = all(state.paused[m] and m != state.primary for m in paused)
+        seen = tuple(end_of(state.logs[m]) if m in paused else -1 for m in MEMBERS)
+        checked = attempt._replace(seen=seen, is_checked=True)
+        yield (
+            f"instance={index}",
+            _with_attempt(state, index, checked if kept else IDLE),
+        )
+
+
+def order(state: State, rules: Rules) -> Steps:
+    """Record the choice and send the order to promote."""
+    for index, attempt in enumerate(state.attempts):
+        if not attempt.token or attempt.has_ordered or not _may_order(state, attempt):
+            continue
+        if rules.check_pauses and not attempt.is_checked:
+            continue
+        held = attempt.token == state.duty_token and not state.duty_is_free
+        if rules.stop_when_duty_lapsed and not held:
+            continue
+        known = [m for m in MEMBERS if attempt.seen[m] >= 0]
+        if rules.pause_all_replicas and len(known) < len(MEMBERS) - 1:
+            continue
+        for member in _choices(attempt, known, rules):
+            ordered = _with_attempt(state, index, attempt._replace(has_ordered=True))
+            yield (
+                f"instance={index} member={member}",
+                ordered._replace(
+                    orders=tuple(sorted({*state.orders, (attempt.token, member)})),
+                    duty_ordered=member,
+                    duty_is_free=not rules.keep_duty_after_order,
+                ),
+            )
+
+
+def promote(state: State, rules: Rules) -> Steps:
+    """Carry an order out, at any time after it was sent.
+
+    As the platform's page says, members that were ahead of the new primary are rolled
+    back at that moment.
+    """
+    for token, member in state.orders:
+        if rules.fence_orders and token < state.highest_token:
+            continue
+        fenced = state._replace(highest_token=max(token, state.highest_token))
+        if member != state.primary:
+            fenced = fenced._replace(
+                logs=tuple(_roll_back(log, state.logs[member]) for log in state.logs),
+                primary=member,
+                term=state.term + 1,
+                paused=(False, False, False),
+            )
+        if fenced != state:
+            yield f"token={token} member={member}", fenced
+
+
+def _roll_back(log: tuple[int, ...], source: tuple[int, ...]) -> tuple[int, ...]:
+    """Return the part of a log that the new primary's log holds too."""
+    common = 0
+    while common < min(len(log), len(source)) and log[common] == source[common]:
+        common += 1
+    return log[:common]
+
+
+def _may_order(state: State, attempt: Attempt) -> bool:
+    return any(seen >= 0 for seen in attempt.seen)
+
+
+def _choices(attempt: Attempt, known: list[int], rules: Rules) -> list[int]:
+    if not rules.take_furthest:
+        return known
+    end = max(attempt.seen[member] for member in known)
+    able = [member for member in known if attempt.seen[member] == end]
+    if rules.prefer_ordered and attempt.bound in able:
+        return [attempt.bound]
+    return able
+
+
+def _with_log(state: State, member: int, log: tuple[int, ...]) -> State:
+    return state._replace(logs=_set(state.logs, member, log))
+
+
+def _with_attempt(state: State, index: int, attempt: Attempt) -> State:
+    return state._replace(attempts=_set(state.attempts, index, attempt))
+
+
+def _set(values: tuple, index: int, value: object) -> tuple:
+    return (*values[:index], value, *values[index + 1 :])
--- /dev/null
+++ b/spec/succession/model.py
@@ -0,0 +1,59 @@
+"""Model of the succession under a fencing token."""
+
+from spec.model import Model
+from spec.mutant import Mutant
+from spec.succession import actions
+from spec.succession.attempt import IDLE
+from spec.succession.rules import Rules
+from spec.succession.state import State
+
+
+def replaced_primary(state: State) -> bool:
+    """Every acknowledged entry is in the log of the member that leads."""
+    return all(entry in state.logs[state.primary] for entry in state.acknowledged)
+
+
+RULES = Rules()
+KEPT = "replaced-primary"
+MODEL = Model(
+    name="succession",
+    initial=State(
+        logs=((), (), ()),
+        primary=0,
+        term=1,
+        paused=(False, False, False),
+        acknowledged=(),
+        attempts=(IDLE, IDLE),
+        duty_token=0,
+        duty_is_free=True,
+        duty_ordered=-1,
+        orders=(),
+        highest_token=0,
+    ),
+    rules=RULES,
+    actions=(
+        actions.write,
+        actions.receive,
+        actions.acknowledge,
+        actions.lapse,
+        actions.take,
+        actions.pause,
+        actions.check,
+        actions.order,
+        actions.promote,
+    ),
+    invariants={KEPT: replaced_primary},
+    mutants=(
+        Mutant("one-replica-paused", RULES._replace(pause_all_replicas=False), KEPT),
+        Mutant("pauses-not-checked", RULES._replace(check_pauses=False), KEPT),
+        Mutant("any-replica-taken", RULES._replace(take_furthest=False), KEPT),
+        Mutant("orders-not-fenced", RULES._replace(fence_orders=False), KEPT),
+        Mutant(
+            "duty-freed-after-order",
+            RULES._replace(keep_duty_after_order=False, prefer_ordered=False),
+            KEPT,
+        ),
+        Mutant("earlier-order-ignored", RULES._replace(prefer_ordered=False), KEPT),
+        Mutant("order-after-lapse", RULES._replace(stop_when_duty_lapsed=False), KEPT),
+    ),
+)
--- a/src/jackdawspread/decisions/succession/duty_record.py
+++ b/src/jackdawspread/decisions/succession/duty_record.py
@@ -14,8 +14,11 @@
         Instance that holds the token.
     until : float
         Time of the store's clock in seconds until which others keep away.
+    ordered : str
+        Member whose promotion was ordered last; empty if none was.
     """
 
     token: int
     holder: str
     until: float
+    ordered: str
--- a/src/jackdawspread/decisions/succession/successor.py
+++ b/src/jackdawspread/decisions/succession/successor.py
@@ -20,11 +20,13 @@
 
 
 def furthest(
-    statuses: Collection[LogStatus], leaving: Collection[str]
+    statuses: Collection[LogStatus], leaving: Collection[str], ordered: str = ""
 ) -> LogStatus | None:
     """Return the log that holds every acknowledged commit, if its member stays.
 
-    None if the furthest log belongs only to members that are leaving.
+    Among equal logs the member that an earlier attempt ordered goes first, as that
+    order may still be carried out. None if the furthest log belongs only to members
+    that are leaving.
     """
     if not statuses:
         return None
@@ -34,7 +36,7 @@
         for status in statuses
         if status.received == end and status.member not in leaving
     ]
-    return min(able, key=lambda status: status.member) if able else None
+    return min(able, key=lambda s: (s.member != ordered, s.member), default=None)
 
 
 def next_term(statuses: Iterable[LogStatus]) -> int:
--- a/src/jackdawspread/messages/fleet/log_status.py
+++ b/src/jackdawspread/messages/fleet/log_status.py
@@ -18,9 +18,12 @@
         Newest term that it has seen.
     received : Position
         End of the log that it has received, applied or not.
+    paused_term : int
+        Term under which it is paused; 0 if it receives.
     """
 
     member: str
     leads: bool
     term: int
     received: Position
+    paused_term: int = 0
--- a/src/jackdawspread/platform/member_wire.py
+++ b/src/jackdawspread/platform/member_wire.py
@@ -105,7 +105,8 @@
 
 
 def _parse_log_status(row: str) -> LogStatus:
-    """Decode role, term, received position and four figures of no use here."""
-    role, term, received, *_ = row.split(" ")
+    """Decode the role, the term, the received position and the pause of a row."""
+    role, term, received, held, *_ = row.split(" ")
     position = parse_position(received) or Position(0, 0)
-    return LogStatus("", role == "primary", int(term), position)
+    # "Term held" is the term of the pause that the member obeys.
+    return LogStatus("", role == "primary", int(term), position, int(held))
--- a/src/jackdawspread/tasks/fleet/duty_keeper.py
+++ b/src/jackdawspread/tasks/fleet/duty_keeper.py
@@ -7,6 +7,7 @@
 from jackdawspread.decisions.succession.duty import (
     DUTY_HOLD_S,
     FREE_DUTY,
+    note_order,
     release_duty,
     take_duty,
 )
@@ -51,6 +52,16 @@
             return f"the duty was not written: {outcome.status.value}"
         return HeldDuty(name, outcome.version, record, asked_at + DUTY_HOLD_S)
 
+    async def announce(self, duty: HeldDuty, member: str) -> HeldDuty | None:
+        """Record whom the holder will promote; None if that can't be recorded."""
+        record = note_order(duty.record, member)
+        outcome = await self._records.write(duty.name, duty.version, encode(record))
+        if outcome.status is RecordStatus.UNKNOWN:
+            outcome = await self._read_back(duty.name, record)
+        if outcome.status is not RecordStatus.DONE:
+            return None
+        return duty._replace(version=outcome.version, record=record)
+
     async def release(self, duty: HeldDuty) -> None:
         """Give the duty up, so that others need not wait for its end."""
         record = release_duty(duty.record)
--- a/src/jackdawspread/tasks/fleet/succession_attempt.py
+++ b/src/jackdawspread/tasks/fleet/succession_attempt.py
@@ -106,35 +106,46 @@
             return "a replica does not answer", False
         if any(status.leads for status in before.values()):
             return "another member leads", False
-        staying = _staying(replicas, before) if doubt.planned else ""
+        ordered = duty.record["ordered"]
+        staying = _staying(replicas, before, ordered) if doubt.planned else ""
         to_pause = tuple(replica for replica in replicas if replica.id != staying)
         order = PauseReplication(next_term(before.values()))
         paused = await self._orders.send_all(to_pause, order)
         chosen = ""
         if len(paused) == len(to_pause):
-            chosen = await self._choose(replicas, staying, paused)
-        if not chosen:
+            chosen = await self._choose(replicas, staying, order.term, ordered)
+        announced = await self._duties.announce(duty, chosen) if chosen else None
+        if announced is None:
             await self._resume(to_pause, duty)
-            return "no replica holds every commit", False
-        return await self._promote(doubt, chosen, to_pause, duty)
+            return "no replica is known to hold every commit", False
+        return await self._promote(doubt, chosen, to_pause, announced)
 
     async def _choose(
         self,
         replicas: tuple[MemberListing, ...],
         staying: str,
-        paused: dict[str, LogStatus],
+        term: int,
+        ordered: str,
     ) -> str:
-        """Return the member that holds every acknowledged commit, empty if none."""
-        if not staying:
-            leaving = {replica.id for replica in replicas if replica.leaving}
-            best = furthest(paused.values(), leaving) or furthest(paused.values(), ())
-            return best.member if best is not None else ""
-        needed = max(status.received for status in paused.values())
-        listing = next(replica for replica in replicas if replica.id == staying)
+        """Return the member that holds every acknowledged commit, empty if none.
+
+        The logs are read once more after the last pause: an earlier order to promote
+        that is carried out late ends all pauses.
+        """
+        leaving = {replica.id for replica in replicas if replica.leaving}
         give_up_at = current_time() + CATCH_UP_S
         while current_time() < give_up_at:
-            status = await self._orders.send(listing, QueryStatus())
-            if status is not None and status.received >= needed:
+            status_by_member = await self._orders.send_all(replicas, QueryStatus())
+            stay = status_by_member.pop(staying, None)
+            paused = status_by_member.values()
+            kept = all(not s.leads and s.paused_term == term for s in paused)
+            if len(paused) < len(replicas) - bool(staying) or not kept:
+                return ""
+            if not staying:
+                best = furthest(paused, leaving, ordered) or furthest(paused, ())
+                return best.member if best is not None else ""
+            needed = max(status.received for status in paused)
+            if stay is not None and not stay.leads and stay.received >= needed:
                 return staying
             await sleep(CATCH_UP_STEP_S)
         return ""
@@ -186,10 +197,18 @@
 
 
 def _staying(
-    replicas: tuple[MemberListing, ...], status_by_member: dict[str, LogStatus]
+    replicas: tuple[MemberListing, ...],
+    status_by_member: dict[str, LogStatus],
+    ordered: str,
 ) -> str:
-    """Return the replica that goes on receiving while a living primary is replaced."""
+    """Return the replica that goes on receiving while a living primary is replaced.
+
+    It has time to receive what the others hold, so the member of an earlier order
+    goes first whatever its log.
+    """
     leaving = {replica.id for replica in replicas if replica.leaving}
     able = [s for s in status_by_member.values() if s.member not in leaving]
+    if any(status.member == ordered for status in able):
+        return ordered
     best = furthest(able, ())
     return best.member if best is not None else ""
