Let an open transaction outlive the removal of its route

Change: inside a transaction only the key and the age of the configuration refuse. Ruled out: keeping the whole admission of the start, under which a withdrawn key would go on inside a transaction.

--- a/features/platform_sessions.feature
+++ b/features/platform_sessions.feature
@@ -81,6 +81,12 @@
     When a caller's key is withdrawn
     Then its next statements are refused with NOAUTH
 
+  Scenario: An open transaction outlives the removal of its route
+    # Guards against a configuration that cuts work which began before it.
+    When a caller has a transaction open and its route is removed
+    Then the transaction can commit
+    And its next statement is refused with NODB
+
   Scenario: A refused operation above the rate has not run
     # Guards against a limit that counts after the fact.
     When a caller of the small workspace sends 40 writes at once
--- a/features/steps/platform_session_steps.py
+++ b/features/steps/platform_session_steps.py
@@ -15,14 +15,11 @@
 def _wait(context: Context, condition) -> None:
     """Wait until a condition holds; a test without it would hang, so give up late."""
 
-    async def wait() -> None:
-        for _ in range(int(PATIENCE_S / 0.02)):
-            if condition():
-                return
-            await sleep(0.02)
-        raise AssertionError("the condition never held")
-
-    context.platform.call(wait)
+    for _ in range(int(PATIENCE_S / 0.02)):
+        if condition():
+            return
+        context.platform.call(sleep, 0.02)
+    raise AssertionError("the condition never held")
 
 
 def _query_until(context: Context, text: str, word: str) -> list[str]:
@@ -139,6 +136,26 @@
     context.platform.publish()
 
 
+@when("a caller has a transaction open and its route is removed")
+def route_removed(context: Context) -> None:
+    """Publish a version without the route, and wait until it is in force."""
+    platform = context.platform
+    context.caller = platform.open("bounded-db")
+    for text in ("BEGIN", "WRITE a 1"):
+        assert platform.query(context.caller, text)[0].startswith("DONE")
+    routes = platform.configuration["Routes"]
+    platform.configuration["Routes"] = [r for r in routes if r["Host"] != "bounded-db"]
+    platform.publish()
+    _wait(context, lambda: platform.open("bounded-db").opened.startswith("ERR NODB"))
+
+
+@then("its next statement is refused with NODB")
+def refused_nodb(context: Context) -> None:
+    """The change applies from the next operation on."""
+    answer = context.platform.query(context.caller, "READ a")
+    assert answer[0].startswith("ERR NODB"), answer
+
+
 @when("a caller of the small workspace sends {number:d} writes at once")
 def above_rate(context: Context, number: int) -> None:
     """Send more writes than the workspace may."""
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -34,6 +34,8 @@
 
 # Part of a statement's time for which it waits for a member that may serve it.
 HOLD_PART = 0.45
+# A change of a route applies from the next transaction on.
+NO_ROUTE = "nodb"
 
 
 class SessionOperations:
@@ -120,10 +122,10 @@
             self.close()
             return StatementOutcome(StatementSuccess(), end_transaction(self._state))
         admitted = await self._admit(spend=not inside)
-        if isinstance(admitted, Refusal):
+        if isinstance(admitted, Refusal) and not (inside and admitted.code == NO_ROUTE):
             self.close()
             return StatementOutcome(admitted, fail_transaction(self._state))
-        if not inside:
+        if isinstance(admitted, OperationAdmitted) and not inside:
             self._admitted = admitted
         return await self._run_at_member(request, plan, inside)
 
