Use newest_position where a session keeps its newest commit

Cause: single statements and transactions each wrote the comparison again that decisions/members/position_evidence.py already has. Change: both call newest_position; behaviour is the same. Ruled out: one function for connection requests of sessions and orders, which share only the names of the fields.

--- a/src/jackdawspread/tasks/sessions/single_statement.py
+++ b/src/jackdawspread/tasks/sessions/single_statement.py
@@ -2,6 +2,7 @@
 
 from trio import current_time, sleep
 
+from jackdawspread.decisions.members.position_evidence import newest_position
 from jackdawspread.decisions.sessions.member_outcomes import (
     ran,
     refuse_read,
@@ -79,7 +80,7 @@
     reply: MemberReply, plan: RunStatement, state: SessionState
 ) -> StatementOutcome:
     if plan.writes and reply.position is not None:
-        newest = max(reply.position, state.position or reply.position)
+        newest = newest_position(reply.position, state.position)
         state = state._replace(position=newest)
     return StatementOutcome(StatementSuccess(reply.rows, reply.proof), state)
 
--- a/src/jackdawspread/tasks/sessions/transaction_runner.py
+++ b/src/jackdawspread/tasks/sessions/transaction_runner.py
@@ -2,6 +2,7 @@
 
 from trio import current_time, sleep
 
+from jackdawspread.decisions.members.position_evidence import newest_position
 from jackdawspread.decisions.sessions.connection_preparation import prepare_connection
 from jackdawspread.decisions.sessions.member_outcomes import (
     ran,
@@ -210,7 +211,7 @@
         assert self._lease is not None
         if state.wrote and reply.position is not None:
             self._calls.note_position(self._lease, reply, by_write=True)
-            newest = max(reply.position, state.position or reply.position)
+            newest = newest_position(reply.position, state.position)
             state = state._replace(position=newest)
         success = StatementSuccess(reply.rows, reply.proof)
         done = self._outcome(success, end_transaction(state))
