Count a suspension in the age of a position

Cause, found by reading: samples of the primary's position were dated by the monotonic clock, which stands still while a machine is suspended. After it a replica was asked for a position from before the suspension as if it were fresh, which breaks the bound of a route by the length of the suspension.

Change: samples and the terms of a lease use the clock that counts suspension. The time in SuspicionCleared and in a suspicion was never read and is removed.

--- a/features/platform_sessions.feature
+++ b/features/platform_sessions.feature
@@ -16,6 +16,14 @@
     When a caller of "primary-db" sends "READ bean"
     Then the read ran inside a transaction at the primary
 
+  Scenario: Evidence of a position ages while the machine is suspended
+    # Guards against a stale read after a suspension, which the monotonic clock does
+    # not count: a replica would be asked for a position from before it.
+    Given a caller of "bounded-db" whose read ran at a replica
+    When the machine was suspended for 4 s
+    And it sends "READ bean"
+    Then the read ran inside a transaction at the primary
+
   Scenario Outline: A wrong opening is refused
     # Guards against serving a caller without a route or a key.
     When a caller opens "<database>" with the key "<key>"
--- a/features/steps/platform_session_steps.py
+++ b/features/steps/platform_session_steps.py
@@ -1,6 +1,7 @@
 """Steps for sessions through an instance between stand-ins of the platform."""
 
-from time import monotonic
+from time import clock_gettime, monotonic
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -8,6 +9,8 @@
 from features.wire.wire_caller import WireCaller
 from trio import open_nursery, sleep
 
+from jackdawspread.tasks import steady_clock
+
 PROOF = "7.1f3.c"
 PATIENCE_S = 20.0
 
@@ -54,6 +57,29 @@
     it_sends(context, text)
 
 
+@given('a caller of "{database}" whose read ran at a replica')
+def read_at_replica(context: Context, database: str) -> None:
+    """Read once, while a transaction keeps the primary's idle connection busy."""
+    holder = context.platform.open()
+    for text in ("BEGIN", "READ other"):
+        context.platform.query(holder, text)
+    caller_sends(context, database, "READ bean")
+    assert context.platform.group.runs[-1].member != context.platform.group.primary
+    context.platform.group.runs.clear()
+
+
+@when("the machine was suspended for {seconds:d} s")
+def was_suspended(context: Context, seconds: int) -> None:
+    """Advance the clock that counts suspension, and no other."""
+
+    def later(clock: int) -> float:
+        return clock_gettime(clock) + seconds
+
+    patch = mock.patch.object(steady_clock, "clock_gettime", later)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @when('it sends "{text}"')
 def it_sends(context: Context, text: str) -> None:
     """Send a further statement."""
--- a/src/jackdawspread/decisions/members/group_views.py
+++ b/src/jackdawspread/decisions/members/group_views.py
@@ -32,7 +32,7 @@
 def _(event: PositionSeen, view: GroupView) -> GroupView:
     refused = {**view.refused_at_by_member}
     refused.pop(event.member, None)
-    suspicion = note_proof(view.suspicion, event.sent_at)
+    suspicion = note_proof(view.suspicion)
     if event.by_write:
         suspicion = note_write(suspicion)
     return view._replace(
@@ -76,7 +76,7 @@
 def _(event: SuspicionCleared, view: GroupView) -> GroupView:
     if event.member != view.primary:
         return view
-    return view._replace(suspicion=note_proof(view.suspicion, event.at))
+    return view._replace(suspicion=note_proof(view.suspicion))
 
 
 def adopt_listing(
--- a/src/jackdawspread/decisions/members/leader_sample.py
+++ b/src/jackdawspread/decisions/members/leader_sample.py
@@ -6,7 +6,10 @@
 
 
 class LeaderSample(NamedTuple):
-    """Every commit acknowledged before ``at`` is at or before ``position``."""
+    """Every commit acknowledged before ``at`` is at or before ``position``.
+
+    ``at`` is in seconds, counting suspension: data goes on aging meanwhile.
+    """
 
     position: Position
     at: float
--- a/src/jackdawspread/decisions/members/read_targets.py
+++ b/src/jackdawspread/decisions/members/read_targets.py
@@ -65,8 +65,12 @@
     load_by_member: Mapping[str, PoolLoad],
     failure_domain: str,
     now: float,
+    steady_now: float,
 ) -> Iterator[MemberCandidate]:
-    """Yield the members that may answer a read of bounded age."""
+    """Yield the members that may answer a read of bounded age.
+
+    ``now`` is monotonic; ``steady_now`` also counts suspension, as ages of data do.
+    """
     for id, listing in view.listing_by_id.items():
         load = load_by_member.get(id)
         lags = recent_lags(view, id, now)
@@ -76,7 +80,7 @@
         if now - failed_at < FAILURE_AVOIDANCE_S:
             continue
         lagging = id != view.primary and lags >= MAX_RECENT_LAGS
-        if lagging or lease_terms(view, request, id, now) is None:
+        if lagging or lease_terms(view, request, id, steady_now) is None:
             continue
         yield MemberCandidate(
             id=id,
@@ -91,14 +95,17 @@
 
 
 def lease_terms(
-    view: GroupView, request: ConnectionRequest, member: str, now: float
+    view: GroupView, request: ConnectionRequest, member: str, steady_now: float
 ) -> LeaseTerms | None:
-    """Return the terms on which a member may serve, None if it may not."""
+    """Return the terms on which a member may serve, None if it may not.
+
+    ``steady_now`` is in seconds, counting suspension.
+    """
     if request.need is not ConnectionNeed.FRESH or member == view.primary:
         return LeaseTerms(as_primary=True)
-    earliest = now - (1 - STALENESS_RESERVE) * request.max_staleness_s
+    earliest = steady_now - (1 - STALENESS_RESERVE) * request.max_staleness_s
     sample = oldest_within(view.samples, earliest)
     if sample is None:
         return None
     after = newest_position(sample.position, request.session_position)
-    return LeaseTerms(False, after, now - sample.at)
+    return LeaseTerms(False, after, steady_now - sample.at)
--- a/src/jackdawspread/decisions/succession/suspicion.py
+++ b/src/jackdawspread/decisions/succession/suspicion.py
@@ -13,22 +13,19 @@
 
     Parameters
     ----------
-    proved_at : float
-        Monotonic time at which it last proved to lead.
     failures : int
         Failed connections and exchanges since then.
     stalled_at : tuple of float
         Times of writes that were not confirmed, since one last was.
     """
 
-    proved_at: float = 0.0
     failures: int = 0
     stalled_at: tuple[float, ...] = ()
 
 
-def note_proof(suspicion: Suspicion, at: float) -> Suspicion:
-    """Forget failures, as the primary answered a question sent at ``at``."""
-    return suspicion._replace(proved_at=max(at, suspicion.proved_at), failures=0)
+def note_proof(suspicion: Suspicion) -> Suspicion:
+    """Forget failures, as the primary has answered a question."""
+    return suspicion._replace(failures=0)
 
 
 def note_write(suspicion: Suspicion) -> Suspicion:
--- a/src/jackdawspread/messages/fleet/position_seen.py
+++ b/src/jackdawspread/messages/fleet/position_seen.py
@@ -8,8 +8,8 @@
 class PositionSeen(NamedTuple):
     """Position of a member that led when it answered.
 
-    Every commit that was acknowledged before ``sent_at`` (monotonic seconds) is at
-    or before ``position``.
+    Every commit that was acknowledged before ``sent_at`` (seconds, counting
+    suspension) is at or before ``position``.
     """
 
     group: str
--- a/src/jackdawspread/messages/fleet/suspicion_cleared.py
+++ b/src/jackdawspread/messages/fleet/suspicion_cleared.py
@@ -4,8 +4,7 @@
 
 
 class SuspicionCleared(NamedTuple):
-    """A primary that was in doubt answered a question sent at ``at``."""
+    """A primary that was in doubt has answered a question."""
 
     group: str
     member: str
-    at: float
--- a/src/jackdawspread/messages/statements/member_reply.py
+++ b/src/jackdawspread/messages/statements/member_reply.py
@@ -25,7 +25,7 @@
     position : Position or None
         End of the member's log.
     sent_at : float
-        Monotonic time in seconds at which the command was sent.
+        Time in seconds, counting suspension, at which the command was sent.
     log_status : LogStatus or None
         State of the log, for a question or order about it.
     """
--- a/src/jackdawspread/tasks/fleet/succession_attempt.py
+++ b/src/jackdawspread/tasks/fleet/succession_attempt.py
@@ -84,10 +84,9 @@
 
     async def _answers(self, primary: MemberListing) -> bool:
         """Ask a primary that has just failed whether it lives."""
-        asked_at = current_time()
         if await self._orders.send(primary, QueryStatus()) is None:
             return False
-        await self._router.send(SuspicionCleared(primary.group, primary.id, asked_at))
+        await self._router.send(SuspicionCleared(primary.group, primary.id))
         return True
 
     async def _replace(
--- a/src/jackdawspread/tasks/members/member_connection.py
+++ b/src/jackdawspread/tasks/members/member_connection.py
@@ -25,6 +25,7 @@
 from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.tasks.members.member_codec import MemberCodec
 from jackdawspread.tasks.open_stream import open_stream
+from jackdawspread.tasks.steady_clock import steady_time
 
 READ_CHUNK_BYTES = 64 * 1024
 # A new connection takes some 10 ms, and waits for a slot of the member.
@@ -120,7 +121,7 @@
                 failed = await self._run_together(first)
                 if failed is not None:
                     return failed
-                sent_at = current_time()
+                sent_at = steady_time()
                 sent = True
                 reply = await self._run(last)
                 return reply._replace(sent_at=sent_at)
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -44,6 +44,7 @@
 from jackdawspread.tasks.members.member_codec import MemberCodec
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
+from jackdawspread.tasks.steady_clock import steady_time
 
 # Waiting requests are looked at again this often.
 TICK_S = 0.05
@@ -189,7 +190,12 @@
         view = self._beliefs.view(request.group)
         if request.need is ConnectionNeed.FRESH:
             candidates = fresh_candidates(
-                view, request, self._pools.pool_by_member, self._failure_domain, now
+                view,
+                request,
+                self._pools.pool_by_member,
+                self._failure_domain,
+                now,
+                steady_time(),
             )
             chosen = choose_member(candidates)
             if chosen is not None:
@@ -199,10 +205,9 @@
     def _grant(
         self, request: ConnectionRequest, pool: MemberPool, connection: PooledConnection
     ) -> bool:
-        now = current_time()
         group, member = pool.listing.group, pool.listing.id
         view = self._beliefs.view(group)
-        terms = lease_terms(view, request, member, now)
+        terms = lease_terms(view, request, member, steady_time())
         if terms is None:
             refuse(request, "lagging", "no recent position of the primary", member)
             return False
