Wait for a primary that really leads in the process features

Cause of the known red scenario 'A primary fails while the platform is down': the bench named the first member of a database as its primary while none led. If the third member was frozen, the first one passed for the new primary before any promotion; the scenario then waited for a platform row that names it.

The product was right; PlatformClient is ruled out.

Change: Fleet.primary waits until a member says that it leads. The new scenario fails without it.

--- a/bench/launch/fleet.py
+++ b/bench/launch/fleet.py
@@ -20,6 +20,7 @@
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
 PRESET_TIMEOUT_S, PRESET_POLL_S = 10.0, 0.01
+PRIMARY_TIMEOUT_S = 10.0
 
 
 class FleetError(BenchError):
@@ -139,14 +140,28 @@
         return (await call_once(address, method, target, body, headers, 2.0))[1]
 
     async def primary(self, database: str) -> str:
-        """Return the member that is primary in the highest term, or the first."""
+        """Return the member that is primary in the highest term, once there is one.
+
+        Raises
+        ------
+        FleetError
+            If no member says so within 10 s.
+        """
         members = self.layout.members_by_database[database]
-        found = [(0, next(iter(members)))]
-        for name, address in members.items():
-            status, body = await call_once(address, "POST", "/status", {}, timeout=1)
-            if status == 200 and body.get("role") == "primary":
-                found.append((int(body["term"]) + 1, name))
-        return max(found)[1]
+        deadline = current_time() + PRIMARY_TIMEOUT_S
+        while True:
+            found = []
+            for name, address in members.items():
+                status, body = await call_once(
+                    address, "POST", "/status", {}, timeout=1
+                )
+                if status == 200 and body.get("role") == "primary":
+                    found.append((int(body["term"]), name))
+            if found:
+                return max(found)[1]
+            if current_time() > deadline:
+                raise FleetError(f"no member of {database} says that it is primary")
+            await sleep(POLL_S)
 
     async def wait_ready(self, spares: tuple[str, ...] = ()) -> None:
         """Wait until every instance but the spares is ready."""
--- a/features/bench.feature
+++ b/features/bench.feature
@@ -81,6 +81,13 @@
     Then it has found 1500 records
     And it has connected before it read
 
+  Scenario: No member is called the primary before it is one
+    # Guards against a promotion that a test believes in before it has happened: with
+    # the third member frozen, the first one passed for the new primary.
+    Given two replicas of which the second becomes primary after 3 questions
+    When the bench asks for the primary
+    Then it is told the second member
+
   Scenario: A request id anywhere in a member's log is found
     # Guards against a refused request that ran and is overlooked.
     Given a replaced primary without records and a primary with 1500 records
--- a/features/process/platform_outage.feature
+++ b/features/process/platform_outage.feature
@@ -3,7 +3,6 @@
   Real processes: four entry instances, two databases of three members, one
   platform.
 
-  @known_red
   Scenario: A primary fails while the platform is down
     # Promise replaced-primary; section 6: promotions continue without the platform.
     # Guards against a failover that waits for the platform.
--- a/features/steps/bench_reading_steps.py
+++ b/features/steps/bench_reading_steps.py
@@ -85,6 +85,38 @@
     context.seen = []
 
 
+@given("two replicas of which the second becomes primary after {count:d} questions")
+def replicas(context: Context, count: int) -> None:
+    """Prepare a promotion that ends after some questions."""
+    context.seen = []
+
+    def second(target: str, body: dict) -> dict:
+        promoted = len(context.seen) > 2 * count
+        return {"role": "primary" if promoted else "replica", "term": 2}
+
+    def first(target: str, body: dict) -> dict:
+        return {"role": "replica", "term": 1}
+
+    context.answers = [first, second]
+
+
+@when("the bench asks for the primary")
+def asks_primary(context: Context) -> None:
+    """Ask while the promotion goes on."""
+
+    async def use(addresses: list[str]) -> object:
+        with TemporaryDirectory() as path, ProcessSet(Path(path)) as processes:
+            return await _fleet(addresses, processes).primary("swap1")
+
+    context.primary = run(_serve, context.answers, context.seen, use)
+
+
+@then("it is told the second member")
+def told_second(context: Context) -> None:
+    """Compare the name."""
+    assert context.primary == "swap1-2", context.primary
+
+
 @when("the checker reads the database")
 def read(context: Context) -> None:
     """Read the database as after a run."""
