--- a/features/steps/session_decision_steps.py
+++ b/features/steps/session_decision_steps.py
@@ -5,13 +5,13 @@
 
 from jackdawspread.decisions.sessions.answer_now import AnswerNow
 from jackdawspread.decisions.sessions.connection_preparation import prepare_connection
+from jackdawspread.decisions.sessions.hold_time import hold_time_s
 from jackdawspread.decisions.sessions.member_names import member_name
 from jackdawspread.decisions.sessions.member_outcomes import (
     refuse_inside,
     refuse_read,
     refuse_write,
 )
-from jackdawspread.decisions.sessions.hold_time import hold_time_s
 from jackdawspread.decisions.sessions.operation_check import check_operation
 from jackdawspread.decisions.sessions.session_state import SessionState
 from jackdawspread.decisions.sessions.statement_plan import plan_statement
--- a/src/jackdawspread/decisions/shares/rebalance.py
+++ b/src/jackdawspread/decisions/shares/rebalance.py
@@ -56,19 +56,10 @@
     store_time_s : float
         The store's clock; shares whose time has passed fall back to the others.
     """
-    live = {
-        name: holder
-        for name, holder in book.items()
-        if holder["until"] > store_time_s or name == instance
-    }
-    others = {name: holder for name, holder in live.items() if name != instance}
-    own = live.get(instance)
-    needs = _remember_needs(needed, own)
-    claiming = {
-        name: holder
-        for name, holder in others.items()
-        if holder["until"] > store_time_s + HOLD_S - STALE_S
-    }
+    others = _held_after(store_time_s, book)
+    others.pop(instance, None)
+    needs = _remember_needs(needed, book.get(instance))
+    claiming = _held_after(store_time_s + HOLD_S - STALE_S, others)
     held = {
         workspace: _next_share(workspace, need, others, claiming)
         for workspace, need in needs.items()
@@ -79,6 +70,13 @@
     return {**others, instance: renewed}
 
 
+def _held_after(store_time_s: float, book: ShareBook) -> ShareBook:
+    """Return the holders whose shares are held beyond a time of the store."""
+    return {
+        name: holder for name, holder in book.items() if holder["until"] > store_time_s
+    }
+
+
 def _remember_needs(
     needed: Mapping[str, float], own: ShareHolder | None
 ) -> dict[str, float]:
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -17,7 +17,6 @@
 )
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.admit_operation import AdmitOperation
-from jackdawspread.messages.fleet.borrow_tokens import BorrowTokens
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.demand_seen import DemandSeen
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
@@ -35,6 +34,7 @@
     CONFIGURATION_VERSION,
     SHARE,
 )
+from jackdawspread.tasks.fleet.loan_wishes import LOAN_WAIT_S, LoanWishes
 from jackdawspread.tasks.fleet.rate_desk import RateDesk
 from jackdawspread.tasks.fleet.waiting_question import WaitingQuestion
 from jackdawspread.tasks.steady_clock import steady_time
@@ -43,12 +43,6 @@
 DEMAND_REPORT_S = 0.5
 # Sessions that arrive while the process starts wait for the first configuration.
 START_WAIT_S = 1.0
-# A loan takes one round trip between failure domains.
-LOAN_WAIT_S = 0.025
-# Tokens asked of each peer; more than the bucket of a small share holds is lost.
-LOAN_TOKENS = 1
-# Peers without tokens to spare are asked again after this time.
-LOAN_BACKOFF_S = 0.1
 
 
 class AdmissionTask:
@@ -76,12 +70,11 @@
         self._max_age_s = max_age_s
         self._inbox = inbox
         self._demand = demand
-        self._loans = loans
+        self._wishes = LoanWishes(loans)
         self._configuration: FleetConfiguration | None = None
         self._confirmed_at = 0.0
         self._desk = RateDesk()
         self._waiting: list[WaitingQuestion] = []
-        self._asked_at_by_workspace: dict[str, float] = {}
         self._starved = False
 
     async def run(self) -> None:
@@ -195,19 +188,11 @@
     def _borrow_or_refuse(
         self, event: AdmitOperation, workspace: str, now: float
     ) -> None:
-        """Ask the peers for tokens, unless they have just had none to spare."""
         self._starved = True
-        asked_at = self._asked_at_by_workspace.get(workspace, -LOAN_BACKOFF_S)
-        if LOAN_WAIT_S < now - asked_at < LOAN_BACKOFF_S:
+        if self._wishes.ask(workspace, now):
+            self._waiting.append(WaitingQuestion(event, now + LOAN_WAIT_S))
+        else:
             self._refuse_rate(event, workspace, now)
-            return
-        if now - asked_at >= LOAN_BACKOFF_S:
-            self._asked_at_by_workspace[workspace] = now
-            try:
-                self._loans.send_nowait(BorrowTokens(workspace, LOAN_TOKENS))
-            except WouldBlock:
-                logging.vlog(1, "admission: too many wishes for loans")
-        self._waiting.append(WaitingQuestion(event, now + LOAN_WAIT_S))
 
     def _answer_waiting(self) -> None:
         """Look again at questions that came before the process was ready."""
