Promote only after a list without replicas that were not asked

While it probed the primary for 0.4 s, the replacement of a leaving member came up as a fourth member and confirmed the primary's commits. Both listed replicas were paused and one was promoted without those commits.

Change: after the pauses the attempt waits for a list that was read after them; a replica there that was not asked, or no list within 0.6 s, ends it without an order.

--- a/features/fakes/succession_world.py
+++ b/features/fakes/succession_world.py
@@ -37,6 +37,8 @@
         self.paused: dict[str, int] = {}
         # Member whose promotion is carried out late, just after the pauses.
         self.late = ""
+        # Replica that the list names only after the pauses.
+        self.joined = ""
         self.chosen = ""
         self.ordered = 0
         self.is_taken = False
@@ -51,7 +53,7 @@
         doubt = PrimarySuspected("g", "m0", False, False, "unreachable")
         async with open_nursery() as nursery:
             nursery.start_soon(self._answer_orders, inbox)
-            self.outcome = await attempt.run(doubt, LISTINGS)
+            self.outcome = await attempt.run(doubt, LISTINGS, self._list_since)
             self._end(nursery)
 
     async def send(self, listing: MemberListing, order: object) -> LogStatus | None:
@@ -89,6 +91,13 @@
         """Take the duty back."""
         self.is_released = True
 
+    async def _list_since(self, since: float) -> dict[str, MemberListing]:
+        listings = dict(LISTINGS)
+        if self.joined:
+            joined = LISTINGS["m1"]._replace(id=self.joined)
+            listings[self.joined] = joined
+        return listings
+
     async def _answer_orders(self, inbox) -> None:
         async for order in inbox:
             self.ordered += 1
--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -189,6 +189,12 @@
       | m1     |
       | m2     |
 
+  Scenario: A replica that has joined meanwhile is not left out
+    # Guards against the loss of commits that only a new replica holds: hunt on saomai,
+    # deaf-then-crash-twice --vary --seed 483812785501, LOST 5.
+    Given an attempt during which the replica "m3" joins
+    Then no promotion is ordered and the duty is released
+
   Scenario: A pause that a late order has ended counts for nothing
     # Guards against logs that go on growing after they were read (spec succession,
     # mutant pauses-not-checked).
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -13,10 +13,12 @@
     answers: list[str],
     former_order: str = "",
     late: str = "",
+    joined: str = "",
 ) -> None:
     context.attempt = SuccessionWorld(silent, answers)
     context.attempt.former_order = former_order
     context.attempt.late = late
+    context.attempt.joined = joined
     trio.run(context.attempt.run, clock=MockClock(autojump_threshold=0))
 
 
@@ -50,6 +52,12 @@
     _run(context, {"m0"}, ["accepted"], late=member)
 
 
+@given('an attempt during which the replica "{member}" joins')
+def joins(context: Context, member: str) -> None:
+    """Run an attempt after whose pauses the list names another replica."""
+    _run(context, {"m0"}, ["accepted"], joined=member)
+
+
 @then('it promotes "{member}" among equal logs')
 def promotes(context: Context, member: str) -> None:
     """Compare the member that was recorded before the order."""
--- a/src/jackdawspread/tasks/fleet/succession_attempt.py
+++ b/src/jackdawspread/tasks/fleet/succession_attempt.py
@@ -1,5 +1,7 @@
 """One attempt to replace the primary of a group."""
 
+from collections.abc import Awaitable, Callable
+
 from absl import logging
 from trio import MemorySendChannel, current_time, open_memory_channel, sleep
 
@@ -31,6 +33,8 @@
 # two replicas that answer holds it.
 MIN_REPLICAS = 2
 
+ListSince = Callable[[float], Awaitable[dict[str, MemberListing] | None]]
+
 
 class SuccessionAttempt:
     """Confirms a doubt and promotes the member that holds every commit.
@@ -64,9 +68,15 @@
         self._router = router
 
     async def run(
-        self, doubt: PrimarySuspected, listing_by_id: dict[str, MemberListing]
+        self,
+        doubt: PrimarySuspected,
+        listing_by_id: dict[str, MemberListing],
+        list_since: ListSince,
     ) -> str:
-        """Return the outcome of the attempt in a few words."""
+        """Return the outcome of the attempt in a few words.
+
+        ``list_since`` waits for a list that was read after a monotonic time.
+        """
         primary = listing_by_id.get(doubt.member)
         in_doubt = primary is not None and not doubt.planned and not doubt.stalled
         if in_doubt and primary is not None and await self._answers(primary):
@@ -77,7 +87,7 @@
         duty = await self._duties.take(doubt.group)
         if isinstance(duty, str):
             return duty
-        outcome, ordered = await self._replace(doubt, replicas, duty)
+        outcome, ordered = await self._replace(doubt, replicas, duty, list_since)
         if not ordered:
             await self._duties.release(duty)
         return outcome
@@ -94,6 +104,7 @@
         doubt: PrimarySuspected,
         replicas: tuple[MemberListing, ...],
         duty: HeldDuty,
+        list_since: ListSince,
     ) -> tuple[str, bool]:
         """Return the outcome, and whether a promotion was or may have been ordered.
 
@@ -110,9 +121,12 @@
         to_pause = tuple(replica for replica in replicas if replica.id != staying)
         order = PauseReplication(next_term(before.values()))
         paused = await self._orders.send_all(to_pause, order)
+        paused_at = current_time()
         chosen = ""
         if len(paused) == len(to_pause):
             chosen = await self._choose(replicas, staying, order.term, ordered)
+        if chosen and not await _is_complete(doubt, replicas, list_since, paused_at):
+            chosen = ""
         announced = await self._duties.announce(duty, chosen) if chosen else None
         if announced is None:
             await self._resume(to_pause, duty)
@@ -195,6 +209,25 @@
             logging.warning("succession: pause left in place name=%s", duty.name)
 
 
+async def _is_complete(
+    doubt: PrimarySuspected,
+    replicas: tuple[MemberListing, ...],
+    list_since: ListSince,
+    paused_at: float,
+) -> bool:
+    """Whether a list read after the pauses names no replica that was not asked.
+
+    A member that has joined meanwhile confirms the primary's commits, which none of
+    the paused logs holds.
+    """
+    listing_by_id = await list_since(paused_at)
+    if listing_by_id is None:
+        return False
+    listed = replicas_to_ask(listing_by_id.values(), doubt.group, doubt.member)
+    asked = {replica.id for replica in replicas}
+    return all(listing.id in asked for listing in listed)
+
+
 def _staying(
     replicas: tuple[MemberListing, ...],
     status_by_member: dict[str, LogStatus],
--- a/src/jackdawspread/tasks/fleet/succession_task.py
+++ b/src/jackdawspread/tasks/fleet/succession_task.py
@@ -1,14 +1,17 @@
 """Replacement of lost and leaving primaries."""
 
 from functools import singledispatchmethod
+from math import inf
 
 from absl import logging
 from trio import (
+    Event,
     MemoryReceiveChannel,
     MemorySendChannel,
     Nursery,
     WouldBlock,
     current_time,
+    move_on_after,
     open_nursery,
     sleep,
 )
@@ -24,6 +27,8 @@
 # Pause after an attempt, so that a lasting doubt does not fill the store with calls.
 ATTEMPT_PAUSE_S = 0.3
 PROMOTED_PAUSE_S = 1.0
+# A new list comes within the least time between two reads and a round trip.
+LIST_WAIT_S = 0.6
 
 
 class SuccessionTask:
@@ -49,6 +54,8 @@
         self._inbox = inbox
         self._refresh = refresh
         self._listing_by_id: dict[str, MemberListing] = {}
+        self._listed_at = -inf
+        self._list_seen = Event()
         self._busy: set[str] = set()
 
     async def run(self) -> None:
@@ -64,6 +71,9 @@
     @_handle.register
     def _(self, event: MembersSeen, attempts: Nursery) -> None:
         self._listing_by_id = event.listing_by_id
+        self._listed_at = event.as_of
+        self._list_seen.set()
+        self._list_seen = Event()
 
     @_handle.register
     def _(self, event: PrimarySuspected, attempts: Nursery) -> None:
@@ -74,7 +84,9 @@
     async def _run(self, doubt: PrimarySuspected) -> None:
         started_at = current_time()
         try:
-            outcome = await self._attempt.run(doubt, self._listing_by_id)
+            outcome = await self._attempt.run(
+                doubt, self._listing_by_id, self._list_since
+            )
             promoted = outcome.startswith("promotion accepted")
             elapsed_s = current_time() - started_at
             PROMOTIONS.labels("accepted" if promoted else "not done").inc()
@@ -94,6 +106,18 @@
         finally:
             self._busy.discard(doubt.group)
 
+    async def _list_since(self, since: float) -> dict[str, MemberListing] | None:
+        """Return a list that was asked for at ``since`` or later, None if none comes.
+
+        ``since`` is a monotonic time in seconds.
+        """
+        with move_on_after(LIST_WAIT_S):
+            while self._listed_at < since:
+                self._ask_refresh()
+                await self._list_seen.wait()
+            return self._listing_by_id
+        return None
+
     def _ask_refresh(self) -> None:
         try:
             self._refresh.send_nowait(RefreshMembers("attempt ended"))
