--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -1,4 +1,4 @@
-"""One instance with stand-ins of the users' platform, on the loopback interface."""
+"""Instances with stand-ins of the users' platform, on the loopback interface."""
 
 import json
 
@@ -13,15 +13,28 @@
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.tasks.http_server import HttpServer
 
-INSTANCE_IP = "127.0.77.1"
+INSTANCE_IP = "127.0.77.{}"
+FAILURE_DOMAINS = ("z1", "z2", "z3")
+MAX_CONNECTIONS = 16
 GROUP = "ledger"
 KEY = "key-of-w1"
 
 
 class PlatformWorld:
-    """Runs the stand-ins and an instance in one thread with the real clock."""
-
-    def __init__(self) -> None:
+    """Runs the stand-ins and the instances in one thread with the real clock.
+
+    Parameters
+    ----------
+    instances : int
+        Number of instances, which take turns in three failure domains.
+    max_connections : int
+        Number of connections that a member accepts from all instances together.
+    """
+
+    def __init__(
+        self, instances: int = 1, max_connections: int = MAX_CONNECTIONS
+    ) -> None:
+        self._instances = instances
         self._thread = TrioThread(real_time=True)
         self._nursery: Nursery
         self._stopping = Event()
@@ -30,10 +43,16 @@
         self.group = WireGroup(GROUP, self.store)
         self.member_by_id: dict[str, WireMember] = {}
         self.configuration = initial_configuration()
-        self.address = ""
+        self.configuration["Services"][0]["MaxConns"] = max_connections
+        self.addresses: list[str] = []
+
+    @property
+    def address(self) -> str:
+        """``IP:port`` for callers of the first instance."""
+        return self.addresses[0]
 
     def start(self) -> None:
-        """Start the stand-ins and the instance, and wait until it serves."""
+        """Start the stand-ins and the instances, and wait until they serve."""
         ready = Event()
         self._thread.start(self._run, ready)
         self._thread.call(ready.wait)
@@ -44,9 +63,11 @@
         value = json.dumps(self.configuration).encode()
         self.call(_as_coroutine, self.store.put, "op", "config", value)
 
-    def open(self, database: str = "primary-db", key: str = KEY) -> WireCaller:
+    def open(
+        self, database: str = "primary-db", key: str = KEY, instance: int = 0
+    ) -> WireCaller:
         """Open a session."""
-        return self.call(WireCaller.open, self.address, database, key)
+        return self.call(WireCaller.open, self.addresses[instance], database, key)
 
     def query(self, caller: WireCaller, text: str) -> list[str]:
         """Run a statement."""
@@ -61,7 +82,7 @@
         self.call(_as_coroutine, self._stopping.set)
 
     def close(self) -> None:
-        """End the stand-ins and the instance."""
+        """End the stand-ins and the instances."""
         self._thread.stop()
 
     def _promote(self, service: str, member: str) -> int:
@@ -76,7 +97,11 @@
             self.group.register()
             value = json.dumps(self.configuration).encode()
             self.store.put("op", "config", value)
-            await self._start_instance(store_address)
+            ports = await _free_ports()
+            for number in range(self._instances):
+                self._start_instance(number, ports, store_address)
+            for address in self.addresses:
+                await self._wait_until_serving(address)
             ready.set()
             await sleep_forever()
 
@@ -93,39 +118,37 @@
         self.group.address_by_member[id] = _address(listeners[0])
         self._nursery.start_soon(member.run)
 
-    async def _start_instance(self, store_address: str) -> None:
-        ports = []
-        for _ in range(4):
-            listeners = await open_tcp_listeners(0, host=INSTANCE_IP)
-            ports.append(listeners[0].socket.getsockname()[1])
-            await listeners[0].aclose()
-        self.address = f"{INSTANCE_IP}:{ports[0]}"
+    def _start_instance(
+        self, number: int, ports: tuple[int, ...], store_address: str
+    ) -> None:
+        ip = INSTANCE_IP.format(number + 1)
+        session, readiness, peer, metrics = (f"{ip}:{port}" for port in ports)
+        self.addresses.append(session)
         settings = SessionProxySettings(
-            instance="i1",
-            failure_domain="z1",
-            session_address=self.address,
-            readiness_address=f"{INSTANCE_IP}:{ports[1]}",
+            instance=f"i{number + 1}",
+            failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
+            session_address=session,
+            readiness_address=readiness,
             store_address=store_address,
             promotion_address=store_address,
-            ip=INSTANCE_IP,
-            metrics_address=f"{INSTANCE_IP}:{ports[3]}",
-            peer_address=f"{INSTANCE_IP}:{ports[2]}",
+            ip=ip,
+            metrics_address=metrics,
+            peer_address=peer,
             drain_s=7.0,
             grace_s=6.0,
             max_configuration_age_s=15.0,
             max_sessions=100,
         )
         self._nursery.start_soon(self._run_instance, settings)
-        await self._wait_until_serving()
 
     async def _run_instance(self, settings: SessionProxySettings) -> None:
         await PlatformInstance(settings, self._stopping).run()
         self.is_stopped = True
 
-    async def _wait_until_serving(self) -> None:
+    async def _wait_until_serving(self, address: str) -> None:
         while True:
             try:
-                caller = await WireCaller.open(self.address, "primary-db", KEY)
+                caller = await WireCaller.open(address, "primary-db", KEY)
             except OSError:
                 await sleep(0.02)
                 continue
@@ -136,6 +159,16 @@
             await sleep(0.02)
 
 
+async def _free_ports() -> tuple[int, ...]:
+    """Return four ports, which are the same for all instances, as on the platform."""
+    ports = []
+    for _ in range(4):
+        listeners = await open_tcp_listeners(0, host=INSTANCE_IP.format(1))
+        ports.append(listeners[0].socket.getsockname()[1])
+        await listeners[0].aclose()
+    return tuple(ports)
+
+
 def initial_configuration() -> dict:
     """Return a configuration with one database for each consistency of route."""
     consistencies = ("primary", "bounded", "session")
