Open member connections on demand instead of dividing them

The member itself bounds the sum: it refuses a connection above its limit before anything has run. An instance now opens up to a quarter of a member's connections when they are needed, and keeps only its equal part of what may be reserved open while idle, which is none for 31 instances and 56 connections and the same two and eleven as before on the four-instance sites.

The outline 'A restarted fleet finds free connections' fails on the code before for 56 connections and 31 instances; it now also states the idle and the open limit.

--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -54,14 +54,15 @@
     # and has none left for the restarted ones: in trouble-1 on saltbush, half of the
     # statements were refused from 0.5 s to 2 s after the restart.
     Given a member that accepts <max> connections and <instances> instances
-    Then each instance may open <limit>, and <free> more stay free for each
+    Then each may open <open> and keep <idle> idle, and <free> stay free for it
 
     Examples:
-      | max | instances | limit | free |
-      | 16  | 4         | 2     | 2    |
-      | 60  | 4         | 11    | 4    |
-      | 16  | 1         | 12    | 4    |
-      | 56  | 31        | 1     | 0    |
+      | max | instances | open | idle | free |
+      | 16  | 4         | 4    | 2    | 2    |
+      | 60  | 4         | 15   | 11   | 4    |
+      | 16  | 1         | 12   | 12   | 4    |
+      | 56  | 31        | 14   | 0    | 1    |
+      | 270 | 30        | 67   | 6    | 3    |
 
   Scenario Outline: A replica may serve a read only if it has a recent position
     # Guards against a read that is older than its route allows.
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -6,6 +6,7 @@
 from absl import logging
 from trio import BrokenResourceError, MemorySendChannel, Nursery
 
+from jackdawspread.decisions.members.connection_limits import ConnectionLimits
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
@@ -82,12 +83,11 @@
             if member not in self.pool_by_member:
                 self.pool_by_member[member] = MemberPool(listing)
 
-    def set_limit(self, member: str, limit: int) -> None:
+    def set_limits(self, member: str, limits: ConnectionLimits) -> None:
         """Set how many connections this instance may have to a member."""
         pool = self.pool_by_member[member]
-        pool.limit = limit
-        while pool.size > limit and pool.idle:
-            _close(pool.idle.pop(0))
+        pool.limits = limits
+        _close_excess(pool)
 
     def request(self, member: str, request: ConnectionRequest, now: float) -> None:
         """Lease a connection to a member as soon as one is free."""
@@ -127,7 +127,7 @@
         connection = pool.leased_by_id.pop(event.connection, None)
         if connection is None:
             return
-        if event.context is None or pool.size >= pool.limit:
+        if event.context is None or pool.size >= pool.limits.open:
             _close(connection)
         else:
             pool.idle.append(connection._replace(context=event.context))
@@ -161,8 +161,12 @@
     def _serve(self, pool: MemberPool, now: float) -> None:
         for connection in reversed(pool.idle[:]):
             self._lease(pool, connection)
+        self._open_for_waiting(pool, now)
+        _close_excess(pool)
+
+    def _open_for_waiting(self, pool: MemberPool, now: float) -> None:
         while (request := pool.next_waiter()) is not None:
-            if pool.size >= pool.limit or now < pool.connection_limit_until:
+            if pool.size >= pool.limits.open or now < pool.connection_limit_until:
                 oldest = pool.take_oldest_idle()
                 if oldest is None:
                     return
@@ -221,5 +225,11 @@
         logging.vlog(1, "pool: the request for a connection was cancelled")
 
 
+def _close_excess(pool: MemberPool) -> None:
+    """Close the idle connections above the limit, so that others can be opened."""
+    while len(pool.idle) > pool.limits.idle:
+        _close(pool.idle.pop(0))
+
+
 def _close(connection: PooledConnection) -> None:
     connection.exchanges.close()
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from jackdawspread.decisions.members.connection_limits import ConnectionLimits
 from jackdawspread.decisions.members.next_waiter import next_waiter
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.member_listing import MemberListing
@@ -26,7 +27,7 @@
         self.leased_by_id: dict[int, PooledConnection] = {}
         self.workspace_by_pending_connection: dict[int, str] = {}
         self.waiting: list[ConnectionRequest] = []
-        self.limit = 1
+        self.limits = ConnectionLimits(open=1, idle=1)
         self.connection_limit_until = 0.0
 
     @property
@@ -46,7 +47,7 @@
         """Whether a connection can be leased or opened without waiting."""
         if self.has_idle(workspace) or self.idle:
             return True
-        return self.size < self.limit and now >= self.connection_limit_until
+        return self.size < self.limits.open and now >= self.connection_limit_until
 
     def take_idle(self, workspace: str) -> PooledConnection | None:
         """Remove and return the most recently used connection of a workspace."""
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -13,7 +13,7 @@
     open_nursery,
 )
 
-from jackdawspread.decisions.members.connection_limit import connection_limit
+from jackdawspread.decisions.members.connection_limits import connection_limits
 from jackdawspread.decisions.members.eligible_members import (
     lease_conditions,
     read_candidates,
@@ -240,5 +240,5 @@
         for member, pool in self._pools.pool_by_member.items():
             group = self._group_by_name.get(pool.listing.group)
             if group is not None:
-                limit = connection_limit(group.max_connections, self._instances)
-                self._pools.set_limit(member, limit)
+                limits = connection_limits(group.max_connections, self._instances)
+                self._pools.set_limits(member, limits)
