--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -1,53 +1,6 @@
-Feature: Decisions about shares, members and failover
-  Instances coordinate through records of the store, and never use shares, tokens or
-  locks that another instance may still use.
-
-  Scenario: Shares never add up to more than the total
-    # Guards against two instances that use the same fraction of a rate after pauses,
-    # crashes, lost answers and changes of the demand.
-    Given any order of renewals, pauses and crashes of 5 instances
-    Then the shares that may be used never add up to more than 1
-
-  Scenario: A restarted instance keeps its shares
-    # Guards against a restarted instance that gives up its shares because it has not
-    # measured any demand yet: after herd_kill in the experiment trouble-3 on saltbush,
-    # three of four instances held 0.
-    Given 2 instances of which each holds half of a rate and needs it
-    When the first restarts and renews before it has measured any demand
-    Then it holds at least 0.3 of the rate
-
-  Scenario: The shares of a crashed instance become available again
-    # Guards against a rate that stays reduced after the loss of an instance.
-    Given 2 instances of which each holds half of a rate and needs it
-    When the second does not renew for 15 s and the first renews
-    Then the first holds the total rate
-
-  Scenario: The need of an instance that stopped renewing does not count
-    # Guards against the need of a crashed instance that lowers the shares of the
-    # running ones.
-    Given an instance that holds and needs the total rate
-    When another joins with the same need, and stops renewing for 8 s
-    Then the first holds at least 0.9 of the rate
-
-  Scenario Outline: Renewals that raise no share become less frequent
-    # Guards against four instances that write the record every 0.7 s while one
-    # workspace sends more than its rate: 370 of 622 calls in quiet-1 on saltbush.
-    Given an instance that waited <interval> s for its last renewal
-    When its share of a rate goes from <before> to <after>
-    Then it waits <next> s for the next one while it lacks tokens
-
-    Examples:
-      | interval | before | after | next |
-      | 0.7      | 0.25   | 0.25  | 1.4  |
-      | 0.7      | 0.25   | 0.20  | 1.4  |
-      | 1.4      | 0.25   | 0.25  | 2.5  |
-      | 2.5      | 0.25   | 0.25  | 2.5  |
-      | 2.5      | 0.25   | 0.40  | 0.7  |
-
-  Scenario: Loans create no tokens
-    # Guards against loans that increase the total number of tokens.
-    Given any order of spending, lending and returning tokens between 3 instances
-    Then no window holds more operations than the burst plus the rate over the window
+Feature: Decisions about members and failover
+  Instances coordinate through records of the store, and never use a lock that another
+  instance may still use.
 
   Scenario Outline: A restarted fleet finds free connections
     # Guards against a member that still counts the lost connections of all instances
--- a/features/fleet_size.feature
+++ b/features/fleet_size.feature
@@ -2,21 +2,18 @@
   What instances share is not divided into parts smaller than one operation, and no
   instance repeats work that one can do for all.
 
-  @known_red
   Scenario: A workspace inside its rate is not refused by a fleet of 31 instances
     # Guards against parts of a rate that are too small for one operation (SHORT).
     Given 31 instances and members that accept 56 connections
     When a workspace with a rate of 5/s sends 3 operations/s to changing instances
     Then none of them is refused
 
-  @known_red
   Scenario: An open transaction does not occupy the connections of its instance
     # Guards against a limit of connections that is 1 for each of 31 instances (SHORT).
     Given 31 instances and members that accept 56 connections
     When a caller pauses in a transaction at an instance
     Then 4 other callers of the instance can write at the same member
 
-  @known_red
   Scenario: The calls to the store stay few with 31 instances
     # Guards against a store that every instance polls and whose records all renew
     # (SHORT).
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -80,10 +80,16 @@
     Then it is <result>
 
     Examples:
-      | fields               | result    |
-      | [1, 1, 5, "w", 1]    | a request |
-      | [1, 2, 5, 1]         | a grant   |
-      | [2, 1, 5, "w", 1]    | ignored   |
-      | [1, 2, 5, -1]        | ignored   |
-      | [1, 2, 5, 100000]    | ignored   |
-      | ["x"]                | ignored   |
+      | fields                   | result         |
+      | [2, 1, 5, "w"]           | a request      |
+      | [2, 2, 5, true, 0]       | a reply        |
+      | [2, 5, 7, 1.5]           | a confirmation |
+      | [2, 4, "i1", "z1", 1, []] | a list        |
+      | [1, 1, 5, "w", 1]        | ignored        |
+      | [3, 1, 5, "w"]           | ignored        |
+      | [2, 9, 5, "w"]           | ignored        |
+      | [2, 2, 5, 1, 0]          | ignored        |
+      | [2, 2, 5, true]          | ignored        |
+      | [2, 3, 5, {"0": 1}]      | ignored        |
+      | [2, 4, "i1", "z1", 1, [[1]]] | ignored    |
+      | ["x"]                    | ignored        |
--- a/features/platform_sessions.feature
+++ b/features/platform_sessions.feature
@@ -133,11 +133,11 @@
     When the store is unavailable for a moment
     Then the first request for the configuration after its return is a full read
 
-  Scenario: A lost answer of the store does not stop the renewal of shares
+  Scenario: A lost answer of the store does not stop the renewal of rate leases
     # Guards against retrying a write without checking the record, and against never
-    # renewing the shares again.
+    # renewing the leases again.
     When the store loses the answers of 2 writes
-    Then the shares are renewed again
+    Then the rate leases are renewed again
 
   Scenario: A graceful shutdown closes idle sessions and lets a transaction end
     # Guards against a shutdown that interrupts a transaction.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -9,7 +9,7 @@
 from behave.runner import Context
 from msgspec.msgpack import encode
 
-from jackdawspread.codecs.token_datagrams import decode_datagram
+from jackdawspread.codecs.peer_datagrams import decode_datagram
 from jackdawspread.messages.statements.member_command import MemberCommand
 from jackdawspread.messages.statements.read_item import ReadItem
 from jackdawspread.platform.member_rows import decode_members
@@ -151,5 +151,10 @@
 @then("it is {result}")
 def datagram_is(context: Context, result: str) -> None:
     """Compare the type of the message."""
-    names = {"TokenRequest": "a request", "TokenGrant": "a grant"}
+    names = {
+        "TokenRequest": "a request",
+        "TokenReply": "a reply",
+        "ConfigurationConfirmed": "a confirmation",
+        "MembersRelayed": "a list",
+    }
     assert names.get(type(context.message).__name__, "ignored") == result
--- a/features/steps/platform_session_steps.py
+++ b/features/steps/platform_session_steps.py
@@ -243,7 +243,7 @@
 @when("the store loses the answers of {number:d} writes")
 def store_loses(context: Context, number: int) -> None:
     """Let the store execute writes without answering them."""
-    context.before = context.platform.store.rows["jackdawspread", "shares"][1]
+    context.before = context.platform.store.rows["jackdawspread", "rate-leases"][1]
     context.platform.store.lose_answers = number
 
 
@@ -417,13 +417,13 @@
     assert own_calls()[0].startswith("/rows-get"), own_calls()
 
 
-@then("the shares are renewed again")
+@then("the rate leases are renewed again")
 def renewed(context: Context) -> None:
-    """The record of shares gets new versions after the lost answers."""
+    """The record of the leases gets new versions after the lost answers."""
     rows = context.platform.store.rows
 
     def is_renewed() -> bool:
-        version = rows["jackdawspread", "shares"][1]
+        version = rows["jackdawspread", "rate-leases"][1]
         return not context.platform.store.lose_answers and version > context.before + 2
 
     _wait(context, is_renewed)
--- /dev/null
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -0,0 +1,48 @@
+"""Encoding of the datagrams between instances.
+
+A datagram is a MessagePack array of the version of the format, the kind of message and
+its fields. A datagram of another version or kind is ignored, since instances are
+upgraded one by one.
+"""
+
+from typing import Any
+
+from msgspec import DecodeError, ValidationError, convert
+from msgspec.msgpack import decode, encode
+
+from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
+from jackdawspread.messages.fleet.members_relayed import MembersRelayed
+from jackdawspread.messages.fleet.peer_datagram import PeerDatagram
+from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
+from jackdawspread.messages.fleet.token_reply import TokenReply
+from jackdawspread.messages.fleet.token_request import TokenRequest
+
+# Format 1 was that of the loans between instances with shares.
+FORMAT = 2
+TYPE_BY_KIND: dict[int, type[PeerDatagram]] = {
+    1: TokenRequest,
+    2: TokenReply,
+    3: RateLeasesAnnounced,
+    4: MembersRelayed,
+    5: ConfigurationConfirmed,
+}
+KIND_BY_TYPE = {type: kind for kind, type in TYPE_BY_KIND.items()}
+# Longer messages are not sent; their receivers ask the store.
+MAX_DATAGRAM_BYTES = 32 * 1024
+
+
+def encode_datagram(message: PeerDatagram) -> bytes:
+    """Encode a message as a datagram."""
+    return encode((FORMAT, KIND_BY_TYPE[type(message)], *message))
+
+
+def decode_datagram(data: bytes) -> PeerDatagram | None:
+    """Decode a datagram; None if it is malformed or of another format or kind."""
+    try:
+        fields: list[Any] = decode(data, type=list)
+        match fields:
+            case [2, int(kind), *values] if kind in TYPE_BY_KIND:
+                return convert(values, type=TYPE_BY_KIND[kind])
+    except (DecodeError, ValidationError):
+        return None
+    return None
--- /dev/null
+++ b/src/jackdawspread/decisions/members/poll_schedule.py
@@ -0,0 +1,38 @@
+"""When an instance reads the list of members itself.
+
+Every instance passes a list that it has read on to the others in its failure domain.
+The instances are ordered by their ids, and each waits longer than the one before it, so
+that usually only the first one reads.
+"""
+
+POLL_INTERVAL_S = 1.0
+# Minimum time between two reads when a newer list is requested.
+MIN_POLL_INTERVAL_S = 0.15
+# Further time that an instance waits for the list of each one that is before it.
+RANK_DELAY_S = 0.4
+# The delays of further instances do not grow.
+MAX_RANK = 8
+
+
+def poll_interval_s(rank: int, is_requested: bool) -> float:
+    """Return the seconds from one list of members to the next read.
+
+    Parameters
+    ----------
+    rank : int
+        Number of instances in the failure domain that are before this one.
+    is_requested : bool
+        Whether a newer list is needed, because a member failed.
+    """
+    interval_s = MIN_POLL_INTERVAL_S if is_requested else POLL_INTERVAL_S
+    return interval_s + RANK_DELAY_S * min(rank, MAX_RANK)
+
+
+def rank_in_domain(
+    instance: str, failure_domain: str, domain_by_instance: dict[str, str]
+) -> int:
+    """Return how many instances of a failure domain have a smaller id."""
+    return sum(
+        domain == failure_domain and other < instance
+        for other, domain in domain_by_instance.items()
+    )
--- /dev/null
+++ b/src/jackdawspread/decisions/rate_leases/rate_lease.py
@@ -0,0 +1,21 @@
+"""Lease of one part of the workspaces' rates as stored."""
+
+from typing import TypedDict
+
+
+class RateLease(TypedDict):
+    """Lease of a part of every workspace's rate.
+
+    Parameters
+    ----------
+    holder : str
+        Id of the instance that holds the lease.
+    address : str
+        ``IP:port`` at which the other instances ask it for tokens.
+    until : float
+        Time of the store's clock in seconds at which the lease expires.
+    """
+
+    holder: str
+    address: str
+    until: float
--- a/src/jackdawspread/decisions/sessions/operation_check.py
+++ b/src/jackdawspread/decisions/sessions/operation_check.py
@@ -53,11 +53,18 @@
     )
 
 
-def refuse_rate(limit: WorkspaceLimit, fraction: float, wait_s: float) -> Refusal:
-    """Return the refusal of an operation that exceeds the rate of its workspace."""
+def refuse_rate(
+    limit: WorkspaceLimit, leases: int, other_holders: int, wait_s: float
+) -> Refusal:
+    """Return the refusal of an operation that exceeds the rate of its workspace.
+
+    ``leases`` is the number of rate leases of this instance, ``other_holders`` that of
+    the instances that were asked for a token.
+    """
     detail = (
         f"workspace {limit.workspace} is above its rate of {limit.rate_per_s:g}/s "
-        f"with a burst of {limit.burst:g}, of which {fraction:.2f} is held here"
+        f"with a burst of {limit.burst:g}, leases held here {leases}, other holders "
+        f"{other_holders}"
     )
     return _refuse("busy", detail, max(1, round(1000 * min(wait_s, 5.0))))
 
--- a/src/jackdawspread/messages/fleet/admission_event.py
+++ b/src/jackdawspread/messages/fleet/admission_event.py
@@ -2,18 +2,18 @@
 
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
-from jackdawspread.messages.fleet.lend_tokens import LendTokens
 from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
+from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
 from jackdawspread.messages.fleet.readiness_check import ReadinessCheck
-from jackdawspread.messages.fleet.shares_held import SharesHeld
-from jackdawspread.messages.fleet.tokens_received import TokensReceived
+from jackdawspread.messages.fleet.token_replied import TokenReplied
+from jackdawspread.messages.fleet.token_requested import TokenRequested
 
 AdmissionEvent = (
     AdmissionRequest
     | ConfigurationSeen
-    | LendTokens
     | OperationNotRun
+    | RateLeasesHeld
     | ReadinessCheck
-    | SharesHeld
-    | TokensReceived
+    | TokenReplied
+    | TokenRequested
 )
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/configuration_confirmed.py
@@ -0,0 +1,18 @@
+"""Datagram with the version of the configuration that the store has confirmed."""
+
+from typing import NamedTuple
+
+
+class ConfigurationConfirmed(NamedTuple):
+    """Passes on which configuration was in force.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    store_time_s : float
+        Time of the store's clock at which the store confirmed it, in seconds.
+    """
+
+    version: int
+    store_time_s: float
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/peer_datagram.py
@@ -0,0 +1,15 @@
+"""Messages that instances send to each other in datagrams."""
+
+from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
+from jackdawspread.messages.fleet.members_relayed import MembersRelayed
+from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
+from jackdawspread.messages.fleet.token_reply import TokenReply
+from jackdawspread.messages.fleet.token_request import TokenRequest
+
+PeerDatagram = (
+    ConfigurationConfirmed
+    | MembersRelayed
+    | RateLeasesAnnounced
+    | TokenReply
+    | TokenRequest
+)
--- a/src/jackdawspread/messages/fleet/peers_seen.py
+++ b/src/jackdawspread/messages/fleet/peers_seen.py
@@ -1,9 +1,11 @@
-"""Addresses of the other instances."""
+"""List of the instances as it was last read."""
 
 from typing import NamedTuple
 
+from jackdawspread.messages.fleet.instance_entry import InstanceEntry
+
 
 class PeersSeen(NamedTuple):
-    """Reports the ``IP:port`` of every other instance that has unexpired shares."""
+    """Reports all registered instances, this one included, by their ids."""
 
-    addresses: frozenset[str]
+    entry_by_instance: dict[str, InstanceEntry]
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/record_request.py
@@ -0,0 +1,8 @@
+"""Calls that a task makes to its records in the platform's store."""
+
+from jackdawspread.messages.fleet.record_list import RecordList
+from jackdawspread.messages.fleet.record_put import RecordPut
+from jackdawspread.messages.fleet.record_read import RecordRead
+from jackdawspread.messages.fleet.record_write import RecordWrite
+
+RecordRequest = RecordList | RecordPut | RecordRead | RecordWrite
--- a/src/jackdawspread/messages/fleet/token_request.py
+++ b/src/jackdawspread/messages/fleet/token_request.py
@@ -1,11 +1,10 @@
-"""Datagram that asks a peer for tokens."""
+"""Datagram that asks the holder of a rate lease for a token."""
 
 from typing import NamedTuple
 
 
 class TokenRequest(NamedTuple):
-    """Asks for tokens of a workspace's rate; the sender uses each ``id`` once."""
+    """Asks for a token of a workspace's rate; the sender uses each ``id`` once."""
 
     id: int
     workspace: str
-    tokens: int
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -4,11 +4,16 @@
 from trio import Event, Nursery, current_time, open_memory_channel, open_nursery
 
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
-from jackdawspread.messages.fleet.demand_report import DemandReport
+from jackdawspread.messages.fleet.configuration_feed_event import (
+    ConfigurationFeedEvent,
+)
 from jackdawspread.messages.fleet.failover_event import FailoverEvent
-from jackdawspread.messages.fleet.loan_event import LoanEvent
+from jackdawspread.messages.fleet.instance_entry import InstanceEntry
+from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
+from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
-from jackdawspread.messages.fleet.refresh_members import RefreshMembers
+from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
+from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.platform.caller_wire_codec import CallerWireCodec
 from jackdawspread.platform.configuration_feed import ConfigurationFeed
@@ -23,11 +28,12 @@
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
 from jackdawspread.tasks.fleet.failover_attempt import FailoverAttempt
 from jackdawspread.tasks.fleet.failover_task import FailoverTask
-from jackdawspread.tasks.fleet.loans_task import LoansTask
+from jackdawspread.tasks.fleet.instance_directory import InstanceDirectory
+from jackdawspread.tasks.fleet.peer_datagrams import PeerDatagrams
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
-from jackdawspread.tasks.fleet.record_client import RecordClient, RecordRequest
+from jackdawspread.tasks.fleet.rate_lease_task import RateLeaseTask
+from jackdawspread.tasks.fleet.record_client import RecordClient
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
-from jackdawspread.tasks.fleet.shares_task import SharesTask
 from jackdawspread.tasks.http_server import HttpServer
 from jackdawspread.tasks.listen import listen
 from jackdawspread.tasks.members.member_router import MemberRouter
@@ -37,6 +43,7 @@
 # overload.
 ROUTER_INBOX = 20_000
 ADMISSION_INBOX = 10_000
+PEERS_INBOX = 10_000
 SMALL_INBOX = 64
 # The load balancer checks readiness once a second and stops sending sessions to an
 # instance after two failed checks.
@@ -70,16 +77,17 @@
         self._failover, self._failover_inbox = open_memory_channel[FailoverEvent](
             SMALL_INBOX
         )
-        self._refresh, self._refresh_requests = open_memory_channel[RefreshMembers](1)
-        self._demand, self._demand_inbox = open_memory_channel[DemandReport](1)
-        self._loans, self._loan_inbox = open_memory_channel[LoanEvent](SMALL_INBOX)
+        self._members, self._members_inbox = open_memory_channel[MemberPollEvent](
+            SMALL_INBOX
+        )
+        self._peers, self._peers_inbox = open_memory_channel[PeerEvent](PEERS_INBOX)
+        self._entry = InstanceEntry(settings.peer_address, settings.failure_domain)
 
     async def run(self) -> None:
         """Run all tasks until a graceful shutdown is complete."""
         async with open_nursery() as tasks:
             self._start_routing(tasks)
-            self._start_store(tasks)
-            self._start_shares(tasks)
+            self._start_fleet(tasks)
             self._start_failover(tasks)
             await self._start_servers(tasks)
             listener = SessionListener(
@@ -111,39 +119,69 @@
             self._router_inbox,
             self._router,
             self._failover,
-            self._refresh,
+            self._members,
         )
         admission = AdmissionTask(
             settings.max_configuration_age_s,
             self._admission_inbox,
-            self._demand,
-            self._loans,
+            self._peers,
         )
         tasks.start_soon(router.run)
         tasks.start_soon(admission.run)
 
-    def _start_store(self, tasks: Nursery) -> None:
-        address = self._settings.store_address
-        feed = ConfigurationFeed(address, self._admission, self._router)
-        poll = MemberPoll(address, self._refresh_requests, self._router, self._failover)
-        tasks.start_soon(feed.run)
-        tasks.start_soon(poll.run)
-
-    def _start_shares(self, tasks: Nursery) -> None:
-        shares = SharesTask(
-            self._instance_id,
-            self._settings.peer_address,
-            self._open_records("shares", tasks),
-            self._demand_inbox,
-            self._admission,
-            self._router,
-            self._loans,
-        )
-        loans = LoansTask(
-            self._settings.peer_address, self._loan_inbox, self._admission
-        )
-        tasks.start_soon(shares.run)
-        tasks.start_soon(loans.run)
+    def _start_fleet(self, tasks: Nursery) -> None:
+        """Start what the instances read from the store and tell each other."""
+        announced, announcements = open_memory_channel[RateLeasesAnnounced](SMALL_INBOX)
+        feed, feed_inbox = open_memory_channel[ConfigurationFeedEvent](SMALL_INBOX)
+        settings, instance = self._settings, self._instance_id
+        domain = settings.failure_domain
+        for task in (
+            PeerDatagrams(
+                instance,
+                self._entry,
+                self._peers_inbox,
+                self._admission,
+                announced,
+                self._members,
+                feed,
+            ),
+            ConfigurationFeed(
+                settings.store_address,
+                instance,
+                domain,
+                feed_inbox,
+                self._admission,
+                self._router,
+                self._peers,
+            ),
+            MemberPoll(
+                settings.store_address,
+                instance,
+                domain,
+                self._members_inbox,
+                self._router,
+                self._failover,
+                self._peers,
+            ),
+            RateLeaseTask(
+                instance,
+                settings.peer_address,
+                self._open_records("leases", tasks),
+                announcements,
+                self._admission,
+                self._peers,
+            ),
+            InstanceDirectory(
+                instance,
+                self._entry,
+                self._open_records("instances", tasks),
+                self._router,
+                self._members,
+                feed,
+                self._peers,
+            ),
+        ):
+            tasks.start_soon(task.run)
 
     def _start_failover(self, tasks: Nursery) -> None:
         promotions, promotion_inbox = open_memory_channel[PromotionRequest](SMALL_INBOX)
@@ -159,7 +197,7 @@
             promotions,
             self._router,
         )
-        failover_task = FailoverTask(attempt, self._failover_inbox, self._refresh)
+        failover_task = FailoverTask(attempt, self._failover_inbox, self._members)
         tasks.start_soon(promotion_client.run)
         tasks.start_soon(failover_task.run)
 
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -1,16 +1,40 @@
 """Reads the configuration from the platform's store and follows its changes."""
 
+from functools import singledispatchmethod
+
 from absl import logging
-from trio import MemorySendChannel, current_time, open_nursery, sleep
+from trio import (
+    CancelScope,
+    MemoryReceiveChannel,
+    MemorySendChannel,
+    WouldBlock,
+    current_time,
+    open_nursery,
+    sleep,
+)
 
-from jackdawspread.decisions.shares.store_clock_offset import (
+from jackdawspread.decisions.members.feed_schedule import (
+    ANSWER_MARGIN_S,
+    confirmation_timeout_s,
+    feed_wait_s,
+    retry_delay_s,
+)
+from jackdawspread.decisions.members.poll_schedule import rank_in_domain
+from jackdawspread.decisions.rate_leases.store_clock_offset import (
     StoreClockOffset,
     to_local_time,
     update_offset,
 )
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.broadcast_datagram import BroadcastDatagram
+from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
+from jackdawspread.messages.fleet.configuration_feed_event import (
+    ConfigurationFeedEvent,
+)
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
+from jackdawspread.messages.fleet.peer_event import PeerEvent
+from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.platform.configuration_rows import decode_configuration
@@ -23,10 +47,6 @@
 KEY = "config"
 READ_TARGET = f"/rows-get?Table={TABLE}&part="
 READ_TIMEOUT_S = 1.5
-# The store answers a feed request after this time if nothing has changed.
-FEED_WAIT_MS = 4000
-FEED_MARGIN_S = 1.0
-RETRY_DELAY_S = 0.3
 OK = 200
 HISTORY_GONE = 410
 
@@ -38,30 +58,53 @@
     ----------
     address : str
         ``IP:port`` of the store.
+    instance, failure_domain : str
+        Id and failure domain of this instance.
+    inbox : trio.MemoryReceiveChannel
+        Confirmations that other instances have passed on, and the list of instances.
     admission, router : trio.MemorySendChannel
         Receive the configuration.
+    peers : trio.MemorySendChannel
+        Inbox of the peers task.
     """
 
     def __init__(
         self,
         address: str,
+        instance: str,
+        failure_domain: str,
+        inbox: MemoryReceiveChannel[ConfigurationFeedEvent],
         admission: MemorySendChannel[AdmissionEvent],
         router: MemorySendChannel[RouterEvent],
+        peers: MemorySendChannel[PeerEvent],
     ) -> None:
         self._address = address
+        self._instance = instance
+        self._failure_domain = failure_domain
+        self._inbox = inbox
         self._admission = admission
         self._router = router
+        self._peers = peers
         self._clock = StoreClockOffset()
         self._availability = StoreAvailability("configuration")
+        self._rank = 0
         # Store version up to which all changes are known; None requires a full read.
         self._version: int | None = None
+        self._configuration_version = 0
+        # Monotonic time of the last confirmation by the store or by another instance.
+        self._confirmed_at = 0.0
+        self._feed_scope = CancelScope()
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
-        async with open_nursery() as connections:
-            client = HttpClient(self._address, connections)
+        async with open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            client = HttpClient(self._address, nursery)
             while True:
                 outcome = await self._request(client)
+                if outcome is None:
+                    self._version = None
+                    continue
                 is_reachable = outcome.status in (OK, HISTORY_GONE)
                 reason = outcome.error or f"status {outcome.status}"
                 self._availability.report(is_reachable, reason, current_time())
@@ -72,28 +115,92 @@
                 # an unchanged feed answers only after its wait time.
                 self._version = None
                 if outcome.status != HISTORY_GONE:
-                    await sleep(RETRY_DELAY_S)
+                    await sleep(retry_delay_s(self._rank))
 
-    async def _request(self, client: HttpClient) -> HttpOutcome:
+    async def _request(self, client: HttpClient) -> HttpOutcome | None:
+        """Return an answer of the store, None if the configuration must be read."""
         now = current_time()
         if self._version is None:
             return await client.call("GET", READ_TARGET, {}, now + READ_TIMEOUT_S)
-        target = f"/rows-feed?Table={TABLE}&after={self._version}&WaitMs={FEED_WAIT_MS}"
-        deadline = now + FEED_WAIT_MS / 1000 + FEED_MARGIN_S
-        return await client.call("GET", target, {}, deadline)
+        wait_s = feed_wait_s(self._rank)
+        target = (
+            f"/rows-feed?Table={TABLE}&after={self._version}&WaitMs={1000 * wait_s:.0f}"
+        )
+        outcome = None
+        with CancelScope(deadline=self._confirm_by()) as self._feed_scope:
+            outcome = await client.call(
+                "GET", target, {}, now + wait_s + ANSWER_MARGIN_S
+            )
+        if outcome is None:
+            client.close()
+        return outcome
+
+    def _confirm_by(self) -> float:
+        return self._confirmed_at + confirmation_timeout_s(self._rank)
+
+    async def _receive(self) -> None:
+        async for event in self._inbox:
+            await self._handle(event)
+
+    @singledispatchmethod
+    async def _handle(self, event: object) -> None:
+        raise TypeError(f"the feed does not handle {type(event).__name__}")
+
+    @_handle.register
+    async def _(self, event: PeersSeen) -> None:
+        domain_by_instance = {
+            instance: entry.failure_domain
+            for instance, entry in event.entry_by_instance.items()
+        }
+        self._rank = rank_in_domain(
+            self._instance, self._failure_domain, domain_by_instance
+        )
+        self._feed_scope.deadline = self._confirm_by()
+
+    @_handle.register
+    async def _(self, event: ConfigurationConfirmed) -> None:
+        if event.version > self._configuration_version:
+            logging.info(
+                "configuration: newer version known to a peer version=%d own=%d",
+                event.version,
+                self._configuration_version,
+            )
+            self._feed_scope.cancel()
+        elif event.version == self._configuration_version:
+            self._confirmed_at = current_time()
+            self._feed_scope.deadline = self._confirm_by()
+            as_of = to_local_time(self._clock, event.store_time_s)
+            await self._admission.send(ConfigurationSeen(None, as_of))
 
     async def _publish(self, outcome: HttpOutcome) -> None:
         newest: FleetConfiguration | None = None
         for row in decode_rows(outcome.body):
             if row.key == KEY and not row.deleted:
                 newest = _decode(row.value) or newest
+        is_read = self._version is None
         self._version = int(outcome.body.get("Ver") or 0)
+        self._confirmed_at = current_time()
         store_now_s = store_time_s(outcome.body)
         self._clock = update_offset(self._clock, store_now_s, seconds_since_boot())
+        if newest is not None:
+            self._configuration_version = max(
+                self._configuration_version, newest.version
+            )
         seen = ConfigurationSeen(newest, to_local_time(self._clock, store_now_s))
         await self._admission.send(seen)
         if newest is not None:
             await self._router.send(seen)
+        if self._rank == 0 or is_read:
+            self._relay(store_now_s)
+
+    def _relay(self, store_now_s: float) -> None:
+        """Pass the confirmation on to the other instances of the failure domain."""
+        message = ConfigurationConfirmed(self._configuration_version, store_now_s)
+        try:
+            self._peers.send_nowait(BroadcastDatagram(message, same_domain_only=True))
+        except WouldBlock:
+            # The next confirmation is passed on.
+            return
 
 
 def _decode(value: bytes) -> FleetConfiguration | None:
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -1,109 +1,186 @@
 """Reads the list of members from the platform's store."""
 
-from urllib.parse import quote
+from functools import singledispatchmethod
 
 from trio import (
     MemoryReceiveChannel,
     MemorySendChannel,
+    WouldBlock,
     current_time,
-    move_on_after,
+    move_on_at,
     open_nursery,
-    sleep_until,
 )
 
 from jackdawspread.decisions.members.listing_retention import retain_members
+from jackdawspread.decisions.members.poll_schedule import (
+    poll_interval_s,
+    rank_in_domain,
+)
+from jackdawspread.decisions.rate_leases.store_clock_offset import (
+    StoreClockOffset,
+    to_local_time,
+    to_store_time,
+    update_offset,
+)
+from jackdawspread.messages.fleet.broadcast_datagram import BroadcastDatagram
 from jackdawspread.messages.fleet.failover_event import FailoverEvent
 from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
+from jackdawspread.messages.fleet.members_relayed import MembersRelayed
 from jackdawspread.messages.fleet.members_seen import MembersSeen
+from jackdawspread.messages.fleet.peer_event import PeerEvent
+from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.platform.member_rows import decode_members
+from jackdawspread.platform.read_rows import OK, read_rows
 from jackdawspread.platform.store_availability import StoreAvailability
-from jackdawspread.platform.store_rows import StoreRow, decode_rows
+from jackdawspread.platform.store_rows import store_time_s
+from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.http_client import HttpClient
 
-TARGET = "/rows-get?Table=servers&part=&Limit=500"
-# Members announce a shutdown seconds ahead, so polling once a second is sufficient.
-POLL_INTERVAL_S = 1.0
-# Minimum time between two reads when a newer list is requested.
-MIN_POLL_INTERVAL_S = 0.15
+TABLE = "servers"
 READ_TIMEOUT_S = 1.0
 # After an interval this long without a successful read, entries may have expired
 # without being observed.
 OUTAGE_S = 2.0
-OK = 200
+# A relayed list counts as older by this time, since two instances know the store's
+# clock with different errors. The error is below the timeout of a read.
+RELAY_CLOCK_MARGIN_S = READ_TIMEOUT_S
 
 
 class MemberPoll:
-    """Reads the list periodically, and earlier on request.
+    """Reads the list unless another instance has just passed it on.
 
     Parameters
     ----------
     address : str
         ``IP:port`` of the store.
-    refresh_requests : trio.MemoryReceiveChannel
-        Requests for a newer list.
+    instance, failure_domain : str
+        Id and failure domain of this instance.
+    inbox : trio.MemoryReceiveChannel
+        Requests for a newer list, lists that others have read, and the instances.
     router, failover : trio.MemorySendChannel
         Receive the list.
+    peers : trio.MemorySendChannel
+        Inbox of the peers task.
     """
 
     def __init__(
         self,
         address: str,
-        refresh_requests: MemoryReceiveChannel[RefreshMembers],
+        instance: str,
+        failure_domain: str,
+        inbox: MemoryReceiveChannel[MemberPollEvent],
         router: MemorySendChannel[RouterEvent],
         failover: MemorySendChannel[FailoverEvent],
+        peers: MemorySendChannel[PeerEvent],
     ) -> None:
         self._address = address
-        self._refresh_requests = refresh_requests
+        self._instance = instance
+        self._failure_domain = failure_domain
+        self._inbox = inbox
         self._router = router
         self._failover = failover
+        self._peers = peers
         self._availability = StoreAvailability("members")
+        self._clock = StoreClockOffset()
+        self._domain_by_instance: dict[str, str] = {}
         self._listing_by_id: dict[str, MemberListing] = {}
-        self._read_at = 0.0
         self._outage_ended_at = -OUTAGE_S
+        # Monotonic times at which the newest list was read at the earliest, at which it
+        # arrived, and of the last read, also a failed one.
+        self._read_at = 0.0
+        self._arrived_at = 0.0
+        self._attempted_at = 0.0
+        self._is_requested = False
+        self._must_read = False
 
     async def run(self) -> None:
-        """Read the list until cancelled."""
+        """Keep the list up to date until cancelled."""
         async with open_nursery() as connections:
             client = HttpClient(self._address, connections)
             while True:
-                requested_at = current_time()
-                rows = await self._read(client)
-                if rows is not None:
-                    await self._publish(rows, requested_at)
-                with move_on_after(
-                    max(0.0, requested_at + POLL_INTERVAL_S - current_time())
-                ):
-                    await self._refresh_requests.receive()
-                    await sleep_until(requested_at + MIN_POLL_INTERVAL_S)
-
-    async def _read(self, client: HttpClient) -> list[StoreRow] | None:
-        """Return all rows of the list, or None if a read failed."""
-        rows: list[StoreRow] = []
-        last_key = ""
-        while True:
-            start = f"&From={quote(last_key)}%00" if last_key else ""
-            deadline = current_time() + READ_TIMEOUT_S
-            outcome = await client.call("GET", TARGET + start, {}, deadline)
-            reason = outcome.error or f"status {outcome.status}"
-            self._availability.report(outcome.status == OK, reason, current_time())
-            if outcome.status != OK:
-                return None
-            page = list(decode_rows(outcome.body))
-            rows += page
-            if not outcome.body.get("HasMore") or not page:
-                return rows
-            last_key = page[-1].key
-
-    async def _publish(self, rows: list[StoreRow], requested_at: float) -> None:
-        if self._read_at and requested_at - self._read_at > OUTAGE_S:
-            self._outage_ended_at = requested_at
-        self._read_at = requested_at
-        listed = decode_members(rows)
+                await self._read(client)
+                while (due_at := self._next_read_at()) > current_time():
+                    event = None
+                    with move_on_at(due_at):
+                        event = await self._inbox.receive()
+                    if event is not None:
+                        await self._handle(event)
+
+    def _next_read_at(self) -> float:
+        rank = rank_in_domain(
+            self._instance, self._failure_domain, self._domain_by_instance
+        )
+        if self._must_read:
+            return self._attempted_at + poll_interval_s(0, is_requested=True)
+        last = max(self._arrived_at, self._attempted_at)
+        return last + poll_interval_s(rank, self._is_requested)
+
+    @singledispatchmethod
+    async def _handle(self, event: object) -> None:
+        raise TypeError(f"the member poll does not handle {type(event).__name__}")
+
+    @_handle.register
+    async def _(self, event: RefreshMembers) -> None:
+        self._is_requested = True
+        self._must_read = self._must_read or event.own_read
+
+    @_handle.register
+    async def _(self, event: PeersSeen) -> None:
+        self._domain_by_instance = {
+            instance: entry.failure_domain
+            for instance, entry in event.entry_by_instance.items()
+        }
+
+    @_handle.register
+    async def _(self, event: MembersRelayed) -> None:
+        self._domain_by_instance.setdefault(event.instance, event.failure_domain)
+        since_boot = to_local_time(self._clock, event.store_time_s)
+        read_at = current_time() - (seconds_since_boot() - since_boot)
+        read_at -= RELAY_CLOCK_MARGIN_S
+        if read_at > self._read_at:
+            listed = {listing.id: listing for listing in event.listings}
+            await self._publish(listed, read_at)
+
+    async def _read(self, client: HttpClient) -> None:
+        requested_at, since_boot = current_time(), seconds_since_boot()
+        self._attempted_at, self._must_read = requested_at, False
+        rows = await read_rows(client, TABLE, "", READ_TIMEOUT_S, self._report)
+        if rows is None:
+            return
+        await self._publish(decode_members(rows), requested_at)
+        self._relay(to_store_time(self._clock, since_boot))
+
+    def _report(self, outcome: HttpOutcome) -> None:
+        reason = outcome.error or f"status {outcome.status}"
+        self._availability.report(outcome.status == OK, reason, current_time())
+        if outcome.status == OK:
+            store_now_s = store_time_s(outcome.body)
+            self._clock = update_offset(self._clock, store_now_s, seconds_since_boot())
+
+    async def _publish(self, listed: dict[str, MemberListing], read_at: float) -> None:
+        if self._read_at and read_at - self._read_at > OUTAGE_S:
+            self._outage_ended_at = read_at
+        self._read_at, self._arrived_at = read_at, current_time()
+        self._is_requested = False
         self._listing_by_id = retain_members(
-            self._listing_by_id, listed, self._outage_ended_at, requested_at
+            self._listing_by_id, listed, self._outage_ended_at, read_at
         )
-        seen = MembersSeen(self._listing_by_id, requested_at)
+        seen = MembersSeen(self._listing_by_id, read_at)
         await self._router.send(seen)
         await self._failover.send(seen)
+
+    def _relay(self, store_time_s: float) -> None:
+        """Pass the list on to the other instances of the failure domain."""
+        listings = tuple(self._listing_by_id.values())
+        message = MembersRelayed(
+            self._instance, self._failure_domain, store_time_s, listings
+        )
+        try:
+            self._peers.send_nowait(BroadcastDatagram(message, same_domain_only=True))
+        except WouldBlock:
+            # The next list is passed on.
+            return
--- /dev/null
+++ b/src/jackdawspread/platform/read_rows.py
@@ -0,0 +1,53 @@
+"""Reads a range of rows of the platform's store, page by page."""
+
+from collections.abc import Callable
+from urllib.parse import quote
+
+from trio import current_time
+
+from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.platform.store_rows import StoreRow, decode_rows
+from jackdawspread.tasks.http_client import HttpClient
+
+PAGE_ROWS = 500
+OK = 200
+
+
+async def read_rows(
+    client: HttpClient,
+    table: str,
+    prefix: str,
+    page_timeout_s: float,
+    report: Callable[[HttpOutcome], None],
+) -> list[StoreRow] | None:
+    """Return the rows whose keys begin with ``prefix``, or None if a call failed.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Client of the store.
+    table : str
+        Table of the rows.
+    prefix : str
+        Beginning of the keys; all rows of the table if it is empty.
+    page_timeout_s : float
+        Seconds until which each page must be answered.
+    report : callable
+        Called with the outcome of each call.
+    """
+    rows: list[StoreRow] = []
+    # "~" is greater than all characters in the names of records.
+    end = f"&To={quote(prefix)}~" if prefix else ""
+    start = f"&From={quote(prefix)}" if prefix else ""
+    while True:
+        target = f"/rows-get?Table={table}&part=&Limit={PAGE_ROWS}{start}{end}"
+        deadline = current_time() + page_timeout_s
+        outcome = await client.call("GET", target, {}, deadline)
+        report(outcome)
+        if outcome.status != OK:
+            return None
+        page = list(decode_rows(outcome.body))
+        rows += page
+        if not outcome.body.get("HasMore") or not page:
+            return rows
+        start = f"&From={quote(page[-1].key)}%00"
--- a/src/jackdawspread/platform/record_store.py
+++ b/src/jackdawspread/platform/record_store.py
@@ -12,14 +12,18 @@
     open_nursery,
 )
 
+from jackdawspread.messages.fleet.record_list import RecordList
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
+from jackdawspread.messages.fleet.record_put import RecordPut
 from jackdawspread.messages.fleet.record_read import RecordRead
+from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.messages.fleet.record_write import RecordWrite
+from jackdawspread.messages.fleet.stored_record import StoredRecord
 from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.platform.read_rows import read_rows
 from jackdawspread.platform.store_availability import StoreAvailability
 from jackdawspread.platform.store_rows import decode_rows, store_time_s
-from jackdawspread.tasks.fleet.record_client import RecordRequest
 from jackdawspread.tasks.http_client import HttpClient
 
 TABLE = "jackdawspread"
@@ -61,7 +65,8 @@
                     continue
 
     @singledispatchmethod
-    async def _execute(self, request: object, client: HttpClient) -> RecordOutcome:
+    async def _execute(self, request: object, client: HttpClient) -> Any:
+        """Return the reply, whose type depends on the request."""
         raise TypeError(f"the record store does not handle {type(request).__name__}")
 
     @_execute.register
@@ -77,10 +82,34 @@
 
     @_execute.register
     async def _(self, request: RecordWrite, client: HttpClient) -> RecordOutcome:
-        row = {"Table": TABLE, "part": "", "Key": request.name}
+        expected = {**_row(request.name), "Ver": request.expected_version}
+        return await self._write(client, request.name, request.value, [expected])
+
+    @_execute.register
+    async def _(self, request: RecordPut, client: HttpClient) -> RecordOutcome:
+        return await self._write(client, request.name, request.value, [])
+
+    @_execute.register
+    async def _(
+        self, request: RecordList, client: HttpClient
+    ) -> list[StoredRecord] | None:
+        rows = await read_rows(
+            client, TABLE, request.prefix, CALL_TIMEOUT_S, self._report_availability
+        )
+        if rows is None:
+            return None
+        return [StoredRecord(row.key, row.version, row.value) for row in rows]
+
+    async def _write(
+        self,
+        client: HttpClient,
+        name: str,
+        value: bytes,
+        expected: list[dict[str, str | int]],
+    ) -> RecordOutcome:
         body = {
-            "ExpectedRev": [{**row, "Ver": request.expected_version}],
-            "Puts": [{**row, "Value": b64encode(request.value).decode()}],
+            "ExpectedRev": expected,
+            "Puts": [{**_row(name), "Value": b64encode(value).decode()}],
             "Remove": [],
         }
         outcome = await client.call(
@@ -93,7 +122,7 @@
                 RecordStatus.DONE, version, b"", store_time_s(outcome.body)
             )
         if outcome.status == CONFLICT:
-            return _decode_outcome(RecordStatus.CONFLICT, request.name, outcome.body)
+            return _decode_outcome(RecordStatus.CONFLICT, name, outcome.body)
         if outcome.status or not outcome.sent:
             return RecordOutcome(RecordStatus.REFUSED)
         return RecordOutcome(RecordStatus.UNKNOWN)
@@ -105,6 +134,10 @@
         )
 
 
+def _row(name: str) -> dict[str, str | int]:
+    return {"Table": TABLE, "part": "", "Key": name}
+
+
 def _decode_outcome(
     status: RecordStatus, name: str, body: dict[str, Any]
 ) -> RecordOutcome:
--- a/src/jackdawspread/tasks/fleet/activity_log.py
+++ b/src/jackdawspread/tasks/fleet/activity_log.py
@@ -8,16 +8,16 @@
 
 from jackdawspread.tasks.fleet.fleet_metrics import (
     DATAGRAMS,
-    LOANS,
     MEMBER_CONNECTIONS,
     STORE_CALLS,
+    TOKEN_REQUESTS,
 )
 
 LOG_INTERVAL_S = 10.0
 COUNTER_BY_NAME = {
     "store_calls": STORE_CALLS,
     "datagrams": DATAGRAMS,
-    "loans": LOANS,
+    "token_requests": TOKEN_REQUESTS,
     "member_connections": MEMBER_CONNECTIONS,
 }
 
--- a/src/jackdawspread/tasks/fleet/failover_task.py
+++ b/src/jackdawspread/tasks/fleet/failover_task.py
@@ -101,7 +101,7 @@
                 1000 * elapsed_s,
                 outcome,
             )
-            self._request_refresh()
+            self._request_refresh("attempt ended", own_read=False)
             await sleep(PROMOTED_DELAY_S if promoted else ATTEMPT_DELAY_S)
         finally:
             self._busy.discard(trigger.group)
@@ -114,14 +114,14 @@
         """
         with move_on_after(LIST_TIMEOUT_S):
             while self._listed_at < since:
-                self._request_refresh()
+                self._request_refresh("list before a promotion", own_read=True)
                 await self._list_received.wait()
             return self._listing_by_id
         return None
 
-    def _request_refresh(self) -> None:
+    def _request_refresh(self, reason: str, own_read: bool) -> None:
         try:
-            self._refresh.send_nowait(RefreshMembers("attempt ended"))
+            self._refresh.send_nowait(RefreshMembers(reason, own_read))
         except WouldBlock:
             # A refresh has already been requested.
             return
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of admission, configuration, rate shares, loans and failovers."""
+"""Metrics of admission, configuration, rate leases, peers and failovers."""
 
 from prometheus_client import Counter, Gauge, Histogram
 
@@ -14,14 +14,13 @@
     "jackdawspread_configuration_age_seconds",
     "Time since the store last confirmed the configuration.",
 )
-SHARE = Gauge(
-    "jackdawspread_rate_share_ratio",
-    "Part of a workspace's rate that this instance may use.",
-    ("workspace",),
+RATE_LEASES_HELD = Gauge(
+    "jackdawspread_rate_leases",
+    "Number of rate leases that this instance holds.",
 )
-LOANS = Counter(
-    "jackdawspread_token_loans",
-    "Answers of peers that were asked for tokens.",
+TOKEN_REQUESTS = Counter(
+    "jackdawspread_token_requests",
+    "Requests for rate tokens to the holders of the leases, by result.",
     ("result",),
 )
 STORE_CALLS = Counter(
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -0,0 +1,109 @@
+"""Registration of this instance, and the list of all instances."""
+
+from absl import logging
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode, encode
+from trio import MemorySendChannel, current_time, sleep
+
+from jackdawspread.messages.fleet.configuration_feed_event import (
+    ConfigurationFeedEvent,
+)
+from jackdawspread.messages.fleet.instance_entry import InstanceEntry
+from jackdawspread.messages.fleet.instances_seen import InstancesSeen
+from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
+from jackdawspread.messages.fleet.peer_event import PeerEvent
+from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.record_status import RecordStatus
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.fleet.stored_record import StoredRecord
+from jackdawspread.tasks.fleet.record_client import RecordClient
+
+PREFIX = "instance-"
+REGISTRATION_INTERVAL_S = 60.0
+# Instances that start at the same time have registered after this time.
+SETTLING_S = 2.0
+# An entry that was not written again for this long is dropped; longer than two
+# registrations.
+ENTRY_TTL_S = 150.0
+RETRY_DELAY_S = 2.0
+
+
+class InstanceDirectory:
+    """Registers this instance in the store, and reads which others there are.
+
+    The list only directs messages; no promise depends on it.
+
+    Parameters
+    ----------
+    instance : str
+        Id of this instance.
+    entry : InstanceEntry
+        Address and failure domain of this instance.
+    records : RecordClient
+        Access to the store.
+    router, members, configurations, peers : trio.MemorySendChannel
+        Receive the number or the list of the instances.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        entry: InstanceEntry,
+        records: RecordClient,
+        router: MemorySendChannel[RouterEvent],
+        members: MemorySendChannel[MemberPollEvent],
+        configurations: MemorySendChannel[ConfigurationFeedEvent],
+        peers: MemorySendChannel[PeerEvent],
+    ) -> None:
+        self._instance = instance
+        self._entry = entry
+        self._records = records
+        self._router = router
+        self._members = members
+        self._configurations = configurations
+        self._peers = peers
+        # Version of each entry, and the monotonic time until which it counts.
+        self._version_by_instance: dict[str, int] = {}
+        self._valid_until_by_instance: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Register and read the list until cancelled."""
+        while True:
+            name = f"{PREFIX}{self._instance}"
+            outcome = await self._records.put(name, encode(self._entry))
+            if outcome.status is not RecordStatus.DONE:
+                await sleep(RETRY_DELAY_S)
+                continue
+            await sleep(SETTLING_S)
+            records = await self._records.list(PREFIX)
+            if records is None:
+                await sleep(RETRY_DELAY_S)
+                continue
+            await self._publish(records)
+            await sleep(REGISTRATION_INTERVAL_S)
+
+    async def _publish(self, records: list[StoredRecord]) -> None:
+        now = current_time()
+        entry_by_instance = {self._instance: self._entry}
+        for record in records:
+            instance = record.name.removeprefix(PREFIX)
+            if record.version != self._version_by_instance.get(instance):
+                self._version_by_instance[instance] = record.version
+                self._valid_until_by_instance[instance] = now + ENTRY_TTL_S
+            entry = _decode_entry(record)
+            if entry is not None and now < self._valid_until_by_instance[instance]:
+                entry_by_instance[instance] = entry
+        logging.info("instance: fleet read instances=%d", len(entry_by_instance))
+        seen = PeersSeen(entry_by_instance)
+        await self._peers.send(seen)
+        await self._members.send(seen)
+        await self._configurations.send(seen)
+        await self._router.send(InstancesSeen(len(entry_by_instance)))
+
+
+def _decode_entry(record: StoredRecord) -> InstanceEntry | None:
+    try:
+        return decode(record.value, type=InstanceEntry)
+    except (DecodeError, ValidationError) as error:
+        logging.error("instance: entry ignored name=%s reason=%r", record.name, error)
+        return None
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/rate_lease_task.py
@@ -0,0 +1,196 @@
+"""Acquisition and renewal of this instance's rate leases."""
+
+from contextlib import suppress
+
+from absl import logging
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode, encode
+from trio import (
+    MemoryReceiveChannel,
+    MemorySendChannel,
+    WouldBlock,
+    current_time,
+    move_on_at,
+    sleep,
+)
+
+from jackdawspread.decisions.rate_leases.lease_writes import (
+    held_parts,
+    next_write_at,
+    write_leases,
+)
+from jackdawspread.decisions.rate_leases.rate_lease_record import RateLeaseRecord
+from jackdawspread.decisions.rate_leases.store_clock_offset import (
+    StoreClockOffset,
+    to_local_time,
+    to_store_time,
+    update_offset,
+)
+from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.broadcast_datagram import BroadcastDatagram
+from jackdawspread.messages.fleet.peer_event import PeerEvent
+from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
+from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
+from jackdawspread.messages.fleet.record_outcome import RecordOutcome
+from jackdawspread.messages.fleet.record_status import RecordStatus
+from jackdawspread.tasks.boot_clock import seconds_since_boot
+from jackdawspread.tasks.fleet.record_client import RecordClient
+
+RECORD = "rate-leases"
+# An instance stops using a lease this long before it expires in the store, after which
+# another instance may claim it.
+EXPIRY_MARGIN_S = 1.0
+RETRY_DELAY_S = 1.0
+
+
+class RateLeaseTask:
+    """Owns this instance's leases of the workspaces' rates, and renews them.
+
+    The record of all leases is kept in the platform's store. Its writer announces it to
+    the other instances, which therefore read it only when they start.
+
+    Parameters
+    ----------
+    instance : str
+        Id of this instance, unique in the fleet.
+    address : str
+        ``IP:port`` of this instance for its peers.
+    records : RecordClient
+        Access to the store.
+    announcements : trio.MemoryReceiveChannel
+        Records that other instances have written.
+    admission : trio.MemorySendChannel
+        Receives the leases that this instance holds, and the other holders.
+    peers : trio.MemorySendChannel
+        Inbox of the peers task.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        records: RecordClient,
+        announcements: MemoryReceiveChannel[RateLeasesAnnounced],
+        admission: MemorySendChannel[AdmissionEvent],
+        peers: MemorySendChannel[PeerEvent],
+    ) -> None:
+        self._instance = instance
+        self._address = address
+        self._records = records
+        self._announcements = announcements
+        self._admission = admission
+        self._peers = peers
+        self._version = 0
+        self._record: RateLeaseRecord = {}
+        self._clock = StoreClockOffset()
+        self._known_since = 0.0
+        # Whether the record may differ from the one in the store, since the answer to a
+        # write was lost.
+        self._must_read = True
+        self._has_renewed = False
+
+    async def run(self) -> None:
+        """Keep the leases until cancelled."""
+        while True:
+            if self._must_read and not await self._read():
+                await sleep(RETRY_DELAY_S)
+                continue
+            due_in_s = self._next_write_at() - self._store_time()
+            announced = None
+            with move_on_at(current_time() + max(0.0, due_in_s)):
+                announced = await self._announcements.receive()
+            if announced is not None:
+                await self._adopt(announced)
+            elif not await self._write():
+                await sleep(RETRY_DELAY_S)
+
+    def _store_time(self) -> float:
+        return to_store_time(self._clock, seconds_since_boot())
+
+    def _next_write_at(self) -> float:
+        return next_write_at(
+            self._record, self._instance, self._known_since, self._has_renewed
+        )
+
+    async def _read(self) -> bool:
+        outcome = await self._records.read(RECORD)
+        self._update_clock(outcome)
+        if outcome.status is RecordStatus.UNKNOWN:
+            return False
+        self._must_read = False
+        self._known_since = self._known_since or self._store_time()
+        await self._keep(outcome.version, outcome.value)
+        return True
+
+    async def _write(self) -> bool:
+        """Write the record that is due; return whether the store answered."""
+        record = write_leases(
+            self._record,
+            self._instance,
+            self._address,
+            self._known_since,
+            self._store_time(),
+        )
+        outcome = await self._records.write(RECORD, self._version, encode(record))
+        self._update_clock(outcome)
+        if outcome.status is RecordStatus.DONE:
+            self._has_renewed = True
+            self._version, self._record = outcome.version, record
+            self._log_holders("written")
+            await self._publish()
+            message = RateLeasesAnnounced(self._version, record)
+            with suppress(WouldBlock):
+                self._peers.send_nowait(BroadcastDatagram(message, False))
+        elif outcome.status is RecordStatus.CONFLICT:
+            logging.info(
+                "leases: another instance has written version=%d", self._version
+            )
+            await self._keep(outcome.version, outcome.value)
+        elif outcome.status is RecordStatus.UNKNOWN:
+            logging.warning("leases: the store did not answer a write")
+            self._must_read = True
+        return outcome.status in (RecordStatus.DONE, RecordStatus.CONFLICT)
+
+    def _update_clock(self, outcome: RecordOutcome) -> None:
+        if outcome.store_time_s:
+            now = seconds_since_boot()
+            self._clock = update_offset(self._clock, outcome.store_time_s, now)
+
+    async def _keep(self, version: int, value: bytes) -> None:
+        """Keep a record that was read from the store."""
+        self._version = version
+        try:
+            self._record = decode(value, type=RateLeaseRecord) if value else {}
+        except (DecodeError, ValidationError) as error:
+            logging.error("leases: unreadable record replaced reason=%r", error)
+            self._record = {}
+        self._log_holders("read")
+        await self._publish()
+
+    async def _adopt(self, announced: RateLeasesAnnounced) -> None:
+        """Keep a record that another instance has written, if it is newer."""
+        if announced.version > self._version:
+            self._version, self._record = announced.version, announced.record
+            await self._publish()
+
+    async def _publish(self) -> None:
+        held = held_parts(self._record, self._instance)
+        expires_at = min((self._record[part]["until"] for part in held), default=0.0)
+        holders = {
+            lease["address"]
+            for lease in self._record.values()
+            if lease["holder"] != self._instance
+        }
+        held_until = to_local_time(self._clock, expires_at) - EXPIRY_MARGIN_S
+        await self._admission.send(
+            RateLeasesHeld(len(held), held_until, tuple(sorted(holders)))
+        )
+
+    def _log_holders(self, source: str) -> None:
+        logging.info(
+            "leases: record %s version=%d held=%s holders=%s",
+            source,
+            self._version,
+            ",".join(held_parts(self._record, self._instance)) or "none",
+            ",".join(lease["holder"] for lease in self._record.values()) or "none",
+        )
--- a/src/jackdawspread/tasks/fleet/record_client.py
+++ b/src/jackdawspread/tasks/fleet/record_client.py
@@ -2,11 +2,13 @@
 
 from trio import MemorySendChannel, open_memory_channel
 
+from jackdawspread.messages.fleet.record_list import RecordList
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
+from jackdawspread.messages.fleet.record_put import RecordPut
 from jackdawspread.messages.fleet.record_read import RecordRead
+from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.messages.fleet.record_write import RecordWrite
-
-RecordRequest = RecordRead | RecordWrite
+from jackdawspread.messages.fleet.stored_record import StoredRecord
 
 
 class RecordClient:
@@ -32,3 +34,15 @@
         send, receive = open_memory_channel[RecordOutcome](1)
         await self._store.send(RecordWrite(name, expected, value, send))
         return await receive.receive()
+
+    async def put(self, name: str, value: bytes) -> RecordOutcome:
+        """Write a record whatever its version is."""
+        send, receive = open_memory_channel[RecordOutcome](1)
+        await self._store.send(RecordPut(name, value, send))
+        return await receive.receive()
+
+    async def list(self, prefix: str) -> list[StoredRecord] | None:
+        """Read all records whose names begin with a prefix."""
+        send, receive = open_memory_channel[list[StoredRecord] | None](1)
+        await self._store.send(RecordList(prefix, send))
+        return await receive.receive()
