Take no time of the store's clock for recent before its first answer

An instance that starts while the store is away has no offset to the store's clock. A list or a confirmation that another instance passes on then converted to an infinitely late local time: the configuration would never have become too old, and no later list would have been taken. Found by reading; the new scenario fails before.

--- a/features/rate_leases.feature
+++ b/features/rate_leases.feature
@@ -88,3 +88,10 @@
       | 0    | 1.0      |
       | 1    | 1.4      |
       | 3    | 2.2      |
+
+  Scenario: Without an answer of the store no time of its clock is recent
+    # Guards against an instance that starts while the store is away and takes what
+    # others pass on as valid for ever.
+    Given an instance that has seen no answer of the store
+    When another instance passes on something confirmed at the store's time 5000
+    Then it counts as infinitely old
--- a/features/steps/rate_lease_steps.py
+++ b/features/steps/rate_lease_steps.py
@@ -20,6 +20,10 @@
     write_leases,
 )
 from jackdawspread.decisions.rate_leases.scale_limit import scale_limit
+from jackdawspread.decisions.rate_leases.store_clock_offset import (
+    StoreClockOffset,
+    to_local_time,
+)
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
 from jackdawspread.messages.fleet.token_replied import TokenReplied
@@ -322,3 +326,21 @@
 def read_after(context: Context, interval: float) -> None:
     """Compare the interval."""
     assert abs(context.interval - interval) < 1e-9, context.interval
+
+
+@given("an instance that has seen no answer of the store")
+def no_answer(context: Context) -> None:
+    """Start with an unknown offset."""
+    context.offset = StoreClockOffset()
+
+
+@when("another instance passes on something confirmed at the store's time {time_s:d}")
+def passed_on(context: Context, time_s: int) -> None:
+    """Convert the time."""
+    context.local_time = to_local_time(context.offset, time_s)
+
+
+@then("it counts as infinitely old")
+def infinitely_old(context: Context) -> None:
+    """Compare the local time."""
+    assert context.local_time == float("-inf"), context.local_time
--- a/src/jackdawspread/decisions/rate_leases/store_clock_offset.py
+++ b/src/jackdawspread/decisions/rate_leases/store_clock_offset.py
@@ -28,5 +28,9 @@
 
 
 def to_local_time(offset: StoreClockOffset, store_s: float) -> float:
-    """Return the local time at a time of the store's clock."""
-    return store_s - offset.offset_s
+    """Return the local time at a time of the store's clock.
+
+    The result is infinitely long ago if no answer of the store has been seen yet, so
+    that nothing is taken for recent or for valid.
+    """
+    return store_s - offset.offset_s if offset.offset_s > -inf else -inf
