Divide a burst exactly into the four parts of a rate

A burst of 5 gave four parts of 1, so a workspace could use only 4 tokens of it. A bucket may hold a part of a token, which counts towards the next whole one. The outline on the bursts of all parts said 4 for a limit of 5 and now says 5.

--- a/features/rate_leases.feature
+++ b/features/rate_leases.feature
@@ -50,7 +50,7 @@
     Examples:
       | burst | total |
       | 1     | 4     |
-      | 5     | 4     |
+      | 5     | 5     |
       | 16    | 16    |
 
   Scenario: A holder without a token does not end the search
--- a/src/jackdawspread/decisions/rates/rate_share.py
+++ b/src/jackdawspread/decisions/rates/rate_share.py
@@ -14,12 +14,12 @@
     ----------
     rate : float
         Rate in requests per second.
-    burst : int
-        Number of requests.
+    burst : float
+        Number of requests; a part of one is added to the next whole one.
     """
 
     rate: float
-    burst: int
+    burst: float
 
 
 def rate_share(
--- a/src/jackdawspread/tasks/fleet/rate_buckets.py
+++ b/src/jackdawspread/tasks/fleet/rate_buckets.py
@@ -50,7 +50,7 @@
         """Return one token, up to the burst of this instance's leases."""
         if self._is_leased(workspace):
             bucket = self._refilled(workspace, now)
-            full = float(self._share(workspace).burst)
+            full = self._share(workspace).burst
             self._bucket_by_workspace[workspace] = bucket._replace(
                 tokens=min(full, bucket.tokens + 1)
             )
