Split the start of the fleet's tasks, and compute the rank from the list

The feed and the poll each built a map of failure domains from the list of instances; rank_in_domain takes the list itself. A docstring of the failover attempt had lost a word in a rename.

--- a/features/steps/rate_lease_steps.py
+++ b/features/steps/rate_lease_steps.py
@@ -25,6 +25,7 @@
     to_local_time,
 )
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
+from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
 from jackdawspread.messages.fleet.token_replied import TokenReplied
 from jackdawspread.messages.fleet.token_reply import TokenReply
@@ -308,10 +309,10 @@
 @given("{instances:d} instances in the failure domain, of which {lost:d} do not answer")
 def readers(context: Context, instances: int, lost: int) -> None:
     """Take the interval of the first instance that answers."""
-    domain_by_instance = {f"i{number}": "z1" for number in range(instances)}
-    domain_by_instance["i-other"] = "z2"
+    entries = {f"i{n}": InstanceEntry(f"10.0.0.{n}:7", "z1") for n in range(instances)}
+    entries["i-other"] = InstanceEntry("10.0.1.1:7", "z2")
     context.interval = min(
-        poll_interval_s(rank_in_domain(f"i{number}", "z1", domain_by_instance), False)
+        poll_interval_s(rank_in_domain(f"i{number}", "z1", entries), False)
         for number in range(lost, instances)
     )
 
--- a/src/jackdawspread/decisions/members/poll_schedule.py
+++ b/src/jackdawspread/decisions/members/poll_schedule.py
@@ -5,6 +5,10 @@
 that usually only the first one reads.
 """
 
+from collections.abc import Mapping
+
+from jackdawspread.messages.fleet.instance_entry import InstanceEntry
+
 POLL_INTERVAL_S = 1.0
 # Minimum time between two reads when a newer list is requested.
 MIN_POLL_INTERVAL_S = 0.15
@@ -29,10 +33,10 @@
 
 
 def rank_in_domain(
-    instance: str, failure_domain: str, domain_by_instance: dict[str, str]
+    instance: str, failure_domain: str, entry_by_instance: Mapping[str, InstanceEntry]
 ) -> int:
     """Return how many instances of a failure domain have a smaller id."""
     return sum(
-        domain == failure_domain and other < instance
-        for other, domain in domain_by_instance.items()
+        entry.failure_domain == failure_domain and other < instance
+        for other, entry in entry_by_instance.items()
     )
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -81,13 +81,16 @@
             SMALL_INBOX
         )
         self._peers, self._peers_inbox = open_memory_channel[PeerEvent](PEERS_INBOX)
-        self._entry = InstanceEntry(settings.peer_address, settings.failure_domain)
+        self._feed, self._feed_inbox = open_memory_channel[ConfigurationFeedEvent](
+            SMALL_INBOX
+        )
 
     async def run(self) -> None:
         """Run all tasks until a graceful shutdown is complete."""
         async with open_nursery() as tasks:
             self._start_routing(tasks)
-            self._start_fleet(tasks)
+            self._start_store_readers(tasks)
+            self._start_peers(tasks)
             self._start_failover(tasks)
             await self._start_servers(tasks)
             listener = SessionListener(
@@ -129,59 +132,65 @@
         tasks.start_soon(router.run)
         tasks.start_soon(admission.run)
 
-    def _start_fleet(self, tasks: Nursery) -> None:
-        """Start what the instances read from the store and tell each other."""
+    def _start_store_readers(self, tasks: Nursery) -> None:
+        """Start what reads the configuration and the members from the store."""
+        settings = self._settings
+        feed = ConfigurationFeed(
+            settings.store_address,
+            self._instance_id,
+            settings.failure_domain,
+            self._feed_inbox,
+            self._admission,
+            self._router,
+            self._peers,
+        )
+        poll = MemberPoll(
+            settings.store_address,
+            self._instance_id,
+            settings.failure_domain,
+            self._members_inbox,
+            self._router,
+            self._failover,
+            self._peers,
+        )
+        tasks.start_soon(feed.run)
+        tasks.start_soon(poll.run)
+
+    def _start_peers(self, tasks: Nursery) -> None:
+        """Start what the instances agree on and tell each other."""
+        entry = InstanceEntry(
+            self._settings.peer_address, self._settings.failure_domain
+        )
         announced, announcements = open_memory_channel[RateLeasesAnnounced](SMALL_INBOX)
-        feed, feed_inbox = open_memory_channel[ConfigurationFeedEvent](SMALL_INBOX)
-        settings, instance = self._settings, self._instance_id
-        domain = settings.failure_domain
-        for task in (
-            PeerDatagrams(
-                instance,
-                self._entry,
-                self._peers_inbox,
-                self._admission,
-                announced,
-                self._members,
-                feed,
-            ),
-            ConfigurationFeed(
-                settings.store_address,
-                instance,
-                domain,
-                feed_inbox,
-                self._admission,
-                self._router,
-                self._peers,
-            ),
-            MemberPoll(
-                settings.store_address,
-                instance,
-                domain,
-                self._members_inbox,
-                self._router,
-                self._failover,
-                self._peers,
-            ),
-            RateLeaseTask(
-                instance,
-                settings.peer_address,
-                self._open_records("leases", tasks),
-                announcements,
-                self._admission,
-                self._peers,
-            ),
-            InstanceDirectory(
-                instance,
-                self._entry,
-                self._open_records("instances", tasks),
-                self._router,
-                self._members,
-                feed,
-                self._peers,
-            ),
-        ):
-            tasks.start_soon(task.run)
+        datagrams = PeerDatagrams(
+            self._instance_id,
+            entry,
+            self._peers_inbox,
+            self._admission,
+            announced,
+            self._members,
+            self._feed,
+        )
+        leases = RateLeaseTask(
+            self._instance_id,
+            entry.address,
+            self._open_records("leases", tasks),
+            announcements,
+            self._admission,
+            self._peers,
+        )
+        directory = InstanceDirectory(
+            self._instance_id,
+            entry,
+            self._open_records("instances", tasks),
+            self._router,
+            self._members,
+            self._feed,
+            self._peers,
+        )
+        tasks.start_soon(datagrams.run)
+        tasks.start_soon(leases.run)
+        tasks.start_soon(directory.run)
 
     def _start_failover(self, tasks: Nursery) -> None:
         promotions, promotion_inbox = open_memory_channel[PromotionRequest](SMALL_INBOX)
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -148,12 +148,8 @@
 
     @_handle.register
     async def _(self, event: PeersSeen) -> None:
-        domain_by_instance = {
-            instance: entry.failure_domain
-            for instance, entry in event.entry_by_instance.items()
-        }
         self._rank = rank_in_domain(
-            self._instance, self._failure_domain, domain_by_instance
+            self._instance, self._failure_domain, event.entry_by_instance
         )
         self._feed_scope.deadline = self._confirm_by()
 
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -86,7 +86,7 @@
         self._peers = peers
         self._availability = StoreAvailability("members")
         self._clock = StoreClockOffset()
-        self._domain_by_instance: dict[str, str] = {}
+        self._rank = 0
         self._listing_by_id: dict[str, MemberListing] = {}
         self._outage_ended_at = -OUTAGE_S
         # Monotonic times at which the newest list was read at the earliest, at which it
@@ -111,13 +111,10 @@
                         await self._handle(event)
 
     def _next_read_at(self) -> float:
-        rank = rank_in_domain(
-            self._instance, self._failure_domain, self._domain_by_instance
-        )
         if self._must_read:
             return self._attempted_at + poll_interval_s(0, is_requested=True)
         last = max(self._arrived_at, self._attempted_at)
-        return last + poll_interval_s(rank, self._is_requested)
+        return last + poll_interval_s(self._rank, self._is_requested)
 
     @singledispatchmethod
     async def _handle(self, event: object) -> None:
@@ -130,14 +127,12 @@
 
     @_handle.register
     async def _(self, event: PeersSeen) -> None:
-        self._domain_by_instance = {
-            instance: entry.failure_domain
-            for instance, entry in event.entry_by_instance.items()
-        }
+        self._rank = rank_in_domain(
+            self._instance, self._failure_domain, event.entry_by_instance
+        )
 
     @_handle.register
     async def _(self, event: MembersRelayed) -> None:
-        self._domain_by_instance.setdefault(event.instance, event.failure_domain)
         since_boot = to_local_time(self._clock, event.store_time_s)
         read_at = current_time() - (seconds_since_boot() - since_boot)
         read_at -= RELAY_CLOCK_MARGIN_S
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -205,7 +205,7 @@
         """Request the promotion until it has a definite result or the lock expires.
 
         An unanswered request may still take effect, so the replicas that were paused
-        for its safety then unpaused_status paused.
+        for its safety then stay paused.
         """
         logging.info(
             "succession: promoting member=%s group=%s token=%d reason=%s",
