Split the search for a candidate from the failover attempt

The search over the paused logs is a class of its own, and the two pure checks are decisions. No behaviour changes.

--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -7,12 +7,12 @@
 
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.promotion_candidate import (
-    most_advanced_log,
     next_term,
     replicas_to_query,
 )
+from jackdawspread.decisions.failover.queried_replicas import has_queried_all
+from jackdawspread.decisions.failover.unpaused_replica import choose_unpaused
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
-from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
@@ -22,12 +22,10 @@
 from jackdawspread.messages.statements.query_status import QueryStatus
 from jackdawspread.messages.statements.resume_replication import ResumeReplication
 from jackdawspread.tasks.boot_clock import seconds_since_boot
+from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 
-# Time in which the unpaused replica has to receive the logs of the paused ones.
-CATCH_UP_TIMEOUT_S = 0.8
-CATCH_UP_POLL_INTERVAL_S = 0.05
 PROMOTION_RETRY_DELAY_S = 0.1
 # With synchronous replication an acknowledged commit is on the primary and on at
 # least one replica, so one of two replicas that answer has it.
@@ -63,6 +61,7 @@
     ) -> None:
         self._instance = instance
         self._replication = replication
+        self._search = CandidateSearch(replication)
         self._locks = locks
         self._promotions = promotions
         self._router = router
@@ -132,7 +131,7 @@
             return "another member claims to be the primary", False
         previously_requested = lock.record["ordered"]
         unpaused = (
-            _choose_unpaused(replicas, status_by_member, previously_requested)
+            choose_unpaused(replicas, status_by_member, previously_requested)
             if trigger.is_planned
             else ""
         )
@@ -142,11 +141,11 @@
         paused_at = current_time()
         candidate = ""
         if len(paused) == len(to_pause):
-            candidate = await self._choose_candidate(
+            candidate = await self._search.choose(
                 replicas, unpaused, pause.term, previously_requested
             )
-        if candidate and not await _is_complete(
-            trigger, replicas, members_since, paused_at
+        if candidate and not has_queried_all(
+            trigger, replicas, await members_since(paused_at)
         ):
             candidate = ""
         recorded_lock = (
@@ -157,44 +156,6 @@
             return "no replica is known to have every commit", False
         return await self._promote(trigger, candidate, to_pause, recorded_lock)
 
-    async def _choose_candidate(
-        self,
-        replicas: tuple[MemberListing, ...],
-        unpaused: str,
-        term: int,
-        previously_requested: str,
-    ) -> str:
-        """Return the id of a replica that has every acknowledged commit, or empty.
-
-        The log status is queried again after the last replica was paused, since an
-        earlier promotion that takes effect late ends all pauses.
-        """
-        leaving = {replica.id for replica in replicas if replica.leaving}
-        deadline = current_time() + CATCH_UP_TIMEOUT_S
-        while current_time() < deadline:
-            status_by_member = await self._replication.send_all(replicas, QueryStatus())
-            unpaused_status = status_by_member.pop(unpaused, None)
-            paused = status_by_member.values()
-            still_paused = all(
-                not s.claims_primary and s.paused_term == term for s in paused
-            )
-            if len(paused) < len(replicas) - bool(unpaused) or not still_paused:
-                return ""
-            if not unpaused:
-                best = most_advanced_log(
-                    paused, leaving, previously_requested
-                ) or most_advanced_log(paused, ())
-                return best.member if best is not None else ""
-            needed = max(status.received for status in paused)
-            if (
-                unpaused_status is not None
-                and not unpaused_status.claims_primary
-                and unpaused_status.received >= needed
-            ):
-                return unpaused
-            await sleep(CATCH_UP_POLL_INTERVAL_S)
-        return ""
-
     async def _promote(
         self,
         trigger: FailoverTrigger,
@@ -247,40 +208,3 @@
                 "succession: replicas left paused, lock expired name=%s",
                 lock.name,
             )
-
-
-async def _is_complete(
-    trigger: FailoverTrigger,
-    replicas: tuple[MemberListing, ...],
-    members_since: ReadMembersSince,
-    paused_at: float,
-) -> bool:
-    """Whether all replicas of a list that was read after the pauses were queried.
-
-    A replica that has joined in the meantime may confirm commits of the primary that
-    are in none of the paused logs.
-    """
-    listing_by_id = await members_since(paused_at)
-    if listing_by_id is None:
-        return False
-    listed = replicas_to_query(listing_by_id.values(), trigger.group, trigger.member)
-    asked = {replica.id for replica in replicas}
-    return all(listing.id in asked for listing in listed)
-
-
-def _choose_unpaused(
-    replicas: tuple[MemberListing, ...],
-    status_by_member: dict[str, LogStatus],
-    previously_requested: str,
-) -> str:
-    """Return the replica that is not paused during a switchover.
-
-    It keeps receiving until it has the logs of the paused replicas. A member whose
-    promotion was requested earlier is therefore preferred, whatever its log.
-    """
-    leaving = {replica.id for replica in replicas if replica.leaving}
-    staying = [s for s in status_by_member.values() if s.member not in leaving]
-    if any(status.member == previously_requested for status in staying):
-        return previously_requested
-    best = most_advanced_log(staying, ())
-    return best.member if best is not None else ""
