--- a/features/rate_leases.feature
+++ b/features/rate_leases.feature
@@ -101,4 +101,4 @@
     # is away: trouble-2 of saltbush-swap-grown, 284 refusals after a loss of power.
     Given an instance that starts while the store does not answer
     When the store answers after 3 s
-    Then the instance knows the holders 0.2 s later
+    Then the instance knows the holders within 0.3 s
--- a/features/steps/rate_lease_steps.py
+++ b/features/steps/rate_lease_steps.py
@@ -383,8 +383,8 @@
     context.records.is_back = True
 
 
-@then("the instance knows the holders {seconds:f} s later")
-def knows_holders_later(context: Context, seconds: float) -> None:
+@then("the instance knows the holders within {seconds:f} s")
+def knows_holders_within(context: Context, seconds: float) -> None:
     """Check that the admission task was told."""
     assert not context.admission.statistics().current_buffer_used
     context.thread.advance(seconds, step=0.01)
