--- a/features/conformance/replica_machine.py
+++ b/features/conformance/replica_machine.py
@@ -21,6 +21,7 @@
 from jackdawspread.messages.routed_request import RoutedRequest
 from jackdawspread.messages.statement import Statement
 from jackdawspread.standins.member import member_store
+from jackdawspread.standins.member.answer_waiting import answer_waiting
 from jackdawspread.standins.member.decide_replicate import common_prefix_bound
 from jackdawspread.standins.member.log_entry import LogEntry
 from jackdawspread.standins.member.member_codec import (
@@ -106,9 +107,8 @@
             return
         fetch_position = store.state.last_position
         while True:
-            answer = self.stores[source].try_answer(
-                Replicate(primary.term, fetch_position)
-            )
+            request = Replicate(primary.term, fetch_position)
+            answer = answer_waiting(request, self.stores[source].state)
             if answer.is_ok():
                 break
             hint = answer.error.fields["position"]
@@ -161,7 +161,8 @@
 
     def is_confirmed(self, term: int, position: Position, index: int) -> bool:
         """Return whether a member confirms a position in a term."""
-        answer = self.stores[index].try_answer(Confirm(term, position))
+        request = Confirm(term, position)
+        answer = answer_waiting(request, self.stores[index].state)
         return answer.is_ok() and answer.ok["held"]
 
     @invariant()
--- a/src/jackdawspread/standins/member/member_node.py
+++ b/src/jackdawspread/standins/member/member_node.py
@@ -18,6 +18,7 @@
     open_nursery,
 )
 
+from jackdawspread.standins.member.answer_waiting import answer_waiting
 from jackdawspread.standins.member.check_read import check_read
 from jackdawspread.standins.member.check_term import check_primary
 from jackdawspread.standins.member.connection_record import ConnectionRecord
@@ -239,7 +240,7 @@
             else:
                 self._answer(submission, Error(checked.error))
             return True
-        outcome = self.store.try_answer(request)
+        outcome = answer_waiting(request, self.store.state)
         if outcome.is_ok() and not last and not self._is_satisfied(outcome.ok):
             return False
         self._waiting.remove(submission)
--- a/src/jackdawspread/standins/member/member_store.py
+++ b/src/jackdawspread/standins/member/member_store.py
@@ -10,22 +10,18 @@
 
 from jackdawspread.messages.position import Position
 from jackdawspread.standins.member.check_read import check_read
-from jackdawspread.standins.member.check_term import check_primary, check_term
+from jackdawspread.standins.member.check_term import check_primary
 from jackdawspread.standins.member.decide_append import decide_append
-from jackdawspread.standins.member.decide_confirm import decide_confirm
 from jackdawspread.standins.member.decide_follow import decide_follow
 from jackdawspread.standins.member.decide_open import decide_open
 from jackdawspread.standins.member.decide_prepare import decide_prepare
-from jackdawspread.standins.member.decide_replicate import (
-    decide_replicate,
-)
+from jackdawspread.standins.member.due_entries import count_due_entries
 from jackdawspread.standins.member.execution_log import ExecutionLog
 from jackdawspread.standins.member.log_entry import LogEntry
 from jackdawspread.standins.member.member_refusal import MemberRefusal
 from jackdawspread.standins.member.member_state import MemberState
 from jackdawspread.standins.member.requests.begin import Begin
 from jackdawspread.standins.member.requests.commit import Commit
-from jackdawspread.standins.member.requests.confirm import Confirm
 from jackdawspread.standins.member.requests.execute import Execute
 from jackdawspread.standins.member.requests.follow import Follow
 from jackdawspread.standins.member.requests.open import Open
@@ -33,7 +29,6 @@
 from jackdawspread.standins.member.requests.prepare import Prepare
 from jackdawspread.standins.member.requests.read import Read
 from jackdawspread.standins.member.requests.read_log import ReadLog
-from jackdawspread.standins.member.requests.replicate import Replicate
 from jackdawspread.standins.member.requests.rollback import Rollback
 from jackdawspread.standins.member.requests.write import Write
 from jackdawspread.standins.member.role import Role
@@ -41,8 +36,7 @@
 from jackdawspread.standins.member.statement_document import StatementDocument
 from jackdawspread.standins.member.transaction import Transaction
 
-Body = dict[str, Any]
-RequestResult = Result[Body, MemberRefusal]
+RequestResult = Result[dict[str, Any], MemberRefusal]
 
 
 class MemberStore:
@@ -92,37 +86,15 @@
             self._engine.apply(entry)
 
     def apply_due_entries(self, lag: float) -> float | None:
-        """Apply the entries that are older than the lag.
+        """Apply the entries that are older than the lag in seconds.
 
-        A primary applies its entries without a lag.
-
-        Parameters
-        ----------
-        lag : float
-            Seconds between the arrival of an entry and its application.
-
-        Returns
-        -------
-        float or None
-            Time at which the next entry is due; None if all are applied.
+        The result is the time at which the next entry is due, None if all are applied.
         """
-        state, now = self.state, current_time()
-        if state.role is Role.PRIMARY:
-            lag = 0.0
-        applied_count = state.applied_count
-        while (
-            applied_count < len(state.log)
-            and state.appended_at[applied_count] + lag <= now
-        ):
-            self._engine.apply(state.log[applied_count])
-            applied_count += 1
-        if applied_count != state.applied_count:
-            self.state = state._replace(applied_count=applied_count)
-        return (
-            state.appended_at[applied_count] + lag
-            if applied_count < len(state.log)
-            else None
-        )
+        count, next_due = count_due_entries(self.state, lag, current_time())
+        for entry in self.state.log[self.state.applied_count : count]:
+            self._engine.apply(entry)
+        self.state = self.state._replace(applied_count=count)
+        return next_due
 
     @singledispatchmethod
     def handle_request(self, request: object, connection: int) -> RequestResult:
@@ -381,25 +353,3 @@
                 "outcome": "ok" if outcome.is_ok() else outcome.error.code,
             }
         )
-
-    @singledispatchmethod
-    def try_answer(self, request: object) -> RequestResult:
-        """Return the answer that a waiting request would get in the current state."""
-        raise TypeError(f"member cannot wait for {type(request).__name__}")
-
-    @try_answer.register
-    def _(self, request: Confirm) -> RequestResult:
-        checked = check_term(self.state, request.term)
-        if checked.is_error():
-            return Error(checked.error)
-        held = decide_confirm(self.state, request)
-        return Ok({"held": held, "promised": self.state.promised})
-
-    @try_answer.register
-    def _(self, request: Replicate) -> RequestResult:
-        decided = decide_replicate(self.state, request)
-        if decided.is_error():
-            refusal = decided.error
-            fields = {**refusal.fields, "name": self.state.name}
-            return Error(refusal._replace(fields=fields))
-        return Ok({"entries": decided.ok, "name": self.state.name})
