Move the decisions about reads of the store into a package of their own

The schedule of the configuration feed stood with the members, and the offset to the store's clock with the rate leases, though three parts use it.

--- a/features/steps/rate_lease_steps.py
+++ b/features/steps/rate_lease_steps.py
@@ -8,10 +8,6 @@
 from hypothesis import strategies as st
 from trio import open_memory_channel
 
-from jackdawspread.decisions.members.poll_schedule import (
-    poll_interval_s,
-    rank_in_domain,
-)
 from jackdawspread.decisions.rate_leases.lease_writes import (
     LEASE_TTL_S,
     PARTS,
@@ -21,7 +17,9 @@
     write_leases,
 )
 from jackdawspread.decisions.rate_leases.scale_limit import scale_limit
-from jackdawspread.decisions.rate_leases.store_clock_offset import (
+from jackdawspread.decisions.store_reads.domain_rank import rank_in_domain
+from jackdawspread.decisions.store_reads.member_poll_schedule import poll_interval_s
+from jackdawspread.decisions.store_reads.store_clock_offset import (
     StoreClockOffset,
     to_local_time,
 )
--- a/src/jackdawspread/decisions/members/feed_schedule.py
+++ b/src/jackdawspread/decisions/store_reads/configuration_schedule.py
@@ -5,7 +5,7 @@
 that on.
 """
 
-from jackdawspread.decisions.members.poll_schedule import MAX_RANK
+from jackdawspread.decisions.store_reads.domain_rank import MAX_RANK
 
 # The store answers the first instance after this time if nothing has changed.
 CONFIRMATION_INTERVAL_S = 3.0
--- a/src/jackdawspread/decisions/members/poll_schedule.py
+++ b/src/jackdawspread/decisions/store_reads/member_poll_schedule.py
@@ -5,17 +5,13 @@
 that usually only the first one reads.
 """
 
-from collections.abc import Mapping
-
-from jackdawspread.messages.fleet.instance_entry import InstanceEntry
+from jackdawspread.decisions.store_reads.domain_rank import MAX_RANK
 
 POLL_INTERVAL_S = 1.0
 # Minimum time between two reads when a newer list is requested.
 MIN_POLL_INTERVAL_S = 0.15
 # Further time that an instance waits for the list of each one that is before it.
 RANK_DELAY_S = 0.4
-# The delays of further instances do not grow.
-MAX_RANK = 8
 
 
 def poll_interval_s(rank: int, is_requested: bool) -> float:
@@ -30,13 +26,3 @@
     """
     interval_s = MIN_POLL_INTERVAL_S if is_requested else POLL_INTERVAL_S
     return interval_s + RANK_DELAY_S * min(rank, MAX_RANK)
-
-
-def rank_in_domain(
-    instance: str, failure_domain: str, entry_by_instance: Mapping[str, InstanceEntry]
-) -> int:
-    """Return how many instances of a failure domain have a smaller id."""
-    return sum(
-        entry.failure_domain == failure_domain and other < instance
-        for other, entry in entry_by_instance.items()
-    )
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -13,14 +13,14 @@
     sleep,
 )
 
-from jackdawspread.decisions.members.feed_schedule import (
+from jackdawspread.decisions.store_reads.configuration_schedule import (
     ANSWER_MARGIN_S,
     confirmation_timeout_s,
     feed_wait_s,
     retry_delay_s,
 )
-from jackdawspread.decisions.members.poll_schedule import rank_in_domain
-from jackdawspread.decisions.rate_leases.store_clock_offset import (
+from jackdawspread.decisions.store_reads.domain_rank import rank_in_domain
+from jackdawspread.decisions.store_reads.store_clock_offset import (
     StoreClockOffset,
     to_local_time,
     update_offset,
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -12,11 +12,9 @@
 )
 
 from jackdawspread.decisions.members.listing_retention import retain_members
-from jackdawspread.decisions.members.poll_schedule import (
-    poll_interval_s,
-    rank_in_domain,
-)
-from jackdawspread.decisions.rate_leases.store_clock_offset import (
+from jackdawspread.decisions.store_reads.domain_rank import rank_in_domain
+from jackdawspread.decisions.store_reads.member_poll_schedule import poll_interval_s
+from jackdawspread.decisions.store_reads.store_clock_offset import (
     StoreClockOffset,
     to_local_time,
     to_store_time,
--- a/src/jackdawspread/tasks/fleet/rate_lease_task.py
+++ b/src/jackdawspread/tasks/fleet/rate_lease_task.py
@@ -20,7 +20,7 @@
     write_leases,
 )
 from jackdawspread.decisions.rate_leases.rate_lease_record import RateLeaseRecord
-from jackdawspread.decisions.rate_leases.store_clock_offset import (
+from jackdawspread.decisions.store_reads.store_clock_offset import (
     StoreClockOffset,
     to_local_time,
     to_store_time,
