Remove the entries of instances that no longer register

The entry of a replaced instance stayed in the store for ever. A restarted fleet would have counted it for 150 s, which delays the reads of the others and lowers their limits of connections. The instance with the smallest id removes an entry that was not written again for 150 s, under the version that it read. Found by reading; the scenario on the lost instance fails without the removal.

--- a/features/wire/table_store.py
+++ b/features/wire/table_store.py
@@ -105,6 +105,8 @@
         for row in body["Puts"]:
             value = b64decode(str(row["Value"]))
             self.put(str(row["Table"]), str(row["Key"]), value)
+        for row in body["Remove"]:
+            self.delete(str(row["Table"]), str(row["Key"]))
         return _respond(200, self._version_and_time())
 
     def _handle_promotion(self, request: HttpRequest) -> HttpResponse:
--- a/src/jackdawspread/messages/fleet/record_request.py
+++ b/src/jackdawspread/messages/fleet/record_request.py
@@ -3,6 +3,7 @@
 from jackdawspread.messages.fleet.record_list import RecordList
 from jackdawspread.messages.fleet.record_put import RecordPut
 from jackdawspread.messages.fleet.record_read import RecordRead
+from jackdawspread.messages.fleet.record_removal import RecordRemoval
 from jackdawspread.messages.fleet.record_write import RecordWrite
 
-RecordRequest = RecordList | RecordPut | RecordRead | RecordWrite
+RecordRequest = RecordList | RecordPut | RecordRead | RecordRemoval | RecordWrite
--- a/src/jackdawspread/platform/record_store.py
+++ b/src/jackdawspread/platform/record_store.py
@@ -16,6 +16,7 @@
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_put import RecordPut
 from jackdawspread.messages.fleet.record_read import RecordRead
+from jackdawspread.messages.fleet.record_removal import RecordRemoval
 from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.messages.fleet.record_write import RecordWrite
@@ -31,6 +32,10 @@
 OK = 200
 CONFLICT = 412
 
+# Entry of a transaction, and several of them.
+Entry = dict[str, str | int]
+Entries = tuple[Entry, ...]
+
 
 class RecordStore:
     """Reads and writes records, one call at a time.
@@ -83,11 +88,19 @@
     @_execute.register
     async def _(self, request: RecordWrite, client: HttpClient) -> RecordOutcome:
         expected = {**_row(request.name), "Ver": request.expected_version}
-        return await self._write(client, request.name, request.value, [expected])
+        put = {**_row(request.name), "Value": b64encode(request.value).decode()}
+        return await self._change(client, request.name, (expected,), (put,), ())
 
     @_execute.register
     async def _(self, request: RecordPut, client: HttpClient) -> RecordOutcome:
-        return await self._write(client, request.name, request.value, [])
+        put = {**_row(request.name), "Value": b64encode(request.value).decode()}
+        return await self._change(client, request.name, (), (put,), ())
+
+    @_execute.register
+    async def _(self, request: RecordRemoval, client: HttpClient) -> RecordOutcome:
+        row = _row(request.name)
+        expected = {**row, "Ver": request.expected_version}
+        return await self._change(client, request.name, (expected,), (), (row,))
 
     @_execute.register
     async def _(
@@ -100,17 +113,18 @@
             return None
         return [StoredRecord(row.key, row.version, row.value) for row in rows]
 
-    async def _write(
+    async def _change(
         self,
         client: HttpClient,
         name: str,
-        value: bytes,
-        expected: list[dict[str, str | int]],
+        expected: Entries,
+        puts: Entries,
+        removals: Entries,
     ) -> RecordOutcome:
         body = {
-            "ExpectedRev": expected,
-            "Puts": [{**_row(name), "Value": b64encode(value).decode()}],
-            "Remove": [],
+            "ExpectedRev": list(expected),
+            "Puts": list(puts),
+            "Remove": list(removals),
         }
         outcome = await client.call(
             "POST", "/rows-tx", body, current_time() + CALL_TIMEOUT_S
@@ -134,7 +148,7 @@
         )
 
 
-def _row(name: str) -> dict[str, str | int]:
+def _row(name: str) -> Entry:
     return {"Table": TABLE, "part": "", "Key": name}
 
 
--- a/src/jackdawspread/tasks/fleet/instance_directory.py
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -22,8 +22,8 @@
 REGISTRATION_INTERVAL_S = 60.0
 # Instances that start at the same time have registered after this time.
 SETTLING_S = 2.0
-# An entry that was not written again for this long is dropped; longer than two
-# registrations.
+# An entry that was not written again for this long is dropped, and removed by the
+# instance with the smallest id; longer than two registrations.
 ENTRY_TTL_S = 150.0
 RETRY_DELAY_S = 2.0
 
@@ -79,19 +79,25 @@
             if records is None:
                 await sleep(RETRY_DELAY_S)
                 continue
-            await self._publish(records)
+            expired = await self._publish(records)
+            for record in expired:
+                await self._records.remove(record.name, record.version)
             await sleep(REGISTRATION_INTERVAL_S)
 
-    async def _publish(self, records: list[StoredRecord]) -> None:
+    async def _publish(self, records: list[StoredRecord]) -> list[StoredRecord]:
+        """Publish the list; return the expired entries that this instance removes."""
         now = current_time()
         entry_by_instance = {self._instance: self._entry}
+        expired = []
         for record in records:
             instance = record.name.removeprefix(PREFIX)
             if record.version != self._version_by_instance.get(instance):
                 self._version_by_instance[instance] = record.version
                 self._valid_until_by_instance[instance] = now + ENTRY_TTL_S
             entry = _decode_entry(record)
-            if entry is not None and now < self._valid_until_by_instance[instance]:
+            if now >= self._valid_until_by_instance[instance]:
+                expired.append(record)
+            elif entry is not None:
                 entry_by_instance[instance] = entry
         logging.info("instance: fleet read instances=%d", len(entry_by_instance))
         seen = PeersSeen(entry_by_instance)
@@ -99,6 +105,7 @@
         await self._members.send(seen)
         await self._configurations.send(seen)
         await self._router.send(InstancesSeen(len(entry_by_instance)))
+        return expired if self._instance == min(entry_by_instance) else []
 
 
 def _decode_entry(record: StoredRecord) -> InstanceEntry | None:
--- a/src/jackdawspread/tasks/fleet/record_client.py
+++ b/src/jackdawspread/tasks/fleet/record_client.py
@@ -6,6 +6,7 @@
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_put import RecordPut
 from jackdawspread.messages.fleet.record_read import RecordRead
+from jackdawspread.messages.fleet.record_removal import RecordRemoval
 from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.messages.fleet.record_write import RecordWrite
 from jackdawspread.messages.fleet.stored_record import StoredRecord
@@ -41,6 +42,12 @@
         await self._store.send(RecordPut(name, value, send))
         return await receive.receive()
 
+    async def remove(self, name: str, expected: int) -> RecordOutcome:
+        """Remove a record if it has the expected version."""
+        send, receive = open_memory_channel[RecordOutcome](1)
+        await self._store.send(RecordRemoval(name, expected, send))
+        return await receive.receive()
+
     async def list(self, prefix: str) -> list[StoredRecord] | None:
         """Read all records whose names begin with a prefix."""
         send, receive = open_memory_channel[list[StoredRecord] | None](1)
