Keep the caller of the open transaction connected in its scenario

The scenario on open transactions dropped its caller, whose socket was then closed, so the transaction was rolled back and its connection was free.

--- a/features/steps/fleet_size_steps.py
+++ b/features/steps/fleet_size_steps.py
@@ -42,10 +42,10 @@
 
 @when("a caller pauses in a transaction at an instance")
 def pauses(context: Context) -> None:
-    """Leave a transaction open that has written."""
-    caller = context.platform.open("primary-db")
+    """Leave a transaction open that has written; its caller stays connected."""
+    context.paused = context.platform.open("primary-db")
     for text in ("BEGIN", "WRITE held 1"):
-        answer = context.platform.query(caller, text)
+        answer = context.platform.query(context.paused, text)
         assert "DONE" in answer[-2], answer
 
 
