Share member connections through pool hosts in large fleets

Cause: in a fleet of 26 or more instances none could keep an idle connection of a workspace to a member, so nearly every statement opened one. Opening takes 12 to 27 ms of one of 2 to 6 slots of the member, as much as the statement itself, and a primary with a skewed database refused what it had no slot for.

Change: four instances for each group of members, chosen by rendezvous hashing over the failure domains, keep the connections of its workspaces. The others lease them over one TCP stream to each host and run their exchanges on it. The sessions keep all decisions about retries and outcomes. A request never waits for a stream: until one is open, and whenever one is lost, silent for 0.4 s or draining, the next host or this instance serves it. An exchange that may have reached a lost host has an unknown outcome and is not repeated. A host closes the connections of a lost stream, so that members roll back. Fleets under eight instances keep their own connections as before.

Ruled out: connections shared between workspaces (a connection names its workspace once); a longer idle time at each instance (two operations of one workspace seldom reach the same instance within a second); grpcio for the streams (its import doubles the start time, which an outage of all instances shows to callers).

The scenario on connections of one workspace fails without pool hosts.

--- /dev/null
+++ b/features/pool_hosts.feature
@@ -0,0 +1,68 @@
+Feature: Member connections that a fleet shares
+  In a large fleet a few instances keep the connections of a workspace to a group of
+  members. The others use them over one stream, and their own connections without it.
+
+  Scenario: All instances choose the same hosts, in all failure domains
+    # Guards against connections that are kept where no other instance looks for them.
+    Given the lists of 4, 26, 78 and 300 instances in 5 failure domains
+    Then the fleet of 4 instances has no pool hosts
+    And larger fleets have 4 hosts for each group, in 4 failure domains
+    And two instances whose lists are ordered differently choose the same hosts
+
+  Scenario: A workspace does not open a connection at every instance
+    # Guards against a connection for nearly every statement: opening it occupies the
+    # member as long as the statement itself.
+    Given 31 instances and members that accept 56 connections
+    When each instance has run a write of the same workspace
+    And each instance runs 2 more writes of the same workspace
+    Then the members have accepted at most 4 connections for them
+
+  Scenario: A transaction at another instance's connection keeps its isolation
+    # Guards against statements of different transactions on one connection (PINNED).
+    Given 12 instances and members that accept 56 connections
+    When each instance has run a write of the same workspace
+    And two instances run transactions with session values at the same time
+    Then each transaction ran on one connection with its own values
+
+  Scenario: A pool host is killed
+    # Guards against callers that are refused until the list no longer names the host.
+    Given 12 instances and members that accept 56 connections
+    When each instance has run a write of the same workspace
+    And the pool host of the workspace is killed
+    Then every other instance still runs a write of the workspace
+
+  Scenario: A pool host is stopped while another instance uses its connections
+    # Guards against transactions that a planned stop of a third instance aborts.
+    Given 12 instances and members that accept 56 connections
+    When each instance has run a write of the same workspace
+    And a caller at another instance has written in a transaction
+    And the pool host of the workspace is stopped
+    Then every other instance still runs a write of the workspace
+    And the open transaction commits
+
+  Scenario: A pool host goes silent after it received a write
+    # Guards against a write that is run again after its answer was lost (TWICE), and
+    # against a false "not run".
+    Given a stream to a pool host that grants leases and answers nothing else
+    When a write is forwarded to it
+    Then the write has an unknown outcome, and nothing is said about the member
+    And the request for a lease that it left unanswered is served by this instance
+    And nothing more is sent on the lost lease
+
+  Scenario: An instance is lost while it uses a connection of a pool host
+    # Guards against a connection with an open transaction that is used again.
+    Given a pool host with one lease in use by another instance
+    When the stream of the other instance breaks
+    Then the pool host closes the connection of the lease
+
+  Scenario: A malformed frame ends only its own stream
+    # Guards against one malformed message that ends the process.
+    Given a pool host with one lease in use by another instance
+    When a third instance sends a malformed frame
+    Then its stream is closed
+    And the lease still runs exchanges
+
+  Scenario: Messages between instances survive their encoding
+    # Guards against a statement that arrives at the pool host as another one.
+    Then every statement that is forwarded is decoded unchanged
+    And every other message between an instance and a pool host too
--- a/features/steps/instance_directory_steps.py
+++ b/features/steps/instance_directory_steps.py
@@ -38,13 +38,15 @@
 def _start(context: Context, name: str, entry: InstanceEntry) -> None:
     scope = context.scope_by_instance[name] = CancelScope()
     # The receiving ends are kept, as a channel without one is broken.
-    (router, _router), (members, _members), (feed, _feed), (peers, seen) = (
+    (router, _router), (broker, _broker), (members, _members), (feed, _feed) = (
         open_memory_channel(INBOX) for _ in range(4)
     )
+    peers, seen = open_memory_channel(INBOX)
     context.seen_by_instance[name] = seen
-    context.unread = [*getattr(context, "unread", []), _router, _members, _feed]
+    unread = getattr(context, "unread", [])
+    context.unread = [*unread, _router, _broker, _members, _feed]
     directory = InstanceDirectory(
-        name, entry, context.records, router, members, feed, peers
+        name, entry, context.records, router, broker, members, feed, peers
     )
 
     async def run() -> None:
--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -7,7 +7,15 @@
 from features.wire.wire_caller import WireCaller
 from features.wire.wire_group import WireGroup
 from features.wire.wire_member import WireMember
-from trio import Event, Nursery, open_nursery, open_tcp_listeners, sleep, sleep_forever
+from trio import (
+    CancelScope,
+    Event,
+    Nursery,
+    open_nursery,
+    open_tcp_listeners,
+    sleep,
+    sleep_forever,
+)
 
 from jackdawspread.platform.composition import PlatformInstance
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
@@ -37,7 +45,8 @@
         self._instances = instances
         self._thread = TrioThread(real_time=True)
         self._nursery: Nursery
-        self._stopping = Event()
+        self._stopping_by_instance = [Event() for _ in range(instances)]
+        self._scope_by_instance = [CancelScope() for _ in range(instances)]
         self.is_stopped = False
         self.store = TableStore(self._promote)
         self.group = WireGroup(GROUP, self.store)
@@ -77,9 +86,17 @@
         """Run a coroutine function in the thread of the world."""
         return self._thread.call(function, *args)
 
-    def stop(self) -> None:
-        """Begin a graceful shutdown."""
-        self.call(_as_coroutine, self._stopping.set)
+    def stop(self, instance: int = 0) -> None:
+        """Begin a graceful shutdown of an instance."""
+        self.call(_as_coroutine, self._stopping_by_instance[instance].set)
+
+    def kill(self, instance: int) -> None:
+        """End an instance at once; its sockets are closed."""
+        self.call(_as_coroutine, self._scope_by_instance[instance].cancel)
+
+    def connections(self) -> int:
+        """Return how many connections the members have accepted so far."""
+        return sum(member.accepted for member in self.member_by_id.values())
 
     def close(self) -> None:
         """End the stand-ins and the instances."""
@@ -139,11 +156,13 @@
             max_configuration_age_s=15.0,
             max_sessions=100,
         )
-        self._nursery.start_soon(self._run_instance, settings)
+        self._nursery.start_soon(self._run_instance, number, settings)
 
-    async def _run_instance(self, settings: SessionProxySettings) -> None:
-        await PlatformInstance(settings, self._stopping).run()
-        self.is_stopped = True
+    async def _run_instance(self, number: int, settings: SessionProxySettings) -> None:
+        stopping = self._stopping_by_instance[number]
+        with self._scope_by_instance[number]:
+            await PlatformInstance(settings, stopping).run()
+            self.is_stopped = True
 
     async def _wait_until_serving(self, address: str) -> None:
         while True:
--- a/features/wire/wire_member.py
+++ b/features/wire/wire_member.py
@@ -26,6 +26,7 @@
         self.group = group
         self._listener = listener
         self._scope = CancelScope()
+        self.accepted = 0
 
     async def run(self) -> None:
         """Serve until the member is killed."""
@@ -33,6 +34,7 @@
             async with open_nursery() as connections:
                 while True:
                     stream = await self._listener.accept()
+                    self.accepted += 1
                     connections.start_soon(self._serve, stream)
         await self._listener.aclose()
 
--- a/src/jackdawspread/decisions/members/connection_limits.py
+++ b/src/jackdawspread/decisions/members/connection_limits.py
@@ -13,6 +13,10 @@
 # need together is bounded by the member, which refuses a connection above its limit
 # before anything has run.
 OPEN_FRACTION = 0.25
+# Fraction of a member's connections that its pool hosts keep open while they are idle.
+# The rest serves the instances that can't reach a pool host, and those that restart
+# while the member still counts the connections of their predecessors.
+HOSTED_FRACTION = 0.6
 
 
 class ConnectionLimits(NamedTuple):
@@ -31,11 +35,7 @@
 
 
 def connection_limits(max_connections: int, instances: int) -> ConnectionLimits:
-    """Return the limits of each of ``instances``.
-
-    Connections follow the demand. With many instances none may keep an idle connection:
-    an equal part would be smaller than what one transaction needs.
-    """
+    """Return the limits of each of ``instances`` that don't share connections."""
     instances = max(1, instances)
     reserved = min(
         int((1 - UNRESERVED_FRACTION) * max_connections),
@@ -43,3 +43,15 @@
     )
     idle = max(0, reserved // instances)
     return ConnectionLimits(max(1, idle, int(OPEN_FRACTION * max_connections)), idle)
+
+
+def pool_host_limits(
+    max_connections: int, hosts: int, is_host: bool
+) -> ConnectionLimits:
+    """Return the limits of an instance in a fleet in which ``hosts`` share connections.
+
+    An instance that is not a host opens connections only when it can't reach one, and
+    keeps none of them.
+    """
+    idle = int(HOSTED_FRACTION * max_connections) // hosts if is_host else 0
+    return ConnectionLimits(max(1, idle, int(OPEN_FRACTION * max_connections)), idle)
--- a/src/jackdawspread/decisions/sessions/statement_outcome.py
+++ b/src/jackdawspread/decisions/sessions/statement_outcome.py
@@ -22,7 +22,7 @@
         Number of attempts, including those that found no member.
     conditions_text : str
         ``"lead"`` if the member had to be the primary, else the log position that it
-        had to have, and the age of that position.
+        had to have, and the age of that position; then the pool host, if any.
     """
 
     result: StatementSuccess | Refusal
--- a/src/jackdawspread/messages/fleet/member_lease.py
+++ b/src/jackdawspread/messages/fleet/member_lease.py
@@ -5,6 +5,7 @@
 from trio import MemorySendChannel
 
 from jackdawspread.messages.fleet.connection_context import ConnectionContext
+from jackdawspread.messages.pool_hosts.lease_event import LeaseEvent
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.statements.member_exchange import MemberExchange
 
@@ -15,7 +16,7 @@
     Parameters
     ----------
     connection : int
-        Id of the connection, unique in the process.
+        Id of the connection, unique in the process or on the stream to its host.
     member : str
         Id of the member.
     group : str
@@ -31,6 +32,10 @@
         Position that a replica's log must have reached before it serves a read.
     position_age_s : float
         Age of the position sample from which ``required_position`` was taken.
+    host : str
+        Id of the pool host that has the connection; empty if it is this instance.
+    host_link : trio.MemorySendChannel or None
+        Inbox of the stream to the pool host.
     """
 
     connection: int
@@ -41,3 +46,5 @@
     requires_primary: bool
     required_position: Position | None
     position_age_s: float
+    host: str = ""
+    host_link: MemorySendChannel[LeaseEvent] | None = None
--- /dev/null
+++ b/src/jackdawspread/messages/pool_hosts/lease_requested.py
@@ -0,0 +1,42 @@
+"""Request to a pool host for a member connection."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.fleet.member_requirement import MemberRequirement
+from jackdawspread.messages.position import Position
+
+
+class LeaseRequested(NamedTuple):
+    """Asks a pool host to lease one of its member connections.
+
+    Parameters
+    ----------
+    lease : int
+        Id of the lease, unique on the stream.
+    group : str
+        Member group.
+    workspace : str
+        Workspace on whose behalf the connection is used.
+    requirement : MemberRequirement
+        Requirement on the member.
+    max_staleness_s : float
+        Maximum staleness of a read in seconds if a fresh member is required.
+    session_position : Position or None
+        Log position of the session's newest commit, which a fresh member must have.
+    excluded : frozenset of str
+        Ids of members that refused or failed earlier attempts.
+    priority : int
+        Priority of the request; 0 is the highest.
+    wait_s : float
+        Seconds for which the request may still wait.
+    """
+
+    lease: int
+    group: str
+    workspace: str
+    requirement: MemberRequirement
+    max_staleness_s: float
+    session_position: Position | None
+    excluded: frozenset[str]
+    priority: int
+    wait_s: float
--- a/src/jackdawspread/messages/statements/exchange_failure.py
+++ b/src/jackdawspread/messages/statements/exchange_failure.py
@@ -14,8 +14,12 @@
         Description of the failure.
     timed_out : bool
         Whether the deadline passed while the connection was still open.
+    at_host : bool
+        Whether the connection to the pool host failed, which says nothing about the
+        member.
     """
 
     sent: bool
     reason: str
     timed_out: bool = False
+    at_host: bool = False
--- a/src/jackdawspread/messages/statements/member_exchange.py
+++ b/src/jackdawspread/messages/statements/member_exchange.py
@@ -22,8 +22,11 @@
         connection is closed.
     reply_to : trio.MemorySendChannel
         Receives the reply to the last command, or the first error.
+    connection : int
+        Id of the lease on which the commands run.
     """
 
     commands: tuple[MemberCommand, ...]
     deadline: float
     reply_to: MemorySendChannel[MemberReply | ExchangeFailure]
+    connection: int
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -15,6 +15,7 @@
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.platform.caller_wire_codec import CallerWireCodec
 from jackdawspread.platform.configuration_feed import ConfigurationFeed
 from jackdawspread.platform.member_poll import MemberPoll
@@ -37,11 +38,14 @@
 from jackdawspread.tasks.http_server import HttpServer
 from jackdawspread.tasks.listen import listen
 from jackdawspread.tasks.members.member_router import MemberRouter
+from jackdawspread.tasks.pool_hosts.lease_broker import LeaseBroker
+from jackdawspread.tasks.pool_hosts.pool_server import PoolServer
 from jackdawspread.tasks.sessions.session_listener import SessionListener
 
 # Inbox sizes. A full inbox refuses further requests, which bounds the memory use under
 # overload.
 ROUTER_INBOX = 20_000
+BROKER_INBOX = 10_000
 ADMISSION_INBOX = 10_000
 PEERS_INBOX = 10_000
 SMALL_INBOX = 64
@@ -71,6 +75,9 @@
         self._router, self._router_inbox = open_memory_channel[RouterEvent](
             ROUTER_INBOX
         )
+        self._broker, self._broker_inbox = open_memory_channel[LeaseBrokerEvent](
+            BROKER_INBOX
+        )
         self._admission, self._admission_inbox = open_memory_channel[AdmissionEvent](
             ADMISSION_INBOX
         )
@@ -97,10 +104,15 @@
                 await listen(self._settings.session_address),
                 CallerWireCodec,
                 self._admission,
+                self._broker,
                 self._router,
                 self._settings.max_sessions,
             )
+            pool_server = PoolServer(
+                await listen(self._settings.peer_address), self._router
+            )
             tasks.start_soon(listener.run)
+            tasks.start_soon(pool_server.run)
             tasks.start_soon(ActivityLog().run)
             logging.info(
                 "instance: started name=%s failure_domain=%s address=%s",
@@ -109,13 +121,17 @@
                 self._settings.session_address,
             )
             await self._stopping.wait()
-            await listener.stop(self._stop_times())
+            stop_times = self._stop_times()
+            pool_server.drain(self._settings.grace_s)
+            await listener.stop(stop_times)
+            await pool_server.wait_released(stop_times.exit_at)
             tasks.cancel_scope.cancel()
         logging.info("instance: stopped name=%s", self._settings.instance)
 
     def _start_routing(self, tasks: Nursery) -> None:
         settings = self._settings
         router = MemberRouter(
+            self._instance_id,
             settings.failure_domain,
             settings.drain_s,
             MemberWireCodec,
@@ -129,7 +145,11 @@
             self._admission_inbox,
             self._peers,
         )
+        broker = LeaseBroker(
+            self._instance_id, self._broker_inbox, self._broker, self._router
+        )
         tasks.start_soon(router.run)
+        tasks.start_soon(broker.run)
         tasks.start_soon(admission.run)
 
     def _start_store_readers(self, tasks: Nursery) -> None:
@@ -184,6 +204,7 @@
             entry,
             self._open_records("instances", tasks),
             self._router,
+            self._broker,
             self._members,
             self._feed,
             self._peers,
--- a/src/jackdawspread/tasks/fleet/activity_log.py
+++ b/src/jackdawspread/tasks/fleet/activity_log.py
@@ -9,6 +9,7 @@
 from jackdawspread.tasks.fleet.fleet_metrics import (
     DATAGRAMS,
     MEMBER_CONNECTIONS,
+    MEMBER_LEASES,
     STORE_CALLS,
     TOKEN_REQUESTS,
 )
@@ -19,6 +20,7 @@
     "datagrams": DATAGRAMS,
     "token_requests": TOKEN_REQUESTS,
     "member_connections": MEMBER_CONNECTIONS,
+    "member_leases": MEMBER_LEASES,
 }
 
 
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -38,6 +38,11 @@
     "Attempts to open a connection to a member, by result.",
     ("result",),
 )
+MEMBER_LEASES = Counter(
+    "jackdawspread_member_leases",
+    "Requests for a member connection by the instance that serves them.",
+    ("place",),
+)
 PROMOTIONS = Counter(
     "jackdawspread_promotions", "Attempts to promote a member, by result.", ("result",)
 )
--- a/src/jackdawspread/tasks/fleet/instance_directory.py
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -9,13 +9,13 @@
     ConfigurationFeedEvent,
 )
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
-from jackdawspread.messages.fleet.instances_seen import InstancesSeen
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.fleet.stored_record import StoredRecord
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.tasks.fleet.record_client import RecordClient
 
 PREFIX = "instance-"
@@ -41,8 +41,8 @@
         Address and failure domain of this instance.
     records : RecordClient
         Access to the store.
-    router, members, configurations, peers : trio.MemorySendChannel
-        Receive the number or the list of the instances.
+    router, broker, members, configurations, peers : trio.MemorySendChannel
+        Receive the list of the instances.
     """
 
     def __init__(
@@ -51,6 +51,7 @@
         entry: InstanceEntry,
         records: RecordClient,
         router: MemorySendChannel[RouterEvent],
+        broker: MemorySendChannel[LeaseBrokerEvent],
         members: MemorySendChannel[MemberPollEvent],
         configurations: MemorySendChannel[ConfigurationFeedEvent],
         peers: MemorySendChannel[PeerEvent],
@@ -59,6 +60,7 @@
         self._entry = entry
         self._records = records
         self._router = router
+        self._broker = broker
         self._members = members
         self._configurations = configurations
         self._peers = peers
@@ -104,7 +106,8 @@
         await self._peers.send(seen)
         await self._members.send(seen)
         await self._configurations.send(seen)
-        await self._router.send(InstancesSeen(len(entry_by_instance)))
+        await self._router.send(seen)
+        await self._broker.send(seen)
         return expired if self._instance == min(entry_by_instance) else []
 
 
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -13,19 +13,24 @@
     open_nursery,
 )
 
-from jackdawspread.decisions.members.connection_limits import connection_limits
+from jackdawspread.decisions.members.connection_limits import (
+    ConnectionLimits,
+    connection_limits,
+    pool_host_limits,
+)
 from jackdawspread.decisions.members.eligible_members import (
     lease_conditions,
     read_candidates,
     usable_primary,
 )
 from jackdawspread.decisions.members.member_choice import choose_member
+from jackdawspread.decisions.pool_hosts.choose_pool_hosts import choose_pool_hosts
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
-from jackdawspread.messages.fleet.instances_seen import InstancesSeen
+from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
 from jackdawspread.messages.fleet.member_group import MemberGroup
@@ -34,6 +39,7 @@
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
+from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.position_seen import PositionSeen
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
@@ -55,8 +61,8 @@
 
     Parameters
     ----------
-    failure_domain : str
-        Failure domain of this instance.
+    instance, failure_domain : str
+        Id and failure domain of this instance.
     drain_s : float
         Time in seconds after which a leaving member gets no new work.
     make_codec : callable
@@ -71,6 +77,7 @@
 
     def __init__(
         self,
+        instance: str,
         failure_domain: str,
         drain_s: float,
         make_codec: Callable[[], MemberCodec],
@@ -79,6 +86,7 @@
         failover: MemorySendChannel[FailoverTrigger],
         refresh: MemorySendChannel[RefreshMembers],
     ) -> None:
+        self._instance = instance
         self._failure_domain = failure_domain
         self._drain_s = drain_s
         self._make_codec = make_codec
@@ -87,7 +95,7 @@
         self._group_monitor = GroupMonitor(failover, refresh)
         self._group_by_name: dict[str, MemberGroup] = {}
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
-        self._instances = 1
+        self._entry_by_instance: dict[str, InstanceEntry] = {}
         self._pools: ConnectionPools
 
     async def run(self) -> None:
@@ -164,10 +172,11 @@
             self._set_limits()
 
     @_handle.register
-    def _(self, event: InstancesSeen, now: float) -> None:
-        if event.instances != self._instances:
-            logging.info("router: instances changed count=%d", event.instances)
-            self._instances = event.instances
+    def _(self, event: PeersSeen, now: float) -> None:
+        if event.entry_by_instance != self._entry_by_instance:
+            self._entry_by_instance = event.entry_by_instance
+            instances = len(self._entry_by_instance)
+            logging.info("router: instances changed count=%d", instances)
             self._set_limits()
 
     def _handle_observation(self, event: MemberObservation, now: float) -> None:
@@ -237,8 +246,18 @@
         return pool.listing.group if pool is not None else ""
 
     def _set_limits(self) -> None:
+        limits_by_group = {
+            name: self._limits(group) for name, group in self._group_by_name.items()
+        }
         for member, pool in self._pools.pool_by_member.items():
-            group = self._group_by_name.get(pool.listing.group)
-            if group is not None:
-                limits = connection_limits(group.max_connections, self._instances)
-                self._pools.set_limits(member, limits)
+            if pool.listing.group in limits_by_group:
+                self._pools.set_limits(member, limits_by_group[pool.listing.group])
+
+    def _limits(self, group: MemberGroup) -> ConnectionLimits:
+        hosts = choose_pool_hosts(group.name, self._entry_by_instance)
+        if not hosts:
+            instances = len(self._entry_by_instance)
+            return connection_limits(group.max_connections, instances)
+        return pool_host_limits(
+            group.max_connections, len(hosts), self._instance in hosts
+        )
--- a/src/jackdawspread/tasks/members/run_exchange.py
+++ b/src/jackdawspread/tasks/members/run_exchange.py
@@ -24,7 +24,10 @@
     """
     send, receive = open_memory_channel[MemberReply | ExchangeFailure](1)
     try:
-        lease.exchanges.send_nowait(MemberExchange(commands, deadline, send))
+        lease.exchanges.send_nowait(
+            MemberExchange(commands, deadline, send, lease.connection)
+        )
     except (BrokenResourceError, ClosedResourceError, WouldBlock):
-        return ExchangeFailure(False, "the connection was lost while idle")
+        reason = "the connection was lost while idle"
+        return ExchangeFailure(False, reason, at_host=bool(lease.host))
     return await receive.receive()
--- /dev/null
+++ b/src/jackdawspread/tasks/pool_hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that share member connections between instances."""
--- /dev/null
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -0,0 +1,347 @@
+"""Stream from this instance to a pool host."""
+
+from functools import singledispatchmethod
+from itertools import count
+
+from absl import logging
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    MemoryReceiveChannel,
+    MemorySendChannel,
+    SocketStream,
+    TooSlowError,
+    WouldBlock,
+    current_time,
+    fail_after,
+    move_on_after,
+    open_memory_channel,
+    open_nursery,
+)
+
+from jackdawspread.codecs.pool_host_frames import PoolHostFrames, encode_frame
+from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.member_lease import MemberLease
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.exchange_answered import ExchangeAnswered
+from jackdawspread.messages.pool_hosts.exchange_failed import ExchangeFailed
+from jackdawspread.messages.pool_hosts.exchange_requested import ExchangeRequested
+from jackdawspread.messages.pool_hosts.host_draining import HostDraining
+from jackdawspread.messages.pool_hosts.host_link_closed import HostLinkClosed
+from jackdawspread.messages.pool_hosts.host_link_event import HostLinkEvent
+from jackdawspread.messages.pool_hosts.host_link_opened import HostLinkOpened
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
+from jackdawspread.messages.pool_hosts.lease_granted import LeaseGranted
+from jackdawspread.messages.pool_hosts.lease_refused import LeaseRefused
+from jackdawspread.messages.pool_hosts.lease_released import LeaseReleased
+from jackdawspread.messages.pool_hosts.lease_requested import LeaseRequested
+from jackdawspread.messages.pool_hosts.link_probe import LinkProbe
+from jackdawspread.messages.pool_hosts.primary_confirmed import PrimaryConfirmed
+from jackdawspread.messages.pool_hosts.write_stalled import WriteStalled
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
+from jackdawspread.messages.statements.member_exchange import MemberExchange
+from jackdawspread.messages.statements.member_reply import MemberReply
+from jackdawspread.tasks.boot_clock import seconds_since_boot
+from jackdawspread.tasks.open_stream import open_stream
+from jackdawspread.tasks.pool_hosts.pending_exchange import PendingExchange
+
+STEP = "routing"
+READ_CHUNK_BYTES = 64 * 1024
+INBOX = 2_000
+# While answers are outstanding the host is probed at this interval.
+PROBE_INTERVAL_S = 0.1
+# A host that has sent nothing for this long while answers are outstanding is given up.
+# Its leases are lost; the requests that wait for one are served by this instance.
+SILENCE_LIMIT_S = 0.4
+# Time for which the host may answer an exchange after its deadline.
+ANSWER_RESERVE_S = 0.1
+REOPEN_DELAY_S = 1.0
+
+
+class PoolHostLink:
+    """Owns the stream to one pool host and the leases that the host has granted.
+
+    When the stream is lost, the requests that wait for a lease go to the router of
+    this instance. An exchange that may have reached the host has an unknown outcome.
+
+    Parameters
+    ----------
+    host : str
+        Id of the pool host.
+    address : str
+        ``IP:port`` of the pool host.
+    broker : trio.MemorySendChannel
+        Inbox of the lease broker, which is notified when the stream opens and closes.
+    router : trio.MemorySendChannel
+        Inbox of this instance's member router.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        address: str,
+        broker: MemorySendChannel[LeaseBrokerEvent],
+        router: MemorySendChannel[RouterEvent],
+    ) -> None:
+        self._host = host
+        self._address = address
+        self._broker = broker
+        self._router = router
+        self._link: MemorySendChannel[HostLinkEvent]
+        self._ids = count(1)
+        self._request_by_lease: dict[int, ConnectionRequest] = {}
+        self._pending_by_exchange: dict[int, PendingExchange] = {}
+        # Monotonic time of the last received bytes, or of the first request after a
+        # time without any.
+        self._heard_at = 0.0
+        self._reason = "closed by the host"
+        self._is_draining = False
+
+    async def run(self) -> None:
+        """Open the stream and serve the inbox until the stream is lost."""
+        try:
+            stream = await open_stream(self._address)
+        except OSError as error:
+            self._reason = f"not opened: {error}"
+            await self._report_closed(REOPEN_DELAY_S)
+            return
+        self._link, inbox = open_memory_channel[HostLinkEvent](INBOX)
+        await self._broker.send(HostLinkOpened(self._host, self._link))
+        try:
+            async with stream, open_nursery() as nursery:
+                nursery.start_soon(self._read, stream, nursery.cancel_scope)
+                await self._write(stream, inbox)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._fail_all(inbox)
+        if not self._is_draining:
+            await self._report_closed(REOPEN_DELAY_S)
+
+    async def _report_closed(self, retry_after_s: float) -> None:
+        closed = HostLinkClosed(self._host, retry_after_s, self._reason)
+        await self._broker.send(closed)
+
+    @property
+    def _is_waiting(self) -> bool:
+        return bool(self._request_by_lease or self._pending_by_exchange)
+
+    async def _read(self, stream: SocketStream, link: CancelScope) -> None:
+        frames = PoolHostFrames()
+        try:
+            while data := await stream.receive_some(READ_CHUNK_BYTES):
+                self._heard_at = current_time()
+                frames.receive(data)
+                while (message := frames.next_message()) is not None:
+                    self._receive(message)
+        except (OSError, BrokenResourceError, ClosedResourceError) as error:
+            self._reason = f"connection failed: {error.__cause__ or error}"
+        except (ValueError, TypeError) as error:
+            logging.warning("broker: invalid message host=%s: %s", self._host, error)
+            self._reason = f"invalid message: {error}"
+        link.cancel()
+
+    async def _write(
+        self, stream: SocketStream, inbox: MemoryReceiveChannel[HostLinkEvent]
+    ) -> None:
+        while True:
+            data = b""
+            interval_s = PROBE_INTERVAL_S if self._is_waiting else float("inf")
+            with move_on_after(interval_s):
+                data = self._encode_all(await inbox.receive(), inbox)
+            self._expire(current_time())
+            if self._is_waiting and current_time() - self._heard_at > SILENCE_LIMIT_S:
+                self._reason = f"silent for {SILENCE_LIMIT_S} s"
+                return
+            try:
+                with fail_after(SILENCE_LIMIT_S):
+                    await stream.send_all(data or encode_frame(LinkProbe(False)))
+            except (OSError, BrokenResourceError, TooSlowError) as error:
+                self._reason = f"connection failed: {error.__cause__ or error}"
+                return
+
+    def _encode_all(
+        self, event: HostLinkEvent, inbox: MemoryReceiveChannel[HostLinkEvent]
+    ) -> bytes:
+        """Encode an event and those that are queued behind it."""
+        if not self._is_waiting:
+            self._heard_at = current_time()
+        frames = [self._encode(event)]
+        while True:
+            try:
+                frames.append(self._encode(inbox.receive_nowait()))
+            except WouldBlock:
+                return b"".join(frames)
+
+    @singledispatchmethod
+    def _encode(self, event: object) -> bytes:
+        raise TypeError(f"a pool host is not sent {type(event).__name__}")
+
+    @_encode.register
+    def _(self, event: ConnectionRequest) -> bytes:
+        lease = next(self._ids)
+        self._request_by_lease[lease] = event
+        return encode_frame(
+            LeaseRequested(
+                lease,
+                event.group,
+                event.workspace,
+                event.requirement,
+                event.max_staleness_s,
+                event.session_position,
+                event.excluded,
+                event.priority,
+                event.expires_at - current_time(),
+            )
+        )
+
+    @_encode.register
+    def _(self, event: MemberExchange) -> bytes:
+        exchange = next(self._ids)
+        self._pending_by_exchange[exchange] = PendingExchange(
+            event, seconds_since_boot()
+        )
+        time_left_s = event.deadline - current_time()
+        return encode_frame(
+            ExchangeRequested(event.connection, exchange, event.commands, time_left_s)
+        )
+
+    @_encode.register(LeaseReleased)
+    @_encode.register(PrimaryConfirmed)
+    @_encode.register(WriteStalled)
+    def _(self, event: LeaseReleased | PrimaryConfirmed | WriteStalled) -> bytes:
+        return encode_frame(event)
+
+    @singledispatchmethod
+    def _receive(self, message: object) -> None:
+        raise TypeError(f"a pool host does not send {type(message).__name__}")
+
+    @_receive.register
+    def _(self, message: LeaseGranted) -> None:
+        lease = MemberLease(
+            message.lease,
+            message.member,
+            message.group,
+            self._link,
+            message.context,
+            message.requires_primary,
+            message.required_position,
+            message.position_age_s,
+            self._host,
+            self._link,
+        )
+        request = self._request_by_lease.pop(message.lease, None)
+        if request is None or not _answer(request, lease):
+            self._release(message)
+
+    def _release(self, granted: LeaseGranted) -> None:
+        """Release a connection that nobody waits for any more."""
+        try:
+            self._link.send_nowait(LeaseReleased(granted.lease, granted.context))
+        except WouldBlock:
+            logging.warning("broker: lease not released host=%s", self._host)
+
+    @_receive.register
+    def _(self, message: LeaseRefused) -> None:
+        request = self._request_by_lease.pop(message.lease, None)
+        if request is None:
+            return
+        if self._is_draining:
+            self._lease_here(request)
+        else:
+            _answer(request, message.refusal)
+
+    @_receive.register
+    def _(self, message: ExchangeAnswered) -> None:
+        pending = self._pending_by_exchange.pop(message.exchange, None)
+        if pending is not None:
+            # The clock of the host is not that of this instance, and a sample of an
+            # earlier time is valid too.
+            _reply(pending.exchange, message.reply._replace(sent_at=pending.sent_at))
+
+    @_receive.register
+    def _(self, message: ExchangeFailed) -> None:
+        pending = self._pending_by_exchange.pop(message.exchange, None)
+        if pending is not None:
+            _reply(pending.exchange, message.failure)
+
+    @_receive.register
+    def _(self, message: LinkProbe) -> None:
+        """Count as a sign of life, like any message."""
+
+    @_receive.register
+    def _(self, message: HostDraining) -> None:
+        self._is_draining = True
+        self._reason = "draining"
+        self._broker.send_nowait(
+            HostLinkClosed(self._host, message.grace_s, self._reason)
+        )
+
+    def _expire(self, now: float) -> None:
+        """End what the host has not answered in time."""
+        for lease, request in list(self._request_by_lease.items()):
+            if now > request.expires_at + ANSWER_RESERVE_S:
+                del self._request_by_lease[lease]
+                detail = "the pool host did not answer in time"
+                _answer(
+                    request,
+                    Refusal("busy", ExecutionStatus.NOT_RUN, STEP, self._host, detail),
+                )
+        for id, pending in list(self._pending_by_exchange.items()):
+            if now > pending.exchange.deadline + ANSWER_RESERVE_S:
+                del self._pending_by_exchange[id]
+                reason = "no answer from the pool host in time"
+                _reply(pending.exchange, ExchangeFailure(True, reason, at_host=True))
+
+    def _fail_all(self, inbox: MemoryReceiveChannel[HostLinkEvent]) -> None:
+        """Serve waiting requests elsewhere, and fail the exchanges."""
+        while True:
+            try:
+                self._fail(inbox.receive_nowait())
+            except WouldBlock:
+                break
+        inbox.close()
+        for request in self._request_by_lease.values():
+            self._lease_here(request)
+        for pending in self._pending_by_exchange.values():
+            reason = f"the stream to the pool host was lost: {self._reason}"
+            _reply(pending.exchange, ExchangeFailure(True, reason, at_host=True))
+
+    @singledispatchmethod
+    def _fail(self, event: object) -> None:
+        """Drop an event that was not sent; the host releases its leases itself."""
+
+    @_fail.register
+    def _(self, event: ConnectionRequest) -> None:
+        self._lease_here(event)
+
+    @_fail.register
+    def _(self, event: MemberExchange) -> None:
+        reason = f"not sent to the pool host: {self._reason}"
+        _reply(event, ExchangeFailure(False, reason, at_host=True))
+
+    def _lease_here(self, request: ConnectionRequest) -> None:
+        try:
+            self._router.send_nowait(request)
+        except WouldBlock:
+            detail = "the instance is overloaded"
+            _answer(request, Refusal("busy", ExecutionStatus.NOT_RUN, STEP, "", detail))
+
+
+def _answer(request: ConnectionRequest, answer: MemberLease | Refusal) -> bool:
+    """Answer a request for a lease; return whether somebody still waits for it."""
+    try:
+        request.reply_to.send_nowait(answer)
+    except BrokenResourceError:
+        return False
+    return True
+
+
+def _reply(exchange: MemberExchange, outcome: MemberReply | ExchangeFailure) -> None:
+    try:
+        exchange.reply_to.send_nowait(outcome)
+    except BrokenResourceError:
+        # The session has ended.
+        return
--- /dev/null
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server.py
@@ -0,0 +1,82 @@
+"""Leases the member connections of this instance to other instances."""
+
+from absl import logging
+from trio import (
+    MemorySendChannel,
+    Nursery,
+    SocketListener,
+    SocketStream,
+    current_time,
+    open_nursery,
+    sleep,
+)
+
+from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.tasks.open_stream import enable_dead_peer_detection
+from jackdawspread.tasks.pool_hosts.pool_server_stream import PoolServerStream
+
+ACCEPT_RETRY_DELAY_S = 0.05
+STOP_POLL_INTERVAL_S = 0.1
+
+
+class PoolServer:
+    """Accepts the streams of other instances.
+
+    Parameters
+    ----------
+    listener : trio.SocketListener
+        Listening socket, owned by this task.
+    router : trio.MemorySendChannel
+        Inbox of the member router.
+    """
+
+    def __init__(
+        self, listener: SocketListener, router: MemorySendChannel[RouterEvent]
+    ) -> None:
+        self._listener = listener
+        self._router = router
+        self._streams: set[PoolServerStream] = set()
+        self._is_draining = False
+
+    async def run(self) -> None:
+        """Accept streams until cancelled."""
+        async with open_nursery() as streams:
+            while True:
+                try:
+                    stream = await self._listener.accept()
+                except OSError as error:
+                    logging.warning("pools: accept failed reason=%r", error)
+                    await sleep(ACCEPT_RETRY_DELAY_S)
+                    continue
+                self._start(stream, streams)
+
+    def drain(self, grace_s: float) -> None:
+        """Grant no more leases; tell the other instances to use other hosts.
+
+        Parameters
+        ----------
+        grace_s : float
+            Seconds after which this process exits.
+        """
+        self._is_draining = True
+        for stream in self._streams:
+            stream.drain(grace_s)
+
+    async def wait_released(self, deadline: float) -> None:
+        """Wait until all leases are released, or for a monotonic time in seconds."""
+        while current_time() < deadline and any(s.has_leases for s in self._streams):
+            await sleep(STOP_POLL_INTERVAL_S)
+
+    def _start(self, stream: SocketStream, streams: Nursery) -> None:
+        enable_dead_peer_detection(stream)
+        if self._is_draining:
+            streams.start_soon(stream.aclose)
+            return
+        streams.start_soon(self._serve, PoolServerStream(stream, self._router))
+
+    async def _serve(self, stream: PoolServerStream) -> None:
+        self._streams.add(stream)
+        try:
+            await stream.run()
+        finally:
+            self._streams.discard(stream)
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -13,6 +13,7 @@
 
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.messages.statements.open_session import OpenSession
 from jackdawspread.messages.statements.session_request import SessionRequest
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
@@ -36,8 +37,8 @@
         The accepted socket.
     codec : SessionCodec
         Protocol of the caller.
-    admission, router : trio.MemorySendChannel
-        Inboxes of the admission task and the member router.
+    admission, broker, router : trio.MemorySendChannel
+        Inboxes of the admission task, the lease broker and the member router.
     """
 
     def __init__(
@@ -45,11 +46,13 @@
         stream: SocketStream,
         codec: SessionCodec,
         admission: MemorySendChannel[AdmissionEvent],
+        broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
     ) -> None:
         self._stream = stream
         self._codec = codec
         self._admission = admission
+        self._broker = broker
         self._router = router
         self._operations: SessionOperations | None = None
         self._reading: CancelScope | None = None
@@ -94,7 +97,9 @@
         handshake = await self._read_handshake()
         if handshake is None:
             return False
-        operations = SessionOperations(handshake, self._admission, self._router)
+        operations = SessionOperations(
+            handshake, self._admission, self._broker, self._router
+        )
         refusal = await operations.check_handshake()
         if refusal is not None:
             logging.info(
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -1,5 +1,6 @@
 """Requests of a session to the member router and to member connections."""
 
+from absl import logging
 from trio import (
     BrokenResourceError,
     ClosedResourceError,
@@ -9,18 +10,22 @@
     open_memory_channel,
 )
 
+from jackdawspread.decisions.members.exchange_observation import observe_exchange
 from jackdawspread.decisions.sessions.operation import Operation
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.connection_context import ConnectionContext
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
-from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.position_seen import PositionSeen
-from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
+from jackdawspread.messages.pool_hosts.lease_event import LeaseEvent
+from jackdawspread.messages.pool_hosts.lease_released import LeaseReleased
+from jackdawspread.messages.pool_hosts.primary_confirmed import PrimaryConfirmed
+from jackdawspread.messages.pool_hosts.write_stalled import WriteStalled
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
@@ -40,11 +45,18 @@
 
     Parameters
     ----------
+    broker : trio.MemorySendChannel
+        Inbox of the lease broker.
     router : trio.MemorySendChannel
         Inbox of the member router.
     """
 
-    def __init__(self, router: MemorySendChannel[RouterEvent]) -> None:
+    def __init__(
+        self,
+        broker: MemorySendChannel[LeaseBrokerEvent],
+        router: MemorySendChannel[RouterEvent],
+    ) -> None:
+        self._broker = broker
         self._router = router
 
     async def lease(
@@ -70,7 +82,7 @@
             reply_to=send,
         )
         try:
-            self._router.send_nowait(request)
+            self._broker.send_nowait(request)
         except WouldBlock:
             return Refusal(
                 "busy",
@@ -79,7 +91,7 @@
                 "",
                 "the instance is overloaded",
             )
-        # Closing the channel makes the router keep a lease that arrives after a
+        # Closing the channel makes the sender keep a lease that arrives after a
         # cancellation.
         with receive:
             return await receive.receive()
@@ -105,16 +117,20 @@
     def return_lease(
         self, lease: MemberLease, context: ConnectionContext | None
     ) -> None:
-        """Return a lease; the router closes the connection if ``context`` is None."""
-        self._send_to_router(LeaseReturned(lease.connection, lease.member, context))
+        """Return a lease; the connection is closed if ``context`` is None."""
+        if lease.host_link is None:
+            self._send_to_router(LeaseReturned(lease.connection, lease.member, context))
+        else:
+            _send_to_host(lease.host_link, LeaseReleased(lease.connection, context))
 
     def roll_back(self, lease: MemberLease, context: ConnectionContext) -> None:
         """Queue a rollback on the connection and return its lease."""
         send, _ = open_memory_channel[MemberReply | ExchangeFailure](1)
         rollback = MemberCommand("", RollbackTransaction())
         deadline = current_time() + ROLLBACK_TIMEOUT_S
+        exchange = MemberExchange((rollback,), deadline, send, lease.connection)
         try:
-            lease.exchanges.send_nowait(MemberExchange((rollback,), deadline, send))
+            lease.exchanges.send_nowait(exchange)
         except (BrokenResourceError, ClosedResourceError, WouldBlock):
             self.return_lease(lease, None)
             return
@@ -124,16 +140,20 @@
         self, lease: MemberLease, reply: MemberReply, confirms_write: bool
     ) -> None:
         """Report the log position of a member that answered as the primary."""
-        if reply.position is not None:
-            self._send_to_router(
-                PositionSeen(
-                    lease.group,
-                    lease.member,
-                    reply.position,
-                    reply.sent_at,
-                    confirms_write,
-                )
+        if reply.position is None:
+            return
+        self._send_to_router(
+            PositionSeen(
+                lease.group,
+                lease.member,
+                reply.position,
+                reply.sent_at,
+                confirms_write,
             )
+        )
+        if lease.host_link is not None:
+            confirmed = PrimaryConfirmed(lease.connection, confirms_write)
+            _send_to_host(lease.host_link, confirmed)
 
     def report_stalled_write(self, lease: MemberLease) -> None:
         """Report a write that a reachable primary did not confirm in time."""
@@ -142,18 +162,15 @@
                 lease.group, lease.member, current_time(), True, "write not confirmed"
             )
         )
+        if lease.host_link is not None:
+            _send_to_host(lease.host_link, WriteStalled(lease.connection))
 
     def _report_outcome(
         self, lease: MemberLease, outcome: MemberReply | ExchangeFailure
     ) -> None:
-        now = current_time()
-        if isinstance(outcome, ExchangeFailure):
-            if not outcome.timed_out:
-                self._report_unreachable(lease, outcome.reason)
-        elif outcome.error == "readonly" and lease.requires_primary:
-            self._send_to_router(LeadershipRefused(lease.group, lease.member, now))
-        elif outcome.error == "lagging":
-            self._send_to_router(ReplicaLagged(lease.group, lease.member, now))
+        observation = observe_exchange(outcome, lease, current_time())
+        if observation is not None:
+            self._send_to_router(observation)
 
     def _report_unreachable(self, lease: MemberLease, reason: str) -> None:
         self._send_to_router(
@@ -163,3 +180,14 @@
     def _send_to_router(self, event: RouterEvent) -> None:
         # The inbox has more room than all sessions together can fill.
         self._router.send_nowait(event)
+
+
+def _send_to_host(link: MemorySendChannel[LeaseEvent], event: LeaseEvent) -> None:
+    """Send an event about a lease to its pool host.
+
+    A host whose stream is lost has closed the connections of its leases.
+    """
+    try:
+        link.send_nowait(event)
+    except (BrokenResourceError, WouldBlock) as error:
+        logging.vlog(1, "session: not sent to the pool host reason=%r", error)
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -17,6 +17,7 @@
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
@@ -45,8 +46,8 @@
         Listening socket, owned by this task.
     make_codec : callable
         Returns a codec for a new session.
-    admission, router : trio.MemorySendChannel
-        Inboxes of the admission task and the member router.
+    admission, broker, router : trio.MemorySendChannel
+        Inboxes of the admission task, the lease broker and the member router.
     max_sessions : int
         Limit of sessions that are open at the same time.
     """
@@ -56,12 +57,14 @@
         listener: SocketListener,
         make_codec: Callable[[], SessionCodec],
         admission: MemorySendChannel[AdmissionEvent],
+        broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
         max_sessions: int,
     ) -> None:
         self._listener = listener
         self._make_codec = make_codec
         self._admission = admission
+        self._broker = broker
         self._router = router
         self._max_sessions = max_sessions
         self._sessions: set[CallerSession] = set()
@@ -101,7 +104,7 @@
             sessions.start_soon(self._reject, stream)
             return
         session = CallerSession(
-            stream, self._make_codec(), self._admission, self._router
+            stream, self._make_codec(), self._admission, self._broker, self._router
         )
         sessions.start_soon(self._serve, session)
 
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -22,6 +22,7 @@
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
 from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.statements.open_session import OpenSession
 from jackdawspread.messages.statements.session_answer import SessionAnswer
@@ -47,19 +48,20 @@
         Database and key of the session.
     admission : trio.MemorySendChannel
         Inbox of the admission task.
-    router : trio.MemorySendChannel
-        Inbox of the member router.
+    broker, router : trio.MemorySendChannel
+        Inboxes of the lease broker and the member router.
     """
 
     def __init__(
         self,
         handshake: OpenSession,
         admission: MemorySendChannel[AdmissionEvent],
+        broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
     ) -> None:
         self._handshake = handshake
         self._admission = admission
-        self._calls = MemberCalls(router)
+        self._calls = MemberCalls(broker, router)
         self._state = SessionState()
         self._admitted: OperationAdmitted | None = None
         self._transaction: TransactionRunner | None = None
--- a/src/jackdawspread/tasks/sessions/single_statement.py
+++ b/src/jackdawspread/tasks/sessions/single_statement.py
@@ -106,7 +106,8 @@
 
 def describe_conditions(lease: MemberLease) -> str:
     """Return the conditions of a lease as text for the log."""
+    host = f" host={lease.host}" if lease.host else ""
     if lease.required_position is None:
-        return "lead"
+        return f"lead{host}"
     position = f"{lease.required_position.term}.{lease.required_position.sequence}"
-    return f"{position} age_ms={1000 * lease.position_age_s:.0f}"
+    return f"{position} age_ms={1000 * lease.position_age_s:.0f}{host}"
--- a/src/jackdawspread/tasks/sessions/statement_log.py
+++ b/src/jackdawspread/tasks/sessions/statement_log.py
@@ -38,7 +38,7 @@
         return
     if code == "done" and "Read" in kind:
         READS.labels(
-            "primary" if outcome.conditions_text == "lead" else "replica"
+            "primary" if outcome.conditions_text.startswith("lead") else "replica"
         ).inc()
     logging.info(
         "session: statement id=%s kind=%s database=%s workspace=%s phase=%s "
