End only the session or connection in which an unexpected error occurs

Found by looking for what operators of similar systems report. An exception that no handler expected in a session, a stream between instances or a connection of the HTTP server cancelled the nursery of all of them and ended the process, and so did an accept() of the HTTP server that failed for want of descriptors.

Change: run_isolated logs the error with its traceback, counts it and ends only that task; the HTTP server accepts again. A stream to a pool host reports its end in every case, so that it is opened again. The tasks that the whole process depends on still end it.

--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -43,6 +43,11 @@
     "Requests for a member connection by the instance that serves them.",
     ("place",),
 )
+UNEXPECTED_ERRORS = Counter(
+    "jackdawspread_unexpected_errors",
+    "Sessions and connections that an unexpected error has ended, by part.",
+    ("part",),
+)
 PROMOTIONS = Counter(
     "jackdawspread_promotions", "Attempts to promote a member, by result.", ("result",)
 )
--- a/src/jackdawspread/tasks/http_server.py
+++ b/src/jackdawspread/tasks/http_server.py
@@ -1,8 +1,12 @@
 """HTTP listener."""
 
-from trio import Event, Nursery, SocketListener, SocketStream, open_nursery
+from absl import logging
+from trio import Event, Nursery, SocketListener, SocketStream, open_nursery, sleep
 
 from jackdawspread.tasks.http_server_connection import Handler, HttpServerConnection
+from jackdawspread.tasks.run_isolated import run_isolated
+
+ACCEPT_RETRY_DELAY_S = 0.05
 
 
 class HttpServer:
@@ -38,13 +42,19 @@
 
     async def _accept(self, connections: Nursery) -> None:
         while True:
-            stream = await self._listener.accept()
+            try:
+                stream = await self._listener.accept()
+            except OSError as error:
+                # For example, all file descriptors are in use.
+                logging.warning("http: accept failed reason=%r", error)
+                await sleep(ACCEPT_RETRY_DELAY_S)
+                continue
             connections.start_soon(self._serve, stream)
 
     async def _serve(self, stream: SocketStream) -> None:
         connection = HttpServerConnection(stream, self._handle, self._stopping)
         self._connections.add(connection)
         try:
-            await connection.run()
+            await run_isolated("http", connection.run)
         finally:
             self._connections.discard(connection)
--- a/src/jackdawspread/tasks/pool_hosts/lease_broker.py
+++ b/src/jackdawspread/tasks/pool_hosts/lease_broker.py
@@ -29,6 +29,7 @@
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.tasks.fleet.fleet_metrics import MEMBER_LEASES
 from jackdawspread.tasks.pool_hosts.pool_host_link import PoolHostLink
+from jackdawspread.tasks.run_isolated import run_isolated
 
 STEP = "routing"
 
@@ -126,7 +127,7 @@
         link = PoolHostLink(
             host, self._entry_by_instance[host].address, self._broker, self._router
         )
-        links.start_soon(link.run)
+        links.start_soon(run_isolated, "broker", link.run)
 
     def _lease_here(self, request: ConnectionRequest) -> None:
         try:
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -102,11 +102,17 @@
 
     async def run(self) -> None:
         """Open the stream and serve the inbox until the stream is lost."""
+        try:
+            await self._open_and_serve()
+        finally:
+            if not self._is_draining:
+                self._report_closed(REOPEN_DELAY_S)
+
+    async def _open_and_serve(self) -> None:
         try:
             stream = await open_stream(self._address)
         except OSError as error:
             self._reason = f"not opened: {error}"
-            await self._report_closed(REOPEN_DELAY_S)
             return
         self._link, inbox = open_memory_channel[HostLinkEvent](INBOX)
         await self._broker.send(HostLinkOpened(self._host, self._link))
@@ -117,12 +123,11 @@
                 nursery.cancel_scope.cancel()
         finally:
             self._fail_all(inbox)
-        if not self._is_draining:
-            await self._report_closed(REOPEN_DELAY_S)
 
-    async def _report_closed(self, retry_after_s: float) -> None:
+    def _report_closed(self, retry_after_s: float) -> None:
         closed = HostLinkClosed(self._host, retry_after_s, self._reason)
-        await self._broker.send(closed)
+        # The broker's inbox has more room than all sessions together can fill.
+        self._broker.send_nowait(closed)
 
     @property
     def _is_waiting(self) -> bool:
@@ -275,9 +280,7 @@
     def _(self, message: HostDraining) -> None:
         self._is_draining = True
         self._reason = "draining"
-        self._broker.send_nowait(
-            HostLinkClosed(self._host, message.grace_s, self._reason)
-        )
+        self._report_closed(message.grace_s)
 
     def _expire(self, now: float) -> None:
         """End what the host has not answered in time."""
--- a/src/jackdawspread/tasks/pool_hosts/pool_server.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server.py
@@ -14,6 +14,7 @@
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
 from jackdawspread.tasks.pool_hosts.pool_server_stream import PoolServerStream
+from jackdawspread.tasks.run_isolated import run_isolated
 
 ACCEPT_RETRY_DELAY_S = 0.05
 STOP_POLL_INTERVAL_S = 0.1
@@ -77,6 +78,6 @@
     async def _serve(self, stream: PoolServerStream) -> None:
         self._streams.add(stream)
         try:
-            await stream.run()
+            await run_isolated("pools", stream.run)
         finally:
             self._streams.discard(stream)
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -21,6 +21,7 @@
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
+from jackdawspread.tasks.run_isolated import run_isolated
 from jackdawspread.tasks.sessions.caller_session import CallerSession
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
 from jackdawspread.tasks.sessions.session_metrics import SESSIONS
@@ -116,7 +117,7 @@
         self._sessions.add(session)
         SESSIONS.set(len(self._sessions))
         try:
-            await session.run()
+            await run_isolated("session", session.run)
         finally:
             self._sessions.discard(session)
             SESSIONS.set(len(self._sessions))
