Let instances that start together read the store once each

Cause: an instance that did not know the others yet took itself for the first of its failure domain. In the 2 s until the list of instances is read, all of them read the list of members every second and had the configuration confirmed.

Change: until then an instance has the last rank; one that has no configuration or no list of members yet retries as quickly as before.

--- a/features/fleet_size.feature
+++ b/features/fleet_size.feature
@@ -20,3 +20,9 @@
     Given 31 instances and members that accept 56 connections
     When the instances idle for 6 s
     Then the store gets at most 10 calls a second
+
+  Scenario: Instances that start together read the store few times
+    # Guards against a fleet whose instances all read as the first of their failure
+    # domain until they know each other.
+    Given 31 instances and members that accept 56 connections
+    Then each of them has made at most 9 calls to the store
--- a/features/steps/fleet_size_steps.py
+++ b/features/steps/fleet_size_steps.py
@@ -71,3 +71,10 @@
 def few_calls(context: Context, limit: int) -> None:
     """Compare the rate of calls."""
     assert context.calls_per_s <= limit, context.calls_per_s
+
+
+@then("each of them has made at most {limit:d} calls to the store")
+def few_calls_at_start(context: Context, limit: int) -> None:
+    """Count the calls since the instances were started."""
+    calls = len(context.platform.store.calls) / context.instances
+    assert calls <= limit, calls
--- a/src/jackdawspread/decisions/store_reads/domain_rank.py
+++ b/src/jackdawspread/decisions/store_reads/domain_rank.py
@@ -4,7 +4,8 @@
 
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 
-# The delays of instances after this one do not grow.
+# The delays of instances after this one do not grow. It is also the rank of an instance
+# that does not know the others yet: instances that start together then read once each.
 MAX_RANK = 8
 
 
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -19,7 +19,7 @@
     feed_wait_s,
     retry_delay_s,
 )
-from jackdawspread.decisions.store_reads.domain_rank import rank_in_domain
+from jackdawspread.decisions.store_reads.domain_rank import MAX_RANK, rank_in_domain
 from jackdawspread.decisions.store_reads.store_clock_offset import (
     StoreClockOffset,
     to_local_time,
@@ -87,7 +87,7 @@
         self._peers = peers
         self._clock = StoreClockOffset()
         self._availability = StoreAvailability("configuration")
-        self._rank = 0
+        self._rank = MAX_RANK
         # Store version up to which all changes are known; None requires a full read.
         self._version: int | None = None
         self._configuration_version = 0
@@ -115,7 +115,9 @@
                 # an unchanged feed answers only after its wait time.
                 self._version = None
                 if outcome.status != HISTORY_GONE:
-                    await sleep(retry_delay_s(self._rank))
+                    # Without a configuration this instance serves nobody.
+                    rank = self._rank if self._configuration_version else 0
+                    await sleep(retry_delay_s(rank))
 
     async def _request(self, client: HttpClient) -> HttpOutcome | None:
         """Return an answer of the store, None if the configuration must be read."""
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -12,7 +12,7 @@
 )
 
 from jackdawspread.decisions.members.listing_retention import retain_members
-from jackdawspread.decisions.store_reads.domain_rank import rank_in_domain
+from jackdawspread.decisions.store_reads.domain_rank import MAX_RANK, rank_in_domain
 from jackdawspread.decisions.store_reads.member_poll_schedule import poll_interval_s
 from jackdawspread.decisions.store_reads.store_clock_offset import (
     StoreClockOffset,
@@ -84,7 +84,7 @@
         self._peers = peers
         self._availability = StoreAvailability("members")
         self._clock = StoreClockOffset()
-        self._rank = 0
+        self._rank = MAX_RANK
         self._listing_by_id: dict[str, MemberListing] = {}
         self._outage_ended_at = -OUTAGE_S
         # Monotonic times at which the newest list was read at the earliest, at which it
@@ -112,7 +112,9 @@
         if self._must_read:
             return self._attempted_at + poll_interval_s(0, is_requested=True)
         last = max(self._arrived_at, self._attempted_at)
-        return last + poll_interval_s(self._rank, self._is_requested)
+        # Without a list this instance serves nobody.
+        rank = self._rank if self._read_at else 0
+        return last + poll_interval_s(rank, self._is_requested)
 
     @singledispatchmethod
     async def _handle(self, event: object) -> None:
