Close sessions at a graceful shutdown only after 250 ms without a statement

Cause: a session counted as idle from the moment its last answer was written, while its caller's next statement was already on the way.

Change: until open transactions are aborted, a session is closed only when it has been idle for 250 ms.

--- a/features/platform_sessions.feature
+++ b/features/platform_sessions.feature
@@ -139,6 +139,12 @@
     When the store loses the answers of 2 writes
     Then the rate leases are renewed again
 
+  Scenario: A graceful shutdown does not close a session between two statements
+    # Guards against a statement that is on its way when its session is closed as idle:
+    # its caller gets no answer and may not repeat a write.
+    When the instance begins to stop while a caller sends a write every 50 ms
+    Then every write until its sessions are aborted is answered
+
   Scenario: A graceful shutdown closes idle sessions and lets a transaction end
     # Guards against a shutdown that interrupts a transaction.
     When a caller has a transaction open and the instance begins to stop
--- a/features/steps/platform_session_steps.py
+++ b/features/steps/platform_session_steps.py
@@ -9,6 +9,7 @@
 from features.wire.wire_caller import WireCaller
 from trio import open_nursery, sleep
 
+from jackdawspread.platform.composition import BALANCER_NOTICE_S
 from jackdawspread.tasks import boot_clock
 
 SIGNATURE = "7.1f3.c"
@@ -446,3 +447,22 @@
 def has_stopped(context: Context) -> None:
     """The instance ends after the last transaction."""
     _wait(context, lambda: context.platform.is_stopped)
+
+
+@when("the instance begins to stop while a caller sends a write every 50 ms")
+def write_while_stopping(context: Context) -> None:
+    """Write from before idle sessions are closed until shortly after it."""
+    caller = context.platform.open("primary-db")
+    context.platform.stop()
+    context.platform.call(sleep, BALANCER_NOTICE_S - 0.2)
+    context.answers = []
+    for number in range(12):
+        context.answers.append(context.platform.query(caller, f"WRITE a {number}"))
+        context.platform.call(sleep, 0.05)
+
+
+@then("every write until its sessions are aborted is answered")
+def all_answered(context: Context) -> None:
+    """No session ended between two writes."""
+    unanswered = [answer for answer in context.answers if answer == [""]]
+    assert not unanswered, context.answers
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -26,6 +26,9 @@
 # After the last answer the session reads and drops further bytes of the caller for
 # this long, because closing a socket with unread bytes resets the connection.
 LINGER_TIMEOUT_S = 0.1
+# At a graceful shutdown a session is closed only after it has been idle for this long.
+# A caller that has just been answered may already have sent its next statement.
+CLOSE_AFTER_IDLE_S = 0.25
 
 
 class CallerSession:
@@ -58,6 +61,7 @@
         self._reading: CancelScope | None = None
         self._stopping = False
         self._abort_open_transactions = False
+        self._active_at = current_time()
 
     async def run(self) -> None:
         """Serve until the caller disconnects or the session is stopped."""
@@ -89,9 +93,11 @@
     def _is_idle(self) -> bool:
         if self._codec.has_partial_message:
             return False
-        if self._operations is None or not self._operations.in_transaction:
+        if self._abort_open_transactions:
             return True
-        return self._abort_open_transactions
+        if current_time() < self._active_at + CLOSE_AFTER_IDLE_S:
+            return False
+        return self._operations is None or not self._operations.in_transaction
 
     async def _open(self) -> bool:
         handshake = await self._read_handshake()
@@ -155,6 +161,7 @@
     async def _write(self, data: bytes) -> bool:
         with move_on_at(current_time() + WRITE_TIMEOUT_S) as scope:
             await self._stream.send_all(data)
+        self._active_at = current_time()
         return not scope.cancelled_caught
 
     async def _close(self) -> None:
