Let a restarted instance know the others at once, and keep no idle connection before

Cause: an instance took itself for the only one until it had read the list of instances, 2 s after its start, and kept up to three quarters of the connections of each member open while they were idle.

Change: it keeps none until it knows the list, and a restarted one reads the list before it registers, as the others were registered before. The platform's settings say whether the fleet starts for the first time; then the list is read after 2 s as before. The new scenario fails without the first read.

--- a/features/instance_directory.feature
+++ b/features/instance_directory.feature
@@ -7,6 +7,13 @@
     When 3 s have passed
     Then "i1" knows "i1,i2,i3"
 
+  Scenario: A restarted instance knows the others at once
+    # Guards against a restarted fleet whose instances act as if they were alone.
+    Given instances "i1,i2,i3" that register in one store
+    When "i2" is lost and 30 s have passed
+    And "i2" is started again
+    Then "i2" knows "i1,i2,i3"
+
   Scenario: The entry of a lost instance is dropped and removed
     # Guards against entries of replaced instances that stay for ever: they would delay
     # the reads of all others and lower their limits of connections.
--- a/features/steps/instance_directory_steps.py
+++ b/features/steps/instance_directory_steps.py
@@ -32,10 +32,13 @@
     context.add_cleanup(context.thread.stop)
     context.scope_by_instance, context.seen_by_instance = {}, {}
     for number, name in enumerate(names.split(",")):
-        _start(context, name, InstanceEntry(f"10.0.0.{number}:7", "z1"))
+        entry = InstanceEntry(f"10.0.0.{number}:7", "z1")
+        _start(context, name, entry, is_first_start=True)
 
 
-def _start(context: Context, name: str, entry: InstanceEntry) -> None:
+def _start(
+    context: Context, name: str, entry: InstanceEntry, is_first_start: bool
+) -> None:
     scope = context.scope_by_instance[name] = CancelScope()
     # The receiving ends are kept, as a channel without one is broken.
     (router, _router), (broker, _broker), (members, _members), (feed, _feed) = (
@@ -46,7 +49,15 @@
     unread = getattr(context, "unread", [])
     context.unread = [*unread, _router, _broker, _members, _feed]
     directory = InstanceDirectory(
-        name, entry, context.records, router, broker, members, feed, peers
+        name,
+        entry,
+        is_first_start,
+        context.records,
+        router,
+        broker,
+        members,
+        feed,
+        peers,
     )
 
     async def run() -> None:
@@ -74,6 +85,14 @@
     passed(context, seconds)
 
 
+@when('"{name}" is started again')
+def started_again(context: Context, name: str) -> None:
+    """Start it at its address; no time passes."""
+    entry = InstanceEntry("10.0.0.1:7", "z1")
+    _start(context, name, entry, is_first_start=False)
+    context.thread.advance(0.01)
+
+
 @then('"{name}" knows "{names}"')
 def knows(context: Context, name: str, names: str) -> None:
     """Compare the newest list of an instance."""
--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -43,6 +43,7 @@
         self, instances: int = 1, max_connections: int = MAX_CONNECTIONS
     ) -> None:
         self._instances = instances
+        self._is_first_start = True
         self._thread = TrioThread(real_time=True)
         self._nursery: Nursery
         self._stopping_by_instance = [Event() for _ in range(instances)]
@@ -151,6 +152,7 @@
             ip=ip,
             metrics_address=metrics,
             peer_address=peer,
+            is_first_start=self._is_first_start,
             drain_s=7.0,
             grace_s=6.0,
             max_configuration_age_s=15.0,
--- a/src/jackdawspread/decisions/members/connection_limits.py
+++ b/src/jackdawspread/decisions/members/connection_limits.py
@@ -53,5 +53,5 @@
     An instance that is not a host opens connections only when it can't reach one, and
     keeps none of them.
     """
-    idle = int(HOSTED_FRACTION * max_connections) // hosts if is_host else 0
+    idle = int(HOSTED_FRACTION * max_connections) // max(1, hosts) if is_host else 0
     return ConnectionLimits(max(1, idle, int(OPEN_FRACTION * max_connections)), idle)
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -202,6 +202,7 @@
         directory = InstanceDirectory(
             self._instance_id,
             entry,
+            self._settings.is_first_start,
             self._open_records("instances", tasks),
             self._router,
             self._broker,
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -92,6 +92,7 @@
         ip=value_by_name["Ip"],
         metrics_address=f"{value_by_name['Ip']}:{METRICS_PORT}",
         peer_address=f"{value_by_name['Ip']}:{port}",
+        is_first_start=value_by_name.get("Bootstrap") == "true",
         drain_s=number_by_name["Bounds.DrainMs"] / 1000,
         grace_s=number_by_name["Bounds.GraceS"],
         # A change must take effect within this time after its acceptance, even while
--- a/src/jackdawspread/settings/session_proxy_settings.py
+++ b/src/jackdawspread/settings/session_proxy_settings.py
@@ -26,6 +26,9 @@
         ``IP:port`` on which metrics are served.
     peer_address : str
         ``IP:port`` for datagrams between instances; all instances use the same port.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time, so that no instance has
+        registered yet.
     drain_s : float
         Seconds after which a leaving member receives no new work.
     grace_s : float
@@ -45,6 +48,7 @@
     ip: str
     metrics_address: str
     peer_address: str
+    is_first_start: bool
     drain_s: float
     grace_s: float
     max_configuration_age_s: float
--- a/src/jackdawspread/tasks/fleet/instance_directory.py
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -39,6 +39,8 @@
         Id of this instance.
     entry : InstanceEntry
         Address and failure domain of this instance.
+    is_first_start : bool
+        Whether no instance can have registered yet.
     records : RecordClient
         Access to the store.
     router, broker, members, configurations, peers : trio.MemorySendChannel
@@ -49,6 +51,7 @@
         self,
         instance: str,
         entry: InstanceEntry,
+        is_first_start: bool,
         records: RecordClient,
         router: MemorySendChannel[RouterEvent],
         broker: MemorySendChannel[LeaseBrokerEvent],
@@ -58,6 +61,7 @@
     ) -> None:
         self._instance = instance
         self._entry = entry
+        self._is_first_start = is_first_start
         self._records = records
         self._router = router
         self._broker = broker
@@ -69,23 +73,35 @@
         self._valid_until_by_instance: dict[str, float] = {}
 
     async def run(self) -> None:
-        """Register and read the list until cancelled."""
+        """Register and read the list until cancelled.
+
+        A restarted instance finds the others in the list at once: they were registered
+        before, even if they restart at the same time.
+        """
+        is_listed = not self._is_first_start and await self._read()
         while True:
             name = f"{PREFIX}{self._instance}"
             outcome = await self._records.put(name, encode(self._entry))
             if outcome.status is not RecordStatus.DONE:
                 await sleep(RETRY_DELAY_S)
                 continue
-            await sleep(SETTLING_S)
-            records = await self._records.list(PREFIX)
-            if records is None:
-                await sleep(RETRY_DELAY_S)
-                continue
-            expired = await self._publish(records)
-            for record in expired:
-                await self._records.remove(record.name, record.version)
+            if not is_listed:
+                await sleep(SETTLING_S)
+                if not await self._read():
+                    await sleep(RETRY_DELAY_S)
+                    continue
+            is_listed = False
             await sleep(REGISTRATION_INTERVAL_S)
 
+    async def _read(self) -> bool:
+        """Read and publish the list; return whether this instance is in it."""
+        records = await self._records.list(PREFIX)
+        if not records:
+            return False
+        for record in await self._publish(records):
+            await self._records.remove(record.name, record.version)
+        return any(record.name == f"{PREFIX}{self._instance}" for record in records)
+
     async def _publish(self, records: list[StoredRecord]) -> list[StoredRecord]:
         """Publish the list; return the expired entries that this instance removes."""
         now = current_time()
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -254,10 +254,12 @@
                 self._pools.set_limits(member, limits_by_group[pool.listing.group])
 
     def _limits(self, group: MemberGroup) -> ConnectionLimits:
+        instances = len(self._entry_by_instance)
         hosts = choose_pool_hosts(group.name, self._entry_by_instance)
-        if not hosts:
-            instances = len(self._entry_by_instance)
+        if instances and not hosts:
             return connection_limits(group.max_connections, instances)
+        # An instance that does not know the others yet keeps no idle connection: a
+        # fleet that restarts would occupy the members with them.
         return pool_host_limits(
             group.max_connections, len(hosts), self._instance in hosts
         )
