Queue single statements before each member, and refuse at once what can't be served

Both replicas of its group lag for more than 2 s from 5 s to 32 s, so the primary gets all reads.

Cause (run with all logs): with pool hosts every statement found a connection at once, so the queue of the member (24) was always full. It answered 'busy' after the connection was open, the statement was tried up to six times, and the new connections of other workspaces occupied the three slots: 10 statements done in 2 s where 190 were before. 23,041 arrivals at members, 11,861 not run.

Change: an instance has at most two single statements for each slot of a member in progress there; transactions are not counted, as they pause. The others wait in the fair order of workspaces. A statement whose expected wait (its position over the rate at which statements end) passes its deadline is refused at once as not run, with that wait as the time to retry. The decision is decisions/members/statement_queue.py.

--- a/features/fakes/pool_host_pair.py
+++ b/features/fakes/pool_host_pair.py
@@ -90,5 +90,14 @@
 def lease_request(lease: int) -> LeaseRequested:
     """Return a request for a connection to the primary."""
     return LeaseRequested(
-        lease, "ledger", "w1", MemberRequirement.PRIMARY, 1.0, None, frozenset(), 1, 0.5
+        lease,
+        "ledger",
+        "w1",
+        MemberRequirement.PRIMARY,
+        1.0,
+        None,
+        frozenset(),
+        1,
+        0.5,
+        True,
     )
--- a/features/steps/fleet_decision_steps.py
+++ b/features/steps/fleet_decision_steps.py
@@ -65,6 +65,7 @@
         frozenset(),
         1,
         NOW + 1,
+        True,
         None,
     )
     context.conditions = lease_conditions(context.state, request, "m1", NOW)
--- a/features/steps/pool_host_steps.py
+++ b/features/steps/pool_host_steps.py
@@ -261,6 +261,7 @@
         frozenset(),
         1,
         current_time() + 5,
+        True,
         send,
     )
     context.link.send_nowait(context.request)
--- a/src/jackdawspread/messages/fleet/connection_request.py
+++ b/src/jackdawspread/messages/fleet/connection_request.py
@@ -33,6 +33,9 @@
         Priority of the request; 0 is the highest.
     expires_at : float
         Monotonic time in seconds until which the request may wait.
+    is_single_statement : bool
+        Whether the connection is used for one statement, which occupies a slot of the
+        member all the time, and not for a transaction or a command about the log.
     reply_to : trio.MemorySendChannel
         Receives the lease or the refusal.
     """
@@ -46,4 +49,5 @@
     excluded: frozenset[str]
     priority: int
     expires_at: float
+    is_single_statement: bool
     reply_to: MemorySendChannel[MemberLease | Refusal]
--- a/src/jackdawspread/messages/pool_hosts/lease_requested.py
+++ b/src/jackdawspread/messages/pool_hosts/lease_requested.py
@@ -29,6 +29,8 @@
         Priority of the request; 0 is the highest.
     wait_s : float
         Seconds for which the request may still wait.
+    is_single_statement : bool
+        Whether the connection is used for one statement.
     """
 
     lease: int
@@ -40,3 +42,4 @@
     excluded: frozenset[str]
     priority: int
     wait_s: float
+    is_single_statement: bool
--- a/src/jackdawspread/tasks/fleet/replication_control.py
+++ b/src/jackdawspread/tasks/fleet/replication_control.py
@@ -91,6 +91,7 @@
             excluded=frozenset(),
             priority=0,
             expires_at=deadline,
+            is_single_statement=False,
             reply_to=send,
         )
         await self._router.send(request)
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -90,8 +90,18 @@
         _close_excess(pool)
 
     def request(self, member: str, request: ConnectionRequest, now: float) -> None:
-        """Lease a connection to a member as soon as one is free."""
+        """Lease a connection to a member as soon as one is free.
+
+        A statement that would not get its turn in time is refused at once, with the
+        time after which the queue is expected to be shorter.
+        """
         pool = self.pool_by_member[member]
+        wait_s = pool.expected_wait_s(request)
+        if now + wait_s > request.expires_at:
+            waiting = len(pool.waiting)
+            detail = f"{waiting} statements wait, expected wait {1000 * wait_s:.0f} ms"
+            refuse(request, "busy", detail, member, round(1000 * wait_s))
+            return
         pool.waiting.append(request)
         self._serve(pool, now)
 
@@ -124,7 +134,7 @@
         pool = self.pool_by_member.get(event.member)
         if pool is None:
             return
-        connection = pool.leased_by_id.pop(event.connection, None)
+        connection = pool.take_leased(event.connection, now)
         if connection is None:
             return
         if event.context is None or pool.size >= pool.limits.open:
@@ -160,7 +170,7 @@
 
     def _serve(self, pool: MemberPool, now: float) -> None:
         for connection in reversed(pool.idle[:]):
-            self._lease(pool, connection)
+            self._lease(pool, connection, now)
         self._open_for_waiting(pool, now)
         _close_excess(pool)
 
@@ -173,11 +183,12 @@
                 _close(oldest)
             self._open(pool, request.workspace)
 
-    def _lease(self, pool: MemberPool, connection: PooledConnection) -> None:
+    def _lease(
+        self, pool: MemberPool, connection: PooledConnection, now: float
+    ) -> None:
         while (request := pool.take_waiter(connection.workspace)) is not None:
             if self._offer_lease(request, pool, connection):
-                pool.idle.remove(connection)
-                pool.leased_by_id[connection.id] = connection
+                pool.lease(connection, request, now)
                 return
 
     def _open(self, pool: MemberPool, workspace: str) -> None:
@@ -214,12 +225,16 @@
 
 
 def refuse(
-    request: ConnectionRequest, code: str, detail: str, member: str = ""
+    request: ConnectionRequest,
+    code: str,
+    detail: str,
+    member: str = "",
+    retry_after_ms: int = 0,
 ) -> None:
     """Refuse a request for a connection; nothing has run for it."""
     try:
         request.reply_to.send_nowait(
-            Refusal(code, ExecutionStatus.NOT_RUN, STEP, member, detail)
+            Refusal(code, ExecutionStatus.NOT_RUN, STEP, member, detail, retry_after_ms)
         )
     except BrokenResourceError:
         logging.vlog(1, "pool: the request for a connection was cancelled")
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -4,6 +4,13 @@
 
 from jackdawspread.decisions.members.connection_limits import ConnectionLimits
 from jackdawspread.decisions.members.next_waiter import next_waiter
+from jackdawspread.decisions.members.statement_queue import (
+    StatementQueue,
+    end_statement,
+    expected_wait_s,
+    start_statement,
+    statement_limit,
+)
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
@@ -29,6 +36,7 @@
         self.waiting: list[ConnectionRequest] = []
         self.limits = ConnectionLimits(open=1, idle=1)
         self.connection_limit_until = 0.0
+        self._statements = StatementQueue()
 
     @property
     def size(self) -> int:
@@ -39,6 +47,32 @@
             + len(self.workspace_by_pending_connection)
         )
 
+    def lease(
+        self, connection: PooledConnection, request: ConnectionRequest, now: float
+    ) -> None:
+        """Move an idle connection to the leased ones."""
+        self.idle.remove(connection)
+        self.leased_by_id[connection.id] = connection
+        if request.is_single_statement:
+            self._statements = start_statement(self._statements, connection.id, now)
+
+    def take_leased(self, id: int, now: float) -> PooledConnection | None:
+        """Remove and return a leased connection."""
+        self._statements = end_statement(self._statements, id, now)
+        return self.leased_by_id.pop(id, None)
+
+    def expected_wait_s(self, request: ConnectionRequest) -> float:
+        """Return the seconds for which a new request would wait for its turn."""
+        if not request.is_single_statement:
+            return 0.0
+        return expected_wait_s(
+            self._statements,
+            self.listing.slots,
+            request,
+            self.waiting,
+            self._in_use(),
+        )
+
     def has_idle(self, workspace: str) -> bool:
         """Whether the workspace has an idle connection."""
         return any(connection.workspace == workspace for connection in self.idle)
@@ -62,7 +96,13 @@
 
     def take_waiter(self, workspace: str) -> ConnectionRequest | None:
         """Remove and return the next waiting request of a workspace."""
-        own = [request for request in self.waiting if request.workspace == workspace]
+        free = self._free_statements()
+        own = [
+            request
+            for request in self.waiting
+            if request.workspace == workspace
+            and (free > 0 or not request.is_single_statement)
+        ]
         return self._take(own)
 
     def next_waiter(self) -> ConnectionRequest | None:
@@ -71,14 +111,20 @@
         Requests for which a connection is already being opened are skipped.
         """
         pending = Counter(self.workspace_by_pending_connection.values())
+        free = self._free_statements() - pending.total()
         left = []
         for request in self.waiting:
             if pending[request.workspace] > 0:
                 pending[request.workspace] -= 1
-            else:
+            elif free > 0 or not request.is_single_statement:
                 left.append(request)
         return next_waiter(left, self._in_use()) if left else None
 
+    def _free_statements(self) -> int:
+        """Return how many single statements may be sent to the member now."""
+        running = len(self._statements.started_at_by_lease)
+        return statement_limit(self.listing.slots) - running
+
     def _take(self, requests: list[ConnectionRequest]) -> ConnectionRequest | None:
         if not requests:
             return None
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -199,6 +199,7 @@
                 event.excluded,
                 event.priority,
                 event.expires_at - current_time(),
+                event.is_single_statement,
             )
         )
 
--- a/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
@@ -208,6 +208,7 @@
             message.excluded,
             message.priority,
             current_time() + message.wait_s,
+            message.is_single_statement,
             send,
         )
         try:
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -65,6 +65,7 @@
         requirement: MemberRequirement,
         position: Position | None,
         excluded: frozenset[str],
+        is_single_statement: bool,
     ) -> MemberLease | Refusal:
         """Wait for a connection to a member that may serve the operation."""
         route = operation.admitted.route
@@ -79,6 +80,7 @@
             excluded=excluded,
             priority=route.priority,
             expires_at=operation.connection_deadline,
+            is_single_statement=is_single_statement,
             reply_to=send,
         )
         try:
--- a/src/jackdawspread/tasks/sessions/single_statement.py
+++ b/src/jackdawspread/tasks/sessions/single_statement.py
@@ -54,7 +54,9 @@
     refusal: Refusal | None = None
     member = conditions_text = ""
     for attempt in range(1, MAX_ATTEMPTS + 1):
-        lease = await calls.lease(operation, requirement, state.position, excluded)
+        lease = await calls.lease(
+            operation, requirement, state.position, excluded, is_single_statement=True
+        )
         if isinstance(lease, Refusal):
             refusal = refusal or lease
             if not _may_request_lease_again(lease, operation):
--- a/src/jackdawspread/tasks/sessions/transaction_runner.py
+++ b/src/jackdawspread/tasks/sessions/transaction_runner.py
@@ -156,7 +156,11 @@
         refusal: Refusal | None = None
         for self._attempts in range(1, MAX_ATTEMPTS + 1):
             lease = await self._calls.lease(
-                operation, requirement, state.position, excluded
+                operation,
+                requirement,
+                state.position,
+                excluded,
+                is_single_statement=False,
             )
             if isinstance(lease, Refusal):
                 refusal = refusal or lease
