Split the stream to a pool host, and accept connections in one place

Three listeners had the same loop around accept(). No change of behaviour; features/pool_hosts.feature, statement_queue.feature and isolation.feature pass.

--- a/src/jackdawspread/tasks/http_server.py
+++ b/src/jackdawspread/tasks/http_server.py
@@ -1,13 +1,11 @@
 """HTTP listener."""
 
-from absl import logging
-from trio import Event, Nursery, SocketListener, SocketStream, open_nursery, sleep
+from trio import Event, Nursery, SocketListener, SocketStream, open_nursery
 
+from jackdawspread.tasks.accept import accept
 from jackdawspread.tasks.http_server_connection import Handler, HttpServerConnection
 from jackdawspread.tasks.run_isolated import run_isolated
 
-ACCEPT_RETRY_DELAY_S = 0.05
-
 
 class HttpServer:
     """Accepts connections on one listening socket.
@@ -42,13 +40,7 @@
 
     async def _accept(self, connections: Nursery) -> None:
         while True:
-            try:
-                stream = await self._listener.accept()
-            except OSError as error:
-                # For example, all file descriptors are in use.
-                logging.warning("http: accept failed reason=%r", error)
-                await sleep(ACCEPT_RETRY_DELAY_S)
-                continue
+            stream = await accept(self._listener, "http")
             connections.start_soon(self._serve, stream)
 
     async def _serve(self, stream: SocketStream) -> None:
--- a/src/jackdawspread/tasks/pool_hosts/lease_broker.py
+++ b/src/jackdawspread/tasks/pool_hosts/lease_broker.py
@@ -17,7 +17,6 @@
     choose_pool_hosts,
     rank_pool_hosts,
 )
-from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
@@ -26,13 +25,11 @@
 from jackdawspread.messages.pool_hosts.host_link_event import HostLinkEvent
 from jackdawspread.messages.pool_hosts.host_link_opened import HostLinkOpened
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
-from jackdawspread.messages.refusal import Refusal
 from jackdawspread.tasks.fleet.fleet_metrics import MEMBER_LEASES
+from jackdawspread.tasks.pool_hosts.lease_here import lease_here
 from jackdawspread.tasks.pool_hosts.pool_host_link import PoolHostLink
 from jackdawspread.tasks.run_isolated import run_isolated
 
-STEP = "routing"
-
 
 class LeaseBroker:
     """Forwards requests for member connections to pool hosts or to this instance.
@@ -108,7 +105,7 @@
                 MEMBER_LEASES.labels("host").inc()
                 return
         MEMBER_LEASES.labels("local").inc()
-        self._lease_here(event)
+        lease_here(event, self._router)
 
     def _hosts(self, group: str) -> tuple[str, ...]:
         hosts = self._hosts_by_group.get(group)
@@ -129,13 +126,6 @@
         )
         links.start_soon(run_isolated, "broker", link.run)
 
-    def _lease_here(self, request: ConnectionRequest) -> None:
-        try:
-            self._router.send_nowait(request)
-        except WouldBlock:
-            detail = "the instance is overloaded"
-            _refuse(request, Refusal("busy", ExecutionStatus.NOT_RUN, STEP, "", detail))
-
 
 def _forward(
     request: ConnectionRequest, link: MemorySendChannel[HostLinkEvent]
@@ -146,10 +136,3 @@
     except (BrokenResourceError, WouldBlock):
         return False
     return True
-
-
-def _refuse(request: ConnectionRequest, refusal: Refusal) -> None:
-    try:
-        request.reply_to.send_nowait(refusal)
-    except BrokenResourceError:
-        logging.vlog(1, "broker: the request for a connection was cancelled")
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -1,7 +1,6 @@
 """Stream from this instance to a pool host."""
 
 from functools import singledispatchmethod
-from itertools import count
 
 from absl import logging
 from trio import (
@@ -21,7 +20,6 @@
 )
 
 from jackdawspread.codecs.pool_host_frames import PoolHostFrames, encode_frame
-from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -40,15 +38,15 @@
 from jackdawspread.messages.pool_hosts.link_probe import LinkProbe
 from jackdawspread.messages.pool_hosts.primary_confirmed import PrimaryConfirmed
 from jackdawspread.messages.pool_hosts.write_stalled import WriteStalled
-from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
 from jackdawspread.messages.statements.member_exchange import MemberExchange
-from jackdawspread.messages.statements.member_reply import MemberReply
-from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.open_stream import open_stream
-from jackdawspread.tasks.pool_hosts.pending_exchange import PendingExchange
+from jackdawspread.tasks.pool_hosts.lease_here import answer_request, lease_here
+from jackdawspread.tasks.pool_hosts.unanswered_requests import (
+    UnansweredRequests,
+    deliver_outcome,
+)
 
-STEP = "routing"
 READ_CHUNK_BYTES = 64 * 1024
 INBOX = 2_000
 # While answers are outstanding the host is probed at this interval.
@@ -56,8 +54,6 @@
 # A host that has sent nothing for this long while answers are outstanding is given up.
 # Its leases are lost; the requests that wait for one are served by this instance.
 SILENCE_LIMIT_S = 0.4
-# Time for which the host may answer an exchange after its deadline.
-ANSWER_RESERVE_S = 0.1
 REOPEN_DELAY_S = 1.0
 
 
@@ -91,9 +87,7 @@
         self._broker = broker
         self._router = router
         self._link: MemorySendChannel[HostLinkEvent]
-        self._ids = count(1)
-        self._request_by_lease: dict[int, ConnectionRequest] = {}
-        self._pending_by_exchange: dict[int, PendingExchange] = {}
+        self._unanswered = UnansweredRequests(host)
         # Monotonic time of the last received bytes, or of the first request after a
         # time without any.
         self._heard_at = 0.0
@@ -129,10 +123,6 @@
         # The broker's inbox has more room than all sessions together can fill.
         self._broker.send_nowait(closed)
 
-    @property
-    def _is_waiting(self) -> bool:
-        return bool(self._request_by_lease or self._pending_by_exchange)
-
     async def _read(self, stream: SocketStream, link: CancelScope) -> None:
         frames = PoolHostFrames()
         try:
@@ -153,11 +143,11 @@
     ) -> None:
         while True:
             data = b""
-            interval_s = PROBE_INTERVAL_S if self._is_waiting else float("inf")
+            interval_s = PROBE_INTERVAL_S if self._unanswered else float("inf")
             with move_on_after(interval_s):
                 data = self._encode_all(await inbox.receive(), inbox)
-            self._expire(current_time())
-            if self._is_waiting and current_time() - self._heard_at > SILENCE_LIMIT_S:
+            self._unanswered.expire(current_time())
+            if self._unanswered and current_time() - self._heard_at > SILENCE_LIMIT_S:
                 self._reason = f"silent for {SILENCE_LIMIT_S} s"
                 return
             try:
@@ -171,7 +161,7 @@
         self, event: HostLinkEvent, inbox: MemoryReceiveChannel[HostLinkEvent]
     ) -> bytes:
         """Encode an event and those that are queued behind it."""
-        if not self._is_waiting:
+        if not self._unanswered:
             self._heard_at = current_time()
         frames = [self._encode(event)]
         while True:
@@ -186,8 +176,7 @@
 
     @_encode.register
     def _(self, event: ConnectionRequest) -> bytes:
-        lease = next(self._ids)
-        self._request_by_lease[lease] = event
+        lease = self._unanswered.add_request(event)
         return encode_frame(
             LeaseRequested(
                 lease,
@@ -205,10 +194,7 @@
 
     @_encode.register
     def _(self, event: MemberExchange) -> bytes:
-        exchange = next(self._ids)
-        self._pending_by_exchange[exchange] = PendingExchange(
-            event, seconds_since_boot()
-        )
+        exchange = self._unanswered.add_exchange(event)
         time_left_s = event.deadline - current_time()
         return encode_frame(
             ExchangeRequested(event.connection, exchange, event.commands, time_left_s)
@@ -238,8 +224,8 @@
             self._host,
             self._link,
         )
-        request = self._request_by_lease.pop(message.lease, None)
-        if request is None or not _answer(request, lease):
+        request = self._unanswered.take_request(message.lease)
+        if request is None or not answer_request(request, lease):
             self._release(message)
 
     def _release(self, granted: LeaseGranted) -> None:
@@ -251,27 +237,21 @@
 
     @_receive.register
     def _(self, message: LeaseRefused) -> None:
-        request = self._request_by_lease.pop(message.lease, None)
+        request = self._unanswered.take_request(message.lease)
         if request is None:
             return
         if self._is_draining:
-            self._lease_here(request)
+            lease_here(request, self._router)
         else:
-            _answer(request, message.refusal)
+            answer_request(request, message.refusal)
 
     @_receive.register
     def _(self, message: ExchangeAnswered) -> None:
-        pending = self._pending_by_exchange.pop(message.exchange, None)
-        if pending is not None:
-            # The clock of the host is not that of this instance, and a sample of an
-            # earlier time is valid too.
-            _reply(pending.exchange, message.reply._replace(sent_at=pending.sent_at))
+        self._unanswered.finish_exchange(message.exchange, message.reply)
 
     @_receive.register
     def _(self, message: ExchangeFailed) -> None:
-        pending = self._pending_by_exchange.pop(message.exchange, None)
-        if pending is not None:
-            _reply(pending.exchange, message.failure)
+        self._unanswered.finish_exchange(message.exchange, message.failure)
 
     @_receive.register
     def _(self, message: LinkProbe) -> None:
@@ -283,22 +263,6 @@
         self._reason = "draining"
         self._report_closed(message.grace_s)
 
-    def _expire(self, now: float) -> None:
-        """End what the host has not answered in time."""
-        for lease, request in list(self._request_by_lease.items()):
-            if now > request.expires_at + ANSWER_RESERVE_S:
-                del self._request_by_lease[lease]
-                detail = "the pool host did not answer in time"
-                _answer(
-                    request,
-                    Refusal("busy", ExecutionStatus.NOT_RUN, STEP, self._host, detail),
-                )
-        for id, pending in list(self._pending_by_exchange.items()):
-            if now > pending.exchange.deadline + ANSWER_RESERVE_S:
-                del self._pending_by_exchange[id]
-                reason = "no answer from the pool host in time"
-                _reply(pending.exchange, ExchangeFailure(True, reason, at_host=True))
-
     def _fail_all(self, inbox: MemoryReceiveChannel[HostLinkEvent]) -> None:
         """Serve waiting requests elsewhere, and fail the exchanges."""
         while True:
@@ -307,11 +271,11 @@
             except WouldBlock:
                 break
         inbox.close()
-        for request in self._request_by_lease.values():
-            self._lease_here(request)
-        for pending in self._pending_by_exchange.values():
-            reason = f"the stream to the pool host was lost: {self._reason}"
-            _reply(pending.exchange, ExchangeFailure(True, reason, at_host=True))
+        for request in self._unanswered.take_requests():
+            lease_here(request, self._router)
+        self._unanswered.fail_exchanges(
+            f"the stream to the pool host was lost: {self._reason}"
+        )
 
     @singledispatchmethod
     def _fail(self, event: object) -> None:
@@ -319,33 +283,9 @@
 
     @_fail.register
     def _(self, event: ConnectionRequest) -> None:
-        self._lease_here(event)
+        lease_here(event, self._router)
 
     @_fail.register
     def _(self, event: MemberExchange) -> None:
         reason = f"not sent to the pool host: {self._reason}"
-        _reply(event, ExchangeFailure(False, reason, at_host=True))
-
-    def _lease_here(self, request: ConnectionRequest) -> None:
-        try:
-            self._router.send_nowait(request)
-        except WouldBlock:
-            detail = "the instance is overloaded"
-            _answer(request, Refusal("busy", ExecutionStatus.NOT_RUN, STEP, "", detail))
-
-
-def _answer(request: ConnectionRequest, answer: MemberLease | Refusal) -> bool:
-    """Answer a request for a lease; return whether somebody still waits for it."""
-    try:
-        request.reply_to.send_nowait(answer)
-    except BrokenResourceError:
-        return False
-    return True
-
-
-def _reply(exchange: MemberExchange, outcome: MemberReply | ExchangeFailure) -> None:
-    try:
-        exchange.reply_to.send_nowait(outcome)
-    except BrokenResourceError:
-        # The session has ended.
-        return
+        deliver_outcome(event, ExchangeFailure(False, reason, at_host=True))
--- a/src/jackdawspread/tasks/pool_hosts/pool_server.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server.py
@@ -1,6 +1,5 @@
 """Leases the member connections of this instance to other instances."""
 
-from absl import logging
 from trio import (
     MemorySendChannel,
     Nursery,
@@ -12,11 +11,11 @@
 )
 
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.tasks.accept import accept
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
 from jackdawspread.tasks.pool_hosts.pool_server_stream import PoolServerStream
 from jackdawspread.tasks.run_isolated import run_isolated
 
-ACCEPT_RETRY_DELAY_S = 0.05
 STOP_POLL_INTERVAL_S = 0.1
 
 
@@ -43,12 +42,7 @@
         """Accept streams until cancelled."""
         async with open_nursery() as streams:
             while True:
-                try:
-                    stream = await self._listener.accept()
-                except OSError as error:
-                    logging.warning("pools: accept failed reason=%r", error)
-                    await sleep(ACCEPT_RETRY_DELAY_S)
-                    continue
+                stream = await accept(self._listener, "pools")
                 self._start(stream, streams)
 
     def drain(self, grace_s: float) -> None:
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -20,6 +20,7 @@
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.accept import accept
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
 from jackdawspread.tasks.run_isolated import run_isolated
 from jackdawspread.tasks.sessions.caller_session import CallerSession
@@ -35,7 +36,6 @@
     "the instance has reached its limit of open sessions",
     1000,
 )
-ACCEPT_RETRY_DELAY_S = 0.05
 
 
 class SessionListener:
@@ -74,12 +74,7 @@
         """Accept callers until cancelled."""
         async with open_nursery() as sessions:
             while True:
-                try:
-                    stream = await self._listener.accept()
-                except OSError as error:
-                    logging.warning("listener: accept failed reason=%r", error)
-                    await sleep(ACCEPT_RETRY_DELAY_S)
-                    continue
+                stream = await accept(self._listener, "listener")
                 self._start(stream, sessions)
 
     async def stop(self, times: StopTimes) -> None:
