Read what a pool host has answered before it is taken for silent

After a suspension or a long pause of this process the timer of the stream fires at the same moment as the socket becomes readable. Depending on which task ran first, the host counted as silent and exchanges with an answer in the socket got an unknown outcome.

Change: a timer that fires more than 100 ms late shows that this process did not run; the silence is then counted anew and deadlines are checked a round later. A host is probed every 0.2 s and given up after 0.5 s (0.1 and 0.4 s before), to halve the probes of statements that take 100 to 200 ms.

--- a/features/pool_hosts.feature
+++ b/features/pool_hosts.feature
@@ -49,6 +49,12 @@
     And the request for a lease that it left unanswered is served by this instance
     And nothing more is sent on the lost lease
 
+  Scenario: An instance that was suspended reads what its pool host has answered
+    # Guards against taking a host for silent because this process did not run.
+    Given a stream to a pool host that answers a write after 100 ms
+    When this process does not run for 900 ms after it has forwarded a write
+    Then the write has the host's answer
+
   Scenario: An instance is lost while it uses a connection of a pool host
     # Guards against a connection with an open transaction that is used again.
     Given a pool host with one lease in use by another instance
--- a/features/steps/pool_host_steps.py
+++ b/features/steps/pool_host_steps.py
@@ -1,5 +1,8 @@
 """Steps for the connections that a fleet shares through pool hosts."""
 
+from socket import socket
+from time import sleep as block_thread
+
 from behave import given, then, when
 from behave.runner import Context
 from features.fakes.pool_host_pair import REPLY, PoolHostPair, lease_request
@@ -13,6 +16,7 @@
     open_tcp_listeners,
     serve_listeners,
     sleep,
+    to_thread,
 )
 
 from jackdawspread.codecs.pool_host_frames import PoolHostFrames, encode_frame
@@ -35,6 +39,7 @@
 from jackdawspread.messages.pool_hosts.lease_granted import LeaseGranted
 from jackdawspread.messages.pool_hosts.lease_refused import LeaseRefused
 from jackdawspread.messages.pool_hosts.lease_released import LeaseReleased
+from jackdawspread.messages.pool_hosts.lease_requested import LeaseRequested
 from jackdawspread.messages.pool_hosts.link_probe import LinkProbe
 from jackdawspread.messages.pool_hosts.primary_confirmed import PrimaryConfirmed
 from jackdawspread.messages.pool_hosts.write_stalled import WriteStalled
@@ -45,6 +50,7 @@
 from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
 from jackdawspread.messages.statements.execute_prepared import ExecutePrepared
 from jackdawspread.messages.statements.member_command import MemberCommand
+from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.messages.statements.prepare_statement import PrepareStatement
 from jackdawspread.messages.statements.read_item import ReadItem
 from jackdawspread.messages.statements.reset_session import ResetSession
@@ -59,6 +65,8 @@
 GROUPS = ("ledger", "books", "limits")
 # A stream to a host opens within this time on loopback.
 LINK_OPENING_S = 0.5
+# Time after which the slow host answers an exchange.
+ANSWER_DELAY_S = 0.1
 STATEMENTS = (
     BeginTransaction(True),
     CommitTransaction(),
@@ -206,23 +214,61 @@
     assert context.platform.group.item_by_name["kept"] == "1"
 
 
+@given("a stream to a pool host that answers a write after {ms:d} ms")
+def slow_host(context: Context, ms: int) -> None:
+    """Run a stream against a host that answers late."""
+    assert ms == 1000 * ANSWER_DELAY_S
+    open_link(context, _grant_and_answer)
+
+
+@when("this process does not run for {ms:d} ms after it has forwarded a write")
+def not_running(context: Context, ms: int) -> None:
+    """Block the event loop while the answer is on its way, then let it read."""
+
+    async def forward() -> None:
+        command = MemberCommand("c1", WriteItem("a 1"))
+        async with open_nursery() as nursery:
+            nursery.start_soon(_block, ms / 1000)
+            context.outcome = await run_exchange(
+                context.lease, (command,), current_time() + 0.5
+            )
+
+    context.thread.call(forward)
+
+
+async def _block(seconds: float) -> None:
+    await sleep(0.05)
+    block_thread(seconds)
+
+
+@then("the write has the host's answer")
+def has_answer(context: Context) -> None:
+    """The answer arrived although its deadline had passed meanwhile."""
+    assert isinstance(context.outcome, MemberReply), context.outcome
+
+
 @given("a stream to a pool host that grants leases and answers nothing else")
 def silent_host(context: Context) -> None:
     """Run a stream against a host that is frozen after it has granted a lease."""
+    open_link(context, _grant_only)
+
+
+def open_link(context: Context, serve) -> None:
+    """Open a stream to a host that is served by ``serve``, and lease a connection."""
     context.thread = TrioThread(real_time=True)
     context.add_cleanup(context.thread.stop)
     broker, context.broker_inbox = open_memory_channel(10)
     router, context.router_inbox = open_memory_channel(10)
     context.inboxes = broker, router
-    context.thread.start(_run_link, context)
+    context.thread.start(_run_link, context, serve)
     context.thread.call(_await_lease, context)
 
 
-async def _run_link(context: Context) -> None:
+async def _run_link(context: Context, serve) -> None:
     (listener,) = await open_tcp_listeners(0, host="127.0.0.1")
     address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
     async with open_nursery() as nursery:
-        nursery.start_soon(serve_listeners, _grant_only, [listener])
+        nursery.start_soon(serve_listeners, serve, [listener])
         nursery.start_soon(PoolHostLink("i2", address, *context.inboxes).run)
 
 
@@ -249,6 +295,34 @@
                 await stream.send_all(encode_frame(grant))
 
 
+async def _grant_and_answer(stream) -> None:
+    """Run the host in a thread of its own, as it does not stop with the instance."""
+    await to_thread.run_sync(_serve_blocking, stream.socket.detach())
+
+
+def _serve_blocking(descriptor: int) -> None:
+    with socket(fileno=descriptor) as connection:
+        connection.settimeout(2)
+        frames = PoolHostFrames()
+        while True:
+            while (message := frames.next_message()) is None:
+                data = connection.recv(4096)
+                if not data:
+                    return
+                frames.receive(data)
+            if isinstance(message, LeaseRequested):
+                values = ConnectionContext({}, frozenset())
+                answer = LeaseGranted(
+                    message.lease, "m0", GROUP, values, True, None, 0.0
+                )
+            elif isinstance(message, ExchangeRequested):
+                block_thread(ANSWER_DELAY_S)
+                answer = ExchangeAnswered(message.exchange, REPLY)
+            else:
+                continue
+            connection.sendall(encode_frame(answer))
+
+
 async def _request_lease(context: Context):
     send, receive = open_memory_channel(1)
     context.request = ConnectionRequest(
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -50,10 +50,12 @@
 READ_CHUNK_BYTES = 64 * 1024
 INBOX = 2_000
 # While answers are outstanding the host is probed at this interval.
-PROBE_INTERVAL_S = 0.1
+PROBE_INTERVAL_S = 0.2
+# A timer that fires later than this shows that this process did not run.
+MAX_DELAY_S = 0.1
 # A host that has sent nothing for this long while answers are outstanding is given up.
 # Its leases are lost; the requests that wait for one are served by this instance.
-SILENCE_LIMIT_S = 0.4
+SILENCE_LIMIT_S = 0.5
 REOPEN_DELAY_S = 1.0
 
 
@@ -143,11 +145,18 @@
     ) -> None:
         while True:
             data = b""
+            waits_since = current_time()
             interval_s = PROBE_INTERVAL_S if self._unanswered else float("inf")
             with move_on_after(interval_s):
                 data = self._encode_all(await inbox.receive(), inbox)
-            self._unanswered.expire(current_time())
-            if self._unanswered and current_time() - self._heard_at > SILENCE_LIMIT_S:
+            now = current_time()
+            if self._unanswered and now - waits_since > PROBE_INTERVAL_S + MAX_DELAY_S:
+                # This process was suspended or slow. What the host has sent meanwhile
+                # is still to be read.
+                self._heard_at = now
+            else:
+                self._unanswered.expire(now)
+            if self._unanswered and now - self._heard_at > SILENCE_LIMIT_S:
                 self._reason = f"silent for {SILENCE_LIMIT_S} s"
                 return
             try:
