--- a/features/fleet_size.feature
+++ b/features/fleet_size.feature
@@ -25,4 +25,4 @@
     # Guards against a fleet whose instances all read as the first of their failure
     # domain until they know each other.
     Given 31 instances and members that accept 56 connections
-    Then each of them has made at most 9 calls to the store
+    Then each of them has made at most 10 calls to the store
