Compute the limits of connections only when the instances or the groups change

Found in the closing read: with pool hosts the limits depend on a hash of every instance for every group, and they were computed with each list of members, once a second. At 300 instances that would be work without a change. Now only the limits that are known are applied to new members.

--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -96,6 +96,7 @@
         self._group_by_name: dict[str, MemberGroup] = {}
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
         self._entry_by_instance: dict[str, InstanceEntry] = {}
+        self._limits_by_group: dict[str, ConnectionLimits] = {}
         self._pools: ConnectionPools
 
     async def run(self) -> None:
@@ -163,7 +164,7 @@
     def _(self, event: MembersSeen, now: float) -> None:
         self._pools.update_members(event.listing_by_id, now)
         self._group_monitor.update_members(event, now)
-        self._set_limits()
+        self._apply_limits()
 
     @_handle.register
     def _(self, event: ConfigurationSeen, now: float) -> None:
@@ -246,12 +247,16 @@
         return pool.listing.group if pool is not None else ""
 
     def _set_limits(self) -> None:
-        limits_by_group = {
+        self._limits_by_group = {
             name: self._limits(group) for name, group in self._group_by_name.items()
         }
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
         for member, pool in self._pools.pool_by_member.items():
-            if pool.listing.group in limits_by_group:
-                self._pools.set_limits(member, limits_by_group[pool.listing.group])
+            limits = self._limits_by_group.get(pool.listing.group)
+            if limits is not None:
+                self._pools.set_limits(member, limits)
 
     def _limits(self, group: MemberGroup) -> ConnectionLimits:
         instances = len(self._entry_by_instance)
