--- a/src/jackdawspread/decisions/pool_hosts/choose_pool_hosts.py
+++ b/src/jackdawspread/decisions/pool_hosts/choose_pool_hosts.py
@@ -13,11 +13,6 @@
 MIN_FLEET_WITH_POOL_HOSTS = 2 * POOL_HOSTS_PER_GROUP
 
 
-def has_pool_hosts(instances: int) -> bool:
-    """Whether a fleet of this many instances shares member connections."""
-    return instances >= MIN_FLEET_WITH_POOL_HOSTS
-
-
 def choose_pool_hosts(
     group: str, entry_by_instance: Mapping[str, InstanceEntry]
 ) -> tuple[str, ...]:
@@ -26,7 +21,7 @@
     Instances with different lists may choose different hosts. This costs additional
     connections; the members bound their number.
     """
-    if not has_pool_hosts(len(entry_by_instance)):
+    if len(entry_by_instance) < MIN_FLEET_WITH_POOL_HOSTS:
         return ()
     ranked = _rank(group, tuple(entry_by_instance))
     first_by_domain: dict[str, str] = {}
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -83,13 +83,6 @@
             return True
         return self.size < self.limits.open and now >= self.connection_limit_until
 
-    def take_idle(self, workspace: str) -> PooledConnection | None:
-        """Remove and return the most recently used connection of a workspace."""
-        for index in range(len(self.idle) - 1, -1, -1):
-            if self.idle[index].workspace == workspace:
-                return self.idle.pop(index)
-        return None
-
     def take_oldest_idle(self) -> PooledConnection | None:
         """Remove and return the least recently used idle connection."""
         return self.idle.pop(0) if self.idle else None
