Log when the store was restored from a copy

Each task that calls the store now reads it from the answers and logs a restore with both versions; an announcement of leases that is ignored as older is logged as well.

--- a/src/jackdawspread/messages/http_outcome.py
+++ b/src/jackdawspread/messages/http_outcome.py
@@ -1,7 +1,11 @@
 """Outcome of a call over an HTTP client connection."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
+
 
 class HttpOutcome(NamedTuple):
     """Response to a call, or the reason why none arrived.
@@ -20,6 +24,8 @@
         Whether any byte of the call may have reached the server.
     error : str
         Reason why no response arrived; empty if one did.
+    headers : mapping
+        Headers of the response by name in lower case.
     """
 
     id: int
@@ -28,3 +34,4 @@
     body: dict[str, Any]
     sent: bool
     error: str = ""
+    headers: Mapping[str, str] = NO_HEADERS
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -39,6 +39,7 @@
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.platform.configuration_rows import decode_configuration
 from jackdawspread.platform.store_availability import StoreAvailability
+from jackdawspread.platform.store_epoch import StoreEpoch
 from jackdawspread.platform.store_rows import decode_rows, store_time_s
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.http_client import HttpClient
@@ -87,6 +88,7 @@
         self._peers = peers
         self._clock = StoreClockOffset()
         self._availability = StoreAvailability("configuration")
+        self._epoch = StoreEpoch("configuration")
         self._rank = MAX_RANK
         # Store version up to which all changes are known; None requires a full read.
         self._version: int | None = None
@@ -108,6 +110,7 @@
                 is_reachable = outcome.status in (OK, HISTORY_GONE)
                 reason = outcome.error or f"status {outcome.status}"
                 self._availability.report(is_reachable, reason, current_time())
+                self._epoch.observe(outcome)
                 if outcome.status == OK:
                     await self._publish(outcome)
                     continue
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -34,6 +34,7 @@
 from jackdawspread.platform.member_rows import decode_members
 from jackdawspread.platform.read_rows import OK, read_rows
 from jackdawspread.platform.store_availability import StoreAvailability
+from jackdawspread.platform.store_epoch import StoreEpoch
 from jackdawspread.platform.store_rows import store_time_s
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.http_client import HttpClient
@@ -83,6 +84,7 @@
         self._failover = failover
         self._peers = peers
         self._availability = StoreAvailability("members")
+        self._epoch = StoreEpoch("members")
         self._clock = StoreClockOffset()
         self._rank = MAX_RANK
         self._listing_by_id: dict[str, MemberListing] = {}
@@ -152,6 +154,7 @@
     def _report(self, outcome: HttpOutcome) -> None:
         reason = outcome.error or f"status {outcome.status}"
         self._availability.report(outcome.status == OK, reason, current_time())
+        self._epoch.observe(outcome)
         if outcome.status == OK:
             store_now_s = store_time_s(outcome.body)
             self._clock = update_offset(self._clock, store_now_s, seconds_since_boot())
--- a/src/jackdawspread/platform/record_store.py
+++ b/src/jackdawspread/platform/record_store.py
@@ -24,6 +24,7 @@
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.platform.read_rows import read_rows
 from jackdawspread.platform.store_availability import StoreAvailability
+from jackdawspread.platform.store_epoch import StoreEpoch
 from jackdawspread.platform.store_rows import decode_rows, store_time_s
 from jackdawspread.tasks.http_client import HttpClient
 
@@ -56,6 +57,7 @@
         self._address = address
         self._inbox = inbox
         self._availability = StoreAvailability(user)
+        self._epoch = StoreEpoch(user)
 
     async def run(self) -> None:
         """Make calls until cancelled."""
@@ -79,7 +81,7 @@
         name = quote(request.name)
         target = f"/rows-get?Table={TABLE}&part=&From={name}&To={name}%00"
         outcome = await client.call("GET", target, {}, current_time() + CALL_TIMEOUT_S)
-        self._report_availability(outcome)
+        self._report(outcome)
         if outcome.status != OK:
             # A read has no effect, so the reason for its failure does not matter.
             return RecordOutcome(RecordStatus.UNKNOWN)
@@ -107,7 +109,7 @@
         self, request: RecordList, client: HttpClient
     ) -> list[StoredRecord] | None:
         rows = await read_rows(
-            client, TABLE, request.prefix, CALL_TIMEOUT_S, self._report_availability
+            client, TABLE, request.prefix, CALL_TIMEOUT_S, self._report
         )
         if rows is None:
             return None
@@ -129,7 +131,7 @@
         outcome = await client.call(
             "POST", "/rows-tx", body, current_time() + CALL_TIMEOUT_S
         )
-        self._report_availability(outcome)
+        self._report(outcome)
         if outcome.status == OK:
             version = int(outcome.body.get("Ver") or 0)
             return RecordOutcome(
@@ -141,11 +143,12 @@
             return RecordOutcome(RecordStatus.REFUSED)
         return RecordOutcome(RecordStatus.UNKNOWN)
 
-    def _report_availability(self, outcome: HttpOutcome) -> None:
+    def _report(self, outcome: HttpOutcome) -> None:
         reason = outcome.error or f"status {outcome.status}"
         self._availability.report(
             outcome.status in (OK, CONFLICT), reason, current_time()
         )
+        self._epoch.observe(outcome)
 
 
 def _row(name: str) -> Entry:
--- a/src/jackdawspread/platform/store_rows.py
+++ b/src/jackdawspread/platform/store_rows.py
@@ -45,3 +45,9 @@
     """Return the store's monotonic clock in seconds, or 0 if the answer lacks it."""
     now_ms = body.get("NowMs")
     return now_ms / 1000 if isinstance(now_ms, int | float) else 0.0
+
+
+def newest_version(body: dict[str, Any]) -> int:
+    """Return the newest version of the store, or 0 if the answer lacks it."""
+    version = body.get("Ver")
+    return version if isinstance(version, int) else 0
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -28,6 +28,11 @@
     "Calls to the store by the task that made them and whether they were answered.",
     ("user", "result"),
 )
+STORE_RESTORES = Counter(
+    "jackdawspread_store_restores",
+    "Times that a task found the store restored from a copy.",
+    ("user",),
+)
 DATAGRAMS = Counter(
     "jackdawspread_peer_datagrams",
     "Datagrams between instances by direction and kind of message.",
--- a/src/jackdawspread/tasks/fleet/rate_lease_task.py
+++ b/src/jackdawspread/tasks/fleet/rate_lease_task.py
@@ -174,6 +174,12 @@
         if announced.version > self._version:
             self._version, self._record = announced.version, announced.record
             await self._publish()
+        elif announced.version < self._version:
+            logging.info(
+                "leases: older announcement ignored version=%d known=%d",
+                announced.version,
+                self._version,
+            )
 
     async def _publish(self) -> None:
         held = held_parts(self._record, self._instance)
--- a/src/jackdawspread/tasks/http_client_connection.py
+++ b/src/jackdawspread/tasks/http_client_connection.py
@@ -90,7 +90,10 @@
             response = self._codec.next_response()
             if response is not None:
                 body = decode_object(response.body or b"{}")
-                return HttpOutcome(call.id, self._id, response.status, body, True)
+                headers = dict(response.headers)
+                return HttpOutcome(
+                    call.id, self._id, response.status, body, True, headers=headers
+                )
             data = await self._stream.receive_some(READ_CHUNK_BYTES)
             self._codec.receive(data)
             if not data:
