--- a/features/wire/table_store.py
+++ b/features/wire/table_store.py
@@ -35,6 +35,9 @@
         self.calls: list[str] = []
         # Number of writes to execute without an answer.
         self.lose_answers = 0
+        # Grows each time that the store is restored.
+        self.epoch = 1
+        self._copy: tuple[int, dict[tuple[str, str], tuple[bytes, int]]] = (1, {})
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row, as an operator or a member does."""
@@ -48,8 +51,23 @@
         self._version += 1
         self.rows.pop((table, key), None)
 
+    def copy(self) -> None:
+        """Keep a copy of all rows and of the counter of versions."""
+        self._copy = self._version, dict(self.rows)
+
+    def restore(self) -> None:
+        """Return to the copy; requests that are waiting go on without an error."""
+        self._version, rows = self._copy
+        self.rows = dict(rows)
+        self.epoch += 1
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Handle one request."""
+        """Handle one request; each answer names the epoch."""
+        response = await self._handle(request)
+        era = (("Store-Era", str(self.epoch)),)
+        return response._replace(headers=response.headers + era)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
         if self.is_down:
             self.refused_calls += 1
             return _respond(503, {})
@@ -83,6 +101,8 @@
 
     async def _feed(self, query: dict[str, str]) -> HttpResponse:
         after, table = int(query["after"]), query["Table"]
+        if after > self._version:
+            return _respond(410, {})
         with move_on_after(int(query["WaitMs"]) / 1000):
             while not (changed := self._newer(table, after)):
                 await self._changed.wait()
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -38,8 +38,8 @@
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.platform.configuration_rows import decode_configuration
+from jackdawspread.platform.epoch_tracker import EpochTracker
 from jackdawspread.platform.store_availability import StoreAvailability
-from jackdawspread.platform.store_epoch import StoreEpoch
 from jackdawspread.platform.store_rows import decode_rows, store_time_s
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.http_client import HttpClient
@@ -88,7 +88,7 @@
         self._peers = peers
         self._clock = StoreClockOffset()
         self._availability = StoreAvailability("configuration")
-        self._epoch = StoreEpoch("configuration")
+        self._epoch = EpochTracker("configuration")
         self._rank = MAX_RANK
         # Store version up to which all changes are known; None requires a full read.
         self._version: int | None = None
--- a/src/jackdawspread/platform/store_epoch.py
+++ b/src/jackdawspread/platform/epoch_tracker.py
@@ -12,7 +12,7 @@
 UNKNOWN_EPOCH = 0
 
 
-class StoreEpoch:
+class EpochTracker:
     """Tracks the epoch of the store in the responses to one task.
 
     Within an epoch the store gives each version once. A restored store begins a new
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -31,10 +31,10 @@
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.platform.epoch_tracker import EpochTracker
 from jackdawspread.platform.member_rows import decode_members
 from jackdawspread.platform.read_rows import OK, read_rows
 from jackdawspread.platform.store_availability import StoreAvailability
-from jackdawspread.platform.store_epoch import StoreEpoch
 from jackdawspread.platform.store_rows import store_time_s
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.http_client import HttpClient
@@ -84,7 +84,7 @@
         self._failover = failover
         self._peers = peers
         self._availability = StoreAvailability("members")
-        self._epoch = StoreEpoch("members")
+        self._epoch = EpochTracker("members")
         self._clock = StoreClockOffset()
         self._rank = MAX_RANK
         self._listing_by_id: dict[str, MemberListing] = {}
--- a/src/jackdawspread/platform/record_store.py
+++ b/src/jackdawspread/platform/record_store.py
@@ -22,9 +22,9 @@
 from jackdawspread.messages.fleet.record_write import RecordWrite
 from jackdawspread.messages.fleet.stored_record import StoredRecord
 from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.platform.epoch_tracker import EpochTracker
 from jackdawspread.platform.read_rows import read_rows
 from jackdawspread.platform.store_availability import StoreAvailability
-from jackdawspread.platform.store_epoch import StoreEpoch
 from jackdawspread.platform.store_rows import decode_rows, store_time_s
 from jackdawspread.tasks.http_client import HttpClient
 
@@ -57,7 +57,7 @@
         self._address = address
         self._inbox = inbox
         self._availability = StoreAvailability(user)
-        self._epoch = StoreEpoch(user)
+        self._epoch = EpochTracker(user)
 
     async def run(self) -> None:
         """Make calls until cancelled."""
