Never use a fencing token twice after the store was restored

Class of fault: a number that the store gave out is taken for unique for ever.

Tokens now begin anew above 2**32 times the epoch of the store, which grows with each restore. Conditional writes depend on a marker row of their epoch, so that a late one can't meet a version that was given out again, and no lock is acquired until one from before the restore has expired.

--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -80,7 +80,7 @@
         self.is_acquired = True
         ordered = self.earlier_request
         record = {"token": 1, "holder": "i1", "until": 3.0, "ordered": ordered}
-        return HeldPromotionLock("duty-g", 1, record, seconds_since_boot() + 60)
+        return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
 
     async def record_promotion(
         self, lock: HeldPromotionLock, member: str
--- a/features/fakes/lossy_record_store.py
+++ b/features/fakes/lossy_record_store.py
@@ -2,8 +2,11 @@
 
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_status import RecordStatus
+from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 
 NOW_S = 100.0
+# A store that names no epoch.
+EPOCH = 0
 
 
 class LossyRecordStore:
@@ -26,9 +29,15 @@
 
     async def read(self, name: str) -> RecordOutcome:
         """Read the record."""
-        return RecordOutcome(RecordStatus.DONE, self.version, self.value, NOW_S)
+        return RecordOutcome(RecordStatus.DONE, self.version, self.value, NOW_S, EPOCH)
 
-    async def write(self, name: str, expected: int, value: bytes) -> RecordOutcome:
+    async def epoch(self) -> StoreEpoch:
+        """Return the only epoch."""
+        return StoreEpoch(EPOCH, began_s=0.0)
+
+    async def write(
+        self, name: str, expected: int, value: bytes, epoch: int
+    ) -> RecordOutcome:
         """Write the record with the next result in the list."""
         if self._late is not None:
             late, self._late = self._late, None
@@ -41,7 +50,7 @@
             if result == "done":
                 status = RecordStatus.DONE if done else RecordStatus.CONFLICT
                 current = b"" if done else self.value
-                return RecordOutcome(status, self.version, current, NOW_S)
+                return RecordOutcome(status, self.version, current, NOW_S, EPOCH)
         if self.other:
             self._put(self.version, self.other)
         return RecordOutcome(RecordStatus.UNKNOWN)
--- a/features/steps/fleet_decision_steps.py
+++ b/features/steps/fleet_decision_steps.py
@@ -26,6 +26,7 @@
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.position_seen import PositionSeen
+from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.messages.position import Position
 
 NOW = 100.0
@@ -158,7 +159,9 @@
     context.tokens = []
     for now in (NOW, NOW + 4):
         for name in ("i1", "i2"):
-            record = acquire_promotion_lock(context.record, name, now)
+            record = acquire_promotion_lock(
+                context.record, name, now, StoreEpoch(0, 0.0)
+            )
             if record is not None:
                 context.record = record
                 context.tokens.append(record["token"])
--- a/features/steps/instance_directory_steps.py
+++ b/features/steps/instance_directory_steps.py
@@ -16,7 +16,8 @@
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.record_request import RecordRequest
-from jackdawspread.platform.record_store import TABLE, RecordStore
+from jackdawspread.platform.record_store import RecordStore
+from jackdawspread.platform.store_entries import TABLE
 from jackdawspread.tasks.fleet.instance_directory import PREFIX, InstanceDirectory
 from jackdawspread.tasks.fleet.record_client import RecordClient
 from jackdawspread.tasks.http_server import HttpServer
@@ -126,7 +127,7 @@
         async with open_nursery() as tasks:
             server = HttpServer(listeners[0], context.store.handle, Event())
             tasks.start_soon(server.run)
-            tasks.start_soon(RecordStore(f"{host}:{port}", "test", inbox).run)
+            tasks.start_soon(RecordStore(f"{host}:{port}", "test", True, inbox).run)
             ready.set()
 
     context.thread.start(run)
--- a/features/steps/rate_lease_steps.py
+++ b/features/steps/rate_lease_steps.py
@@ -354,7 +354,9 @@
             return RecordOutcome(RecordStatus.UNKNOWN)
         return RecordOutcome(RecordStatus.DONE, 0, b"", NOW)
 
-    async def write(self, name: str, expected: int, value: bytes) -> RecordOutcome:
+    async def write(
+        self, name: str, expected: int, value: bytes, epoch: int
+    ) -> RecordOutcome:
         """Refuse a write."""
         return RecordOutcome(RecordStatus.REFUSED)
 
--- a/features/store_restore.feature
+++ b/features/store_restore.feature
@@ -3,7 +3,6 @@
   instance knows from before stays true where others rely on it, and is compared with
   nothing from after.
 
-  @known_red
   Scenario: A fencing token is not used again after the store was restored
     # Guards against two holders with one token (incident CONFIG, ONE on saltbush).
     Given an instance with stand-ins for the store and the members
--- a/features/wire/table_store.py
+++ b/features/wire/table_store.py
@@ -116,17 +116,25 @@
         ]
 
     def _transact(self, body: dict[str, list[Row]]) -> HttpResponse:
-        for row in body["ExpectedRev"]:
-            name = (str(row["Table"]), str(row["Key"]))
-            _, version = self.rows.get(name, (b"", 0))
-            if version != row["Ver"]:
-                known = [self._row(*name)] if version else []
-                return _respond(412, {"rows": known, **self._version_and_time()})
+        conditions = {
+            (str(row["Table"]), str(row["Key"])): row["Ver"]
+            for row in body["ExpectedRev"]
+        }
+        version_by_name = {
+            name: self.rows.get(name, (b"", 0))[1] for name in conditions
+        }
+        if version_by_name != conditions:
+            known = [self._row(*name) for name in conditions if name in self.rows]
+            return _respond(412, {"rows": known, **self._version_and_time()})
+        # All rows of a transaction get one version.
+        self._version += 1
+        for row in body["Remove"]:
+            self.rows.pop((str(row["Table"]), str(row["Key"])), None)
         for row in body["Puts"]:
             value = b64decode(str(row["Value"]))
-            self.put(str(row["Table"]), str(row["Key"]), value)
-        for row in body["Remove"]:
-            self.delete(str(row["Table"]), str(row["Key"]))
+            self.rows[str(row["Table"]), str(row["Key"])] = (value, self._version)
+        self._changed.set()
+        self._changed = Event()
         return _respond(200, self._version_and_time())
 
     def _handle_promotion(self, request: HttpRequest) -> HttpResponse:
--- a/src/jackdawspread/decisions/failover/held_promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/held_promotion_lock.py
@@ -14,6 +14,8 @@
         Name of the record in the store.
     version : int
         Version of the record.
+    epoch : int
+        Epoch of the store to which the version belongs.
     record : PromotionLockRecord
         Content of the record.
     held_until : float
@@ -22,5 +24,6 @@
 
     name: str
     version: int
+    epoch: int
     record: PromotionLockRecord
     held_until: float
--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -5,21 +5,30 @@
 """
 
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
+from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 
 # Other instances can acquire the lock after this time; a promotion takes less than a
 # second.
 PROMOTION_LOCK_TTL_S = 3.0
+# Fencing tokens of one epoch of the store. Tokens of a later epoch are greater than all
+# earlier ones, also than those that a restored store has forgotten.
+TOKENS_PER_EPOCH = 2**32
 FREE_PROMOTION_LOCK = PromotionLockRecord(token=0, holder="", until=0.0, ordered="")
 
 
 def acquire_promotion_lock(
-    record: PromotionLockRecord, instance: str, store_time_s: float
+    record: PromotionLockRecord, instance: str, store_time_s: float, epoch: StoreEpoch
 ) -> PromotionLockRecord | None:
-    """Return the record that acquires the lock, None if another instance holds it."""
-    if record["holder"] and record["until"] > store_time_s:
+    """Return the record that acquires the lock, None if it may be in use.
+
+    Until a lock from before a restore of the store has expired, no instance acquires
+    one: the record may not show it.
+    """
+    is_held = record["holder"] and record["until"] > store_time_s
+    if is_held or store_time_s < epoch.began_s + PROMOTION_LOCK_TTL_S:
         return None
     return PromotionLockRecord(
-        token=record["token"] + 1,
+        token=max(record["token"], epoch.number * TOKENS_PER_EPOCH) + 1,
         holder=instance,
         until=store_time_s + PROMOTION_LOCK_TTL_S,
         ordered=record["ordered"],
--- a/src/jackdawspread/messages/fleet/record_outcome.py
+++ b/src/jackdawspread/messages/fleet/record_outcome.py
@@ -18,9 +18,12 @@
         Current content, after a read or a version conflict.
     store_time_s : float
         Monotonic clock of the store in seconds; 0 if the store did not answer.
+    epoch : int
+        Epoch of the store to which the version belongs.
     """
 
     status: RecordStatus
     version: int = 0
     value: bytes = b""
     store_time_s: float = 0.0
+    epoch: int = 0
--- a/src/jackdawspread/messages/fleet/record_write.py
+++ b/src/jackdawspread/messages/fleet/record_write.py
@@ -18,6 +18,8 @@
         Version that the record must have; 0 if the record must not exist.
     value : bytes
         New content.
+    epoch : int
+        Epoch of the store in which it gave that version.
     reply_to : trio.MemorySendChannel
         Receives the outcome.
     """
@@ -25,4 +27,5 @@
     name: str
     expected_version: int
     value: bytes
+    epoch: int
     reply_to: MemorySendChannel[RecordOutcome]
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -235,7 +235,10 @@
     def _open_records(self, user: str, tasks: Nursery) -> RecordClient:
         """Open a separate connection to the store for one task."""
         calls, inbox = open_memory_channel[RecordRequest](SMALL_INBOX)
-        store = RecordStore(self._settings.store_address, user, inbox)
+        settings = self._settings
+        store = RecordStore(
+            settings.store_address, user, settings.is_first_start, inbox
+        )
         tasks.start_soon(store.run)
         return RecordClient(calls)
 
--- a/src/jackdawspread/platform/epoch_tracker.py
+++ b/src/jackdawspread/platform/epoch_tracker.py
@@ -10,6 +10,7 @@
 EPOCH_HEADER = "store-era"
 # A response without the header, for example of a proxy in between, tells nothing.
 UNKNOWN_EPOCH = 0
+MAX_DIGITS = 9
 
 
 class EpochTracker:
@@ -26,8 +27,11 @@
 
     def __init__(self, user: str) -> None:
         self._user = user
-        self._version = 0
+        # Newest version of the store in the epoch.
+        self.version = 0
         self.number = UNKNOWN_EPOCH
+        # Whether a later epoch has begun since the first response.
+        self.has_changed = False
 
     def observe(self, outcome: HttpOutcome) -> bool:
         """Return whether a response is the first one of a later epoch.
@@ -38,6 +42,7 @@
         epoch, version = read_epoch(outcome), newest_version(outcome.body)
         is_restored = UNKNOWN_EPOCH < self.number < epoch
         if is_restored:
+            self.has_changed = True
             STORE_RESTORES.labels(self._user).inc()
             logging.warning(
                 "store: restored from a copy user=%s epoch=%d previous=%d version=%d "
@@ -46,15 +51,16 @@
                 epoch,
                 self.number,
                 version,
-                self._version,
+                self.version,
             )
         if epoch >= self.number:
             self.number = epoch
-            self._version = version or self._version
+            self.version = version or self.version
         return is_restored
 
 
 def read_epoch(outcome: HttpOutcome) -> int:
     """Return the epoch that a response names, ``UNKNOWN_EPOCH`` if it names none."""
     text = outcome.headers.get(EPOCH_HEADER, "")
-    return int(text) if text.isascii() and text.isdigit() else UNKNOWN_EPOCH
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else UNKNOWN_EPOCH
--- a/src/jackdawspread/platform/record_store.py
+++ b/src/jackdawspread/platform/record_store.py
@@ -1,6 +1,5 @@
 """Records of the proxy in the platform's store."""
 
-from base64 import b64encode
 from functools import singledispatchmethod
 from typing import Any
 from urllib.parse import quote
@@ -12,6 +11,7 @@
     open_nursery,
 )
 
+from jackdawspread.messages.fleet.epoch_read import EpochRead
 from jackdawspread.messages.fleet.record_list import RecordList
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_put import RecordPut
@@ -20,21 +20,31 @@
 from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.messages.fleet.record_write import RecordWrite
+from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.messages.fleet.stored_record import StoredRecord
 from jackdawspread.messages.http_outcome import HttpOutcome
-from jackdawspread.platform.epoch_tracker import EpochTracker
+from jackdawspread.platform.epoch_marker import marker_key
+from jackdawspread.platform.epoch_markers import EpochMarkers
+from jackdawspread.platform.epoch_tracker import read_epoch
 from jackdawspread.platform.read_rows import read_rows
 from jackdawspread.platform.store_availability import StoreAvailability
-from jackdawspread.platform.store_rows import decode_rows, store_time_s
+from jackdawspread.platform.store_entries import (
+    TABLE,
+    Entry,
+    condition_entry,
+    put_entry,
+    removal_entry,
+)
+from jackdawspread.platform.store_rows import (
+    decode_rows,
+    newest_version,
+    store_time_s,
+)
 from jackdawspread.tasks.http_client import HttpClient
 
-TABLE = "jackdawspread"
 CALL_TIMEOUT_S = 1.0
 OK = 200
 CONFLICT = 412
-
-# Entry of a transaction, and several of them.
-Entry = dict[str, str | int]
 Entries = tuple[Entry, ...]
 
 
@@ -47,17 +57,23 @@
         ``IP:port`` of the store.
     user : str
         Name of the task that uses the records, for the log.
+    is_first_start : bool
+        Whether no instance can have written records yet.
     inbox : trio.MemoryReceiveChannel
         Reads and writes to execute.
     """
 
     def __init__(
-        self, address: str, user: str, inbox: MemoryReceiveChannel[RecordRequest]
+        self,
+        address: str,
+        user: str,
+        is_first_start: bool,
+        inbox: MemoryReceiveChannel[RecordRequest],
     ) -> None:
         self._address = address
         self._inbox = inbox
         self._availability = StoreAvailability(user)
-        self._epoch = EpochTracker(user)
+        self._markers = EpochMarkers(user, is_first_start)
 
     async def run(self) -> None:
         """Make calls until cancelled."""
@@ -78,31 +94,57 @@
 
     @_execute.register
     async def _(self, request: RecordRead, client: HttpClient) -> RecordOutcome:
-        name = quote(request.name)
-        target = f"/rows-get?Table={TABLE}&part=&From={name}&To={name}%00"
+        return await self._read(request.name, client)
+
+    async def _read(self, name: str, client: HttpClient) -> RecordOutcome:
+        quoted = quote(name)
+        target = f"/rows-get?Table={TABLE}&part=&From={quoted}&To={quoted}%00"
         outcome = await client.call("GET", target, {}, current_time() + CALL_TIMEOUT_S)
         self._report(outcome)
         if outcome.status != OK:
             # A read has no effect, so the reason for its failure does not matter.
             return RecordOutcome(RecordStatus.UNKNOWN)
-        return _decode_outcome(RecordStatus.DONE, request.name, outcome.body)
+        return _decode_outcome(RecordStatus.DONE, name, outcome)
 
     @_execute.register
     async def _(self, request: RecordWrite, client: HttpClient) -> RecordOutcome:
-        expected = {**_row(request.name), "Ver": request.expected_version}
-        put = {**_row(request.name), "Value": b64encode(request.value).decode()}
-        return await self._change(client, request.name, (expected,), (put,), ())
+        marker = await self._markers.current(client)
+        if marker is None:
+            return RecordOutcome(RecordStatus.REFUSED)
+        if marker.epoch.number != request.epoch:
+            return await self._read_newer(request.name, client)
+        version = request.expected_version
+        expected = (
+            condition_entry(request.name, version),
+            condition_entry(marker_key(request.epoch), marker.version),
+        )
+        put = put_entry(request.name, request.value)
+        outcome = await self._change(client, request.name, expected, (put,), ())
+        if outcome.status is RecordStatus.CONFLICT and outcome.version == version:
+            # The marker differs, not the record.
+            self._markers.forget()
+            return await self._read_newer(request.name, client)
+        if outcome.status is RecordStatus.DONE and outcome.epoch != request.epoch:
+            # Restored just before the write: leases may be in use that the restored
+            # record does not show, and were not considered.
+            return await self._read_newer(request.name, client)
+        return outcome
+
+    @_execute.register
+    async def _(self, request: EpochRead, client: HttpClient) -> StoreEpoch | None:
+        marker = await self._markers.current(client)
+        return marker.epoch if marker is not None else None
 
     @_execute.register
     async def _(self, request: RecordPut, client: HttpClient) -> RecordOutcome:
-        put = {**_row(request.name), "Value": b64encode(request.value).decode()}
+        put = put_entry(request.name, request.value)
         return await self._change(client, request.name, (), (put,), ())
 
     @_execute.register
     async def _(self, request: RecordRemoval, client: HttpClient) -> RecordOutcome:
-        row = _row(request.name)
-        expected = {**row, "Ver": request.expected_version}
-        return await self._change(client, request.name, (expected,), (), (row,))
+        expected = condition_entry(request.name, request.expected_version)
+        removal = removal_entry(request.name)
+        return await self._change(client, request.name, (expected,), (), (removal,))
 
     @_execute.register
     async def _(
@@ -115,6 +157,13 @@
             return None
         return [StoredRecord(row.key, row.version, row.value) for row in rows]
 
+    async def _read_newer(self, name: str, client: HttpClient) -> RecordOutcome:
+        """Return the record of a later epoch than the one a write depends on."""
+        outcome: RecordOutcome = await self._read(name, client)
+        if outcome.status is not RecordStatus.DONE:
+            return RecordOutcome(RecordStatus.REFUSED)
+        return outcome._replace(status=RecordStatus.CONFLICT)
+
     async def _change(
         self,
         client: HttpClient,
@@ -133,12 +182,11 @@
         )
         self._report(outcome)
         if outcome.status == OK:
-            version = int(outcome.body.get("Ver") or 0)
-            return RecordOutcome(
-                RecordStatus.DONE, version, b"", store_time_s(outcome.body)
-            )
+            version, now_s = newest_version(outcome.body), store_time_s(outcome.body)
+            epoch = read_epoch(outcome)
+            return RecordOutcome(RecordStatus.DONE, version, b"", now_s, epoch)
         if outcome.status == CONFLICT:
-            return _decode_outcome(RecordStatus.CONFLICT, name, outcome.body)
+            return _decode_outcome(RecordStatus.CONFLICT, name, outcome)
         if outcome.status or not outcome.sent:
             return RecordOutcome(RecordStatus.REFUSED)
         return RecordOutcome(RecordStatus.UNKNOWN)
@@ -148,18 +196,14 @@
         self._availability.report(
             outcome.status in (OK, CONFLICT), reason, current_time()
         )
-        self._epoch.observe(outcome)
-
-
-def _row(name: str) -> Entry:
-    return {"Table": TABLE, "part": "", "Key": name}
+        self._markers.observe(outcome)
 
 
 def _decode_outcome(
-    status: RecordStatus, name: str, body: dict[str, Any]
+    status: RecordStatus, name: str, outcome: HttpOutcome
 ) -> RecordOutcome:
-    now_s = store_time_s(body)
-    for row in decode_rows(body):
+    now_s, epoch = store_time_s(outcome.body), read_epoch(outcome)
+    for row in decode_rows(outcome.body):
         if row.key == name and not row.deleted and row.version:
-            return RecordOutcome(status, row.version, row.value, now_s)
-    return RecordOutcome(status, 0, b"", now_s)
+            return RecordOutcome(status, row.version, row.value, now_s, epoch)
+    return RecordOutcome(status, 0, b"", now_s, epoch)
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -1,9 +1,9 @@
 """Client of the promotion locks in the platform's store."""
 
 from absl import logging
-from msgspec import DecodeError, ValidationError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 
+from jackdawspread.codecs.stored_json import decode_stored
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.promotion_lock import (
     FREE_PROMOTION_LOCK,
@@ -43,19 +43,28 @@
     async def acquire(self, group: str) -> HeldPromotionLock | str:
         """Acquire the lock of a group, or return why it can't be acquired now."""
         name = f"duty-{group}"
+        epoch = await self._records.epoch()
+        read_at = seconds_since_boot()
         known = await self._records.read(name)
-        if known.status is not RecordStatus.DONE:
+        if epoch is None or known.status is not RecordStatus.DONE:
             return "the store did not answer"
-        read_at = seconds_since_boot()
+        if known.epoch != epoch.number:
+            return "the store has just been restored from a copy"
         current = _decode(known)
-        record = acquire_promotion_lock(current, self._instance, known.store_time_s)
+        if current is None:
+            return "the promotion lock is unreadable"
+        record = acquire_promotion_lock(
+            current, self._instance, known.store_time_s, epoch
+        )
         if record is None:
-            return f"the promotion lock is held by {current['holder']}"
+            holder = current["holder"] or "a holder from before the store was restored"
+            return f"the promotion lock is held by {holder}"
         held_until = read_at + PROMOTION_LOCK_TTL_S
-        outcome = await self._write(name, known.version, record, held_until)
+        lock = HeldPromotionLock(name, known.version, epoch.number, record, held_until)
+        outcome = await self._write(lock, record, held_until)
         if outcome.status is not RecordStatus.DONE:
             return f"the promotion lock was not written: {outcome.status.value}"
-        return HeldPromotionLock(name, outcome.version, record, held_until)
+        return lock._replace(version=outcome.version)
 
     async def record_promotion(
         self, lock: HeldPromotionLock, member: str
@@ -63,7 +72,7 @@
         """Record the member that the holder will promote; None if that fails."""
         record = record_ordered_member(lock.record, member)
         deadline = lock.held_until - RESUME_RESERVE_S
-        outcome = await self._write(lock.name, lock.version, record, deadline)
+        outcome = await self._write(lock, record, deadline)
         if outcome.status is not RecordStatus.DONE:
             return None
         return lock._replace(version=outcome.version, record=record)
@@ -71,38 +80,43 @@
     async def release(self, lock: HeldPromotionLock) -> None:
         """Release the lock, so that other instances need not wait until it expires."""
         record = release_promotion_lock(lock.record)
-        outcome = await self._write(lock.name, lock.version, record, lock.held_until)
+        outcome = await self._write(lock, record, lock.held_until)
         if outcome.status is not RecordStatus.DONE:
             logging.info("succession: promotion lock not released name=%s", lock.name)
 
     async def _write(
-        self, name: str, version: int, record: PromotionLockRecord, deadline: float
+        self, lock: HeldPromotionLock, record: PromotionLockRecord, deadline: float
     ) -> RecordOutcome:
-        """Write a record over a known version, and retry if the outcome is unknown.
+        """Write a record over that of a lock, and retry if the outcome is unknown.
 
         An unanswered write may still take effect later. Retrying the same write over
         the same version is safe, since the store executes only the first of the two.
         """
         while True:
-            outcome = await self._records.write(name, version, encode(record))
+            outcome = await self._records.write(
+                lock.name, lock.version, encode(record), lock.epoch
+            )
             if outcome.status in (RecordStatus.DONE, RecordStatus.REFUSED):
                 return outcome
             if outcome.status is RecordStatus.UNKNOWN:
-                outcome = await self._records.read(name)
+                outcome = await self._records.read(lock.name)
             if outcome.status is not RecordStatus.UNKNOWN:
+                if outcome.epoch != lock.epoch:
+                    return outcome._replace(status=RecordStatus.CONFLICT)
                 if _decode(outcome) == record:
                     return outcome._replace(status=RecordStatus.DONE)
-                if outcome.version != version:
+                if outcome.version != lock.version:
                     return outcome._replace(status=RecordStatus.CONFLICT)
             if seconds_since_boot() >= deadline:
                 return RecordOutcome(RecordStatus.UNKNOWN)
 
 
-def _decode(outcome: RecordOutcome) -> PromotionLockRecord:
+def _decode(outcome: RecordOutcome) -> PromotionLockRecord | None:
+    """Return the record; None if it is unreadable, as its fencing token is unknown."""
     if not outcome.value:
         return FREE_PROMOTION_LOCK
     try:
-        return decode(outcome.value, type=PromotionLockRecord)
-    except (DecodeError, ValidationError) as error:
-        logging.error("succession: unreadable promotion lock reason=%r", error)
-        raise
+        return decode_stored(outcome.value, PromotionLockRecord)
+    except ValueError as error:
+        logging.error("succession: unreadable promotion lock reason=%r", str(error))
+        return None
--- a/src/jackdawspread/tasks/fleet/rate_lease_task.py
+++ b/src/jackdawspread/tasks/fleet/rate_lease_task.py
@@ -82,7 +82,9 @@
         self._announcements = announcements
         self._admission = admission
         self._peers = peers
+        # Version of the record, and the epoch of the store to which it belongs.
         self._version = 0
+        self._epoch = 0
         self._record: RateLeaseRecord = {}
         self._clock = StoreClockOffset()
         self._known_since = 0.0
@@ -121,7 +123,7 @@
             return False
         self._must_read = False
         self._known_since = self._known_since or self._store_time()
-        await self._keep(outcome.version, outcome.value)
+        await self._keep(outcome.epoch, outcome.version, outcome.value)
         return True
 
     async def _write(self) -> bool:
@@ -133,7 +135,9 @@
             self._known_since,
             self._store_time(),
         )
-        outcome = await self._records.write(RECORD, self._version, encode(record))
+        outcome = await self._records.write(
+            RECORD, self._version, encode(record), self._epoch
+        )
         self._update_clock(outcome)
         if outcome.status is RecordStatus.DONE:
             self._has_renewed = True
@@ -147,7 +151,7 @@
             logging.info(
                 "leases: another instance has written version=%d", self._version
             )
-            await self._keep(outcome.version, outcome.value)
+            await self._keep(outcome.epoch, outcome.version, outcome.value)
         elif outcome.status is RecordStatus.UNKNOWN:
             logging.warning("leases: the store did not answer a write")
             self._must_read = True
@@ -158,9 +162,9 @@
             now = seconds_since_boot()
             self._clock = update_offset(self._clock, outcome.store_time_s, now)
 
-    async def _keep(self, version: int, value: bytes) -> None:
+    async def _keep(self, epoch: int, version: int, value: bytes) -> None:
         """Keep a record that was read from the store."""
-        self._version = version
+        self._epoch, self._version = epoch, version
         try:
             self._record = decode(value, type=RateLeaseRecord) if value else {}
         except (DecodeError, ValidationError) as error:
--- a/src/jackdawspread/tasks/fleet/record_client.py
+++ b/src/jackdawspread/tasks/fleet/record_client.py
@@ -2,6 +2,7 @@
 
 from trio import MemorySendChannel, open_memory_channel
 
+from jackdawspread.messages.fleet.epoch_read import EpochRead
 from jackdawspread.messages.fleet.record_list import RecordList
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_put import RecordPut
@@ -9,6 +10,7 @@
 from jackdawspread.messages.fleet.record_removal import RecordRemoval
 from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.messages.fleet.record_write import RecordWrite
+from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.messages.fleet.stored_record import StoredRecord
 
 
@@ -30,10 +32,18 @@
         await self._store.send(RecordRead(name, send))
         return await receive.receive()
 
-    async def write(self, name: str, expected: int, value: bytes) -> RecordOutcome:
-        """Write a record if it has the expected version."""
+    async def epoch(self) -> StoreEpoch | None:
+        """Return the epoch of the store; None if the store did not answer."""
+        send, receive = open_memory_channel[StoreEpoch | None](1)
+        await self._store.send(EpochRead(send))
+        return await receive.receive()
+
+    async def write(
+        self, name: str, expected: int, value: bytes, epoch: int
+    ) -> RecordOutcome:
+        """Write a record if it has the version expected, which is one of the epoch."""
         send, receive = open_memory_channel[RecordOutcome](1)
-        await self._store.send(RecordWrite(name, expected, value, send))
+        await self._store.send(RecordWrite(name, expected, value, epoch, send))
         return await receive.receive()
 
     async def put(self, name: str, value: bytes) -> RecordOutcome:
