Let an entry of the copy count once its member has written it again

Callers' work could reach a member after its drain time, or one that had left: in a restored store a leaving member is ready again and a departed one is listed, until the entry is written again or expires.

In the first 5 s after a restore an entry whose version has not changed since the first list keeps what was known of the member.

--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -15,15 +15,22 @@
 from msgspec.json import decode
 from trio import current_time, open_memory_channel, sleep
 
+from jackdawspread.decisions.members.restored_entries import (
+    TRUSTED_AFTER_S,
+    RestoredEntries,
+    replace_copied_entries,
+)
 from jackdawspread.decisions.store_reads.configuration_choice import (
     choose_configuration,
 )
 from jackdawspread.decisions.store_reads.held_configuration import HeldConfiguration
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
+from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.platform.configuration_rows import decode_configuration
+from jackdawspread.platform.member_poll import MemberPoll
 from jackdawspread.tasks.fleet import rate_lease_task
 from jackdawspread.tasks.fleet.rate_lease_task import RateLeaseTask
 
@@ -32,6 +39,8 @@
 # A change is in force within this time.
 CHANGE_S = 0.5
 MAX_AGE_S = 15.0
+# The list of members is read at least once in this time.
+LIST_S = 2.5
 SEED = 7
 EXAMPLES = 1500
 
@@ -238,3 +247,61 @@
     platform.configuration["Version"] -= 1
     platform.configuration["Tenants"][0]["ApiKeys"] = []
     platform.publish()
+
+
+@given("a member that was {state} when the store was restored")
+def known_member(context: Context, state: str) -> None:
+    """Know the member, or none."""
+    ready = MemberListing("m1", "g", "10.0.0.1:80", "z1", 1, False, False)
+    context.ready = ready
+    context.known = {"m1": ready._replace(leaving=True)} if state == "leaving" else {}
+    context.restored = RestoredEntries({"m1": 5}, START_S + TRUSTED_AFTER_S)
+
+
+@when("it is listed as ready {seconds:d} s later, with {which} version")
+def listed_ready(context: Context, seconds: int, which: str) -> None:
+    """Read the list in the new epoch."""
+    versions = {"m1": 5 if which == "the same" else 6}
+    context.members = replace_copied_entries(
+        context.known,
+        {"m1": context.ready},
+        versions,
+        context.restored,
+        START_S + seconds,
+    )
+
+
+@then("the member is {state}")
+def member_is(context: Context, state: str) -> None:
+    """Compare the listing."""
+    member = context.members.get("m1")
+    found = "gone" if member is None else "leaving" if member.leaving else "ready"
+    assert found == state, context.members
+
+
+@when("the store is restored and no member has written its entry again")
+def restored_silently(context: Context) -> None:
+    """Return to the copy, and record the lists that the instance takes from it."""
+    context.lists = []
+    publish = MemberPoll._publish
+
+    async def record(poll, listed, read_at) -> None:
+        context.lists.append(listed)
+        await publish(poll, listed, read_at)
+
+    patch = mock.patch.object(MemberPoll, "_publish", record)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+    async def restore() -> None:
+        context.platform.store.restore()
+
+    context.platform.call(restore)
+    context.platform.call(sleep, LIST_S)
+
+
+@then("the former primary still counts as leaving")
+def still_leaving(context: Context) -> None:
+    """Check every list that was read after the restore."""
+    assert context.lists
+    assert all(listed[context.former].leaving for listed in context.lists)
--- a/features/store_restore.feature
+++ b/features/store_restore.feature
@@ -60,3 +60,29 @@
     And the store has been copied
     When the configuration changes, the store is restored and another change has its version
     Then its next statements are refused with NOAUTH
+
+  Scenario Outline: The entry of a member counts once it was written after the restore
+    # Guards against work for a member that has left or that leaves: its entry in the
+    # copy says that it is ready.
+    Given a member that was <known> when the store was restored
+    When it is listed as ready <seconds> s later, with <version> version
+    Then the member is <result>
+
+    Examples:
+      | known   | seconds | version   | result  |
+      | leaving | 0       | the same  | leaving |
+      | leaving | 4       | the same  | leaving |
+      | leaving | 1       | a new     | ready   |
+      | leaving | 6       | the same  | ready   |
+      | gone    | 0       | the same  | gone    |
+      | gone    | 1       | a new     | ready   |
+      | gone    | 6       | the same  | ready   |
+
+  Scenario: A leaving member gets no second drain time after a restore
+    # Guards against work for a member after the drain time that it announced.
+    Given an instance with stand-ins for the store and the members
+    And the store has been copied
+    When the primary announces its shutdown
+    Then another member is the primary before the old one has stopped
+    When the store is restored and no member has written its entry again
+    Then the former primary still counts as leaving
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -12,6 +12,11 @@
 )
 
 from jackdawspread.decisions.members.listing_retention import retain_members
+from jackdawspread.decisions.members.restored_entries import (
+    TRUSTED_AFTER_S,
+    RestoredEntries,
+    replace_copied_entries,
+)
 from jackdawspread.decisions.store_reads.domain_rank import MAX_RANK, rank_in_domain
 from jackdawspread.decisions.store_reads.member_poll_schedule import poll_interval_s
 from jackdawspread.decisions.store_reads.store_clock_offset import (
@@ -89,6 +94,8 @@
         self._rank = MAX_RANK
         self._listing_by_id: dict[str, MemberListing] = {}
         self._outage_ended_at = -OUTAGE_S
+        self._restored = RestoredEntries()
+        self._is_restored = False
         # Monotonic times at which the newest list was read at the earliest, at which it
         # arrived, and of the last read, also a failed one.
         self._read_at = 0.0
@@ -148,13 +155,27 @@
         rows = await read_rows(client, TABLE, "", READ_TIMEOUT_S, self._report)
         if rows is None:
             return
-        await self._publish(decode_members(rows), requested_at)
+        version_by_id = {row.key: row.version for row in rows}
+        if self._is_restored:
+            trusted_at = requested_at + TRUSTED_AFTER_S
+            self._restored = RestoredEntries(version_by_id, trusted_at)
+            self._outage_ended_at = requested_at
+            self._is_restored = False
+        listed = replace_copied_entries(
+            self._listing_by_id,
+            decode_members(rows),
+            version_by_id,
+            self._restored,
+            requested_at,
+        )
+        await self._publish(listed, requested_at)
         self._relay(to_store_time(self._clock, since_boot))
 
     def _report(self, outcome: HttpOutcome) -> None:
         reason = outcome.error or f"status {outcome.status}"
         self._availability.report(outcome.status == OK, reason, current_time())
-        self._epoch.observe(outcome)
+        # Kept until a list is complete, as a later page may fail.
+        self._is_restored = self._epoch.observe(outcome) or self._is_restored
         if outcome.status == OK:
             store_now_s = store_time_s(outcome.body)
             self._clock = update_offset(self._clock, store_now_s, seconds_since_boot())
