Skip odd entries of other writers instead of ending the process

Callers were cut off when one odd entry stood in the store or came from a peer: a nested configuration and a datagram of nested arrays raised RecursionError; a member with 10^400 slots, an instance or holder at port 70000 or -1 raised OverflowError. A member at a host name or with an odd port was listed and blocked its group's failover.

One decoder for stored documents, one parser for addresses and one check for listings, leases and names now serve rows and datagrams alike. What can't be used is skipped, the last good configuration and leases stay, times from the future are ignored, and a skipped member is logged once. A configuration that contradicts itself is not taken.

--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -88,7 +88,7 @@
         StoreRow("good", json.dumps(ENTRY).encode(), 2, False),
         StoreRow("bytes", b"\xff\xfe", 3, False),
     ]
-    context.members = decode_members(rows)
+    context.members = decode_members(rows, set())
 
 
 @then("only the valid entry gives a member")
--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -55,6 +55,9 @@
         self.configuration = initial_configuration()
         self.configuration["Services"][0]["MaxConns"] = max_connections
         self.addresses: list[str] = []
+        # Ports of every instance: sessions, readiness, peers and metrics.
+        self.ports: tuple[int, ...] = ()
+        self.store_address = ""
 
     @property
     def address(self) -> str:
@@ -108,16 +111,16 @@
 
     async def _run(self, ready: Event) -> None:
         async with open_nursery() as self._nursery:
-            store_address = await self._listen_store()
+            self.store_address = await self._listen_store()
             for number in range(3):
                 await self._start_member(f"m{number}")
             self.group.primary = "m0"
             self.group.register()
             value = json.dumps(self.configuration).encode()
             self.store.put("op", "config", value)
-            ports = await _free_ports()
+            self.ports = await _free_ports()
             for number in range(self._instances):
-                self._start_instance(number, ports, store_address)
+                self._start_instance(number)
             for address in self.addresses:
                 await self._wait_until_serving(address)
             ready.set()
@@ -136,19 +139,17 @@
         self.group.address_by_member[id] = _address(listeners[0])
         self._nursery.start_soon(member.run)
 
-    def _start_instance(
-        self, number: int, ports: tuple[int, ...], store_address: str
-    ) -> None:
+    def _start_instance(self, number: int) -> None:
         ip = INSTANCE_IP.format(number + 1)
-        session, readiness, peer, metrics = (f"{ip}:{port}" for port in ports)
+        session, readiness, peer, metrics = (f"{ip}:{port}" for port in self.ports)
         self.addresses.append(session)
         settings = SessionProxySettings(
             instance=f"i{number + 1}",
             failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
             session_address=session,
             readiness_address=readiness,
-            store_address=store_address,
-            promotion_address=store_address,
+            store_address=self.store_address,
+            promotion_address=self.store_address,
             ip=ip,
             metrics_address=metrics,
             peer_address=peer,
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -5,11 +5,16 @@
 upgraded one by one.
 """
 
+from functools import singledispatch
+from math import isfinite
 from typing import Any
 
-from msgspec import DecodeError, ValidationError, convert
+from msgspec import convert
 from msgspec.msgpack import decode, encode
 
+from jackdawspread.codecs.lease_check import check_leases
+from jackdawspread.codecs.listing_check import check_listing, check_name
+from jackdawspread.codecs.stored_json import DECODE_ERRORS
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.members_relayed import MembersRelayed
 from jackdawspread.messages.fleet.peer_datagram import PeerDatagram
@@ -42,7 +47,37 @@
         fields: list[Any] = decode(data, type=list)
         match fields:
             case [2, int(kind), *values] if kind in TYPE_BY_KIND:
-                return convert(values, type=TYPE_BY_KIND[kind])
-    except (DecodeError, ValidationError):
+                message = convert(values, type=TYPE_BY_KIND[kind])
+                _check(message)
+                return message
+    except (*DECODE_ERRORS, ValueError):
         return None
     return None
+
+
+@singledispatch
+def _check(message: object) -> None:
+    """Check what the types don't express; raise ValueError."""
+
+
+@_check.register
+def _(message: RateLeasesAnnounced) -> None:
+    check_leases(message.record)
+
+
+@_check.register
+def _(message: MembersRelayed) -> None:
+    check_name(message.instance)
+    _check_time(message.store_time_s)
+    for listing in message.listings:
+        check_listing(listing)
+
+
+@_check.register
+def _(message: ConfigurationConfirmed) -> None:
+    _check_time(message.store_time_s)
+
+
+def _check_time(store_time_s: float) -> None:
+    if not isfinite(store_time_s):
+        raise ValueError("a time must be finite")
--- a/src/jackdawspread/codecs/pool_host_frames.py
+++ b/src/jackdawspread/codecs/pool_host_frames.py
@@ -8,9 +8,10 @@
 from functools import singledispatch
 from typing import Any
 
-from msgspec import DecodeError, ValidationError, convert
+from msgspec import convert
 from msgspec.msgpack import decode, encode
 
+from jackdawspread.codecs.stored_json import DECODE_ERRORS
 from jackdawspread.messages.pool_hosts.exchange_answered import ExchangeAnswered
 from jackdawspread.messages.pool_hosts.exchange_failed import ExchangeFailed
 from jackdawspread.messages.pool_hosts.exchange_requested import ExchangeRequested
@@ -136,7 +137,7 @@
                         convert(values[3], float),
                     )
                 return convert(values, type=TYPE_BY_KIND[kind])
-    except (DecodeError, ValidationError, IndexError, KeyError, TypeError) as error:
+    except (*DECODE_ERRORS, IndexError, KeyError, TypeError) as error:
         raise ValueError(f"malformed frame: {error!r}") from error
     raise ValueError("a frame of an unsupported format or kind")
 
--- a/src/jackdawspread/decisions/rate_leases/lease_writes.py
+++ b/src/jackdawspread/decisions/rate_leases/lease_writes.py
@@ -22,6 +22,8 @@
 # Longer than most outages of the store.
 LEASE_TTL_S = 14.0
 RENEWAL_INTERVAL_S = 3.0
+# Two instances know the store's clock with errors below this time.
+CLOCK_MARGIN_S = 2.0
 # Instances claim a free part at different times within this interval, so that most of
 # them learn of the new holder before they try.
 CLAIM_SPREAD_S = 0.8
@@ -45,6 +47,12 @@
     )
 
 
+def expires_too_late(record: RateLeaseRecord, store_time_s: float) -> bool:
+    """Return whether a lease is longer than any that an instance writes."""
+    latest = store_time_s + LEASE_TTL_S + CLOCK_MARGIN_S
+    return any(lease["until"] > latest for lease in record.values())
+
+
 def newest_epoch(record: RateLeaseRecord) -> int:
     """Return the epoch of the store in which a record was last written."""
     return max((lease.get("epoch", 0) for lease in record.values()), default=0)
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -58,6 +58,8 @@
 KEY = "config"
 READ_TARGET = f"/rows-get?Table={TABLE}&part="
 READ_TIMEOUT_S = 1.5
+# Two instances know the store's clock with errors below this time.
+CLOCK_MARGIN_S = READ_TIMEOUT_S
 OK = 200
 HISTORY_GONE = 410
 
@@ -184,7 +186,17 @@
     @_handle.register
     async def _(self, event: ConfigurationConfirmed) -> None:
         own = self._held.configuration.version if self._held is not None else 0
+        now = seconds_since_boot()
         as_of = to_local_time(self._clock, event.store_time_s)
+        if as_of > now + CLOCK_MARGIN_S:
+            logging.warning(
+                "configuration: confirmation from the future ignored version=%d "
+                "ahead_s=%.1f",
+                event.version,
+                as_of - now,
+            )
+            return
+        as_of = min(as_of, now)
         if event.version > own:
             logging.info(
                 "configuration: newer version known to a peer version=%d own=%d",
--- a/src/jackdawspread/platform/configuration_rows.py
+++ b/src/jackdawspread/platform/configuration_rows.py
@@ -1,8 +1,11 @@
 """Decoding of the configuration that operators store on the platform."""
 
-from msgspec import DecodeError, Struct, ValidationError, field
-from msgspec.json import decode
+from math import inf
 
+from msgspec import Struct, field
+
+from jackdawspread.codecs.listing_check import check_name
+from jackdawspread.codecs.stored_json import decode_stored
 from jackdawspread.messages.fleet.consistency import Consistency
 from jackdawspread.messages.fleet.database_route import DatabaseRoute
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
@@ -59,12 +62,10 @@
     Raises
     ------
     ValueError
-        If a field is missing or has the wrong type.
+        If a field is missing, has the wrong type or contradicts another one.
     """
-    try:
-        document = decode(value, type=_Configuration)
-    except (DecodeError, ValidationError) as error:
-        raise ValueError(f"unreadable configuration: {error}") from error
+    document = decode_stored(value, _Configuration)
+    _check(document)
     return FleetConfiguration(
         version=document.version,
         route_by_database={
@@ -88,6 +89,43 @@
     )
 
 
+def _check(document: _Configuration) -> None:
+    """Check what the types don't express; raise ValueError."""
+    if document.version < 1:
+        raise ValueError("the version must be above 0")
+    _check_unique("route", [route.database for route in document.routes])
+    _check_unique("group", [group.name for group in document.groups])
+    _check_unique("workspace", [item.name for item in document.workspaces])
+    # A key that stands twice in its own workspace is harmless.
+    keys = [key for item in document.workspaces for key in set(item.keys)]
+    _check_unique("key", keys)
+    for name in (
+        *(route.database for route in document.routes),
+        *(route.group for route in document.routes),
+        *(group.name for group in document.groups),
+        *(item.name for item in document.workspaces),
+    ):
+        check_name(name)
+    for number in (
+        document.limits.transaction_idle_ms,
+        *(route.statement_timeout_ms for route in document.routes),
+        *(route.latency_target_ms for route in document.routes),
+        *(route.max_staleness_ms for route in document.routes),
+        *(item.rate_per_s or 0.0 for item in document.workspaces),
+        *(item.burst or 0.0 for item in document.workspaces),
+    ):
+        if not 0 <= number < inf:
+            raise ValueError("a number must be finite and not negative")
+    if any(group.max_connections < 1 for group in document.groups):
+        raise ValueError("a group must allow a connection")
+
+
+def _check_unique(kind: str, names: list[str]) -> None:
+    if len(set(names)) < len(names):
+        # A key may not appear in an error message.
+        raise ValueError(f"a {kind} is defined twice")
+
+
 def _to_route(route: _Route) -> DatabaseRoute:
     return DatabaseRoute(
         database=route.database,
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -94,6 +94,7 @@
         self._rank = MAX_RANK
         self._listing_by_id: dict[str, MemberListing] = {}
         self._outage_ended_at = -OUTAGE_S
+        self._skipped: set[str] = set()
         self._restored = RestoredEntries()
         self._is_restored = False
         # Monotonic times at which the newest list was read at the earliest, at which it
@@ -145,7 +146,7 @@
         since_boot = to_local_time(self._clock, event.store_time_s)
         read_at = current_time() - (seconds_since_boot() - since_boot)
         read_at -= RELAY_CLOCK_MARGIN_S
-        if read_at > self._read_at:
+        if self._read_at < read_at <= current_time():
             listed = {listing.id: listing for listing in event.listings}
             await self._publish(listed, read_at)
 
@@ -163,7 +164,7 @@
             self._is_restored = False
         listed = replace_copied_entries(
             self._listing_by_id,
-            decode_members(rows),
+            decode_members(rows, self._skipped),
             version_by_id,
             self._restored,
             requested_at,
--- a/src/jackdawspread/platform/member_rows.py
+++ b/src/jackdawspread/platform/member_rows.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterable
 
 from absl import logging
-from msgspec import DecodeError, Struct, ValidationError, field
-from msgspec.json import decode
+from msgspec import Struct, field
 
+from jackdawspread.codecs.listing_check import check_listing
+from jackdawspread.codecs.stored_json import decode_stored
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.platform.store_rows import StoreRow
 
@@ -24,33 +25,45 @@
     slots: int = field(name="Slots", default=1)
 
 
-def decode_members(rows: Iterable[StoreRow]) -> dict[str, MemberListing]:
-    """Return the listed members by id; invalid entries are skipped."""
+def decode_members(
+    rows: Iterable[StoreRow], skipped: set[str]
+) -> dict[str, MemberListing]:
+    """Return the listed members by id; entries that can't be used are skipped.
+
+    Parameters
+    ----------
+    rows : iterable of StoreRow
+        All entries.
+    skipped : set of str
+        Keys of the entries that were skipped. It is updated; only a key that is new in
+        it is logged.
+    """
     listing_by_id = {}
+    reason_by_key = {}
     for row in rows:
-        listing = _decode_entry(row)
-        if listing is not None:
-            listing_by_id[row.key] = listing
+        try:
+            listing_by_id[row.key] = _decode_entry(row)
+        except (KeyError, ValueError) as error:
+            reason_by_key[row.key] = str(error)
+    for key in reason_by_key.keys() - skipped:
+        logging.warning(
+            "members: entry ignored key=%r reason=%r", key, reason_by_key[key]
+        )
+    skipped.clear()
+    skipped.update(reason_by_key)
     return listing_by_id
 
 
-def _decode_entry(row: StoreRow) -> MemberListing | None:
-    try:
-        entry = decode(row.value, type=_Entry)
-        leaving = LEAVING_BY_STATE[entry.state]
-        claims_primary = PRIMARY_BY_ROLE[entry.role]
-        host, _, port = entry.address.rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError(f"invalid address: {entry.address[:40]!r}")
-    except (DecodeError, ValidationError, KeyError, ValueError) as error:
-        logging.vlog(1, "members: entry ignored key=%s reason=%r", row.key, error)
-        return None
-    return MemberListing(
+def _decode_entry(row: StoreRow) -> MemberListing:
+    entry = decode_stored(row.value, _Entry)
+    listing = MemberListing(
         id=row.key,
         group=entry.group,
         address=entry.address,
         failure_domain=entry.failure_domain,
-        slots=max(1, entry.slots),
-        leaving=leaving,
-        claims_primary=claims_primary,
+        slots=entry.slots,
+        leaving=LEAVING_BY_STATE[entry.state],
+        claims_primary=PRIMARY_BY_ROLE[entry.role],
     )
+    check_listing(listing)
+    return listing
--- a/src/jackdawspread/platform/store_rows.py
+++ b/src/jackdawspread/platform/store_rows.py
@@ -5,6 +5,9 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
+# Versions are numbers of at most 64 bits with a sign.
+MAX_VERSION = 2**63 - 1
+
 
 class StoreRow(NamedTuple):
     """Row of a table.
@@ -35,10 +38,11 @@
             continue
         try:
             value = b64decode(row.get("Value") or "", validate=True)
-            version = int(row.get("Ver") or 0)
         except (Base64Error, TypeError, ValueError):
             continue
-        yield StoreRow(row["Key"], value, version, bool(row.get("Tombstone")))
+        version = row.get("Ver", 0)
+        if type(version) is int and 0 <= version <= MAX_VERSION:
+            yield StoreRow(row["Key"], value, version, bool(row.get("Tombstone")))
 
 
 def store_time_s(body: dict[str, Any]) -> float:
@@ -50,4 +54,4 @@
 def newest_version(body: dict[str, Any]) -> int:
     """Return the newest version of the store, or 0 if the answer lacks it."""
     version = body.get("Ver")
-    return version if isinstance(version, int) else 0
+    return version if type(version) is int and 0 <= version <= MAX_VERSION else 0
--- a/src/jackdawspread/tasks/fleet/instance_directory.py
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -1,10 +1,11 @@
 """Registration of this instance, and the list of all instances."""
 
 from absl import logging
-from msgspec import DecodeError, ValidationError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 from trio import MemorySendChannel, current_time, sleep
 
+from jackdawspread.codecs.network_address import parse_address
+from jackdawspread.codecs.stored_json import decode_stored
 from jackdawspread.messages.fleet.configuration_feed_event import (
     ConfigurationFeedEvent,
 )
@@ -129,7 +130,9 @@
 
 def _decode_entry(record: StoredRecord) -> InstanceEntry | None:
     try:
-        return decode(record.value, type=InstanceEntry)
-    except (DecodeError, ValidationError) as error:
+        entry = decode_stored(record.value, InstanceEntry)
+        parse_address(entry.address)
+        return entry
+    except ValueError as error:
         logging.error("instance: entry ignored name=%s reason=%r", record.name, error)
         return None
--- a/src/jackdawspread/tasks/fleet/peer_datagrams.py
+++ b/src/jackdawspread/tasks/fleet/peer_datagrams.py
@@ -6,6 +6,7 @@
 from trio import MemoryReceiveChannel, MemorySendChannel, WouldBlock, open_nursery
 from trio.socket import SOCK_DGRAM, SocketType, socket
 
+from jackdawspread.codecs.network_address import parse_address
 from jackdawspread.codecs.peer_datagrams import (
     MAX_DATAGRAM_BYTES,
     decode_datagram,
@@ -31,8 +32,6 @@
 from jackdawspread.messages.fleet.token_requested import TokenRequested
 from jackdawspread.tasks.fleet.fleet_metrics import DATAGRAMS
 
-Address = tuple[str, int]
-
 
 class PeerDatagrams:
     """Owns the datagram socket to the other instances.
@@ -80,7 +79,7 @@
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
-        await self._socket.bind(_parse_address(self._entry.address))
+        await self._socket.bind(parse_address(self._entry.address))
         async with open_nursery() as nursery:
             nursery.start_soon(self._receive)
             async for event in self._inbox:
@@ -119,12 +118,12 @@
             return
         DATAGRAMS.labels("sent", kind).inc()
         try:
-            await self._socket.sendto(data, _parse_address(peer))
+            await self._socket.sendto(data, parse_address(peer))
         except (OSError, ValueError) as error:
             logging.vlog(1, "peers: datagram not sent peer=%s reason=%r", peer, error)
 
     async def _receive(self) -> None:
-        port = _parse_address(self._entry.address)[1]
+        port = parse_address(self._entry.address)[1]
         while True:
             try:
                 data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
@@ -174,8 +173,3 @@
     @_deliver.register
     def _(self, message: ConfigurationConfirmed, sender: str) -> None:
         self._configurations.send_nowait(message)
-
-
-def _parse_address(address: str) -> Address:
-    host, port = address.rsplit(":", 1)
-    return host, int(port)
--- a/src/jackdawspread/tasks/fleet/rate_lease_task.py
+++ b/src/jackdawspread/tasks/fleet/rate_lease_task.py
@@ -14,9 +14,12 @@
     sleep,
 )
 
+from jackdawspread.codecs.lease_check import check_leases
 from jackdawspread.codecs.stored_json import decode_stored
 from jackdawspread.decisions.rate_leases.lease_writes import (
+    LEASE_TTL_S,
     carry_over_leases,
+    expires_too_late,
     held_parts,
     newest_epoch,
     next_write_at,
@@ -188,18 +191,21 @@
     async def _keep(self, outcome: RecordOutcome) -> None:
         """Keep a record that was read from the store."""
         try:
-            record = (
-                decode_stored(outcome.value, RateLeaseRecord) if outcome.value else {}
-            )
+            record = _decode(outcome.value, self._store_time())
         except ValueError as error:
             logging.error("leases: unreadable record replaced reason=%r", str(error))
-            record = {}
+            # Its holders may use their leases until these expire.
+            record = self._record
+            self._known_since = self._store_time() + LEASE_TTL_S
         self._replace(outcome.epoch, outcome.version, record)
         self._log_holders("read")
         await self._publish()
 
     async def _adopt(self, announced: RateLeasesAnnounced) -> None:
         """Keep a record that another instance has written, if it is newer."""
+        if expires_too_late(announced.record, self._store_time()):
+            logging.warning("leases: announcement that expires too late ignored")
+            return
         epoch = newest_epoch(announced.record) or self._epoch
         if (epoch, announced.version) > (self._epoch, self._version):
             self._replace(epoch, announced.version, announced.record)
@@ -254,3 +260,12 @@
             ",".join(held_parts(self._record, self._instance)) or "none",
             ",".join(lease["holder"] for lease in self._record.values()) or "none",
         )
+
+
+def _decode(value: bytes, store_time_s: float) -> RateLeaseRecord:
+    """Decode the stored record; raise ValueError if it can't be used."""
+    record = decode_stored(value, RateLeaseRecord) if value else {}
+    check_leases(record)
+    if expires_too_late(record, store_time_s):
+        raise ValueError("a lease expires later than any that an instance writes")
+    return record
