--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,6 +1,7 @@
 """Steps for odd entries in the store and odd datagrams of peers."""
 
 import json
+from os import getpid
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
@@ -21,7 +22,10 @@
 
 from jackdawspread.platform.configuration_rows import decode_configuration
 
-IP, PEER_IP = "127.0.77.9", "127.0.77.8"
+# The port of the metrics is fixed, so that runs beside each other need other addresses.
+_RUN = f"127.{80 + getpid() // 65536 % 40}.{getpid() // 256 % 256}"
+IP = f"{_RUN}.{1 + getpid() % 127}"
+PEER_IP = f"{_RUN}.{128 + getpid() % 126}"
 NESTED = b"[" * 10_000 + b"]" * 10_000
 # Times of the store's clock in seconds that are always in the future.
 END_OF_TIME_S = 1e300
