--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -13,3 +13,10 @@
     Given an HTTP server that can't accept its first connection
     When a request is sent to it
     Then the request is answered
+
+  Scenario: An instance makes itself known during a broadcast
+    # Guards against a process that ends when the list of instances grows meanwhile (hunt
+    # of saltbush-swap-large, trouble-1 --seed 983643217775: two exits).
+    Given an instance that broadcasts to two others
+    When a third one makes itself known between the two datagrams
+    Then the broadcast goes on to the second
--- a/src/jackdawspread/tasks/fleet/peer_datagrams.py
+++ b/src/jackdawspread/tasks/fleet/peer_datagrams.py
@@ -105,7 +105,8 @@
     async def _(self, event: BroadcastDatagram) -> None:
         data = encode_datagram(event.message)
         domain = self._entry.failure_domain
-        for entry in self._entry_by_instance.values():
+        # The list may grow while a datagram is being sent.
+        for entry in tuple(self._entry_by_instance.values()):
             if entry.failure_domain == domain or not event.same_domain_only:
                 await self._send(event.message, data, entry.address)
 
