Refuse what can't end before a stopping instance exits, and cut off nothing else

What callers saw: a caller that opened a session 3.3 s or more after SIGTERM was served, its transaction began and ran its first statement, and the connection was closed between two statements (LOST). Its caller can't know what became of it.

Cause: the listener told its sessions every 100 ms to close, and from 0.55 of the grace time on also those with an open transaction, whenever that had begun. A session that was accepted later did not know of the stop until the next of these turns, and no statement was ever refused because of it.

Change: the schedule of the stop is given to every session, when the stop begins or when the session is accepted, and decides (decisions/sessions/session_shutdown.py): BEGIN is refused as not run from 0.5 of the grace time on, every operation from 0.75 on, and a transaction that is still open then is rolled back and its next statement answered with ABORTED instead of closing the connection. A session with an open transaction is closed at the exit only. Sessions accepted while the last leases of other instances are awaited are covered too: both are awaited together.

Why it works: a transaction lasts 0.1 to 0.3 s (the longest of 1,034 took 0.9 s, with trouble); one that begins at the last moment has 1.5 s of a grace time of 6 s.

Both scenarios failed on the code before: connections without an answer after BEGIN, and '' in place of ABORTED.

--- /dev/null
+++ b/features/planned_stop.feature
@@ -0,0 +1,18 @@
+Feature: Callers of an instance that stops
+  A planned stop cuts off no operation: what has begun ends or is answered, and what
+  can't end any more is refused before it begins.
+
+  Scenario: A transaction that begins late in a stop is not cut off
+    # Guards against a stopping instance that takes a new transaction, runs its first
+    # statements and closes the connection between two of them (LOST).
+    Given an instance with stand-ins for the store and the members
+    When it begins to stop while callers keep opening sessions for one transaction each
+    Then every transaction was answered to its end or refused before it began
+    And transactions that began after the stop were committed
+
+  Scenario: A transaction that outlasts a stop is told that nothing is kept
+    # Guards against closing a connection between two statements: its caller can't know
+    # whether its transaction was rolled back.
+    Given an instance with stand-ins for the store and the members
+    When a caller writes in a transaction and waits until the stop refuses statements
+    Then its next statement is refused with ABORTED, and nothing is kept
--- /dev/null
+++ b/src/jackdawspread/decisions/sessions/session_shutdown.py
@@ -0,0 +1,86 @@
+"""Decides what a session may still do while its instance stops.
+
+An operation that has begun is never cut off: it ends, or its next statement is answered
+with a refusal that is true. An operation that could not end before the process exits
+is refused before it begins.
+"""
+
+from functools import singledispatch
+
+from jackdawspread.decisions.sessions.answer_locally import AnswerLocally
+from jackdawspread.decisions.sessions.finish_transaction import FinishTransaction
+from jackdawspread.decisions.sessions.run_statement import RunStatement
+from jackdawspread.decisions.sessions.start_transaction import StartTransaction
+from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.refusal import Refusal
+from jackdawspread.settings.stop_times import StopTimes
+
+STEP = "shutdown"
+# A session is closed only after it has been idle for this long. A caller that has just
+# been answered may already have sent its next statement.
+CLOSE_AFTER_IDLE_S = 0.25
+
+
+def close_session_at(times: StopTimes, in_transaction: bool, active_at: float) -> float:
+    """Return the time at which a session that waits for a statement is closed.
+
+    A session with an open transaction waits until the process exits, because a
+    connection that ends between two statements tells its caller nothing.
+    """
+    if in_transaction:
+        return times.exit_at
+    return max(times.close_at, active_at + CLOSE_AFTER_IDLE_S)
+
+
+def refuse_handshake(times: StopTimes, now: float) -> Refusal | None:
+    """Return the refusal of a new session, None if it is still served."""
+    return _refuse_busy() if now >= times.refuse_at else None
+
+
+@singledispatch
+def refuse_while_stopping(
+    plan: object, in_transaction: bool, times: StopTimes, now: float
+) -> Refusal | None:
+    """Return the refusal of a planned statement, None if it may still run."""
+    raise TypeError(f"no decision for a {type(plan).__name__}")
+
+
+@refuse_while_stopping.register
+def _(
+    plan: AnswerLocally, in_transaction: bool, times: StopTimes, now: float
+) -> Refusal | None:
+    return None
+
+
+@refuse_while_stopping.register
+def _(
+    plan: StartTransaction, in_transaction: bool, times: StopTimes, now: float
+) -> Refusal | None:
+    return _refuse_busy() if now >= times.begin_until else None
+
+
+@refuse_while_stopping.register
+def _(
+    plan: RunStatement, in_transaction: bool, times: StopTimes, now: float
+) -> Refusal | None:
+    if now < times.refuse_at:
+        return None
+    return _refuse_aborted() if in_transaction else _refuse_busy()
+
+
+@refuse_while_stopping.register
+def _(
+    plan: FinishTransaction, in_transaction: bool, times: StopTimes, now: float
+) -> Refusal | None:
+    return _refuse_aborted() if plan.commit and now >= times.refuse_at else None
+
+
+def _refuse_busy() -> Refusal:
+    # Another instance can serve the caller at once, so there is nothing to wait for.
+    detail = "the instance is stopping; another instance serves this operation"
+    return Refusal("busy", ExecutionStatus.NOT_RUN, STEP, "", detail)
+
+
+def _refuse_aborted() -> Refusal:
+    detail = "the transaction was rolled back: the instance is stopping"
+    return Refusal("aborted", ExecutionStatus.NOT_RUN, STEP, "", detail)
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -1,7 +1,15 @@
 """Composition root of an instance on the users' platform."""
 
 from absl import logging
-from trio import Event, Nursery, current_time, open_memory_channel, open_nursery
+from trio import (
+    Event,
+    Nursery,
+    current_time,
+    open_memory_channel,
+    open_nursery,
+    sleep,
+    sleep_until,
+)
 
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.configuration_feed_event import (
@@ -52,10 +60,13 @@
 # The load balancer checks readiness once a second and stops sending sessions to an
 # instance after two failed checks.
 BALANCER_NOTICE_S = 2.3
-# Fractions of the grace time after which open transactions are rolled back and the
-# process exits.
-TRANSACTION_FRACTION = 0.55
+# Fractions of the grace time after which no transaction begins, every operation is
+# refused, and the process exits. A transaction has
+# at least the time between the first two to end.
+BEGIN_FRACTION = 0.5
+REFUSE_FRACTION = 0.75
 EXIT_FRACTION = 0.85
+STOP_POLL_INTERVAL_S = 0.1
 
 
 class PlatformInstance:
@@ -121,13 +132,25 @@
                 self._settings.session_address,
             )
             await self._stopping.wait()
-            stop_times = self._stop_times()
-            pool_server.drain(self._settings.grace_s)
-            await listener.stop(stop_times)
-            await pool_server.wait_released(stop_times.exit_at)
+            await self._drain(listener, pool_server)
             tasks.cancel_scope.cancel()
         logging.info("instance: stopped name=%s", self._settings.instance)
 
+    async def _drain(self, listener: SessionListener, pool_server: PoolServer) -> None:
+        """Wait until no session and no lease is left, at most until the exit time."""
+        times = self._stop_times()
+        pool_server.drain(self._settings.grace_s)
+        listener.stop(times)
+        await sleep_until(times.close_at)
+        logging.info("listener: closing idle sessions count=%d", listener.session_count)
+        while current_time() < times.exit_at and (
+            listener.session_count or pool_server.has_leases
+        ):
+            await sleep(STOP_POLL_INTERVAL_S)
+        logging.info(
+            "listener: sessions still open at exit count=%d", listener.session_count
+        )
+
     def _start_routing(self, tasks: Nursery) -> None:
         settings = self._settings
         router = MemberRouter(
@@ -258,7 +281,8 @@
     def _stop_times(self) -> StopTimes:
         now, grace_s = current_time(), self._settings.grace_s
         return StopTimes(
-            close_at=now + min(BALANCER_NOTICE_S, TRANSACTION_FRACTION * grace_s),
-            abort_at=now + TRANSACTION_FRACTION * grace_s,
+            close_at=now + min(BALANCER_NOTICE_S, BEGIN_FRACTION * grace_s),
+            begin_until=now + BEGIN_FRACTION * grace_s,
+            refuse_at=now + REFUSE_FRACTION * grace_s,
             exit_at=now + EXIT_FRACTION * grace_s,
         )
--- a/src/jackdawspread/settings/stop_times.py
+++ b/src/jackdawspread/settings/stop_times.py
@@ -10,12 +10,15 @@
     ----------
     close_at : float
         Time from which idle sessions are closed.
-    abort_at : float
-        Time from which open transactions are aborted.
+    begin_until : float
+        Time from which no transaction is begun, so that those that are open can end.
+    refuse_at : float
+        Time from which every operation is refused and open transactions are aborted.
     exit_at : float
         Time by which the process exits.
     """
 
     close_at: float
-    abort_at: float
+    begin_until: float
+    refuse_at: float
     exit_at: float
--- a/src/jackdawspread/tasks/pool_hosts/pool_server.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server.py
@@ -5,9 +5,7 @@
     Nursery,
     SocketListener,
     SocketStream,
-    current_time,
     open_nursery,
-    sleep,
 )
 
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -16,8 +14,6 @@
 from jackdawspread.tasks.pool_hosts.pool_server_stream import PoolServerStream
 from jackdawspread.tasks.run_isolated import run_isolated
 
-STOP_POLL_INTERVAL_S = 0.1
-
 
 class PoolServer:
     """Accepts the streams of other instances.
@@ -57,10 +53,10 @@
         for stream in self._streams:
             stream.drain(grace_s)
 
-    async def wait_released(self, deadline: float) -> None:
-        """Wait until all leases are released, or for a monotonic time in seconds."""
-        while current_time() < deadline and any(s.has_leases for s in self._streams):
-            await sleep(STOP_POLL_INTERVAL_S)
+    @property
+    def has_leases(self) -> bool:
+        """Whether another instance uses any connection."""
+        return any(stream.has_leases for stream in self._streams)
 
     def _start(self, stream: SocketStream, streams: Nursery) -> None:
         enable_dead_peer_detection(stream)
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -1,5 +1,7 @@
 """Session of one caller."""
 
+from math import inf
+
 from absl import logging
 from trio import (
     BrokenResourceError,
@@ -11,11 +13,13 @@
     move_on_at,
 )
 
+from jackdawspread.decisions.sessions.session_shutdown import close_session_at
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.messages.statements.open_session import OpenSession
 from jackdawspread.messages.statements.session_request import SessionRequest
+from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
 from jackdawspread.tasks.sessions.session_operations import SessionOperations
 
@@ -26,9 +30,6 @@
 # After the last answer the session reads and drops further bytes of the caller for
 # this long, because closing a socket with unread bytes resets the connection.
 LINGER_TIMEOUT_S = 0.1
-# At a graceful shutdown a session is closed only after it has been idle for this long.
-# A caller that has just been answered may already have sent its next statement.
-CLOSE_AFTER_IDLE_S = 0.25
 
 
 class CallerSession:
@@ -59,8 +60,7 @@
         self._router = router
         self._operations: SessionOperations | None = None
         self._reading: CancelScope | None = None
-        self._stopping = False
-        self._abort_open_transactions = False
+        self._stop_times: StopTimes | None = None
         self._active_at = current_time()
 
     async def run(self) -> None:
@@ -79,34 +79,35 @@
             with CancelScope(shield=True, deadline=current_time() + 1):
                 await self._close()
 
-    def stop(self, abort_open_transactions: bool) -> None:
-        """Close the session once it is idle.
-
-        A session with an open transaction counts as idle only if
-        ``abort_open_transactions`` is set.
-        """
-        self._stopping = True
-        self._abort_open_transactions = abort_open_transactions
-        if self._reading is not None and self._is_idle():
-            self._reading.cancel()
-
-    def _is_idle(self) -> bool:
+    def stop(self, times: StopTimes) -> None:
+        """End the session as its instance stops, without cutting off an operation."""
+        self._stop_times = times
+        if self._operations is not None:
+            self._operations.stop(times)
+        if self._reading is not None:
+            self._reading.deadline = min(self._reading.deadline, self._close_at())
+
+    def _close_at(self) -> float:
+        """Time at which the wait for the next message ends for a shutdown."""
+        if self._stop_times is None:
+            return inf
         if self._codec.has_partial_message:
-            return False
-        if self._abort_open_transactions:
-            return True
-        if current_time() < self._active_at + CLOSE_AFTER_IDLE_S:
-            return False
-        return self._operations is None or not self._operations.in_transaction
+            return self._stop_times.exit_at
+        assert self._operations is not None
+        return close_session_at(
+            self._stop_times, self._operations.in_transaction, self._active_at
+        )
 
     async def _open(self) -> bool:
         handshake = await self._read_handshake()
         if handshake is None:
             return False
-        operations = SessionOperations(
+        self._operations = SessionOperations(
             handshake, self._admission, self._broker, self._router
         )
-        refusal = await operations.check_handshake()
+        if self._stop_times is not None:
+            self._operations.stop(self._stop_times)
+        refusal = await self._operations.check_handshake()
         if refusal is not None:
             logging.info(
                 "session: refused database=%s outcome=%s reason=%r",
@@ -116,7 +117,6 @@
             )
         if not await self._write(self._codec.encode_handshake_reply(refusal)):
             return False
-        self._operations = operations
         return refusal is None
 
     async def _read_handshake(self) -> OpenSession | None:
@@ -138,16 +138,14 @@
         """Return the next request, None if the session has ended."""
         assert self._operations is not None
         while (message := self._codec.next_message()) is None:
-            if self._stopping and self._is_idle():
+            idle_until = current_time() + self._operations.idle_limit_s
+            close_at = self._close_at()
+            if current_time() >= close_at:
                 return None
-            deadline = current_time() + self._operations.idle_limit_s
-            with CancelScope(deadline=deadline) as self._reading:
+            with CancelScope(deadline=min(idle_until, close_at)) as self._reading:
                 if not await self._receive():
                     return None
-            if not self._reading.cancelled_caught:
-                continue
-            self._reading = None
-            if not self._stopping:
+            if self._reading.cancelled_caught and current_time() >= idle_until:
                 logging.info("session: idle transaction rolled back")
                 self._operations.roll_back_idle_transaction()
         self._reading = None
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -2,16 +2,12 @@
 
 from collections.abc import Callable
 
-from absl import logging
 from trio import (
     MemorySendChannel,
     Nursery,
     SocketListener,
     SocketStream,
-    current_time,
     open_nursery,
-    sleep,
-    sleep_until,
 )
 
 from jackdawspread.messages.execution_status import ExecutionStatus
@@ -27,7 +23,6 @@
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
 from jackdawspread.tasks.sessions.session_metrics import SESSIONS
 
-STOP_POLL_INTERVAL_S = 0.1
 OVERLOADED = Refusal(
     "busy",
     ExecutionStatus.NOT_RUN,
@@ -69,6 +64,7 @@
         self._router = router
         self._max_sessions = max_sessions
         self._sessions: set[CallerSession] = set()
+        self._stop_times: StopTimes | None = None
 
     async def run(self) -> None:
         """Accept callers until cancelled."""
@@ -77,22 +73,20 @@
                 stream = await accept(self._listener, "listener")
                 self._start(stream, sessions)
 
-    async def stop(self, times: StopTimes) -> None:
-        """Close idle sessions first, and those with open transactions later.
+    @property
+    def session_count(self) -> int:
+        """Number of open sessions."""
+        return len(self._sessions)
 
-        The load balancer sends new callers until it notices the shutdown, so callers
-        are served until ``times.close_at``.
+    def stop(self, times: StopTimes) -> None:
+        """End the open sessions, and those that callers still open, by a schedule.
+
+        The load balancer sends new callers until it notices the shutdown, and also
+        later if no other instance is ready, so callers are accepted until the exit.
         """
-        await sleep_until(times.close_at)
-        logging.info("listener: closing idle sessions count=%d", len(self._sessions))
-        while self._sessions and current_time() < times.exit_at:
-            abort_open_transactions = current_time() >= times.abort_at
-            for session in tuple(self._sessions):
-                session.stop(abort_open_transactions)
-            await sleep(STOP_POLL_INTERVAL_S)
-        logging.info(
-            "listener: sessions still open at exit count=%d", len(self._sessions)
-        )
+        self._stop_times = times
+        for session in self._sessions:
+            session.stop(times)
 
     def _start(self, stream: SocketStream, sessions: Nursery) -> None:
         enable_dead_peer_detection(stream)
@@ -102,6 +96,9 @@
         session = CallerSession(
             stream, self._make_codec(), self._admission, self._broker, self._router
         )
+        if self._stop_times is not None:
+            session.stop(self._stop_times)
+        self._sessions.add(session)
         sessions.start_soon(self._serve, session)
 
     async def _reject(self, stream: SocketStream) -> None:
@@ -109,7 +106,6 @@
             await stream.send_all(self._make_codec().encode_handshake_reply(OVERLOADED))
 
     async def _serve(self, session: CallerSession) -> None:
-        self._sessions.add(session)
         SESSIONS.set(len(self._sessions))
         try:
             await run_isolated("session", session.run)
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -8,10 +8,15 @@
 from jackdawspread.decisions.sessions.finish_transaction import FinishTransaction
 from jackdawspread.decisions.sessions.operation import Operation
 from jackdawspread.decisions.sessions.run_statement import RunStatement
+from jackdawspread.decisions.sessions.session_shutdown import (
+    refuse_handshake,
+    refuse_while_stopping,
+)
 from jackdawspread.decisions.sessions.session_state import SessionState
 from jackdawspread.decisions.sessions.start_transaction import StartTransaction
 from jackdawspread.decisions.sessions.statement_outcome import StatementOutcome
 from jackdawspread.decisions.sessions.statement_plan import (
+    Plan,
     end_transaction,
     fail_transaction,
     plan_statement,
@@ -29,6 +34,7 @@
 from jackdawspread.messages.statements.session_phase import SessionPhase
 from jackdawspread.messages.statements.session_request import SessionRequest
 from jackdawspread.messages.statements.statement_success import StatementSuccess
+from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.sessions.member_calls import MemberCalls
 from jackdawspread.tasks.sessions.single_statement import run_single
 from jackdawspread.tasks.sessions.statement_log import log_statement
@@ -65,6 +71,7 @@
         self._state = SessionState()
         self._admitted: OperationAdmitted | None = None
         self._transaction: TransactionRunner | None = None
+        self._stop_times: StopTimes | None = None
 
     @property
     def in_transaction(self) -> bool:
@@ -79,26 +86,24 @@
         assert self._admitted is not None
         return self._admitted.transaction_idle_s
 
+    def stop(self, times: StopTimes) -> None:
+        """Refuse from now on what can't end before the process exits."""
+        self._stop_times = times
+
     async def check_handshake(self) -> Refusal | None:
         """Return the refusal of the session, None if it is admitted."""
+        if self._stop_times is not None:
+            refusal = refuse_handshake(self._stop_times, current_time())
+            if refusal is not None:
+                return refusal
         admitted = await self._admit(consume_token=False)
         return admitted if isinstance(admitted, Refusal) else None
 
     async def answer(self, request: SessionRequest) -> SessionAnswer:
         """Run one statement and return its answer."""
         arrived_at = current_time()
-        phase_before = self._state.phase
         outcome = await self._run(request)
-        self._state = outcome.state
-        log_statement(
-            self._handshake.database,
-            request,
-            phase_before,
-            self._admitted,
-            outcome,
-            current_time() - arrived_at,
-        )
-        return SessionAnswer(outcome.result, outcome.state.phase)
+        return self._finish(request, outcome, current_time() - arrived_at)
 
     def roll_back_idle_transaction(self) -> None:
         """Roll the idle transaction back and mark it as failed.
@@ -114,8 +119,36 @@
             self._transaction.roll_back()
             self._transaction = None
 
+    def _finish(
+        self, request: SessionRequest, outcome: StatementOutcome, elapsed_s: float
+    ) -> SessionAnswer:
+        phase_before = self._state.phase
+        self._state = outcome.state
+        log_statement(
+            self._handshake.database,
+            request,
+            phase_before,
+            self._admitted,
+            outcome,
+            elapsed_s,
+        )
+        return SessionAnswer(outcome.result, outcome.state.phase)
+
+    def _refused(self, refusal: Refusal, plan: Plan) -> StatementOutcome:
+        """Return the outcome of a plan that is refused; COMMIT ends its transaction."""
+        if isinstance(plan, FinishTransaction):
+            return StatementOutcome(refusal, end_transaction(self._state))
+        return StatementOutcome(refusal, fail_transaction(self._state))
+
     async def _run(self, request: SessionRequest) -> StatementOutcome:
         plan = plan_statement(request.statement, self._state)
+        if self._stop_times is not None:
+            refusal = refuse_while_stopping(
+                plan, self.in_transaction, self._stop_times, current_time()
+            )
+            if refusal is not None:
+                self.close()
+                return self._refused(refusal, plan)
         if isinstance(plan, AnswerLocally):
             if plan.state.phase is not SessionPhase.IN_TRANSACTION:
                 self.close()
