Answer the statements that wait when a stopping instance exits

What callers saw: a statement that waited for a member when the process exited got no answer; its connection was reset. A caller can't tell this from a lost write.

Cause: the sessions are cancelled at the exit time of the stop, and the time that a route gives a statement may be longer than what the stop has left.

Change: a running statement is given up at 0.83 of the grace time and answered: a single write or the commit of a transaction that has written with an unknown outcome, any other statement of a transaction as rolled back, a single read as failed. The connection to its member is closed, and the process exits at 0.85.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -16,3 +16,9 @@
     Given an instance with stand-ins for the store and the members
     When a caller writes in a transaction and waits until the stop refuses statements
     Then its next statement is refused with ABORTED, and nothing is kept
+
+  Scenario: A statement that a stop overtakes is answered before the process exits
+    # Guards against a connection that ends without an answer while a member is silent.
+    Given an instance with stand-ins for the store and the members
+    When it begins to stop while a caller's commit waits for a silent member
+    Then the commit is answered with INDOUBT
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -94,3 +94,23 @@
     assert context.answer[1] == "READY E -", context.answer
     items = context.platform.group.item_by_name
     assert "outlast" not in items, items
+
+
+@when("it begins to stop while a caller's commit waits for a silent member")
+def overtaken_commit(context: Context) -> None:
+    """Commit on a route that allows more time than the stop has left."""
+    for route in context.platform.configuration["Routes"]:
+        route["TimeoutMs"] = 1000 * 3 * GRACE_S
+    context.platform.publish()
+    caller = context.platform.open()
+    for text in ("BEGIN", "WRITE silent 1"):
+        assert context.platform.query(caller, text)[0].startswith("DONE")
+    context.platform.group.is_silent = True
+    context.platform.stop()
+    context.answer = context.platform.query(caller, "COMMIT")
+
+
+@then("the commit is answered with INDOUBT")
+def answered_in_doubt(context: Context) -> None:
+    """The answer comes before the process ends."""
+    assert context.answer[0].startswith("ERR INDOUBT"), context.answer
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -61,10 +61,11 @@
 # instance after two failed checks.
 BALANCER_NOTICE_S = 2.3
 # Fractions of the grace time after which no transaction begins, every operation is
-# refused, and the process exits. A transaction has
+# refused, every statement has been answered, and the process exits. A transaction has
 # at least the time between the first two to end.
 BEGIN_FRACTION = 0.5
 REFUSE_FRACTION = 0.75
+ANSWER_FRACTION = 0.83
 EXIT_FRACTION = 0.85
 STOP_POLL_INTERVAL_S = 0.1
 
@@ -284,5 +285,6 @@
             close_at=now + min(BALANCER_NOTICE_S, BEGIN_FRACTION * grace_s),
             begin_until=now + BEGIN_FRACTION * grace_s,
             refuse_at=now + REFUSE_FRACTION * grace_s,
+            answer_by=now + ANSWER_FRACTION * grace_s,
             exit_at=now + EXIT_FRACTION * grace_s,
         )
--- a/src/jackdawspread/settings/stop_times.py
+++ b/src/jackdawspread/settings/stop_times.py
@@ -14,6 +14,8 @@
         Time from which no transaction is begun, so that those that are open can end.
     refuse_at : float
         Time from which every operation is refused and open transactions are aborted.
+    answer_by : float
+        Time by which every statement has been answered.
     exit_at : float
         Time by which the process exits.
     """
@@ -21,4 +23,5 @@
     close_at: float
     begin_until: float
     refuse_at: float
+    answer_by: float
     exit_at: float
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -18,6 +18,7 @@
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.messages.statements.open_session import OpenSession
+from jackdawspread.messages.statements.session_answer import SessionAnswer
 from jackdawspread.messages.statements.session_request import SessionRequest
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
@@ -59,7 +60,9 @@
         self._broker = broker
         self._router = router
         self._operations: SessionOperations | None = None
+        # The scope of the wait for the next message, and of the statement that runs.
         self._reading: CancelScope | None = None
+        self._answering: CancelScope | None = None
         self._stop_times: StopTimes | None = None
         self._active_at = current_time()
 
@@ -86,6 +89,8 @@
             self._operations.stop(times)
         if self._reading is not None:
             self._reading.deadline = min(self._reading.deadline, self._close_at())
+        if self._answering is not None:
+            self._answering.deadline = times.answer_by
 
     def _close_at(self) -> float:
         """Time at which the wait for the next message ends for a shutdown."""
@@ -130,10 +135,21 @@
     async def _serve(self) -> None:
         assert self._operations is not None
         while (request := await self._next_request()) is not None:
-            answer = await self._operations.answer(request)
+            answer = await self._answer(request)
             if not await self._write(self._codec.encode_answer(answer)):
                 return
 
+    async def _answer(self, request: SessionRequest) -> SessionAnswer:
+        assert self._operations is not None
+        arrived_at = current_time()
+        deadline = self._stop_times.answer_by if self._stop_times else inf
+        try:
+            with CancelScope(deadline=deadline) as self._answering:
+                return await self._operations.answer(request)
+        finally:
+            self._answering = None
+        return self._operations.give_up(request, current_time() - arrived_at)
+
     async def _next_request(self) -> SessionRequest | None:
         """Return the next request, None if the session has ended."""
         assert self._operations is not None
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -10,6 +10,7 @@
 from jackdawspread.decisions.sessions.run_statement import RunStatement
 from jackdawspread.decisions.sessions.session_shutdown import (
     refuse_handshake,
+    refuse_unfinished,
     refuse_while_stopping,
 )
 from jackdawspread.decisions.sessions.session_state import SessionState
@@ -105,6 +106,16 @@
         outcome = await self._run(request)
         return self._finish(request, outcome, current_time() - arrived_at)
 
+    def give_up(self, request: SessionRequest, elapsed_s: float) -> SessionAnswer:
+        """Return the answer to a statement whose run was cancelled by a shutdown."""
+        plan = plan_statement(request.statement, self._state)
+        if self._transaction is not None:
+            self._transaction.drop()
+            self._transaction = None
+        refusal = refuse_unfinished(plan, self._state)
+        outcome = self._refused(refusal, plan)
+        return self._finish(request, outcome, elapsed_s)
+
     def roll_back_idle_transaction(self) -> None:
         """Roll the idle transaction back and mark it as failed.
 
--- a/src/jackdawspread/tasks/sessions/transaction_runner.py
+++ b/src/jackdawspread/tasks/sessions/transaction_runner.py
@@ -79,11 +79,11 @@
                 return self._outcome(success, state)
             if not (first and self._may_restart(outcome, operation)):
                 break
-            self._drop()
+            self.drop()
             await sleep(RETRY_DELAY_S)
         refusal = refuse_aborted(outcome, self._member)
         done = self._outcome(refusal, fail_transaction(state))
-        self._drop()
+        self.drop()
         return done
 
     async def commit(
@@ -111,7 +111,7 @@
         else:
             refusal = refuse_aborted(outcome, self._member)
         done = self._outcome(refusal, ended)
-        self._drop()
+        self.drop()
         return done
 
     def roll_back(self) -> None:
@@ -123,7 +123,7 @@
         self._calls.roll_back(self._lease, context)
         self._lease = None
 
-    def _drop(self) -> None:
+    def drop(self) -> None:
         """Close the connection, so that the member rolls its transaction back."""
         if self._lease is not None:
             self._calls.return_lease(self._lease, None)
