Refuse the requests that wait for a lease when their pool host stops

An operation of another instance could begin on a connection of a host that exits in the middle of it.

Cause: a host that stops refused new requests for leases, but those that already waited for a connection were granted later, up to the exit, and were not counted as leases in use while they waited.

Change: when the host begins to stop, it refuses the waiting requests as not run. The other instance knows by then that the host is draining, and serves them itself.

--- a/features/fakes/pool_host_pair.py
+++ b/features/fakes/pool_host_pair.py
@@ -27,9 +27,11 @@
 
 
 class PoolHostPair:
-    """Runs a pool server whose router grants every lease."""
+    """Runs a pool server whose router grants every lease, or keeps it waiting."""
 
     def __init__(self) -> None:
+        self.grants_leases = True
+        self.server: PoolServer
         self.port = 0
         self.returned: list[LeaseReturned] = []
         self._streams: list[tuple[SocketStream, PoolHostFrames]] = []
@@ -40,7 +42,8 @@
         (listener,) = await open_tcp_listeners(0, host="127.0.0.1")
         self.port = listener.socket.getsockname()[1]
         async with open_nursery() as nursery:
-            nursery.start_soon(PoolServer(listener, self._router).run)
+            self.server = PoolServer(listener, self._router)
+            nursery.start_soon(self.server.run)
             nursery.start_soon(self._route, nursery)
             await sleep_forever()
 
@@ -73,6 +76,8 @@
     async def _route(self, nursery) -> None:
         async for event in self._inbox:
             if isinstance(event, ConnectionRequest):
+                if not self.grants_leases:
+                    continue
                 send, commands = open_memory_channel(8)
                 nursery.start_soon(self._answer, commands)
                 lease = MemberLease(
--- a/features/pool_hosts.feature
+++ b/features/pool_hosts.feature
@@ -67,6 +67,13 @@
     When the stream of the other instance breaks
     Then the pool host closes the connection of the lease
 
+  Scenario: A pool host is stopped while a request for a lease waits
+    # Guards against a connection that is granted late in a stop, and closed in the
+    # middle of the operation of another instance.
+    Given a pool host with one lease in use by another instance
+    When it begins to stop while another request for a lease waits
+    Then the waiting request is refused, and the first lease is still awaited
+
   Scenario: A malformed frame ends only its own stream
     # Guards against one malformed message that ends the process.
     Given a pool host with one lease in use by another instance
--- a/features/steps/pool_host_steps.py
+++ b/features/steps/pool_host_steps.py
@@ -521,3 +521,31 @@
         frames.receive(encode_frame(message))
         decoded = frames.next_message()
         assert decoded == message and type(decoded) is type(message), decoded
+
+
+@when("it begins to stop while another request for a lease waits")
+def stop_host_with_waiting_request(context: Context) -> None:
+    """Keep the second request of the other instance waiting, then drain."""
+
+    async def stop() -> None:
+        context.pair.grants_leases = False
+        await context.pair.send(context.other, lease_request(2))
+        await sleep(0.1)
+        context.pair.server.drain(6.0)
+
+    context.thread.call(stop)
+
+
+@then("the waiting request is refused, and the first lease is still awaited")
+def waiting_refused(context: Context) -> None:
+    """The other instance runs the operation on its own connections instead."""
+
+    async def receive() -> list[object]:
+        return [await context.pair.receive(context.other) for _ in range(2)]
+
+    draining, refused = context.thread.call(receive)
+    assert isinstance(draining, HostDraining), draining
+    assert isinstance(refused, LeaseRefused), refused
+    assert refused.lease == 2, refused
+    assert refused.refusal.ran is ExecutionStatus.NOT_RUN, refused
+    assert context.pair.server.has_leases
--- a/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
@@ -48,6 +48,7 @@
 # More frames than one instance has operations in progress.
 OUTBOX = 4_000
 STEP = "routing"
+STOPPING = "the instance is stopping"
 
 
 class PoolServerStream:
@@ -71,6 +72,8 @@
         self._router = router
         self._out, self._outbox = open_memory_channel[PoolHostMessage](OUTBOX)
         self._hosted_by_lease: dict[int, HostedLease] = {}
+        # Scopes of the requests that wait for a connection, by lease.
+        self._wait_by_lease: dict[int, CancelScope] = {}
         self._is_draining = False
 
     @property
@@ -79,9 +82,15 @@
         return bool(self._hosted_by_lease)
 
     def drain(self, grace_s: float) -> None:
-        """Refuse further leases and tell the other instance so."""
+        """Refuse further leases, also those waited for, and tell the other instance.
+
+        A connection that is granted late in the shutdown would be closed in the middle
+        of its operation.
+        """
         self._is_draining = True
         self._send(HostDraining(grace_s))
+        for wait in self._wait_by_lease.values():
+            wait.cancel()
 
     async def run(self) -> None:
         """Serve until the stream ends."""
@@ -135,7 +144,7 @@
     @_handle.register
     def _(self, message: LeaseRequested, nursery: Nursery) -> None:
         if self._is_draining:
-            self._refuse(message.lease, "the instance is stopping")
+            self._refuse(message.lease, STOPPING)
             return
         nursery.start_soon(self._lease, message)
 
@@ -216,8 +225,14 @@
         except WouldBlock:
             self._refuse(message.lease, "the pool host is overloaded")
             return
-        with receive:
+        answer: MemberLease | Refusal | None = None
+        with receive, CancelScope() as wait:
+            self._wait_by_lease[message.lease] = wait
             answer = await receive.receive()
+        del self._wait_by_lease[message.lease]
+        if answer is None:
+            self._refuse(message.lease, STOPPING)
+            return
         if isinstance(answer, Refusal):
             self._send(LeaseRefused(message.lease, answer))
             return
