Answer the requests that reach an HTTP server as it stops, and let it end

What callers of the HTTP front end saw: a connection that the kernel had accepted when the listeners closed was reset, although it brought a request.

Cause: the listening socket was closed at once, which resets what waits in its queue. The close was awaited in a scope that had just been cancelled, so the loop behind it never ran: idle connections were never told to close, and the process did not end as long as one client kept an idle connection open.

Change: open connections are told first, the server accepts for another 100 ms, and a connection is closed only after 250 ms without a byte of a request.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -22,3 +22,17 @@
     Given an instance with stand-ins for the store and the members
     When it begins to stop while a caller's commit waits for a silent member
     Then the commit is answered with INDOUBT
+
+  Scenario Outline: A request that reaches an HTTP server as it stops is answered
+    # Guards against a connection that is reset although its request was on the way or
+    # the kernel had accepted it, and against a server that waits for ever for a client
+    # that keeps an idle connection open.
+    Given an HTTP server with <connections>
+    When it stops and each of them brings a request
+    Then every request is answered, with the end of its connection
+    And the server has ended, although another client's connection stayed idle
+
+    Examples:
+      | connections                              |
+      | 20 idle connections                      |
+      | 20 connections that it has not accepted  |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,11 +1,30 @@
 """Steps for callers of an instance that stops."""
 
-from behave import then, when
+import socket
+
+from behave import given, then, when
 from behave.runner import Context
+from features.support.trio_thread import TrioThread
 from features.wire.wire_caller import WireCaller
-from trio import BrokenResourceError, current_time, open_nursery, sleep
+from trio import (
+    BrokenResourceError,
+    Event,
+    SocketStream,
+    current_time,
+    fail_after,
+    open_nursery,
+    open_tcp_listeners,
+    open_tcp_stream,
+    sleep,
+)
+from trio.socket import from_stdlib_socket
+
+from jackdawspread.messages.http_request import HttpRequest
+from jackdawspread.messages.http_response import HttpResponse
+from jackdawspread.tasks.http_server import HttpServer
 
 CALLERS = 6
+TIMEOUT_S = 5.0
 # Between two statements of a transaction.
 PAUSE_S = 0.05
 GRACE_S = 6.0
@@ -114,3 +133,95 @@
 def answered_in_doubt(context: Context) -> None:
     """The answer comes before the process ends."""
     assert context.answer[0].startswith("ERR INDOUBT"), context.answer
+
+
+@given("an HTTP server with {number:d} idle connections")
+def idle_connections(context: Context, number: int) -> None:
+    """Open connections that have brought one request already."""
+
+    async def use() -> None:
+        for _ in range(number):
+            stream = await open_tcp_stream("127.0.0.1", context.port)
+            assert b" 200 " in await _request(stream)
+            context.streams.append(stream)
+
+    _start_server(context)
+    context.thread.call(use)
+
+
+@given("an HTTP server with {number:d} connections that it has not accepted")
+def waiting_connections(context: Context, number: int) -> None:
+    """Connect without a checkpoint, so that the server can't accept meanwhile."""
+
+    async def connect() -> None:
+        for _ in range(number):
+            connected = socket.create_connection(("127.0.0.1", context.port))
+            connected.setblocking(False)
+            context.streams.append(SocketStream(from_stdlib_socket(connected)))
+        context.stopping.set()
+
+    _start_server(context)
+    context.thread.call(connect)
+
+
+def _start_server(context: Context) -> None:
+    context.streams = []
+    context.stopping = Event()
+    context.ended = Event()
+    context.thread = TrioThread(real_time=True)
+    context.add_cleanup(context.thread.stop)
+    ready = Event()
+    context.thread.start(_serve, context, ready)
+    context.thread.call(ready.wait)
+    context.idle = context.thread.call(open_tcp_stream, "127.0.0.1", context.port)
+
+
+async def _serve(context: Context, ready: Event) -> None:
+    (listener,) = await open_tcp_listeners(0, host="127.0.0.1")
+    context.port = listener.socket.getsockname()[1]
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, (), b"done")
+
+    ready.set()
+    await HttpServer(listener, handle, context.stopping).run()
+    context.ended.set()
+
+
+async def _request(stream: SocketStream) -> bytes:
+    try:
+        await stream.send_all(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+        return await stream.receive_some(1000)
+    except BrokenResourceError:
+        return b""
+
+
+@when("it stops and each of them brings a request")
+def request_while_stopping(context: Context) -> None:
+    """Send the requests shortly after the server was told to stop."""
+
+    async def request() -> list[bytes]:
+        context.stopping.set()
+        await sleep(PAUSE_S)
+        return [await _request(stream) for stream in context.streams]
+
+    context.responses = context.thread.call(request)
+
+
+@then("every request is answered, with the end of its connection")
+def requests_answered(context: Context) -> None:
+    """Clients that keep the connection open have to know that it ends."""
+    for response in context.responses:
+        assert b" 200 " in response, context.responses
+        assert b"connection: close" in response.lower(), response
+
+
+@then("the server has ended, although another client's connection stayed idle")
+def server_ended(context: Context) -> None:
+    """The process can exit."""
+
+    async def wait() -> None:
+        with fail_after(TIMEOUT_S):
+            await context.ended.wait()
+
+    context.thread.call(wait)
--- a/src/jackdawspread/tasks/http_server.py
+++ b/src/jackdawspread/tasks/http_server.py
@@ -1,11 +1,15 @@
 """HTTP listener."""
 
-from trio import Event, Nursery, SocketListener, SocketStream, open_nursery
+from trio import Event, Nursery, SocketListener, SocketStream, open_nursery, sleep
 
 from jackdawspread.tasks.accept import accept
 from jackdawspread.tasks.http_server_connection import Handler, HttpServerConnection
 from jackdawspread.tasks.run_isolated import run_isolated
 
+# Connections that the kernel has accepted before the server stops are served; closing
+# the listening socket would reset them.
+BACKLOG_S = 0.1
+
 
 class HttpServer:
     """Accepts connections on one listening socket.
@@ -17,7 +21,7 @@
     handle : callable
         Coroutine function that returns the response to one request.
     stopping : trio.Event
-        Set to stop accepting connections and to close those that are idle.
+        Set to stop accepting connections and to close those that stay idle.
     """
 
     def __init__(
@@ -33,10 +37,11 @@
         async with open_nursery() as connections, open_nursery() as accepting:
             accepting.start_soon(self._accept, connections)
             await self._stopping.wait()
+            for connection in self._connections:
+                connection.stop()
+            await sleep(BACKLOG_S)
             accepting.cancel_scope.cancel()
             await self._listener.aclose()
-            for connection in tuple(self._connections):
-                connection.stop_if_idle()
 
     async def _accept(self, connections: Nursery) -> None:
         while True:
--- a/src/jackdawspread/tasks/http_server_connection.py
+++ b/src/jackdawspread/tasks/http_server_connection.py
@@ -1,6 +1,7 @@
 """Server side of one HTTP connection."""
 
 from collections.abc import Awaitable, Callable
+from math import inf
 
 from trio import (
     BrokenResourceError,
@@ -21,6 +22,9 @@
 READ_CHUNK_BYTES = 16 * 1024
 REQUEST_READ_TIMEOUT_S = 10.0
 RESPONSE_WRITE_TIMEOUT_S = 30.0
+# When the server stops, an idle connection is closed only after this time without a
+# request. A client that has just been answered may already have sent the next one.
+CLOSE_AFTER_IDLE_S = 0.25
 
 
 class HttpServerConnection:
@@ -34,7 +38,7 @@
         Coroutine function that returns the response to one request; runs in this
         task.
     stopping : trio.Event
-        Set when the server stops; the connection then closes when it is idle.
+        Set when the server stops; the connection then closes once it stays idle.
     """
 
     def __init__(self, stream: SocketStream, handle: Handler, stopping: Event) -> None:
@@ -55,10 +59,16 @@
             with CancelScope(shield=True, deadline=current_time() + 1):
                 await self._stream.aclose()
 
-    def stop_if_idle(self) -> None:
-        """Close the connection unless a request is being read or answered."""
+    def stop(self) -> None:
+        """Close the connection unless a request is being read or answered, or comes."""
         if self._read_scope is not None and self._codec.is_idle:
-            self._read_scope.cancel()
+            self._read_scope.deadline = self._idle_until()
+
+    def _idle_until(self) -> float:
+        """Time at which the connection is closed if no byte of a request comes."""
+        if self._stopping.is_set() and self._codec.is_idle:
+            return current_time() + CLOSE_AFTER_IDLE_S
+        return inf
 
     async def _serve_one(self) -> bool:
         request = await self._read_request()
@@ -75,14 +85,13 @@
         return not close
 
     async def _read_request(self) -> HttpRequest | HttpResponse | None:
-        if self._stopping.is_set() and self._codec.is_idle:
-            return None
-        deadline = float("inf")
+        read_until = inf
         while True:
             if (request := self._codec.next_request()) is not None:
                 return request
-            if not self._codec.is_idle and deadline == float("inf"):
-                deadline = current_time() + REQUEST_READ_TIMEOUT_S
+            if not self._codec.is_idle and read_until == inf:
+                read_until = current_time() + REQUEST_READ_TIMEOUT_S
+            deadline = min(read_until, self._idle_until())
             with CancelScope(deadline=deadline) as self._read_scope:
                 data = await self._stream.receive_some(READ_CHUNK_BYTES)
             if self._read_scope.cancelled_caught or not data:
