Refuse a port with a digit that int() does not take, instead of ending the process

What callers saw: a SIGHUP after such a settings file was written ended the process and all its sessions.

Cause: the settings file had a check of addresses of its own, whose str.isdigit() accepts characters that int() refuses, and the error left the task that handles signals.

Change: the settings file uses the one parser of addresses.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -60,7 +60,8 @@
     Then neither expression nor asyncio is loaded
 
   Scenario Outline: A settings file is checked
-    # Guards against starting an instance with settings that can't work.
+    # Guards against starting an instance with settings that can't work, and against a
+    # reload (SIGHUP) that ends the process, because a digit is not one to int().
     When the settings have the line "<line>"
     Then the check says "<answer>"
 
@@ -72,6 +73,8 @@
       | Bounds.GraceS=soon            | Bounds.GraceS = 'soon' is not accepted      |
       | Bounds.DrainMs=-1             | Bounds.DrainMs = '-1' is not accepted       |
       | InternalPorts=http            | InternalPorts = 'http' is not accepted      |
+      | InternalPorts=75²             | InternalPorts = '75²' is not accepted       |
+      | ListenAddrs.Front=10.1.0.2:8² | ListenAddrs.Front = '10.1.0.2:8²' is not    |
 
   Scenario Outline: Datagrams of another format are ignored
     # Guards against failures between instances of two versions, and against datagrams
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+from jackdawspread.codecs.network_address import parse_address
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.settings_error import SettingsError
 
@@ -23,6 +24,7 @@
     "Bounds.SkewMaxMs": 12000.0,
     "Limits.MaxFds": 1024.0,
 }
+ANY_HOST = "0.0.0.0"
 # The deploy file configures this port for the platform's metrics collector.
 METRICS_PORT = 9464
 # File descriptors reserved for files and for connections to members and the store; the
@@ -68,7 +70,7 @@
         else:
             number_by_name[name] = number
     port = value_by_name.get("InternalPorts", "").split(",")[0]
-    if port and not _is_address(f"0:{port}"):
+    if port and not _is_address(f"{ANY_HOST}:{port}"):
         errors.append(SettingsError(file, "platform", "InternalPorts", port, "a port"))
     if errors:
         return errors
@@ -103,8 +105,11 @@
 
 
 def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
 
 
 def _parse_number(text: str) -> float | None:
