Let the transactions at a stopping owner end before its process exits

What callers of the HTTP front end saw: a transaction that was open at the owner of a database, begun through another instance, was gone 4 s after the owner's instance got SIGTERM (drain_ms and 1 s); its next statement was refused with unknown_transaction.

Cause: the shutdown waited for the connections of its own callers only. Requests and transactions that come over the streams of other instances were not asked for.

Change: before the instance leaves the view, it asks its owners until no request and no transaction is left there. Ownership was transferred before, so nothing new begins, and a transaction ends by its own limits.

--- a/features/process/withdrawals_and_stops.feature
+++ b/features/process/withdrawals_and_stops.feature
@@ -31,3 +31,12 @@
     Then the instance ends by itself with exit status 0
     And the transaction commits
     And no request failed or was refused, and the other instances continue to serve
+
+  Scenario: A transaction outlasts the time for which its stopping owner accepts callers
+    # Promise planned-stop. Guards against an owner that exits between two statements of
+    # a transaction that a caller of another instance has open there.
+    Given callers follow the platform's list of instances
+    And a transaction is open at the owner of swap1
+    When the owner of swap1 gets SIGTERM and the transaction continues for 7 s
+    Then the transaction commits
+    And the instance ends by itself with exit status 0
--- a/features/steps/process_withdrawal_steps.py
+++ b/features/steps/process_withdrawal_steps.py
@@ -164,11 +164,16 @@
 
 @when("the owner of swap1 gets SIGTERM and the transaction continues")
 def terminate(context: Context) -> None:
+    terminate_and_continue(context, 2)
+
+
+@when("the owner of swap1 gets SIGTERM and the transaction continues for {seconds:d} s")
+def terminate_and_continue(context: Context, seconds: int) -> None:
     async def run(world: ProcessWorld) -> None:
         world.fleet.terminate(context.owner)
         caller, id = context.transaction_caller, context.transaction
         context.transaction_replies = []
-        for number in range(4):
+        for number in range(2 * seconds):
             await sleep(0.5)
             reply = await caller.execute(id, f"{id}-{number}")
             context.transaction_replies.append(reply)
--- a/src/jackdawspread/tasks/database_owner.py
+++ b/src/jackdawspread/tasks/database_owner.py
@@ -28,6 +28,7 @@
 from jackdawspread.decisions.owner.statement_call import StatementCall
 from jackdawspread.messages.control_snapshot import ControlSnapshot
 from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.messages.open_work_query import OpenWorkQuery
 from jackdawspread.messages.owner_assignment import OwnerAssignment
 from jackdawspread.messages.routed_submission import RoutedSubmission
 from jackdawspread.messages.term_announcement import TermAnnouncement
@@ -42,7 +43,13 @@
 from jackdawspread.tasks.owner_metrics import QUEUE_LENGTH
 from jackdawspread.tasks.owner_policy import owner_policy
 
-OwnerEvent = RoutedSubmission | OwnerAssignment | ControlSnapshot | TermAnnouncement
+OwnerEvent = (
+    RoutedSubmission
+    | OwnerAssignment
+    | ControlSnapshot
+    | TermAnnouncement
+    | OpenWorkQuery
+)
 
 TICK_INTERVAL_SECONDS = 0.05
 IDLE_TICK_INTERVAL_SECONDS = 1.0
@@ -217,6 +224,10 @@
         self._core.announcement = None
         self._dispatch_ready(now)
 
+    @_handle.register
+    def _(self, event: OpenWorkQuery, now: float) -> None:
+        event.reply_to.send_nowait(not self._core.scheduler.is_idle())
+
     def _apply(self, effects: list[PromotionEffect], now: float) -> None:
         for effect in effects:
             self._core.apply(effect, now)
