--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -24,6 +24,57 @@
       | failed         | COMMIT           | aborted           | idle           |
       | failed         | ROLLBACK         | done              | idle           |
 
+  Scenario Outline: A stopping instance refuses what can't end before it exits
+    # Guards against a transaction that begins too late in a stop to end, and against a
+    # refusal of what still can.
+    Given a session in the phase <phase>
+    When the caller sends "<text>" <seconds> s after the stop of 6 s began
+    Then the caller is answered with <answer>
+
+    Examples:
+      | phase          | text      | seconds | answer  |
+      | idle           | BEGIN     | 2.9     | no      |
+      | idle           | BEGIN     | 3.0     | busy    |
+      | idle           | BEGIN     | 5.0     | busy    |
+      | idle           | WRITE a 1 | 4.4     | no      |
+      | idle           | WRITE a 1 | 4.5     | busy    |
+      | idle           | SET a 1   | 4.5     | no      |
+      | in_transaction | READ a    | 4.4     | no      |
+      | in_transaction | READ a    | 4.5     | aborted |
+      | in_transaction | COMMIT    | 4.4     | no      |
+      | in_transaction | COMMIT    | 4.5     | aborted |
+      | in_transaction | ROLLBACK  | 4.5     | no      |
+
+  Scenario Outline: A statement that the exit of the process interrupts
+    # Guards against a false "not run", and against a read or a transaction whose caller
+    # is told that it may have taken effect.
+    Given a session in the phase <phase>
+    When the process exits while the caller's "<text>" waits
+    Then the caller is answered with <answer>
+
+    Examples:
+      | phase          | text      | answer  |
+      | idle           | BEGIN     | busy    |
+      | idle           | READ a    | failed  |
+      | idle           | WRITE a 1 | indoubt |
+      | in_transaction | READ a    | aborted |
+      | in_transaction | WRITE a 1 | aborted |
+      | in_transaction | COMMIT    | aborted |
+      | has_written    | COMMIT    | indoubt |
+
+  Scenario Outline: A session is closed for a stop only between operations
+    # Guards against closing a connection between two statements of a transaction.
+    Given a session in the phase <phase>
+    When its caller was active <seconds> s after the stop of 6 s began
+    Then the session is closed <close> s after the stop began
+
+    Examples:
+      | phase          | seconds | close |
+      | idle           | 0.5     | 2.3   |
+      | idle           | 3.0     | 3.25  |
+      | in_transaction | 0.5     | 5.1   |
+      | failed         | 0.5     | 5.1   |
+
   Scenario Outline: A statement waits for a member only while it can still be answered in time
     # Guards against a wait until the caller's deadline: in the experiment
     # store-away-primary-lost on saltbush, 260 of 6,000 callers timed out while their
--- a/features/steps/session_decision_steps.py
+++ b/features/steps/session_decision_steps.py
@@ -15,8 +15,14 @@
 from jackdawspread.decisions.sessions.prepared_statement_name import (
     prepared_statement_name,
 )
+from jackdawspread.decisions.sessions.session_shutdown import (
+    close_session_at,
+    refuse_while_stopping,
+)
 from jackdawspread.decisions.sessions.session_state import SessionState
 from jackdawspread.decisions.sessions.statement_plan import plan_statement
+from jackdawspread.decisions.sessions.unfinished_statement import refuse_unfinished
+from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.connection_context import (
     UNKNOWN_CONTEXT,
     ConnectionContext,
@@ -30,7 +36,10 @@
 from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.messages.statements.session_phase import SessionPhase
 from jackdawspread.platform.statement_texts import format_statement, parse_statement
+from jackdawspread.settings.stop_times import StopTimes
 
+# Schedule of a stop with a grace time of 6 s that begins at 0 s.
+STOP_TIMES = StopTimes(2.3, 3.0, 4.5, 4.98, 5.1)
 REFUSE_BY_STATEMENT = {
     "write": refuse_write,
     "read": refuse_read,
@@ -40,10 +49,53 @@
 
 @given("a session in the phase {phase}")
 def session_in_phase(context: Context, phase: str) -> None:
-    """Set the phase; ``read_only`` stands for an open read-only transaction."""
-    read_only = phase == "read_only"
-    name = "in_transaction" if read_only else phase
-    context.state = SessionState(phase=SessionPhase(name), read_only=read_only)
+    """Set the phase.
+
+    ``read_only`` and ``has_written`` stand for an open transaction that only reads,
+    and for one that has written.
+    """
+    read_only, has_written = phase == "read_only", phase == "has_written"
+    name = "in_transaction" if read_only or has_written else phase
+    context.state = SessionState(SessionPhase(name), read_only, has_written)
+
+
+@when('the caller sends "{text}" {seconds:g} s after the stop of 6 s began')
+def sends_while_stopping(context: Context, text: str, seconds: float) -> None:
+    """Plan the statement and ask whether it is refused."""
+    plan = plan_statement(parse_statement(text), context.state)
+    in_transaction = context.state.phase is not SessionPhase.IDLE
+    context.refusal = refuse_while_stopping(plan, in_transaction, STOP_TIMES, seconds)
+
+
+@when('the process exits while the caller\'s "{text}" waits')
+def exits_while_waiting(context: Context, text: str) -> None:
+    """Refuse the planned statement."""
+    plan = plan_statement(parse_statement(text), context.state)
+    context.refusal = refuse_unfinished(plan, context.state)
+
+
+@then("the caller is answered with {answer}")
+def answered_with(context: Context, answer: str) -> None:
+    """Compare the code; ``no`` stands for a statement that may run."""
+    found = context.refusal.code if context.refusal else "no"
+    assert found == answer, context.refusal
+    claims_not_run = answer in ("busy", "aborted")
+    if context.refusal:
+        is_not_run = context.refusal.ran is ExecutionStatus.NOT_RUN
+        assert is_not_run == claims_not_run, context.refusal
+
+
+@when("its caller was active {seconds:g} s after the stop of 6 s began")
+def active_at(context: Context, seconds: float) -> None:
+    """Ask when the session is closed."""
+    in_transaction = context.state.phase is not SessionPhase.IDLE
+    context.close_at = close_session_at(STOP_TIMES, in_transaction, seconds)
+
+
+@then("the session is closed {close:g} s after the stop began")
+def closed_at(context: Context, close: float) -> None:
+    """Compare the time."""
+    assert context.close_at == close, context.close_at
 
 
 @when('the caller sends "{text}"')
--- a/src/jackdawspread/decisions/sessions/session_shutdown.py
+++ b/src/jackdawspread/decisions/sessions/session_shutdown.py
@@ -9,26 +9,16 @@
 
 from jackdawspread.decisions.sessions.answer_locally import AnswerLocally
 from jackdawspread.decisions.sessions.finish_transaction import FinishTransaction
-from jackdawspread.decisions.sessions.member_outcomes import (
-    refuse_aborted,
-    refuse_read,
-    refuse_write,
-)
 from jackdawspread.decisions.sessions.run_statement import RunStatement
-from jackdawspread.decisions.sessions.session_state import SessionState
 from jackdawspread.decisions.sessions.start_transaction import StartTransaction
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.refusal import Refusal
-from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
-from jackdawspread.messages.statements.session_phase import SessionPhase
 from jackdawspread.settings.stop_times import StopTimes
 
 STEP = "shutdown"
 # A session is closed only after it has been idle for this long. A caller that has just
 # been answered may already have sent its next statement.
 CLOSE_AFTER_IDLE_S = 0.25
-# A member may have run what the process waits for when it exits.
-UNFINISHED = ExchangeFailure(True, "the instance stopped before a member answered")
 
 
 def close_session_at(times: StopTimes, in_transaction: bool, active_at: float) -> float:
@@ -44,7 +34,7 @@
 
 def refuse_handshake(times: StopTimes, now: float) -> Refusal | None:
     """Return the refusal of a new session, None if it is still served."""
-    return _refuse_busy() if now >= times.refuse_at else None
+    return refuse_stopping() if now >= times.refuse_at else None
 
 
 @singledispatch
@@ -66,7 +56,7 @@
 def _(
     plan: StartTransaction, in_transaction: bool, times: StopTimes, now: float
 ) -> Refusal | None:
-    return _refuse_busy() if now >= times.begin_until else None
+    return refuse_stopping() if now >= times.begin_until else None
 
 
 @refuse_while_stopping.register
@@ -75,7 +65,7 @@
 ) -> Refusal | None:
     if now < times.refuse_at:
         return None
-    return _refuse_aborted() if in_transaction else _refuse_busy()
+    return _refuse_aborted() if in_transaction else refuse_stopping()
 
 
 @refuse_while_stopping.register
@@ -85,27 +75,8 @@
     return _refuse_aborted() if plan.commit and now >= times.refuse_at else None
 
 
-@singledispatch
-def refuse_unfinished(plan: object, state: SessionState) -> Refusal:
-    """Return the refusal of a statement that the exit of the process interrupts."""
-    return _refuse_busy()
-
-
-@refuse_unfinished.register
-def _(plan: RunStatement, state: SessionState) -> Refusal:
-    if state.phase is not SessionPhase.IDLE:
-        return refuse_aborted(UNFINISHED, "")
-    return refuse_write(UNFINISHED, "") if plan.writes else refuse_read(UNFINISHED, "")
-
-
-@refuse_unfinished.register
-def _(plan: FinishTransaction, state: SessionState) -> Refusal:
-    if plan.commit and state.has_written:
-        return refuse_write(UNFINISHED, "")
-    return refuse_aborted(UNFINISHED, "")
-
-
-def _refuse_busy() -> Refusal:
+def refuse_stopping() -> Refusal:
+    """Return the refusal of an operation that has not begun."""
     # Another instance can serve the caller at once, so there is nothing to wait for.
     detail = "the instance is stopping; another instance serves this operation"
     return Refusal("busy", ExecutionStatus.NOT_RUN, STEP, "", detail)
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -10,7 +10,6 @@
 from jackdawspread.decisions.sessions.run_statement import RunStatement
 from jackdawspread.decisions.sessions.session_shutdown import (
     refuse_handshake,
-    refuse_unfinished,
     refuse_while_stopping,
 )
 from jackdawspread.decisions.sessions.session_state import SessionState
@@ -22,6 +21,7 @@
     fail_transaction,
     plan_statement,
 )
+from jackdawspread.decisions.sessions.unfinished_statement import refuse_unfinished
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
