--- a/src/jackdawspread/decisions/sessions/session_shutdown.py
+++ b/src/jackdawspread/decisions/sessions/session_shutdown.py
@@ -1,7 +1,7 @@
 """Decides what a session may still do while its instance stops.
 
-An operation that has begun is never cut off: it ends, or its next statement is answered
-with a refusal that is true. An operation that could not end before the process exits
+An operation that has begun ends, or its next statement before the exit is answered with
+a refusal that is true. An operation that could not end before the process exits
 is refused before it begins.
 """
 
--- a/src/jackdawspread/settings/stop_times.py
+++ b/src/jackdawspread/settings/stop_times.py
@@ -13,7 +13,8 @@
     begin_until : float
         Time from which no transaction is begun, so that those that are open can end.
     refuse_at : float
-        Time from which every operation is refused and open transactions are aborted.
+        Time from which every operation is refused, and an open transaction is rolled
+        back at its next statement.
     answer_by : float
         Time by which every statement has been answered.
     exit_at : float
