Read the machine's limits, regions and evacuation bound from the settings

Cause: evacuation, admission by priority and placement by capacity need to know what the platform grants an instance and which terms hold there. Change: InstanceResources and four settings with defaults; requests for a connection carry the latency target, the caller's failure domain and the allowed regions. A frame leaves out trailing defaults, so an instance of an earlier version still reads it as long as the features are off.

--- a/src/jackdawspread/codecs/pool_host_frames.py
+++ b/src/jackdawspread/codecs/pool_host_frames.py
@@ -110,6 +110,18 @@
     return tuple(message)
 
 
+@_fields.register
+def _(message: LeaseRequested) -> tuple[Any, ...]:
+    """Leave out trailing defaults, which earlier versions do not know."""
+    defaults = LeaseRequested._field_defaults
+    fields = list(message)
+    for name in reversed(LeaseRequested._fields):
+        if name not in defaults or fields[-1] != defaults[name]:
+            break
+        fields.pop()
+    return tuple(fields)
+
+
 @_fields.register
 def _(message: ExchangeRequested) -> tuple[Any, ...]:
     commands = [
--- a/src/jackdawspread/messages/fleet/connection_request.py
+++ b/src/jackdawspread/messages/fleet/connection_request.py
@@ -1,5 +1,6 @@
 """Request for a member connection."""
 
+from math import inf
 from typing import NamedTuple
 
 from trio import MemorySendChannel
@@ -38,6 +39,14 @@
         member all the time, and not for a transaction or a command about the log.
     reply_to : trio.MemorySendChannel
         Receives the lease or the refusal.
+    target_at : float
+        Monotonic time in seconds up to which the answer is within the latency target
+        of its route.
+    caller_domain : str
+        Failure domain of the instance to which the caller is connected; empty if the
+        placement does not depend on it.
+    allowed_regions : frozenset of str
+        Regions in which the statement may run; any region if empty.
     """
 
     group: str
@@ -51,3 +60,6 @@
     expires_at: float
     is_single_statement: bool
     reply_to: MemorySendChannel[MemberLease | Refusal]
+    target_at: float = inf
+    caller_domain: str = ""
+    allowed_regions: frozenset[str] = frozenset()
--- a/src/jackdawspread/messages/pool_hosts/lease_requested.py
+++ b/src/jackdawspread/messages/pool_hosts/lease_requested.py
@@ -1,5 +1,6 @@
 """Request to a pool host for a member connection."""
 
+from math import inf
 from typing import NamedTuple
 
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
@@ -31,6 +32,13 @@
         Seconds for which the request may still wait.
     is_single_statement : bool
         Whether the connection is used for one statement.
+    target_s : float
+        Seconds up to which the answer is within the latency target of its route.
+    caller_domain : str
+        Failure domain of the instance to which the caller is connected; empty if the
+        placement does not depend on it.
+    allowed_regions : frozenset of str
+        Regions in which the statement may run; any region if empty.
     """
 
     lease: int
@@ -43,3 +51,6 @@
     priority: int
     wait_s: float
     is_single_statement: bool
+    target_s: float = inf
+    caller_domain: str = ""
+    allowed_regions: frozenset[str] = frozenset()
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 from jackdawspread.codecs.network_address import parse_address
+from jackdawspread.settings.instance_resources import InstanceResources
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.settings_error import SettingsError
 
@@ -23,7 +24,18 @@
     "Bounds.ConfigApplyMs": 3000.0,
     "Bounds.SkewMaxMs": 12000.0,
     "Limits.MaxFds": 1024.0,
+    "Limits.CpuShare": 1.0,
+    "Limits.Cores": 1.0,
+    "Limits.MemoryMb": 1024.0,
+    "Limits.LinkMbps": 1000.0,
 }
+REGION_PREFIX = "Zones."
+# Set only where failure domains can be evacuated.
+EVACUATION_LIMIT = "Bounds.EvacuateMs"
+# Part of the platform's contracts with callers of different urgency.
+PRIORITY_CONTRACT = "pressure"
+BYTES_PER_MB = 1024 * 1024
+BYTES_PER_MBIT = 1_000_000 / 8
 ANY_HOST = "0.0.0.0"
 # The deploy file configures this port for the platform's metrics collector.
 METRICS_PORT = 9464
@@ -60,13 +72,13 @@
         and not _is_address(value_by_name[name])
     ]
     number_by_name = {}
-    for name, default in DEFAULT_BY_NAME.items():
-        number = _parse_number(value_by_name.get(name, str(default)))
+    optional = {EVACUATION_LIMIT} & value_by_name.keys()
+    for name in (*DEFAULT_BY_NAME, *optional):
+        text = value_by_name.get(name) or str(DEFAULT_BY_NAME.get(name, ""))
+        number = _parse_number(text)
         if number is None:
             accepted = "a positive number"
-            errors.append(
-                SettingsError(file, "platform", name, value_by_name[name], accepted)
-            )
+            errors.append(SettingsError(file, "platform", name, text, accepted))
         else:
             number_by_name[name] = number
     port = value_by_name.get("InternalPorts", "").split(",")[0]
@@ -101,6 +113,24 @@
         # the store can't be read.
         max_configuration_age_s=(apply_ms + skew_ms) / 1000,
         max_sessions=max(64, sessions),
+        region_by_domain={
+            name.removeprefix(REGION_PREFIX): region
+            for name, region in value_by_name.items()
+            if name.startswith(REGION_PREFIX)
+        },
+        resources=_resources(number_by_name),
+        evacuation_s=number_by_name.get(EVACUATION_LIMIT, 0.0) / 1000,
+        admits_by_priority=PRIORITY_CONTRACT
+        in value_by_name.get("Contracts", "").split(","),
+    )
+
+
+def _resources(number_by_name: dict[str, float]) -> InstanceResources:
+    return InstanceResources(
+        cores=number_by_name["Limits.CpuShare"] * number_by_name["Limits.Cores"],
+        memory_bytes=number_by_name["Limits.MemoryMb"] * BYTES_PER_MB,
+        descriptors=number_by_name["Limits.MaxFds"],
+        link_bytes_per_s=number_by_name["Limits.LinkMbps"] * BYTES_PER_MBIT,
     )
 
 
--- a/src/jackdawspread/settings/session_proxy_settings.py
+++ b/src/jackdawspread/settings/session_proxy_settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from jackdawspread.settings.instance_resources import InstanceResources
+
 
 class SessionProxySettings(NamedTuple):
     """Addresses, failure domain and limits of an instance that serves sessions.
@@ -37,6 +39,15 @@
         Age of the configuration, in seconds, from which operations are refused.
     max_sessions : int
         Maximum number of open sessions.
+    region_by_domain : dict
+        Region of each failure domain.
+    resources : InstanceResources
+        Limits of the machine.
+    evacuation_s : float
+        Seconds after which an evacuated failure domain receives no more work; 0 if the
+        platform has no evacuations.
+    admits_by_priority : bool
+        Whether statements compete for members by the priority of their route.
     """
 
     instance: str
@@ -53,3 +64,7 @@
     grace_s: float
     max_configuration_age_s: float
     max_sessions: int
+    region_by_domain: dict[str, str] = {}
+    resources: InstanceResources = InstanceResources()
+    evacuation_s: float = 0.0
+    admits_by_priority: bool = False
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -201,6 +201,9 @@
                 event.priority,
                 event.expires_at - current_time(),
                 event.is_single_statement,
+                event.target_at - current_time(),
+                event.caller_domain,
+                event.allowed_regions,
             )
         )
 
--- a/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
@@ -219,6 +219,9 @@
             current_time() + message.wait_s,
             message.is_single_statement,
             send,
+            current_time() + message.target_s,
+            message.caller_domain,
+            message.allowed_regions,
         )
         try:
             self._router.send_nowait(request)
