Use the shared options of limits in the head-office command

Cause: the command declared the options for rate, burst and weight again and collected them with a copy of given_limits. Change: it uses those of commands/options.py, as limits and workspace do.

--- a/src/jackdawspread/commands/head_office.py
+++ b/src/jackdawspread/commands/head_office.py
@@ -2,15 +2,19 @@
 
 from typing import Annotated
 
-from typer import Argument, BadParameter, Option, Typer
+from typer import Argument, BadParameter, Typer
 
 from jackdawspread.commands.admin_endpoint import AdminEndpoint
 from jackdawspread.commands.options import (
     Admin,
+    Burst,
     Credential,
     ExpectedVersion,
     Output,
     OutputFormat,
+    Rate,
+    Weight,
+    given_limits,
 )
 from jackdawspread.commands.rule import Rule
 from jackdawspread.commands.run_call import run_call
@@ -39,20 +43,15 @@
     ],
     admin: Admin,
     credential: Credential,
-    rate: Annotated[
-        float | None, Option(help="Requests per second, summed over all instances.")
-    ] = None,
-    burst: Annotated[int | None, Option(help="Requests accepted at once.")] = None,
-    weight: Annotated[
-        float | None, Option(help="Weight in the division of a busy database.")
-    ] = None,
+    rate: Rate = None,
+    burst: Burst = None,
+    weight: Weight = None,
     expected_version: ExpectedVersion = 0,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Set the default limits, or a bound of the overrides."""
     endpoint = AdminEndpoint(admin, credential)
-    given = {"rate": rate, "burst": burst, "weight": weight}
-    limits = {option: value for option, value in given.items() if value is not None}
+    limits = given_limits(rate, burst, weight)
     if not limits:
         raise BadParameter("give at least one of --rate, --burst and --weight")
     body = {rule.value: limits}
