Decide promotions on the logs of all members that may hold a commit

Cause: an attempt compared the logs of the replicas in the present list.

Change: one decision names the member whose log is as advanced as those of all members of the roster but one. A primary that answers is demoted before logs are compared, its own log being a candidate. A pause without an effect is repeated with a higher term, and the lock's record keeps the term.

--- a/features/steps/promotion_lock_steps.py
+++ b/features/steps/promotion_lock_steps.py
@@ -41,7 +41,9 @@
         client = PromotionLockClient("i1", context.records)
         context.lock = await client.acquire("g")
         if not isinstance(context.lock, str):
-            context.lock = await client.record_promotion(context.lock, member)
+            context.lock = await client.record_promotion(
+                context.lock, member, 4, frozenset({"m1", "m2"})
+            )
 
     run(act)
 
--- a/src/jackdawspread/decisions/failover/promotion_candidate.py
+++ b/src/jackdawspread/decisions/failover/promotion_candidate.py
@@ -1,16 +1,21 @@
 """Chooses the member that is promoted in place of a primary.
 
-With synchronous replication every acknowledged commit is on the primary and on at
-least one replica. Once all replicas but one are paused, the log of the remaining one
-contains every acknowledged commit as soon as it reaches the end of the most advanced
-paused log.
+With synchronous replication every acknowledged commit is on two members of the roster:
+on the primary and on a replica. A member whose log is at least as advanced as those of
+all other members of the roster but one therefore has every acknowledged commit.
 """
 
 from collections.abc import Collection, Iterable
 
+from jackdawspread.decisions.failover.promotion_evidence import PromotionEvidence
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 
+# Members that hold an acknowledged commit, less one.
+MAX_UNCOVERED = 1
+# One log has nothing to be compared with.
+MIN_LOGS = 2
+
 
 def replicas_to_query(
     listings: Iterable[MemberListing], group: str, primary: str
@@ -20,15 +25,47 @@
     return tuple(sorted(listing for listing in members if listing.id != primary))
 
 
-def most_advanced_log(
-    statuses: Collection[LogStatus], leaving: Collection[str], ordered: str = ""
-) -> LogStatus | None:
-    """Return the most advanced log, which contains every acknowledged commit.
+def uncovered_members(
+    candidate: LogStatus, evidence: PromotionEvidence
+) -> frozenset[str]:
+    """Return the members whose log may have a commit that the candidate lacks."""
+    covered = {
+        status.member
+        for status in evidence.status_by_member.values()
+        if status.received <= candidate.received
+    }
+    return evidence.roster - covered - {candidate.member}
+
 
-    Among equal logs the member whose promotion an earlier attempt requested is
-    preferred, because that request may still be executed. None if the most advanced
-    log is found only at members that are leaving.
+def choose_candidate(evidence: PromotionEvidence) -> LogStatus | None:
+    """Return the member to promote; None if no log is known to be complete.
+
+    Members that stay are preferred to leaving ones, and replicas to the demoted
+    primary, which was replaced for a reason. Then the member whose promotion was
+    requested earlier comes first, because that request may still be executed.
     """
+    statuses = evidence.status_by_member.values()
+    complete = [status for status in statuses if _is_complete(status, evidence)]
+    if len(statuses) < MIN_LOGS or not complete:
+        return None
+    newest = max(complete, key=lambda status: status.received).received
+
+    def preference(status: LogStatus) -> tuple[bool, bool, bool, bool, str]:
+        return (
+            status.member in evidence.leaving,
+            status.member == evidence.demoted_primary,
+            status.member != evidence.requested_earlier,
+            status.received != newest,
+            status.member,
+        )
+
+    return min(complete, key=preference)
+
+
+def most_advanced_log(
+    statuses: Collection[LogStatus], leaving: Collection[str]
+) -> LogStatus | None:
+    """Return the most advanced log, None if it is found only at leaving members."""
     if not statuses:
         return None
     end = max(status.received for status in statuses)
@@ -37,9 +74,20 @@
         for status in statuses
         if status.received == end and status.member not in leaving
     ]
-    return min(eligible, key=lambda s: (s.member != ordered, s.member), default=None)
+    return min(eligible, key=lambda status: status.member, default=None)
 
 
-def next_term(statuses: Iterable[LogStatus]) -> int:
-    """Return a term that is greater than every term that the members have seen."""
-    return 1 + max(status.term for status in statuses)
+def _is_complete(status: LogStatus, evidence: PromotionEvidence) -> bool:
+    if _was_newest_primary(status.member, evidence):
+        return True
+    return len(uncovered_members(status, evidence)) <= MAX_UNCOVERED
+
+
+def _was_newest_primary(member: str, evidence: PromotionEvidence) -> bool:
+    """Whether a member was demoted while it was certainly the newest primary.
+
+    It has every commit that it acknowledged, and those from before its term. A request
+    to promote another member may have been executed before it was demoted.
+    """
+    is_newest = evidence.requested_earlier in ("", member)
+    return member == evidence.demoted_primary and is_newest
--- /dev/null
+++ b/src/jackdawspread/decisions/failover/promotion_evidence.py
@@ -0,0 +1,31 @@
+"""Evidence on which a promotion is decided."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.fleet.log_status import LogStatus
+
+
+class PromotionEvidence(NamedTuple):
+    """What an attempt knows of the logs of a group.
+
+    Parameters
+    ----------
+    roster : frozenset of str
+        Every member that may hold an acknowledged commit: the listed members, the
+        primary, and members that have left and are not known to be covered.
+    status_by_member : dict
+        Logs that can't grow any more, because their members are paused or demoted.
+    leaving : frozenset of str
+        Members that will shut down soon.
+    demoted_primary : str
+        Primary that this attempt has demoted; empty if it has demoted none.
+    requested_earlier : str
+        Member whose promotion an earlier attempt requested. That request may still be
+        executed. Empty if there was none.
+    """
+
+    roster: frozenset[str]
+    status_by_member: dict[str, LogStatus]
+    leaving: frozenset[str] = frozenset()
+    demoted_primary: str = ""
+    requested_earlier: str = ""
--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -4,6 +4,8 @@
 that lets one instance at a time promote a member of the group.
 """
 
+from collections.abc import Collection
+
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 
@@ -27,32 +29,52 @@
     is_held = record["holder"] and record["until"] > store_time_s
     if is_held or store_time_s < epoch.began_s + PROMOTION_LOCK_TTL_S:
         return None
-    return PromotionLockRecord(
-        token=max(record["token"], epoch.number * TOKENS_PER_EPOCH) + 1,
-        holder=instance,
-        until=store_time_s + PROMOTION_LOCK_TTL_S,
-        ordered=record["ordered"],
-    )
+    acquired = record.copy()
+    acquired["token"] = max(record["token"], epoch.number * TOKENS_PER_EPOCH) + 1
+    acquired["holder"] = instance
+    acquired["until"] = store_time_s + PROMOTION_LOCK_TTL_S
+    return acquired
 
 
 def record_ordered_member(
-    record: PromotionLockRecord, member: str
+    record: PromotionLockRecord, member: str, term: int, roster: Collection[str]
 ) -> PromotionLockRecord:
     """Return the record that names the member whose promotion will be requested.
 
     A promotion request without an answer may be executed later, so the next holder
-    has to prefer the same member.
+    has to prefer the same member. The promoted member may be the only one that knows
+    its term, so the next holder takes a term above the recorded one.
     """
-    return PromotionLockRecord(
-        token=record["token"],
-        holder=record["holder"],
-        until=record["until"],
-        ordered=member,
-    )
+    ordered = record.copy()
+    ordered["ordered"] = member
+    ordered["term"] = max(term, recorded_term(record))
+    if roster:
+        ordered["roster"] = sorted(roster)
+    return ordered
+
+
+def record_roster(
+    record: PromotionLockRecord, roster: Collection[str]
+) -> PromotionLockRecord:
+    """Return the record with another roster."""
+    changed = record.copy()
+    changed["roster"] = sorted(roster)
+    return changed
 
 
 def release_promotion_lock(record: PromotionLockRecord) -> PromotionLockRecord:
     """Return the record that releases the lock."""
-    return PromotionLockRecord(
-        token=record["token"], holder="", until=0.0, ordered=record["ordered"]
-    )
+    released = record.copy()
+    released["holder"] = ""
+    released["until"] = 0.0
+    return released
+
+
+def recorded_term(record: PromotionLockRecord) -> int:
+    """Return the newest term that the record names, 0 if it names none."""
+    return record.get("term", 0)
+
+
+def recorded_roster(record: PromotionLockRecord) -> frozenset[str]:
+    """Return the roster that the record names, empty if it names none."""
+    return frozenset(record.get("roster", ()))
--- a/src/jackdawspread/decisions/failover/promotion_lock_record.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock_record.py
@@ -1,6 +1,6 @@
 """Record of the promotion lock of one group."""
 
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 
 class PromotionLockRecord(TypedDict):
@@ -16,9 +16,18 @@
         Time of the store's clock in seconds at which the lock expires.
     ordered : str
         Member whose promotion was requested last; empty if none was.
+    term : int
+        Newest term under which replicas were paused for a promotion. Records of
+        earlier versions lack it.
+    roster : list of str
+        Members that may hold an acknowledged commit which only one of the members
+        listed now has, together with the listed members. Records of earlier versions
+        and of groups whose list has never been recorded lack it.
     """
 
     token: int
     holder: str
     until: float
     ordered: str
+    term: NotRequired[int]
+    roster: NotRequired[list[str]]
--- /dev/null
+++ b/src/jackdawspread/decisions/failover/roster.py
@@ -0,0 +1,25 @@
+"""Members that may hold an acknowledged commit of a group."""
+
+from collections.abc import Iterable
+
+from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
+from jackdawspread.messages.fleet.member_listing import MemberListing
+
+# Stands for a primary of which neither the list nor the record names the id.
+UNKNOWN_PRIMARY = ""
+
+
+def group_roster(
+    trigger: FailoverTrigger,
+    listings: Iterable[MemberListing],
+    recorded: frozenset[str],
+) -> frozenset[str]:
+    """Return the roster of a group at the time of an attempt.
+
+    Without a record a primary that is not listed is unknown, and counts as a member
+    whose log is missing.
+    """
+    listed = {listing.id for listing in listings if listing.group == trigger.group}
+    if not trigger.member:
+        return recorded | listed if recorded else frozenset({*listed, UNKNOWN_PRIMARY})
+    return recorded | listed | {trigger.member}
--- /dev/null
+++ b/src/jackdawspread/messages/fleet/promotion_plan.py
@@ -0,0 +1,29 @@
+"""Member to promote, and what its promotion relies on."""
+
+from typing import NamedTuple
+
+from jackdawspread.messages.fleet.member_listing import MemberListing
+
+
+class PromotionPlan(NamedTuple):
+    """Result of the comparison of the logs of a group.
+
+    Parameters
+    ----------
+    member : str
+        Id of the member to promote; empty if no log is known to be complete.
+    reason : str
+        Why there is no member to promote; empty if there is one.
+    term : int
+        Term under which replicas were paused; 0 if none was.
+    roster : frozenset of str
+        Members that may hold an acknowledged commit.
+    paused : tuple of MemberListing
+        Replicas that were paused.
+    """
+
+    member: str = ""
+    reason: str = ""
+    term: int = 0
+    roster: frozenset[str] = frozenset()
+    paused: tuple[MemberListing, ...] = ()
--- a/src/jackdawspread/messages/statements/member_statement.py
+++ b/src/jackdawspread/messages/statements/member_statement.py
@@ -1,5 +1,6 @@
 """Statements that can be sent to a member."""
 
+from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.messages.statements.pause_replication import PauseReplication
 from jackdawspread.messages.statements.query_status import QueryStatus
 from jackdawspread.messages.statements.reset_session import ResetSession
@@ -7,5 +8,10 @@
 from jackdawspread.messages.statements.session_statement import SessionStatement
 
 MemberStatement = (
-    SessionStatement | ResetSession | QueryStatus | PauseReplication | ResumeReplication
+    SessionStatement
+    | ResetSession
+    | QueryStatus
+    | PauseReplication
+    | ResumeReplication
+    | DemotePrimary
 )
--- a/src/jackdawspread/platform/member_wire_codec.py
+++ b/src/jackdawspread/platform/member_wire_codec.py
@@ -4,6 +4,7 @@
 
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.position import Position
+from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.messages.statements.member_command import MemberCommand
 from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.messages.statements.pause_replication import PauseReplication
@@ -21,7 +22,7 @@
 # Id of a statement of the proxy itself.
 NO_ID = "-"
 NO_WORKSPACE = "-"
-LOG_STATEMENTS = (QueryStatus, PauseReplication, ResumeReplication)
+LOG_STATEMENTS = (QueryStatus, PauseReplication, ResumeReplication, DemotePrimary)
 
 
 class MemberWireCodec:
--- a/src/jackdawspread/platform/statement_texts.py
+++ b/src/jackdawspread/platform/statement_texts.py
@@ -4,6 +4,7 @@
 
 from jackdawspread.messages.statements.begin_transaction import BeginTransaction
 from jackdawspread.messages.statements.commit_transaction import CommitTransaction
+from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.messages.statements.execute_prepared import ExecutePrepared
 from jackdawspread.messages.statements.forget_statement import ForgetStatement
 from jackdawspread.messages.statements.malformed_statement import MalformedStatement
@@ -121,3 +122,8 @@
 @format_statement.register
 def _(statement: ResumeReplication) -> str:
     return "RESUME"
+
+
+@format_statement.register
+def _(statement: DemotePrimary) -> str:
+    return f"DEMOTE {statement.term}"
--- a/src/jackdawspread/tasks/fleet/candidate_search.py
+++ b/src/jackdawspread/tasks/fleet/candidate_search.py
@@ -1,8 +1,11 @@
-"""Search for the replica that is promoted."""
+"""Search for the member that is promoted."""
 
+from absl import logging
 from trio import current_time, sleep
 
-from jackdawspread.decisions.failover.promotion_candidate import most_advanced_log
+from jackdawspread.decisions.failover.plausible_status import is_plausible
+from jackdawspread.messages.fleet.catch_up import CatchUp
+from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.statements.query_status import QueryStatus
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
@@ -13,7 +16,7 @@
 
 
 class CandidateSearch:
-    """Queries the logs of paused replicas until one has every acknowledged commit.
+    """Queries the logs of members until they can be compared.
 
     Parameters
     ----------
@@ -23,41 +26,82 @@
 
     def __init__(self, replication: ReplicationControl) -> None:
         self._replication = replication
+        self._implausible: set[LogStatus] = set()
 
-    async def choose(
+    async def query(self, members: tuple[MemberListing, ...]) -> dict[str, LogStatus]:
+        """Return the log status of each member that answers and can be true."""
+        status_by_member = await self._replication.send_all(members, QueryStatus())
+        return {
+            id: status for id, status in status_by_member.items() if self._check(status)
+        }
+
+    async def query_paused(
+        self, replicas: tuple[MemberListing, ...], term: int
+    ) -> dict[str, LogStatus] | None:
+        """Return the logs of paused replicas; None if one is no longer paused.
+
+        An earlier promotion that takes effect late ends all pauses.
+        """
+        status_by_member = await self.query(replicas)
+        if all(_is_paused(s, term) for s in status_by_member.values()):
+            return status_by_member
+        return None
+
+    async def catch_up(
         self,
-        replicas: tuple[MemberListing, ...],
-        unpaused: str,
+        unpaused: MemberListing,
+        paused: tuple[MemberListing, ...],
+        primary: MemberListing | None,
         term: int,
-        previously_requested: str,
-    ) -> str:
-        """Return the id of a replica that has every acknowledged commit, or empty.
+    ) -> CatchUp:
+        """Wait until the unpaused replica has the logs of the others.
 
-        The log status is queried again after the last replica was paused, since an
-        earlier promotion that takes effect late ends all pauses.
+        The first answer of the primary after the pauses is included, as members that
+        have left before it can't have confirmed anything newer.
         """
-        leaving = {replica.id for replica in replicas if replica.leaving}
         deadline = current_time() + CATCH_UP_TIMEOUT_S
-        while current_time() < deadline:
-            status_by_member = await self._replication.send_all(replicas, QueryStatus())
-            unpaused_status = status_by_member.pop(unpaused, None)
-            paused = status_by_member.values()
-            still_paused = all(
-                not s.claims_primary and s.paused_term == term for s in paused
-            )
-            if len(paused) < len(replicas) - bool(unpaused) or not still_paused:
-                return ""
-            if not unpaused:
-                best = most_advanced_log(
-                    paused, leaving, previously_requested
-                ) or most_advanced_log(paused, ())
-                return best.member if best is not None else ""
-            needed = max(status.received for status in paused)
-            if (
-                unpaused_status is not None
-                and not unpaused_status.claims_primary
-                and unpaused_status.received >= needed
+        others = (*paused, unpaused)
+        first = (*others, primary) if primary is not None else others
+        status_by_member = await self.query(first)
+        former = status_by_member.pop(primary.id, None) if primary is not None else None
+        has_primary_log = former is not None and former.claims_primary
+        while True:
+            status = status_by_member.pop(unpaused.id, None)
+            needed = list(status_by_member.values())
+            if len(needed) < len(paused) or not all(
+                _is_paused(s, term) for s in needed
             ):
-                return unpaused
+                return CatchUp(False, False)
+            if former is not None and has_primary_log:
+                needed.append(former)
+            if _has_received(status, needed):
+                return CatchUp(True, has_primary_log)
+            if current_time() >= deadline:
+                return CatchUp(False, False)
             await sleep(CATCH_UP_POLL_INTERVAL_S)
-        return ""
+            status_by_member = await self.query(others)
+
+    def _check(self, status: LogStatus) -> bool:
+        if is_plausible(status):
+            return True
+        if status not in self._implausible:
+            self._implausible.add(status)
+            logging.error(
+                "succession: implausible log status ignored member=%s term=%d "
+                "received=%d.%d",
+                status.member,
+                status.term,
+                *status.received,
+            )
+        return False
+
+
+def _is_paused(status: LogStatus, term: int) -> bool:
+    return not status.claims_primary and status.paused_term == term
+
+
+def _has_received(status: LogStatus | None, needed: list[LogStatus]) -> bool:
+    """Whether a replica has received the ends of the other logs."""
+    if status is None or status.claims_primary:
+        return False
+    return all(status.received >= other.received for other in needed)
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -0,0 +1,216 @@
+"""Selection of the member that replaces a failed primary."""
+
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+from trio import current_time
+
+from jackdawspread.decisions.failover.blocked_promotion import (
+    BlockedPromotion,
+    count_blocked_attempt,
+    is_overdue,
+)
+from jackdawspread.decisions.failover.pause_term import pause_term
+from jackdawspread.decisions.failover.promotion_candidate import (
+    choose_candidate,
+    replicas_to_query,
+)
+from jackdawspread.decisions.failover.promotion_evidence import PromotionEvidence
+from jackdawspread.decisions.failover.promotion_lock import (
+    recorded_roster,
+    recorded_term,
+)
+from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
+from jackdawspread.decisions.failover.roster import group_roster
+from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
+from jackdawspread.messages.fleet.log_status import LogStatus
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
+from jackdawspread.messages.statements.demote_primary import DemotePrimary
+from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.replication_control import ReplicationControl
+from jackdawspread.tasks.fleet.replication_pause import ReplicationPause
+
+ReadMembersSince = Callable[[float], Awaitable[dict[str, MemberListing] | None]]
+
+
+class FailoverSelection:
+    """Compares the logs of a group once they can't grow any more.
+
+    Parameters
+    ----------
+    replication : ReplicationControl
+        Sends status queries and replication commands to members.
+    """
+
+    def __init__(self, replication: ReplicationControl) -> None:
+        self._replication = replication
+        self._search = CandidateSearch(replication)
+        self._pause = ReplicationPause(replication)
+        self._blocked_by_group: dict[str, BlockedPromotion] = {}
+
+    async def run(
+        self,
+        trigger: FailoverTrigger,
+        listing_by_id: dict[str, MemberListing],
+        record: PromotionLockRecord,
+        members_since: ReadMembersSince,
+    ) -> PromotionPlan:
+        """Return the member to promote and the replicas that were paused for it."""
+        replicas = replicas_to_query(
+            listing_by_id.values(), trigger.group, trigger.member
+        )
+        # A primary that does not answer was queried when it was suspected.
+        primary = listing_by_id.get(trigger.member) if trigger.writes_stalled else None
+        queried = replicas if primary is None else (*replicas, primary)
+        status_by_member = await self._search.query(queried)
+        refusal = _find_other_primary(trigger, status_by_member)
+        if refusal:
+            return PromotionPlan(reason=refusal)
+        evidence = _collect(trigger, listing_by_id, record, status_by_member)
+        candidate = self._choose(trigger.group, evidence, listing_by_id)
+        if candidate is None:
+            return PromotionPlan(reason=_describe_missing(evidence))
+        if candidate.member == trigger.member:
+            return PromotionPlan(reason="only the primary has every commit")
+        term = pause_term(status_by_member.values(), recorded_term(record))
+        term, _ = await self._pause.run(replicas, term)
+        if primary is not None and primary.id in status_by_member:
+            return await self._select_fenced(
+                trigger, replicas, primary, term, record, members_since
+            )
+        return await self._select_unfenced(
+            trigger, replicas, term, record, members_since
+        )
+
+    async def _select_unfenced(
+        self,
+        trigger: FailoverTrigger,
+        replicas: tuple[MemberListing, ...],
+        term: int,
+        record: PromotionLockRecord,
+        members_since: ReadMembersSince,
+    ) -> PromotionPlan:
+        """Compare the logs of paused replicas while the primary is unreachable.
+
+        A replica that joins in the meantime may confirm commits of a primary that is
+        alive, so the list is read after the logs.
+        """
+        paused_at = current_time()
+        status_by_member = await self._search.query_paused(replicas, term)
+        listing_by_id = await members_since(paused_at) if status_by_member else None
+        if status_by_member is None or listing_by_id is None:
+            return PromotionPlan(
+                reason="no replica is known to have every commit", paused=replicas
+            )
+        evidence = _collect(trigger, listing_by_id, record, status_by_member)
+        candidate = self._choose(trigger.group, evidence, listing_by_id)
+        if candidate is None:
+            return PromotionPlan(reason=_describe_missing(evidence), paused=replicas)
+        return PromotionPlan(candidate.member, "", term, evidence.roster, replicas)
+
+    async def _select_fenced(
+        self,
+        trigger: FailoverTrigger,
+        replicas: tuple[MemberListing, ...],
+        primary: MemberListing,
+        term: int,
+        record: PromotionLockRecord,
+        members_since: ReadMembersSince,
+    ) -> PromotionPlan:
+        """Demote a primary that answers, then compare all logs including its own.
+
+        Once it is demoted no commit is acknowledged, so a replica that has joined is
+        compared like the others, and its own log is complete.
+        """
+        demoted = await self._replication.send(primary, DemotePrimary(term))
+        if demoted is None or demoted.claims_primary:
+            return await self._select_unfenced(
+                trigger, replicas, term, record, members_since
+            )
+        logging.info("succession: demoted member=%s term=%d", primary.id, term)
+        listing_by_id = await members_since(current_time())
+        listed = (
+            replicas
+            if listing_by_id is None
+            else replicas_to_query(
+                listing_by_id.values(), trigger.group, trigger.member
+            )
+        )
+        joined = tuple(set(listed) - set(replicas))
+        await self._pause.run(joined, term)
+        paused = (*replicas, *joined)
+        status_by_member = await self._search.query(paused)
+        if any(status.claims_primary for status in status_by_member.values()):
+            # An earlier request has been executed late.
+            return PromotionPlan(reason="a replica was promoted", paused=paused)
+        status_by_member[primary.id] = demoted
+        evidence = _collect(trigger, listing_by_id or {}, record, status_by_member)
+        evidence = evidence._replace(demoted_primary=primary.id)
+        candidate = choose_candidate(evidence) if listing_by_id else demoted
+        if candidate is None:
+            return PromotionPlan(reason=_describe_missing(evidence), paused=paused)
+        return PromotionPlan(candidate.member, "", term, evidence.roster, paused)
+
+    def _choose(
+        self,
+        group: str,
+        evidence: PromotionEvidence,
+        listing_by_id: dict[str, MemberListing],
+    ) -> LogStatus | None:
+        """Return the member to promote.
+
+        Members that are gone are waited for. After that time the most advanced of the
+        listed members is taken, so that a group whose logs are lost has a primary.
+        """
+        candidate = choose_candidate(evidence)
+        if candidate is not None:
+            self._blocked_by_group.pop(group, None)
+            return candidate
+        blocked = count_blocked_attempt(
+            self._blocked_by_group.get(group), current_time()
+        )
+        self._blocked_by_group[group] = blocked
+        if not is_overdue(blocked):
+            return None
+        listed = evidence.roster & listing_by_id.keys()
+        candidate = choose_candidate(evidence._replace(roster=listed))
+        if candidate is not None:
+            logging.error(
+                "succession: commits may be lost, promoting without the logs of "
+                "members=%s group=%s",
+                ",".join(sorted(evidence.roster - listed)),
+                group,
+            )
+        return candidate
+
+
+def _collect(
+    trigger: FailoverTrigger,
+    listing_by_id: dict[str, MemberListing],
+    record: PromotionLockRecord,
+    status_by_member: dict[str, LogStatus],
+) -> PromotionEvidence:
+    listings = listing_by_id.values()
+    return PromotionEvidence(
+        group_roster(trigger, listings, recorded_roster(record)),
+        status_by_member,
+        frozenset(listing.id for listing in listings if listing.leaving),
+        requested_earlier=record["ordered"],
+    )
+
+
+def _find_other_primary(
+    trigger: FailoverTrigger, status_by_member: dict[str, LogStatus]
+) -> str:
+    """Return why the members show that there is another primary, empty if not."""
+    for member, status in status_by_member.items():
+        if status.claims_primary != (member == trigger.member):
+            return "another member claims to be the primary"
+    return ""
+
+
+def _describe_missing(evidence: PromotionEvidence) -> str:
+    missing = evidence.roster - evidence.status_by_member.keys()
+    names = ",".join(sorted(missing)) or "none"
+    return f"no replica is known to have every commit, logs missing members={names}"
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -67,10 +67,14 @@
         return lock._replace(version=outcome.version)
 
     async def record_promotion(
-        self, lock: HeldPromotionLock, member: str
+        self, lock: HeldPromotionLock, member: str, term: int, roster: frozenset[str]
     ) -> HeldPromotionLock | None:
-        """Record the member that the holder will promote; None if that fails."""
-        record = record_ordered_member(lock.record, member)
+        """Record the member that the holder will promote; None if that fails.
+
+        ``term`` is the term under which replicas were paused, and ``roster`` names the
+        members that may hold an acknowledged commit.
+        """
+        record = record_ordered_member(lock.record, member, term, roster)
         deadline = lock.held_until - RESUME_RESERVE_S
         outcome = await self._write(lock, record, deadline)
         if outcome.status is not RecordStatus.DONE:
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/promotion_sender.py
@@ -0,0 +1,65 @@
+"""Sends promotion requests until they have a result."""
+
+from absl import logging
+from trio import MemorySendChannel, open_memory_channel, sleep
+
+from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
+from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
+from jackdawspread.messages.fleet.promotion_request import PromotionRequest
+from jackdawspread.messages.fleet.promotion_result import PromotionResult
+from jackdawspread.tasks.boot_clock import seconds_since_boot
+
+PROMOTION_RETRY_DELAY_S = 0.1
+
+
+class PromotionSender:
+    """Requests the promotion of a member under a promotion lock.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    promotions : trio.MemorySendChannel
+        Receives promotion requests for the users' platform.
+    """
+
+    def __init__(
+        self, instance: str, promotions: MemorySendChannel[PromotionRequest]
+    ) -> None:
+        self._instance = instance
+        self._promotions = promotions
+
+    async def run(
+        self, trigger: FailoverTrigger, candidate: str, lock: HeldPromotionLock
+    ) -> tuple[PromotionResult, bool]:
+        """Request the promotion until it has a definite result or the lock expires.
+
+        Return the last result, and whether the promotion has or may have happened: an
+        unanswered request may still take effect.
+        """
+        logging.info(
+            "succession: promoting member=%s group=%s token=%d reason=%s",
+            candidate,
+            trigger.group,
+            lock.record["token"],
+            trigger.reason,
+        )
+        result = PromotionResult.NOT_DONE
+        uncertain = False
+        while seconds_since_boot() < lock.held_until:
+            result = await self._request(trigger.group, candidate, lock)
+            uncertain = uncertain or result is PromotionResult.UNKNOWN
+            if result in (PromotionResult.ACCEPTED, PromotionResult.REJECTED):
+                break
+            await sleep(PROMOTION_RETRY_DELAY_S)
+        return result, result is PromotionResult.ACCEPTED or uncertain
+
+    async def _request(
+        self, group: str, candidate: str, lock: HeldPromotionLock
+    ) -> PromotionResult:
+        send, receive = open_memory_channel[PromotionResult](1)
+        token = lock.record["token"]
+        await self._promotions.send(
+            PromotionRequest(group, candidate, self._instance, token, send)
+        )
+        return await receive.receive()
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/switchover_selection.py
@@ -0,0 +1,91 @@
+"""Selection of the member that takes over from a leaving primary."""
+
+from collections.abc import Awaitable, Callable
+
+from trio import current_time
+
+from jackdawspread.decisions.failover.pause_term import pause_term
+from jackdawspread.decisions.failover.promotion_candidate import (
+    MAX_UNCOVERED,
+    replicas_to_query,
+)
+from jackdawspread.decisions.failover.promotion_lock import (
+    recorded_roster,
+    recorded_term,
+)
+from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
+from jackdawspread.decisions.failover.roster import group_roster
+from jackdawspread.decisions.failover.unpaused_replica import choose_unpaused
+from jackdawspread.messages.fleet.catch_up import CatchUp
+from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
+from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.replication_control import ReplicationControl
+from jackdawspread.tasks.fleet.replication_pause import ReplicationPause
+
+
+class SwitchoverSelection:
+    """Lets one replica receive all logs while the primary goes on acknowledging.
+
+    Parameters
+    ----------
+    replication : ReplicationControl
+        Sends status queries and replication commands to members.
+    """
+
+    def __init__(self, replication: ReplicationControl) -> None:
+        self._search = CandidateSearch(replication)
+        self._pause = ReplicationPause(replication)
+
+    async def run(
+        self,
+        trigger: FailoverTrigger,
+        listing_by_id: dict[str, MemberListing],
+        record: PromotionLockRecord,
+        members_since: Callable[[float], Awaitable[dict[str, MemberListing] | None]],
+    ) -> PromotionPlan:
+        """Return the member to promote and the replicas that were paused for it."""
+        replicas = replicas_to_query(
+            listing_by_id.values(), trigger.group, trigger.member
+        )
+        status_by_member = await self._search.query(replicas)
+        if len(status_by_member) < len(replicas):
+            return PromotionPlan(reason="a replica did not answer")
+        if any(status.claims_primary for status in status_by_member.values()):
+            return PromotionPlan(reason="another member claims to be the primary")
+        unpaused = choose_unpaused(replicas, status_by_member, record["ordered"])
+        to_pause = tuple(replica for replica in replicas if replica.id != unpaused)
+        term = pause_term(status_by_member.values(), recorded_term(record))
+        term, _ = await self._pause.run(to_pause, term)
+        paused_at = current_time()
+        primary = listing_by_id.get(trigger.member)
+        catch_up = await self._search.catch_up(
+            listing_by_id[unpaused], to_pause, primary, term
+        )
+        listed_after = await members_since(paused_at) if catch_up.is_complete else None
+        if listed_after is None:
+            return PromotionPlan(
+                reason="no replica is known to have every commit", paused=to_pause
+            )
+        recorded = recorded_roster(record)
+        roster = group_roster(trigger, listed_after.values(), recorded)
+        missing = _missing_members(roster, replicas, listed_after, catch_up)
+        if len(missing) > MAX_UNCOVERED:
+            reason = f"logs are missing members={','.join(sorted(missing))}"
+            return PromotionPlan(reason=reason, paused=to_pause)
+        return PromotionPlan(unpaused, "", term, roster, to_pause)
+
+
+def _missing_members(
+    roster: frozenset[str],
+    queried: tuple[MemberListing, ...],
+    listing_by_id: dict[str, MemberListing],
+    catch_up: CatchUp,
+) -> frozenset[str]:
+    """Return the members whose log the unpaused replica may lack.
+
+    Members that have left can't have confirmed more than the primary then had.
+    """
+    missing = roster - {replica.id for replica in queried}
+    return missing & listing_by_id.keys() if catch_up.has_primary_log else missing
