Record the roster of each group and clear departed replicas from it

Change: the record of the promotion lock names the members that may hold a commit. A member that has left stays in it until a listed replica has received what the primary had after the departure. Only instances that read the list from the store keep it.

--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -26,8 +26,10 @@
     Until a lock from before a restore of the store has expired, no instance acquires
     one: the record may not show it.
     """
-    is_held = record["holder"] and record["until"] > store_time_s
-    if is_held or store_time_s < epoch.began_s + PROMOTION_LOCK_TTL_S:
+    if (
+        is_held(record, store_time_s)
+        or store_time_s < epoch.began_s + PROMOTION_LOCK_TTL_S
+    ):
         return None
     acquired = record.copy()
     acquired["token"] = max(record["token"], epoch.number * TOKENS_PER_EPOCH) + 1
@@ -36,6 +38,11 @@
     return acquired
 
 
+def is_held(record: PromotionLockRecord, store_time_s: float) -> bool:
+    """Whether an instance may rely on the lock at a time of the store's clock."""
+    return bool(record["holder"]) and record["until"] > store_time_s
+
+
 def record_ordered_member(
     record: PromotionLockRecord, member: str, term: int, roster: Collection[str]
 ) -> PromotionLockRecord:
--- a/src/jackdawspread/decisions/failover/roster.py
+++ b/src/jackdawspread/decisions/failover/roster.py
@@ -23,3 +23,17 @@
     if not trigger.member:
         return recorded | listed if recorded else frozenset({*listed, UNKNOWN_PRIMARY})
     return recorded | listed | {trigger.member}
+
+
+def next_roster(
+    recorded: frozenset[str],
+    previous: frozenset[str],
+    listed: frozenset[str],
+    is_covered: bool,
+) -> frozenset[str]:
+    """Return the roster to record after a list was read.
+
+    Members that have left stay in it until every commit that they confirmed is known
+    to be on the primary and on a listed replica.
+    """
+    return listed if is_covered else recorded | previous | listed
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -18,6 +18,7 @@
 from jackdawspread.messages.fleet.failover_event import FailoverEvent
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
@@ -43,6 +44,8 @@
 from jackdawspread.tasks.fleet.rate_lease_task import RateLeaseTask
 from jackdawspread.tasks.fleet.record_client import RecordClient
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
+from jackdawspread.tasks.fleet.roster_client import RosterClient
+from jackdawspread.tasks.fleet.roster_task import RosterTask
 from jackdawspread.tasks.http_server import HttpServer
 from jackdawspread.tasks.listen import listen
 from jackdawspread.tasks.members.member_router import MemberRouter
@@ -99,6 +102,7 @@
         self._members, self._members_inbox = open_memory_channel[MemberPollEvent](
             SMALL_INBOX
         )
+        self._rosters, self._rosters_inbox = open_memory_channel[MembersSeen](1)
         self._peers, self._peers_inbox = open_memory_channel[PeerEvent](PEERS_INBOX)
         self._feed, self._feed_inbox = open_memory_channel[ConfigurationFeedEvent](
             SMALL_INBOX
@@ -197,6 +201,7 @@
             self._router,
             self._failover,
             self._peers,
+            self._rosters,
         )
         tasks.start_soon(feed.run)
         tasks.start_soon(poll.run)
@@ -244,18 +249,22 @@
         promotion_client = PromotionClient(
             self._settings.promotion_address, promotion_inbox
         )
+        replication = ReplicationControl(self._router)
+        records = self._open_records("succession", tasks)
         attempt = FailoverAttempt(
             self._instance_id,
-            ReplicationControl(self._router),
-            PromotionLockClient(
-                self._instance_id, self._open_records("succession", tasks)
-            ),
+            replication,
+            PromotionLockClient(self._instance_id, records),
             promotions,
             self._router,
         )
+        roster_task = RosterTask(
+            RosterClient(records), replication, self._rosters_inbox
+        )
         failover_task = FailoverTask(attempt, self._failover_inbox, self._members)
         tasks.start_soon(promotion_client.run)
         tasks.start_soon(failover_task.run)
+        tasks.start_soon(roster_task.run)
 
     def _open_records(self, user: str, tasks: Nursery) -> RecordClient:
         """Open a separate connection to the store for one task."""
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -69,6 +69,8 @@
         Receive the list.
     peers : trio.MemorySendChannel
         Inbox of the peers task.
+    rosters : trio.MemorySendChannel
+        Receives the lists that this instance has read itself.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         router: MemorySendChannel[RouterEvent],
         failover: MemorySendChannel[FailoverEvent],
         peers: MemorySendChannel[PeerEvent],
+        rosters: MemorySendChannel[MembersSeen],
     ) -> None:
         self._address = address
         self._instance = instance
@@ -88,6 +91,7 @@
         self._router = router
         self._failover = failover
         self._peers = peers
+        self._rosters = rosters
         self._availability = StoreAvailability("members")
         self._epoch = EpochTracker("members")
         self._clock = StoreClockOffset()
@@ -171,6 +175,11 @@
         )
         await self._publish(listed, requested_at)
         self._relay(to_store_time(self._clock, since_boot))
+        try:
+            self._rosters.send_nowait(MembersSeen(self._listing_by_id, requested_at))
+        except WouldBlock:
+            # The rosters are compared with the next list.
+            return
 
     def _report(self, outcome: HttpOutcome) -> None:
         reason = outcome.error or f"status {outcome.status}"
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -3,10 +3,8 @@
 from absl import logging
 from msgspec.json import encode
 
-from jackdawspread.codecs.stored_json import decode_stored
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.promotion_lock import (
-    FREE_PROMOTION_LOCK,
     PROMOTION_LOCK_TTL_S,
     acquire_promotion_lock,
     record_ordered_member,
@@ -16,12 +14,18 @@
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.tasks.boot_clock import seconds_since_boot
+from jackdawspread.tasks.fleet.decode_promotion_lock import decode_promotion_lock
 from jackdawspread.tasks.fleet.record_client import RecordClient
 
 # Time before the expiry of the lock that is reserved for resuming paused members.
 RESUME_RESERVE_S = 1.0
 
 
+def promotion_lock_name(group: str) -> str:
+    """Return the name of the record that holds the promotion lock of a group."""
+    return f"duty-{group}"
+
+
 class PromotionLockClient:
     """Acquires and releases promotion locks by conditional writes.
 
@@ -42,7 +46,7 @@
 
     async def acquire(self, group: str) -> HeldPromotionLock | str:
         """Acquire the lock of a group, or return why it can't be acquired now."""
-        name = f"duty-{group}"
+        name = promotion_lock_name(group)
         epoch = await self._records.epoch()
         read_at = seconds_since_boot()
         known = await self._records.read(name)
@@ -50,7 +54,7 @@
             return "the store did not answer"
         if known.epoch != epoch.number:
             return "the store has just been restored from a copy"
-        current = _decode(known)
+        current = decode_promotion_lock(known)
         if current is None:
             return "the promotion lock is unreadable"
         record = acquire_promotion_lock(
@@ -107,20 +111,9 @@
             if outcome.status is not RecordStatus.UNKNOWN:
                 if outcome.epoch != lock.epoch:
                     return outcome._replace(status=RecordStatus.CONFLICT)
-                if _decode(outcome) == record:
+                if decode_promotion_lock(outcome) == record:
                     return outcome._replace(status=RecordStatus.DONE)
                 if outcome.version != lock.version:
                     return outcome._replace(status=RecordStatus.CONFLICT)
             if seconds_since_boot() >= deadline:
                 return RecordOutcome(RecordStatus.UNKNOWN)
-
-
-def _decode(outcome: RecordOutcome) -> PromotionLockRecord | None:
-    """Return the record; None if it is unreadable, as its fencing token is unknown."""
-    if not outcome.value:
-        return FREE_PROMOTION_LOCK
-    try:
-        return decode_stored(outcome.value, PromotionLockRecord)
-    except ValueError as error:
-        logging.error("succession: unreadable promotion lock reason=%r", str(error))
-        return None
