Replace a stalled primary by a replica where one has every commit

Change: the primary to be demoted is the last choice. A promotion without the logs of departed members needs an answer of every listed replica.

--- a/src/jackdawspread/decisions/failover/promotion_candidate.py
+++ b/src/jackdawspread/decisions/failover/promotion_candidate.py
@@ -62,6 +62,16 @@
     return min(complete, key=preference)
 
 
+def without_departed(
+    evidence: PromotionEvidence, listed: Collection[str]
+) -> PromotionEvidence:
+    """Return the evidence without the members that are gone.
+
+    Members that are listed still count, also if they did not answer.
+    """
+    return evidence._replace(roster=evidence.roster & frozenset(listed))
+
+
 def most_advanced_log(
     statuses: Collection[LogStatus], leaving: Collection[str]
 ) -> LogStatus | None:
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -14,6 +14,7 @@
 from jackdawspread.decisions.failover.promotion_candidate import (
     choose_candidate,
     replicas_to_query,
+    without_departed,
 )
 from jackdawspread.decisions.failover.promotion_evidence import PromotionEvidence
 from jackdawspread.decisions.failover.promotion_lock import (
@@ -68,7 +69,9 @@
         if refusal:
             return PromotionPlan(reason=refusal)
         evidence = _collect(trigger, listing_by_id, record, status_by_member)
-        candidate = self._choose(trigger.group, evidence, listing_by_id)
+        if trigger.member in status_by_member:
+            evidence = evidence._replace(demoted_primary=trigger.member)
+        candidate = self._choose(trigger, evidence, listing_by_id)
         if candidate is None:
             return PromotionPlan(reason=_describe_missing(evidence))
         if candidate.member == trigger.member:
@@ -104,7 +107,7 @@
                 reason="no replica is known to have every commit", paused=replicas
             )
         evidence = _collect(trigger, listing_by_id, record, status_by_member)
-        candidate = self._choose(trigger.group, evidence, listing_by_id)
+        candidate = self._choose(trigger, evidence, listing_by_id)
         if candidate is None:
             return PromotionPlan(reason=_describe_missing(evidence), paused=replicas)
         return PromotionPlan(candidate.member, "", term, evidence.roster, replicas)
@@ -137,7 +140,8 @@
                 listing_by_id.values(), trigger.group, trigger.member
             )
         )
-        joined = tuple(set(listed) - set(replicas))
+        known = {replica.id for replica in replicas}
+        joined = tuple(listing for listing in listed if listing.id not in known)
         await self._pause.run(joined, term)
         paused = (*replicas, *joined)
         status_by_member = await self._search.query(paused)
@@ -154,15 +158,17 @@
 
     def _choose(
         self,
-        group: str,
+        trigger: FailoverTrigger,
         evidence: PromotionEvidence,
         listing_by_id: dict[str, MemberListing],
     ) -> LogStatus | None:
         """Return the member to promote.
 
         Members that are gone are waited for. After that time the most advanced of the
-        listed members is taken, so that a group whose logs are lost has a primary.
+        listed replicas is taken if all of them answer, so that a group whose logs are
+        lost has a primary.
         """
+        group = trigger.group
         candidate = choose_candidate(evidence)
         if candidate is not None:
             self._blocked_by_group.pop(group, None)
@@ -171,15 +177,16 @@
             self._blocked_by_group.get(group), current_time()
         )
         self._blocked_by_group[group] = blocked
-        if not is_overdue(blocked):
+        remaining = without_departed(evidence, listing_by_id.keys())
+        silent = remaining.roster - evidence.status_by_member.keys()
+        if not is_overdue(blocked) or silent - {trigger.member}:
             return None
-        listed = evidence.roster & listing_by_id.keys()
-        candidate = choose_candidate(evidence._replace(roster=listed))
+        candidate = choose_candidate(remaining)
         if candidate is not None:
             logging.error(
                 "succession: commits may be lost, promoting without the logs of "
                 "members=%s group=%s",
-                ",".join(sorted(evidence.roster - listed)),
+                ",".join(sorted(evidence.roster - remaining.roster)),
                 group,
             )
         return candidate
