--- /dev/null
+++ b/features/fakes/replicated_group.py
@@ -0,0 +1,118 @@
+"""Fake group of members with logs, terms and pauses."""
+
+from trio import open_memory_channel, open_nursery
+
+from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
+from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
+from jackdawspread.messages.fleet.log_status import LogStatus
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.promotion_result import PromotionResult
+from jackdawspread.messages.position import Position
+from jackdawspread.messages.statements.demote_primary import DemotePrimary
+from jackdawspread.messages.statements.pause_replication import PauseReplication
+from jackdawspread.messages.statements.resume_replication import ResumeReplication
+from jackdawspread.tasks.boot_clock import seconds_since_boot
+from jackdawspread.tasks.fleet.failover_attempt import FailoverAttempt
+
+PRIMARY = "m0"
+
+
+def listing(id: str) -> MemberListing:
+    """Return the entry of a member in the list."""
+    return MemberListing(id, "g", "10.0.0.1:1", "z1", 2, False, id == PRIMARY)
+
+
+class ReplicatedGroup:
+    """Members that answer commands, and the promotion lock of their group.
+
+    Parameters
+    ----------
+    end_by_member : dict
+        End of the log of each member that answers.
+    silent : set of str
+        Members that are listed and do not answer.
+    """
+
+    def __init__(self, end_by_member: dict[str, Position], silent: set[str]) -> None:
+        self.end_by_member = end_by_member
+        self.listed = end_by_member.keys() | silent
+        self.newest_term = max(end.term for end in end_by_member.values())
+        self.roster: list[str] = []
+        # Replica that is listed and receives the primary's log once the first logs
+        # have been compared.
+        self.joining = ""
+        self.former_primary = PRIMARY
+        self.leaders = {PRIMARY}
+        self.paused: dict[str, int] = {}
+        self.demoted: list[str] = []
+        self.promoted: list[str] = []
+        self.outcomes: list[str] = []
+        promotions, self._inbox = open_memory_channel(1)
+        router, _ = open_memory_channel(100)
+        self._attempt = FailoverAttempt("i1", self, self, promotions, router)
+
+    async def attempt(self, writes_stalled: bool) -> None:
+        """Run one attempt to replace the primary."""
+        reason = "writes not confirmed" if writes_stalled else "unreachable"
+        trigger = FailoverTrigger(
+            "g", self.former_primary, False, writes_stalled, reason
+        )
+        async with open_nursery() as nursery:
+            nursery.start_soon(self._promote)
+            self.outcomes.append(
+                await self._attempt.run(trigger, self._list(), self._members_since)
+            )
+            nursery.cancel_scope.cancel()
+
+    async def send(self, member: MemberListing, command: object) -> LogStatus | None:
+        """Answer one command as a member does."""
+        id = member.id
+        if id not in self.end_by_member:
+            return None
+        if isinstance(command, PauseReplication) and command.term > self.newest_term:
+            self.paused[id] = command.term
+        if isinstance(command, ResumeReplication):
+            self.paused.pop(id, None)
+        if isinstance(command, DemotePrimary) and command.term > self.newest_term:
+            self.leaders.discard(id)
+            self.demoted.append(id)
+        end = self.end_by_member[id]
+        return LogStatus(id, id in self.leaders, 1, end, self.paused.get(id, 0))
+
+    async def send_all(
+        self, members: tuple[MemberListing, ...], command: object
+    ) -> dict[str, LogStatus]:
+        """Answer a command to several members."""
+        answers = {member.id: await self.send(member, command) for member in members}
+        return {id: status for id, status in answers.items() if status is not None}
+
+    async def acquire(self, group: str) -> HeldPromotionLock:
+        """Let the attempt acquire the promotion lock."""
+        record = {"token": 1, "holder": "i1", "until": 3.0, "ordered": ""}
+        if self.roster:
+            record["roster"] = self.roster
+        return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
+
+    async def record_promotion(
+        self, lock: HeldPromotionLock, member: str, term: int, roster: frozenset[str]
+    ) -> HeldPromotionLock:
+        """Accept the record of the chosen member."""
+        return lock
+
+    async def release(self, lock: HeldPromotionLock) -> None:
+        """Release the promotion lock."""
+
+    async def _members_since(self, since: float) -> dict[str, MemberListing]:
+        return self._list()
+
+    def _list(self) -> dict[str, MemberListing]:
+        listed = {id: listing(id) for id in sorted(self.listed)}
+        if self.joining and self.paused:
+            listed[self.joining] = listing(self.joining)
+            self.end_by_member[self.joining] = self.end_by_member[PRIMARY]
+        return listed
+
+    async def _promote(self) -> None:
+        async for request in self._inbox:
+            self.promoted.append(request.member)
+            request.reply_to.send_nowait(PromotionResult.ACCEPTED)
--- /dev/null
+++ b/features/promotion_evidence.feature
@@ -0,0 +1,77 @@
+Feature: Evidence for a promotion
+  A member is promoted only if its log is known to have every acknowledged commit. A
+  commit is acknowledged once it is on the primary and on one replica.
+
+  Scenario Outline: A log is complete if one member at most may have more
+    # Guards against a promotion past a member whose log is missing: review/1 and 2 lost
+    # up to 28 commits.
+    Given the roster "<roster>", the logs "<logs>" and the demoted primary "<demoted>"
+    Then the member to promote on it is "<member>"
+
+    Examples:
+      | roster      | logs                 | demoted | member |
+      | m0,m1,m2    | m1=1.7,m2=1.9        | none    | m2     |
+      | m0,m1,m2    | m1=1.7               | none    | none   |
+      | m0,m1,m2,m3 | m1=1.7,m2=1.9        | none    | none   |
+      | m0,m1,m2    | m0=1.9,m2=2.1        | none    | m2     |
+      | m0,m1,m2    | m0=1.9,m1=1.7,m2=1.8 | m0      | m2     |
+      | m0,m1,m2,m3 | m0=1.9,m1=1.7,m2=1.8 | m0      | m0     |
+      | m0,m1,m2,m3 | m0=1.9,m1=1.9,m2=1.8 | m0      | m1     |
+
+  Scenario: A primary is left alone if a departed replica may have the newest commits
+    # Guards against the loss of commits that only a leaving replica had confirmed
+    # (review/1): the primary answers and has them.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7" of which "none" do not answer
+    And "m9" has left the group and may have confirmed commits
+    When an instance acts on a primary that gets no write confirmed
+    Then "none" is promoted and "none" is demoted
+    And the last outcome is "only the primary has every commit" and no replica is paused
+
+  Scenario: A replica that joins during an attempt is compared
+    # Guards against the loss of commits that a new replica confirms until a promotion
+    # takes effect (review/2): the primary was alive and went on acknowledging.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7" of which "none" do not answer
+    And the replica "m3" joins and confirms commits during the attempt
+    When an instance acts on a primary that gets no write confirmed
+    Then "m3" is promoted and "m0" is demoted
+
+  Scenario Outline: A pause is repeated with a higher term until it has an effect
+    # Guards against a group that never gets a primary again once the members that know
+    # its newest term are gone (review/3).
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "m0" do not answer
+    And the newest term of the group is <term>, which no member reports
+    When an instance acts on a primary that is unreachable
+    Then "m1" is promoted and "none" is demoted
+
+    Examples:
+      | term |
+      | 2    |
+      | 3    |
+      | 60   |
+
+  Scenario Outline: A missing log is waited for, and not for ever
+    # Guards against both the loss of commits of a member that returns, and a group that
+    # never gets a primary because a member is gone for good.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "<silent>" do not answer
+    And "m9" has left the group and may have confirmed commits
+    When instances act for <seconds> s on a primary that is unreachable
+    Then "<promoted>" is promoted and "none" is demoted
+
+    Examples:
+      | silent | seconds | promoted |
+      | m0     | 9       | none     |
+      | m0     | 12      | m1       |
+      | m0,m2  | 12      | none     |
+
+  Scenario: A log that ends in a term that never was is ignored
+    # Guards against a promotion on a status that can't be true.
+    Given members with the logs "m0=1.9,m1=1.7,m2=4.1" of which "m0" do not answer
+    When an instance acts on a primary that is unreachable
+    Then "none" is promoted and "none" is demoted
+
+  Scenario: Nothing is promoted while two members claim to be the primary
+    # Guards against a decision on contradicting reports.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7" of which "none" do not answer
+    And "m2" claims to be the primary too
+    When an instance acts on a primary that gets no write confirmed
+    Then "none" is promoted and "none" is demoted
--- /dev/null
+++ b/features/roster.feature
@@ -0,0 +1,21 @@
+Feature: Recorded roster of a group
+  The record of the promotion lock names the members that may hold an acknowledged
+  commit. A member that has left stays in it until all that it confirmed is elsewhere.
+
+  Scenario Outline: A departed member stays in the roster until its commits are covered
+    # Guards against a promotion by an instance that has not seen a member that left, or
+    # that has been restarted since (review/1).
+    Given a recorded roster "<recorded>" and a lock that <lock>
+    When an instance reads lists with "<lists>" while m1 has <end> of 1.9
+    Then the recorded roster is "<roster>" and the lock is unchanged
+
+    Examples:
+      | recorded    | lock    | lists                | end | roster      |
+      | none        | is free | m0,m1,m2             | 1.7 | m0,m1,m2    |
+      | m0,m1,m2    | is free | m0,m1                | 1.7 | m0,m1,m2    |
+      | m0,m1,m2    | is free | m0,m1                | 1.9 | m0,m1       |
+      | m0,m1       | is free | m0,m1,m3             | 1.7 | m0,m1,m3    |
+      | m0,m1       | is free | m0,m1,m3;m0,m1       | 1.7 | m0,m1,m3    |
+      | none        | is free | m0,m1,m2;m0,m1;m0,m1 | 1.7 | m0,m1,m2    |
+      | m0,m1,m2    | is held | m0,m1                | 1.9 | m0,m1,m2    |
+      | m0,m1,m2    | is free | m1                   | 1.9 | m0,m1,m2    |
--- /dev/null
+++ b/features/steps/promotion_evidence_steps.py
@@ -0,0 +1,117 @@
+"""Steps for the evidence on which promotions are decided."""
+
+from behave import given, then, when
+from behave.runner import Context
+from features.fakes.replicated_group import ReplicatedGroup
+from trio import run, sleep
+from trio.testing import MockClock
+
+from jackdawspread.decisions.failover.promotion_candidate import choose_candidate
+from jackdawspread.decisions.failover.promotion_evidence import PromotionEvidence
+from jackdawspread.messages.fleet.log_status import LogStatus
+from jackdawspread.messages.position import Position
+
+ATTEMPT_INTERVAL_S = 0.5
+
+
+def _ends(text: str) -> dict[str, Position]:
+    """Parse ``m1=3.7,m2=3.9``."""
+    pairs = (pair.split("=") for pair in text.split(","))
+    return {
+        member: Position(*(int(number) for number in end.split(".")))
+        for member, end in pairs
+    }
+
+
+def _ids(text: str) -> set[str]:
+    return set() if text == "none" else set(text.split(","))
+
+
+@given('the roster "{roster}", the logs "{logs}" and the demoted primary "{demoted}"')
+def evidence(context: Context, roster: str, logs: str, demoted: str) -> None:
+    """Choose a member on the evidence."""
+    status_by_member = {
+        member: LogStatus(member, False, end.term, end)
+        for member, end in _ends(logs).items()
+    }
+    context.chosen = choose_candidate(
+        PromotionEvidence(
+            frozenset(_ids(roster)),
+            status_by_member,
+            demoted_primary="" if demoted == "none" else demoted,
+        )
+    )
+
+
+@given('members with the logs "{logs}" of which "{silent}" do not answer')
+def group(context: Context, logs: str, silent: str) -> None:
+    """Create a group that is listed completely."""
+    ends = _ends(logs)
+    silent_ids = _ids(silent)
+    answering = {id: end for id, end in ends.items() if id not in silent_ids}
+    context.group = ReplicatedGroup(answering, silent_ids)
+
+
+@given('"{member}" has left the group and may have confirmed commits')
+def departed(context: Context, member: str) -> None:
+    """Name a departed member in the recorded roster."""
+    context.group.roster = sorted({*context.group.listed, member})
+
+
+@given('the replica "{member}" joins and confirms commits during the attempt')
+def joins(context: Context, member: str) -> None:
+    """Let a replica join after the pauses."""
+    context.group.joining = member
+
+
+@given("the newest term of the group is {term:d}, which no member reports")
+def hidden_term(context: Context, term: int) -> None:
+    """Raise the term above those in the logs."""
+    context.group.newest_term = term
+
+
+@given('"{member}" claims to be the primary too')
+def second_primary(context: Context, member: str) -> None:
+    """Let a second member claim to be the primary."""
+    context.group.leaders.add(member)
+
+
+@when("an instance acts on a primary that {trouble}")
+def attempts(context: Context, trouble: str) -> None:
+    """Run one attempt."""
+    stalled = trouble == "gets no write confirmed"
+    run(context.group.attempt, stalled, clock=MockClock(autojump_threshold=0))
+
+
+@when("instances act for {seconds:g} s on a primary that is unreachable")
+def attempts_for(context: Context, seconds: float) -> None:
+    """Run attempts at regular times."""
+
+    async def act() -> None:
+        for _ in range(int(seconds / ATTEMPT_INTERVAL_S) + 1):
+            await context.group.attempt(False)
+            await sleep(ATTEMPT_INTERVAL_S)
+
+    run(act, clock=MockClock(autojump_threshold=0))
+
+
+@then('the member to promote on it is "{member}"')
+def chosen(context: Context, member: str) -> None:
+    """Compare the choice."""
+    found = context.chosen.member if context.chosen is not None else "none"
+    assert found == member, found
+
+
+@then('"{promoted}" is promoted and "{demoted}" is demoted')
+def promoted(context: Context, promoted: str, demoted: str) -> None:
+    """Compare the commands and requests that the attempts have sent."""
+    group = context.group
+    assert set(group.promoted) == _ids(promoted), (group.promoted, group.outcomes)
+    assert set(group.demoted) == _ids(demoted), group.demoted
+
+
+@then('the last outcome is "{outcome}" and no replica is paused')
+def outcome(context: Context, outcome: str) -> None:
+    """Compare the outcome of the last attempt."""
+    assert context.group.outcomes[-1] == outcome, context.group.outcomes
+    assert not context.group.paused, context.group.paused
