Give a primary no work that was already leaving when a process started

Change: a member that is leaving in the first list that names it may have begun to leave at any time, so it gets no new work as the primary; it is still replaced by a switchover.

--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -162,3 +162,16 @@
     # Guards against replacing a primary for one broken connection.
     Given an attempt whose primary answers
     Then no promotion is requested and no lock is acquired
+
+  Scenario Outline: A member that leaves gets primary work only while its start is known
+    # Guards against a drain time that begins anew with each process: instances that
+    # were restarted while a primary was leaving sent it work after its drain time.
+    Given a group whose primary m0 was first listed as <first>
+    When the next list says that m0 is leaving
+    Then the next write goes to "<member>"
+
+    Examples:
+      | first   | member |
+      | ready   | m0     |
+      | leaving | m1     |
+      | nothing | m1     |
--- a/features/steps/fleet_decision_steps.py
+++ b/features/steps/fleet_decision_steps.py
@@ -122,6 +122,27 @@
     context.state = apply_member_list(context.state, listings, NOW)
 
 
+def _with_leaving(leaving: bool) -> dict[str, MemberListing]:
+    listings = {id: _listing(id, id == "m0") for id in ("m0", "m1", "m2")}
+    listings["m0"] = listings["m0"]._replace(leaving=leaving)
+    return listings
+
+
+@given("a group whose primary m0 was first listed as {first}")
+def first_listed(context: Context, first: str) -> None:
+    """Apply the first list of a process, or none at all."""
+    context.state = GroupState()
+    if first != "nothing":
+        listings = _with_leaving(first == "leaving")
+        context.state = apply_member_list(context.state, listings, NOW - 1)
+
+
+@when("the next list says that m0 is leaving")
+def next_list_says_leaving(context: Context) -> None:
+    """Apply a list in which the primary is leaving."""
+    context.state = apply_member_list(context.state, _with_leaving(True), NOW)
+
+
 @then("m{number:d} is treated as the primary")
 def treated_as_primary(context: Context, number: int) -> None:
     """Compare the primary in the tracked state."""
--- a/src/jackdawspread/decisions/members/group_state.py
+++ b/src/jackdawspread/decisions/members/group_state.py
@@ -25,7 +25,8 @@
     failed_at_by_member : dict
         Monotonic time at which a member was last unreachable.
     leaving_at_by_member : dict
-        Monotonic time at which the list first marked a member as leaving.
+        Monotonic time at which the list first marked a member as leaving; -inf if it
+        was leaving in the first list that named it.
     samples : tuple of PrimaryPositionSample
         Log positions of the primary at known times, oldest first.
     primary_health : PrimaryHealth
--- a/src/jackdawspread/decisions/members/group_updates.py
+++ b/src/jackdawspread/decisions/members/group_updates.py
@@ -1,6 +1,7 @@
 """Updates of the tracked state of a member group."""
 
 from functools import singledispatch
+from math import inf
 
 from jackdawspread.decisions.failover.primary_health import (
     clear_failures,
@@ -89,7 +90,8 @@
 
     The current primary stays the primary while it is in the list. It is replaced if
     another member claims to be the primary and the current one either makes no such
-    claim or has failed since its last answer.
+    claim or has failed since its last answer. A member that is leaving in the first
+    list that names it may have begun to leave at any time before.
     """
     claims = [
         listing.id
@@ -103,7 +105,9 @@
     since = 0.0 if primary else (state.no_primary_since or now)
     changed = primary != state.primary
     leaving = {
-        id: state.leaving_at_by_member.get(id, now)
+        id: state.leaving_at_by_member.get(
+            id, now if id in state.listing_by_id else -inf
+        )
         for id, listing in listing_by_id.items()
         if listing.leaving
     }
