Evacuate failure domains and keep operations in their allowed regions

Cause: an operator's request to evacuate a failure domain, and the regions that a route or a workspace names, were not read. Change: the configuration feed, which follows the operators' table, tracks evacuations (EvacuationTracker, update_evacuations); confirmations between instances name the evacuated domains. The router gives replicas there no work at once and the primary none after half the limit, when it closes their connections; meanwhile a switchover with the reason 'evacuated' moves the primary. What no member can serve is refused at once. Pool hosts outside the allowed regions are skipped. Both are off unless the settings and the configuration name them.

--- /dev/null
+++ b/features/steps/evacuation_session_steps.py
@@ -0,0 +1,126 @@
+"""Steps for sessions during evacuations and with allowed regions."""
+
+from behave import given, then, when
+from behave.runner import Context
+from features.wire.platform_world import PlatformWorld
+from trio import sleep
+
+LIMIT_S = 0.6
+DOMAINS = ("z1", "z2", "z3")
+ATTEMPTS = 100
+
+
+@given("an instance whose members m0, m1 and m2 are in z1, z2 and z3")
+def instance_with_domains(context: Context) -> None:
+    """Start an instance that follows evacuations."""
+    context.platform = PlatformWorld(evacuation_s=LIMIT_S)
+    domains = {f"m{n}": domain for n, domain in enumerate(DOMAINS)}
+    context.platform.group.domain_by_member = domains
+    context.platform.start()
+    context.add_cleanup(context.platform.close)
+
+
+@given("a transaction that has written at the primary m0")
+def transaction_at_primary(context: Context) -> None:
+    """Leave a transaction open."""
+    context.caller = context.platform.open()
+    for text in ("BEGIN", "WRITE kept no"):
+        answer = context.platform.query(context.caller, text)
+        assert answer[-2].startswith("DONE"), answer
+
+
+@when('"{domain}" is evacuated and the limit has passed')
+@when("{domain:w} is evacuated and the limit has passed")
+def is_evacuated(context: Context, domain: str) -> None:
+    """Evacuate a failure domain."""
+    context.platform.evacuate(domain)
+    context.platform.call(sleep, LIMIT_S)
+
+
+@when("the store is copied, z1 is evacuated and the copy is restored")
+def restored_to_before(context: Context) -> None:
+    """Restore the store to a moment before the evacuation."""
+    context.platform.store.copy()
+    is_evacuated(context, "z1")
+    context.platform.store.restore()
+    context.platform.publish()
+
+
+@when('the routes allow the region "{region}"')
+def routes_allow(context: Context, region: str) -> None:
+    """Publish a configuration in which all routes are restricted."""
+    for route in context.platform.configuration["Routes"]:
+        route["AllowedRegions"] = [region]
+    context.platform.publish()
+    context.platform.call(sleep, 0.2)
+
+
+@then('the transaction is refused as "{code}" and nothing of it is kept')
+def transaction_refused(context: Context, code: str) -> None:
+    """Commit the open transaction."""
+    answer = context.platform.query(context.caller, "COMMIT")
+    assert answer[0].startswith(f"ERR {code} "), answer
+    assert "kept" not in context.platform.group.item_by_name
+    assert not any(run.text == "COMMIT" for run in context.platform.group.runs)
+
+
+@then("a write runs at another member than m0")
+def write_runs_elsewhere(context: Context) -> None:
+    """Write until it succeeds; m0 must not run anything."""
+    context.platform.group.runs.clear()
+    _write(context)
+    assert {run.member for run in context.platform.group.runs} <= {"m1", "m2"}
+
+
+@then("a write runs at m0")
+def write_runs_at_primary(context: Context) -> None:
+    """Write at the first primary."""
+    assert _write(context) == "m0"
+
+
+def _write(context: Context) -> str:
+    answer: list[str] = []
+    for _ in range(ATTEMPTS):
+        caller = context.platform.open()
+        answer = context.platform.query(caller, "WRITE item data")
+        if answer[0].startswith("DONE"):
+            return context.platform.group.runs[-1].member
+        context.platform.call(sleep, 0.05)
+    raise AssertionError(answer)
+
+
+@then("a write is refused at once while z1, z2 and z3 are evacuated")
+def refused_while_all_evacuated(context: Context) -> None:
+    """Evacuate all members; the refusal must not depend on a wait."""
+    for domain in DOMAINS:
+        is_evacuated(context, domain)
+    refused_with(context, "evacuated")
+
+
+@then('a write is refused at once with "{reason}"')
+def refused_with(context: Context, reason: str) -> None:
+    """Compare the refusal of the router, which tells when to retry."""
+    runs = len(context.platform.group.runs)
+    answer = context.platform.query(context.platform.open(), "WRITE item data")
+    assert answer[0].startswith("ERR BUSY ") and reason in answer[0], answer
+    assert "retry-after-ms=" in answer[0], answer
+    assert len(context.platform.group.runs) == runs
+
+
+@then("a write runs again after the evacuations were taken back")
+def runs_again(context: Context) -> None:
+    """Take all evacuations back."""
+    for domain in DOMAINS:
+        context.platform.take_evacuation_back(domain)
+    _write(context)
+
+
+@then("{count:d} bounded reads run at {member}")
+def reads_run_at(context: Context, count: int, member: str) -> None:
+    """Read on a route that any member may serve."""
+    context.platform.group.runs.clear()
+    for _ in range(count):
+        answer = context.platform.query(context.platform.open("bounded-db"), "READ x")
+        assert answer[-2].startswith("DONE"), answer
+    runs = context.platform.group.runs
+    assert [run.member for run in runs] == [member] * count, runs
--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -23,6 +23,7 @@
 
 INSTANCE_IP = "127.0.77.{}"
 FAILURE_DOMAINS = ("z1", "z2", "z3")
+REGION_BY_DOMAIN = {"z1": "north", "z2": "north", "z3": "south"}
 MAX_CONNECTIONS = 16
 GROUP = "ledger"
 KEY = "key-of-w1"
@@ -37,12 +38,19 @@
         Number of instances, which take turns in three failure domains.
     max_connections : int
         Number of connections that a member accepts from all instances together.
+    evacuation_s : float
+        Seconds within which an evacuation must take effect; 0 for a platform without
+        them.
     """
 
     def __init__(
-        self, instances: int = 1, max_connections: int = MAX_CONNECTIONS
+        self,
+        instances: int = 1,
+        max_connections: int = MAX_CONNECTIONS,
+        evacuation_s: float = 0.0,
     ) -> None:
         self._instances = instances
+        self._evacuation_s = evacuation_s
         self._is_first_start = True
         self._thread = TrioThread(real_time=True)
         self._nursery: Nursery
@@ -76,6 +84,16 @@
         value = json.dumps(self.configuration).encode()
         self.call(_as_coroutine, self.store.put, "op", "config", value)
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Request an evacuation, as an operator does."""
+        key = f"evacuate/{failure_domain}"
+        self.call(_as_coroutine, self.store.put, "op", key, b"{}")
+
+    def take_evacuation_back(self, failure_domain: str) -> None:
+        """Remove the request for an evacuation."""
+        key = f"evacuate/{failure_domain}"
+        self.call(_as_coroutine, self.store.delete, "op", key)
+
     def open(
         self, database: str = "primary-db", key: str = KEY, instance: int = 0
     ) -> WireCaller:
@@ -158,6 +176,8 @@
             grace_s=6.0,
             max_configuration_age_s=15.0,
             max_sessions=100,
+            region_by_domain=REGION_BY_DOMAIN,
+            evacuation_s=self._evacuation_s,
         )
         self._nursery.start_soon(self._run_instance, number, settings)
 
--- a/features/wire/table_store.py
+++ b/features/wire/table_store.py
@@ -28,6 +28,7 @@
         self._version = 1
         self._changed = Event()
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self._removed_at: dict[tuple[str, str], int] = {}
         self.tokens: list[int] = []
         self.is_down = False
         self.refused_calls = 0
@@ -49,7 +50,10 @@
     def delete(self, table: str, key: str) -> None:
         """Remove a row."""
         self._version += 1
-        self.rows.pop((table, key), None)
+        if self.rows.pop((table, key), None) is not None:
+            self._removed_at[table, key] = self._version
+        self._changed.set()
+        self._changed = Event()
 
     def copy(self) -> None:
         """Keep a copy of all rows and of the counter of versions."""
@@ -59,6 +63,7 @@
         """Return to the copy; requests that are waiting go on without an error."""
         self._version, rows = self._copy
         self.rows = dict(rows)
+        self._removed_at = {}
         self.epoch += 1
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -109,11 +114,17 @@
         return _respond(200, {"rows": changed, **self._version_and_time()})
 
     def _newer(self, table: str, after: int) -> list[Row]:
-        return [
+        changed = [
             self._row(*name)
             for name, (_, version) in self.rows.items()
             if name[0] == table and version > after
         ]
+        removed = [
+            {"Table": table, "part": "", "Key": name[1], "Ver": at, "Tombstone": True}
+            for name, at in self._removed_at.items()
+            if name[0] == table and name not in self.rows and at > after
+        ]
+        return changed + removed
 
     def _transact(self, body: dict[str, list[Row]]) -> HttpResponse:
         conditions = {
--- a/features/wire/wire_group.py
+++ b/features/wire/wire_group.py
@@ -22,6 +22,7 @@
         self.item_by_name: dict[str, str] = {}
         self.runs: list[ExecutedStatement] = []
         self.address_by_member: dict[str, str] = {}
+        self.domain_by_member: dict[str, str] = {}
         self.dead: set[str] = set()
         self.leaving: set[str] = set()
         self.paused_by_member: dict[str, int] = {}
@@ -46,7 +47,7 @@
             entry = {
                 "Service": self.name,
                 "Address": address,
-                "Zone": "z1",
+                "Zone": self.domain_by_member.get(member, "z1"),
                 "Version": "v1",
                 "Slots": 4,
                 "State": "draining" if member in self.leaving else "ready",
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -76,6 +76,8 @@
 @_check.register
 def _(message: ConfigurationConfirmed) -> None:
     _check_time(message.store_time_s)
+    for domain in message.evacuated_domains or ():
+        check_name(domain)
 
 
 def _check_time(store_time_s: float) -> None:
--- /dev/null
+++ b/src/jackdawspread/decisions/evacuations/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of failure domains on an operator's request."""
--- a/src/jackdawspread/decisions/members/eligible_members.py
+++ b/src/jackdawspread/decisions/members/eligible_members.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 
+from jackdawspread.decisions.evacuations.evacuated_members import is_evacuated
 from jackdawspread.decisions.members.group_state import GroupState
 from jackdawspread.decisions.members.group_updates import (
     REFUSED_CLAIM_IGNORE_S,
@@ -14,6 +15,7 @@
     newest_position,
     oldest_sample_since,
 )
+from jackdawspread.decisions.members.routing_refusal import is_region_allowed
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 
@@ -42,6 +44,10 @@
         leaving_at is not None
         and now - leaving_at > LEAVING_PRIMARY_DRAIN_FRACTION * drain_s
     )
+    domains = state.work_until_by_domain
+    listing_of_primary = state.listing_by_id.get(state.primary)
+    if listing_of_primary is not None:
+        has_drained = has_drained or is_evacuated(listing_of_primary, domains, now)
     if (
         state.primary
         and not has_drained
@@ -51,7 +57,9 @@
     eligible = [
         listing
         for listing in state.listing_by_id.values()
-        if not listing.leaving and _has_not_failed_recently(state, listing.id, now)
+        if not listing.leaving
+        and listing.failure_domain not in domains
+        and _has_not_failed_recently(state, listing.id, now)
     ]
     if not eligible:
         return "" if has_drained else state.primary
@@ -79,6 +87,7 @@
     failure_domain: str,
     now: float,
     now_since_boot: float,
+    region_by_domain: Mapping[str, str],
 ) -> Iterator[MemberCandidate]:
     """Yield the members that may answer a read of bounded age.
 
@@ -92,6 +101,10 @@
         failed_at = state.failed_at_by_member.get(id, -FAILURE_AVOIDANCE_S)
         if load is None or listing.leaving or id in request.excluded:
             continue
+        if listing.failure_domain in state.work_until_by_domain:
+            continue
+        if not is_region_allowed(request, listing, region_by_domain):
+            continue
         if now - failed_at < FAILURE_AVOIDANCE_S:
             continue
         lagging = id != state.primary and lags >= MAX_RECENT_LAGS
--- a/src/jackdawspread/decisions/members/group_state.py
+++ b/src/jackdawspread/decisions/members/group_state.py
@@ -33,6 +33,9 @@
         Recent failures of the primary.
     no_primary_since : float
         Monotonic time since which no primary is known; 0 while one is known.
+    work_until_by_domain : dict
+        Evacuated failure domains, and the monotonic time until which the primary may
+        still get work there. Replicas in them get none.
     """
 
     listing_by_id: dict[str, MemberListing] = {}
@@ -44,3 +47,4 @@
     samples: tuple[PrimaryPositionSample, ...] = ()
     primary_health: PrimaryHealth = PrimaryHealth()
     no_primary_since: float = 0.0
+    work_until_by_domain: dict[str, float] = {}
--- a/src/jackdawspread/decisions/pool_hosts/choose_pool_hosts.py
+++ b/src/jackdawspread/decisions/pool_hosts/choose_pool_hosts.py
@@ -1,6 +1,6 @@
 """Choice of the pool hosts of a member group by rendezvous hashing."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from xxhash import xxh3_64_intdigest
 
@@ -33,6 +33,24 @@
     return tuple((spread + others)[:POOL_HOSTS_PER_GROUP])
 
 
+def groups_hosted_by(
+    instance: str,
+    groups: Iterable[str],
+    entry_by_instance: Mapping[str, InstanceEntry],
+) -> frozenset[str] | None:
+    """Return the groups of which an instance is a pool host.
+
+    None if the fleet has no pool hosts.
+    """
+    if len(entry_by_instance) < MIN_FLEET_WITH_POOL_HOSTS:
+        return None
+    return frozenset(
+        group
+        for group in groups
+        if instance in choose_pool_hosts(group, entry_by_instance)
+    )
+
+
 def rank_pool_hosts(workspace: str, hosts: Sequence[str]) -> tuple[str, ...]:
     """Return the hosts in the order in which a workspace uses them.
 
--- a/src/jackdawspread/decisions/sessions/operation_check.py
+++ b/src/jackdawspread/decisions/sessions/operation_check.py
@@ -1,5 +1,6 @@
 """Checks the key and the database of an operation against the configuration."""
 
+from jackdawspread.decisions.sessions.allowed_regions import allowed_regions
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
@@ -8,6 +9,8 @@
 
 STEP = "admission"
 RETRY_AFTER_MS = 500
+# Only a change of the configuration can help.
+NO_REGION_RETRY_MS = 5000
 
 
 def check_operation(
@@ -44,12 +47,17 @@
     workspace = configuration.workspace_by_key.get(key, "")
     if not workspace and not route.public:
         return _refuse("noauth", "the key is not valid")
+    regions = allowed_regions(configuration, route, workspace)
+    if regions is None:
+        detail = "the route and the workspace have no allowed region in common"
+        return _refuse("busy", detail, NO_REGION_RETRY_MS)
     return OperationAdmitted(
         route,
         workspace,
         configuration.version,
         age_s,
         configuration.transaction_idle_s,
+        regions,
     )
 
 
--- a/src/jackdawspread/messages/fleet/database_route.py
+++ b/src/jackdawspread/messages/fleet/database_route.py
@@ -26,6 +26,8 @@
         Priority of requests; 0 is the highest.
     public : bool
         Whether callers are served without a key.
+    allowed_regions : frozenset of str
+        Regions in which statements may run; any region if empty.
     """
 
     database: str
@@ -36,3 +38,4 @@
     latency_target_s: float
     priority: int
     public: bool
+    allowed_regions: frozenset[str] = frozenset()
--- a/src/jackdawspread/messages/fleet/failover_trigger.py
+++ b/src/jackdawspread/messages/fleet/failover_trigger.py
@@ -19,6 +19,8 @@
         Whether the primary is alive but its writes are not confirmed by a replica.
     reason : str
         What was observed, for the log.
+    evacuated_domains : frozenset of str
+        Failure domains whose members may not become the primary.
     """
 
     group: str
@@ -26,3 +28,4 @@
     is_planned: bool
     writes_stalled: bool
     reason: str
+    evacuated_domains: frozenset[str] = frozenset()
--- a/src/jackdawspread/messages/fleet/fleet_configuration.py
+++ b/src/jackdawspread/messages/fleet/fleet_configuration.py
@@ -24,6 +24,9 @@
         Workspaces by key; a workspace may have several keys.
     transaction_idle_s : float
         Time in seconds after which an idle transaction may be rolled back.
+    regions_by_workspace : dict
+        Regions in which the statements of a workspace may run, for the workspaces that
+        are restricted.
     """
 
     version: int
@@ -32,3 +35,4 @@
     limit_by_workspace: dict[str, WorkspaceLimit]
     workspace_by_key: dict[str, str]
     transaction_idle_s: float
+    regions_by_workspace: dict[str, frozenset[str]] = {}
--- a/src/jackdawspread/messages/fleet/operation_admitted.py
+++ b/src/jackdawspread/messages/fleet/operation_admitted.py
@@ -20,6 +20,8 @@
         Time in seconds since the store last confirmed that version.
     transaction_idle_s : float
         Time in seconds after which an idle transaction may be rolled back.
+    allowed_regions : frozenset of str
+        Regions in which the operation may run; any region if empty.
     """
 
     route: DatabaseRoute
@@ -27,3 +29,4 @@
     version: int
     age_s: float
     transaction_idle_s: float
+    allowed_regions: frozenset[str] = frozenset()
--- a/src/jackdawspread/messages/fleet/router_event.py
+++ b/src/jackdawspread/messages/fleet/router_event.py
@@ -4,6 +4,7 @@
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.evacuations_seen import EvacuationsSeen
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
@@ -18,6 +19,7 @@
     | ConnectionClosed
     | ConnectionOpened
     | ConnectionRequest
+    | EvacuationsSeen
     | PeersSeen
     | LeadershipRefused
     | LeaseReturned
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -26,11 +26,13 @@
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.platform.caller_wire_codec import CallerWireCodec
 from jackdawspread.platform.configuration_feed import ConfigurationFeed
+from jackdawspread.platform.evacuation_tracker import EvacuationTracker
 from jackdawspread.platform.member_poll import MemberPoll
 from jackdawspread.platform.member_wire_codec import MemberWireCodec
 from jackdawspread.platform.promotion_client import PromotionClient
 from jackdawspread.platform.readiness_handler import ReadinessHandler
 from jackdawspread.platform.record_store import RecordStore
+from jackdawspread.platform.region_check import RegionCheck
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.fleet.activity_log import ActivityLog
@@ -157,6 +159,7 @@
         router = MemberRouter(
             self._instance_id,
             settings.failure_domain,
+            settings.region_by_domain,
             settings.drain_s,
             MemberWireCodec,
             self._router_inbox,
@@ -170,7 +173,11 @@
             self._peers,
         )
         broker = LeaseBroker(
-            self._instance_id, self._broker_inbox, self._broker, self._router
+            self._instance_id,
+            settings.region_by_domain,
+            self._broker_inbox,
+            self._broker,
+            self._router,
         )
         tasks.start_soon(router.run)
         tasks.start_soon(broker.run)
@@ -184,6 +191,14 @@
             self._instance_id,
             settings.failure_domain,
             settings.max_configuration_age_s,
+            EvacuationTracker(
+                settings.region_by_domain.keys(),
+                settings.evacuation_s,
+                settings.max_configuration_age_s,
+            )
+            if settings.evacuation_s
+            else None,
+            RegionCheck(settings.region_by_domain.values()),
             self._feed_inbox,
             self._admission,
             self._router,
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -1,6 +1,7 @@
 """Reads the configuration from the platform's store and follows its changes."""
 
 from functools import singledispatchmethod
+from math import inf
 
 from absl import logging
 from trio import (
@@ -44,6 +45,8 @@
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.platform.configuration_rows import decode_configuration
 from jackdawspread.platform.epoch_tracker import EpochTracker
+from jackdawspread.platform.evacuation_tracker import EvacuationTracker
+from jackdawspread.platform.region_check import RegionCheck
 from jackdawspread.platform.store_availability import StoreAvailability
 from jackdawspread.platform.store_rows import (
     StoreRow,
@@ -60,6 +63,8 @@
 READ_TIMEOUT_S = 1.5
 # Two instances know the store's clock with errors below this time.
 CLOCK_MARGIN_S = READ_TIMEOUT_S
+# A change that another instance has seen arrives within this time over the feed.
+CHANGE_DELAY_S = 0.5
 OK = 200
 HISTORY_GONE = 410
 
@@ -75,6 +80,10 @@
         Id and failure domain of this instance.
     max_age_s : float
         Age in seconds beyond which a configuration may not be used.
+    evacuations : EvacuationTracker or None
+        Tracks evacuations, which are rows of the same table; None if there are none.
+    regions : RegionCheck
+        Checks the regions that a configuration names.
     inbox : trio.MemoryReceiveChannel
         Confirmations that other instances have passed on, and the list of instances.
     admission, router : trio.MemorySendChannel
@@ -89,6 +98,8 @@
         instance: str,
         failure_domain: str,
         max_age_s: float,
+        evacuations: EvacuationTracker | None,
+        regions: RegionCheck,
         inbox: MemoryReceiveChannel[ConfigurationFeedEvent],
         admission: MemorySendChannel[AdmissionEvent],
         router: MemorySendChannel[RouterEvent],
@@ -98,6 +109,8 @@
         self._instance = instance
         self._failure_domain = failure_domain
         self._max_age_s = max_age_s
+        self._evacuations = evacuations
+        self._regions = regions
         self._inbox = inbox
         self._admission = admission
         self._router = router
@@ -204,6 +217,12 @@
                 own,
             )
             self._feed_scope.cancel()
+        elif event.version == own and not self._has_same_evacuations(event):
+            # A change is on its way to this instance, unless its connection is lost.
+            if self._held is not None and as_of > self._held.confirmed_at:
+                read_at = current_time() + CHANGE_DELAY_S
+                deadline = min(self._feed_scope.deadline, read_at)
+                self._feed_scope.deadline = deadline
         elif event.version == own:
             self._confirmed_at = current_time()
             self._feed_scope.deadline = self._confirm_by()
@@ -212,13 +231,20 @@
                 self._held = self._held._replace(confirmed_at=confirmed_at)
             await self._admission.send(ConfigurationSeen(None, as_of))
 
+    def _has_same_evacuations(self, event: ConfigurationConfirmed) -> bool:
+        if self._evacuations is None:
+            return True
+        return event.evacuated_domains == self._evacuations.domains
+
     async def _publish(self, outcome: HttpOutcome) -> None:
         is_read = self._version is None
         self._version = newest_version(outcome.body)
         self._confirmed_at = current_time()
         store_now_s = store_time_s(outcome.body)
         self._clock = update_offset(self._clock, store_now_s, seconds_since_boot())
-        rows = [row for row in decode_rows(outcome.body) if row.key == KEY]
+        all_rows = tuple(decode_rows(outcome.body))
+        await self._publish_evacuations(all_rows, is_read)
+        rows = [row for row in all_rows if row.key == KEY]
         if is_read and not rows:
             self._stored = None
         for row in rows:
@@ -230,6 +256,25 @@
         if choice is not ConfigurationChoice.KEEP:
             await self._use(self._stored, choice, store_now_s, is_read)
 
+    async def _publish_evacuations(
+        self, rows: tuple[StoreRow, ...], is_read: bool
+    ) -> None:
+        """Report the evacuations if they have changed.
+
+        The feed reports a change at once. A change that a read finds may have been
+        accepted at any time since the last confirmation.
+        """
+        if self._evacuations is None:
+            return
+        now = begun_at = seconds_since_boot()
+        if is_read:
+            begun_at = self._held.confirmed_at if self._held is not None else -inf
+        seen = self._evacuations.update(
+            rows, is_read, self._epoch.number, begun_at, now
+        )
+        if seen is not None:
+            await self._router.send(seen)
+
     def _choose(self, stored: FleetConfiguration, as_of: float) -> ConfigurationChoice:
         epoch = self._epoch.number
         choice = choose_configuration(self._held, stored, epoch, as_of, self._max_age_s)
@@ -261,13 +306,15 @@
         seen = ConfigurationSeen(stored if is_new else None, as_of)
         await self._admission.send(seen)
         if is_new:
+            self._regions.report(stored)
             await self._router.send(seen)
         if self._rank == 0 or is_read:
             self._relay(stored.version, store_now_s)
 
     def _relay(self, version: int, store_now_s: float) -> None:
         """Pass the confirmation on to the other instances of the failure domain."""
-        message = ConfigurationConfirmed(version, store_now_s)
+        domains = self._evacuations.domains if self._evacuations is not None else None
+        message = ConfigurationConfirmed(version, store_now_s, domains)
         try:
             self._peers.send_nowait(BroadcastDatagram(message, same_domain_only=True))
         except WouldBlock:
--- a/src/jackdawspread/platform/configuration_rows.py
+++ b/src/jackdawspread/platform/configuration_rows.py
@@ -30,6 +30,7 @@
     priority: int = field(name="Priority", default=1)
     max_staleness_ms: float = field(name="MaxStalenessMs", default=0.0)
     public: bool = field(name="Public", default=False)
+    allowed_regions: list[str] | None = field(name="AllowedRegions", default=None)
 
 
 class _Group(Struct):
@@ -43,6 +44,7 @@
     keys: list[str] = field(name="ApiKeys", default_factory=list)
     rate_per_s: float | None = field(name="RatePerS", default=None)
     burst: float | None = field(name="Burst", default=None)
+    allowed_regions: list[str] | None = field(name="AllowedRegions", default=None)
 
 
 class _Limits(Struct):
@@ -87,6 +89,11 @@
             for key in workspace.keys
         },
         transaction_idle_s=document.limits.transaction_idle_ms / 1000,
+        regions_by_workspace={
+            workspace.name: frozenset(workspace.allowed_regions)
+            for workspace in document.workspaces
+            if workspace.allowed_regions
+        },
     )
 
 
@@ -139,6 +146,7 @@
         latency_target_s=route.latency_target_ms / 1000,
         priority=route.priority,
         public=route.public,
+        allowed_regions=frozenset(route.allowed_regions or ()),
     )
 
 
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -1,5 +1,6 @@
 """Settings file of an instance on the users' platform."""
 
+from math import inf
 from pathlib import Path
 
 from jackdawspread.codecs.network_address import parse_address
@@ -92,7 +93,10 @@
 def _build(
     value_by_name: dict[str, str], number_by_name: dict[str, float]
 ) -> SessionProxySettings:
-    apply_ms = number_by_name["Bounds.ConfigApplyMs"]
+    apply_ms = min(
+        number_by_name["Bounds.ConfigApplyMs"],
+        number_by_name.get(EVACUATION_LIMIT, inf),
+    )
     skew_ms = number_by_name["Bounds.SkewMaxMs"]
     port = value_by_name["InternalPorts"].split(",")[0]
     sessions = int(number_by_name["Limits.MaxFds"]) - RESERVED_DESCRIPTORS
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -5,6 +5,7 @@
 from absl import logging
 from trio import MemorySendChannel, current_time, open_memory_channel, sleep
 
+from jackdawspread.decisions.evacuations.evacuated_members import mark_evacuated
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.promotion_candidate import (
     next_term,
@@ -77,6 +78,7 @@
         ``members_since`` waits for a list of members that was read after a monotonic
         time.
         """
+        listing_by_id = mark_evacuated(listing_by_id, trigger.evacuated_domains)
         primary = listing_by_id.get(trigger.member)
         is_suspected = (
             primary is not None
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -14,6 +14,15 @@
     "jackdawspread_configuration_age_seconds",
     "Time since the store last confirmed the configuration.",
 )
+EVACUATED_DOMAINS = Gauge(
+    "jackdawspread_evacuated_failure_domains",
+    "Failure domains that are evacuated on an operator's request.",
+)
+ROUTING_REFUSALS = Counter(
+    "jackdawspread_routing_refusals",
+    "Requests for a member that were refused at once, by reason.",
+    ("reason",),
+)
 RATE_LEASES_HELD = Gauge(
     "jackdawspread_rate_leases",
     "Number of rate leases that this instance holds.",
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -76,13 +76,26 @@
         for member, pool in list(self.pool_by_member.items()):
             listing = listing_by_id.get(member)
             if listing is None or listing.address != pool.listing.address:
-                self._remove_pool(pool)
+                self._remove_pool(pool, "the member is no longer listed")
             else:
                 pool.listing = listing
         for member, listing in listing_by_id.items():
             if member not in self.pool_by_member:
                 self.pool_by_member[member] = MemberPool(listing)
 
+    def cut_off(self, failure_domains: set[str]) -> None:
+        """Close all connections to the members of evacuated failure domains.
+
+        What is still to be sent on a leased connection fails as not sent, and the
+        member rolls its transaction back. Waiting requests are refused as not run.
+        """
+        for pool in list(self.pool_by_member.values()):
+            if pool.listing.failure_domain in failure_domains:
+                for connection in pool.leased_by_id.values():
+                    _close(connection)
+                self._remove_pool(pool, "the failure domain is evacuated")
+                self.pool_by_member[pool.listing.id] = MemberPool(pool.listing)
+
     def set_limits(self, member: str, limits: ConnectionLimits) -> None:
         """Set how many connections this instance may have to a member."""
         pool = self.pool_by_member[member]
@@ -210,18 +223,13 @@
         if request is not None:
             refuse(request, "unreachable", event.error, pool.listing.id)
 
-    def _remove_pool(self, pool: MemberPool) -> None:
+    def _remove_pool(self, pool: MemberPool, reason: str) -> None:
         del self.pool_by_member[pool.listing.id]
         for connection in pool.idle:
             _close(connection)
         self._orphan_by_id.update(pool.leased_by_id)
         for request in pool.waiting:
-            refuse(
-                request,
-                "unreachable",
-                "the member is no longer listed",
-                pool.listing.id,
-            )
+            refuse(request, "unreachable", reason, pool.listing.id)
 
 
 def refuse(
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -1,9 +1,14 @@
 """Tracks the state of all member groups."""
 
+from math import inf
+
 from absl import logging
 from trio import MemorySendChannel, WouldBlock
 
-from jackdawspread.decisions.failover.find_failover_trigger import find_failover_trigger
+from jackdawspread.decisions.failover.find_failover_trigger import (
+    EVACUATED,
+    find_failover_trigger,
+)
 from jackdawspread.decisions.members.group_state import GroupState
 from jackdawspread.decisions.members.group_updates import (
     apply_member_list,
@@ -16,6 +21,10 @@
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 
+# An evacuation reaches all instances at once. Those that don't serve connections of a
+# group for the others begin its switchover only after this time, so that a few
+# instances request the promotion lock.
+SWITCHOVER_BACKUP_DELAY_S = 1.0
 # A failover trigger of the same group is sent again after this time at the earliest.
 TRIGGER_REPEAT_INTERVAL_S = 0.3
 
@@ -41,11 +50,18 @@
         self._failover_triggers = failover
         self._refresh = refresh
         self._state_by_group: dict[str, GroupState] = {}
+        self._work_until_by_domain: dict[str, float] = {}
+        self._evacuated_at = -inf
+        # Groups whose switchovers this instance begins.
+        self._own_groups: frozenset[str] | None = None
         self._triggered_at_by_group: dict[str, float] = {}
 
     def state(self, group: str) -> GroupState:
         """Return the tracked state of a group."""
-        return self._state_by_group.get(group, GroupState())
+        state = self._state_by_group.get(group)
+        if state is None:
+            state = GroupState(work_until_by_domain=self._work_until_by_domain)
+        return state
 
     def update_members(self, event: MembersSeen, now: float) -> None:
         """Apply a list of members to the state of all groups."""
@@ -60,6 +76,22 @@
             self._set_state(group, state, "list")
             self.report_failover_trigger(group, now)
 
+    def update_evacuations(
+        self, work_until_by_domain: dict[str, float], now: float
+    ) -> None:
+        """Apply the evacuated failure domains to the state of all groups."""
+        self._work_until_by_domain = work_until_by_domain
+        self._evacuated_at = now
+        for group, state in tuple(self._state_by_group.items()):
+            self._state_by_group[group] = state._replace(
+                work_until_by_domain=work_until_by_domain
+            )
+            self.report_failover_trigger(group, now)
+
+    def set_own_groups(self, groups: frozenset[str] | None) -> None:
+        """Set the groups whose switchovers this instance begins; all if None."""
+        self._own_groups = groups
+
     def handle_observation(self, event: MemberObservation, now: float) -> None:
         """Apply an observation of one member to the state of its group."""
         state = apply_observation(event, self.state(event.group))
@@ -92,6 +124,8 @@
         last = self._triggered_at_by_group.get(group, 0.0)
         if trigger is None or now - last < TRIGGER_REPEAT_INTERVAL_S:
             return
+        if trigger.reason == EVACUATED and not self._begins_switchover(group, now):
+            return
         self._triggered_at_by_group[group] = now
         try:
             self._failover_triggers.send_nowait(trigger)
@@ -100,6 +134,13 @@
                 "router: failover trigger dropped, inbox full group=%s", group
             )
 
+    def _begins_switchover(self, group: str, now: float) -> bool:
+        return (
+            self._own_groups is None
+            or group in self._own_groups
+            or now - self._evacuated_at >= SWITCHOVER_BACKUP_DELAY_S
+        )
+
     def _set_state(self, group: str, state: GroupState, source: str) -> None:
         before = self.state(group)
         self._state_by_group[group] = state
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -1,6 +1,6 @@
 """Chooses a member for each request and leases it a connection."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 
 from absl import logging
@@ -24,11 +24,20 @@
     usable_primary,
 )
 from jackdawspread.decisions.members.member_choice import choose_member
-from jackdawspread.decisions.pool_hosts.choose_pool_hosts import choose_pool_hosts
+from jackdawspread.decisions.members.routing_refusal import (
+    DETAIL_BY_REASON,
+    is_region_allowed,
+    routing_refusal,
+)
+from jackdawspread.decisions.pool_hosts.choose_pool_hosts import (
+    choose_pool_hosts,
+    groups_hosted_by,
+)
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.evacuations_seen import EvacuationsSeen
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
@@ -47,13 +56,17 @@
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.members.connection_pools import ConnectionPools, refuse
+from jackdawspread.tasks.members.evacuation_schedule import EvacuationSchedule
 from jackdawspread.tasks.members.group_monitor import GroupMonitor
 from jackdawspread.tasks.members.member_codec import MemberCodec
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
+from jackdawspread.tasks.members.refusal_log import RefusalLog
 
 # Requests that wait for a member are retried this often.
 RETRY_WAITING_INTERVAL_S = 0.05
+# Operators change evacuations and regions seldom, so that an earlier retry is useless.
+REFUSED_RETRY_MS = 1000
 
 
 class MemberRouter:
@@ -63,6 +76,8 @@
     ----------
     instance, failure_domain : str
         Id and failure domain of this instance.
+    region_by_domain : mapping
+        Region of each failure domain.
     drain_s : float
         Time in seconds after which a leaving member gets no new work.
     make_codec : callable
@@ -79,6 +94,7 @@
         self,
         instance: str,
         failure_domain: str,
+        region_by_domain: Mapping[str, str],
         drain_s: float,
         make_codec: Callable[[], MemberCodec],
         inbox: MemoryReceiveChannel[RouterEvent],
@@ -88,6 +104,7 @@
     ) -> None:
         self._instance = instance
         self._failure_domain = failure_domain
+        self._region_by_domain = region_by_domain
         self._drain_s = drain_s
         self._make_codec = make_codec
         self._inbox = inbox
@@ -97,6 +114,8 @@
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
         self._entry_by_instance: dict[str, InstanceEntry] = {}
         self._limits_by_group: dict[str, ConnectionLimits] = {}
+        self._evacuations = EvacuationSchedule()
+        self._refusals = RefusalLog()
         self._pools: ConnectionPools
 
     async def run(self) -> None:
@@ -114,10 +133,21 @@
                     if waiting
                     else float("inf")
                 )
-                with move_on_at(wake_at):
+                with move_on_at(min(wake_at, self._evacuations.next_cut_at)):
                     self._handle(await self._inbox.receive(), current_time())
+                self._cut_off_evacuated(current_time())
                 self._retry_waiting(current_time())
 
+    def _cut_off_evacuated(self, now: float) -> None:
+        due = self._evacuations.take_due(now)
+        if due:
+            logging.info(
+                "router: members cut off failure_domains=%s reason=evacuated",
+                ",".join(sorted(due)),
+            )
+            self._pools.cut_off(due)
+            self._apply_limits()
+
     def _retry_waiting(self, now: float) -> None:
         self._pools.refuse_expired(now)
         for group, waiting in self._waiting_by_group.items():
@@ -172,6 +202,14 @@
             self._group_by_name = event.configuration.group_by_name
             self._set_limits()
 
+    @_handle.register
+    def _(self, event: EvacuationsSeen, now: float) -> None:
+        self._evacuations.update(event, now, seconds_since_boot())
+        self._group_monitor.update_evacuations(
+            self._evacuations.work_until_by_domain, now
+        )
+        self._refusals = RefusalLog()
+
     @_handle.register
     def _(self, event: PeersSeen, now: float) -> None:
         if event.entry_by_instance != self._entry_by_instance:
@@ -194,10 +232,20 @@
             self._pools.request(member, request, now)
         elif request.requirement is MemberRequirement.NAMED:
             refuse(request, "unreachable", "no such member is listed", member)
-        else:
+        elif not self._refuse_unservable(request, now):
             self._waiting_by_group.setdefault(request.group, []).append(request)
             self._group_monitor.request_refresh("no primary")
 
+    def _refuse_unservable(self, request: ConnectionRequest, now: float) -> bool:
+        """Refuse a request that no wait can help; return whether it was refused."""
+        state = self._group_monitor.state(request.group)
+        reason = routing_refusal(state, request, self._region_by_domain, now)
+        if reason is None:
+            return False
+        self._refusals.report(reason, request)
+        refuse(request, "busy", DETAIL_BY_REASON[reason], "", REFUSED_RETRY_MS)
+        return True
+
     def _choose(self, request: ConnectionRequest, now: float) -> str:
         if request.requirement is MemberRequirement.NAMED:
             return request.member
@@ -210,11 +258,18 @@
                 self._failure_domain,
                 now,
                 seconds_since_boot(),
+                self._region_by_domain,
             )
             chosen = choose_member(candidates)
             if chosen is not None:
                 return chosen
-        return usable_primary(state, now, self._drain_s)
+        member = usable_primary(state, now, self._drain_s)
+        listing = state.listing_by_id.get(member)
+        if listing is not None and not is_region_allowed(
+            request, listing, self._region_by_domain
+        ):
+            return ""
+        return member
 
     def _offer_lease(
         self, request: ConnectionRequest, pool: MemberPool, connection: PooledConnection
@@ -250,6 +305,11 @@
         self._limits_by_group = {
             name: self._limits(group) for name, group in self._group_by_name.items()
         }
+        self._group_monitor.set_own_groups(
+            groups_hosted_by(
+                self._instance, self._group_by_name, self._entry_by_instance
+            )
+        )
         self._apply_limits()
 
     def _apply_limits(self) -> None:
--- a/src/jackdawspread/tasks/pool_hosts/lease_broker.py
+++ b/src/jackdawspread/tasks/pool_hosts/lease_broker.py
@@ -1,5 +1,6 @@
 """Decides which instance leases a member connection."""
 
+from collections.abc import Mapping
 from functools import singledispatchmethod
 
 from absl import logging
@@ -41,6 +42,8 @@
     ----------
     instance : str
         Id of this instance.
+    region_by_domain : mapping
+        Region of each failure domain.
     inbox, broker : trio channels
         The two ends of the broker's inbox.
     router : trio.MemorySendChannel
@@ -50,11 +53,13 @@
     def __init__(
         self,
         instance: str,
+        region_by_domain: Mapping[str, str],
         inbox: MemoryReceiveChannel[LeaseBrokerEvent],
         broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
     ) -> None:
         self._instance = instance
+        self._region_by_domain = region_by_domain
         self._inbox = inbox
         self._broker = broker
         self._router = router
@@ -98,6 +103,8 @@
         for host in rank_pool_hosts(event.workspace, self._hosts(event.group)):
             if host == self._instance:
                 break
+            if not self._is_allowed(event, host):
+                continue
             link = self._link_by_host.get(host)
             if link is None:
                 self._open_link(host, links)
@@ -107,6 +114,13 @@
         MEMBER_LEASES.labels("local").inc()
         lease_here(event, self._router)
 
+    def _is_allowed(self, request: ConnectionRequest, host: str) -> bool:
+        """Whether statements of a request may be sent to the region of a host."""
+        if not request.allowed_regions:
+            return True
+        domain = self._entry_by_instance[host].failure_domain
+        return self._region_by_domain.get(domain) in request.allowed_regions
+
     def _hosts(self, group: str) -> tuple[str, ...]:
         hosts = self._hosts_by_group.get(group)
         if hosts is None:
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -82,6 +82,7 @@
             expires_at=operation.connection_deadline,
             is_single_statement=is_single_statement,
             reply_to=send,
+            allowed_regions=operation.admitted.allowed_regions,
         )
         try:
             self._broker.send_nowait(request)
