Limit the statements that a member gets while it is slow after a start

Cause: the time for which a member stays slow after a start, and the rate that the configuration allows it meanwhile, were not read. Change: a caller's statement for a cold member needs a token just before it is sent. The rate leases carry the tokens: each holder has an equal part of the rate, so lost, frozen or wrongly believed holders can't exceed it. Reads prefer members that are not cold. A member that could not be reached counts as cold until a newer list can have arrived. Off for groups without a rate. Ruled out: parts for the pool hosts, which instances with different lists choose differently; sending statements of cold members to the lease holders (more hops).

--- a/features/wire/wire_group.py
+++ b/features/wire/wire_group.py
@@ -23,6 +23,7 @@
         self.runs: list[ExecutedStatement] = []
         self.address_by_member: dict[str, str] = {}
         self.domain_by_member: dict[str, str] = {}
+        self.cold_ms_by_member: dict[str, object] = {}
         self.dead: set[str] = set()
         self.leaving: set[str] = set()
         self.paused_by_member: dict[str, int] = {}
@@ -51,7 +52,7 @@
                 "Version": "v1",
                 "Slots": 4,
                 "State": "draining" if member in self.leaving else "ready",
-                "ColdRemainingMs": 0,
+                "ColdRemainingMs": self.cold_ms_by_member.get(member, 0),
                 "DbRole": "primary" if member == self.primary else "replica",
                 "Seq": 1,
                 "born": 1,
--- a/src/jackdawspread/codecs/listing_check.py
+++ b/src/jackdawspread/codecs/listing_check.py
@@ -1,5 +1,7 @@
 """Checks entries of members that other writers or peers have left."""
 
+from math import inf
+
 from jackdawspread.codecs.network_address import parse_address
 from jackdawspread.messages.fleet.member_listing import MemberListing
 
@@ -18,6 +20,8 @@
     parse_address(listing.address)
     if not 0 < listing.slots <= MAX_SLOTS:
         raise ValueError(f"slots must be from 1 to {MAX_SLOTS}")
+    if not 0 <= listing.cold_remaining_s < inf:
+        raise ValueError("the cold time must be finite and not negative")
     for name in (listing.id, listing.group, listing.failure_domain):
         check_name(name)
 
--- a/src/jackdawspread/decisions/members/group_state.py
+++ b/src/jackdawspread/decisions/members/group_state.py
@@ -33,6 +33,8 @@
         Recent failures of the primary.
     no_primary_since : float
         Monotonic time since which no primary is known; 0 while one is known.
+    cold_until_by_member : dict
+        Monotonic time until which a member is slow after its start.
     work_until_by_domain : dict
         Evacuated failure domains, and the monotonic time until which the primary may
         still get work there. Replicas in them get none.
@@ -47,4 +49,5 @@
     samples: tuple[PrimaryPositionSample, ...] = ()
     primary_health: PrimaryHealth = PrimaryHealth()
     no_primary_since: float = 0.0
+    cold_until_by_member: dict[str, float] = {}
     work_until_by_domain: dict[str, float] = {}
--- a/src/jackdawspread/decisions/members/group_updates.py
+++ b/src/jackdawspread/decisions/members/group_updates.py
@@ -8,6 +8,10 @@
     clear_stalled_writes,
     record_failure,
 )
+from jackdawspread.decisions.members.cold_members import (
+    UNLISTED_START_S,
+    update_cold_until,
+)
 from jackdawspread.decisions.members.group_state import GroupState
 from jackdawspread.decisions.members.position_samples import add_sample
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
@@ -67,7 +71,17 @@
 def _(event: MemberUnreachable, state: GroupState) -> GroupState:
     if not event.write_timed_out:
         failed = {**state.failed_at_by_member, event.member: event.at}
-        state = state._replace(failed_at_by_member=failed)
+        cold_until = max(
+            state.cold_until_by_member.get(event.member, 0.0),
+            event.at + UNLISTED_START_S,
+        )
+        state = state._replace(
+            failed_at_by_member=failed,
+            cold_until_by_member={
+                **state.cold_until_by_member,
+                event.member: cold_until,
+            },
+        )
     if event.member != state.primary:
         return state
     primary_health = record_failure(
@@ -117,6 +131,9 @@
         primary=primary,
         no_primary_since=since,
         leaving_at_by_member=leaving,
+        cold_until_by_member=update_cold_until(
+            state.cold_until_by_member, state.listing_by_id, listing_by_id, now
+        ),
         primary_health=primary_health,
     )
 
--- a/src/jackdawspread/messages/fleet/admission_event.py
+++ b/src/jackdawspread/messages/fleet/admission_event.py
@@ -1,6 +1,7 @@
 """Events that the admission task handles."""
 
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
+from jackdawspread.messages.fleet.cold_token_request import ColdTokenRequest
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
@@ -10,6 +11,7 @@
 
 AdmissionEvent = (
     AdmissionRequest
+    | ColdTokenRequest
     | ConfigurationSeen
     | OperationNotRun
     | RateLeasesHeld
--- a/src/jackdawspread/messages/fleet/member_group.py
+++ b/src/jackdawspread/messages/fleet/member_group.py
@@ -12,7 +12,11 @@
         Name of the group.
     max_connections : int
         Number of connections that each member accepts from all instances together.
+    cold_rate_per_s : float
+        Statements that a member may get each second from all instances together while
+        it is slow after its start; 0 if they are not limited.
     """
 
     name: str
     max_connections: int
+    cold_rate_per_s: float = 0.0
--- a/src/jackdawspread/messages/fleet/member_lease.py
+++ b/src/jackdawspread/messages/fleet/member_lease.py
@@ -36,6 +36,8 @@
         Id of the pool host that has the connection; empty if it is this instance.
     host_link : trio.MemorySendChannel or None
         Inbox of the stream to the pool host.
+    is_cold : bool
+        Whether each statement for the member needs a token.
     """
 
     connection: int
@@ -48,3 +50,4 @@
     position_age_s: float
     host: str = ""
     host_link: MemorySendChannel[LeaseEvent] | None = None
+    is_cold: bool = False
--- a/src/jackdawspread/messages/fleet/member_listing.py
+++ b/src/jackdawspread/messages/fleet/member_listing.py
@@ -22,6 +22,9 @@
         Whether the member will shut down soon.
     claims_primary : bool
         Whether the member claims to be the primary.
+    cold_remaining_s : float
+        Seconds for which the member stayed slow after its start when it wrote its
+        entry.
     """
 
     id: str
@@ -31,3 +34,4 @@
     slots: int
     leaving: bool
     claims_primary: bool
+    cold_remaining_s: float = 0.0
--- a/src/jackdawspread/messages/pool_hosts/lease_granted.py
+++ b/src/jackdawspread/messages/pool_hosts/lease_granted.py
@@ -16,3 +16,4 @@
     requires_primary: bool
     required_position: Position | None
     position_age_s: float
+    is_cold: bool = False
--- a/src/jackdawspread/platform/configuration_rows.py
+++ b/src/jackdawspread/platform/configuration_rows.py
@@ -37,6 +37,7 @@
     name: str = field(name="Name")
     # Maximum for each member, over all instances.
     max_connections: int = field(name="MaxConns", default=DEFAULT_CONNECTIONS)
+    cold_rate_per_s: float = field(name="ColdPerS", default=0.0)
 
 
 class _Workspace(Struct):
@@ -75,7 +76,9 @@
             route.database: _to_route(route) for route in document.routes
         },
         group_by_name={
-            group.name: MemberGroup(group.name, group.max_connections)
+            group.name: MemberGroup(
+                group.name, group.max_connections, group.cold_rate_per_s
+            )
             for group in document.groups
         },
         limit_by_workspace={
@@ -118,6 +121,7 @@
         *(route.statement_timeout_ms for route in document.routes),
         *(route.latency_target_ms for route in document.routes),
         *(route.max_staleness_ms for route in document.routes),
+        *(group.cold_rate_per_s for group in document.groups),
         *(item.rate_per_s or 0.0 for item in document.workspaces),
         *(item.burst or 0.0 for item in document.workspaces),
     ):
--- a/src/jackdawspread/platform/member_rows.py
+++ b/src/jackdawspread/platform/member_rows.py
@@ -1,16 +1,19 @@
 """Decoding of the members' entries in the platform's store."""
 
 from collections.abc import Iterable
+from typing import Any
 
 from absl import logging
 from msgspec import Struct, field
 
 from jackdawspread.codecs.listing_check import check_listing
 from jackdawspread.codecs.stored_json import decode_stored
+from jackdawspread.decisions.members.cold_members import check_cold_time_s
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.platform.store_rows import StoreRow
 
 LEAVING_BY_STATE = {"ready": False, "draining": True}
+COLD_FIELD = "ColdRemainingMs"
 PRIMARY_BY_ROLE = {"primary": True, "replica": False}
 
 
@@ -23,6 +26,8 @@
     # The role that the member claims, which may be out of date.
     role: str = field(name="DbRole")
     slots: int = field(name="Slots", default=1)
+    # Checked apart, since an entry with a wrong value still names a member.
+    cold_remaining_ms: Any = field(name=COLD_FIELD, default=0)
 
 
 def decode_members(
@@ -42,9 +47,19 @@
     reason_by_key = {}
     for row in rows:
         try:
-            listing_by_id[row.key] = _decode_entry(row)
+            entry = decode_stored(row.value, _Entry)
+            listing_by_id[row.key] = _to_listing(row.key, entry)
         except (KeyError, ValueError) as error:
             reason_by_key[row.key] = str(error)
+            continue
+        try:
+            cold_s = check_cold_time_s(entry.cold_remaining_ms)
+        except ValueError as error:
+            reason_by_key[f"{row.key}/{COLD_FIELD}"] = str(error)
+            continue
+        listing_by_id[row.key] = listing_by_id[row.key]._replace(
+            cold_remaining_s=cold_s
+        )
     for key in reason_by_key.keys() - skipped:
         logging.warning(
             "members: entry ignored key=%r reason=%r", key, reason_by_key[key]
@@ -54,10 +69,9 @@
     return listing_by_id
 
 
-def _decode_entry(row: StoreRow) -> MemberListing:
-    entry = decode_stored(row.value, _Entry)
+def _to_listing(id: str, entry: _Entry) -> MemberListing:
     listing = MemberListing(
-        id=row.key,
+        id=id,
         group=entry.group,
         address=entry.address,
         failure_domain=entry.failure_domain,
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -11,12 +11,14 @@
     move_on_at,
 )
 
+from jackdawspread.decisions.members.cold_members import cold_bucket_name
 from jackdawspread.decisions.sessions.operation_check import (
     check_operation,
     refuse_rate,
 )
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
+from jackdawspread.messages.fleet.cold_token_request import ColdTokenRequest
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
@@ -37,6 +39,7 @@
 )
 from jackdawspread.tasks.fleet.pending_admission import PendingAdmission
 from jackdawspread.tasks.fleet.rate_buckets import RateBuckets
+from jackdawspread.tasks.fleet.reply_cold_token import reply_cold_token
 from jackdawspread.tasks.fleet.send_admission_reply import send_admission_reply
 from jackdawspread.tasks.fleet.token_requests import TokenRequests
 
@@ -104,6 +107,16 @@
             return
         send_admission_reply(event, checked)
 
+    @_handle.register
+    def _(self, event: ColdTokenRequest) -> None:
+        now, bucket = current_time(), cold_bucket_name(event.group, event.member)
+        if self._buckets.spend(bucket, now):
+            reply_cold_token(event, None)
+            return
+        wait_s = self._buckets.wait_s(bucket, now)
+        if not self._token_requests.start(event, bucket, wait_s, now):
+            reply_cold_token(event, wait_s)
+
     @_handle.register
     def _(self, event: ConfigurationSeen) -> None:
         self._confirmed_at = max(self._confirmed_at, event.as_of)
@@ -122,6 +135,7 @@
         )
         self._configuration = newest
         self._buckets.limit_by_workspace = newest.limit_by_workspace
+        self._buckets.group_by_name = newest.group_by_name
         CONFIGURATION_VERSION.set(newest.version)
         self._answer_waiting()
 
@@ -155,9 +169,9 @@
         if ended is None:
             return
         if event.reply.granted:
-            send_admission_reply(ended.request, self._check(ended.request))
+            self._use_token(ended.request)
         else:
-            self._refuse_rate(ended.request, ended.workspace, ended.wait_s)
+            self._refuse_token(ended.request, ended.workspace, ended.wait_s)
 
     @_handle.register
     def _(self, event: ReadinessCheck) -> None:
@@ -201,7 +215,31 @@
             else:
                 send_admission_reply(item.request, checked)
         for ended in self._token_requests.expire(now):
-            self._refuse_rate(ended.request, ended.workspace, ended.wait_s)
+            self._refuse_token(ended.request, ended.workspace, ended.wait_s)
+
+    @singledispatchmethod
+    def _use_token(self, request: object) -> None:
+        raise TypeError(f"no token is granted to {type(request).__name__}")
+
+    @_use_token.register
+    def _(self, request: AdmissionRequest) -> None:
+        send_admission_reply(request, self._check(request))
+
+    @_use_token.register
+    def _(self, request: ColdTokenRequest) -> None:
+        reply_cold_token(request, None)
+
+    @singledispatchmethod
+    def _refuse_token(self, request: object, workspace: str, wait_s: float) -> None:
+        raise TypeError(f"no token is refused to {type(request).__name__}")
+
+    @_refuse_token.register
+    def _(self, request: AdmissionRequest, workspace: str, wait_s: float) -> None:
+        self._refuse_rate(request, workspace, wait_s)
+
+    @_refuse_token.register
+    def _(self, request: ColdTokenRequest, workspace: str, wait_s: float) -> None:
+        reply_cold_token(request, wait_s)
 
     def _refuse_rate(
         self, event: AdmissionRequest, workspace: str, wait_s: float
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -18,6 +18,11 @@
     "jackdawspread_evacuated_failure_domains",
     "Failure domains that are evacuated on an operator's request.",
 )
+COLD_TOKENS = Counter(
+    "jackdawspread_cold_member_statements",
+    "Statements for cold members, by whether they got a token to be sent.",
+    ("result",),
+)
 ROUTING_REFUSALS = Counter(
     "jackdawspread_routing_refusals",
     "Requests for a member that were refused at once, by reason.",
--- a/src/jackdawspread/tasks/fleet/pending_token.py
+++ b/src/jackdawspread/tasks/fleet/pending_token.py
@@ -1,19 +1,20 @@
-"""Operation that waits for a token of another instance."""
+"""Request that waits for a token of another instance."""
 
 from typing import NamedTuple
 
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
+from jackdawspread.messages.fleet.cold_token_request import ColdTokenRequest
 
 
 class PendingToken(NamedTuple):
-    """Operation that has asked the holders of rate leases for a token.
+    """Request that has asked the holders of rate leases for a token.
 
     Parameters
     ----------
-    request : AdmissionRequest
-        Request of the operation.
+    request : AdmissionRequest or ColdTokenRequest
+        Request of the operation or statement.
     workspace : str
-        Workspace whose rate the operation counts against.
+        Workspace whose rate it counts against, or the bucket of a cold member.
     asked : tuple of str
         Holders that were asked, in their order. The last one has not replied yet.
     reply_by : float
@@ -22,7 +23,7 @@
         Shortest time in seconds until a holder has the next token.
     """
 
-    request: AdmissionRequest
+    request: AdmissionRequest | ColdTokenRequest
     workspace: str
     asked: tuple[str, ...]
     reply_by: float
--- a/src/jackdawspread/tasks/fleet/rate_buckets.py
+++ b/src/jackdawspread/tasks/fleet/rate_buckets.py
@@ -1,8 +1,10 @@
 """Token buckets of the workspaces' rates at this instance."""
 
+from jackdawspread.decisions.members.cold_members import cold_limit
 from jackdawspread.decisions.rate_leases.scale_limit import scale_limit
 from jackdawspread.decisions.rates.rate_bucket import RateBucket, refill, spend
 from jackdawspread.decisions.rates.rate_share import RateShare
+from jackdawspread.messages.fleet.member_group import MemberGroup
 from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
 from jackdawspread.messages.fleet.workspace_limit import WorkspaceLimit
 from jackdawspread.tasks.boot_clock import seconds_since_boot
@@ -18,6 +20,8 @@
     def __init__(self) -> None:
         self._held: RateLeasesHeld | None = None
         self.limit_by_workspace: dict[str, WorkspaceLimit] = {}
+        # Groups whose cold members have a bucket each.
+        self.group_by_name: dict[str, MemberGroup] = {}
         self._bucket_by_workspace: dict[str, RateBucket] = {}
 
     @property
@@ -65,10 +69,16 @@
         return max(0.0, 1 - self._refilled(workspace, now).tokens) / share.rate
 
     def _share(self, workspace: str) -> RateShare:
-        return scale_limit(self.limit_by_workspace[workspace], self.leases)
+        limit = self._limit(workspace)
+        assert limit is not None
+        return scale_limit(limit, self.leases)
 
     def _is_leased(self, workspace: str) -> bool:
-        return bool(self.leases) and workspace in self.limit_by_workspace
+        return bool(self.leases) and self._limit(workspace) is not None
+
+    def _limit(self, workspace: str) -> WorkspaceLimit | None:
+        limit = self.limit_by_workspace.get(workspace)
+        return limit or cold_limit(workspace, self.group_by_name)
 
     def _refilled(self, workspace: str, now: float) -> RateBucket:
         share = self._share(workspace)
--- a/src/jackdawspread/tasks/fleet/token_requests.py
+++ b/src/jackdawspread/tasks/fleet/token_requests.py
@@ -7,6 +7,7 @@
 
 from jackdawspread.decisions.rate_leases.holder_choice import next_holder
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
+from jackdawspread.messages.fleet.cold_token_request import ColdTokenRequest
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.send_datagram import SendDatagram
 from jackdawspread.messages.fleet.token_replied import TokenReplied
@@ -48,7 +49,11 @@
         )
 
     def start(
-        self, request: AdmissionRequest, workspace: str, wait_s: float, now: float
+        self,
+        request: AdmissionRequest | ColdTokenRequest,
+        workspace: str,
+        wait_s: float,
+        now: float,
     ) -> bool:
         """Ask the first holder; return whether there is one.
 
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -73,9 +73,23 @@
                 if listing.group == group
             }
             state = apply_member_list(self.state(group), listings, event.as_of)
+            self._log_cold(group, state, now)
             self._set_state(group, state, "list")
             self.report_failover_trigger(group, now)
 
+    def _log_cold(self, group: str, state: GroupState, now: float) -> None:
+        """Log the members that this list is the first to name as cold."""
+        before = self.state(group).cold_until_by_member
+        for member, until in state.cold_until_by_member.items():
+            if until > before.get(member, now):
+                logging.info(
+                    "router: cold member member=%s group=%s remaining_s=%.1f "
+                    "reason=started",
+                    member,
+                    group,
+                    until - now,
+                )
+
     def update_evacuations(
         self, work_until_by_domain: dict[str, float], now: float
     ) -> None:
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -13,6 +13,7 @@
     open_nursery,
 )
 
+from jackdawspread.decisions.members.cold_members import is_cold, prefer_warm
 from jackdawspread.decisions.members.connection_limits import (
     ConnectionLimits,
     connection_limits,
@@ -260,7 +261,8 @@
                 seconds_since_boot(),
                 self._region_by_domain,
             )
-            chosen = choose_member(candidates)
+            group = self._group_by_name.get(request.group)
+            chosen = choose_member(prefer_warm(candidates, state, group, now))
             if chosen is not None:
                 return chosen
         member = usable_primary(state, now, self._drain_s)
@@ -289,6 +291,9 @@
             conditions.requires_primary,
             conditions.required_position,
             conditions.position_age_s,
+            is_cold=is_cold(
+                state, self._group_by_name.get(group), member, current_time()
+            ),
         )
         try:
             request.reply_to.send_nowait(lease)
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -238,6 +238,7 @@
             message.position_age_s,
             self._host,
             self._link,
+            message.is_cold,
         )
         request = self._unanswered.take_request(message.lease)
         if request is None or not answer_request(request, lease):
--- a/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
@@ -249,6 +249,7 @@
                 answer.requires_primary,
                 answer.required_position,
                 answer.position_age_s,
+                answer.is_cold,
             )
         )
 
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -13,6 +13,7 @@
 from jackdawspread.decisions.members.exchange_observation import observe_exchange
 from jackdawspread.decisions.sessions.operation import Operation
 from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.connection_context import ConnectionContext
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
@@ -34,8 +35,10 @@
 from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.messages.statements.rollback_transaction import RollbackTransaction
 from jackdawspread.tasks.members.run_exchange import run_exchange
+from jackdawspread.tasks.sessions.cold_tokens import wait_for_cold_token
 
 ROLLBACK_TIMEOUT_S = 1.0
+COLD_REASON = "the member has just started and gets only some statements each second"
 # A member answers BEGIN at once, as it needs no execution slot for it.
 BEGIN_TIMEOUT_S = 0.3
 
@@ -49,13 +52,17 @@
         Inbox of the lease broker.
     router : trio.MemorySendChannel
         Inbox of the member router.
+    admission : trio.MemorySendChannel
+        Inbox of the admission task.
     """
 
     def __init__(
         self,
         broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
+        admission: MemorySendChannel[AdmissionEvent],
     ) -> None:
+        self._admission = admission
         self._broker = broker
         self._router = router
 
@@ -112,7 +119,16 @@
     async def exchange(
         self, lease: MemberLease, commands: tuple[MemberCommand, ...], deadline: float
     ) -> MemberReply | ExchangeFailure:
-        """Run commands on a leased connection and report the outcome to the router."""
+        """Run commands on a leased connection and report the outcome to the router.
+
+        A caller's statement for a cold member is sent only with a token.
+        """
+        if (
+            lease.is_cold
+            and commands[-1].id
+            and not await wait_for_cold_token(self._admission, lease, deadline)
+        ):
+            return ExchangeFailure(False, COLD_REASON)
         outcome = await run_exchange(lease, commands, deadline)
         self._report_outcome(lease, outcome)
         return outcome
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -68,7 +68,7 @@
     ) -> None:
         self._handshake = handshake
         self._admission = admission
-        self._calls = MemberCalls(broker, router)
+        self._calls = MemberCalls(broker, router, admission)
         self._state = SessionState()
         self._admitted: OperationAdmitted | None = None
         self._transaction: TransactionRunner | None = None
