--- a/features/wire/wire_group.py
+++ b/features/wire/wire_group.py
@@ -22,6 +22,8 @@
         self.item_by_name: dict[str, str] = {}
         self.runs: list[ExecutedStatement] = []
         self.address_by_member: dict[str, str] = {}
+        self.domain_by_member: dict[str, str] = {}
+        self.cold_ms_by_member: dict[str, object] = {}
         self.dead: set[str] = set()
         self.leaving: set[str] = set()
         self.paused_by_member: dict[str, int] = {}
@@ -46,11 +48,11 @@
             entry = {
                 "Service": self.name,
                 "Address": address,
-                "Zone": "z1",
+                "Zone": self.domain_by_member.get(member, "z1"),
                 "Version": "v1",
                 "Slots": 4,
                 "State": "draining" if member in self.leaving else "ready",
-                "ColdRemainingMs": 0,
+                "ColdRemainingMs": self.cold_ms_by_member.get(member, 0),
                 "DbRole": "primary" if member == self.primary else "replica",
                 "Seq": 1,
                 "born": 1,
--- a/src/jackdawspread/decisions/members/group_state.py
+++ b/src/jackdawspread/decisions/members/group_state.py
@@ -25,13 +25,19 @@
     failed_at_by_member : dict
         Monotonic time at which a member was last unreachable.
     leaving_at_by_member : dict
-        Monotonic time at which the list first marked a member as leaving.
+        Monotonic time at which the list first marked a member as leaving; -inf if it
+        was leaving in the first list that named it.
     samples : tuple of PrimaryPositionSample
         Log positions of the primary at known times, oldest first.
     primary_health : PrimaryHealth
         Recent failures of the primary.
     no_primary_since : float
         Monotonic time since which no primary is known; 0 while one is known.
+    cold_until_by_member : dict
+        Monotonic time until which a member is slow after its start.
+    work_until_by_domain : dict
+        Evacuated failure domains, and the monotonic time until which the primary may
+        still get work there. Replicas in them get none.
     """
 
     listing_by_id: dict[str, MemberListing] = {}
@@ -43,3 +49,5 @@
     samples: tuple[PrimaryPositionSample, ...] = ()
     primary_health: PrimaryHealth = PrimaryHealth()
     no_primary_since: float = 0.0
+    cold_until_by_member: dict[str, float] = {}
+    work_until_by_domain: dict[str, float] = {}
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -14,6 +14,20 @@
     "jackdawspread_configuration_age_seconds",
     "Time since the store last confirmed the configuration.",
 )
+EVACUATED_DOMAINS = Gauge(
+    "jackdawspread_evacuated_failure_domains",
+    "Failure domains that are evacuated on an operator's request.",
+)
+COLD_TOKENS = Counter(
+    "jackdawspread_cold_member_statements",
+    "Statements for cold members, by whether they got a token to be sent.",
+    ("result",),
+)
+ROUTING_REFUSALS = Counter(
+    "jackdawspread_routing_refusals",
+    "Requests for a member that were refused at once, by reason.",
+    ("reason",),
+)
 RATE_LEASES_HELD = Gauge(
     "jackdawspread_rate_leases",
     "Number of rate leases that this instance holds.",
