Model the evidence for promotions while members leave and join

An unreachable primary that serves other instances and gets a new replica before a promotion takes effect is outside the model.

--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -4,6 +4,7 @@
 
 from spec.binding.model import MODEL as BINDING
 from spec.configuration.model import MODEL as CONFIGURATION
+from spec.evidence.model import MODEL as EVIDENCE
 from spec.model import Model
 from spec.promotion.model import MODEL as PROMOTION
 from spec.promotion.model import MODEL_FOUR_TERMS
@@ -26,4 +27,5 @@
     RATES,
     CONFIGURATION,
     SUCCESSION,
+    EVIDENCE,
 )
--- /dev/null
+++ b/spec/evidence/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence for a promotion while members leave, join and return."""
