--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -66,6 +66,19 @@
     And a write is refused at once while z1, z2 and z3 are evacuated
     And a write runs again after the evacuations were taken back
 
+  Scenario: Two evacuations at once move the primary only once
+    # Guards against a promotion of a member that is evacuated too.
+    Given an instance whose members m0, m1 and m2 are in z1, z2 and z3
+    When z2 and z1 are evacuated and the limit has passed
+    Then a write runs at m2 after 1 promotion
+
+  Scenario: A read transaction at an evacuated replica does not go on
+    # Guards against statements of open transactions that a healthy replica would run.
+    Given an instance whose members m0, m1 and m2 are in z1, z2 and z3
+    And a read transaction whose first read ran at a replica
+    When the failure domain of that replica is evacuated and the limit has passed
+    Then the next read is refused as "ABORTED" and runs nowhere
+
   Scenario: An evacuation survives a restore of the store and ignores unknown names
     # Guards against an evacuation that ends because the store was restored.
     Given an instance whose members m0, m1 and m2 are in z1, z2 and z3
--- a/features/steps/cold_member_steps.py
+++ b/features/steps/cold_member_steps.py
@@ -37,15 +37,16 @@
 
 @given("{count:d} holders of the rate leases, which restart at once {restarts:d} times")
 def holders(context: Context, count: int, restarts: int) -> None:
-    """Take tokens every 10 ms for 1 s, after a second in which nobody took any."""
+    """Take all tokens every 10 ms for 1 s, after a second in which nobody took any."""
     context.taken = 0
     for start in range(restarts + 1):
         buckets = [_buckets(context, LEASES // count) for _ in range(count)]
-        first, last = (0, 100) if start == restarts else (0, 1)
-        for step in range(-100, last):
+        for bucket in buckets:
+            bucket.spend(cold_bucket_name("g", "m0"), NOW - 1)
+        for step in range(101 if start == restarts else 1):
             for bucket in buckets:
                 while bucket.spend(cold_bucket_name("g", "m0"), NOW + step / 100):
-                    context.taken += step >= first
+                    context.taken += 1
 
 
 def _buckets(context: Context, leases: int) -> RateBuckets:
--- a/features/steps/evacuation_session_steps.py
+++ b/features/steps/evacuation_session_steps.py
@@ -29,6 +29,46 @@
         assert answer[-2].startswith("DONE"), answer
 
 
+@when("z2 and z1 are evacuated and the limit has passed")
+def are_evacuated(context: Context) -> None:
+    """Evacuate the primary's failure domain last, as its switchover begins then."""
+    context.platform.evacuate("z2")
+    is_evacuated(context, "z1")
+
+
+@then("a write runs at m2 after {count:d} promotion")
+def write_runs_after(context: Context, count: int) -> None:
+    """Compare the member and the number of promotions."""
+    assert _write(context) == "m2"
+    assert len(context.platform.store.tokens) == count, context.platform.store.tokens
+
+
+@given("a read transaction whose first read ran at a replica")
+def read_transaction(context: Context) -> None:
+    """Leave a read transaction open."""
+    context.caller = context.platform.open("bounded-db")
+    for text in ("BEGIN READ", "READ first"):
+        answer = context.platform.query(context.caller, text)
+        assert answer[-2].startswith("DONE"), answer
+    context.member = context.platform.group.runs[-1].member
+    assert context.member != context.platform.group.primary
+
+
+@when("the failure domain of that replica is evacuated and the limit has passed")
+def replica_evacuated(context: Context) -> None:
+    """Evacuate where the transaction is open."""
+    domains = context.platform.group.domain_by_member
+    is_evacuated(context, domains[context.member])
+
+
+@then('the next read is refused as "{code}" and runs nowhere')
+def next_read_refused(context: Context, code: str) -> None:
+    """Continue the open transaction."""
+    answer = context.platform.query(context.caller, "READ second")
+    assert answer[0].startswith(f"ERR {code} "), answer
+    assert not any(run.text == "READ second" for run in context.platform.group.runs)
+
+
 @when('"{domain}" is evacuated and the limit has passed')
 @when("{domain:w} is evacuated and the limit has passed")
 def is_evacuated(context: Context, domain: str) -> None:
