Admit statements to members by the priority of their routes

Under a burst of the least urgent statements an instance refused the most urgent ones beside them: the queue of a pool was served by workspace, the priority decided ties only, and a waiting statement was never displaced. Together the pool hosts of a group also sent a member all that its own queue holds, so statements of all kinds waited there in the order of arrival, and the member refused more.

With SessionProxySettings.admits_by_priority, waiting requests are ordered by priority, then by whether they can still meet their latency target, then by workspace. A more urgent statement displaces those that can no longer be served in time; they are refused at once as not run, with a time to come back that grows with the priority number. The limit of the statements in progress at a member starts at this host's part of two for each slot and follows refusals and the slowdown of the member's answers. Transactions wait for room as well.

The simulated member counted statements that it refused as answered; it no longer does, which makes the existing check of the goodput stricter.

Deployments without the setting use the earlier queue.

--- a/features/fakes/slotted_member.py
+++ b/features/fakes/slotted_member.py
@@ -1,5 +1,7 @@
 """Discrete simulation of a member with slots, and of the callers of its pools."""
 
+from collections import Counter
+from collections.abc import Sequence
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -35,9 +37,17 @@
         Number of slots of the member.
     limits : ConnectionLimits
         Limits of each pool.
+    admits_by_priority : bool
+        Whether the pools serve waiting requests by priority.
     """
 
-    def __init__(self, pools: int, slots: int, limits: ConnectionLimits) -> None:
+    def __init__(
+        self,
+        pools: int,
+        slots: int,
+        limits: ConnectionLimits,
+        admits_by_priority: bool = False,
+    ) -> None:
         self.now = 0.0
         self.answered = self.rejected = 0
         self.waits: list[float] = []
@@ -50,11 +60,19 @@
         self._events: list[tuple[float, int, object]] = []
         self._order = count()
         self._waiting: list[tuple[int, ConnectionRequest, float, object]] = []
+        self.refused_by_workspace: Counter[str] = Counter()
+        self._admits_by_priority = admits_by_priority
+        # Requests by priority and by whether they were granted or refused.
+        self.count_by_result: Counter[tuple[int, str]] = Counter()
         self.pools = [self._make_pool(number, limits) for number in range(pools)]
 
     def _make_pool(self, number: int, limits: ConnectionLimits) -> ConnectionPools:
         pools = ConnectionPools(
-            _NurseryOf(self, number), lambda: None, None, self._offer
+            _NurseryOf(self, number),
+            lambda: None,
+            None,
+            self._offer,
+            self._admits_by_priority,
         )
         listing = MemberListing(
             MEMBER, "g", "127.0.0.1:1", "z1", self._slots, False, True
@@ -67,7 +85,9 @@
         request.reply_to.send_nowait(connection)
         return True
 
-    def send(self, number: int, workspace: str, single: bool = True) -> None:
+    def send(
+        self, number: int, workspace: str, single: bool = True, priority: int = 1
+    ) -> None:
         """Request a connection at one of the pools."""
         send, receive = open_memory_channel(1)
         request = ConnectionRequest(
@@ -78,7 +98,7 @@
             1.0,
             None,
             frozenset(),
-            1,
+            priority,
             self.now + MAX_WAIT_S,
             single,
             send,
@@ -98,13 +118,18 @@
                 left.append(item)
                 continue
             self.waits.append(self.now - asked_at)
+            result = "refused" if isinstance(answer, Refusal) else "granted"
+            self.count_by_result[request.priority, result] += 1
             if isinstance(answer, Refusal):
+                self.refused_by_workspace[request.workspace] += 1
                 if self.now == asked_at:
                     self.refused_at_once[request.workspace] = answer
                 continue
             self.granted.append((number, request, answer.id))
             if request.is_single_statement:
-                self._arrive(WORK_S, lambda ran, n=number, a=answer: self._end(n, a))
+                self._arrive(
+                    WORK_S, lambda ran, n=number, a=answer: self._end(n, a, ran)
+                )
         self._waiting = left
 
     def open(self, number: int, connection: int) -> None:
@@ -138,6 +163,8 @@
 
     def _end(self, number: int, connection, ran: bool = True) -> None:
         self.answered += ran
+        if not ran:
+            self.pools[number].handle_busy(MEMBER, self.now)
         self.release(number, connection.id)
 
     def release(self, number: int, connection: int) -> None:
@@ -165,9 +192,31 @@
             workspace = random.randrange(workspaces)
             number = workspace % len(self.pools)
             self._at(time, lambda n=number, w=f"w{workspace}": self.send(n, w))
+        self.add_sweeps(seconds)
+        self.run(seconds)
+
+    def add_load(
+        self,
+        workspaces: Sequence[str],
+        priority: int,
+        per_s: float,
+        seconds: float,
+        random: Random,
+    ) -> None:
+        """Plan statements of one priority at random times; ``run`` plays them."""
+        time = 0.0
+        while (time := time + random.expovariate(per_s)) < seconds:
+            workspace = random.choice(workspaces)
+            number = sum(workspace.encode()) % len(self.pools)
+            self._at(
+                time,
+                lambda n=number, w=workspace: self.send(n, w, priority=priority),
+            )
+
+    def add_sweeps(self, seconds: float) -> None:
+        """Plan the checks of the pools for requests whose time has expired."""
         for sweep in range(int(seconds / SWEEP_S)):
             self._at(SWEEP_S * sweep, self._sweep)
-        self.run(seconds)
 
     def _sweep(self) -> None:
         for pools in self.pools:
--- /dev/null
+++ b/src/jackdawspread/decisions/members/priority_admission.py
@@ -0,0 +1,155 @@
+"""Admission of statements to a member by the priority of their routes.
+
+A member serves its queue in the order of arrival. So an instance sends it only what it
+runs soon, and what waits for room is ordered here: a more urgent statement goes first
+and displaces less urgent ones that can then no longer be served in time.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from jackdawspread.decisions.members.admission_order import (
+    admission_order,
+    count_passed_over,
+)
+from jackdawspread.decisions.members.member_concurrency import (
+    MemberConcurrency,
+    complete_statement,
+    initial_concurrency,
+    reject_statement,
+)
+from jackdawspread.decisions.members.statement_in_progress import StatementInProgress
+from jackdawspread.decisions.members.waiting_refusal import (
+    DISPLACED,
+    NO_ROOM,
+    WaitingRefusal,
+)
+from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+
+# Room that an open transaction occupies, as it pauses between its statements.
+TRANSACTION_ROOM = 0.5
+# Part of the limit that open transactions occupy at most. Callers may rest inside a
+# transaction, and must not keep single statements from the member.
+MAX_TRANSACTION_FRACTION = 0.5
+# Weight of the newest statement in the mean duration.
+DURATION_WEIGHT = 0.1
+INITIAL_DURATION_S = 0.02
+
+
+class PriorityAdmission(NamedTuple):
+    """What an instance has in progress at a member, and the limit for it.
+
+    Parameters
+    ----------
+    concurrency : MemberConcurrency
+        Limit of the statements in progress.
+    statement_by_lease : dict
+        Statements and transactions in progress.
+    passed_over_by_priority : dict
+        How often a waiting priority was passed over since it was last served.
+    duration_s : float
+        Moving average of the time in seconds for which a statement keeps its room.
+    """
+
+    concurrency: MemberConcurrency
+    statement_by_lease: dict[int, StatementInProgress] = {}
+    passed_over_by_priority: dict[int, int] = {}
+    duration_s: float = INITIAL_DURATION_S
+
+
+def make_priority_admission(slots: int) -> PriorityAdmission:
+    """Return the state for a member to which nothing was sent yet."""
+    return PriorityAdmission(initial_concurrency(slots))
+
+
+def free_room(state: PriorityAdmission) -> int:
+    """Return how many requests may be sent to the member now."""
+    limit = state.concurrency.limit
+    running = sum(
+        statement.is_single_statement for statement in state.statement_by_lease.values()
+    )
+    transactions = len(state.statement_by_lease) - running
+    occupied = min(TRANSACTION_ROOM * transactions, MAX_TRANSACTION_FRACTION * limit)
+    return max(0, int(limit - running - occupied))
+
+
+def begin_request(
+    state: PriorityAdmission,
+    lease: int,
+    request: ConnectionRequest,
+    waiting: Sequence[ConnectionRequest],
+    now: float,
+) -> PriorityAdmission:
+    """Return the state after a request has got its connection."""
+    statement = StatementInProgress(now, request.priority, request.is_single_statement)
+    return state._replace(
+        statement_by_lease={**state.statement_by_lease, lease: statement},
+        passed_over_by_priority=count_passed_over(
+            state.passed_over_by_priority, request, waiting
+        ),
+    )
+
+
+def end_request(
+    state: PriorityAdmission, lease: int, slots: int, others_wait: bool, now: float
+) -> PriorityAdmission:
+    """Return the state after a connection was returned."""
+    statement = state.statement_by_lease.get(lease)
+    if statement is None:
+        return state
+    rest = {id: other for id, other in state.statement_by_lease.items() if id != lease}
+    state = state._replace(statement_by_lease=rest)
+    if not statement.is_single_statement:
+        return state
+    took_s = now - statement.started_at
+    change_s = DURATION_WEIGHT * (took_s - state.duration_s)
+    return state._replace(
+        duration_s=state.duration_s + change_s,
+        concurrency=complete_statement(
+            state.concurrency, statement.priority, took_s, slots, others_wait, now
+        ),
+    )
+
+
+def refuse_by_member(state: PriorityAdmission, now: float) -> PriorityAdmission:
+    """Return the state after the member refused a statement or was unreachable."""
+    return state._replace(concurrency=reject_statement(state.concurrency, now))
+
+
+def order_waiting(
+    state: PriorityAdmission,
+    waiting: Sequence[ConnectionRequest],
+    in_use_by_workspace: Mapping[str, int],
+    now: float,
+) -> list[ConnectionRequest]:
+    """Return the waiting requests in the order in which they get room."""
+    return admission_order(
+        waiting,
+        in_use_by_workspace,
+        state.passed_over_by_priority,
+        now + state.duration_s,
+    )
+
+
+def refuse_waiting(
+    state: PriorityAdmission,
+    waiting: Sequence[ConnectionRequest],
+    newest: ConnectionRequest,
+    in_use_by_workspace: Mapping[str, int],
+    now: float,
+) -> list[WaitingRefusal]:
+    """Return the requests that can't get room in time once ``newest`` waits too."""
+    ordered = order_waiting(state, [*waiting, newest], in_use_by_workspace, now)
+    step_s = state.duration_s / state.concurrency.limit
+    ahead = -free_room(state)
+    refusals = []
+    for request in ordered:
+        wait_s = max(0, ahead + 1) * step_s
+        if now + wait_s <= request.expires_at:
+            ahead += 1
+            continue
+        reason = NO_ROOM if request is newest else DISPLACED
+        # Less urgent callers come back later, so that the more urgent ones find room.
+        retry_after_s = wait_s * (1 + max(0, request.priority))
+        refusals.append(WaitingRefusal(request, reason, wait_s, retry_after_s))
+    return refusals
--- a/src/jackdawspread/decisions/sessions/operation.py
+++ b/src/jackdawspread/decisions/sessions/operation.py
@@ -1,5 +1,6 @@
 """Admitted operation of a caller."""
 
+from math import inf
 from typing import NamedTuple
 
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
@@ -18,9 +19,12 @@
         Monotonic time in seconds at which the statement times out.
     connection_deadline : float
         Monotonic time in seconds until which it may wait for a member connection.
+    target_at : float
+        Monotonic time in seconds up to which its answer is within the latency target.
     """
 
     admitted: OperationAdmitted
     request_id: str
     deadline: float
     connection_deadline: float
+    target_at: float = inf
--- a/src/jackdawspread/messages/fleet/router_event.py
+++ b/src/jackdawspread/messages/fleet/router_event.py
@@ -7,6 +7,7 @@
 from jackdawspread.messages.fleet.evacuations_seen import EvacuationsSeen
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
+from jackdawspread.messages.fleet.member_busy import MemberBusy
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
@@ -23,6 +24,7 @@
     | PeersSeen
     | LeadershipRefused
     | LeaseReturned
+    | MemberBusy
     | MemberUnreachable
     | MembersSeen
     | PositionSeen
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -170,6 +170,7 @@
             self._router,
             self._failover,
             self._members,
+            settings.admits_by_priority,
         )
         admission = AdmissionTask(
             settings.max_configuration_age_s,
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -62,6 +62,16 @@
     "Requests for a member connection by the instance that serves them.",
     ("place",),
 )
+MEMBER_ADMISSIONS = Counter(
+    "jackdawspread_member_admissions",
+    "Requests for a member connection by what became of them and by priority.",
+    ("result", "priority"),
+)
+MEMBER_CONCURRENCY_LIMIT = Gauge(
+    "jackdawspread_member_concurrency_limit",
+    "Statements that this instance may have in progress at a member.",
+    ("member",),
+)
 UNEXPECTED_ERRORS = Counter(
     "jackdawspread_unexpected_errors",
     "Sessions and connections that an unexpected error has ended, by part.",
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -3,23 +3,26 @@
 from collections.abc import Callable
 from itertools import count
 
-from absl import logging
-from trio import BrokenResourceError, MemorySendChannel, Nursery
+from trio import MemorySendChannel, Nursery
 
 from jackdawspread.decisions.members.connection_limits import ConnectionLimits
-from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.router_event import RouterEvent
-from jackdawspread.messages.refusal import Refusal
 from jackdawspread.tasks.fleet.fleet_metrics import MEMBER_CONNECTIONS
 from jackdawspread.tasks.members.member_codec import MemberCodec
 from jackdawspread.tasks.members.member_connection import MemberConnection
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
+from jackdawspread.tasks.members.refuse_request import (
+    count_admission,
+    log_refusal,
+    refuse,
+    refuse_waiting_request,
+)
 
 LeaseOffer = Callable[[ConnectionRequest, MemberPool, PooledConnection], bool]
 
@@ -28,7 +31,6 @@
 CONNECTION_LIMIT_BACKOFF_S = 0.2
 # Codes with which a member refuses a connection; other errors are texts of any kind.
 REFUSAL_CODES = frozenset(("toomany", "misrouted", "busy"))
-STEP = "pool"
 
 
 class ConnectionPools:
@@ -46,6 +48,8 @@
         Inbox of the router, to which the connections report.
     offer_lease : callable
         Offers a connection to a request; returns whether it was accepted.
+    admits_by_priority : bool
+        Whether waiting requests are served by the priority of their routes.
     """
 
     def __init__(
@@ -54,11 +58,13 @@
         make_codec: Callable[[], MemberCodec],
         router: MemorySendChannel[RouterEvent],
         offer_lease: LeaseOffer,
+        admits_by_priority: bool = False,
     ) -> None:
         self._nursery = nursery
         self._make_codec = make_codec
         self._router = router
         self._offer_lease = offer_lease
+        self._admits_by_priority = admits_by_priority
         self._ids = count(1)
         self.pool_by_member: dict[str, MemberPool] = {}
         # Leased connections to members that are no longer in the list.
@@ -81,7 +87,9 @@
                 pool.listing = listing
         for member, listing in listing_by_id.items():
             if member not in self.pool_by_member:
-                self.pool_by_member[member] = MemberPool(listing)
+                self.pool_by_member[member] = MemberPool(
+                    listing, self._admits_by_priority
+                )
 
     def cut_off(self, failure_domains: set[str]) -> None:
         """Close all connections to the members of evacuated failure domains.
@@ -105,19 +113,27 @@
     def request(self, member: str, request: ConnectionRequest, now: float) -> None:
         """Lease a connection to a member as soon as one is free.
 
-        A statement that would not get its turn in time is refused at once, with the
-        time after which the queue is expected to be shorter.
+        A request that would not get its turn in time is refused at once, with the
+        time after which the queue is expected to be shorter. With admission by priority
+        this includes waiting requests that the new one displaces.
         """
         pool = self.pool_by_member[member]
-        wait_s = pool.expected_wait_s(request)
-        if now + wait_s > request.expires_at:
-            waiting = len(pool.waiting)
-            detail = f"{waiting} statements wait, expected wait {1000 * wait_s:.0f} ms"
-            refuse(request, "busy", detail, member, round(1000 * wait_s))
-            return
+        refusals = pool.refuse_unservable(request, now)
+        waiting = len(pool.waiting)
         pool.waiting.append(request)
+        for refusal in refusals:
+            pool.waiting.remove(refusal.request)
+            refuse_waiting_request(refusal, waiting, member)
+            if self._admits_by_priority:
+                log_refusal(refusal, waiting, member)
         self._serve(pool, now)
 
+    def handle_busy(self, member: str, now: float) -> None:
+        """Send a member less that refused a statement because its queue was full."""
+        pool = self.pool_by_member.get(member)
+        if pool is not None:
+            pool.handle_rejection(now)
+
     def handle_opened(self, event: ConnectionOpened, now: float) -> str:
         """Add a new connection to its pool; return the error text of a failed one."""
         result = event.error if event.error in REFUSAL_CODES else "unreachable"
@@ -163,10 +179,11 @@
             pool.idle = [c for c in pool.idle if c.id != event.connection]
             self._serve(pool, now)
 
-    def drop_idle(self, member: str) -> None:
+    def drop_idle(self, member: str, now: float) -> None:
         """Close the idle connections of an unreachable member."""
         pool = self.pool_by_member.get(member)
         if pool is not None:
+            pool.handle_rejection(now)
             for connection in pool.idle:
                 _close(connection)
             pool.idle = []
@@ -178,6 +195,7 @@
             pool.waiting = [r for r in pool.waiting if r.expires_at > now]
             for request in expired:
                 refuse(request, "busy", "every connection to the member is in use")
+                count_admission("expired", request)
             if pool.waiting:
                 self._serve(pool, now)
 
@@ -188,7 +206,7 @@
         _close_excess(pool)
 
     def _open_for_waiting(self, pool: MemberPool, now: float) -> None:
-        while (request := pool.next_waiter()) is not None:
+        while (request := pool.next_waiter(now)) is not None:
             if pool.size >= pool.limits.open or now < pool.connection_limit_until:
                 oldest = pool.take_oldest_idle()
                 if oldest is None:
@@ -199,9 +217,10 @@
     def _lease(
         self, pool: MemberPool, connection: PooledConnection, now: float
     ) -> None:
-        while (request := pool.take_waiter(connection.workspace)) is not None:
+        while (request := pool.take_waiter(connection.workspace, now)) is not None:
             if self._offer_lease(request, pool, connection):
                 pool.lease(connection, request, now)
+                count_admission("admitted", request)
                 return
 
     def _open(self, pool: MemberPool, workspace: str) -> None:
@@ -215,11 +234,13 @@
     def _handle_failed_connection(
         self, pool: MemberPool, workspace: str, event: ConnectionOpened, now: float
     ) -> None:
+        if event.error == "busy":
+            pool.handle_rejection(now)
         if event.error == "toomany":
             pool.connection_limit_until = now + CONNECTION_LIMIT_BACKOFF_S
             if pool.size > 0:
                 return
-        request = pool.take_waiter(workspace)
+        request = pool.take_waiter(workspace, now)
         if request is not None:
             refuse(request, "unreachable", event.error, pool.listing.id)
 
@@ -232,22 +253,6 @@
             refuse(request, "unreachable", reason, pool.listing.id)
 
 
-def refuse(
-    request: ConnectionRequest,
-    code: str,
-    detail: str,
-    member: str = "",
-    retry_after_ms: int = 0,
-) -> None:
-    """Refuse a request for a connection; nothing has run for it."""
-    try:
-        request.reply_to.send_nowait(
-            Refusal(code, ExecutionStatus.NOT_RUN, STEP, member, detail, retry_after_ms)
-        )
-    except BrokenResourceError:
-        logging.vlog(1, "pool: the request for a connection was cancelled")
-
-
 def _close_excess(pool: MemberPool) -> None:
     """Close the idle connections above the limit, so that others can be opened."""
     while len(pool.idle) > pool.limits.idle:
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -2,17 +2,27 @@
 
 from collections import Counter
 
+from absl import logging
+
 from jackdawspread.decisions.members.connection_limits import ConnectionLimits
-from jackdawspread.decisions.members.next_waiter import next_waiter
-from jackdawspread.decisions.members.statement_queue import (
-    StatementQueue,
-    end_statement,
-    expected_wait_s,
-    start_statement,
-    statement_limit,
+from jackdawspread.decisions.members.priority_admission import (
+    make_priority_admission,
+)
+from jackdawspread.decisions.members.statement_admission import (
+    StatementAdmission,
+    admissible_requests,
+    choose_request,
+    concurrency_limit,
+    lease_ended,
+    lease_started,
+    member_rejected,
+    refuse_unservable,
 )
+from jackdawspread.decisions.members.statement_queue import StatementQueue
+from jackdawspread.decisions.members.waiting_refusal import WaitingRefusal
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.tasks.fleet.fleet_metrics import MEMBER_CONCURRENCY_LIMIT
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
 
 
@@ -26,9 +36,13 @@
     ----------
     listing : MemberListing
         The member.
+    admits_by_priority : bool
+        Whether waiting requests are served by the priority of their routes.
     """
 
-    def __init__(self, listing: MemberListing) -> None:
+    def __init__(
+        self, listing: MemberListing, admits_by_priority: bool = False
+    ) -> None:
         self.listing = listing
         self.idle: list[PooledConnection] = []
         self.leased_by_id: dict[int, PooledConnection] = {}
@@ -36,7 +50,10 @@
         self.waiting: list[ConnectionRequest] = []
         self.limits = ConnectionLimits(open=1, idle=1)
         self.connection_limit_until = 0.0
-        self._statements = StatementQueue()
+        self._statements: StatementAdmission = StatementQueue()
+        if admits_by_priority:
+            self._statements = make_priority_admission(listing.slots)
+        self._reported_limit = concurrency_limit(self._statements, listing.slots)
 
     @property
     def size(self) -> int:
@@ -53,24 +70,35 @@
         """Move an idle connection to the leased ones."""
         self.idle.remove(connection)
         self.leased_by_id[connection.id] = connection
-        if request.is_single_statement:
-            self._statements = start_statement(self._statements, connection.id, now)
+        self._statements = lease_started(
+            self._statements, connection.id, request, self.waiting, now
+        )
 
     def take_leased(self, id: int, now: float) -> PooledConnection | None:
         """Remove and return a leased connection."""
-        self._statements = end_statement(self._statements, id, now)
+        others_wait = bool(self.waiting)
+        self._statements = lease_ended(
+            self._statements, id, self.listing.slots, others_wait, now
+        )
+        self._report_limit()
         return self.leased_by_id.pop(id, None)
 
-    def expected_wait_s(self, request: ConnectionRequest) -> float:
-        """Return the seconds for which a new request would wait for its turn."""
-        if not request.is_single_statement:
-            return 0.0
-        return expected_wait_s(
+    def handle_rejection(self, now: float) -> None:
+        """Send the member less after it refused a statement or was unreachable."""
+        self._statements = member_rejected(self._statements, now)
+        self._report_limit()
+
+    def refuse_unservable(
+        self, newest: ConnectionRequest, now: float
+    ) -> list[WaitingRefusal]:
+        """Return the requests that can't be served in time beside the newest one."""
+        return refuse_unservable(
             self._statements,
             self.listing.slots,
-            request,
             self.waiting,
+            newest,
             self._in_use(),
+            now,
         )
 
     def has_idle(self, workspace: str) -> bool:
@@ -87,43 +115,61 @@
         """Remove and return the least recently used idle connection."""
         return self.idle.pop(0) if self.idle else None
 
-    def take_waiter(self, workspace: str) -> ConnectionRequest | None:
+    def take_waiter(self, workspace: str, now: float) -> ConnectionRequest | None:
         """Remove and return the next waiting request of a workspace."""
-        free = self._free_statements()
         own = [
             request
-            for request in self.waiting
+            for request in self._admissible(0, now)
             if request.workspace == workspace
-            and (free > 0 or not request.is_single_statement)
         ]
-        return self._take(own)
+        if not own:
+            return None
+        request = choose_request(self._statements, own, self._in_use())
+        self.waiting.remove(request)
+        return request
 
-    def next_waiter(self) -> ConnectionRequest | None:
+    def next_waiter(self, now: float) -> ConnectionRequest | None:
         """Return the next request that needs a new connection, without removing it.
 
         Requests for which a connection is already being opened are skipped.
         """
         pending = Counter(self.workspace_by_pending_connection.values())
-        free = self._free_statements() - pending.total()
-        left = []
+        admissible = self._admissible(pending.total(), now)
         for request in self.waiting:
             if pending[request.workspace] > 0:
                 pending[request.workspace] -= 1
-            elif free > 0 or not request.is_single_statement:
-                left.append(request)
-        return next_waiter(left, self._in_use()) if left else None
+                if request in admissible:
+                    admissible.remove(request)
+        if not admissible:
+            return None
+        return choose_request(self._statements, admissible, self._in_use())
 
-    def _free_statements(self) -> int:
-        """Return how many single statements may be sent to the member now."""
-        running = len(self._statements.started_at_by_lease)
-        return statement_limit(self.listing.slots) - running
+    def _admissible(
+        self, pending_connections: int, now: float
+    ) -> list[ConnectionRequest]:
+        """Return the waiting requests that the member may be sent now."""
+        return admissible_requests(
+            self._statements,
+            self.listing.slots,
+            self.waiting,
+            self._in_use(),
+            pending_connections,
+            now,
+        )
 
-    def _take(self, requests: list[ConnectionRequest]) -> ConnectionRequest | None:
-        if not requests:
-            return None
-        request = next_waiter(requests, self._in_use())
-        self.waiting.remove(request)
-        return request
+    def _report_limit(self) -> None:
+        """Log and count a change of the limit; a fixed limit never changes."""
+        limit = concurrency_limit(self._statements, self.listing.slots)
+        if limit == self._reported_limit:
+            return
+        logging.info(
+            "pool: limit changed member=%s limit=%d previous=%d",
+            self.listing.id,
+            limit,
+            self._reported_limit,
+        )
+        self._reported_limit = limit
+        MEMBER_CONCURRENCY_LIMIT.labels(self.listing.id).set(limit)
 
     def _in_use(self) -> Counter[str]:
         return Counter(c.workspace for c in self.leased_by_id.values())
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -43,6 +43,7 @@
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
+from jackdawspread.messages.fleet.member_busy import MemberBusy
 from jackdawspread.messages.fleet.member_group import MemberGroup
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_observation import MemberObservation
@@ -56,13 +57,14 @@
 from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.tasks.boot_clock import seconds_since_boot
-from jackdawspread.tasks.members.connection_pools import ConnectionPools, refuse
+from jackdawspread.tasks.members.connection_pools import ConnectionPools
 from jackdawspread.tasks.members.evacuation_schedule import EvacuationSchedule
 from jackdawspread.tasks.members.group_monitor import GroupMonitor
 from jackdawspread.tasks.members.member_codec import MemberCodec
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
 from jackdawspread.tasks.members.refusal_log import RefusalLog
+from jackdawspread.tasks.members.refuse_request import refuse
 
 # Requests that wait for a member are retried this often.
 RETRY_WAITING_INTERVAL_S = 0.05
@@ -89,6 +91,8 @@
         Receives failover triggers.
     refresh : trio.MemorySendChannel
         Receives requests for a newer list of members.
+    admits_by_priority : bool
+        Whether statements compete for members by the priority of their routes.
     """
 
     def __init__(
@@ -102,6 +106,7 @@
         router: MemorySendChannel[RouterEvent],
         failover: MemorySendChannel[FailoverTrigger],
         refresh: MemorySendChannel[RefreshMembers],
+        admits_by_priority: bool = False,
     ) -> None:
         self._instance = instance
         self._failure_domain = failure_domain
@@ -110,6 +115,7 @@
         self._make_codec = make_codec
         self._inbox = inbox
         self._router = router
+        self._admits_by_priority = admits_by_priority
         self._group_monitor = GroupMonitor(failover, refresh)
         self._group_by_name: dict[str, MemberGroup] = {}
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
@@ -123,7 +129,11 @@
         """Handle events until cancelled."""
         async with open_nursery() as connections:
             self._pools = ConnectionPools(
-                connections, self._make_codec, self._router, self._offer_lease
+                connections,
+                self._make_codec,
+                self._router,
+                self._offer_lease,
+                self._admits_by_priority,
             )
             while True:
                 waiting = self._pools.has_waiting or any(
@@ -183,6 +193,10 @@
     def _(self, event: ConnectionClosed, now: float) -> None:
         self._pools.handle_closed(event, now)
 
+    @_handle.register
+    def _(self, event: MemberBusy, now: float) -> None:
+        self._pools.handle_busy(event.member, now)
+
     @_handle.register(PositionSeen)
     @_handle.register(LeadershipRefused)
     @_handle.register(ReplicaLagged)
@@ -222,7 +236,7 @@
     def _handle_observation(self, event: MemberObservation, now: float) -> None:
         self._group_monitor.handle_observation(event, now)
         if isinstance(event, MemberUnreachable) and not event.write_timed_out:
-            self._pools.drop_idle(event.member)
+            self._pools.drop_idle(event.member, now)
 
     def _assign_or_queue(self, request: ConnectionRequest, now: float) -> None:
         if request.expires_at <= now:
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -90,6 +90,7 @@
             is_single_statement=is_single_statement,
             reply_to=send,
             allowed_regions=operation.admitted.allowed_regions,
+            target_at=operation.target_at,
         )
         try:
             self._broker.send_nowait(request)
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -233,6 +233,7 @@
             request.id,
             now + route.statement_timeout_s,
             now + connection_wait_s(route),
+            now + route.latency_target_s,
         )
 
     async def _admit(self, consume_token: bool) -> OperationAdmitted | Refusal:
