Give out rate tokens by priority in a workspace beyond its rate

A workspace at five times its rate got its tokens in the order of arrival, so its urgent operations were refused as often as the least urgent ones. With admits_by_priority an operation leaves a tenth of the burst for each more urgent priority, and a priority that was passed over nine times gets the next token. No token is given out earlier than before, so the bound on every window stands. The request of a token carries the priority; fields with their default are left out of datagrams, so instances without admission by priority send the bytes that they sent before.

--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -31,14 +31,24 @@
     4: MembersRelayed,
     5: ConfigurationConfirmed,
 }
+_NO_DEFAULT = object()
 KIND_BY_TYPE = {type: kind for kind, type in TYPE_BY_KIND.items()}
 # Longer messages are not sent; their receivers ask the store.
 MAX_DATAGRAM_BYTES = 32 * 1024
 
 
 def encode_datagram(message: PeerDatagram) -> bytes:
-    """Encode a message as a datagram."""
-    return encode((FORMAT, KIND_BY_TYPE[type(message)], *message))
+    """Encode a message as a datagram.
+
+    Fields at the end that have their default are left out, so that an instance of a
+    version without them can read the datagram.
+    """
+    fields: list[Any] = list(message)
+    for name in reversed(message._fields):
+        if message._field_defaults.get(name, _NO_DEFAULT) != fields[-1]:
+            break
+        fields.pop()
+    return encode((FORMAT, KIND_BY_TYPE[type(message)], *fields))
 
 
 def decode_datagram(data: bytes) -> PeerDatagram | None:
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -176,6 +176,7 @@
             settings.max_configuration_age_s,
             self._admission_inbox,
             self._peers,
+            settings.admits_by_priority,
         )
         broker = LeaseBroker(
             self._instance_id,
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -63,6 +63,8 @@
         other instances.
     peers : trio.MemorySendChannel
         Inbox of the peers task.
+    admits_by_priority : bool
+        Whether operations of a workspace beyond its rate get tokens by priority.
     """
 
     def __init__(
@@ -70,10 +72,12 @@
         max_age_s: float,
         inbox: MemoryReceiveChannel[AdmissionEvent],
         peers: MemorySendChannel[PeerEvent],
+        admits_by_priority: bool = False,
     ) -> None:
         self._max_age_s = max_age_s
         self._inbox = inbox
         self._peers = peers
+        self._admits_by_priority = admits_by_priority
         self._token_requests = TokenRequests(peers, round(1000 * seconds_since_boot()))
         self._configuration: FleetConfiguration | None = None
         self._confirmed_at = 0.0
@@ -100,9 +104,10 @@
             return
         checked = self._check(event)
         limited = self._limited_workspace(event, checked)
-        if limited and not self._buckets.spend(limited, now):
-            wait_s = self._buckets.wait_s(limited, now)
-            if not self._token_requests.start(event, limited, wait_s, now):
+        priority = self._token_priority(checked)
+        if limited and not self._buckets.spend(limited, now, priority):
+            wait_s = self._buckets.wait_s(limited, now, priority)
+            if not self._token_requests.start(event, limited, wait_s, now, priority):
                 self._refuse_rate(event, limited, wait_s)
             return
         send_admission_reply(event, checked)
@@ -155,8 +160,8 @@
     @_handle.register
     def _(self, event: TokenRequested) -> None:
         now, request = current_time(), event.request
-        granted = self._buckets.spend(request.workspace, now)
-        wait_s = self._buckets.wait_s(request.workspace, now)
+        granted = self._buckets.spend(request.workspace, now, request.priority)
+        wait_s = self._buckets.wait_s(request.workspace, now, request.priority)
         reply = TokenReply(request.id, granted, round(1000 * wait_s))
         try:
             self._peers.send_nowait(SendDatagram(reply, event.peer))
@@ -199,6 +204,11 @@
         limited = checked.workspace in self._buckets.limit_by_workspace
         return checked.workspace if limited else ""
 
+    def _token_priority(self, checked: OperationAdmitted | Refusal) -> int:
+        if not self._admits_by_priority or isinstance(checked, Refusal):
+            return 0
+        return checked.route.priority
+
     def _answer_waiting(self) -> None:
         """Handle the waiting requests again after an update."""
         waiting, self._waiting = self._waiting, []
--- a/src/jackdawspread/tasks/fleet/pending_token.py
+++ b/src/jackdawspread/tasks/fleet/pending_token.py
@@ -21,6 +21,8 @@
         Monotonic time in seconds until which the last one may reply.
     wait_s : float
         Shortest time in seconds until a holder has the next token.
+    priority : int
+        Priority by which the holders give out tokens.
     """
 
     request: AdmissionRequest | ColdTokenRequest
@@ -28,3 +30,4 @@
     asked: tuple[str, ...]
     reply_by: float
     wait_s: float
+    priority: int = 0
--- a/src/jackdawspread/tasks/fleet/rate_buckets.py
+++ b/src/jackdawspread/tasks/fleet/rate_buckets.py
@@ -2,6 +2,12 @@
 
 from jackdawspread.decisions.members.cold_members import cold_limit
 from jackdawspread.decisions.rate_leases.scale_limit import scale_limit
+from jackdawspread.decisions.rate_leases.token_priority import (
+    TokenTurns,
+    count_turn,
+    may_take_token,
+    reserved_tokens,
+)
 from jackdawspread.decisions.rates.rate_bucket import RateBucket, refill, spend
 from jackdawspread.decisions.rates.rate_share import RateShare
 from jackdawspread.messages.fleet.member_group import MemberGroup
@@ -23,6 +29,7 @@
         # Groups whose cold members have a bucket each.
         self.group_by_name: dict[str, MemberGroup] = {}
         self._bucket_by_workspace: dict[str, RateBucket] = {}
+        self._turns_by_workspace: dict[str, TokenTurns] = {}
 
     @property
     def is_known(self) -> bool:
@@ -42,11 +49,20 @@
             return 0
         return self._held.leases
 
-    def spend(self, workspace: str, now: float) -> bool:
-        """Spend one token; return whether there was one."""
+    def spend(self, workspace: str, now: float, priority: int = 0) -> bool:
+        """Spend one token; return whether there was one for the priority."""
         if not self._is_leased(workspace):
             return False
-        bucket, taken = spend(self._refilled(workspace, now), 1)
+        bucket = self._refilled(workspace, now)
+        if priority and bucket.tokens >= 1:
+            turns = self._turns_by_workspace.get(workspace, TokenTurns())
+            share = self._share(workspace)
+            admitted = may_take_token(turns, share, bucket.tokens, priority)
+            turns = count_turn(turns, priority, admitted)
+            self._turns_by_workspace[workspace] = turns
+            if not admitted:
+                return False
+        bucket, taken = spend(bucket, 1)
         self._bucket_by_workspace[workspace] = bucket
         return bool(taken)
 
@@ -59,14 +75,15 @@
                 tokens=min(full, bucket.tokens + 1)
             )
 
-    def wait_s(self, workspace: str, now: float) -> float:
-        """Return the time in seconds until the next token is available here."""
+    def wait_s(self, workspace: str, now: float, priority: int = 0) -> float:
+        """Return the time in seconds until a token for the priority is here."""
         if not self._is_leased(workspace):
             return STARTUP_S
         share = self._share(workspace)
         if not share.rate:
             return STARTUP_S
-        return max(0.0, 1 - self._refilled(workspace, now).tokens) / share.rate
+        needed = 1 + reserved_tokens(share, priority)
+        return max(0.0, needed - self._refilled(workspace, now).tokens) / share.rate
 
     def _share(self, workspace: str) -> RateShare:
         limit = self._limit(workspace)
--- a/src/jackdawspread/tasks/fleet/token_requests.py
+++ b/src/jackdawspread/tasks/fleet/token_requests.py
@@ -54,13 +54,14 @@
         workspace: str,
         wait_s: float,
         now: float,
+        priority: int = 0,
     ) -> bool:
         """Ask the first holder; return whether there is one.
 
         ``wait_s`` is the time in seconds until this instance has a token of its own.
         """
         id = next(self._ids)
-        pending = PendingToken(request, workspace, (), now, wait_s)
+        pending = PendingToken(request, workspace, (), now, wait_s, priority)
         return self._ask_next(id, pending, now) is None
 
     def handle_reply(self, event: TokenReplied, now: float) -> PendingToken | None:
@@ -103,7 +104,7 @@
             self.holders, pending.asked, self._silent_until_by_holder, id, now
         )
         if holder:
-            request = TokenRequest(id, pending.workspace)
+            request = TokenRequest(id, pending.workspace, pending.priority)
             try:
                 self._peers.send_nowait(SendDatagram(request, holder))
             except WouldBlock:
