Keep a member's slots in use when it loses answers

A lost answer held its room until the timeout of its route, raised the mean duration and the slowdown, and every lost connection halved the limit, so hosts sent one statement at a time to a member with six slots.

A statement that takes four times the mean no longer occupies room, at most as many of them as the limit; one duration counts at most twice the mean and four times the floor; an unreachable member costs only what the limit exceeds its share.

--- a/features/admission_by_priority.feature
+++ b/features/admission_by_priority.feature
@@ -38,6 +38,18 @@
     Given an admission with a limit of 4 and 20 open transactions
     Then 2 single statements may still be sent
 
+  Scenario: Statements whose answers are lost don't occupy room until they time out
+    # Guards against slots that idle for a second after each lost answer.
+    Given an admission with a limit of 4 and 4 statements that began 1 s ago
+    Then 4 single statements may still be sent
+    But no more than that once 4 others have begun
+
+  Scenario: Lost connections don't take the share of a member that no other can replace
+    # Guards against a primary whose slots idle because it resets connections.
+    Given a member that 4 statements may use at a time
+    When it can't be reached 5 times
+    Then 3 statements may be in progress
+
   Scenario: A member that refuses statements gets fewer at once and more again slowly
     # Guards against a flapping member that gets its whole share back after one answer.
     Given a member that 3 statements may use at a time
@@ -54,3 +66,18 @@
     And it has answered 30 statements in 20 ms each
     When it answers 60 statements in 200 ms each while others wait
     Then 1 statement may be in progress
+
+  Scenario: A workspace beyond its rate keeps its tokens for its urgent operations
+    # Guards against urgent operations that are refused because the same workspace sends
+    # many less urgent ones, and against a kind of operation that gets no token at all.
+    Given a workspace with a rate of 40/s at a holder that gives tokens by priority
+    When it sends 15 operations of priority 0 and 150 of priority 2 a second for 10 s
+    Then under 0.01 of its operations of priority 0 get no token
+    And at least 0.03 of its operations of priority 2 get one
+    And it got at least 0.95 of its rate
+
+  Scenario: A workspace within its rate gets a token for every operation
+    # Guards against a reserve that refuses what the rate allows.
+    Given a workspace with a rate of 40/s at a holder that gives tokens by priority
+    When it sends 10 operations of priority 0 and 20 of priority 2 a second for 10 s
+    Then under 0.01 of its operations of priority 2 get no token
--- a/features/steps/admission_by_priority_steps.py
+++ b/features/steps/admission_by_priority_steps.py
@@ -1,5 +1,6 @@
 """Steps for admission by priority."""
 
+from collections import Counter
 from random import Random
 
 from behave import given, then, when
@@ -11,6 +12,7 @@
 from jackdawspread.decisions.members.member_concurrency import (
     MemberConcurrency,
     complete_statement,
+    lose_member,
     reject_statement,
 )
 from jackdawspread.decisions.members.priority_admission import (
@@ -21,8 +23,12 @@
 )
 from jackdawspread.decisions.members.statement_in_progress import StatementInProgress
 from jackdawspread.decisions.members.waiting_refusal import DISPLACED
+from jackdawspread.decisions.rate_leases.lease_writes import RATE_LEASES
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
+from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
+from jackdawspread.messages.fleet.workspace_limit import WorkspaceLimit
+from jackdawspread.tasks.fleet.rate_buckets import RateBuckets
 
 SEED = 11
 MEMBER_SLOTS = 6
@@ -177,10 +183,37 @@
     context.admission = PriorityAdmission(MemberConcurrency(float(limit)), running)
 
 
+@given(
+    "an admission with a limit of {limit:d} and {count:d} statements that began 1 s ago"
+)
+def lost_answers(context: Context, limit: int, count: int) -> None:
+    """Begin the statements."""
+    running = {id: StatementInProgress(-1.0, 1, True) for id in range(count)}
+    context.admission = PriorityAdmission(MemberConcurrency(float(limit)), running)
+
+
 @then("{count:d} single statements may still be sent")
 def room_left(context: Context, count: int) -> None:
     """Compare the free room."""
-    assert free_room(context.admission) == count, free_room(context.admission)
+    room = free_room(context.admission, 0.0)
+    assert room == count, room
+
+
+@then("no more than that once {count:d} others have begun")
+def no_more_room(context: Context, count: int) -> None:
+    """Begin them, so that twice the limit are in progress."""
+    newer = {100 + id: StatementInProgress(-0.9, 1, True) for id in range(count)}
+    admission = context.admission._replace(
+        statement_by_lease={**context.admission.statement_by_lease, **newer}
+    )
+    assert free_room(admission, 0.0) == 0, free_room(admission, 0.0)
+
+
+@when("it can't be reached {count:d} times")
+def lost(context: Context, count: int) -> None:
+    """Lose connections."""
+    for _ in range(count):
+        context.concurrency = lose_member(context.concurrency, MEMBER_SLOTS)
 
 
 @given("a member that {count:d} statements may use at a time")
@@ -230,3 +263,53 @@
 def limit_is(context: Context, count: int) -> None:
     """Compare the whole statements of the limit."""
     assert int(context.concurrency.limit) == count, context.concurrency.limit
+
+
+@given(
+    "a workspace with a rate of {rate:d}/s at a holder that gives tokens by priority"
+)
+def holder_of_tokens(context: Context, rate: int) -> None:
+    """Hold all leases of the workspace's rate."""
+    context.buckets = RateBuckets()
+    context.buckets.set_held(RateLeasesHeld(RATE_LEASES, float("inf"), ()))
+    limit = WorkspaceLimit("w", float(rate), float(rate))
+    context.buckets.limit_by_workspace = {"w": limit}
+    context.rate = rate
+
+
+@when(
+    "it sends {urgent:d} operations of priority 0 "
+    "and {others:d} of priority 2 a second for {seconds:d} s"
+)
+def sends_operations(context: Context, urgent: int, others: int, seconds: int) -> None:
+    """Send them at random times, and count those that got a token."""
+    random = Random(SEED)
+    context.count_by_result = Counter()
+    context.seconds, now = seconds, 0.0
+    while (now := now + random.expovariate(urgent + others)) < seconds:
+        priority = 0 if random.random() < urgent / (urgent + others) else 2
+        granted = context.buckets.spend("w", now, priority)
+        context.count_by_result[priority, granted] += 1
+
+
+@then("under {share:f} of its operations of priority {priority:d} get no token")
+def few_without_token(context: Context, share: float, priority: int) -> None:
+    """Compare with all operations of the priority."""
+    counts = context.count_by_result
+    refused, granted = counts[priority, False], counts[priority, True]
+    assert refused < share * (refused + granted), dict(counts)
+
+
+@then("at least {share:f} of its operations of priority {priority:d} get one")
+def some_with_token(context: Context, share: float, priority: int) -> None:
+    """Compare with all operations of the priority."""
+    counts = context.count_by_result
+    refused, granted = counts[priority, False], counts[priority, True]
+    assert granted >= share * (refused + granted), dict(counts)
+
+
+@then("it got at least {share:f} of its rate")
+def got_its_rate(context: Context, share: float) -> None:
+    """Tokens must not be left over while operations are refused."""
+    granted = sum(n for (_, token), n in context.count_by_result.items() if token)
+    assert granted >= share * context.rate * context.seconds, granted
--- a/src/jackdawspread/decisions/members/member_concurrency.py
+++ b/src/jackdawspread/decisions/members/member_concurrency.py
@@ -23,6 +23,10 @@
 # which it shrinks. Between the two the member is fully used and answers in time.
 GROWTH_SLOWDOWN = 2.0
 REDUCTION_SLOWDOWN = 2.5
+# Greatest multiples of the mean and of the floor that one statement counts. A lost
+# answer ends with the timeout of its route and says nothing about the member's queue.
+MAX_DURATION_FACTOR = 2
+MAX_SLOWDOWN = 4
 BUSY_FACTOR = 0.5
 SLOW_FACTOR = 0.8
 # Shares of the member that one instance uses at most, while others need less.
@@ -77,12 +81,13 @@
     about the member.
     """
     mean_s = state.mean_s_by_priority.get(priority, duration_s)
-    mean_s += DURATION_WEIGHT * (duration_s - mean_s)
+    mean_s = next_mean_s(mean_s, duration_s)
     floor_s = state.floor_s_by_priority.get(priority, mean_s)
     floor_s = min(mean_s, floor_s * (1 + FLOOR_GROWTH))
     slowdown = state.slowdown
     if floor_s > 0:
-        slowdown += DURATION_WEIGHT * (duration_s / floor_s - slowdown)
+        sample = min(MAX_SLOWDOWN, duration_s / floor_s)
+        slowdown += DURATION_WEIGHT * (sample - slowdown)
     state = state._replace(
         mean_s_by_priority={**state.mean_s_by_priority, priority: mean_s},
         floor_s_by_priority={**state.floor_s_by_priority, priority: floor_s},
@@ -97,8 +102,23 @@
     return state
 
 
+def next_mean_s(mean_s: float, duration_s: float) -> float:
+    """Return the mean duration in seconds after another statement."""
+    sample_s = min(duration_s, MAX_DURATION_FACTOR * mean_s)
+    return mean_s + DURATION_WEIGHT * (sample_s - mean_s)
+
+
+def lose_member(state: MemberConcurrency, slots: int) -> MemberConcurrency:
+    """Return the state after the member could not be reached.
+
+    It keeps its share: where only this member can serve, a lower limit would leave its
+    slots unused.
+    """
+    return state._replace(limit=min(state.limit, max(MIN_LIMIT, _share(slots))))
+
+
 def reject_statement(state: MemberConcurrency, now: float) -> MemberConcurrency:
-    """Return the state after the member refused a statement or could not be reached."""
+    """Return the state after the member refused a statement as its queue was full."""
     return _reduce(state, BUSY_FACTOR, MIN_LIMIT, now)
 
 
--- a/src/jackdawspread/decisions/members/priority_admission.py
+++ b/src/jackdawspread/decisions/members/priority_admission.py
@@ -16,6 +16,8 @@
     MemberConcurrency,
     complete_statement,
     initial_concurrency,
+    lose_member,
+    next_mean_s,
     reject_statement,
 )
 from jackdawspread.decisions.members.statement_in_progress import StatementInProgress
@@ -31,8 +33,10 @@
 # Part of the limit that open transactions occupy at most. Callers may rest inside a
 # transaction, and must not keep single statements from the member.
 MAX_TRANSACTION_FRACTION = 0.5
-# Weight of the newest statement in the mean duration.
-DURATION_WEIGHT = 0.1
+# A statement that takes longer than this multiple of the mean occupies no room any
+# more: its answer is probably lost, and the member has long ended it. No more than
+# the limit are left out in this way, as the member may also have stopped.
+OVERDUE_FACTOR = 4
 INITIAL_DURATION_S = 0.02
 
 
@@ -62,13 +66,18 @@
     return PriorityAdmission(initial_concurrency(slots))
 
 
-def free_room(state: PriorityAdmission) -> int:
+def free_room(state: PriorityAdmission, now: float) -> int:
     """Return how many requests may be sent to the member now."""
     limit = state.concurrency.limit
-    running = sum(
-        statement.is_single_statement for statement in state.statement_by_lease.values()
-    )
-    transactions = len(state.statement_by_lease) - running
+    overdue_before = now - OVERDUE_FACTOR * state.duration_s
+    started = [
+        statement.started_at
+        for statement in state.statement_by_lease.values()
+        if statement.is_single_statement
+    ]
+    overdue = sum(started_at < overdue_before for started_at in started)
+    running = len(started) - min(overdue, limit)
+    transactions = len(state.statement_by_lease) - len(started)
     occupied = min(TRANSACTION_ROOM * transactions, MAX_TRANSACTION_FRACTION * limit)
     return max(0, int(limit - running - occupied))
 
@@ -102,20 +111,24 @@
     if not statement.is_single_statement:
         return state
     took_s = now - statement.started_at
-    change_s = DURATION_WEIGHT * (took_s - state.duration_s)
     return state._replace(
-        duration_s=state.duration_s + change_s,
+        duration_s=next_mean_s(state.duration_s, took_s),
         concurrency=complete_statement(
             state.concurrency, statement.priority, took_s, slots, others_wait, now
         ),
     )
 
 
-def refuse_by_member(state: PriorityAdmission, now: float) -> PriorityAdmission:
-    """Return the state after the member refused a statement or was unreachable."""
+def reject_by_member(state: PriorityAdmission, now: float) -> PriorityAdmission:
+    """Return the state after the member refused a statement as its queue was full."""
     return state._replace(concurrency=reject_statement(state.concurrency, now))
 
 
+def lose_connection(state: PriorityAdmission, slots: int) -> PriorityAdmission:
+    """Return the state after the member could not be reached."""
+    return state._replace(concurrency=lose_member(state.concurrency, slots))
+
+
 def order_waiting(
     state: PriorityAdmission,
     waiting: Sequence[ConnectionRequest],
@@ -141,7 +154,7 @@
     """Return the requests that can't get room in time once ``newest`` waits too."""
     ordered = order_waiting(state, [*waiting, newest], in_use_by_workspace, now)
     step_s = state.duration_s / state.concurrency.limit
-    ahead = -free_room(state)
+    ahead = -free_room(state, now)
     refusals = []
     for request in ordered:
         wait_s = max(0, ahead + 1) * step_s
--- a/src/jackdawspread/decisions/members/statement_admission.py
+++ b/src/jackdawspread/decisions/members/statement_admission.py
@@ -9,9 +9,10 @@
     begin_request,
     end_request,
     free_room,
+    lose_connection,
     order_waiting,
-    refuse_by_member,
     refuse_waiting,
+    reject_by_member,
 )
 from jackdawspread.decisions.members.statement_queue import (
     StatementQueue,
@@ -72,7 +73,9 @@
     now: float,
 ) -> list[ConnectionRequest]:
     # Requests for which a connection is being opened are among the first ones.
-    return order_waiting(state, waiting, in_use_by_workspace, now)[: free_room(state)]
+    return order_waiting(state, waiting, in_use_by_workspace, now)[
+        : free_room(state, now)
+    ]
 
 
 @singledispatch
@@ -205,7 +208,7 @@
 
 @singledispatch
 def member_rejected(state: StatementAdmission, now: float) -> StatementAdmission:
-    """Return the state after the member refused a statement or was unreachable."""
+    """Return the state after the member refused a statement as its queue was full."""
     raise TypeError(f"no admission of type {type(state).__name__}")
 
 
@@ -216,7 +219,23 @@
 
 @member_rejected.register
 def _(state: PriorityAdmission, now: float) -> StatementAdmission:
-    return refuse_by_member(state, now)
+    return reject_by_member(state, now)
+
+
+@singledispatch
+def member_lost(state: StatementAdmission, slots: int) -> StatementAdmission:
+    """Return the state after the member could not be reached."""
+    raise TypeError(f"no admission of type {type(state).__name__}")
+
+
+@member_lost.register
+def _(state: StatementQueue, slots: int) -> StatementAdmission:
+    return state
+
+
+@member_lost.register
+def _(state: PriorityAdmission, slots: int) -> StatementAdmission:
+    return lose_connection(state, slots)
 
 
 @singledispatch
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -179,14 +179,11 @@
             pool.idle = [c for c in pool.idle if c.id != event.connection]
             self._serve(pool, now)
 
-    def drop_idle(self, member: str, now: float) -> None:
+    def drop_idle(self, member: str) -> None:
         """Close the idle connections of an unreachable member."""
         pool = self.pool_by_member.get(member)
         if pool is not None:
-            pool.handle_rejection(now)
-            for connection in pool.idle:
-                _close(connection)
-            pool.idle = []
+            pool.handle_lost()
 
     def refuse_expired(self, now: float) -> None:
         """Refuse the requests whose time has expired, and serve the remaining ones."""
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -15,6 +15,7 @@
     concurrency_limit,
     lease_ended,
     lease_started,
+    member_lost,
     member_rejected,
     refuse_unservable,
 )
@@ -84,10 +85,18 @@
         return self.leased_by_id.pop(id, None)
 
     def handle_rejection(self, now: float) -> None:
-        """Send the member less after it refused a statement or was unreachable."""
+        """Send the member less after it refused a statement or a connection."""
         self._statements = member_rejected(self._statements, now)
         self._report_limit()
 
+    def handle_lost(self) -> None:
+        """Close the idle connections of an unreachable member."""
+        self._statements = member_lost(self._statements, self.listing.slots)
+        self._report_limit()
+        for connection in self.idle:
+            connection.exchanges.close()
+        self.idle = []
+
     def refuse_unservable(
         self, newest: ConnectionRequest, now: float
     ) -> list[WaitingRefusal]:
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -236,7 +236,7 @@
     def _handle_observation(self, event: MemberObservation, now: float) -> None:
         self._group_monitor.handle_observation(event, now)
         if isinstance(event, MemberUnreachable) and not event.write_timed_out:
-            self._pools.drop_idle(event.member, now)
+            self._pools.drop_idle(event.member)
 
     def _assign_or_queue(self, request: ConnectionRequest, now: float) -> None:
         if request.expires_at <= now:
