--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -170,11 +170,13 @@
             self._router,
             self._failover,
             self._members,
+            settings.admits_by_priority,
         )
         admission = AdmissionTask(
             settings.max_configuration_age_s,
             self._admission_inbox,
             self._peers,
+            settings.admits_by_priority,
         )
         broker = LeaseBroker(
             self._instance_id,
