Place pool hosts in each failure domain where messages between domains are dear

Change: the instances measure the delay to the other domains beyond that within their own. Above a limit (3 ms one way) each domain has two pool hosts for each group, chosen among the larger machines; work for the primary goes to hosts in its domain, reads stay in their own unless its pool host sends them elsewhere, where the hosts grant what they have room for. Tokens are requested from near holders first. Below the limit nothing changes.

--- /dev/null
+++ b/src/jackdawspread/decisions/placement/domain_candidates.py
@@ -0,0 +1,13 @@
+"""Restricts a read to the members of the failure domain that serves it."""
+
+from collections.abc import Sequence
+
+from jackdawspread.decisions.members.member_candidate import MemberCandidate
+
+
+def prefer_own_domain(
+    candidates: Sequence[MemberCandidate],
+) -> tuple[MemberCandidate, ...]:
+    """Return the candidates of the own failure domain, or all if there is none."""
+    near = tuple(candidate for candidate in candidates if candidate.is_same_domain)
+    return near or tuple(candidates)
--- a/src/jackdawspread/messages/fleet/connection_request.py
+++ b/src/jackdawspread/messages/fleet/connection_request.py
@@ -5,6 +5,7 @@
 
 from trio import MemorySendChannel
 
+from jackdawspread.messages.fleet.departure import Departure
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.position import Position
@@ -47,6 +48,8 @@
         placement does not depend on it.
     allowed_regions : frozenset of str
         Regions in which the statement may run; any region if empty.
+    departure : Departure
+        Whether the statement may be served in another failure domain.
     """
 
     group: str
@@ -63,3 +66,4 @@
     target_at: float = inf
     caller_domain: str = ""
     allowed_regions: frozenset[str] = frozenset()
+    departure: Departure = Departure.STAY
--- a/src/jackdawspread/messages/fleet/router_event.py
+++ b/src/jackdawspread/messages/fleet/router_event.py
@@ -1,5 +1,6 @@
 """Events that the member router handles."""
 
+from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
@@ -9,16 +10,19 @@
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.placement_changed import PlacementChanged
 from jackdawspread.messages.fleet.position_seen import PositionSeen
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
 
 RouterEvent = (
-    ConfigurationSeen
+    CapacitiesSeen
+    | ConfigurationSeen
     | ConnectionClosed
     | ConnectionOpened
     | ConnectionRequest
     | PeersSeen
+    | PlacementChanged
     | LeadershipRefused
     | LeaseReturned
     | MemberUnreachable
--- /dev/null
+++ b/src/jackdawspread/messages/pool_hosts/crossing_unmeasured.py
@@ -0,0 +1,9 @@
+"""Failed measurement of the delay to another failure domain."""
+
+from typing import NamedTuple
+
+
+class CrossingUnmeasured(NamedTuple):
+    """Reports that no instance of a failure domain answered the probes."""
+
+    failure_domain: str
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -1,5 +1,7 @@
 """Composition root of an instance on the users' platform."""
 
+from sys import float_info
+
 from absl import logging
 from trio import (
     Event,
@@ -12,10 +14,12 @@
 )
 
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.configuration_feed_event import (
     ConfigurationFeedEvent,
 )
 from jackdawspread.messages.fleet.failover_event import FailoverEvent
+from jackdawspread.messages.fleet.instance_capacity import InstanceCapacity
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
 from jackdawspread.messages.fleet.peer_event import PeerEvent
@@ -35,6 +39,7 @@
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.fleet.activity_log import ActivityLog
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
+from jackdawspread.tasks.fleet.capacity_exchange import CapacityExchange
 from jackdawspread.tasks.fleet.failover_attempt import FailoverAttempt
 from jackdawspread.tasks.fleet.failover_task import FailoverTask
 from jackdawspread.tasks.fleet.instance_directory import InstanceDirectory
@@ -46,6 +51,7 @@
 from jackdawspread.tasks.http_server import HttpServer
 from jackdawspread.tasks.listen import listen
 from jackdawspread.tasks.members.member_router import MemberRouter
+from jackdawspread.tasks.pool_hosts.host_placement import HostPlacement
 from jackdawspread.tasks.pool_hosts.lease_broker import LeaseBroker
 from jackdawspread.tasks.pool_hosts.pool_server import PoolServer
 from jackdawspread.tasks.sessions.session_listener import SessionListener
@@ -100,6 +106,9 @@
             SMALL_INBOX
         )
         self._peers, self._peers_inbox = open_memory_channel[PeerEvent](PEERS_INBOX)
+        self._capacities, self._capacities_inbox = open_memory_channel[CapacityEvent](
+            SMALL_INBOX
+        )
         self._feed, self._feed_inbox = open_memory_channel[ConfigurationFeedEvent](
             SMALL_INBOX
         )
@@ -163,14 +172,23 @@
             self._router,
             self._failover,
             self._members,
+            self._broker,
         )
         admission = AdmissionTask(
             settings.max_configuration_age_s,
             self._admission_inbox,
             self._peers,
+            settings.crossing_delay_limit_s,
+        )
+        placement = HostPlacement(
+            self._instance_id,
+            settings.failure_domain,
+            settings.crossing_delay_limit_s,
+            self._router,
+            self._capacities,
         )
         broker = LeaseBroker(
-            self._instance_id, self._broker_inbox, self._broker, self._router
+            self._instance_id, placement, self._broker_inbox, self._broker, self._router
         )
         tasks.start_soon(router.run)
         tasks.start_soon(broker.run)
@@ -216,6 +234,7 @@
             self._members,
             self._feed,
         )
+        records = self._open_records("instances", tasks)
         leases = RateLeaseTask(
             self._instance_id,
             entry.address,
@@ -228,13 +247,27 @@
             self._instance_id,
             entry,
             self._settings.is_first_start,
-            self._open_records("instances", tasks),
+            records,
             self._router,
             self._broker,
             self._members,
             self._feed,
             self._peers,
         )
+        resources = self._settings.resources
+        capacities = CapacityExchange(
+            self._instance_id,
+            InstanceCapacity(
+                resources.cores,
+                min(resources.memory_bytes, float_info.max),
+                min(resources.link_bytes_per_s, float_info.max),
+            ),
+            records,
+            self._capacities_inbox,
+            self._router,
+            self._broker,
+        )
+        tasks.start_soon(capacities.run)
         tasks.start_soon(datagrams.run)
         tasks.start_soon(leases.run)
         tasks.start_soon(directory.run)
--- a/src/jackdawspread/settings/session_proxy_settings.py
+++ b/src/jackdawspread/settings/session_proxy_settings.py
@@ -4,6 +4,10 @@
 
 from jackdawspread.settings.instance_resources import InstanceResources
 
+# Below this delay the connections that more hosts need cost callers more than the
+# messages between failure domains.
+CROSSING_DELAY_LIMIT_S = 0.003
+
 
 class SessionProxySettings(NamedTuple):
     """Addresses, failure domain and limits of an instance that serves sessions.
@@ -48,6 +52,9 @@
         platform has no evacuations.
     admits_by_priority : bool
         Whether statements compete for members by the priority of their route.
+    crossing_delay_limit_s : float
+        Delay in seconds, one way, from which messages between failure domains are
+        avoided.
     """
 
     instance: str
@@ -68,3 +75,4 @@
     resources: InstanceResources = InstanceResources()
     evacuation_s: float = 0.0
     admits_by_priority: bool = False
+    crossing_delay_limit_s: float = CROSSING_DELAY_LIMIT_S
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -60,6 +60,9 @@
         other instances.
     peers : trio.MemorySendChannel
         Inbox of the peers task.
+    crossing_delay_limit_s : float
+        Delay in seconds, one way, from which messages between failure domains are
+        avoided.
     """
 
     def __init__(
@@ -67,11 +70,14 @@
         max_age_s: float,
         inbox: MemoryReceiveChannel[AdmissionEvent],
         peers: MemorySendChannel[PeerEvent],
+        crossing_delay_limit_s: float,
     ) -> None:
         self._max_age_s = max_age_s
         self._inbox = inbox
         self._peers = peers
-        self._token_requests = TokenRequests(peers, round(1000 * seconds_since_boot()))
+        self._token_requests = TokenRequests(
+            peers, round(1000 * seconds_since_boot()), crossing_delay_limit_s
+        )
         self._configuration: FleetConfiguration | None = None
         self._confirmed_at = 0.0
         self._buckets = RateBuckets()
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -48,6 +48,27 @@
     "Requests for a member connection by the instance that serves them.",
     ("place",),
 )
+DOMAIN_DEPARTURES = Counter(
+    "jackdawspread_domain_departures",
+    "Reads sent to another failure domain, and those of others refused for lack of "
+    "room, by member group.",
+    ("group", "result"),
+)
+DEPARTURE_SHARE = Gauge(
+    "jackdawspread_departure_share",
+    "Fraction of the reads of a member group that leave the failure domain.",
+    ("group",),
+)
+CROSSING_LEASES = Counter(
+    "jackdawspread_crossing_leases",
+    "Leases requested from pool hosts, by whether these are in another failure domain.",
+    ("place",),
+)
+CROSSING_BYTES = Counter(
+    "jackdawspread_crossing_bytes",
+    "Bytes exchanged with pool hosts of other failure domains.",
+    ("direction",),
+)
 UNEXPECTED_ERRORS = Counter(
     "jackdawspread_unexpected_errors",
     "Sessions and connections that an unexpected error has ended, by part.",
--- a/src/jackdawspread/tasks/fleet/token_requests.py
+++ b/src/jackdawspread/tasks/fleet/token_requests.py
@@ -1,10 +1,15 @@
 """Requests for tokens to the holders of rate leases."""
 
 from itertools import count
+from math import inf
 
 from absl import logging
 from trio import MemorySendChannel, WouldBlock
 
+from jackdawspread.decisions.placement.nearest_holders import (
+    nearest_holders,
+    update_delay,
+)
 from jackdawspread.decisions.rate_leases.holder_choice import next_holder
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.peer_event import PeerEvent
@@ -30,10 +35,20 @@
     first_id : int
         Id of the first request. A restarted process must not use the ids of its
         predecessor, whose requests may still be answered.
+    delay_limit_s : float
+        Delay in seconds, one way, by which a holder is farther than the nearest one if
+        it is asked only after the nearer ones.
     """
 
-    def __init__(self, peers: MemorySendChannel[PeerEvent], first_id: int) -> None:
+    def __init__(
+        self,
+        peers: MemorySendChannel[PeerEvent],
+        first_id: int,
+        delay_limit_s: float = inf,
+    ) -> None:
         self._peers = peers
+        self._delay_limit_s = delay_limit_s
+        self._delay_s_by_holder: dict[str, float] = {}
         self._ids = count(first_id)
         self.holders: tuple[str, ...] = ()
         self._pending_by_id: dict[int, PendingToken] = {}
@@ -69,6 +84,8 @@
         if pending is None:
             return None
         TOKEN_REQUESTS.labels("granted" if reply.granted else "refused").inc()
+        if event.holder == pending.asked[-1]:
+            self._measure(event.holder, pending, now)
         pending = pending._replace(wait_s=min(pending.wait_s, reply.wait_ms / 1000))
         if reply.granted:
             del self._pending_by_id[reply.id]
@@ -90,13 +107,26 @@
                 ended.append(refused)
         return ended
 
+    def _measure(self, holder: str, pending: PendingToken, now: float) -> None:
+        round_trip_s = now - (pending.reply_by - REPLY_TIMEOUT_S)
+        self._delay_s_by_holder[holder] = update_delay(
+            self._delay_s_by_holder.get(holder), round_trip_s / 2
+        )
+
+    def _next_holder(self, id: int, pending: PendingToken, now: float) -> str:
+        silent_until = self._silent_until_by_holder
+        near, far = nearest_holders(
+            self.holders, self._delay_s_by_holder, self._delay_limit_s
+        )
+        return next_holder(near, pending.asked, silent_until, id, now) or next_holder(
+            far, pending.asked, silent_until, id, now
+        )
+
     def _ask_next(
         self, id: int, pending: PendingToken, now: float
     ) -> PendingToken | None:
         """Ask the next holder; return the operation if there is none left."""
-        holder = next_holder(
-            self.holders, pending.asked, self._silent_until_by_holder, id, now
-        )
+        holder = self._next_holder(id, pending, now)
         if holder:
             request = TokenRequest(id, pending.workspace)
             try:
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -15,6 +15,8 @@
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
+from jackdawspread.messages.pool_hosts.primary_moved import PrimaryMoved
 
 # A failover trigger of the same group is sent again after this time at the earliest.
 TRIGGER_REPEAT_INTERVAL_S = 0.3
@@ -31,15 +33,19 @@
         Receives failover triggers.
     refresh : trio.MemorySendChannel
         Receives requests for a newer list of members.
+    broker : trio.MemorySendChannel
+        Receives the failure domains of the primaries.
     """
 
     def __init__(
         self,
         failover: MemorySendChannel[FailoverTrigger],
         refresh: MemorySendChannel[RefreshMembers],
+        broker: MemorySendChannel[LeaseBrokerEvent],
     ) -> None:
         self._failover_triggers = failover
         self._refresh = refresh
+        self._broker = broker
         self._state_by_group: dict[str, GroupState] = {}
         self._triggered_at_by_group: dict[str, float] = {}
 
@@ -112,3 +118,7 @@
                 source,
                 len(state.listing_by_id),
             )
+            listing = state.listing_by_id.get(state.primary)
+            domain = listing.failure_domain if listing is not None else ""
+            # The broker's inbox has more room than there are groups.
+            self._broker.send_nowait(PrimaryMoved(group, domain))
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -47,6 +47,11 @@
             + len(self.workspace_by_pending_connection)
         )
 
+    @property
+    def statement_duration_s(self) -> float:
+        """Moving average of the time in seconds for which a statement lasts."""
+        return self._statements.duration_s
+
     def lease(
         self, connection: PooledConnection, request: ConnectionRequest, now: float
     ) -> None:
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -13,42 +13,41 @@
     open_nursery,
 )
 
-from jackdawspread.decisions.members.connection_limits import (
-    ConnectionLimits,
-    connection_limits,
-    pool_host_limits,
-)
 from jackdawspread.decisions.members.eligible_members import (
     lease_conditions,
     read_candidates,
     usable_primary,
 )
+from jackdawspread.decisions.members.member_candidate import MemberCandidate
 from jackdawspread.decisions.members.member_choice import choose_member
-from jackdawspread.decisions.pool_hosts.choose_pool_hosts import choose_pool_hosts
+from jackdawspread.decisions.placement.domain_candidates import prefer_own_domain
+from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
-from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
-from jackdawspread.messages.fleet.member_group import MemberGroup
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_observation import MemberObservation
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.placement_changed import PlacementChanged
 from jackdawspread.messages.fleet.position_seen import PositionSeen
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.members.connection_pools import ConnectionPools, refuse
+from jackdawspread.tasks.members.domain_departures import DomainDepartures
 from jackdawspread.tasks.members.group_monitor import GroupMonitor
 from jackdawspread.tasks.members.member_codec import MemberCodec
+from jackdawspread.tasks.members.member_limits import MemberLimits
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
 
@@ -73,6 +72,8 @@
         Receives failover triggers.
     refresh : trio.MemorySendChannel
         Receives requests for a newer list of members.
+    broker : trio.MemorySendChannel
+        Receives the failure domains of the primaries.
     """
 
     def __init__(
@@ -85,18 +86,17 @@
         router: MemorySendChannel[RouterEvent],
         failover: MemorySendChannel[FailoverTrigger],
         refresh: MemorySendChannel[RefreshMembers],
+        broker: MemorySendChannel[LeaseBrokerEvent],
     ) -> None:
-        self._instance = instance
         self._failure_domain = failure_domain
         self._drain_s = drain_s
         self._make_codec = make_codec
         self._inbox = inbox
         self._router = router
-        self._group_monitor = GroupMonitor(failover, refresh)
-        self._group_by_name: dict[str, MemberGroup] = {}
+        self._group_monitor = GroupMonitor(failover, refresh, broker)
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
-        self._entry_by_instance: dict[str, InstanceEntry] = {}
-        self._limits_by_group: dict[str, ConnectionLimits] = {}
+        self._limits = MemberLimits(instance, failure_domain)
+        self._departures = DomainDepartures(failure_domain)
         self._pools: ConnectionPools
 
     async def run(self) -> None:
@@ -169,16 +169,26 @@
     @_handle.register
     def _(self, event: ConfigurationSeen, now: float) -> None:
         if event.configuration is not None:
-            self._group_by_name = event.configuration.group_by_name
-            self._set_limits()
+            self._limits.set_groups(event.configuration.group_by_name)
+            self._apply_limits()
 
     @_handle.register
     def _(self, event: PeersSeen, now: float) -> None:
-        if event.entry_by_instance != self._entry_by_instance:
-            self._entry_by_instance = event.entry_by_instance
-            instances = len(self._entry_by_instance)
+        if self._limits.set_instances(event.entry_by_instance):
+            instances = len(event.entry_by_instance)
             logging.info("router: instances changed count=%d", instances)
-            self._set_limits()
+            self._apply_limits()
+
+    @_handle.register
+    def _(self, event: CapacitiesSeen, now: float) -> None:
+        self._limits.set_capacities(event.capacity_by_instance)
+        self._apply_limits()
+
+    @_handle.register
+    def _(self, event: PlacementChanged, now: float) -> None:
+        self._limits.set_placement(event.is_domain_aware)
+        self._departures.crossing_delay_s = event.crossing_delay_s
+        self._apply_limits()
 
     def _handle_observation(self, event: MemberObservation, now: float) -> None:
         self._group_monitor.handle_observation(event, now)
@@ -189,6 +199,9 @@
         if request.expires_at <= now:
             refuse(request, "busy", "no member of the group can serve this now")
             return
+        if code := self._departure_refusal(request, now):
+            refuse(request, code, "served in another failure domain")
+            return
         member = self._choose(request, now)
         if member in self._pools.pool_by_member:
             self._pools.request(member, request, now)
@@ -201,20 +214,40 @@
     def _choose(self, request: ConnectionRequest, now: float) -> str:
         if request.requirement is MemberRequirement.NAMED:
             return request.member
-        state = self._group_monitor.state(request.group)
         if request.requirement is MemberRequirement.FRESH:
-            candidates = read_candidates(
-                state,
+            candidates = self._read_candidates(request, now)
+            if self._limits.is_domain_aware:
+                candidates = prefer_own_domain(candidates)
+            chosen = choose_member(candidates)
+            if chosen is not None:
+                return chosen
+        state = self._group_monitor.state(request.group)
+        return usable_primary(state, now, self._drain_s)
+
+    def _read_candidates(
+        self, request: ConnectionRequest, now: float
+    ) -> tuple[MemberCandidate, ...]:
+        return tuple(
+            read_candidates(
+                self._group_monitor.state(request.group),
                 request,
                 self._pools.pool_by_member,
                 self._failure_domain,
                 now,
                 seconds_since_boot(),
             )
-            chosen = choose_member(candidates)
-            if chosen is not None:
-                return chosen
-        return usable_primary(state, now, self._drain_s)
+        )
+
+    def _departure_refusal(self, request: ConnectionRequest, now: float) -> str:
+        """Return the code with which a read is sent to another failure domain."""
+        if not self._limits.is_domain_aware or not request.caller_domain:
+            return ""
+        return self._departures.refusal_code(
+            request,
+            self._read_candidates(request, now),
+            self._pools.pool_by_member,
+            self._limits.near_hosts(request.group),
+        )
 
     def _offer_lease(
         self, request: ConnectionRequest, pool: MemberPool, connection: PooledConnection
@@ -246,25 +279,8 @@
         pool = self._pools.pool_by_member.get(member)
         return pool.listing.group if pool is not None else ""
 
-    def _set_limits(self) -> None:
-        self._limits_by_group = {
-            name: self._limits(group) for name, group in self._group_by_name.items()
-        }
-        self._apply_limits()
-
     def _apply_limits(self) -> None:
         for member, pool in self._pools.pool_by_member.items():
-            limits = self._limits_by_group.get(pool.listing.group)
+            limits = self._limits.limits(pool.listing)
             if limits is not None:
                 self._pools.set_limits(member, limits)
-
-    def _limits(self, group: MemberGroup) -> ConnectionLimits:
-        instances = len(self._entry_by_instance)
-        hosts = choose_pool_hosts(group.name, self._entry_by_instance)
-        if instances and not hosts:
-            return connection_limits(group.max_connections, instances)
-        # An instance that does not know the others yet keeps no idle connection: a
-        # fleet that restarts would occupy the members with them.
-        return pool_host_limits(
-            group.max_connections, len(hosts), self._instance in hosts
-        )
--- a/src/jackdawspread/tasks/pool_hosts/lease_broker.py
+++ b/src/jackdawspread/tasks/pool_hosts/lease_broker.py
@@ -13,23 +13,27 @@
     open_nursery,
 )
 
-from jackdawspread.decisions.pool_hosts.choose_pool_hosts import (
-    choose_pool_hosts,
-    rank_pool_hosts,
-)
+from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
-from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.crossing_measured import CrossingMeasured
+from jackdawspread.messages.pool_hosts.crossing_unmeasured import CrossingUnmeasured
 from jackdawspread.messages.pool_hosts.host_link_closed import HostLinkClosed
 from jackdawspread.messages.pool_hosts.host_link_event import HostLinkEvent
 from jackdawspread.messages.pool_hosts.host_link_opened import HostLinkOpened
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
-from jackdawspread.tasks.fleet.fleet_metrics import MEMBER_LEASES
+from jackdawspread.messages.pool_hosts.primary_moved import PrimaryMoved
+from jackdawspread.tasks.fleet.fleet_metrics import CROSSING_LEASES, MEMBER_LEASES
+from jackdawspread.tasks.pool_hosts.crossing_probe import CrossingProbe
+from jackdawspread.tasks.pool_hosts.host_placement import HostPlacement
 from jackdawspread.tasks.pool_hosts.lease_here import lease_here
 from jackdawspread.tasks.pool_hosts.pool_host_link import PoolHostLink
 from jackdawspread.tasks.run_isolated import run_isolated
 
+# A measurement of a delay that no instance answered is repeated after this time.
+PROBE_RETRY_DELAY_S = 1.0
+
 
 class LeaseBroker:
     """Forwards requests for member connections to pool hosts or to this instance.
@@ -41,6 +45,8 @@
     ----------
     instance : str
         Id of this instance.
+    placement : HostPlacement
+        Chooses the pool hosts.
     inbox, broker : trio channels
         The two ends of the broker's inbox.
     router : trio.MemorySendChannel
@@ -50,20 +56,21 @@
     def __init__(
         self,
         instance: str,
+        placement: HostPlacement,
         inbox: MemoryReceiveChannel[LeaseBrokerEvent],
         broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
     ) -> None:
         self._instance = instance
+        self._placement = placement
         self._inbox = inbox
         self._broker = broker
         self._router = router
-        self._entry_by_instance: dict[str, InstanceEntry] = {}
-        self._hosts_by_group: dict[str, tuple[str, ...]] = {}
         self._link_by_host: dict[str, MemorySendChannel[HostLinkEvent]] = {}
         # Monotonic time from which a new stream may be opened; infinite while one is
         # being opened or is open.
         self._open_at_by_host: dict[str, float] = {}
+        self._probed_domains: set[str] = set()
 
     async def run(self) -> None:
         """Forward requests until cancelled."""
@@ -77,8 +84,29 @@
 
     @_handle.register
     def _(self, event: PeersSeen, links: Nursery) -> None:
-        self._entry_by_instance = event.entry_by_instance
-        self._hosts_by_group = {}
+        self._placement.update_instances(event.entry_by_instance)
+        for domain in self._placement.probed_addresses_by_domain():
+            if domain not in self._probed_domains:
+                self._start_probe(domain, 0.0, links)
+
+    @_handle.register
+    def _(self, event: CapacitiesSeen, links: Nursery) -> None:
+        self._placement.update_capacities(event)
+
+    @_handle.register
+    def _(self, event: CrossingMeasured, links: Nursery) -> None:
+        self._probed_domains.discard(event.failure_domain)
+        self._placement.update_delay(event)
+
+    @_handle.register
+    def _(self, event: CrossingUnmeasured, links: Nursery) -> None:
+        logging.info("broker: delay unknown failure_domain=%s", event.failure_domain)
+        self._probed_domains.discard(event.failure_domain)
+        self._start_probe(event.failure_domain, PROBE_RETRY_DELAY_S, links)
+
+    @_handle.register
+    def _(self, event: PrimaryMoved, links: Nursery) -> None:
+        self._placement.update_primary(event)
 
     @_handle.register
     def _(self, event: HostLinkOpened, links: Nursery) -> None:
@@ -95,26 +123,31 @@
 
     @_handle.register
     def _(self, event: ConnectionRequest, links: Nursery) -> None:
-        for host in rank_pool_hosts(event.workspace, self._hosts(event.group)):
+        request = self._placement.prepare(event)
+        for host in self._placement.hosts_in_order(request):
             if host == self._instance:
-                break
+                MEMBER_LEASES.labels("local").inc()
+                lease_here(request, self._router)
+                return
             link = self._link_by_host.get(host)
             if link is None:
                 self._open_link(host, links)
-            elif _forward(event, link):
+            elif _forward(request, link):
                 MEMBER_LEASES.labels("host").inc()
+                leaves = self._placement.leaves_domain(host)
+                CROSSING_LEASES.labels("other" if leaves else "own").inc()
                 return
         MEMBER_LEASES.labels("local").inc()
-        lease_here(event, self._router)
+        # Without a host this instance serves the request wherever a member is.
+        lease_here(request._replace(caller_domain=""), self._router)
 
-    def _hosts(self, group: str) -> tuple[str, ...]:
-        hosts = self._hosts_by_group.get(group)
-        if hosts is None:
-            hosts = choose_pool_hosts(group, self._entry_by_instance)
-            self._hosts_by_group[group] = hosts
-            if hosts:
-                logging.info("broker: hosts group=%s hosts=%s", group, ",".join(hosts))
-        return hosts
+    def _start_probe(self, domain: str, delay_s: float, links: Nursery) -> None:
+        addresses = self._placement.probed_addresses_by_domain().get(domain)
+        if addresses is None:
+            return
+        self._probed_domains.add(domain)
+        probe = CrossingProbe(domain, addresses, self._broker, delay_s)
+        links.start_soon(run_isolated, "broker", probe.run)
 
     def _open_link(self, host: str, links: Nursery) -> None:
         now = current_time()
@@ -122,7 +155,11 @@
             return
         self._open_at_by_host[host] = float("inf")
         link = PoolHostLink(
-            host, self._entry_by_instance[host].address, self._broker, self._router
+            host,
+            self._placement.entry_by_instance[host].address,
+            self._broker,
+            self._router,
+            self._placement.leaves_domain(host),
         )
         links.start_soon(run_isolated, "broker", link.run)
 
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -40,6 +40,7 @@
 from jackdawspread.messages.pool_hosts.write_stalled import WriteStalled
 from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
 from jackdawspread.messages.statements.member_exchange import MemberExchange
+from jackdawspread.tasks.fleet.fleet_metrics import CROSSING_BYTES
 from jackdawspread.tasks.open_stream import open_stream
 from jackdawspread.tasks.pool_hosts.lease_here import answer_request, lease_here
 from jackdawspread.tasks.pool_hosts.unanswered_requests import (
@@ -75,6 +76,8 @@
         Inbox of the lease broker, which is notified when the stream opens and closes.
     router : trio.MemorySendChannel
         Inbox of this instance's member router.
+    leaves_domain : bool
+        Whether the host is in another failure domain.
     """
 
     def __init__(
@@ -83,11 +86,13 @@
         address: str,
         broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
+        leaves_domain: bool = False,
     ) -> None:
         self._host = host
         self._address = address
         self._broker = broker
         self._router = router
+        self._leaves_domain = leaves_domain
         self._link: MemorySendChannel[HostLinkEvent]
         self._unanswered = UnansweredRequests(host)
         # Monotonic time of the last received bytes, or of the first request after a
@@ -130,6 +135,7 @@
         try:
             while data := await stream.receive_some(READ_CHUNK_BYTES):
                 self._heard_at = current_time()
+                self._count_bytes("received", data)
                 frames.receive(data)
                 while (message := frames.next_message()) is not None:
                     self._receive(message)
@@ -162,13 +168,19 @@
             if not data and not self._unanswered:
                 # Everything was answered while this task waited.
                 continue
+            data = data or encode_frame(LinkProbe(False))
+            self._count_bytes("sent", data)
             try:
                 with fail_after(SILENCE_LIMIT_S):
-                    await stream.send_all(data or encode_frame(LinkProbe(False)))
+                    await stream.send_all(data)
             except (OSError, BrokenResourceError, TooSlowError) as error:
                 self._reason = f"connection failed: {error.__cause__ or error}"
                 return
 
+    def _count_bytes(self, direction: str, data: bytes) -> None:
+        if self._leaves_domain:
+            CROSSING_BYTES.labels(direction).inc(len(data))
+
     def _encode_all(
         self, event: HostLinkEvent, inbox: MemoryReceiveChannel[HostLinkEvent]
     ) -> bytes:
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -11,10 +11,12 @@
 )
 
 from jackdawspread.decisions.members.exchange_observation import observe_exchange
+from jackdawspread.decisions.placement.departure_steps import next_departure
 from jackdawspread.decisions.sessions.operation import Operation
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.connection_context import ConnectionContext
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.departure import Departure
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
@@ -67,7 +69,37 @@
         excluded: frozenset[str],
         is_single_statement: bool,
     ) -> MemberLease | Refusal:
-        """Wait for a connection to a member that may serve the operation."""
+        """Wait for a connection to a member that may serve the operation.
+
+        A read may be sent to another failure domain, and back if that has no room.
+        """
+        may_leave = requirement is MemberRequirement.FRESH and is_single_statement
+        departure = Departure.ASK if may_leave else Departure.STAY
+        while True:
+            answer = await self._request_lease(
+                operation,
+                requirement,
+                position,
+                excluded,
+                is_single_statement,
+                departure,
+            )
+            if not isinstance(answer, Refusal):
+                return answer
+            following = next_departure(departure, answer.code)
+            if following is None:
+                return answer
+            departure = following
+
+    async def _request_lease(
+        self,
+        operation: Operation,
+        requirement: MemberRequirement,
+        position: Position | None,
+        excluded: frozenset[str],
+        is_single_statement: bool,
+        departure: Departure,
+    ) -> MemberLease | Refusal:
         route = operation.admitted.route
         send, receive = open_memory_channel[MemberLease | Refusal](1)
         request = ConnectionRequest(
@@ -82,6 +114,7 @@
             expires_at=operation.connection_deadline,
             is_single_statement=is_single_statement,
             reply_to=send,
+            departure=departure,
         )
         try:
             self._broker.send_nowait(request)
