--- a/features/placement.feature
+++ b/features/placement.feature
@@ -96,3 +96,12 @@
     # Guards against records that stay for ever, and against the removal of those of an
     # instance that has not registered yet.
     Then only the instance with the smallest id removes it, at the second read without it
+
+  Scenario: A pool host far from the primary learns its position
+    # Guards against reads that leave their domain because its host runs no work at the
+    # primary, and against a position that counts as newer than it is.
+    Given a position that a pool host near the primary saw 300 ms before it replied
+    When the request and its reply took 9 ms
+    Then the position counts as 309 ms old when the reply arrives
+    And it is asked for again once it is 250 ms old, and at most every 100 ms
+    And a reply to a request that was not sent is ignored
--- a/features/steps/broadcast_steps.py
+++ b/features/steps/broadcast_steps.py
@@ -32,10 +32,12 @@
 @given("an instance that broadcasts to two others")
 def broadcasts(context: Context) -> None:
     """Start a broadcast, whose first datagram waits."""
-    inboxes = [open_memory_channel(INBOX) for _ in range(5)]
+    inboxes = [open_memory_channel(INBOX) for _ in range(6)]
     # The receiving ends are kept, as a channel without one is broken.
     context.inboxes = inboxes
-    (_, inbox), (admission, _), (leases, _), (members, _), (feed, _) = inboxes
+    (_, inbox), (admission, _), (leases, _), (members, _), (feed, _), (router, _) = (
+        inboxes
+    )
     entry = InstanceEntry(ADDRESS.format(1), "z1")
     context.socket = _SlowSocket()
     others = {f"i{n}": InstanceEntry(ADDRESS.format(n), "z1") for n in (1, 2, 3)}
@@ -45,7 +47,7 @@
 
     async def broadcast() -> None:
         context.peers = PeerDatagrams(
-            "i1", entry, inbox, admission, leases, members, feed
+            "i1", entry, inbox, admission, leases, members, feed, router
         )
         context.peers._socket = context.socket
         await context.peers._handle(PeersSeen(others))
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -18,6 +18,10 @@
 from jackdawspread.decisions.placement.domain_host_limits import domain_host_limits
 from jackdawspread.decisions.placement.domain_hosts import choose_domain_hosts
 from jackdawspread.decisions.placement.domain_order import order_domains
+from jackdawspread.decisions.placement.position_requests import (
+    needs_position,
+    relayed_sample,
+)
 from jackdawspread.decisions.placement.unused_capacities import unused_capacities
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
@@ -26,10 +30,13 @@
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.placement_changed import PlacementChanged
+from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
 from jackdawspread.messages.fleet.token_replied import TokenReplied
 from jackdawspread.messages.fleet.token_reply import TokenReply
+from jackdawspread.messages.position import Position
 from jackdawspread.tasks.fleet.capacity_exchange import PREFIX, CapacityExchange
 from jackdawspread.tasks.fleet.token_requests import TokenRequests
+from jackdawspread.tasks.members.position_exchange import PositionExchange
 
 DOMAINS = ("a", "b", "c")
 GROUPS = ("ledger", "books", "limits", "stock")
@@ -358,3 +365,48 @@
     assert unused_capacities(stored, listed, unlisted, "i1")[0] == {"i3"}
     assert not unused_capacities(stored, listed, unlisted, "i2")[0]
     assert not unused_capacities(stored, (), unlisted, "i1")[0]
+
+
+@given("a position that a pool host near the primary saw {ms:d} ms before it replied")
+def seen_position(context: Context, ms: int) -> None:
+    """Note the age."""
+    context.age_s = ms / 1000
+
+
+@when("the request and its reply took {ms:d} ms")
+def took(context: Context, ms: int) -> None:
+    """Make the sample of a request that was sent at 100 s."""
+    context.replied_at = 100 + ms / 1000
+    context.sample = relayed_sample(Position(3, 7), context.age_s, 100.0)
+
+
+@then("the position counts as {ms:d} ms old when the reply arrives")
+def age(context: Context, ms: int) -> None:
+    """Compare the age."""
+    assert round(1000 * (context.replied_at - context.sample.at)) == ms
+
+
+@then("it is asked for again once it is {age:d} ms old, and at most every {ms:d} ms")
+def asked_again(context: Context, age: int, ms: int) -> None:
+    """Ask around the two limits."""
+    at = context.sample.at
+    samples = (context.sample,)
+    assert not needs_position(samples, 0.0, at + age / 1000 - 0.01)
+    assert needs_position(samples, 0.0, at + age / 1000 + 0.01)
+    now = at + 1
+    assert not needs_position(samples, now - ms / 1000 + 0.01, now)
+    assert needs_position((), now - ms / 1000 - 0.01, now)
+
+
+@then("a reply to a request that was not sent is ignored")
+def not_sent(context: Context) -> None:
+    """Reply twice to one request, and once to none."""
+    peers, sent = open_memory_channel(2)
+    exchange = PositionExchange(peers)
+    exchange.ask_if_needed("g", (), ("10.0.0.1:7",))
+    reply = PrimaryPositionReply(
+        sent.receive_nowait().message.id, Position(3, 7), context.age_s
+    )
+    assert exchange.take_reply(reply) is not None
+    assert exchange.take_reply(reply) is None
+    assert exchange.take_reply(reply._replace(id=1)) is None
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -18,6 +18,10 @@
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.members_relayed import MembersRelayed
 from jackdawspread.messages.fleet.peer_datagram import PeerDatagram
+from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
+from jackdawspread.messages.fleet.primary_position_request import (
+    PrimaryPositionRequest,
+)
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.token_reply import TokenReply
 from jackdawspread.messages.fleet.token_request import TokenRequest
@@ -30,6 +34,8 @@
     3: RateLeasesAnnounced,
     4: MembersRelayed,
     5: ConfigurationConfirmed,
+    6: PrimaryPositionRequest,
+    7: PrimaryPositionReply,
 }
 KIND_BY_TYPE = {type: kind for kind, type in TYPE_BY_KIND.items()}
 # Longer messages are not sent; their receivers ask the store.
@@ -78,6 +84,12 @@
     _check_time(message.store_time_s)
 
 
+@_check.register
+def _(message: PrimaryPositionReply) -> None:
+    if not (isfinite(message.age_s) and message.age_s >= 0):
+        raise ValueError("an age must be finite and not negative")
+
+
 def _check_time(store_time_s: float) -> None:
     if not isfinite(store_time_s):
         raise ValueError("a time must be finite")
--- a/src/jackdawspread/messages/fleet/peer_datagram.py
+++ b/src/jackdawspread/messages/fleet/peer_datagram.py
@@ -2,6 +2,10 @@
 
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.members_relayed import MembersRelayed
+from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
+from jackdawspread.messages.fleet.primary_position_request import (
+    PrimaryPositionRequest,
+)
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.token_reply import TokenReply
 from jackdawspread.messages.fleet.token_request import TokenRequest
@@ -9,6 +13,8 @@
 PeerDatagram = (
     ConfigurationConfirmed
     | MembersRelayed
+    | PrimaryPositionReply
+    | PrimaryPositionRequest
     | RateLeasesAnnounced
     | TokenReply
     | TokenRequest
--- a/src/jackdawspread/messages/fleet/router_event.py
+++ b/src/jackdawspread/messages/fleet/router_event.py
@@ -12,6 +12,10 @@
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.placement_changed import PlacementChanged
 from jackdawspread.messages.fleet.position_seen import PositionSeen
+from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
+from jackdawspread.messages.fleet.primary_position_requested import (
+    PrimaryPositionRequested,
+)
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
 
@@ -28,6 +32,8 @@
     | MemberUnreachable
     | MembersSeen
     | PositionSeen
+    | PrimaryPositionReply
+    | PrimaryPositionRequested
     | ReplicaLagged
     | PrimaryResponded
 )
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -173,6 +173,7 @@
             self._failover,
             self._members,
             self._broker,
+            self._peers,
         )
         admission = AdmissionTask(
             settings.max_configuration_age_s,
@@ -233,6 +234,7 @@
             announced,
             self._members,
             self._feed,
+            self._router,
         )
         records = self._open_records("instances", tasks)
         leases = RateLeaseTask(
--- a/src/jackdawspread/tasks/fleet/peer_datagrams.py
+++ b/src/jackdawspread/tasks/fleet/peer_datagrams.py
@@ -24,7 +24,15 @@
 from jackdawspread.messages.fleet.peer_datagram import PeerDatagram
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
+from jackdawspread.messages.fleet.primary_position_request import (
+    PrimaryPositionRequest,
+)
+from jackdawspread.messages.fleet.primary_position_requested import (
+    PrimaryPositionRequested,
+)
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
+from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.fleet.send_datagram import SendDatagram
 from jackdawspread.messages.fleet.token_replied import TokenReplied
 from jackdawspread.messages.fleet.token_reply import TokenReply
@@ -55,6 +63,8 @@
         Receives lists of members that other instances have read.
     configurations : trio.MemorySendChannel
         Receives versions of the configuration that the store has confirmed to others.
+    router : trio.MemorySendChannel
+        Receives requests for positions of primaries and the replies to them.
     """
 
     def __init__(
@@ -66,6 +76,7 @@
         leases: MemorySendChannel[RateLeasesAnnounced],
         members: MemorySendChannel[MemberPollEvent],
         configurations: MemorySendChannel[ConfigurationFeedEvent],
+        router: MemorySendChannel[RouterEvent],
     ) -> None:
         self._instance = instance
         self._entry = entry
@@ -74,6 +85,7 @@
         self._leases = leases
         self._members = members
         self._configurations = configurations
+        self._router = router
         self._socket: SocketType = socket(type=SOCK_DGRAM)
         self._entry_by_instance: dict[str, InstanceEntry] = {}
 
@@ -174,3 +186,11 @@
     @_deliver.register
     def _(self, message: ConfigurationConfirmed, sender: str) -> None:
         self._configurations.send_nowait(message)
+
+    @_deliver.register
+    def _(self, message: PrimaryPositionRequest, sender: str) -> None:
+        self._router.send_nowait(PrimaryPositionRequested(message, sender))
+
+    @_deliver.register
+    def _(self, message: PrimaryPositionReply, sender: str) -> None:
+        self._router.send_nowait(message)
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -9,6 +9,10 @@
     apply_member_list,
     apply_observation,
 )
+from jackdawspread.decisions.members.position_samples import add_sample
+from jackdawspread.decisions.members.primary_position_sample import (
+    PrimaryPositionSample,
+)
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.member_observation import MemberObservation
@@ -84,6 +88,12 @@
             self.request_refresh(type(event).__name__)
             self.report_failover_trigger(event.group, now)
 
+    def add_sample(self, group: str, sample: PrimaryPositionSample) -> None:
+        """Add a position of the primary that another instance has seen."""
+        state = self.state(group)
+        samples = add_sample(state.samples, sample.position, sample.at)
+        self._state_by_group[group] = state._replace(samples=samples)
+
     def request_refresh(self, reason: str) -> None:
         """Request a newer list of members."""
         try:
--- a/src/jackdawspread/tasks/members/member_limits.py
+++ b/src/jackdawspread/tasks/members/member_limits.py
@@ -60,6 +60,15 @@
         """Return the number of a group's pool hosts in this failure domain."""
         return self._hosts_in(group, self._failure_domain)
 
+    def host_addresses(self, group: str, failure_domain: str) -> tuple[str, ...]:
+        """Return ``IP:port`` of a group's other pool hosts in a failure domain."""
+        return tuple(
+            self._entry_by_instance[host].address
+            for host in self._hosts_by_group.get(group, ())
+            if host != self._instance
+            and self._entry_by_instance[host].failure_domain == failure_domain
+        )
+
     def limits(self, listing: MemberListing) -> ConnectionLimits | None:
         """Return the limits for a member, None if its group is not configured."""
         group = self._group_by_name.get(listing.group)
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -15,12 +15,8 @@
 
 from jackdawspread.decisions.members.eligible_members import (
     lease_conditions,
-    read_candidates,
     usable_primary,
 )
-from jackdawspread.decisions.members.member_candidate import MemberCandidate
-from jackdawspread.decisions.members.member_choice import choose_member
-from jackdawspread.decisions.placement.domain_candidates import prefer_own_domain
 from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
@@ -34,9 +30,14 @@
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
+from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.placement_changed import PlacementChanged
 from jackdawspread.messages.fleet.position_seen import PositionSeen
+from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
+from jackdawspread.messages.fleet.primary_position_requested import (
+    PrimaryPositionRequested,
+)
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
@@ -44,12 +45,13 @@
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.members.connection_pools import ConnectionPools, refuse
-from jackdawspread.tasks.members.domain_departures import DomainDepartures
 from jackdawspread.tasks.members.group_monitor import GroupMonitor
 from jackdawspread.tasks.members.member_codec import MemberCodec
 from jackdawspread.tasks.members.member_limits import MemberLimits
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
+from jackdawspread.tasks.members.position_exchange import PositionExchange
+from jackdawspread.tasks.members.read_routing import ReadRouting
 
 # Requests that wait for a member are retried this often.
 RETRY_WAITING_INTERVAL_S = 0.05
@@ -74,6 +76,8 @@
         Receives requests for a newer list of members.
     broker : trio.MemorySendChannel
         Receives the failure domains of the primaries.
+    peers : trio.MemorySendChannel
+        Inbox of the peers task.
     """
 
     def __init__(
@@ -87,8 +91,8 @@
         failover: MemorySendChannel[FailoverTrigger],
         refresh: MemorySendChannel[RefreshMembers],
         broker: MemorySendChannel[LeaseBrokerEvent],
+        peers: MemorySendChannel[PeerEvent],
     ) -> None:
-        self._failure_domain = failure_domain
         self._drain_s = drain_s
         self._make_codec = make_codec
         self._inbox = inbox
@@ -96,7 +100,9 @@
         self._group_monitor = GroupMonitor(failover, refresh, broker)
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
         self._limits = MemberLimits(instance, failure_domain)
-        self._departures = DomainDepartures(failure_domain)
+        self._reads = ReadRouting(
+            failure_domain, self._group_monitor, self._limits, PositionExchange(peers)
+        )
         self._pools: ConnectionPools
 
     async def run(self) -> None:
@@ -186,10 +192,17 @@
 
     @_handle.register
     def _(self, event: PlacementChanged, now: float) -> None:
-        self._limits.set_placement(event.is_domain_aware)
-        self._departures.crossing_delay_s = event.crossing_delay_s
+        self._reads.update_placement(event)
         self._apply_limits()
 
+    @_handle.register
+    def _(self, event: PrimaryPositionRequested, now: float) -> None:
+        self._reads.answer_position(event)
+
+    @_handle.register
+    def _(self, event: PrimaryPositionReply, now: float) -> None:
+        self._reads.add_position(event)
+
     def _handle_observation(self, event: MemberObservation, now: float) -> None:
         self._group_monitor.handle_observation(event, now)
         if isinstance(event, MemberUnreachable) and not event.write_timed_out:
@@ -199,7 +212,7 @@
         if request.expires_at <= now:
             refuse(request, "busy", "no member of the group can serve this now")
             return
-        if code := self._departure_refusal(request, now):
+        if code := self._refusal_code(request, now):
             refuse(request, code, "served in another failure domain")
             return
         member = self._choose(request, now)
@@ -211,44 +224,21 @@
             self._waiting_by_group.setdefault(request.group, []).append(request)
             self._group_monitor.request_refresh("no primary")
 
+    def _refusal_code(self, request: ConnectionRequest, now: float) -> str:
+        if request.requirement is not MemberRequirement.FRESH:
+            return ""
+        return self._reads.refusal_code(request, self._pools.pool_by_member, now)
+
     def _choose(self, request: ConnectionRequest, now: float) -> str:
         if request.requirement is MemberRequirement.NAMED:
             return request.member
         if request.requirement is MemberRequirement.FRESH:
-            candidates = self._read_candidates(request, now)
-            if self._limits.is_domain_aware:
-                candidates = prefer_own_domain(candidates)
-            chosen = choose_member(candidates)
+            chosen = self._reads.choose(request, self._pools.pool_by_member, now)
             if chosen is not None:
                 return chosen
         state = self._group_monitor.state(request.group)
         return usable_primary(state, now, self._drain_s)
 
-    def _read_candidates(
-        self, request: ConnectionRequest, now: float
-    ) -> tuple[MemberCandidate, ...]:
-        return tuple(
-            read_candidates(
-                self._group_monitor.state(request.group),
-                request,
-                self._pools.pool_by_member,
-                self._failure_domain,
-                now,
-                seconds_since_boot(),
-            )
-        )
-
-    def _departure_refusal(self, request: ConnectionRequest, now: float) -> str:
-        """Return the code with which a read is sent to another failure domain."""
-        if not self._limits.is_domain_aware or not request.caller_domain:
-            return ""
-        return self._departures.refusal_code(
-            request,
-            self._read_candidates(request, now),
-            self._pools.pool_by_member,
-            self._limits.near_hosts(request.group),
-        )
-
     def _offer_lease(
         self, request: ConnectionRequest, pool: MemberPool, connection: PooledConnection
     ) -> bool:
