Decide about departures by the mean wait

Change: leaving begins and ends by the moving average of the wait, and a read leaves only if its own wait is longer than the crossings.

--- a/src/jackdawspread/decisions/placement/departure_state.py
+++ b/src/jackdawspread/decisions/placement/departure_state.py
@@ -10,6 +10,8 @@
     ----------
     is_leaving : bool
         Whether leaving the failure domain pays.
+    wait_s : float
+        Moving average of the expected wait in the failure domain in seconds.
     share : float
         Fraction of the reads that leave.
     credit : float
@@ -17,5 +19,6 @@
     """
 
     is_leaving: bool = False
+    wait_s: float = 0.0
     share: float = 0.0
     credit: float = 0.0
--- a/src/jackdawspread/decisions/placement/departures.py
+++ b/src/jackdawspread/decisions/placement/departures.py
@@ -11,12 +11,12 @@
 # One-way messages between failure domains that a read needs elsewhere: the request for
 # a lease, the exchange, and the answers to both.
 CROSSINGS_PER_READ = 4
-# Hysteresis: leaving begins when the wait is longer than the crossings by the first
-# factor and ends below the second one, so that single statements change nothing.
+# Hysteresis: leaving begins when the mean wait is longer than the crossings by the
+# first factor and ends below the second one, so that single statements change nothing.
 BEGIN_FACTOR = 1.5
 END_FACTOR = 0.5
-# Weight of a new wait in the share. A step of the load shows within about ten reads.
-SHARE_WEIGHT = 0.1
+# Weight of a new wait in the mean. A step of the load shows within about ten reads.
+WAIT_WEIGHT = 0.1
 # Fraction of a member's slots up to which its hosts take reads of other domains. The
 # rest stays for its own domain, whose demand may rise before the next read is refused.
 ROOM_FRACTION = 0.75
@@ -56,18 +56,17 @@
         Delay of a message to the nearest other failure domain in seconds, one way.
     """
     if wait_s == inf:
-        return DepartureState(is_leaving=True, share=1.0), True
+        return state, True
     cost_s = CROSSINGS_PER_READ * crossing_delay_s
+    mean_s = state.wait_s + WAIT_WEIGHT * (wait_s - state.wait_s)
     factor = END_FACTOR if state.is_leaving else BEGIN_FACTOR
-    is_leaving = wait_s > factor * cost_s
+    if mean_s <= factor * cost_s:
+        return DepartureState(wait_s=mean_s), False
     # The reads that stay wait about as long as the others travel.
-    wanted = max(0.0, 1 - cost_s / wait_s) if is_leaving else 0.0
-    share = state.share + SHARE_WEIGHT * (wanted - state.share)
-    if not is_leaving:
-        return DepartureState(False, share, 0.0), False
-    credit = state.credit + share
-    leaves = credit >= 1
-    return DepartureState(True, share, credit - leaves), leaves
+    share = max(0.0, 1 - cost_s / mean_s)
+    credit = min(1.0, state.credit + share)
+    leaves = credit >= 1 and wait_s > cost_s
+    return DepartureState(True, mean_s, share, credit - leaves), leaves
 
 
 def has_room(in_use: int, slots: int, hosts: int) -> bool:
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -50,8 +50,8 @@
 )
 DOMAIN_DEPARTURES = Counter(
     "jackdawspread_domain_departures",
-    "Reads sent to another failure domain, and those of others refused for lack of "
-    "room, by member group.",
+    "Reads sent to another failure domain because of the wait or for lack of a member, "
+    "and reads of others refused for lack of room, by member group.",
     ("group", "result"),
 )
 DEPARTURE_SHARE = Gauge(
--- a/src/jackdawspread/tasks/members/domain_departures.py
+++ b/src/jackdawspread/tasks/members/domain_departures.py
@@ -64,11 +64,10 @@
         if least is not None:
             duration_s = pool_by_member[least.id].statement_duration_s
             wait_s = expected_wait_s(least.in_use, least.slots, hosts, duration_s)
-        # What one repeat may not use says nothing about the other reads.
-        is_repeat = least is None and bool(request.excluded)
-        if not is_repeat and not self._leaves(request.group, wait_s):
+        if not self._leaves(request.group, wait_s):
             return ""
-        DOMAIN_DEPARTURES.labels(request.group, "left").inc()
+        result = "left" if least is not None else "no_member"
+        DOMAIN_DEPARTURES.labels(request.group, result).inc()
         return LEAVE_DOMAIN
 
     def _leaves(self, group: str, wait_s: float) -> bool:
@@ -83,7 +82,7 @@
                 group,
                 state.is_leaving,
                 state.share,
-                1000 * wait_s,
+                1000 * state.wait_s,
                 1000 * self.crossing_delay_s,
             )
         return leaves
