Keep reads of a small fleet at the members of all failure domains

Cause: a fleet of fewer than 8 instances has no pool hosts, but its reads preferred the own domain where crossings are dear.

Change: the placement by failure domain needs pool hosts of the group. A scenario compares limits and placement of 6 instances.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -105,3 +105,8 @@
     Then the position counts as 309 ms old when the reply arrives
     And it is asked for again once it is 250 ms old, and at most every 100 ms
     And a reply to a request that was not sent is ignored
+
+  Scenario: A small fleet keeps its own connections, however far its domains are apart
+    # Guards against reads that a fleet without pool hosts ties to one member.
+    Given a fleet of 6 instances whose failure domains are far apart
+    Then it has no pool hosts, and reads may use the members of all failure domains
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -6,6 +6,7 @@
 from features.fakes.memory_records import MemoryRecords
 from trio import fail_after, open_memory_channel, open_nursery, run
 
+from jackdawspread.decisions.members.connection_limits import connection_limits
 from jackdawspread.decisions.placement.crossing_delays import (
     CrossingDelays,
     record_delay,
@@ -28,6 +29,8 @@
 from jackdawspread.messages.fleet.departure import Departure
 from jackdawspread.messages.fleet.instance_capacity import InstanceCapacity
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
+from jackdawspread.messages.fleet.member_group import MemberGroup
+from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.placement_changed import PlacementChanged
 from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
@@ -36,6 +39,7 @@
 from jackdawspread.messages.position import Position
 from jackdawspread.tasks.fleet.capacity_exchange import PREFIX, CapacityExchange
 from jackdawspread.tasks.fleet.token_requests import TokenRequests
+from jackdawspread.tasks.members.member_limits import MemberLimits
 from jackdawspread.tasks.members.position_exchange import PositionExchange
 
 DOMAINS = ("a", "b", "c")
@@ -410,3 +414,22 @@
     assert exchange.take_reply(reply) is not None
     assert exchange.take_reply(reply) is None
     assert exchange.take_reply(reply._replace(id=1)) is None
+
+
+@given("a fleet of {instances:d} instances whose failure domains are far apart")
+def small_fleet(context: Context, instances: int) -> None:
+    """Give the list and the placement to one instance."""
+    instances_of_two_sizes(context, instances, 0)
+    context.member_limits = MemberLimits("i0", "a")
+    context.member_limits.set_groups({"ledger": MemberGroup("ledger", 16)})
+    context.member_limits.set_instances(context.entries)
+    context.member_limits.set_placement(is_domain_aware=True)
+
+
+@then("it has no pool hosts, and reads may use the members of all failure domains")
+def no_domain_hosts(context: Context) -> None:
+    """Compare the limits with those of an instance that shares no connections."""
+    listing = MemberListing("m", "ledger", "10.0.1.1:7", "b", 6, False, True)
+    limits = context.member_limits.limits(listing)
+    assert limits == connection_limits(16, len(context.entries)), limits
+    assert not context.member_limits.has_domain_hosts("ledger")
--- a/src/jackdawspread/tasks/members/member_limits.py
+++ b/src/jackdawspread/tasks/members/member_limits.py
@@ -30,8 +30,7 @@
         self._entry_by_instance: dict[str, InstanceEntry] = {}
         self._capacity_by_instance: dict[str, InstanceCapacity] = {}
         self._hosts_by_group: dict[str, tuple[str, ...]] = {}
-        # Whether each failure domain has pool hosts of its own.
-        self.is_domain_aware = False
+        self._is_domain_aware = False
 
     def set_groups(self, group_by_name: dict[str, MemberGroup]) -> None:
         """Take over the groups of a configuration."""
@@ -53,9 +52,16 @@
 
     def set_placement(self, is_domain_aware: bool) -> None:
         """Take over whether each failure domain has pool hosts of its own."""
-        self.is_domain_aware = is_domain_aware
+        self._is_domain_aware = is_domain_aware
         self._choose_hosts()
 
+    def has_domain_hosts(self, group: str) -> bool:
+        """Whether each failure domain has pool hosts of the group.
+
+        A small fleet has none, whatever the delay between failure domains.
+        """
+        return self._is_domain_aware and bool(self._hosts_by_group.get(group))
+
     def near_hosts(self, group: str) -> int:
         """Return the number of a group's pool hosts in this failure domain."""
         return self._hosts_in(group, self._failure_domain)
@@ -81,7 +87,7 @@
         # An instance that does not know the others yet keeps no idle connection: a
         # fleet that restarts would occupy the members with them.
         is_host = self._instance in hosts
-        if not self.is_domain_aware or not is_host:
+        if not self._is_domain_aware or not is_host:
             return pool_host_limits(group.max_connections, len(hosts), is_host)
         near = self._hosts_in(group.name, listing.failure_domain)
         is_near = listing.failure_domain == self._failure_domain
@@ -101,7 +107,7 @@
         }
 
     def _hosts(self, group: str) -> tuple[str, ...]:
-        if not self.is_domain_aware:
+        if not self._is_domain_aware:
             return choose_pool_hosts(group, self._entry_by_instance)
         return choose_domain_hosts(
             group, self._entry_by_instance, self._capacity_by_instance
--- a/src/jackdawspread/tasks/members/read_routing.py
+++ b/src/jackdawspread/tasks/members/read_routing.py
@@ -56,7 +56,7 @@
     ) -> str | None:
         """Return the id of the member for a read, None if only the primary may."""
         candidates = self._candidates(request, pool_by_member, now)
-        if self._limits.is_domain_aware:
+        if self._limits.has_domain_hosts(request.group):
             candidates = prefer_own_domain(candidates)
         return choose_member(candidates)
 
@@ -67,7 +67,8 @@
         now: float,
     ) -> str:
         """Return the code with which a read is sent to another failure domain."""
-        if not self._limits.is_domain_aware or not request.caller_domain:
+        is_placed = self._limits.has_domain_hosts(request.group)
+        if not is_placed or not request.caller_domain:
             return ""
         self._ask_for_position(request.group)
         return self._departures.refusal_code(
