Read a stored capacity before it is written again

Cause: every start wrote the capacity and read all of them twice.

Change: a restarted instance reads first and writes only if its own record is missing or differs; at the first start it writes, then reads once.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -90,7 +90,7 @@
   Scenario: A stored capacity that can't be used is ignored
     # Guards against one writer's odd entry that changes every instance's hosts.
     Given stored capacities, one of them "[0,1,1]" and one of them "{}"
-    Then the instance uses the others, and writes its own once
+    Then a restarted instance uses the others, and writes its own after it has read
 
   Scenario: The capacity of an instance that has gone is removed
     # Guards against records that stay for ever, and against the removal of those of an
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -4,7 +4,8 @@
 from behave.runner import Context
 from features.fakes.domain_play import CROSSING_S, DomainPlay
 from features.fakes.memory_records import MemoryRecords
-from trio import fail_after, open_memory_channel, open_nursery, run
+from trio import open_memory_channel, open_nursery, run
+from trio.testing import MockClock
 
 from jackdawspread.decisions.members.connection_limits import connection_limits
 from jackdawspread.decisions.placement.crossing_delays import (
@@ -333,29 +334,25 @@
     run(write)
 
 
-@then("the instance uses the others, and writes its own once")
+@then("a restarted instance uses the others, and writes its own after it has read")
 def uses_others(context: Context) -> None:
-    """Run the exchange until it has read."""
+    """Run the exchange until it has read twice."""
 
     async def exchange() -> None:
         send, inbox = open_memory_channel(2)
         router, seen = open_memory_channel(2)
         broker, _seen = open_memory_channel(2)
-        task = CapacityExchange("i9", SMALL, context.records, inbox, router, broker)
+        records = context.records
+        task = CapacityExchange("i9", SMALL, False, records, inbox, router, broker)
         send.send_nowait(PlacementChanged(True, CROSSING_S))
-        await _run_until_seen(task, seen, context)
-
-    run(exchange)
-    assert set(context.seen.capacity_by_instance) == {"i1", "i9"}, context.seen
-    assert context.seen.capacity_by_instance["i9"] == SMALL
-
-
-async def _run_until_seen(task: CapacityExchange, seen, context: Context) -> None:
-    async with open_nursery() as nursery:
-        nursery.start_soon(task.run)
-        with fail_after(5):
-            context.seen = await seen.receive()
-        nursery.cancel_scope.cancel()
+        async with open_nursery() as nursery:
+            nursery.start_soon(task.run)
+            context.seen = [await seen.receive(), await seen.receive()]
+            nursery.cancel_scope.cancel()
+
+    run(exchange, clock=MockClock(autojump_threshold=0))
+    first, second = (event.capacity_by_instance for event in context.seen)
+    assert set(first) == {"i1"} and second == {**first, "i9": SMALL}, context.seen
 
 
 @then(
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -264,6 +264,7 @@
                 min(resources.memory_bytes, float_info.max),
                 min(resources.link_bytes_per_s, float_info.max),
             ),
+            self._settings.is_first_start,
             records,
             self._capacities_inbox,
             self._router,
--- a/src/jackdawspread/tasks/fleet/capacity_exchange.py
+++ b/src/jackdawspread/tasks/fleet/capacity_exchange.py
@@ -40,6 +40,8 @@
         Id of this instance.
     capacity : InstanceCapacity
         Resources of this instance's machine.
+    is_first_start : bool
+        Whether no instance can have written its capacity yet.
     records : RecordClient
         Access to the store.
     inbox : trio.MemoryReceiveChannel
@@ -52,6 +54,7 @@
         self,
         instance: str,
         capacity: InstanceCapacity,
+        is_first_start: bool,
         records: RecordClient,
         inbox: MemoryReceiveChannel[CapacityEvent],
         router: MemorySendChannel[RouterEvent],
@@ -59,6 +62,7 @@
     ) -> None:
         self._instance = instance
         self._capacity = capacity
+        self._is_first_start = is_first_start
         self._records = records
         self._inbox = inbox
         self._router = router
@@ -90,19 +94,29 @@
         self._read_at = current_time() if event.is_domain_aware else inf
 
     async def _exchange(self) -> None:
-        was_written = self._is_written
-        if not was_written:
+        """Read the capacities, and write that of this instance if it is missing.
+
+        At the first start of the fleet all are missing, so it writes before it reads.
+        """
+        is_stored = False
+        if self._is_written or not self._is_first_start:
+            records = await self._records.list(PREFIX) or []
+            is_stored = any(self._is_own(record) for record in records)
+            await self._publish(records)
+        if not is_stored:
             name = f"{PREFIX}{self._instance}"
             outcome = await self._records.put(name, encode(self._capacity))
             self._is_written = outcome.status is RecordStatus.DONE
-        self._read_at = current_time() + (
-            READ_INTERVAL_S if was_written else SETTLING_S
-        )
-        records = await self._records.list(PREFIX)
-        if records:
-            await self._publish(records)
+        delay_s = READ_INTERVAL_S if is_stored else SETTLING_S
+        self._read_at = current_time() + delay_s
+
+    def _is_own(self, record: StoredRecord) -> bool:
+        is_own = record.name == f"{PREFIX}{self._instance}"
+        return is_own and record.value == encode(self._capacity)
 
     async def _publish(self, records: list[StoredRecord]) -> None:
+        if not records:
+            return
         record_by_instance = {
             record.name.removeprefix(PREFIX): record for record in records
         }
