Report the primary's failure domain again if the broker's inbox was full

Cause: the report was sent without waiting, and a full inbox would have ended the member router.

Change: the monitor remembers what the broker has taken and reports the difference with the next state. A scenario fills the inbox.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -110,3 +110,10 @@
     # Guards against reads that a fleet without pool hosts ties to one member.
     Given a fleet of 6 instances whose failure domains are far apart
     Then it has no pool hosts, and reads may use the members of all failure domains
+
+  Scenario: The broker learns where a primary is although its inbox was full
+    # Guards against an overloaded instance that stops, or that sends the work for a
+    # primary to its former failure domain from then on.
+    Given a broker whose inbox is full when the primary moves from domain a to b
+    When its inbox has room and the next list of members arrives
+    Then the broker learns that the primary is in domain b
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -33,13 +33,16 @@
 from jackdawspread.messages.fleet.member_group import MemberGroup
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.placement_changed import PlacementChanged
 from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
 from jackdawspread.messages.fleet.token_replied import TokenReplied
 from jackdawspread.messages.fleet.token_reply import TokenReply
+from jackdawspread.messages.pool_hosts.primary_moved import PrimaryMoved
 from jackdawspread.messages.position import Position
 from jackdawspread.tasks.fleet.capacity_exchange import PREFIX, CapacityExchange
 from jackdawspread.tasks.fleet.token_requests import TokenRequests
+from jackdawspread.tasks.members.group_monitor import GroupMonitor
 from jackdawspread.tasks.members.member_limits import MemberLimits
 from jackdawspread.tasks.members.position_exchange import PositionExchange
 
@@ -430,3 +433,40 @@
     limits = context.member_limits.limits(listing)
     assert limits == connection_limits(16, len(context.entries)), limits
     assert not context.member_limits.has_domain_hosts("ledger")
+
+
+def _members_seen(primary: str) -> MembersSeen:
+    listings = {
+        domain: MemberListing(
+            domain, "g", "10.0.1.1:7", domain, 6, False, domain == primary
+        )
+        for domain in DOMAINS
+    }
+    return MembersSeen(listings, 0.0)
+
+
+@given("a broker whose inbox is full when the primary moves from domain a to b")
+def full_broker(context: Context) -> None:
+    """Leave the first report in an inbox for one."""
+    context.broker, context.broker_inbox = open_memory_channel(1)
+    channels = [open_memory_channel(10) for _ in range(2)]
+    context.inboxes = [inbox for _, inbox in channels]
+    failover, refresh = (send for send, _ in channels)
+    context.monitor = GroupMonitor(failover, refresh, context.broker)
+    context.monitor.update_members(_members_seen("a"), 0.0)
+    context.monitor.update_members(_members_seen("b"), 1.0)
+
+
+@when("its inbox has room and the next list of members arrives")
+def next_list(context: Context) -> None:
+    """Take the first report."""
+    assert context.broker_inbox.receive_nowait() == PrimaryMoved("g", "a")
+    context.monitor.update_members(_members_seen("b"), 2.0)
+
+
+@then("the broker learns that the primary is in domain b")
+def learns(context: Context) -> None:
+    """Take the second report; nothing more is reported."""
+    assert context.broker_inbox.receive_nowait() == PrimaryMoved("g", "b")
+    context.monitor.update_members(_members_seen("b"), 3.0)
+    assert not context.broker_inbox.statistics().current_buffer_used
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -51,6 +51,7 @@
         self._refresh = refresh
         self._broker = broker
         self._state_by_group: dict[str, GroupState] = {}
+        self._reported_domain_by_group: dict[str, str] = {}
         self._triggered_at_by_group: dict[str, float] = {}
 
     def state(self, group: str) -> GroupState:
@@ -128,7 +129,16 @@
                 source,
                 len(state.listing_by_id),
             )
-            listing = state.listing_by_id.get(state.primary)
-            domain = listing.failure_domain if listing is not None else ""
-            # The broker's inbox has more room than there are groups.
+        self._report_primary_domain(group, state)
+
+    def _report_primary_domain(self, group: str, state: GroupState) -> None:
+        """Tell the broker where the primary is, again if its inbox was full."""
+        listing = state.listing_by_id.get(state.primary)
+        domain = listing.failure_domain if listing is not None else ""
+        if domain == self._reported_domain_by_group.get(group, ""):
+            return
+        try:
             self._broker.send_nowait(PrimaryMoved(group, domain))
+        except WouldBlock:
+            return
+        self._reported_domain_by_group[group] = domain
