--- a/src/jackdawspread/decisions/placement/domain_candidates.py
+++ b/src/jackdawspread/decisions/placement/domain_candidates.py
@@ -7,7 +7,7 @@
 
 def prefer_own_domain(
     candidates: Sequence[MemberCandidate],
-) -> tuple[MemberCandidate, ...]:
+) -> list[MemberCandidate]:
     """Return the candidates of the own failure domain, or all if there is none."""
-    near = tuple(candidate for candidate in candidates if candidate.is_same_domain)
-    return near or tuple(candidates)
+    near = [candidate for candidate in candidates if candidate.is_same_domain]
+    return near or list(candidates)
--- a/src/jackdawspread/platform/configuration_rows.py
+++ b/src/jackdawspread/platform/configuration_rows.py
@@ -30,12 +30,14 @@
     priority: int = field(name="Priority", default=1)
     max_staleness_ms: float = field(name="MaxStalenessMs", default=0.0)
     public: bool = field(name="Public", default=False)
+    allowed_regions: list[str] | None = field(name="AllowedRegions", default=None)
 
 
 class _Group(Struct):
     name: str = field(name="Name")
     # Maximum for each member, over all instances.
     max_connections: int = field(name="MaxConns", default=DEFAULT_CONNECTIONS)
+    cold_rate_per_s: float = field(name="ColdPerS", default=0.0)
 
 
 class _Workspace(Struct):
@@ -43,6 +45,7 @@
     keys: list[str] = field(name="ApiKeys", default_factory=list)
     rate_per_s: float | None = field(name="RatePerS", default=None)
     burst: float | None = field(name="Burst", default=None)
+    allowed_regions: list[str] | None = field(name="AllowedRegions", default=None)
 
 
 class _Limits(Struct):
@@ -73,7 +76,9 @@
             route.database: _to_route(route) for route in document.routes
         },
         group_by_name={
-            group.name: MemberGroup(group.name, group.max_connections)
+            group.name: MemberGroup(
+                group.name, group.max_connections, group.cold_rate_per_s
+            )
             for group in document.groups
         },
         limit_by_workspace={
@@ -87,6 +92,11 @@
             for key in workspace.keys
         },
         transaction_idle_s=document.limits.transaction_idle_ms / 1000,
+        regions_by_workspace={
+            workspace.name: frozenset(workspace.allowed_regions)
+            for workspace in document.workspaces
+            if workspace.allowed_regions
+        },
     )
 
 
@@ -111,6 +121,7 @@
         *(route.statement_timeout_ms for route in document.routes),
         *(route.latency_target_ms for route in document.routes),
         *(route.max_staleness_ms for route in document.routes),
+        *(group.cold_rate_per_s for group in document.groups),
         *(item.rate_per_s or 0.0 for item in document.workspaces),
         *(item.burst or 0.0 for item in document.workspaces),
     ):
@@ -139,6 +150,7 @@
         latency_target_s=route.latency_target_ms / 1000,
         priority=route.priority,
         public=route.public,
+        allowed_regions=frozenset(route.allowed_regions or ()),
     )
 
 
--- a/src/jackdawspread/tasks/members/member_limits.py
+++ b/src/jackdawspread/tasks/members/member_limits.py
@@ -7,7 +7,10 @@
 )
 from jackdawspread.decisions.placement.domain_host_limits import domain_host_limits
 from jackdawspread.decisions.placement.domain_hosts import choose_domain_hosts
-from jackdawspread.decisions.pool_hosts.choose_pool_hosts import choose_pool_hosts
+from jackdawspread.decisions.pool_hosts.choose_pool_hosts import (
+    MIN_FLEET_WITH_POOL_HOSTS,
+    choose_pool_hosts,
+)
 from jackdawspread.messages.fleet.instance_capacity import InstanceCapacity
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.member_group import MemberGroup
@@ -55,6 +58,23 @@
         self._is_domain_aware = is_domain_aware
         self._choose_hosts()
 
+    def group(self, name: str) -> MemberGroup | None:
+        """Return the settings of a group, None if it is not configured."""
+        return self._group_by_name.get(name)
+
+    def hosted_groups(self) -> frozenset[str] | None:
+        """Return the groups of which this instance is a pool host.
+
+        None if the fleet has no pool hosts.
+        """
+        if len(self._entry_by_instance) < MIN_FLEET_WITH_POOL_HOSTS:
+            return None
+        return frozenset(
+            group
+            for group, hosts in self._hosts_by_group.items()
+            if self._instance in hosts
+        )
+
     def has_domain_hosts(self, group: str) -> bool:
         """Whether each failure domain has pool hosts of the group.
 
--- a/src/jackdawspread/tasks/members/read_routing.py
+++ b/src/jackdawspread/tasks/members/read_routing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from jackdawspread.decisions.members.cold_members import prefer_warm
 from jackdawspread.decisions.members.eligible_members import read_candidates
 from jackdawspread.decisions.members.member_candidate import MemberCandidate
 from jackdawspread.decisions.members.member_choice import choose_member
@@ -27,6 +28,8 @@
     ----------
     failure_domain : str
         Failure domain of this instance.
+    region_by_domain : mapping
+        Region of each failure domain.
     group_monitor : GroupMonitor
         States of the member groups.
     limits : MemberLimits
@@ -38,11 +41,13 @@
     def __init__(
         self,
         failure_domain: str,
+        region_by_domain: Mapping[str, str],
         group_monitor: GroupMonitor,
         limits: MemberLimits,
         positions: PositionExchange,
     ) -> None:
         self._failure_domain = failure_domain
+        self._region_by_domain = region_by_domain
         self._group_monitor = group_monitor
         self._limits = limits
         self._positions = positions
@@ -106,14 +111,15 @@
         request: ConnectionRequest,
         pool_by_member: Mapping[str, MemberPool],
         now: float,
-    ) -> tuple[MemberCandidate, ...]:
-        return tuple(
-            read_candidates(
-                self._group_monitor.state(request.group),
-                request,
-                pool_by_member,
-                self._failure_domain,
-                now,
-                seconds_since_boot(),
-            )
+    ) -> list[MemberCandidate]:
+        state = self._group_monitor.state(request.group)
+        candidates = read_candidates(
+            state,
+            request,
+            pool_by_member,
+            self._failure_domain,
+            now,
+            seconds_since_boot(),
+            self._region_by_domain,
         )
+        return prefer_warm(candidates, state, self._limits.group(request.group), now)
--- a/src/jackdawspread/tasks/pool_hosts/lease_broker.py
+++ b/src/jackdawspread/tasks/pool_hosts/lease_broker.py
@@ -1,5 +1,6 @@
 """Decides which instance leases a member connection."""
 
+from collections.abc import Mapping
 from functools import singledispatchmethod
 
 from absl import logging
@@ -45,6 +46,8 @@
     ----------
     instance : str
         Id of this instance.
+    region_by_domain : mapping
+        Region of each failure domain.
     placement : HostPlacement
         Chooses the pool hosts.
     inbox, broker : trio channels
@@ -56,12 +59,14 @@
     def __init__(
         self,
         instance: str,
+        region_by_domain: Mapping[str, str],
         placement: HostPlacement,
         inbox: MemoryReceiveChannel[LeaseBrokerEvent],
         broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
     ) -> None:
         self._instance = instance
+        self._region_by_domain = region_by_domain
         self._placement = placement
         self._inbox = inbox
         self._broker = broker
@@ -129,6 +134,8 @@
                 MEMBER_LEASES.labels("local").inc()
                 lease_here(request, self._router)
                 return
+            if not self._is_allowed(event, host):
+                continue
             link = self._link_by_host.get(host)
             if link is None:
                 self._open_link(host, links)
@@ -141,6 +148,13 @@
         # Without a host this instance serves the request wherever a member is.
         lease_here(request._replace(caller_domain=""), self._router)
 
+    def _is_allowed(self, request: ConnectionRequest, host: str) -> bool:
+        """Whether statements of a request may be sent to the region of a host."""
+        if not request.allowed_regions:
+            return True
+        domain = self._placement.entry_by_instance[host].failure_domain
+        return self._region_by_domain.get(domain) in request.allowed_regions
+
     def _start_probe(self, domain: str, delay_s: float, links: Nursery) -> None:
         addresses = self._placement.probed_addresses_by_domain().get(domain)
         if addresses is None:
