--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -72,6 +72,27 @@
     "Statements that this instance may have in progress at a member.",
     ("member",),
 )
+DOMAIN_DEPARTURES = Counter(
+    "jackdawspread_domain_departures",
+    "Reads sent to another failure domain because of the wait or for lack of a member, "
+    "and reads of others refused for lack of room, by member group.",
+    ("group", "result"),
+)
+DEPARTURE_SHARE = Gauge(
+    "jackdawspread_departure_share",
+    "Fraction of the reads of a member group that leave the failure domain.",
+    ("group",),
+)
+CROSSING_LEASES = Counter(
+    "jackdawspread_crossing_leases",
+    "Leases requested from pool hosts, by whether these are in another failure domain.",
+    ("place",),
+)
+CROSSING_BYTES = Counter(
+    "jackdawspread_crossing_bytes",
+    "Bytes exchanged with pool hosts of other failure domains.",
+    ("direction",),
+)
 UNEXPECTED_ERRORS = Counter(
     "jackdawspread_unexpected_errors",
     "Sessions and connections that an unexpected error has ended, by part.",
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -14,12 +14,18 @@
     apply_member_list,
     apply_observation,
 )
+from jackdawspread.decisions.members.position_samples import add_sample
+from jackdawspread.decisions.members.primary_position_sample import (
+    PrimaryPositionSample,
+)
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.member_observation import MemberObservation
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
+from jackdawspread.messages.pool_hosts.primary_moved import PrimaryMoved
 
 # An evacuation reaches all instances at once. Those that don't serve connections of a
 # group for the others begin its switchover only after this time, so that a few
@@ -40,16 +46,21 @@
         Receives failover triggers.
     refresh : trio.MemorySendChannel
         Receives requests for a newer list of members.
+    broker : trio.MemorySendChannel
+        Receives the failure domains of the primaries.
     """
 
     def __init__(
         self,
         failover: MemorySendChannel[FailoverTrigger],
         refresh: MemorySendChannel[RefreshMembers],
+        broker: MemorySendChannel[LeaseBrokerEvent],
     ) -> None:
         self._failover_triggers = failover
         self._refresh = refresh
+        self._broker = broker
         self._state_by_group: dict[str, GroupState] = {}
+        self._reported_domain_by_group: dict[str, str] = {}
         self._work_until_by_domain: dict[str, float] = {}
         self._evacuated_at = -inf
         # Groups whose switchovers this instance begins.
@@ -124,6 +135,12 @@
             self.request_refresh(type(event).__name__)
             self.report_failover_trigger(event.group, now)
 
+    def add_sample(self, group: str, sample: PrimaryPositionSample) -> None:
+        """Add a position of the primary that another instance has seen."""
+        state = self.state(group)
+        samples = add_sample(state.samples, sample.position, sample.at)
+        self._state_by_group[group] = state._replace(samples=samples)
+
     def request_refresh(self, reason: str) -> None:
         """Request a newer list of members."""
         try:
@@ -167,3 +184,16 @@
                 source,
                 len(state.listing_by_id),
             )
+        self._report_primary_domain(group, state)
+
+    def _report_primary_domain(self, group: str, state: GroupState) -> None:
+        """Tell the broker where the primary is, again if its inbox was full."""
+        listing = state.listing_by_id.get(state.primary)
+        domain = listing.failure_domain if listing is not None else ""
+        if domain == self._reported_domain_by_group.get(group, ""):
+            return
+        try:
+            self._broker.send_nowait(PrimaryMoved(group, domain))
+        except WouldBlock:
+            return
+        self._reported_domain_by_group[group] = domain
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -13,56 +13,54 @@
     open_nursery,
 )
 
-from jackdawspread.decisions.members.cold_members import is_cold, prefer_warm
-from jackdawspread.decisions.members.connection_limits import (
-    ConnectionLimits,
-    connection_limits,
-    pool_host_limits,
-)
+from jackdawspread.decisions.members.cold_members import is_cold
 from jackdawspread.decisions.members.eligible_members import (
     lease_conditions,
-    read_candidates,
     usable_primary,
 )
-from jackdawspread.decisions.members.member_choice import choose_member
 from jackdawspread.decisions.members.routing_refusal import (
     DETAIL_BY_REASON,
     is_region_allowed,
     routing_refusal,
 )
-from jackdawspread.decisions.pool_hosts.choose_pool_hosts import (
-    choose_pool_hosts,
-    groups_hosted_by,
-)
+from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
 from jackdawspread.messages.fleet.connection_opened import ConnectionOpened
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.evacuations_seen import EvacuationsSeen
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
-from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
 from jackdawspread.messages.fleet.member_busy import MemberBusy
-from jackdawspread.messages.fleet.member_group import MemberGroup
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_observation import MemberObservation
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
+from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.placement_changed import PlacementChanged
 from jackdawspread.messages.fleet.position_seen import PositionSeen
+from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
+from jackdawspread.messages.fleet.primary_position_requested import (
+    PrimaryPositionRequested,
+)
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.members.connection_pools import ConnectionPools
 from jackdawspread.tasks.members.evacuation_schedule import EvacuationSchedule
 from jackdawspread.tasks.members.group_monitor import GroupMonitor
 from jackdawspread.tasks.members.member_codec import MemberCodec
+from jackdawspread.tasks.members.member_limits import MemberLimits
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
+from jackdawspread.tasks.members.position_exchange import PositionExchange
+from jackdawspread.tasks.members.read_routing import ReadRouting
 from jackdawspread.tasks.members.refusal_log import RefusalLog
 from jackdawspread.tasks.members.refuse_request import refuse
 
@@ -91,6 +89,10 @@
         Receives failover triggers.
     refresh : trio.MemorySendChannel
         Receives requests for a newer list of members.
+    broker : trio.MemorySendChannel
+        Receives the failure domains of the primaries.
+    peers : trio.MemorySendChannel
+        Inbox of the peers task.
     admits_by_priority : bool
         Whether statements compete for members by the priority of their routes.
     """
@@ -106,21 +108,26 @@
         router: MemorySendChannel[RouterEvent],
         failover: MemorySendChannel[FailoverTrigger],
         refresh: MemorySendChannel[RefreshMembers],
+        broker: MemorySendChannel[LeaseBrokerEvent],
+        peers: MemorySendChannel[PeerEvent],
         admits_by_priority: bool = False,
     ) -> None:
-        self._instance = instance
-        self._failure_domain = failure_domain
         self._region_by_domain = region_by_domain
         self._drain_s = drain_s
         self._make_codec = make_codec
         self._inbox = inbox
         self._router = router
         self._admits_by_priority = admits_by_priority
-        self._group_monitor = GroupMonitor(failover, refresh)
-        self._group_by_name: dict[str, MemberGroup] = {}
+        self._group_monitor = GroupMonitor(failover, refresh, broker)
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
-        self._entry_by_instance: dict[str, InstanceEntry] = {}
-        self._limits_by_group: dict[str, ConnectionLimits] = {}
+        self._limits = MemberLimits(instance, failure_domain)
+        self._reads = ReadRouting(
+            failure_domain,
+            region_by_domain,
+            self._group_monitor,
+            self._limits,
+            PositionExchange(peers),
+        )
         self._evacuations = EvacuationSchedule()
         self._refusals = RefusalLog()
         self._pools: ConnectionPools
@@ -214,8 +221,8 @@
     @_handle.register
     def _(self, event: ConfigurationSeen, now: float) -> None:
         if event.configuration is not None:
-            self._group_by_name = event.configuration.group_by_name
-            self._set_limits()
+            self._limits.set_groups(event.configuration.group_by_name)
+            self._apply_hosts()
 
     @_handle.register
     def _(self, event: EvacuationsSeen, now: float) -> None:
@@ -227,11 +234,28 @@
 
     @_handle.register
     def _(self, event: PeersSeen, now: float) -> None:
-        if event.entry_by_instance != self._entry_by_instance:
-            self._entry_by_instance = event.entry_by_instance
-            instances = len(self._entry_by_instance)
+        if self._limits.set_instances(event.entry_by_instance):
+            instances = len(event.entry_by_instance)
             logging.info("router: instances changed count=%d", instances)
-            self._set_limits()
+            self._apply_hosts()
+
+    @_handle.register
+    def _(self, event: CapacitiesSeen, now: float) -> None:
+        self._limits.set_capacities(event.capacity_by_instance)
+        self._apply_hosts()
+
+    @_handle.register
+    def _(self, event: PlacementChanged, now: float) -> None:
+        self._reads.update_placement(event)
+        self._apply_hosts()
+
+    @_handle.register
+    def _(self, event: PrimaryPositionRequested, now: float) -> None:
+        self._reads.answer_position(event)
+
+    @_handle.register
+    def _(self, event: PrimaryPositionReply, now: float) -> None:
+        self._reads.add_position(event)
 
     def _handle_observation(self, event: MemberObservation, now: float) -> None:
         self._group_monitor.handle_observation(event, now)
@@ -242,6 +266,9 @@
         if request.expires_at <= now:
             refuse(request, "busy", "no member of the group can serve this now")
             return
+        if code := self._refusal_code(request, now):
+            refuse(request, code, "served in another failure domain")
+            return
         member = self._choose(request, now)
         if member in self._pools.pool_by_member:
             self._pools.request(member, request, now)
@@ -251,6 +278,11 @@
             self._waiting_by_group.setdefault(request.group, []).append(request)
             self._group_monitor.request_refresh("no primary")
 
+    def _refusal_code(self, request: ConnectionRequest, now: float) -> str:
+        if request.requirement is not MemberRequirement.FRESH:
+            return ""
+        return self._reads.refusal_code(request, self._pools.pool_by_member, now)
+
     def _refuse_unservable(self, request: ConnectionRequest, now: float) -> bool:
         """Refuse a request that no wait can help; return whether it was refused."""
         state = self._group_monitor.state(request.group)
@@ -264,21 +296,11 @@
     def _choose(self, request: ConnectionRequest, now: float) -> str:
         if request.requirement is MemberRequirement.NAMED:
             return request.member
-        state = self._group_monitor.state(request.group)
         if request.requirement is MemberRequirement.FRESH:
-            candidates = read_candidates(
-                state,
-                request,
-                self._pools.pool_by_member,
-                self._failure_domain,
-                now,
-                seconds_since_boot(),
-                self._region_by_domain,
-            )
-            group = self._group_by_name.get(request.group)
-            chosen = choose_member(prefer_warm(candidates, state, group, now))
+            chosen = self._reads.choose(request, self._pools.pool_by_member, now)
             if chosen is not None:
                 return chosen
+        state = self._group_monitor.state(request.group)
         member = usable_primary(state, now, self._drain_s)
         listing = state.listing_by_id.get(member)
         if listing is not None and not is_region_allowed(
@@ -305,9 +327,7 @@
             conditions.requires_primary,
             conditions.required_position,
             conditions.position_age_s,
-            is_cold=is_cold(
-                state, self._group_by_name.get(group), member, current_time()
-            ),
+            is_cold=is_cold(state, self._limits.group(group), member, current_time()),
         )
         try:
             request.reply_to.send_nowait(lease)
@@ -320,30 +340,13 @@
         pool = self._pools.pool_by_member.get(member)
         return pool.listing.group if pool is not None else ""
 
-    def _set_limits(self) -> None:
-        self._limits_by_group = {
-            name: self._limits(group) for name, group in self._group_by_name.items()
-        }
-        self._group_monitor.set_own_groups(
-            groups_hosted_by(
-                self._instance, self._group_by_name, self._entry_by_instance
-            )
-        )
+    def _apply_hosts(self) -> None:
+        """Use the pool hosts that were chosen anew."""
+        self._group_monitor.set_own_groups(self._limits.hosted_groups())
         self._apply_limits()
 
     def _apply_limits(self) -> None:
         for member, pool in self._pools.pool_by_member.items():
-            limits = self._limits_by_group.get(pool.listing.group)
+            limits = self._limits.limits(pool.listing)
             if limits is not None:
                 self._pools.set_limits(member, limits)
-
-    def _limits(self, group: MemberGroup) -> ConnectionLimits:
-        instances = len(self._entry_by_instance)
-        hosts = choose_pool_hosts(group.name, self._entry_by_instance)
-        if instances and not hosts:
-            return connection_limits(group.max_connections, instances)
-        # An instance that does not know the others yet keeps no idle connection: a
-        # fleet that restarts would occupy the members with them.
-        return pool_host_limits(
-            group.max_connections, len(hosts), self._instance in hosts
-        )
