Count a session value as set only after the member has said so

A preparing command that a member refuses (SET, PREPARE or RESET answered with BUSY) ended the exchange with that error, and the connection was returned with the context that it would have had after a success. A later statement then ran with the value before, or with that of another session.

A reply that comes before the last command was sent has the time 0, also through a pool host; such a connection is now closed. An error of the statement itself keeps its connection, as before.

Ruled out: transactions, whose connections are closed after a failed preparation, and reads at the primary, which close it too. The stand-in member now also splits large statements in linear time, for the scenarios to come.

--- a/features/platform_sessions.feature
+++ b/features/platform_sessions.feature
@@ -73,6 +73,13 @@
     When two callers of "primary-db" set different values and prepare the same name
     Then each statement ran with the values and the template of its session
 
+  Scenario: A session value that a member refuses does not count as set
+    # Guards against a statement that runs with the value before, or with that of
+    # another session, after a busy member has refused SET (PINNED).
+    Given a caller of "primary-db" whose value is set on its connection
+    When it sets another value, and the member refuses it as busy once
+    Then 4 transactions at once, which use all connections, run with the new value
+
   Scenario: An unanswered commit has an unknown outcome and is not retried
     # Guards against executing a write twice, and against reporting a write that has run
     # as not run.
--- a/features/steps/platform_session_steps.py
+++ b/features/steps/platform_session_steps.py
@@ -135,6 +135,43 @@
             context.expected.append((caller.last_id, f"v{number}"))
 
 
+@given('a caller of "{database}" whose value is set on its connection')
+def value_set(context: Context, database: str) -> None:
+    """Set a value and write until idle connections are kept and used again."""
+    caller_sends(context, database, "SET zone old")
+    runs = context.platform.group.runs
+
+    def is_used_again() -> bool:
+        it_sends(context, "WRITE a 1")
+        return len(runs) > 1 and runs[-1].connection == runs[-2].connection
+
+    _wait(context, is_used_again)
+
+
+@when("it sets another value, and the member refuses it as busy once")
+def value_refused(context: Context) -> None:
+    """The write that brings the value to the member is retried."""
+    context.platform.group.refused_values = 1
+    it_sends(context, "SET zone new")
+    it_sends(context, "WRITE a 2")
+
+
+@then(
+    "{number:d} transactions at once, which use all connections, run with the new value"
+)
+def run_with_value(context: Context, number: int) -> None:
+    """No connection has kept the value before."""
+    assert context.answer[0].startswith("DONE"), context.answer
+    callers = [context.platform.open() for _ in range(number)]
+    for item, caller in enumerate(callers):
+        for text in ("SET zone new", "BEGIN", f"WRITE n{item} 1"):
+            answer = context.platform.query(caller, text)
+            assert answer[0].startswith("DONE"), answer
+    runs = [run for run in context.platform.group.runs if run.text != "WRITE a 1"]
+    assert len(runs) == 1 + number, runs
+    assert all(run.values == {"zone": "new"} for run in runs), runs
+
+
 @when("the members answer BUSY to a caller's write for a short time")
 def busy_members(context: Context) -> None:
     """Let the members refuse a write at first and run it later."""
--- a/features/wire/wire_group.py
+++ b/features/wire/wire_group.py
@@ -29,6 +29,8 @@
         self.lose_answers = 0
         # Whether statements are left unanswered.
         self.is_silent = False
+        # Number of SET commands to refuse as busy.
+        self.refused_values = 0
         # Error with which writes and commits are refused; empty to run them.
         self.refuse_with = ""
 
--- a/features/wire/wire_member.py
+++ b/features/wire/wire_member.py
@@ -15,6 +15,7 @@
 )
 
 SIGNATURE = "7.1f3.c"
+READ_CHUNK_BYTES = 64 * 1024
 _IDS = count(1)
 
 
@@ -45,10 +46,14 @@
 
     async def _serve(self, stream: SocketStream) -> None:
         session = _MemberSession(self, next(_IDS))
-        buffer = b""
+        buffer = bytearray()
         try:
-            while data := await stream.receive_some(4096):
-                *lines, buffer = (buffer + data).split(b"\r\n")
+            while data := await stream.receive_some(READ_CHUNK_BYTES):
+                buffer += data
+                # Large statements are split only once they are complete.
+                if not data.endswith(b"\n"):
+                    continue
+                *lines, buffer = buffer.split(b"\r\n")
                 for line in lines:
                     answer = session.answer(line.decode("latin-1"))
                     if self.group.is_silent:
@@ -106,6 +111,9 @@
             return [row, "DONE -\r\n"]
         if word == "RESET":
             self._values, self._templates = {}, {}
+        elif word == "SET" and self._group.refused_values:
+            self._group.refused_values -= 1
+            return ["ERR BUSY full\r\n"]
         elif word == "SET":
             name, _, value = rest.partition(" ")
             self._values = {**self._values, name: value}
--- a/src/jackdawspread/messages/statements/member_reply.py
+++ b/src/jackdawspread/messages/statements/member_reply.py
@@ -25,7 +25,8 @@
     position : Position or None
         End of the member's log; None if the answer has none.
     sent_at : float
-        Time at which the command was sent, in seconds of the boot-time clock.
+        Time at which the command was sent, in seconds of the boot-time clock; 0 if the
+        member refused a preparing command, so that the last one was not sent.
     log_status : LogStatus or None
         State of the member's log, in answers to commands about the log.
     """
--- a/src/jackdawspread/tasks/sessions/statement_attempt.py
+++ b/src/jackdawspread/tasks/sessions/statement_attempt.py
@@ -79,7 +79,11 @@
 def context_after(
     outcome: MemberReply | ExchangeFailure, context: ConnectionContext
 ) -> ConnectionContext | None:
-    """Return the session state of the connection, None if it must be closed."""
-    if isinstance(outcome, ExchangeFailure):
+    """Return the session state of the connection, None if it must be closed.
+
+    Values and prepared statements count as set only if the member has accepted them
+    all, which is certain once the command behind them was sent.
+    """
+    if isinstance(outcome, ExchangeFailure) or not outcome.sent_at:
         return None
     return context if outcome.phase is SessionPhase.IDLE else None
