--- a/src/jackdawspread/platform/daemon.py
+++ b/src/jackdawspread/platform/daemon.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from collections.abc import AsyncIterator
 from os import environ
 from pathlib import Path
 
@@ -17,6 +18,7 @@
 SETTINGS_VARIABLE = "JACKDAWSPREAD_CONFIG"
 DEFAULT_SETTINGS = "/etc/jackdawspread/node.conf"
 EXIT_SETTINGS = 2
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 Checked = SessionProxySettings | list[SettingsError]
 
@@ -38,23 +40,26 @@
 
 async def _run(settings: SessionProxySettings, path: Path) -> None:
     stopping = Event()
-    async with open_nursery() as nursery:
-        nursery.start_soon(_watch_signals, stopping, settings, path)
-        await PlatformInstance(settings, stopping).run()
-        nursery.cancel_scope.cancel()
+    # Handlers are set before any task runs.
+    with open_signal_receiver(*HANDLED_SIGNALS) as signals:
+        async with open_nursery() as nursery:
+            nursery.start_soon(_watch_signals, signals, stopping, settings, path)
+            await PlatformInstance(settings, stopping).run()
+            nursery.cancel_scope.cancel()
 
 
 async def _watch_signals(
-    stopping: Event, settings: SessionProxySettings, path: Path
+    signals: AsyncIterator[int],
+    stopping: Event,
+    settings: SessionProxySettings,
+    path: Path,
 ) -> None:
-    received = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with open_signal_receiver(*received) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                settings = _reload(settings, read_platform_settings(path))
-                continue
-            logging.info("instance: stopping on a signal")
-            stopping.set()
+    async for number in signals:
+        if number == signal.SIGHUP:
+            settings = _reload(settings, read_platform_settings(path))
+            continue
+        logging.info("instance: stopping on a signal")
+        stopping.set()
 
 
 def _reload(settings: SessionProxySettings, checked: Checked) -> SessionProxySettings:
