Isolate the refusal of a caller at the limit of sessions

The refusal ran as a task of the listener without isolation, so a connection that its client reset before the refusal was written ended the listener and the process. The error of a client that is gone is now expected there, and any other one is isolated like that of a session.

--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -1,8 +1,12 @@
 """Accepts connections of callers."""
 
 from collections.abc import Callable
+from functools import partial
 
+from absl import logging
 from trio import (
+    BrokenResourceError,
+    ClosedResourceError,
     MemorySendChannel,
     Nursery,
     SocketListener,
@@ -91,7 +95,9 @@
     def _start(self, stream: SocketStream, sessions: Nursery) -> None:
         enable_dead_peer_detection(stream)
         if len(self._sessions) >= self._max_sessions:
-            sessions.start_soon(self._reject, stream)
+            sessions.start_soon(
+                run_isolated, "session", partial(_reject, stream, self._make_codec())
+            )
             return
         session = CallerSession(
             stream, self._make_codec(), self._admission, self._broker, self._router
@@ -101,10 +107,6 @@
         self._sessions.add(session)
         sessions.start_soon(self._serve, session)
 
-    async def _reject(self, stream: SocketStream) -> None:
-        async with stream:
-            await stream.send_all(self._make_codec().encode_handshake_reply(OVERLOADED))
-
     async def _serve(self, session: CallerSession) -> None:
         SESSIONS.set(len(self._sessions))
         try:
@@ -112,3 +114,11 @@
         finally:
             self._sessions.discard(session)
             SESSIONS.set(len(self._sessions))
+
+
+async def _reject(stream: SocketStream, codec: SessionCodec) -> None:
+    async with stream:
+        try:
+            await stream.send_all(codec.encode_handshake_reply(OVERLOADED))
+        except (BrokenResourceError, ClosedResourceError) as error:
+            logging.vlog(1, "listener: refused caller is gone reason=%r", error)
