--- a/features/support/instance_process.py
+++ b/features/support/instance_process.py
@@ -5,6 +5,8 @@
 import sys
 from pathlib import Path
 
+from features.support.process_limits import limit_descriptors
+
 ROOT = Path(__file__).resolve().parents[2]
 RUN = "from jackdawspread.platform.daemon import main; main()"
 
@@ -18,9 +20,16 @@
         Folder for its settings file and its log.
     settings : dict
         Settings by their names in the settings file.
+    max_descriptors : int or None
+        Limit of open file descriptors that the kernel enforces; None to leave it.
     """
 
-    def __init__(self, folder: Path, settings: dict[str, str]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        settings: dict[str, str],
+        max_descriptors: int | None = None,
+    ) -> None:
         path = folder / "node.conf"
         path.write_text("".join(f"{k}={v}\n" for k, v in settings.items()))
         self._log = folder / "instance.log"
@@ -31,9 +40,20 @@
         }
         with self._log.open("wb") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-c", RUN], env=environment, stdout=log, stderr=log
+                [sys.executable, "-c", RUN],
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=lambda: (
+                    max_descriptors and limit_descriptors(max_descriptors)
+                ),
             )
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
