Keep errors of one connection, datagram or signal from ending the process

The router learns of a member connection that ended by an unexpected error, so no request waits for it.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -20,3 +20,18 @@
     Given an instance that broadcasts to two others
     When a third one makes itself known between the two datagrams
     Then the broadcast goes on to the second
+
+  Scenario: A member connection with an unexpected error
+    # Guards against an answer of one member that ends the process, and against a router
+    # that waits for ever for a connection that has ended.
+    Given a member connection whose codec fails with an unexpected error
+    When it is opened
+    Then the router is told that it could not be opened
+    And the task has ended without an exception
+
+  Scenario: A check of every task that is started
+    # Guards against a task of one connection that is started without isolation, as the
+    # refusal at the limit of sessions was (review/4).
+    Given the sources with a task of one connection that is not isolated
+    When the check of CI runs on them
+    Then it names that task
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -21,6 +21,7 @@
     "format": [str(BIN / "ruff"), "format", "--check", "."],
     "lint": [str(BIN / "ruff"), "check", "."],
     "types": [str(BIN / "mypy")],
+    "isolation": [sys.executable, "scripts/check_isolation.py"],
     "model": [sys.executable, "-m", "spec"],
     "features": [str(BIN / "behave"), "--tags=not @known_red", "features"],
 }
--- a/src/jackdawspread/platform/daemon.py
+++ b/src/jackdawspread/platform/daemon.py
@@ -14,6 +14,7 @@
 from jackdawspread.platform.settings_file import read_platform_settings
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.settings_error import SettingsError
+from jackdawspread.tasks.run_isolated import call_isolated
 
 SETTINGS_VARIABLE = "JACKDAWSPREAD_CONFIG"
 DEFAULT_SETTINGS = "/etc/jackdawspread/node.conf"
@@ -56,12 +57,24 @@
 ) -> None:
     async for number in signals:
         if number == signal.SIGHUP:
-            settings = _reload(settings, read_platform_settings(path))
+            settings = _reload_isolated(settings, path)
             continue
         logging.info("instance: stopping on a signal")
         stopping.set()
 
 
+def _reload_isolated(
+    settings: SessionProxySettings, path: Path
+) -> SessionProxySettings:
+    """Reload the settings; an unexpected error in the file leaves them as they are."""
+    reloaded = [settings]
+    call_isolated(
+        "settings",
+        lambda: reloaded.append(_reload(settings, read_platform_settings(path))),
+    )
+    return reloaded[-1]
+
+
 def _reload(settings: SessionProxySettings, checked: Checked) -> SessionProxySettings:
     """Validate and log changed settings, which take effect at the next start."""
     if not isinstance(checked, SessionProxySettings):
--- a/src/jackdawspread/tasks/fleet/failover_task.py
+++ b/src/jackdawspread/tasks/fleet/failover_task.py
@@ -1,6 +1,6 @@
 """Failover of failed primaries and switchover of leaving ones."""
 
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from math import inf
 
 from absl import logging
@@ -23,6 +23,7 @@
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.tasks.fleet.failover_attempt import FailoverAttempt
 from jackdawspread.tasks.fleet.fleet_metrics import PROMOTION_SECONDS, PROMOTIONS
+from jackdawspread.tasks.run_isolated import run_isolated
 
 # Delay after an attempt, so that a persisting trigger does not flood the store.
 ATTEMPT_DELAY_S = 0.3
@@ -79,7 +80,8 @@
     def _(self, event: FailoverTrigger, attempts: Nursery) -> None:
         if event.group not in self._busy:
             self._busy.add(event.group)
-            attempts.start_soon(self._run_attempt, event)
+            run = partial(self._run_attempt, event)
+            attempts.start_soon(run_isolated, "succession", run)
 
     async def _run_attempt(self, trigger: FailoverTrigger) -> None:
         started_at = current_time()
--- a/src/jackdawspread/tasks/fleet/peer_datagrams.py
+++ b/src/jackdawspread/tasks/fleet/peer_datagrams.py
@@ -31,6 +31,7 @@
 from jackdawspread.messages.fleet.token_request import TokenRequest
 from jackdawspread.messages.fleet.token_requested import TokenRequested
 from jackdawspread.tasks.fleet.fleet_metrics import DATAGRAMS
+from jackdawspread.tasks.run_isolated import call_isolated
 
 
 class PeerDatagrams:
@@ -139,12 +140,17 @@
                 logging.vlog(1, "peers: datagram ignored bytes=%d", len(data))
                 continue
             DATAGRAMS.labels("received", type(message).__name__).inc()
-            try:
-                self._deliver(message, f"{sender[0]}:{sender[1]}")
-            except WouldBlock:
-                logging.vlog(
-                    1, "peers: dropped, inbox full kind=%s", type(message).__name__
-                )
+            call_isolated(
+                "peers", self._deliver_or_drop, message, f"{sender[0]}:{sender[1]}"
+            )
+
+    def _deliver_or_drop(self, message: PeerDatagram, sender: str) -> None:
+        try:
+            self._deliver(message, sender)
+        except WouldBlock:
+            logging.vlog(
+                1, "peers: dropped, inbox full kind=%s", type(message).__name__
+            )
 
     @singledispatchmethod
     def _deliver(self, message: object, sender: str) -> None:
--- a/src/jackdawspread/tasks/http_server.py
+++ b/src/jackdawspread/tasks/http_server.py
@@ -1,5 +1,7 @@
 """HTTP listener."""
 
+from functools import partial
+
 from trio import Event, Nursery, SocketListener, SocketStream, open_nursery, sleep
 
 from jackdawspread.decisions.limits.memory_limits import UNLIMITED
@@ -75,7 +77,8 @@
                 connections.start_soon(run_isolated, self._part, stream.aclose)
                 continue
             account = self._budget.open_account(self._part, IDLE_BYTES)
-            connections.start_soon(self._serve, stream, account)
+            serve = partial(self._serve, stream, account)
+            connections.start_soon(run_isolated, self._part, serve)
 
     async def _serve(self, stream: SocketStream, account: MemoryAccount) -> None:
         connection = HttpServerConnection(
@@ -83,7 +86,7 @@
         )
         self._connections.add(connection)
         try:
-            await run_isolated(self._part, connection.run)
+            await connection.run()
         finally:
             self._budget.close_account(account)
             self._connections.discard(connection)
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -20,6 +20,7 @@
 from jackdawspread.tasks.members.member_connection import MemberConnection
 from jackdawspread.tasks.members.member_pool import MemberPool
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
+from jackdawspread.tasks.run_isolated import run_isolated
 
 LeaseOffer = Callable[[ConnectionRequest, MemberPool, PooledConnection], bool]
 
@@ -197,7 +198,7 @@
         connection = MemberConnection(
             id, pool.listing, workspace, self._make_codec, self._router
         )
-        self._nursery.start_soon(connection.run)
+        self._nursery.start_soon(run_isolated, "members", connection.run)
 
     def _handle_failed_connection(
         self, pool: MemberPool, workspace: str, event: ConnectionOpened, now: float
--- a/src/jackdawspread/tasks/members/member_connection.py
+++ b/src/jackdawspread/tasks/members/member_connection.py
@@ -71,20 +71,32 @@
     async def run(self) -> None:
         """Open the connection and serve exchanges until the inbox closes."""
         member = self._listing.id
-        error = await self._open()
-        if error:
-            await self._close()
-            await self._router.send(ConnectionOpened(self._id, member, None, error))
-            return
-        send, inbox = open_memory_channel[MemberExchange](EXCHANGE_INBOX)
-        await self._router.send(ConnectionOpened(self._id, member, send, ""))
+        ended: RouterEvent = ConnectionOpened(self._id, member, None, "failed")
+        try:
+            error = await self._open()
+            if error:
+                await self._close()
+                ended = ConnectionOpened(self._id, member, None, error)
+            else:
+                send, inbox = open_memory_channel[MemberExchange](EXCHANGE_INBOX)
+                await self._router.send(ConnectionOpened(self._id, member, send, ""))
+                ended = ConnectionClosed(self._id, member)
+                await self._serve_until_closed(inbox)
+        except Exception:
+            # The router has to learn of the end, also after an unexpected error.
+            await self._router.send(ended)
+            raise
+        await self._router.send(ended)
+
+    async def _serve_until_closed(
+        self, inbox: MemoryReceiveChannel[MemberExchange]
+    ) -> None:
         try:
             await self._serve(inbox)
         finally:
             _refuse_queued(inbox)
             inbox.close()
             await self._close()
-        await self._router.send(ConnectionClosed(self._id, member))
 
     async def _open(self) -> str:
         listing = self._listing
--- a/src/jackdawspread/tasks/pool_hosts/pool_server.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server.py
@@ -1,5 +1,7 @@
 """Leases the member connections of this instance to other instances."""
 
+from functools import partial
+
 from trio import (
     MemorySendChannel,
     Nursery,
@@ -14,7 +16,7 @@
 from jackdawspread.tasks.limits.memory_budget import TOO_MANY, MemoryBudget
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
 from jackdawspread.tasks.pool_hosts.pool_server_stream import PoolServerStream
-from jackdawspread.tasks.run_isolated import run_isolated
+from jackdawspread.tasks.run_isolated import call_isolated, run_isolated
 
 PART = "pools"
 SESSION_PART = "session"
@@ -57,8 +59,9 @@
         """Accept streams until cancelled."""
         async with open_nursery() as streams:
             while True:
-                stream = await accept(self._listener, "pools")
-                self._start(stream, streams)
+                stream = await accept(self._listener, PART)
+                if not call_isolated(PART, self._start, stream, streams):
+                    streams.start_soon(run_isolated, PART, stream.aclose)
 
     def drain(self, grace_s: float) -> None:
         """Grant no more leases; tell the other instances to use other hosts.
@@ -84,7 +87,7 @@
             return
         account = self._budget.open_account(PART, IDLE_BYTES)
         served = PoolServerStream(stream, self._router, account)
-        streams.start_soon(self._serve, served, account)
+        streams.start_soon(run_isolated, PART, partial(self._serve, served, account))
 
     def _has_room(self) -> bool:
         """Whether a stream may be accepted, after one that is silent was closed."""
@@ -99,7 +102,7 @@
     async def _serve(self, stream: PoolServerStream, account: MemoryAccount) -> None:
         self._streams.add(stream)
         try:
-            await run_isolated("pools", stream.run)
+            await stream.run()
         finally:
             self._budget.close_account(account)
             self._streams.discard(stream)
--- a/src/jackdawspread/tasks/run_isolated.py
+++ b/src/jackdawspread/tasks/run_isolated.py
@@ -1,18 +1,25 @@
-"""Runs a task whose unexpected error must not end the process."""
+"""Runs what an unexpected error must not end the process for.
+
+The rule of the code base: whatever one connection, datagram, file or signal can reach
+runs through this module. ``scripts/check_isolation.py`` checks it for tasks; it lists
+those that the whole process depends on, where a restart is better than going on.
+"""
 
 from collections.abc import Awaitable, Callable
+from typing import ParamSpec
 
 from absl import logging
 
 from jackdawspread.tasks.fleet.fleet_metrics import UNEXPECTED_ERRORS
 
+P = ParamSpec("P")
+
 
 async def run_isolated(part: str, run: Callable[[], Awaitable[None]]) -> None:
     """Run the task of one session or one connection.
 
     An unexpected error ends only this task: it is logged with its traceback and
-    counted. A task that the whole process depends on is not run in this way, since a
-    restart of the process is better than going on without it.
+    counted.
 
     Parameters
     ----------
@@ -24,5 +31,24 @@
     try:
         await run()
     except Exception:
-        UNEXPECTED_ERRORS.labels(part).inc()
-        logging.exception("%s: ended by an unexpected error", part)
+        _report(part)
+
+
+def call_isolated(
+    part: str, function: Callable[P, object], *args: P.args, **kwargs: P.kwargs
+) -> bool:
+    """Call a function for one connection, datagram or signal.
+
+    Returns whether it ended without an unexpected error.
+    """
+    try:
+        function(*args, **kwargs)
+    except Exception:
+        _report(part)
+        return False
+    return True
+
+
+def _report(part: str) -> None:
+    UNEXPECTED_ERRORS.labels(part).inc()
+    logging.exception("%s: ended by an unexpected error", part)
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -25,7 +25,7 @@
 from jackdawspread.tasks.limits.memory_budget import TOO_MANY, MemoryBudget
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
 from jackdawspread.tasks.pool_hosts.pool_server import PART as STREAM_PART
-from jackdawspread.tasks.run_isolated import run_isolated
+from jackdawspread.tasks.run_isolated import call_isolated, run_isolated
 from jackdawspread.tasks.sessions.caller_session import PART, CallerSession
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
 from jackdawspread.tasks.sessions.session_metrics import SESSIONS
@@ -84,7 +84,8 @@
         async with open_nursery() as sessions:
             while True:
                 stream = await accept(self._listener, "listener")
-                self._start(stream, sessions)
+                if not call_isolated(PART, self._start, stream, sessions):
+                    sessions.start_soon(run_isolated, PART, stream.aclose)
 
     @property
     def session_count(self) -> int:
@@ -123,7 +124,7 @@
         if self._stop_times is not None:
             session.stop(self._stop_times)
         self._sessions.add(session)
-        sessions.start_soon(self._serve, session, account)
+        sessions.start_soon(run_isolated, PART, partial(self._serve, session, account))
 
     def _make_room(self) -> bool:
         """Close a connection that waits for its client, for a new session."""
@@ -132,7 +133,7 @@
     async def _serve(self, session: CallerSession, account: MemoryAccount) -> None:
         SESSIONS.set(len(self._sessions))
         try:
-            await run_isolated("session", session.run)
+            await session.run()
         finally:
             self._budget.close_account(account)
             self._sessions.discard(session)
