--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -13,6 +13,7 @@
     sleep_until,
 )
 
+from jackdawspread.decisions.limits.memory_limits import memory_limits
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.configuration_feed_event import (
@@ -54,6 +55,7 @@
 from jackdawspread.tasks.fleet.roster_client import RosterClient
 from jackdawspread.tasks.fleet.roster_task import RosterTask
 from jackdawspread.tasks.http_server import HttpServer
+from jackdawspread.tasks.limits.memory_budget import MemoryBudget
 from jackdawspread.tasks.listen import listen
 from jackdawspread.tasks.members.member_router import MemberRouter
 from jackdawspread.tasks.pool_hosts.host_placement import HostPlacement
@@ -71,6 +73,8 @@
 # The load balancer checks readiness once a second and stops sending sessions to an
 # instance after two failed checks.
 BALANCER_NOTICE_S = 2.3
+# More than a load balancer and a few collectors of metrics open.
+MAX_MONITORING_CONNECTIONS = 64
 # Fractions of the grace time after which no transaction begins, every operation is
 # refused, every statement has been answered, and the process exits. A transaction has
 # at least the time between the first two to end.
@@ -115,6 +119,7 @@
         self._capacities, self._capacities_inbox = open_memory_channel[CapacityEvent](
             SMALL_INBOX
         )
+        self._budget = MemoryBudget(memory_limits(settings.resources.memory_bytes))
         self._feed, self._feed_inbox = open_memory_channel[ConfigurationFeedEvent](
             SMALL_INBOX
         )
@@ -134,9 +139,13 @@
                 self._broker,
                 self._router,
                 self._settings.max_sessions,
+                self._budget,
             )
             pool_server = PoolServer(
-                await listen(self._settings.peer_address), self._router
+                await listen(self._settings.peer_address),
+                self._router,
+                self._settings.max_sessions,
+                self._budget,
             )
             tasks.start_soon(listener.run)
             tasks.start_soon(pool_server.run)
@@ -333,8 +342,18 @@
     async def _start_servers(self, tasks: Nursery) -> None:
         handle = ReadinessHandler(self._admission, self._stopping).handle
         settings = self._settings
-        for address in (settings.readiness_address, settings.metrics_address):
-            server = HttpServer(await listen(address), handle, Event())
+        for part, address in (
+            ("readiness", settings.readiness_address),
+            ("metrics", settings.metrics_address),
+        ):
+            server = HttpServer(
+                await listen(address),
+                handle,
+                Event(),
+                part,
+                self._budget,
+                MAX_MONITORING_CONNECTIONS,
+            )
             tasks.start_soon(server.run)
 
     @property
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -23,6 +23,7 @@
     refuse,
     refuse_waiting_request,
 )
+from jackdawspread.tasks.run_isolated import run_isolated
 
 LeaseOffer = Callable[[ConnectionRequest, MemberPool, PooledConnection], bool]
 
@@ -226,7 +227,7 @@
         connection = MemberConnection(
             id, pool.listing, workspace, self._make_codec, self._router
         )
-        self._nursery.start_soon(connection.run)
+        self._nursery.start_soon(run_isolated, "members", connection.run)
 
     def _handle_failed_connection(
         self, pool: MemberPool, workspace: str, event: ConnectionOpened, now: float
