Grant a lease to an instance of an earlier version in its own format

Cause: LeaseGranted always carried the new field is_cold. An instance of the version before refuses a frame with more fields than it knows and closes the stream, so during an upgrade every lease that an upgraded pool host granted to it ended its stream, also in deployments without cold members. Change: LeaseGranted leaves out trailing defaults, like LeaseRequested; both use without_trailing_defaults. Result: features/mixed_versions.feature fails for LeaseGranted without the change (8 fields in place of 7) and passes with it; features/pool_hosts.feature passes.

--- a/src/jackdawspread/codecs/pool_host_frames.py
+++ b/src/jackdawspread/codecs/pool_host_frames.py
@@ -12,6 +12,7 @@
 from msgspec.msgpack import decode, encode
 
 from jackdawspread.codecs.stored_json import DECODE_ERRORS
+from jackdawspread.codecs.trailing_defaults import without_trailing_defaults
 from jackdawspread.messages.pool_hosts.exchange_answered import ExchangeAnswered
 from jackdawspread.messages.pool_hosts.exchange_failed import ExchangeFailed
 from jackdawspread.messages.pool_hosts.exchange_requested import ExchangeRequested
@@ -110,16 +111,10 @@
     return tuple(message)
 
 
-@_fields.register
-def _(message: LeaseRequested) -> tuple[Any, ...]:
-    """Leave out trailing defaults, which earlier versions do not know."""
-    defaults = LeaseRequested._field_defaults
-    fields = list(message)
-    for name in reversed(LeaseRequested._fields):
-        if name not in defaults or fields[-1] != defaults[name]:
-            break
-        fields.pop()
-    return tuple(fields)
+@_fields.register(LeaseRequested)
+@_fields.register(LeaseGranted)
+def _(message: LeaseRequested | LeaseGranted) -> tuple[Any, ...]:
+    return without_trailing_defaults(message)
 
 
 @_fields.register
