Send datagrams without new features in the earlier version's format

Cause: ConfigurationConfirmed and the entries in MembersRelayed always carried their new fields. An instance of the version before ignores such datagrams, so during an upgrade all of them read the store themselves, also in deployments without evacuations or cold members. Change: datagrams leave out trailing defaults, as the frames between instances and pool hosts do. Confirmations of instances that follow evacuations keep the new field, since the receivers must see that no failure domain is evacuated. Result: two scenarios of features/mixed_versions.feature fail without the change and pass with it.

--- a/features/mixed_versions.feature
+++ b/features/mixed_versions.feature
@@ -12,3 +12,15 @@
       | message        | count |
       | LeaseRequested | 10    |
       | LeaseGranted   | 7     |
+
+  Scenario Outline: A datagram without new features is sent as in the earlier version
+    # Guards against instances of an earlier version that ignore the lists and
+    # confirmations of an upgraded one, and all ask the store instead.
+    When a "<message>" that uses no new feature is broadcast
+    Then its fields are those of the earlier version
+    And a "<message>" that uses a new feature is broadcast unchanged
+
+    Examples:
+      | message                |
+      | ConfigurationConfirmed |
+      | MembersRelayed         |
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -15,6 +15,7 @@
 from jackdawspread.codecs.lease_check import check_leases
 from jackdawspread.codecs.listing_check import check_listing, check_name
 from jackdawspread.codecs.stored_json import DECODE_ERRORS
+from jackdawspread.codecs.trailing_defaults import without_trailing_defaults
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.members_relayed import MembersRelayed
 from jackdawspread.messages.fleet.peer_datagram import PeerDatagram
@@ -38,7 +39,18 @@
 
 def encode_datagram(message: PeerDatagram) -> bytes:
     """Encode a message as a datagram."""
-    return encode((FORMAT, KIND_BY_TYPE[type(message)], *message))
+    return encode((FORMAT, KIND_BY_TYPE[type(message)], *_fields(message)))
+
+
+@singledispatch
+def _fields(message: Any) -> tuple[Any, ...]:
+    return without_trailing_defaults(message)
+
+
+@_fields.register
+def _(message: MembersRelayed) -> tuple[Any, ...]:
+    listings = [without_trailing_defaults(listing) for listing in message.listings]
+    return message.instance, message.failure_domain, message.store_time_s, listings
 
 
 def decode_datagram(data: bytes) -> PeerDatagram | None:
