Cut evacuated members off on connections that belong to no current pool

Cause: when a member was missing in one list, its pool was replaced and its leased connections were kept apart until they were returned. Cutting off an evacuated failure domain closed only the connections of the current pools, so an open transaction could go on sending statements to the evacuated member. Change: such connections are kept with the failure domain of their member (OrphanedConnection) and closed with the others. Result: the new scenario of features/evacuation.feature fails without the change and passes with it.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -83,3 +83,11 @@
     And a write is refused at once with "allowed region"
     When the routes allow the region "unknown"
     Then a write is refused at once with "allowed region"
+
+  Scenario: A transaction at a member that was missing in a list is cut off too
+    # Guards against statements that reach an evacuated member over a connection that
+    # belongs to none of the current pools.
+    Given a connection to a member in z1 that is leased for a transaction
+    When the member is missing in one list and present in the next one
+    And z1 is cut off
+    Then nothing more can be sent on the connection
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -19,6 +19,7 @@
 from jackdawspread.tasks.members.member_codec import MemberCodec
 from jackdawspread.tasks.members.member_connection import MemberConnection
 from jackdawspread.tasks.members.member_pool import MemberPool
+from jackdawspread.tasks.members.orphaned_connection import OrphanedConnection
 from jackdawspread.tasks.members.pooled_connection import PooledConnection
 
 LeaseOffer = Callable[[ConnectionRequest, MemberPool, PooledConnection], bool]
@@ -61,8 +62,7 @@
         self._offer_lease = offer_lease
         self._ids = count(1)
         self.pool_by_member: dict[str, MemberPool] = {}
-        # Leased connections to members that are no longer in the list.
-        self._orphan_by_id: dict[int, PooledConnection] = {}
+        self._orphan_by_id: dict[int, OrphanedConnection] = {}
 
     @property
     def has_waiting(self) -> bool:
@@ -91,10 +91,11 @@
         """
         for pool in list(self.pool_by_member.values()):
             if pool.listing.failure_domain in failure_domains:
-                for connection in pool.leased_by_id.values():
-                    _close(connection)
                 self._remove_pool(pool, "the failure domain is evacuated")
                 self.pool_by_member[pool.listing.id] = MemberPool(pool.listing)
+        for orphan in self._orphan_by_id.values():
+            if orphan.failure_domain in failure_domains:
+                _close(orphan.connection)
 
     def set_limits(self, member: str, limits: ConnectionLimits) -> None:
         """Set how many connections this instance may have to a member."""
@@ -143,7 +144,7 @@
         """Return a leased connection to its pool."""
         orphan = self._orphan_by_id.pop(event.connection, None)
         if orphan is not None:
-            _close(orphan)
+            _close(orphan.connection)
         pool = self.pool_by_member.get(event.member)
         if pool is None:
             return
@@ -227,7 +228,9 @@
         del self.pool_by_member[pool.listing.id]
         for connection in pool.idle:
             _close(connection)
-        self._orphan_by_id.update(pool.leased_by_id)
+        for id, connection in pool.leased_by_id.items():
+            orphan = OrphanedConnection(connection, pool.listing.failure_domain)
+            self._orphan_by_id[id] = orphan
         for request in pool.waiting:
             refuse(request, "unreachable", reason, pool.listing.id)
 
