Promote no evacuated replica in place of a failed primary

Cause: an attempt marked the members of evacuated failure domains in the list of its trigger only. The list that is read after the pauses, on which the choice is made, was not marked, so of two complete logs the one in the evacuated domain could be chosen. The new primary then got no work until a second promotion. Change: the later list is marked too. Result: the new scenario of features/evacuation.feature fails without the change (m1 is promoted) and passes with it, for unreachable and for stalled primaries.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -27,6 +27,18 @@
     And "z1,z2" were evacuated 1.0 s ago with a limit of 5 s
     Then m2 keeps receiving in a switchover, although m1 has the longest log
 
+  Scenario Outline: An evacuated replica is not promoted in place of a failed primary
+    # Guards against a primary that gets no work as soon as it has been promoted.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.9" of which "<silent>" do not answer
+    And "m1" is in an evacuated failure domain
+    When an instance acts on a primary that <trouble>
+    Then "m2" is promoted and "<demoted>" is demoted
+
+    Examples:
+      | silent | trouble                 | demoted |
+      | m0     | is unreachable          | none    |
+      | none   | gets no write confirmed | m0      |
+
   Scenario Outline: A restored store does not change what was known of evacuations
     # Guards against a copy of the store that lacks an accepted request, or has one that
     # was taken back.
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -15,6 +15,7 @@
 from jackdawspread.tasks.fleet.failover_attempt import FailoverAttempt
 
 PRIMARY = "m0"
+EVACUATED_DOMAIN = "z2"
 
 
 def listing(id: str) -> MemberListing:
@@ -42,6 +43,8 @@
         # have been compared.
         self.joining = ""
         self.former_primary = PRIMARY
+        # Member whose failure domain is evacuated.
+        self.evacuated = ""
         self.leaders = {PRIMARY}
         self.paused: dict[str, int] = {}
         self.demoted: list[str] = []
@@ -55,7 +58,12 @@
         """Run one attempt to replace the primary."""
         reason = "writes not confirmed" if writes_stalled else "unreachable"
         trigger = FailoverTrigger(
-            "g", self.former_primary, False, writes_stalled, reason
+            "g",
+            self.former_primary,
+            False,
+            writes_stalled,
+            reason,
+            frozenset({EVACUATED_DOMAIN}),
         )
         async with open_nursery() as nursery:
             nursery.start_soon(self._promote)
@@ -110,6 +118,9 @@
         if self.joining and self.paused:
             listed[self.joining] = listing(self.joining)
             self.end_by_member[self.joining] = self.end_by_member[PRIMARY]
+        if self.evacuated:
+            entry = listed[self.evacuated]
+            listed[self.evacuated] = entry._replace(failure_domain=EVACUATED_DOMAIN)
         return listed
 
     async def _promote(self) -> None:
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -64,6 +64,12 @@
     context.group.joining = member
 
 
+@given('"{member}" is in an evacuated failure domain')
+def evacuated(context: Context, member: str) -> None:
+    """Evacuate the failure domain of one member."""
+    context.group.evacuated = member
+
+
 @given("the newest term of the group is {term:d}, which no member reports")
 def hidden_term(context: Context, term: int) -> None:
     """Raise the term above those in the logs."""
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -72,7 +72,13 @@
         ``members_since`` waits for a list of members that was read after a monotonic
         time.
         """
-        listing_by_id = mark_evacuated(listing_by_id, trigger.evacuated_domains)
+        domains = trigger.evacuated_domains
+
+        async def marked_members_since(time: float) -> dict[str, MemberListing] | None:
+            listed = await members_since(time)
+            return mark_evacuated(listed, domains) if listed is not None else None
+
+        listing_by_id = mark_evacuated(listing_by_id, domains)
         primary = listing_by_id.get(trigger.member)
         is_suspected = (
             primary is not None
@@ -94,7 +100,9 @@
         if isinstance(lock, str):
             return lock
         select = self._switchover if trigger.is_planned else self._failover
-        plan = await select.run(trigger, listing_by_id, lock.record, members_since)
+        plan = await select.run(
+            trigger, listing_by_id, lock.record, marked_members_since
+        )
         outcome, may_have_promoted = await self._promote(trigger, plan, lock)
         if not may_have_promoted:
             await self._locks.release(lock)
