--- a/features/fakes/slotted_member.py
+++ b/features/fakes/slotted_member.py
@@ -230,6 +230,6 @@
         self._member = member
         self._number = number
 
-    def start_soon(self, run) -> None:
+    def start_soon(self, run_isolated, part: str, run) -> None:
         """Begin the handshake."""
         self._member.open(self._number, run.__self__._id)
