Read the recorded roster again after a promotion

A demoted primary was promoted without a new list also when an earlier request for another member was open.

Change: a list whose entries have changed in any field is compared with the record again, and without a new list an unknown joined replica counts as missing.

--- a/src/jackdawspread/decisions/failover/roster.py
+++ b/src/jackdawspread/decisions/failover/roster.py
@@ -9,8 +9,8 @@
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
 
-# Stands for a primary of which neither the list nor the record names the address.
-UNKNOWN_PRIMARY = ""
+# Stands for a member of which neither the list nor the record names the address.
+UNKNOWN_ADDRESS = ""
 
 
 def group_roster(
@@ -31,7 +31,7 @@
     listed = frozenset(address_by_member.values())
     if recorded or trigger.member in address_by_member:
         return recorded | listed
-    return listed | {UNKNOWN_PRIMARY}
+    return listed | {UNKNOWN_ADDRESS}
 
 
 def next_roster(
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -22,7 +22,7 @@
     recorded_term,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
-from jackdawspread.decisions.failover.roster import group_roster
+from jackdawspread.decisions.failover.roster import UNKNOWN_ADDRESS, group_roster
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
@@ -123,8 +123,7 @@
     ) -> PromotionPlan:
         """Demote a primary that answers, then compare all logs including its own.
 
-        Once it is demoted no commit is acknowledged, so a replica that has joined is
-        compared like the others, and its own log is complete.
+        It then acknowledges no commit, so a replica that has joined can be compared.
         """
         demoted = await self._replication.send(primary, DemotePrimary(term))
         if demoted is None or demoted.claims_primary:
@@ -132,16 +131,9 @@
                 trigger, replicas, term, record, members_since
             )
         logging.info("succession: demoted member=%s term=%d", primary.id, term)
-        listing_by_id = await members_since(current_time())
-        listed = (
-            replicas
-            if listing_by_id is None
-            else replicas_to_query(
-                listing_by_id.values(), trigger.group, trigger.member
-            )
-        )
-        known = {replica.id for replica in replicas}
-        joined = tuple(listing for listing in listed if listing.id not in known)
+        listed_after = await members_since(current_time())
+        listing_by_id = listed_after or {m.id: m for m in (*replicas, primary)}
+        joined = _joined_replicas(trigger, replicas, listing_by_id)
         await self._pause.run(joined, term)
         paused = (*replicas, *joined)
         status_by_member = await self._search.query(paused)
@@ -150,10 +142,14 @@
             return PromotionPlan(reason="a replica was promoted", paused=paused)
         status_by_member[primary.id] = demoted
         evidence = _collect(
-            trigger, (*paused, primary), listing_by_id or {}, record, status_by_member
+            trigger, (*paused, primary), listing_by_id, record, status_by_member
         )
-        evidence = evidence._replace(demoted_primary=primary.id)
-        candidate = choose_candidate(evidence) if listing_by_id else demoted
+        # Without a new list a replica may have joined.
+        joiner = {UNKNOWN_ADDRESS} if listed_after is None else set()
+        evidence = evidence._replace(
+            demoted_primary=primary.id, roster=evidence.roster | joiner
+        )
+        candidate = choose_candidate(evidence)
         if candidate is None:
             return PromotionPlan(reason=_describe_missing(evidence), paused=paused)
         return PromotionPlan(candidate.member, "", term, evidence.roster, paused)
@@ -213,6 +209,17 @@
     )
 
 
+def _joined_replicas(
+    trigger: FailoverTrigger,
+    replicas: tuple[MemberListing, ...],
+    listing_by_id: dict[str, MemberListing],
+) -> tuple[MemberListing, ...]:
+    """Return the listed replicas that were not queried yet."""
+    known = {replica.id for replica in replicas}
+    listed = replicas_to_query(listing_by_id.values(), trigger.group, trigger.member)
+    return tuple(listing for listing in listed if listing.id not in known)
+
+
 def _find_other_primary(
     trigger: FailoverTrigger, status_by_member: dict[str, LogStatus]
 ) -> str:
--- a/src/jackdawspread/tasks/fleet/roster_task.py
+++ b/src/jackdawspread/tasks/fleet/roster_task.py
@@ -51,6 +51,9 @@
         self._search = CandidateSearch(replication)
         self._inbox = inbox
         self._roster_by_group: dict[str, frozenset[str]] = {}
+        # Lists that were equal to the recorded roster. A promotion changes the record,
+        # so the list counts as another one after it.
+        self._settled_by_group: dict[str, frozenset[MemberListing]] = {}
         self._busy: set[str] = set()
 
     async def run(self) -> None:
@@ -65,13 +68,12 @@
             listings_by_group[listing.group].append(listing)
         first_read_count = 0
         for group, listings in listings_by_group.items():
-            known = self._roster_by_group.get(group)
-            if group in self._busy or known == frozenset(
-                listing.address for listing in listings
-            ):
+            settled = self._settled_by_group.get(group)
+            if group in self._busy or settled == frozenset(listings):
                 continue
-            first_read_count += known is None
-            if known is None and first_read_count > FIRST_READS_PER_LIST:
+            is_first_read = group not in self._roster_by_group
+            first_read_count += is_first_read
+            if is_first_read and first_read_count > FIRST_READS_PER_LIST:
                 continue
             self._busy.add(group)
             updates.start_soon(self._run_update, group, tuple(listings))
@@ -105,6 +107,8 @@
                 len(roster - listed),
             )
         self._roster_by_group[group] = roster
+        if roster == listed:
+            self._settled_by_group[group] = frozenset(listings)
 
     async def _is_covered(self, listings: tuple[MemberListing, ...]) -> bool:
         """Whether a staying replica receives all that the primary now has."""
