--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -121,10 +121,7 @@
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
     ) -> PromotionPlan:
-        """Demote a primary that answers, then compare all logs including its own.
-
-        It then acknowledges no commit, so a replica that has joined can be compared.
-        """
+        """Demote a primary that answers, so that all logs can be compared."""
         demoted = await self._replication.send(primary, DemotePrimary(term))
         if demoted is None or demoted.claims_primary:
             return await self._select_unfenced(
