Limit connections and memory of the HTTP front end, and never close a caller too soon

The front end had no limit of its connections and held a megabyte for each unfinished body. Its settings file now has memory_mb (default 1024) and max_connections (default 4000), its callers' and administration's servers share one budget, and a full server closes the connection that has waited longest without a complete request.

A session counts as waiting only until its START has come, and for a second at least; an HTTP connection for 0.1 s at least.

--- a/features/steps/hostile_client_steps.py
+++ b/features/steps/hostile_client_steps.py
@@ -44,6 +44,8 @@
     "a read of a large item, and read no answer": START + b"QUERY 1 READ large\r\n",
     "2000 reads ahead, and read no answer": START + b"QUERY 1 READ a\r\n" * 2000,
     "half a body": HEAD % LARGE + b"x" * (LARGE - 1),
+    "half a chunked body": b"POST /v1/databases/d/read HTTP/1.1\r\nHost: a\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * (LARGE // 2),
     "half a frame": (2 * LARGE).to_bytes(4, "big") + b"x" * (2 * LARGE - 1),
 }
 
@@ -52,6 +54,7 @@
 def instance_process(context: Context, memory_mb: int, descriptors: int) -> None:
     """Start the process with low limits, and wait until it serves."""
     context.memory_mb, context.descriptors = memory_mb, descriptors
+    context.ip = IP
     context.platform = PlatformWorld()
     # Statements of the crowd wait for a member instead of being refused.
     for route in context.platform.configuration["Routes"]:
@@ -99,7 +102,7 @@
 
 
 def _crowd(context: Context, port: str = "session") -> HostileCrowd:
-    crowd = HostileCrowd(f"{IP}:{context.port_by_name[port]}")
+    crowd = HostileCrowd(f"{context.ip}:{context.port_by_name[port]}")
     context.add_cleanup(crowd.close)
     return crowd
 
--- /dev/null
+++ b/features/steps/hostile_http_steps.py
@@ -0,0 +1,121 @@
+"""Steps for clients of the HTTP front end that do not behave."""
+
+import socket
+import subprocess
+import sys
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+
+from behave import given, then
+from behave.runner import Context
+from features.steps.hostile_client_steps import ATTEMPTS, lives_within_limits
+from features.support.process_limits import limit_descriptors
+
+IP = "127.0.77.9"
+PROGRAM = Path(sys.executable).parent / "jackdawspread"
+# The stand-in for the kernel's limit; callers may use 200 of them.
+DESCRIPTORS = 400
+START_TIMEOUT_S = 30.0
+SETTINGS = """[instance]
+caller_address = {ip}:{callers}
+admin_address = {ip}:{administration}
+peer_address = {ip}:{peers}
+failure_domain = z1
+memory_mb = {memory_mb}
+max_connections = {connections}
+[platform]
+address = {ip}:{platform}
+[secrets]
+session_secret = a-secret-of-the-test
+operator_key_hash = {hash}
+[database d]
+members = {ip}:{platform}
+slots = 2
+connections = 4
+"""
+
+
+class FrontEndProcess:
+    """Process of the HTTP front end."""
+
+    def __init__(self, settings: Path) -> None:
+        self._log = settings.with_suffix(".log")
+        with self._log.open("wb") as log:
+            self._process = subprocess.Popen(
+                [PROGRAM, "proxy", settings],
+                stdout=log,
+                stderr=log,
+                preexec_fn=lambda: limit_descriptors(DESCRIPTORS),
+            )
+        self.pid = self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
+    @property
+    def log(self) -> str:
+        """What the process has written so far."""
+        return self._log.read_text(encoding="utf-8", errors="replace")
+
+    def end(self) -> None:
+        """Kill the process."""
+        self._process.kill()
+        self._process.wait()
+
+
+@given("an HTTP front end with {memory_mb:d} MB and {connections:d} connections")
+def front_end(context: Context, memory_mb: int, connections: int) -> None:
+    """Start it without a platform, as bad input is handled before any routing."""
+    context.memory_mb, context.descriptors = memory_mb, DESCRIPTORS
+    names = ("callers", "administration", "peers", "platform")
+    context.port_by_name = dict(zip(names, _free_ports(len(names)), strict=True))
+    context.ip = IP
+    folder = TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = Path(folder.name) / "instance.ini"
+    path.write_text(
+        SETTINGS.format(
+            ip=IP,
+            memory_mb=memory_mb,
+            connections=connections,
+            hash="0" * 64,
+            **context.port_by_name,
+        )
+    )
+    context.process = FrontEndProcess(path)
+    context.add_cleanup(context.process.end)
+    deadline = monotonic() + START_TIMEOUT_S
+    while not _is_answered(context):
+        assert context.process.is_running, context.process.log[-2000:]
+        assert monotonic() < deadline, context.process.log[-2000:]
+        sleep(0.1)
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server((IP, 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def _is_answered(context: Context) -> bool:
+    connection = HTTPConnection(IP, context.port_by_name["callers"], timeout=10)
+    try:
+        connection.request("GET", "/healthz")
+        return connection.getresponse().status == 200
+    except (OSError, HTTPException):
+        return False
+    finally:
+        connection.close()
+
+
+@then("the front end answers an ordinary request")
+def ordinary_request(context: Context) -> None:
+    """The crowd still holds its connections."""
+    assert any(_is_answered(context) for _ in range(ATTEMPTS)), "not answered"
+    lives_within_limits(context)
--- a/src/jackdawspread/composition.py
+++ b/src/jackdawspread/composition.py
@@ -14,6 +14,7 @@
 )
 
 from jackdawspread.codecs.session_token import SessionTokenCodec
+from jackdawspread.decisions.limits.memory_limits import http_memory_limits
 from jackdawspread.messages.begin_shutdown import BeginShutdown
 from jackdawspread.messages.instance_listing import InstanceListing
 from jackdawspread.messages.leave_view import LeaveView
@@ -29,6 +30,7 @@
 from jackdawspread.tasks.gateway import Gateway, GatewayEvent
 from jackdawspread.tasks.http_server import HttpServer
 from jackdawspread.tasks.instance_registration import InstanceRegistration
+from jackdawspread.tasks.limits.memory_budget import MemoryBudget
 from jackdawspread.tasks.listen import listen
 from jackdawspread.tasks.open_work import wait_for_open_work
 from jackdawspread.tasks.peer_client import PeerClient, PeerClientEvent
@@ -45,6 +47,7 @@
 PLATFORM_INBOX_SIZE = 64
 # Time for the platform and the peers to record that the instance left the view.
 LEAVE_TIMEOUT_S = 1.0
+MAX_ADMINISTRATION_CONNECTIONS = 64
 
 
 class Instance:
@@ -159,6 +162,8 @@
 
     async def _serve(self) -> None:
         """Serve callers and operators until a graceful shutdown has drained them."""
+        settings = self._settings
+        budget = MemoryBudget(http_memory_limits(settings.memory_mb))
         callers = CallerHandler(self._gateway, self._stopping)
         admin = AdminHandler(self._control.clone(), self._settings.operator_key_hash)
         caller_listener = await listen(self._settings.caller_address)
@@ -166,10 +171,24 @@
         async with open_nursery() as servers:
             servers.start_soon(self._drain)
             servers.start_soon(
-                HttpServer(caller_listener, callers.handle, self._closing).run
+                HttpServer(
+                    caller_listener,
+                    callers.handle,
+                    self._closing,
+                    "http",
+                    budget,
+                    settings.max_connections,
+                ).run
             )
             servers.start_soon(
-                HttpServer(admin_listener, admin.handle, self._closing).run
+                HttpServer(
+                    admin_listener,
+                    admin.handle,
+                    self._closing,
+                    "administration",
+                    budget,
+                    MAX_ADMINISTRATION_CONNECTIONS,
+                ).run
             )
 
     async def _drain(self) -> None:
--- a/src/jackdawspread/decisions/limits/memory_limits.py
+++ b/src/jackdawspread/decisions/limits/memory_limits.py
@@ -6,6 +6,8 @@
 # Resident memory of a process without connections, with what its allocator keeps
 # unused after a load.
 PROCESS_MB = 64
+# The HTTP front end loads more libraries, among them grpcio.
+HTTP_PROCESS_MB = 96
 # A process with less memory than this beyond its own can't serve one large message.
 MIN_CONNECTIONS_MB = 16
 # Part of the memory from which on large messages are refused and large answers fail.
@@ -33,5 +35,14 @@
 
 def memory_limits(memory_mb: float) -> MemoryLimits:
     """Return the limits of a process that may use ``memory_mb`` MiB in total."""
-    close_mb = max(MIN_CONNECTIONS_MB, memory_mb - PROCESS_MB)
+    return _limits(memory_mb - PROCESS_MB)
+
+
+def http_memory_limits(memory_mb: float) -> MemoryLimits:
+    """Return the limits of a process of the HTTP front end."""
+    return _limits(memory_mb - HTTP_PROCESS_MB)
+
+
+def _limits(connections_mb: float) -> MemoryLimits:
+    close_mb = max(MIN_CONNECTIONS_MB, connections_mb)
     return MemoryLimits(int(REFUSE_FRACTION * close_mb * MIB), int(close_mb * MIB))
--- a/src/jackdawspread/settings/instance_settings.py
+++ b/src/jackdawspread/settings/instance_settings.py
@@ -5,6 +5,9 @@
 from jackdawspread.settings.database_settings import DatabaseSettings
 from jackdawspread.settings.experiment_settings import ExperimentSettings
 
+DEFAULT_MEMORY_MB = 1024
+DEFAULT_MAX_CONNECTIONS = 4000
+
 
 class InstanceSettings(NamedTuple):
     """Validated settings of an entry instance.
@@ -31,6 +34,10 @@
         SHA-256 of the operator's credential, in hexadecimal.
     database_by_name : dict of str to DatabaseSettings
         Databases by name.
+    memory_mb : int
+        Memory that the process may use, in MiB.
+    max_connections : int
+        Connections of callers that are open at the same time.
     experiment : ExperimentSettings
         Policies that are varied in experiments.
     """
@@ -45,4 +52,6 @@
     session_secret: str
     operator_key_hash: str
     database_by_name: dict[str, DatabaseSettings]
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
     experiment: ExperimentSettings = ExperimentSettings()
--- a/src/jackdawspread/settings/instance_settings_file.py
+++ b/src/jackdawspread/settings/instance_settings_file.py
@@ -16,7 +16,11 @@
 )
 from jackdawspread.settings.database_settings import DatabaseSettings
 from jackdawspread.settings.experiment_settings import ExperimentSettings
-from jackdawspread.settings.instance_settings import InstanceSettings
+from jackdawspread.settings.instance_settings import (
+    DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_MEMORY_MB,
+    InstanceSettings,
+)
 from jackdawspread.settings.section_reader import SectionReader
 from jackdawspread.settings.settings_error import SettingsError
 
@@ -54,6 +58,10 @@
         peer_address=instance.read("peer_address", check_address),
         failure_domain=instance.read("failure_domain", check_text),
         drain_ms=instance.read("drain_ms", check_count, "3000"),
+        memory_mb=instance.read("memory_mb", check_count, str(DEFAULT_MEMORY_MB)),
+        max_connections=instance.read(
+            "max_connections", check_count, str(DEFAULT_MAX_CONNECTIONS)
+        ),
         platform_address=platform.read("address", check_address),
         platform_timeout_ms=platform.read("timeout_ms", check_count, "1000"),
         session_secret=secrets.read("session_secret", check_text),
--- a/src/jackdawspread/tasks/http_server.py
+++ b/src/jackdawspread/tasks/http_server.py
@@ -19,6 +19,8 @@
 # the listening socket would reset them.
 BACKLOG_S = 0.1
 MAX_CONNECTIONS = 100_000
+# A full server closes a connection that has brought no complete request for this long.
+MIN_WAIT_S = 0.1
 
 
 class HttpServer:
@@ -72,7 +74,7 @@
         while True:
             stream = await accept(self._listener, self._part)
             is_full = self._budget.count(self._part) >= self._max_connections
-            if is_full and not self._budget.make_room(self._part):
+            if is_full and not self._budget.make_room(self._part, MIN_WAIT_S):
                 self._budget.refuse(self._part, TOO_MANY)
                 connections.start_soon(run_isolated, self._part, stream.aclose)
                 continue
--- a/src/jackdawspread/tasks/limits/memory_budget.py
+++ b/src/jackdawspread/tasks/limits/memory_budget.py
@@ -17,6 +17,7 @@
 # A message of this size or less is refused only if no memory is left at all, so that
 # ordinary callers are served while large messages are refused.
 SMALL_BYTES = 64 * 1024
+MIN_WAIT_S = 1.0
 SHORT_OF_MEMORY = "short of memory"
 TOO_MANY = "too many connections"
 
@@ -67,16 +68,20 @@
             limit = self._limits.close_bytes
         return self._held_bytes + more_bytes <= limit
 
-    def make_room(self, part: str) -> bool:
+    def make_room(self, part: str, min_wait_s: float = MIN_WAIT_S) -> bool:
         """Close the connection that has waited longest for its client, if any waits.
 
-        Returns whether one was closed, so that a new connection can take its place.
+        One that has waited for less than ``min_wait_s`` stays, since the first message
+        of an ordinary client may just be on its way. Returns whether one was closed,
+        so that a new connection can take its place.
         """
+        waiting_until = current_time() - min_wait_s
         waiting = [
             (account.waiting_since, id)
             for id, account in self._account_by_id.items()
             if account.part == part
             and account.waiting_since is not None
+            and account.waiting_since <= waiting_until
             and not account.scope.cancel_called
         ]
         if not waiting:
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -101,7 +101,6 @@
         try:
             with self._account.scope:
                 if await self._open():
-                    self._account.waiting_since = None
                     await self._serve()
         except (BrokenResourceError, ClosedResourceError):
             # The caller has disconnected, so no answer can be sent.
@@ -140,6 +139,7 @@
         handshake = await self._read_handshake()
         if handshake is None:
             return False
+        self._account.waiting_since = None
         self._operations = SessionOperations(
             handshake, self._admission, self._broker, self._router
         )
