Let the stand-in of the statement queue take an isolated task

Connections to members are started through run_isolated, so the stand-in's nursery takes its arguments; the four scenarios of features/statement_queue.feature, which it broke, pass again.

--- a/features/fakes/slotted_member.py
+++ b/features/fakes/slotted_member.py
@@ -181,6 +181,6 @@
         self._member = member
         self._number = number
 
-    def start_soon(self, run) -> None:
-        """Begin the handshake."""
+    def start_soon(self, isolate, part, run) -> None:
+        """Begin the handshake; the task is isolated."""
         self._member.open(self._number, run.__self__._id)
