Skip the order of admission when no request can be sent

The hosts of a busy workspace sorted their waiting requests for every idle connection of a pool, also without room. The simulated load of the feature gives the same counts as before.

--- a/src/jackdawspread/decisions/members/statement_admission.py
+++ b/src/jackdawspread/decisions/members/statement_admission.py
@@ -21,10 +21,7 @@
     start_statement,
     statement_limit,
 )
-from jackdawspread.decisions.members.waiting_refusal import (
-    NO_ROOM,
-    WaitingRefusal,
-)
+from jackdawspread.decisions.members.waiting_refusal import NO_ROOM, WaitingRefusal
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 
 StatementAdmission = StatementQueue | PriorityAdmission
@@ -72,10 +69,11 @@
     pending_connections: int,
     now: float,
 ) -> list[ConnectionRequest]:
+    room = free_room(state, now)
+    if not room:
+        return []
     # Requests for which a connection is being opened are among the first ones.
-    return order_waiting(state, waiting, in_use_by_workspace, now)[
-        : free_room(state, now)
-    ]
+    return order_waiting(state, waiting, in_use_by_workspace, now)[:room]
 
 
 @singledispatch
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -157,6 +157,8 @@
         self, pending_connections: int, now: float
     ) -> list[ConnectionRequest]:
         """Return the waiting requests that the member may be sent now."""
+        if not self.waiting:
+            return []
         return admissible_requests(
             self._statements,
             self.listing.slots,
