Treat a member that starts again under its id as cold again

Cause: the cold time counted anew only when the entry's value changed. A member that restarts before its entry expires names the same value as after its first start, so it counted as warm and got statements without tokens. Change: entries of cold members carry the time of the member's start (field born), and a changed time begins a new cold time. An unusable time is ignored. Result: two examples of the new scenario in features/cold_members.feature fail without the change; all four pass with it.

--- a/features/cold_members.feature
+++ b/features/cold_members.feature
@@ -29,6 +29,20 @@
       | 0.0   | 3     | 8.0    | 8    |
       | 8.0   | 3     | 0.0    | 5    |
 
+  Scenario Outline: A member that starts again under its id is cold again
+    # Guards against a member that restarts before its entry expires, and whose new entry
+    # names the same cold time as the earlier one.
+    Given a list with an entry that is cold for 8 s and was born at <first>
+    When a list 9 s later has an entry that is cold for 8 s and was born at <second>
+    Then the member is cold for <left> s more
+
+    Examples:
+      | first  | second | left |
+      | 1000   | 1000   | 0    |
+      | 1000   | 7000   | 8    |
+      | "soon" | 7000   | 8    |
+      | "soon" | 1e300  | 0    |
+
   Scenario: A member that could not be reached counts as cold until it is listed again
     # Guards against a restarted member that is used before its new entry is read.
     Given a list in which a member is cold for 0.0 s
--- a/features/steps/cold_member_steps.py
+++ b/features/steps/cold_member_steps.py
@@ -80,6 +80,27 @@
     context.state = apply_member_list(context.state, {"m0": listing}, context.now)
 
 
+@given("a list with an entry that is cold for 8 s and was born at {born}")
+def first_entry(context: Context, born: str) -> None:
+    """Apply the first list."""
+    context.state, context.now = GroupState(), NOW
+    _apply_entry(context, born)
+
+
+@when("a list 9 s later has an entry that is cold for 8 s and was born at {born}")
+def later_entry(context: Context, born: str) -> None:
+    """Apply a list that is read after the first cold time."""
+    context.now = NOW + 9
+    _apply_entry(context, born)
+
+
+def _apply_entry(context: Context, born: str) -> None:
+    value = ENTRY % b"8000"
+    value = value.replace(b"}", b',"born":%s}' % born.encode())
+    listed = member_rows.decode_members([StoreRow("m0", value, 1, False)], set())
+    context.state = apply_member_list(context.state, listed, context.now)
+
+
 @when("it can't be reached")
 def not_reached(context: Context) -> None:
     """Apply a failed connection."""
--- a/src/jackdawspread/decisions/members/cold_members.py
+++ b/src/jackdawspread/decisions/members/cold_members.py
@@ -19,6 +19,8 @@
 UNLISTED_START_S = 2.0
 # A member that claims to be slow for longer is not believed.
 MAX_COLD_S = 600.0
+# Messages between instances have integers of 64 bits with a sign.
+MAX_START_MS = 2**63 - 1
 
 
 def check_cold_time_s(value: object) -> float:
@@ -36,6 +38,11 @@
     return value / 1000
 
 
+def usable_start_ms(value: object) -> int:
+    """Return the Unix time of a member's start in ms, 0 if it is not usable."""
+    return value if type(value) is int and 0 <= value <= MAX_START_MS else 0
+
+
 def update_cold_until(
     known: Mapping[str, float],
     before: Mapping[str, MemberListing],
@@ -45,14 +52,12 @@
     """Return the monotonic times until which members are cold.
 
     An entry is not written again while the remaining time passes, so the time counts
-    from the first list that has it.
+    from the first list that has it. A member that starts again may name the same time.
     """
     cold_until = {}
     for id, listing in listing_by_id.items():
         until = known.get(id, 0.0)
-        is_new = id not in before or (
-            listing.cold_remaining_s != before[id].cold_remaining_s
-        )
+        is_new = id not in before or _start(listing) != _start(before[id])
         if is_new and listing.cold_remaining_s > 0:
             until = max(until, now + listing.cold_remaining_s)
         if until > now:
@@ -60,6 +65,10 @@
     return cold_until
 
 
+def _start(listing: MemberListing) -> tuple[float, int]:
+    return listing.cold_remaining_s, listing.started_at_ms
+
+
 def is_cold(
     state: GroupState, group: MemberGroup | None, member: str, now: float
 ) -> bool:
--- a/src/jackdawspread/messages/fleet/member_listing.py
+++ b/src/jackdawspread/messages/fleet/member_listing.py
@@ -25,6 +25,9 @@
     cold_remaining_s : float
         Seconds for which the member stayed slow after its start when it wrote its
         entry.
+    started_at_ms : int
+        Unix time in milliseconds at which the member started; 0 unless it was slow
+        when it wrote its entry.
     """
 
     id: str
@@ -35,3 +38,4 @@
     leaving: bool
     claims_primary: bool
     cold_remaining_s: float = 0.0
+    started_at_ms: int = 0
--- a/src/jackdawspread/platform/member_rows.py
+++ b/src/jackdawspread/platform/member_rows.py
@@ -8,7 +8,10 @@
 
 from jackdawspread.codecs.listing_check import check_listing
 from jackdawspread.codecs.stored_json import decode_stored
-from jackdawspread.decisions.members.cold_members import check_cold_time_s
+from jackdawspread.decisions.members.cold_members import (
+    check_cold_time_s,
+    usable_start_ms,
+)
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.platform.store_rows import StoreRow
 
@@ -28,6 +31,7 @@
     slots: int = field(name="Slots", default=1)
     # Checked apart, since an entry with a wrong value still names a member.
     cold_remaining_ms: Any = field(name=COLD_FIELD, default=0)
+    started_at_ms: Any = field(name="born", default=0)
 
 
 def decode_members(
@@ -58,7 +62,8 @@
             reason_by_key[f"{row.key}/{COLD_FIELD}"] = str(error)
             continue
         listing_by_id[row.key] = listing_by_id[row.key]._replace(
-            cold_remaining_s=cold_s
+            cold_remaining_s=cold_s,
+            started_at_ms=usable_start_ms(entry.started_at_ms) if cold_s else 0,
         )
     for key in reason_by_key.keys() - skipped:
         logging.warning(
