Count cold times from the arrival of the list that names them

Cause: a relayed list counts as 1 s older than it is, so that nothing relies on too new a time. Cold times counted from that time too and ended up to 1 s early, while the member was still slow and every instance sent it statements without tokens. Change: apply_member_list also gets the time of arrival, from which cold times count. Result: the new scenario of features/cold_members.feature fails without the change (7 s in place of 8) and passes with it.

--- a/features/cold_members.feature
+++ b/features/cold_members.feature
@@ -29,6 +29,12 @@
       | 0.0   | 3     | 8.0    | 8    |
       | 8.0   | 3     | 0.0    | 5    |
 
+  Scenario: The cold time of a relayed list counts from its arrival
+    # Guards against a cold time that ends early, as a relayed list counts as older than
+    # it is and may have entries from just before its arrival.
+    Given a member that is cold for 8 s in a list that counts as 1 s old
+    Then the member is cold for 8 s more
+
   Scenario Outline: A member that starts again under its id is cold again
     # Guards against a member that restarts before its entry expires, and whose new entry
     # names the same cold time as the earlier one.
--- a/features/steps/cold_member_steps.py
+++ b/features/steps/cold_member_steps.py
@@ -16,10 +16,12 @@
 from jackdawspread.messages.fleet.member_group import MemberGroup
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
 from jackdawspread.platform import member_rows
 from jackdawspread.platform.store_rows import StoreRow
 from jackdawspread.tasks.fleet.rate_buckets import RateBuckets
+from jackdawspread.tasks.members.group_monitor import GroupMonitor
 
 NOW = 100.0
 LEASES = 4
@@ -80,6 +82,15 @@
     context.state = apply_member_list(context.state, {"m0": listing}, context.now)
 
 
+@given("a member that is cold for {cold:d} s in a list that counts as {age:d} s old")
+def relayed_cold(context: Context, cold: int, age: int) -> None:
+    """Apply a list that another instance has read."""
+    listing = MemberListing("m0", "g", "10.0.0.1:80", "z1", 2, False, True, cold)
+    monitor = GroupMonitor(None, None)
+    monitor.update_members(MembersSeen({"m0": listing}, NOW - age), NOW)
+    context.state, context.now = monitor.state("g"), NOW
+
+
 @given("a list with an entry that is cold for 8 s and was born at {born}")
 def first_entry(context: Context, born: str) -> None:
     """Apply the first list."""
--- a/src/jackdawspread/decisions/members/group_updates.py
+++ b/src/jackdawspread/decisions/members/group_updates.py
@@ -98,10 +98,16 @@
 
 
 def apply_member_list(
-    state: GroupState, listing_by_id: dict[str, MemberListing], now: float
+    state: GroupState,
+    listing_by_id: dict[str, MemberListing],
+    now: float,
+    arrived_at: float = -inf,
 ) -> GroupState:
     """Return the state after the list of the group's members was read.
 
+    ``now`` is the monotonic time at which it was read at the earliest. An entry may
+    have been written later, so cold times count from ``arrived_at`` if that is later.
+
     The current primary stays the primary while it is in the list. It is replaced if
     another member claims to be the primary and the current one either makes no such
     claim or has failed since its last answer. A member that is leaving in the first
@@ -132,7 +138,10 @@
         no_primary_since=since,
         leaving_at_by_member=leaving,
         cold_until_by_member=update_cold_until(
-            state.cold_until_by_member, state.listing_by_id, listing_by_id, now
+            state.cold_until_by_member,
+            state.listing_by_id,
+            listing_by_id,
+            max(now, arrived_at),
         ),
         primary_health=primary_health,
     )
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -72,7 +72,7 @@
                 for id, listing in event.listing_by_id.items()
                 if listing.group == group
             }
-            state = apply_member_list(self.state(group), listings, event.as_of)
+            state = apply_member_list(self.state(group), listings, event.as_of, now)
             self._log_cold(group, state, now)
             self._set_state(group, state, "list")
             self.report_failover_trigger(group, now)
