Count a member that failed as cold until a newer list has arrived

Cause: a member that could not be reached counted as cold for 2 s. While the store is down or a list comes late, a member that restarted meanwhile was then taken for warm, and every instance sent it statements without tokens, up to the 15 s for which a configuration may be used. Change: the time at which the list was read is kept, and such a member is cold until a list was read 2 s after its last failure. No effect on groups without a rate. Result: the scenario of the 2 s mark is replaced by a stricter one with four examples, as the mark had no end but its time; two of them fail without the change, all pass with it. features/platform_sessions.feature, fleet_decisions, evacuation and store_restore pass.

--- a/features/cold_members.feature
+++ b/features/cold_members.feature
@@ -49,11 +49,20 @@
       | "soon" | 7000   | 8    |
       | "soon" | 1e300  | 0    |
 
-  Scenario: A member that could not be reached counts as cold until it is listed again
-    # Guards against a restarted member that is used before its new entry is read.
+  Scenario Outline: A member that could not be reached is cold until it is listed again
+    # Guards against a restarted member that is used before its new entry is read, also
+    # while the store is down and no list arrives.
     Given a list in which a member is cold for 0.0 s
     When it can't be reached
-    Then the member is cold for 2 s more
+    And the next list is read <read> s later
+    Then it is <state> after <seconds> s
+
+    Examples:
+      | read | state    | seconds |
+      | inf  | cold     | 1.9     |
+      | inf  | cold     | 10      |
+      | 1.9  | cold     | 10      |
+      | 2    | not cold | 2       |
 
   Scenario Outline: A wrong cold time is ignored
     # Guards against an entry that is lost, or limited for ever, for one wrong field.
--- a/features/steps/cold_member_steps.py
+++ b/features/steps/cold_member_steps.py
@@ -1,5 +1,6 @@
 """Steps for members that are slow after a start."""
 
+from math import isfinite
 from time import monotonic
 from unittest import mock
 
@@ -7,7 +8,7 @@
 from behave.runner import Context
 from features.wire.platform_world import PlatformWorld
 
-from jackdawspread.decisions.members.cold_members import cold_bucket_name
+from jackdawspread.decisions.members.cold_members import cold_bucket_name, is_cold
 from jackdawspread.decisions.members.group_state import GroupState
 from jackdawspread.decisions.members.group_updates import (
     apply_member_list,
@@ -119,6 +120,22 @@
     context.state = apply_observation(failed, context.state)
 
 
+@when("the next list is read {seconds} s later")
+def next_list(context: Context, seconds: str) -> None:
+    """Apply a list, unless the time is infinite."""
+    if isfinite(float(seconds)):
+        context.now = NOW + float(seconds)
+        _apply(context, 0.0)
+
+
+@then("it is {state} after {seconds:g} s")
+def cold_after(context: Context, state: str, seconds: float) -> None:
+    """Compare whether the statements for the member are limited."""
+    group = MemberGroup("g", 16, 8.0)
+    cold = is_cold(context.state, group, "m0", NOW + seconds)
+    assert cold == (state == "cold"), context.state
+
+
 @then("the member is cold for {seconds:d} s more")
 def cold_for(context: Context, seconds: int) -> None:
     """Compare the time that is left."""
--- a/src/jackdawspread/decisions/members/cold_members.py
+++ b/src/jackdawspread/decisions/members/cold_members.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from math import isfinite
+from math import inf, isfinite
 
 from jackdawspread.decisions.members.group_state import GroupState
 from jackdawspread.decisions.members.member_candidate import MemberCandidate
@@ -15,7 +15,7 @@
 from jackdawspread.messages.fleet.workspace_limit import WorkspaceLimit
 
 # A member that could not be reached may have restarted. It counts as cold until a list
-# that was read afterwards can have arrived.
+# has arrived that was read this long afterwards, also while the store is down.
 UNLISTED_START_S = 2.0
 # A member that claims to be slow for longer is not believed.
 MAX_COLD_S = 600.0
@@ -75,7 +75,9 @@
     """Whether the statements that a member gets are limited now."""
     if group is None or not group.cold_rate_per_s:
         return False
-    return now < state.cold_until_by_member.get(member, 0.0)
+    failed_at = state.failed_at_by_member.get(member, -inf)
+    is_start_unlisted = state.listed_at < failed_at + UNLISTED_START_S
+    return is_start_unlisted or now < state.cold_until_by_member.get(member, 0.0)
 
 
 def prefer_warm(
--- a/src/jackdawspread/decisions/members/group_state.py
+++ b/src/jackdawspread/decisions/members/group_state.py
@@ -1,5 +1,6 @@
 """State of one member group as tracked by an instance."""
 
+from math import inf
 from typing import NamedTuple
 
 from jackdawspread.decisions.failover.primary_health import PrimaryHealth
@@ -33,6 +34,8 @@
         Recent failures of the primary.
     no_primary_since : float
         Monotonic time since which no primary is known; 0 while one is known.
+    listed_at : float
+        Monotonic time at which the newest list was read at the earliest.
     cold_until_by_member : dict
         Monotonic time until which a member is slow after its start.
     work_until_by_domain : dict
@@ -49,5 +52,6 @@
     samples: tuple[PrimaryPositionSample, ...] = ()
     primary_health: PrimaryHealth = PrimaryHealth()
     no_primary_since: float = 0.0
+    listed_at: float = -inf
     cold_until_by_member: dict[str, float] = {}
     work_until_by_domain: dict[str, float] = {}
--- a/src/jackdawspread/decisions/members/group_updates.py
+++ b/src/jackdawspread/decisions/members/group_updates.py
@@ -8,10 +8,7 @@
     clear_stalled_writes,
     record_failure,
 )
-from jackdawspread.decisions.members.cold_members import (
-    UNLISTED_START_S,
-    update_cold_until,
-)
+from jackdawspread.decisions.members.cold_members import update_cold_until
 from jackdawspread.decisions.members.group_state import GroupState
 from jackdawspread.decisions.members.position_samples import add_sample
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
@@ -71,17 +68,7 @@
 def _(event: MemberUnreachable, state: GroupState) -> GroupState:
     if not event.write_timed_out:
         failed = {**state.failed_at_by_member, event.member: event.at}
-        cold_until = max(
-            state.cold_until_by_member.get(event.member, 0.0),
-            event.at + UNLISTED_START_S,
-        )
-        state = state._replace(
-            failed_at_by_member=failed,
-            cold_until_by_member={
-                **state.cold_until_by_member,
-                event.member: cold_until,
-            },
-        )
+        state = state._replace(failed_at_by_member=failed)
     if event.member != state.primary:
         return state
     primary_health = record_failure(
@@ -134,6 +121,7 @@
     primary_health = GroupState().primary_health if changed else state.primary_health
     return state._replace(
         listing_by_id=listing_by_id,
+        listed_at=now,
         primary=primary,
         no_primary_since=since,
         leaving_at_by_member=leaving,
