Compare rosters again only after a change of addresses or of the primary

Cause: a list entry now also has the time for which its member stays slow, which changes with every heartbeat, so the record would be read for each list while a member is slow.

Measured: features/roster.feature passes.

--- a/src/jackdawspread/tasks/fleet/roster_task.py
+++ b/src/jackdawspread/tasks/fleet/roster_task.py
@@ -1,6 +1,7 @@
 """Keeps the recorded roster of each group up to date."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 
 from absl import logging
 from trio import MemoryReceiveChannel, Nursery, current_time, open_nursery, sleep
@@ -51,9 +52,9 @@
         self._search = CandidateSearch(replication)
         self._inbox = inbox
         self._roster_by_group: dict[str, frozenset[str]] = {}
-        # Lists that were equal to the recorded roster. A promotion changes the record,
-        # so the list counts as another one after it.
-        self._settled_by_group: dict[str, frozenset[MemberListing]] = {}
+        # Addresses, and whether each claims to be the primary, of lists that were equal
+        # to the recorded roster. A promotion changes both the record and the claims.
+        self._settled_by_group: dict[str, frozenset[tuple[str, bool]]] = {}
         self._busy: set[str] = set()
 
     async def run(self) -> None:
@@ -69,7 +70,7 @@
         first_read_count = 0
         for group, listings in listings_by_group.items():
             settled = self._settled_by_group.get(group)
-            if group in self._busy or settled == frozenset(listings):
+            if group in self._busy or settled == _claims(listings):
                 continue
             is_first_read = group not in self._roster_by_group
             first_read_count += is_first_read
@@ -108,7 +109,7 @@
             )
         self._roster_by_group[group] = roster
         if roster == listed:
-            self._settled_by_group[group] = frozenset(listings)
+            self._settled_by_group[group] = _claims(listings)
 
     async def _is_covered(self, listings: tuple[MemberListing, ...]) -> bool:
         """Whether a staying replica receives all that the primary now has."""
@@ -130,3 +131,7 @@
                 return True
             await sleep(COVER_POLL_INTERVAL_S)
         return False
+
+
+def _claims(listings: Iterable[MemberListing]) -> frozenset[tuple[str, bool]]:
+    return frozenset((listing.address, listing.claims_primary) for listing in listings)
