Keep evacuated replicas the second choice of a failover

Change: the list at the start of the attempt counts too.

Measured: features/promotion_evidence.feature passes, its new scenario.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -24,7 +24,7 @@
 
 def listing(id: str) -> MemberListing:
     """Return the entry of a member in the list."""
-    return MemberListing(id, "g", address(id), "z1", 2, False, id == PRIMARY)
+    return MemberListing(id, "g", address(id), f"z-{id}", 2, False, id == PRIMARY)
 
 
 class ReplicatedGroup:
@@ -46,6 +46,7 @@
         # Replica that is listed and receives the primary's log once the first logs
         # have been compared.
         self.joining = ""
+        self.evacuated: set[str] = set()
         self.former_primary = PRIMARY
         self.leaders = {PRIMARY}
         self.paused: dict[str, int] = {}
@@ -62,6 +63,8 @@
         trigger = FailoverTrigger(
             "g", self.former_primary, False, writes_stalled, reason
         )
+        domains = frozenset(f"z-{id}" for id in self.evacuated)
+        trigger = trigger._replace(evacuated_domains=domains)
         async with open_nursery() as nursery:
             nursery.start_soon(self._promote)
             self.outcomes.append(
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -38,6 +38,19 @@
     When an instance acts on a primary that gets no write confirmed
     Then "m3" is promoted and "m0" is demoted
 
+  Scenario Outline: A replica in an evacuated failure domain is the second choice
+    # Guards against a promotion into an evacuated domain: the list that is read after
+    # the pauses does not mark its members.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.9" of which "<silent>" do not answer
+    And the failure domain of "m1" is evacuated
+    When an instance acts on a primary that <trouble>
+    Then "m2" is promoted and "<demoted>" is demoted
+
+    Examples:
+      | silent | trouble                 | demoted |
+      | m0     | is unreachable          | none    |
+      | none   | gets no write confirmed | m0      |
+
   Scenario Outline: A pause is repeated with a higher term until it has an effect
     # Guards against a group that never gets a primary again once the members that know
     # its newest term are gone (review/3).
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -66,6 +66,12 @@
     context.group.joining = member
 
 
+@given('the failure domain of "{member}" is evacuated')
+def evacuated(context: Context, member: str) -> None:
+    """Evacuate the failure domain of a member."""
+    context.group.evacuated.add(member)
+
+
 @given("the newest term of the group is {term:d}, which no member reports")
 def hidden_term(context: Context, term: int) -> None:
     """Raise the term above those in the logs."""
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -196,11 +196,12 @@
     record: PromotionLockRecord,
     status_by_member: dict[str, LogStatus],
 ) -> PromotionEvidence:
-    listings = listing_by_id.values()
+    listings = (*queried, *listing_by_id.values())
     return PromotionEvidence(
-        group_roster(trigger, listings, recorded_roster(record)),
-        {listing.id: listing.address for listing in (*queried, *listings)},
+        group_roster(trigger, listing_by_id.values(), recorded_roster(record)),
+        {listing.id: listing.address for listing in listings},
         status_by_member,
+        # Only the list at the start marks the members of evacuated failure domains.
         frozenset(listing.id for listing in listings if listing.leaving),
         requested_earlier=record["ordered"],
     )
