--- a/scripts/check_isolation.py
+++ b/scripts/check_isolation.py
@@ -39,6 +39,7 @@
         "directory.run",
         "promotion_client.run",
         "failover_task.run",
+        "roster_task.run",
         "store.run",
         "server.run",
     },
--- a/src/jackdawspread/decisions/limits/connections_to_close.py
+++ b/src/jackdawspread/decisions/limits/connections_to_close.py
@@ -14,7 +14,7 @@
 
 
 def connections_to_close(
-    load_by_id: Mapping[int, ConnectionLoad], excess_bytes: int, now: float
+    load_by_id: Mapping[int, ConnectionLoad], excess_bytes: float, now: float
 ) -> list[int]:
     """Return the connections to close until ``excess_bytes`` are free.
 
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -11,7 +11,7 @@
     sleep_until,
 )
 
-from jackdawspread.decisions.limits.memory_limits import memory_limits
+from jackdawspread.decisions.limits.memory_limits import PROCESS_BYTES, memory_limits
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.configuration_feed_event import (
     ConfigurationFeedEvent,
@@ -19,6 +19,7 @@
 from jackdawspread.messages.fleet.failover_event import FailoverEvent
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
@@ -27,11 +28,13 @@
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.platform.caller_wire_codec import CallerWireCodec
 from jackdawspread.platform.configuration_feed import ConfigurationFeed
+from jackdawspread.platform.evacuation_tracker import EvacuationTracker
 from jackdawspread.platform.member_poll import MemberPoll
 from jackdawspread.platform.member_wire_codec import MemberWireCodec
 from jackdawspread.platform.promotion_client import PromotionClient
 from jackdawspread.platform.readiness_handler import ReadinessHandler
 from jackdawspread.platform.record_store import RecordStore
+from jackdawspread.platform.region_check import RegionCheck
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.fleet.activity_log import ActivityLog
@@ -44,6 +47,8 @@
 from jackdawspread.tasks.fleet.rate_lease_task import RateLeaseTask
 from jackdawspread.tasks.fleet.record_client import RecordClient
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
+from jackdawspread.tasks.fleet.roster_client import RosterClient
+from jackdawspread.tasks.fleet.roster_task import RosterTask
 from jackdawspread.tasks.http_server import HttpServer
 from jackdawspread.tasks.limits.memory_budget import MemoryBudget
 from jackdawspread.tasks.listen import listen
@@ -103,8 +108,11 @@
         self._members, self._members_inbox = open_memory_channel[MemberPollEvent](
             SMALL_INBOX
         )
+        self._rosters, self._rosters_inbox = open_memory_channel[MembersSeen](1)
         self._peers, self._peers_inbox = open_memory_channel[PeerEvent](PEERS_INBOX)
-        self._budget = MemoryBudget(memory_limits(settings.memory_mb))
+        self._budget = MemoryBudget(
+            memory_limits(settings.resources.memory_bytes, PROCESS_BYTES)
+        )
         self._feed, self._feed_inbox = open_memory_channel[ConfigurationFeedEvent](
             SMALL_INBOX
         )
@@ -166,6 +174,7 @@
         router = MemberRouter(
             self._instance_id,
             settings.failure_domain,
+            settings.region_by_domain,
             settings.drain_s,
             MemberWireCodec,
             self._router_inbox,
@@ -179,7 +188,11 @@
             self._peers,
         )
         broker = LeaseBroker(
-            self._instance_id, self._broker_inbox, self._broker, self._router
+            self._instance_id,
+            settings.region_by_domain,
+            self._broker_inbox,
+            self._broker,
+            self._router,
         )
         tasks.start_soon(router.run)
         tasks.start_soon(broker.run)
@@ -193,6 +206,14 @@
             self._instance_id,
             settings.failure_domain,
             settings.max_configuration_age_s,
+            EvacuationTracker(
+                settings.region_by_domain.keys(),
+                settings.evacuation_s,
+                settings.max_configuration_age_s,
+            )
+            if settings.evacuation_s
+            else None,
+            RegionCheck(settings.region_by_domain.values()),
             self._feed_inbox,
             self._admission,
             self._router,
@@ -206,6 +227,7 @@
             self._router,
             self._failover,
             self._peers,
+            self._rosters,
         )
         tasks.start_soon(feed.run)
         tasks.start_soon(poll.run)
@@ -253,18 +275,22 @@
         promotion_client = PromotionClient(
             self._settings.promotion_address, promotion_inbox
         )
+        replication = ReplicationControl(self._router)
+        records = self._open_records("succession", tasks)
         attempt = FailoverAttempt(
             self._instance_id,
-            ReplicationControl(self._router),
-            PromotionLockClient(
-                self._instance_id, self._open_records("succession", tasks)
-            ),
+            replication,
+            PromotionLockClient(self._instance_id, records),
             promotions,
             self._router,
         )
+        roster_task = RosterTask(
+            RosterClient(records), replication, self._rosters_inbox
+        )
         failover_task = FailoverTask(attempt, self._failover_inbox, self._members)
         tasks.start_soon(promotion_client.run)
         tasks.start_soon(failover_task.run)
+        tasks.start_soon(roster_task.run)
 
     def _open_records(self, user: str, tasks: Nursery) -> RecordClient:
         """Open a separate connection to the store for one task."""
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -201,6 +201,9 @@
                 event.priority,
                 event.expires_at - current_time(),
                 event.is_single_statement,
+                event.target_at - current_time(),
+                event.caller_domain,
+                event.allowed_regions,
             )
         )
 
@@ -235,6 +238,7 @@
             message.position_age_s,
             self._host,
             self._link,
+            message.is_cold,
         )
         request = self._unanswered.take_request(message.lease)
         if request is None or not answer_request(request, lease):
--- a/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
@@ -231,6 +231,9 @@
             current_time() + message.wait_s,
             message.is_single_statement,
             send,
+            current_time() + message.target_s,
+            message.caller_domain,
+            message.allowed_regions,
         )
         try:
             self._router.send_nowait(request)
@@ -258,6 +261,7 @@
                 answer.requires_primary,
                 answer.required_position,
                 answer.position_age_s,
+                answer.is_cold,
             )
         )
 
