--- a/features/support/process_limits.py
+++ b/features/support/process_limits.py
@@ -13,9 +13,18 @@
 
 def peak_memory_mb(pid: int) -> float:
     """Return the largest resident memory that a process has had, in MiB."""
+    return _memory_kb(pid, "VmHWM") / 1024
+
+
+def resident_memory_kb(pid: int) -> int:
+    """Return the resident memory of a process, in KiB."""
+    return _memory_kb(pid, "VmRSS")
+
+
+def _memory_kb(pid: int, field: str) -> int:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
+        if line.startswith(f"{field}:"):
+            return int(line.split()[1])
     raise ValueError(f"process {pid} has ended")
 
 
