--- a/src/jackdawspread/composition.py
+++ b/src/jackdawspread/composition.py
@@ -14,7 +14,11 @@
 )
 
 from jackdawspread.codecs.session_token import SessionTokenCodec
-from jackdawspread.decisions.limits.memory_limits import http_memory_limits
+from jackdawspread.decisions.limits.memory_limits import (
+    HTTP_PROCESS_BYTES,
+    MIB,
+    memory_limits,
+)
 from jackdawspread.messages.begin_shutdown import BeginShutdown
 from jackdawspread.messages.instance_listing import InstanceListing
 from jackdawspread.messages.leave_view import LeaveView
@@ -163,7 +167,9 @@
     async def _serve(self) -> None:
         """Serve callers and operators until a graceful shutdown has drained them."""
         settings = self._settings
-        budget = MemoryBudget(http_memory_limits(settings.memory_mb))
+        budget = MemoryBudget(
+            memory_limits(settings.memory_mb * MIB, HTTP_PROCESS_BYTES)
+        )
         callers = CallerHandler(self._gateway, self._stopping)
         admin = AdminHandler(self._control.clone(), self._settings.operator_key_hash)
         caller_listener = await listen(self._settings.caller_address)
--- a/src/jackdawspread/decisions/limits/memory_limits.py
+++ b/src/jackdawspread/decisions/limits/memory_limits.py
@@ -6,12 +6,12 @@
 MIB = 1024 * 1024
 # Resident memory of a process without connections, with what its allocator keeps
 # unused after a load.
-PROCESS_MB = 64
+PROCESS_BYTES = 64 * MIB
 # The HTTP front end loads more libraries, among them grpcio.
-HTTP_PROCESS_MB = 96
+HTTP_PROCESS_BYTES = 96 * MIB
 # A process with less memory than this beyond its own can't serve one large message.
-MIN_CONNECTIONS_MB = 16
-# Part of the memory from which on large messages are refused and large answers fail.
+MIN_CONNECTIONS_BYTES = 16 * MIB
+# Part of the memory from which on large messages are refused.
 REFUSE_FRACTION = 0.5
 
 
@@ -20,32 +20,29 @@
 
     Parameters
     ----------
-    refuse_bytes : int
+    refuse_bytes : float
         A large message that would exceed this is refused.
-    close_bytes : int
+    close_bytes : float
         Connections are closed until all hold less than this.
     """
 
-    refuse_bytes: int
-    close_bytes: int
+    refuse_bytes: float
+    close_bytes: float
 
 
 # For a server whose clients are those of the project itself.
-UNLIMITED = MemoryLimits(1 << 62, 1 << 62)
+UNLIMITED = MemoryLimits(inf, inf)
 
 
-def memory_limits(memory_bytes: float) -> MemoryLimits:
-    """Return the limits of a process that may use ``memory_bytes`` in total."""
-    if memory_bytes == inf:
-        return UNLIMITED
-    return _limits(memory_bytes / MIB - PROCESS_MB)
+def memory_limits(memory_bytes: float, process_bytes: float) -> MemoryLimits:
+    """Return the limits of a process.
 
-
-def http_memory_limits(memory_mb: float) -> MemoryLimits:
-    """Return the limits of a process of the HTTP front end."""
-    return _limits(memory_mb - HTTP_PROCESS_MB)
-
-
-def _limits(connections_mb: float) -> MemoryLimits:
-    close_mb = max(MIN_CONNECTIONS_MB, connections_mb)
-    return MemoryLimits(int(REFUSE_FRACTION * close_mb * MIB), int(close_mb * MIB))
+    Parameters
+    ----------
+    memory_bytes : float
+        Memory in bytes that the process may use in total.
+    process_bytes : float
+        Memory in bytes of the process without connections.
+    """
+    close_bytes = max(MIN_CONNECTIONS_BYTES, memory_bytes - process_bytes)
+    return MemoryLimits(REFUSE_FRACTION * close_bytes, close_bytes)
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -13,7 +13,7 @@
     sleep_until,
 )
 
-from jackdawspread.decisions.limits.memory_limits import memory_limits
+from jackdawspread.decisions.limits.memory_limits import PROCESS_BYTES, memory_limits
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.configuration_feed_event import (
@@ -119,7 +119,9 @@
         self._capacities, self._capacities_inbox = open_memory_channel[CapacityEvent](
             SMALL_INBOX
         )
-        self._budget = MemoryBudget(memory_limits(settings.resources.memory_bytes))
+        self._budget = MemoryBudget(
+            memory_limits(settings.resources.memory_bytes, PROCESS_BYTES)
+        )
         self._feed, self._feed_inbox = open_memory_channel[ConfigurationFeedEvent](
             SMALL_INBOX
         )
--- a/src/jackdawspread/tasks/fleet/roster_task.py
+++ b/src/jackdawspread/tasks/fleet/roster_task.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from functools import partial
 
 from absl import logging
 from trio import MemoryReceiveChannel, Nursery, current_time, open_nursery, sleep
@@ -77,13 +78,14 @@
             if is_first_read and first_read_count > FIRST_READS_PER_LIST:
                 continue
             self._busy.add(group)
-            updates.start_soon(self._run_update, group, tuple(listings))
+            run = partial(self._run_update, group, tuple(listings))
+            updates.start_soon(run_isolated, "succession", run)
 
     async def _run_update(
         self, group: str, listings: tuple[MemberListing, ...]
     ) -> None:
         try:
-            await run_isolated("succession", lambda: self._update(group, listings))
+            await self._update(group, listings)
         finally:
             self._busy.discard(group)
 
