--- a/src/jackdawspread/decisions/rate_leases/token_priority.py
+++ b/src/jackdawspread/decisions/rate_leases/token_priority.py
@@ -9,8 +9,8 @@
 RESERVED_FRACTION = 0.1
 MAX_RESERVED_FRACTION = 0.3
 # A priority that was refused gets a token after this many were given to others, so that
-# no kind of operation is refused for as long as its workspace sends too much. A count of
-# refusals instead would grow with the load of the least urgent operations.
+# no kind of operation is refused for as long as its workspace sends too much. Refusals
+# are not counted, as they grow with the load of the least urgent operations.
 MAX_GIVEN_TO_OTHERS = 9
 
 
