--- a/src/jackdawspread/messages/fleet/router_event.py
+++ b/src/jackdawspread/messages/fleet/router_event.py
@@ -8,6 +8,7 @@
 from jackdawspread.messages.fleet.evacuations_seen import EvacuationsSeen
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
+from jackdawspread.messages.fleet.member_busy import MemberBusy
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
@@ -31,6 +32,7 @@
     | PlacementChanged
     | LeadershipRefused
     | LeaseReturned
+    | MemberBusy
     | MemberUnreachable
     | MembersSeen
     | PositionSeen
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -66,6 +66,8 @@
     crossing_delay_limit_s : float
         Delay in seconds, one way, from which messages between failure domains are
         avoided.
+    admits_by_priority : bool
+        Whether operations of a workspace beyond its rate get tokens by priority.
     """
 
     def __init__(
@@ -74,10 +76,12 @@
         inbox: MemoryReceiveChannel[AdmissionEvent],
         peers: MemorySendChannel[PeerEvent],
         crossing_delay_limit_s: float,
+        admits_by_priority: bool = False,
     ) -> None:
         self._max_age_s = max_age_s
         self._inbox = inbox
         self._peers = peers
+        self._admits_by_priority = admits_by_priority
         self._token_requests = TokenRequests(
             peers, round(1000 * seconds_since_boot()), crossing_delay_limit_s
         )
@@ -106,9 +110,10 @@
             return
         checked = self._check(event)
         limited = self._limited_workspace(event, checked)
-        if limited and not self._buckets.spend(limited, now):
-            wait_s = self._buckets.wait_s(limited, now)
-            if not self._token_requests.start(event, limited, wait_s, now):
+        priority = self._token_priority(checked)
+        if limited and not self._buckets.spend(limited, now, priority):
+            wait_s = self._buckets.wait_s(limited, now, priority)
+            if not self._token_requests.start(event, limited, wait_s, now, priority):
                 self._refuse_rate(event, limited, wait_s)
             return
         send_admission_reply(event, checked)
@@ -161,8 +166,8 @@
     @_handle.register
     def _(self, event: TokenRequested) -> None:
         now, request = current_time(), event.request
-        granted = self._buckets.spend(request.workspace, now)
-        wait_s = self._buckets.wait_s(request.workspace, now)
+        granted = self._buckets.spend(request.workspace, now, request.priority)
+        wait_s = self._buckets.wait_s(request.workspace, now, request.priority)
         reply = TokenReply(request.id, granted, round(1000 * wait_s))
         try:
             self._peers.send_nowait(SendDatagram(reply, event.peer))
@@ -205,6 +210,11 @@
         limited = checked.workspace in self._buckets.limit_by_workspace
         return checked.workspace if limited else ""
 
+    def _token_priority(self, checked: OperationAdmitted | Refusal) -> int:
+        if not self._admits_by_priority or isinstance(checked, Refusal):
+            return 0
+        return checked.route.priority
+
     def _answer_waiting(self) -> None:
         """Handle the waiting requests again after an update."""
         waiting, self._waiting = self._waiting, []
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -62,6 +62,16 @@
     "Requests for a member connection by the instance that serves them.",
     ("place",),
 )
+MEMBER_ADMISSIONS = Counter(
+    "jackdawspread_member_admissions",
+    "Requests for a member connection by what became of them and by priority.",
+    ("result", "priority"),
+)
+MEMBER_CONCURRENCY_LIMIT = Gauge(
+    "jackdawspread_member_concurrency_limit",
+    "Statements that this instance may have in progress at a member.",
+    ("member",),
+)
 DOMAIN_DEPARTURES = Counter(
     "jackdawspread_domain_departures",
     "Reads sent to another failure domain because of the wait or for lack of a member, "
--- a/src/jackdawspread/tasks/fleet/token_requests.py
+++ b/src/jackdawspread/tasks/fleet/token_requests.py
@@ -69,13 +69,14 @@
         workspace: str,
         wait_s: float,
         now: float,
+        priority: int = 0,
     ) -> bool:
         """Ask the first holder; return whether there is one.
 
         ``wait_s`` is the time in seconds until this instance has a token of its own.
         """
         id = next(self._ids)
-        pending = PendingToken(request, workspace, (), now, wait_s)
+        pending = PendingToken(request, workspace, (), now, wait_s, priority)
         return self._ask_next(id, pending, now) is None
 
     def handle_reply(self, event: TokenReplied, now: float) -> PendingToken | None:
@@ -133,7 +134,7 @@
         """Ask the next holder; return the operation if there is none left."""
         holder = self._next_holder(id, pending, now)
         if holder:
-            request = TokenRequest(id, pending.workspace)
+            request = TokenRequest(id, pending.workspace, pending.priority)
             try:
                 self._peers.send_nowait(SendDatagram(request, holder))
             except WouldBlock:
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -32,6 +32,7 @@
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
 from jackdawspread.messages.fleet.lease_returned import LeaseReturned
+from jackdawspread.messages.fleet.member_busy import MemberBusy
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_observation import MemberObservation
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
@@ -51,7 +52,7 @@
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.tasks.boot_clock import seconds_since_boot
-from jackdawspread.tasks.members.connection_pools import ConnectionPools, refuse
+from jackdawspread.tasks.members.connection_pools import ConnectionPools
 from jackdawspread.tasks.members.evacuation_schedule import EvacuationSchedule
 from jackdawspread.tasks.members.group_monitor import GroupMonitor
 from jackdawspread.tasks.members.member_codec import MemberCodec
@@ -61,6 +62,7 @@
 from jackdawspread.tasks.members.position_exchange import PositionExchange
 from jackdawspread.tasks.members.read_routing import ReadRouting
 from jackdawspread.tasks.members.refusal_log import RefusalLog
+from jackdawspread.tasks.members.refuse_request import refuse
 
 # Requests that wait for a member are retried this often.
 RETRY_WAITING_INTERVAL_S = 0.05
@@ -91,6 +93,8 @@
         Receives the failure domains of the primaries.
     peers : trio.MemorySendChannel
         Inbox of the peers task.
+    admits_by_priority : bool
+        Whether statements compete for members by the priority of their routes.
     """
 
     def __init__(
@@ -106,12 +110,14 @@
         refresh: MemorySendChannel[RefreshMembers],
         broker: MemorySendChannel[LeaseBrokerEvent],
         peers: MemorySendChannel[PeerEvent],
+        admits_by_priority: bool = False,
     ) -> None:
         self._region_by_domain = region_by_domain
         self._drain_s = drain_s
         self._make_codec = make_codec
         self._inbox = inbox
         self._router = router
+        self._admits_by_priority = admits_by_priority
         self._group_monitor = GroupMonitor(failover, refresh, broker)
         self._waiting_by_group: dict[str, list[ConnectionRequest]] = {}
         self._limits = MemberLimits(instance, failure_domain)
@@ -130,7 +136,11 @@
         """Handle events until cancelled."""
         async with open_nursery() as connections:
             self._pools = ConnectionPools(
-                connections, self._make_codec, self._router, self._offer_lease
+                connections,
+                self._make_codec,
+                self._router,
+                self._offer_lease,
+                self._admits_by_priority,
             )
             while True:
                 waiting = self._pools.has_waiting or any(
@@ -190,6 +200,10 @@
     def _(self, event: ConnectionClosed, now: float) -> None:
         self._pools.handle_closed(event, now)
 
+    @_handle.register
+    def _(self, event: MemberBusy, now: float) -> None:
+        self._pools.handle_busy(event.member, now)
+
     @_handle.register(PositionSeen)
     @_handle.register(LeadershipRefused)
     @_handle.register(ReplicaLagged)
