Take the most advanced remaining log after the wait for missing members

Cause: without the departed members the roster could be two replicas. One of them may then have more than the chosen one, so a staying replica, or one whose promotion was requested earlier, was preferred to a more advanced log, and commits that a remaining replica has were lost.

Change: one unknown member stands for all that are gone and for a silent primary, so only a log that covers all remaining ones is complete.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -38,6 +38,8 @@
         self.listed = end_by_member.keys() | silent
         self.newest_term = max(end.term for end in end_by_member.values())
         self.roster: list[str] = []
+        self.leaving: set[str] = set()
+        self.ordered = ""
         # Replica that is listed and receives the primary's log once the first logs
         # have been compared.
         self.joining = ""
@@ -88,7 +90,7 @@
 
     async def acquire(self, group: str) -> HeldPromotionLock:
         """Let the attempt acquire the promotion lock."""
-        record = {"token": 1, "holder": "i1", "until": 3.0, "ordered": ""}
+        record = {"token": 1, "holder": "i1", "until": 3.0, "ordered": self.ordered}
         if self.roster:
             record["roster"] = self.roster
         return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
@@ -106,7 +108,10 @@
         return self._list()
 
     def _list(self) -> dict[str, MemberListing]:
-        listed = {id: listing(id) for id in sorted(self.listed)}
+        listed = {
+            id: listing(id)._replace(leaving=id in self.leaving)
+            for id in sorted(self.listed)
+        }
         if self.joining and self.paused:
             listed[self.joining] = listing(self.joining)
             self.end_by_member[self.joining] = self.end_by_member[PRIMARY]
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -63,6 +63,21 @@
       | m0     | 12      | m1       |
       | m0,m2  | 12      | none     |
 
+  Scenario Outline: After the wait the most advanced of the remaining logs is taken
+    # Guards against the loss of commits that a remaining replica has: with two logs left
+    # the choice preferred a staying or an earlier chosen member to the more advanced one.
+    Given members with the logs "m1=1.7,m2=1.9" of which "none" do not answer
+    And "m9" has left the group and may have confirmed commits
+    And "<leaving>" is leaving and the promotion of "<ordered>" was requested earlier
+    When instances act for 12 s on a primary that is unreachable
+    Then "m2" is promoted and "none" is demoted
+
+    Examples:
+      | leaving | ordered |
+      | none    | none    |
+      | none    | m1      |
+      | m2      | none    |
+
   Scenario: A log that ends in a term that never was is ignored
     # Guards against a promotion on a status that can't be true.
     Given members with the logs "m0=1.9,m1=1.7,m2=4.1" of which "m0" do not answer
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -58,6 +58,13 @@
     context.group.roster = sorted({*context.group.listed, member})
 
 
+@given('"{leaving}" is leaving and the promotion of "{ordered}" was requested earlier')
+def preferences(context: Context, leaving: str, ordered: str) -> None:
+    """Give reasons for and against members other than their logs."""
+    context.group.leaving = _ids(leaving)
+    context.group.ordered = "" if ordered == "none" else ordered
+
+
 @given('the replica "{member}" joins and confirms commits during the attempt')
 def joins(context: Context, member: str) -> None:
     """Let a replica join after the pauses."""
--- a/src/jackdawspread/decisions/failover/promotion_candidate.py
+++ b/src/jackdawspread/decisions/failover/promotion_candidate.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Iterable
 
 from jackdawspread.decisions.failover.promotion_evidence import PromotionEvidence
+from jackdawspread.decisions.failover.roster import UNKNOWN_MEMBER
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 
@@ -63,13 +64,18 @@
 
 
 def without_departed(
-    evidence: PromotionEvidence, listed: Collection[str]
+    evidence: PromotionEvidence, listed: Collection[str], primary: str
 ) -> PromotionEvidence:
     """Return the evidence without the members that are gone.
 
-    Members that are listed still count, also if they did not answer.
+    Replicas that are listed still count, also if they did not answer. One unknown
+    member stands for all that are gone and for a silent primary: each remaining log may
+    share a commit with it, so only the most advanced one is complete.
     """
-    return evidence._replace(roster=evidence.roster & frozenset(listed))
+    remaining = evidence.roster & frozenset(listed)
+    if primary not in evidence.status_by_member:
+        remaining -= {primary}
+    return evidence._replace(roster=remaining | {UNKNOWN_MEMBER})
 
 
 def most_advanced_log(
--- a/src/jackdawspread/decisions/failover/roster.py
+++ b/src/jackdawspread/decisions/failover/roster.py
@@ -5,8 +5,8 @@
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
 
-# Stands for a primary of which neither the list nor the record names the id.
-UNKNOWN_PRIMARY = ""
+# Stands for a member whose id is not known, or whose log is not available any more.
+UNKNOWN_MEMBER = ""
 
 
 def group_roster(
@@ -21,7 +21,7 @@
     """
     listed = {listing.id for listing in listings if listing.group == trigger.group}
     if not trigger.member:
-        return recorded | listed if recorded else frozenset({*listed, UNKNOWN_PRIMARY})
+        return recorded | listed if recorded else frozenset({*listed, UNKNOWN_MEMBER})
     return recorded | listed | {trigger.member}
 
 
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -22,7 +22,7 @@
     recorded_term,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
-from jackdawspread.decisions.failover.roster import group_roster
+from jackdawspread.decisions.failover.roster import UNKNOWN_MEMBER, group_roster
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
@@ -177,9 +177,9 @@
             self._blocked_by_group.get(group), current_time()
         )
         self._blocked_by_group[group] = blocked
-        remaining = without_departed(evidence, listing_by_id.keys())
-        silent = remaining.roster - evidence.status_by_member.keys()
-        if not is_overdue(blocked) or silent - {trigger.member}:
+        remaining = without_departed(evidence, listing_by_id.keys(), trigger.member)
+        silent = remaining.roster - evidence.status_by_member.keys() - {UNKNOWN_MEMBER}
+        if silent or not is_overdue(blocked):
             return None
         candidate = choose_candidate(remaining)
         if candidate is not None:
