Record the roster of a failed attempt when the lock is released

Cause: a failed attempt did not record the members that it had found listed. A replica that crashed together with the primary was forgotten once its entry expired, if the record did not name it: it had just joined, the store had been restored from a copy, or an instance of an earlier version, which drops unknown fields, had written the record. The next attempt then promoted past it. The task that records rosters can't help, as it skips records whose lock is held.

Change: the write that releases the lock also records the roster of the attempt. It takes no further call to the store.

Result: "A member that was listed in a failed attempt still counts after it is gone" failed before and passes.

--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -89,7 +89,7 @@
         self.chosen = member
         return lock
 
-    async def release(self, lock: HeldPromotionLock) -> None:
+    async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
         """Release the promotion lock."""
         self.is_released = True
 
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -101,8 +101,9 @@
         """Accept the record of the chosen member."""
         return lock
 
-    async def release(self, lock: HeldPromotionLock) -> None:
-        """Release the promotion lock."""
+    async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
+        """Release the promotion lock and record the roster."""
+        self.roster = sorted(roster) or self.roster
 
     async def _members_since(self, since: float) -> dict[str, MemberListing]:
         return self._list()
--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -92,6 +92,18 @@
       | is done                       | is lost                       |
       | is lost                       | is done late and not answered |
 
+  Scenario Outline: The released lock names the members whose logs were missing
+    # Guards against an attempt of another instance that does not know of a member that
+    # was listed during an earlier one.
+    Given a store whose next write is done and whose write after that is done
+    When an instance acquires the promotion lock and releases it with "<roster>"
+    Then the record has no holder and the roster "<recorded>"
+
+    Examples:
+      | roster   | recorded |
+      | m0,m1,m2 | m0,m1,m2 |
+      | none     | none     |
+
   Scenario: A lost answer does not hide that another instance was first
     # Guards against two holders of one promotion lock.
     Given a store in which another instance acquires the lock while a write is lost
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -63,6 +63,15 @@
       | m0     | 12      | m1       |
       | m0,m2  | 12      | none     |
 
+  Scenario: A member that was listed in a failed attempt still counts after it is gone
+    # Guards against the loss of commits of a replica that crashes with the primary while
+    # the record does not name it: because it has just joined, because the store was
+    # restored from a copy, or because an instance of an earlier version wrote the record.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7,m3=1.9" of which "m0,m3" do not answer
+    When an instance acts on a primary that is unreachable
+    And the members "m0,m3" are gone and another instance acts
+    Then "none" is promoted and "none" is demoted
+
   Scenario Outline: After the wait the most advanced of the remaining logs is taken
     # Guards against the loss of commits that a remaining replica has: with two logs left
     # the choice preferred a staying or an earlier chosen member to the more advanced one.
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -90,6 +90,13 @@
     run(context.group.attempt, stalled, clock=MockClock(autojump_threshold=0))
 
 
+@when('the members "{gone}" are gone and another instance acts')
+def attempts_without(context: Context, gone: str) -> None:
+    """Run an attempt after members have left the list."""
+    context.group.listed -= _ids(gone)
+    run(context.group.attempt, False, clock=MockClock(autojump_threshold=0))
+
+
 @when("instances act for {seconds:g} s on a primary that is unreachable")
 def attempts_for(context: Context, seconds: float) -> None:
     """Run attempts at regular times."""
--- a/features/steps/promotion_lock_steps.py
+++ b/features/steps/promotion_lock_steps.py
@@ -48,6 +48,27 @@
     run(act)
 
 
+@when('an instance acquires the promotion lock and releases it with "{roster}"')
+def acquires_and_releases(context: Context, roster: str) -> None:
+    """Acquire and release the lock."""
+    members = frozenset() if roster == "none" else frozenset(roster.split(","))
+
+    async def act() -> None:
+        client = PromotionLockClient("i1", context.records)
+        lock = await client.acquire("g")
+        await client.release(lock, members)
+
+    run(act)
+
+
+@then('the record has no holder and the roster "{roster}"')
+def released_with(context: Context, roster: str) -> None:
+    """Compare the record in the store."""
+    record = decode(context.records.value, type=PromotionLockRecord)
+    assert not record["holder"], record
+    assert ",".join(record.get("roster", ["none"])) == roster, record
+
+
 @then('the record names it and "{member}" with the token {token:d}, written twice')
 def record_names(context: Context, member: str, token: int) -> None:
     """Compare the record in the store with the lock that is held."""
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -97,7 +97,7 @@
         plan = await select.run(trigger, listing_by_id, lock.record, members_since)
         outcome, may_have_promoted = await self._promote(trigger, plan, lock)
         if not may_have_promoted:
-            await self._locks.release(lock)
+            await self._locks.release(lock, plan.roster)
         return outcome
 
     async def _primary_responds(self, primary: MemberListing) -> bool:
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -73,7 +73,7 @@
             evidence = evidence._replace(demoted_primary=trigger.member)
         candidate = self._choose(trigger, evidence, listing_by_id)
         if candidate is None:
-            return PromotionPlan(reason=_describe_missing(evidence))
+            return _refuse(evidence, ())
         if candidate.member == trigger.member:
             return PromotionPlan(reason="only the primary has every commit")
         term = pause_term(status_by_member.values(), recorded_term(record))
@@ -109,7 +109,7 @@
         evidence = _collect(trigger, listing_by_id, record, status_by_member)
         candidate = self._choose(trigger, evidence, listing_by_id)
         if candidate is None:
-            return PromotionPlan(reason=_describe_missing(evidence), paused=replicas)
+            return _refuse(evidence, replicas)
         return PromotionPlan(candidate.member, "", term, evidence.roster, replicas)
 
     async def _select_fenced(
@@ -153,7 +153,7 @@
         evidence = evidence._replace(demoted_primary=primary.id)
         candidate = choose_candidate(evidence) if listing_by_id else demoted
         if candidate is None:
-            return PromotionPlan(reason=_describe_missing(evidence), paused=paused)
+            return _refuse(evidence, paused)
         return PromotionPlan(candidate.member, "", term, evidence.roster, paused)
 
     def _choose(
@@ -217,7 +217,15 @@
     return ""
 
 
-def _describe_missing(evidence: PromotionEvidence) -> str:
+def _refuse(
+    evidence: PromotionEvidence, paused: tuple[MemberListing, ...]
+) -> PromotionPlan:
+    """Return a plan without a promotion, because logs are missing."""
     missing = evidence.roster - evidence.status_by_member.keys()
     names = ",".join(sorted(missing)) or "none"
-    return f"no replica is known to have every commit, logs missing members={names}"
+    return PromotionPlan(
+        reason="no replica is known to have every commit, "
+        f"logs missing members={names}",
+        roster=evidence.roster,
+        paused=paused,
+    )
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -8,6 +8,7 @@
     PROMOTION_LOCK_TTL_S,
     acquire_promotion_lock,
     record_ordered_member,
+    record_roster,
     release_promotion_lock,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
@@ -85,9 +86,15 @@
             return None
         return lock._replace(version=outcome.version, record=record)
 
-    async def release(self, lock: HeldPromotionLock) -> None:
-        """Release the lock, so that other instances need not wait until it expires."""
+    async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
+        """Release the lock, so that other instances need not wait until it expires.
+
+        ``roster`` names the members that the next attempt has to consider also if they
+        are no longer listed; if it is empty, the recorded one stays.
+        """
         record = release_promotion_lock(lock.record)
+        if roster:
+            record = record_roster(record, roster)
         outcome = await self._write(lock, record, lock.held_until)
         if outcome.status is not RecordStatus.DONE:
             logging.info("succession: promotion lock not released name=%s", lock.name)
