Release the promotion lock after a rejected promotion

Cause: the lock was released over the version from before the member to promote was recorded, so the store refused the write, and after a rejected request no instance could act in the group until the lock expired (3 s). The scenario for it uses a fake lock that has no versions.

Change: the attempt releases the lock as it was written last.

Result: "The lock is released after a rejected promotion", with the client of the locks, failed before and passes.

--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -12,6 +12,7 @@
 from jackdawspread.messages.statements.resume_replication import ResumeReplication
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.failover_attempt import FailoverAttempt
+from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 
 LISTINGS = {
     id: MemberListing(id, "g", "10.0.0.1:1", "z1", 2, False, id == "m0")
@@ -45,11 +46,11 @@
         self.is_released = False
         self.outcome = ""
 
-    async def run(self) -> None:
-        """Run the attempt."""
+    async def run(self, locks: PromotionLockClient | None = None) -> None:
+        """Run the attempt, with a client of promotion locks in place of the fake."""
         promotions, inbox = open_memory_channel(1)
         router, _ = open_memory_channel(100)
-        attempt = FailoverAttempt("i1", self, self, promotions, router)
+        attempt = FailoverAttempt("i1", self, locks or self, promotions, router)
         trigger = FailoverTrigger("g", "m0", False, False, "unreachable")
         async with open_nursery() as nursery:
             nursery.start_soon(self._answer_promotions, inbox)
--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -104,6 +104,13 @@
       | m0,m1,m2 | m0,m1,m2 |
       | none     | none     |
 
+  Scenario: The lock is released after a rejected promotion
+    # Guards against a release over the version from before the member was recorded: the
+    # store refused it, and no instance could act until the lock expired.
+    Given a store whose next write is done and whose write after that is done
+    When an instance requests the promotion of "m1", which is rejected
+    Then the record has no holder and the roster "m0,m1,m2"
+
   Scenario: A lost answer does not hide that another instance was first
     # Guards against two holders of one promotion lock.
     Given a store in which another instance acquires the lock while a write is lost
--- a/features/steps/promotion_lock_steps.py
+++ b/features/steps/promotion_lock_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from features.fakes.failover_world import FailoverWorld
 from features.fakes.lossy_record_store import LossyRecordStore
 from msgspec.json import decode, encode
 from trio import run
@@ -61,6 +62,18 @@
     run(act)
 
 
+@when('an instance requests the promotion of "{member}", which is rejected')
+def promotion_rejected(context: Context, member: str) -> None:
+    """Run an attempt whose promotion request is rejected."""
+
+    async def act() -> None:
+        world = FailoverWorld({"m0"}, ["rejected"])
+        await world.run(PromotionLockClient("i1", context.records))
+        assert world.outcome == f"promotion rejected member={member}", world.outcome
+
+    run(act)
+
+
 @then('the record has no holder and the roster "{roster}"')
 def released_with(context: Context, roster: str) -> None:
     """Compare the record in the store."""
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -95,9 +95,9 @@
             return lock
         select = self._switchover if trigger.is_planned else self._failover
         plan = await select.run(trigger, listing_by_id, lock.record, members_since)
-        outcome, may_have_promoted = await self._promote(trigger, plan, lock)
-        if not may_have_promoted:
-            await self._locks.release(lock, plan.roster)
+        outcome, unused = await self._promote(trigger, plan, lock)
+        if unused is not None:
+            await self._locks.release(unused, plan.roster)
         return outcome
 
     async def _primary_responds(self, primary: MemberListing) -> bool:
@@ -109,10 +109,10 @@
 
     async def _promote(
         self, trigger: FailoverTrigger, plan: PromotionPlan, lock: HeldPromotionLock
-    ) -> tuple[str, bool]:
-        """Return the outcome, and whether a promotion has or may have happened.
+    ) -> tuple[str, HeldPromotionLock | None]:
+        """Return the outcome, and the lock to release unless it has to expire.
 
-        In that case the lock is not released but expires: until the new primary takes
+        It expires if a promotion has or may have happened: until the new primary takes
         over, the members report the same state as before, and another attempt could
         choose another candidate. The replicas that were paused for the safety of an
         unanswered request stay paused.
@@ -124,13 +124,15 @@
             )
         if recorded is None:
             await self._resume(plan.paused, lock)
-            return plan.reason or "the promotion lock was not written", False
+            return plan.reason or "the promotion lock was not written", lock
         result, may_have_promoted = await self._sender.run(
             trigger, plan.member, recorded
         )
-        if not may_have_promoted:
-            await self._resume(plan.paused, recorded)
-        return f"promotion {result.value} member={plan.member}", may_have_promoted
+        outcome = f"promotion {result.value} member={plan.member}"
+        if may_have_promoted:
+            return outcome, None
+        await self._resume(plan.paused, recorded)
+        return outcome, recorded
 
     async def _resume(
         self, paused: tuple[MemberListing, ...], lock: HeldPromotionLock
