Remove only members from a roster that had left when the list was read

Cause: several instances keep the record. A member that another one had recorded after this one's list was read looked as if it had left, and was removed although it may confirm commits.

Change: an instance removes only members of its own previous roster, and skips lists that were requested before that was compared. A restarted instance therefore removes a departed member with its second list, not with the first.

Result: "A list does not remove members that were recorded after it" failed before and passes. The row of "A departed member stays in the roster" in which the first list removed a member now says that it stays, and two rows check that the second list removes it.

--- a/features/roster.feature
+++ b/features/roster.feature
@@ -13,9 +13,26 @@
       | recorded    | lock    | lists                | end | roster      |
       | none        | is free | m0,m1,m2             | 1.7 | m0,m1,m2    |
       | m0,m1,m2    | is free | m0,m1                | 1.7 | m0,m1,m2    |
-      | m0,m1,m2    | is free | m0,m1                | 1.9 | m0,m1       |
+      | m0,m1,m2    | is free | m0,m1                | 1.9 | m0,m1,m2    |
+      | m0,m1,m2    | is free | m0,m1;m0,m1          | 1.9 | m0,m1       |
+      | none        | is free | m0,m1,m2;m0,m1       | 1.9 | m0,m1       |
       | m0,m1       | is free | m0,m1,m3             | 1.7 | m0,m1,m3    |
       | m0,m1       | is free | m0,m1,m3;m0,m1       | 1.7 | m0,m1,m3    |
       | none        | is free | m0,m1,m2;m0,m1;m0,m1 | 1.7 | m0,m1,m2    |
       | m0,m1,m2    | is held | m0,m1                | 1.9 | m0,m1,m2    |
       | m0,m1,m2    | is free | m1                   | 1.9 | m0,m1,m2    |
+
+  Scenario Outline: A list does not remove members that were recorded after it
+    # Guards against a list from before a replica joined: another instance has recorded
+    # the replica, which may confirm commits, and an instance with the older list took it
+    # for one that has left.
+    Given a recorded roster "m0,m1,m2" and a lock that is free
+    And the roster "m0,m1,m2,m3" is recorded by another instance after the first list
+    When an instance reads lists with "<lists>" while m1 has 1.9 of 1.9
+    Then the recorded roster is "<roster>" and the lock is unchanged
+
+    Examples:
+      | lists                      | roster      |
+      | m0,m1,m2;m0,m1             | m0,m1,m3    |
+      | m0,m1,m2;m0,m1;m0,m1,m3    | m0,m1,m3    |
+      | m0,m1,m2;m0,m1;m0,m1;m0,m1 | m0,m1       |
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -28,6 +28,12 @@
     context.records.value = encode(record)
 
 
+@given('the roster "{roster}" is recorded by another instance after the first list')
+def recorded_between(context: Context, roster: str) -> None:
+    """Let another instance write the record."""
+    context.recorded_between = roster
+
+
 @when('an instance reads lists with "{lists}" while {replica} has {end} of 1.9')
 def reads_lists(context: Context, lists: str, replica: str, end: str) -> None:
     """Pass lists of members to the task that keeps the roster."""
@@ -44,6 +50,10 @@
                 listed = {id: listing(id) for id in ids.split(",")}
                 await send.send(MembersSeen(listed, float(number)))
                 await sleep(LIST_INTERVAL_S)
+                if number == 0 and "recorded_between" in context:
+                    record = decode(context.records.value, type=PromotionLockRecord)
+                    record["roster"] = context.recorded_between.split(",")
+                    context.records.value = encode(record)
             nursery.cancel_scope.cancel()
 
     run(act, clock=MockClock(autojump_threshold=0))
--- a/src/jackdawspread/decisions/failover/roster.py
+++ b/src/jackdawspread/decisions/failover/roster.py
@@ -34,6 +34,9 @@
     """Return the roster to record after a list was read.
 
     Members that have left stay in it until every commit that they confirmed is known
-    to be on the primary and on a listed replica.
+    to be on the primary and on a listed replica. A member that is recorded but not in
+    the previous roster of this instance may have joined after the list was read.
     """
-    return listed if is_covered else recorded | previous | listed
+    if is_covered:
+        return listed | (recorded - previous)
+    return recorded | previous | listed
--- a/src/jackdawspread/tasks/fleet/roster_task.py
+++ b/src/jackdawspread/tasks/fleet/roster_task.py
@@ -51,6 +51,8 @@
         self._search = CandidateSearch(replication)
         self._inbox = inbox
         self._roster_by_group: dict[str, frozenset[str]] = {}
+        # Lists from before the last comparison don't show who has left since.
+        self._compared_at_by_group: dict[str, float] = {}
         self._busy: set[str] = set()
 
     async def run(self) -> None:
@@ -66,8 +68,10 @@
         first_read_count = 0
         for group, listings in listings_by_group.items():
             known = self._roster_by_group.get(group)
-            if group in self._busy or known == frozenset(
-                listing.id for listing in listings
+            if (
+                group in self._busy
+                or event.as_of < self._compared_at_by_group.get(group, 0.0)
+                or known == frozenset(listing.id for listing in listings)
             ):
                 continue
             first_read_count += known is None
@@ -105,6 +109,7 @@
                 len(roster - listed),
             )
         self._roster_by_group[group] = roster
+        self._compared_at_by_group[group] = current_time()
 
     async def _is_covered(self, listings: tuple[MemberListing, ...]) -> bool:
         """Whether a staying replica receives all that the primary now has."""
