Count the wait for missing logs over the attempts of all instances

Cause: each instance counted its own attempts, and began anew when more than 3 s lay between two of them. With many instances each acquires the lock more seldom, so none ever waited 10 s and a group with a missing log got no primary. A first choice that succeeded before the pauses also began the count anew.

Change: the record of the promotion lock holds the times of the first and the last attempt in a row that lacked logs. They are written when the lock is released, which takes no further call.

Result: "The wait for a missing log does not depend on who acts" failed for 20 instances before and passes.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -1,8 +1,11 @@
 """Fake group of members with logs, terms and pauses."""
 
-from trio import open_memory_channel, open_nursery
+from trio import current_time, open_memory_channel, open_nursery
 
+from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
+from jackdawspread.decisions.failover.promotion_lock import PROMOTION_LOCK_TTL_S
+from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
@@ -15,6 +18,7 @@
 from jackdawspread.tasks.fleet.failover_attempt import FailoverAttempt
 
 PRIMARY = "m0"
+MAX_INSTANCES = 20
 
 
 def listing(id: str) -> MemberListing:
@@ -37,9 +41,8 @@
         self.end_by_member = end_by_member
         self.listed = end_by_member.keys() | silent
         self.newest_term = max(end.term for end in end_by_member.values())
-        self.roster: list[str] = []
         self.leaving: set[str] = set()
-        self.ordered = ""
+        self.record = PromotionLockRecord(token=1, holder="", until=0.0, ordered="")
         # Replica that is listed and receives the primary's log once the first logs
         # have been compared.
         self.joining = ""
@@ -51,10 +54,13 @@
         self.outcomes: list[str] = []
         promotions, self._inbox = open_memory_channel(1)
         router, _ = open_memory_channel(100)
-        self._attempt = FailoverAttempt("i1", self, self, promotions, router)
+        self._attempts = [
+            FailoverAttempt(f"i{number}", self, self, promotions, router)
+            for number in range(MAX_INSTANCES)
+        ]
 
-    async def attempt(self, writes_stalled: bool) -> None:
-        """Run one attempt to replace the primary."""
+    async def attempt(self, writes_stalled: bool, instance: int = 0) -> None:
+        """Run one attempt of an instance to replace the primary."""
         reason = "writes not confirmed" if writes_stalled else "unreachable"
         trigger = FailoverTrigger(
             "g", self.former_primary, False, writes_stalled, reason
@@ -62,7 +68,9 @@
         async with open_nursery() as nursery:
             nursery.start_soon(self._promote)
             self.outcomes.append(
-                await self._attempt.run(trigger, self._list(), self._members_since)
+                await self._attempts[instance].run(
+                    trigger, self._list(), self._members_since
+                )
             )
             nursery.cancel_scope.cancel()
 
@@ -90,9 +98,8 @@
 
     async def acquire(self, group: str) -> HeldPromotionLock:
         """Let the attempt acquire the promotion lock."""
-        record = {"token": 1, "holder": "i1", "until": 3.0, "ordered": self.ordered}
-        if self.roster:
-            record["roster"] = self.roster
+        record = self.record.copy()
+        record["until"] = current_time() + PROMOTION_LOCK_TTL_S
         return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
 
     async def record_promotion(
@@ -102,8 +109,8 @@
         return lock
 
     async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
-        """Release the promotion lock and record the roster."""
-        self.roster = sorted(roster) or self.roster
+        """Release the promotion lock after an attempt."""
+        self.record = record_blocked(lock.record, roster) if roster else lock.record
 
     async def _members_since(self, since: float) -> dict[str, MemberListing]:
         return self._list()
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -63,6 +63,21 @@
       | m0     | 12      | m1       |
       | m0,m2  | 12      | none     |
 
+  Scenario Outline: The wait for a missing log does not depend on who acts
+    # Guards against a group that never gets a primary because each instance of a large
+    # fleet acquires the lock too seldom to see that the logs have long been missing.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "m0" do not answer
+    And "m9" has left the group and may have confirmed commits
+    When <count> instances act in turn for <seconds> s on an unreachable primary
+    Then "<promoted>" is promoted and "none" is demoted
+
+    Examples:
+      | count | seconds | promoted |
+      | 2     | 9       | none     |
+      | 2     | 12      | m1       |
+      | 20    | 9       | none     |
+      | 20    | 12      | m1       |
+
   Scenario: A member that was listed in a failed attempt still counts after it is gone
     # Guards against the loss of commits of a replica that crashes with the primary while
     # the record does not name it: because it has just joined, because the store was
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -55,14 +55,14 @@
 @given('"{member}" has left the group and may have confirmed commits')
 def departed(context: Context, member: str) -> None:
     """Name a departed member in the recorded roster."""
-    context.group.roster = sorted({*context.group.listed, member})
+    context.group.record["roster"] = sorted({*context.group.listed, member})
 
 
 @given('"{leaving}" is leaving and the promotion of "{ordered}" was requested earlier')
 def preferences(context: Context, leaving: str, ordered: str) -> None:
     """Give reasons for and against members other than their logs."""
     context.group.leaving = _ids(leaving)
-    context.group.ordered = "" if ordered == "none" else ordered
+    context.group.record["ordered"] = "" if ordered == "none" else ordered
 
 
 @given('the replica "{member}" joins and confirms commits during the attempt')
@@ -90,6 +90,18 @@
     run(context.group.attempt, stalled, clock=MockClock(autojump_threshold=0))
 
 
+@when("{count:d} instances act in turn for {seconds:g} s on an unreachable primary")
+def attempts_in_turn(context: Context, count: int, seconds: float) -> None:
+    """Run the attempts of several instances at regular times."""
+
+    async def act() -> None:
+        for number in range(int(seconds / ATTEMPT_INTERVAL_S) + 1):
+            await context.group.attempt(False, number % count)
+            await sleep(ATTEMPT_INTERVAL_S)
+
+    run(act, clock=MockClock(autojump_threshold=0))
+
+
 @when('the members "{gone}" are gone and another instance acts')
 def attempts_without(context: Context, gone: str) -> None:
     """Run an attempt after members have left the list."""
--- a/src/jackdawspread/decisions/failover/blocked_promotion.py
+++ b/src/jackdawspread/decisions/failover/blocked_promotion.py
@@ -1,6 +1,16 @@
-"""Time for which promotions in a group have lacked logs."""
+"""Time for which promotions in a group have lacked logs.
 
-from typing import NamedTuple
+The record of the promotion lock holds it, because in a large fleet one instance seldom
+acquires the lock twice in a row. All times are of the store's clock.
+"""
+
+from collections.abc import Collection
+
+from jackdawspread.decisions.failover.promotion_lock import (
+    PROMOTION_LOCK_TTL_S,
+    record_roster,
+)
+from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 
 # A member that crashed may return with the missing log. The failover gap of the design
 # scale, 16 s, leaves this time to wait for it.
@@ -9,30 +19,33 @@
 MAX_ATTEMPT_INTERVAL_S = 3.0
 
 
-class BlockedPromotion(NamedTuple):
-    """Attempts in a row that ended because logs were missing.
+def is_overdue(record: PromotionLockRecord) -> bool:
+    """Whether the holder of the lock no longer waits for members that are gone."""
+    return _acquired_at(record) - _blocked_since(record) >= MISSING_LOG_TIMEOUT_S
 
-    Parameters
-    ----------
-    since : float
-        Monotonic time in seconds of the first one.
-    last_at : float
-        Monotonic time in seconds of the last one.
-    """
 
-    since: float
-    last_at: float
+def record_blocked(
+    record: PromotionLockRecord, roster: Collection[str]
+) -> PromotionLockRecord:
+    """Return the record after an attempt of its holder that lacked logs.
+
+    The roster of the attempt stays recorded, as its members may soon not be listed any
+    more.
+    """
+    blocked = record_roster(record, roster)
+    blocked["blocked_since"] = _blocked_since(record)
+    blocked["blocked_at"] = _acquired_at(record)
+    return blocked
 
 
-def count_blocked_attempt(
-    blocked: BlockedPromotion | None, now: float
-) -> BlockedPromotion:
-    """Return the state after an attempt that lacked logs."""
-    if blocked is None or now - blocked.last_at > MAX_ATTEMPT_INTERVAL_S:
-        return BlockedPromotion(now, now)
-    return blocked._replace(last_at=now)
+def _acquired_at(record: PromotionLockRecord) -> float:
+    return record["until"] - PROMOTION_LOCK_TTL_S
 
 
-def is_overdue(blocked: BlockedPromotion) -> bool:
-    """Whether members that are gone are no longer waited for."""
-    return blocked.last_at - blocked.since >= MISSING_LOG_TIMEOUT_S
+def _blocked_since(record: PromotionLockRecord) -> float:
+    """Return the time of the first in a row of attempts that includes this one."""
+    now = _acquired_at(record)
+    elapsed_s = now - record.get("blocked_at", now)
+    if not 0 <= elapsed_s <= MAX_ATTEMPT_INTERVAL_S:
+        return now
+    return record.get("blocked_since", now)
--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -57,6 +57,8 @@
     ordered["term"] = max(term, recorded_term(record))
     if roster:
         ordered["roster"] = sorted(roster)
+    ordered.pop("blocked_since", None)
+    ordered.pop("blocked_at", None)
     return ordered
 
 
--- a/src/jackdawspread/decisions/failover/promotion_lock_record.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock_record.py
@@ -23,6 +23,10 @@
         Members that may hold an acknowledged commit which only one of the members
         listed now has, together with the listed members. Records of earlier versions
         and of groups whose list has never been recorded lack it.
+    blocked_since, blocked_at : float
+        Times of the store's clock in seconds of the first and the last in a row of
+        attempts that ended because logs were missing. The record lacks them if there
+        was none since the last promotion.
     """
 
     token: int
@@ -31,3 +35,5 @@
     ordered: str
     term: NotRequired[int]
     roster: NotRequired[list[str]]
+    blocked_since: NotRequired[float]
+    blocked_at: NotRequired[float]
--- a/src/jackdawspread/messages/fleet/promotion_plan.py
+++ b/src/jackdawspread/messages/fleet/promotion_plan.py
@@ -17,8 +17,8 @@
     term : int
         Term under which replicas were paused; 0 if none was.
     roster : frozenset of str
-        Members that may hold an acknowledged commit; empty if the decision did not
-        depend on them.
+        Members that may hold an acknowledged commit. Without a member to promote it is
+        empty unless logs of them were missing.
     paused : tuple of MemberListing
         Replicas that were paused.
     """
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -97,7 +97,8 @@
         plan = await select.run(trigger, listing_by_id, lock.record, members_since)
         outcome, unused = await self._promote(trigger, plan, lock)
         if unused is not None:
-            await self._locks.release(unused, plan.roster)
+            roster = frozenset() if plan.member else plan.roster
+            await self._locks.release(unused, roster)
         return outcome
 
     async def _primary_responds(self, primary: MemberListing) -> bool:
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -5,11 +5,7 @@
 from absl import logging
 from trio import current_time
 
-from jackdawspread.decisions.failover.blocked_promotion import (
-    BlockedPromotion,
-    count_blocked_attempt,
-    is_overdue,
-)
+from jackdawspread.decisions.failover.blocked_promotion import is_overdue
 from jackdawspread.decisions.failover.pause_term import pause_term
 from jackdawspread.decisions.failover.promotion_candidate import (
     choose_candidate,
@@ -48,7 +44,6 @@
         self._replication = replication
         self._search = CandidateSearch(replication)
         self._pause = ReplicationPause(replication)
-        self._blocked_by_group: dict[str, BlockedPromotion] = {}
 
     async def run(
         self,
@@ -71,7 +66,7 @@
         evidence = _collect(trigger, listing_by_id, record, status_by_member)
         if trigger.member in status_by_member:
             evidence = evidence._replace(demoted_primary=trigger.member)
-        candidate = self._choose(trigger, evidence, listing_by_id)
+        candidate = _choose(trigger, evidence, listing_by_id, record)
         if candidate is None:
             return _refuse(evidence, ())
         if candidate.member == trigger.member:
@@ -107,7 +102,7 @@
                 reason="no replica is known to have every commit", paused=replicas
             )
         evidence = _collect(trigger, listing_by_id, record, status_by_member)
-        candidate = self._choose(trigger, evidence, listing_by_id)
+        candidate = _choose(trigger, evidence, listing_by_id, record)
         if candidate is None:
             return _refuse(evidence, replicas)
         return PromotionPlan(candidate.member, "", term, evidence.roster, replicas)
@@ -156,40 +151,34 @@
             return _refuse(evidence, paused)
         return PromotionPlan(candidate.member, "", term, evidence.roster, paused)
 
-    def _choose(
-        self,
-        trigger: FailoverTrigger,
-        evidence: PromotionEvidence,
-        listing_by_id: dict[str, MemberListing],
-    ) -> LogStatus | None:
-        """Return the member to promote.
 
-        Members that are gone are waited for. After that time the most advanced of the
-        listed replicas is taken if all of them answer, so that a group whose logs are
-        lost has a primary.
-        """
-        group = trigger.group
-        candidate = choose_candidate(evidence)
-        if candidate is not None:
-            self._blocked_by_group.pop(group, None)
-            return candidate
-        blocked = count_blocked_attempt(
-            self._blocked_by_group.get(group), current_time()
-        )
-        self._blocked_by_group[group] = blocked
-        remaining = without_departed(evidence, listing_by_id.keys(), trigger.member)
-        silent = remaining.roster - evidence.status_by_member.keys() - {UNKNOWN_MEMBER}
-        if silent or not is_overdue(blocked):
-            return None
-        candidate = choose_candidate(remaining)
-        if candidate is not None:
-            logging.error(
-                "succession: commits may be lost, promoting without the logs of "
-                "members=%s group=%s",
-                ",".join(sorted(evidence.roster - remaining.roster)),
-                group,
-            )
+def _choose(
+    trigger: FailoverTrigger,
+    evidence: PromotionEvidence,
+    listing_by_id: dict[str, MemberListing],
+    record: PromotionLockRecord,
+) -> LogStatus | None:
+    """Return the member to promote.
+
+    Members that are gone are waited for. After that time the most advanced of the
+    listed replicas is taken if all of them answer, so that a group whose logs are lost
+    has a primary.
+    """
+    candidate = choose_candidate(evidence)
+    if candidate is not None or not is_overdue(record):
         return candidate
+    remaining = without_departed(evidence, listing_by_id.keys(), trigger.member)
+    if remaining.roster - evidence.status_by_member.keys() - {UNKNOWN_MEMBER}:
+        return None
+    candidate = choose_candidate(remaining)
+    if candidate is not None:
+        logging.error(
+            "succession: commits may be lost, promoting without the logs of "
+            "members=%s group=%s",
+            ",".join(sorted(evidence.roster - remaining.roster)),
+            trigger.group,
+        )
+    return candidate
 
 
 def _collect(
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -3,12 +3,12 @@
 from absl import logging
 from msgspec.json import encode
 
+from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.promotion_lock import (
     PROMOTION_LOCK_TTL_S,
     acquire_promotion_lock,
     record_ordered_member,
-    record_roster,
     release_promotion_lock,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
@@ -89,12 +89,11 @@
     async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
         """Release the lock, so that other instances need not wait until it expires.
 
-        ``roster`` names the members that the next attempt has to consider also if they
-        are no longer listed; if it is empty, the recorded one stays.
+        ``roster`` is that of an attempt that ended because logs were missing; it is
+        empty otherwise.
         """
-        record = release_promotion_lock(lock.record)
-        if roster:
-            record = record_roster(record, roster)
+        record = record_blocked(lock.record, roster) if roster else lock.record
+        record = release_promotion_lock(record)
         outcome = await self._write(lock, record, lock.held_until)
         if outcome.status is not RecordStatus.DONE:
             logging.info("succession: promotion lock not released name=%s", lock.name)
