End an attempt if a primary that answers is not demoted

Cause: if the command to demote a stalled primary got no answer, the attempt went on as if the primary were unreachable.

Change: the attempt ends and its pauses are lifted. The next one queries the primary again, and is made without it only if it is silent.

Result: "No member is promoted while a primary that answers is not demoted" failed before and passes.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -42,6 +42,8 @@
         self.listed = end_by_member.keys() | silent
         self.newest_term = max(end.term for end in end_by_member.values())
         self.leaving: set[str] = set()
+        # Member that does not get the command to demote it.
+        self.undemotable = ""
         self.record = PromotionLockRecord(token=1, holder="", until=0.0, ordered="")
         # Replica that is listed and receives the primary's log once the first logs
         # have been compared.
@@ -79,6 +81,8 @@
         id = member.id
         if id not in self.end_by_member:
             return None
+        if isinstance(command, DemotePrimary) and id == self.undemotable:
+            return None
         if isinstance(command, PauseReplication) and command.term > self.newest_term:
             self.paused[id] = command.term
         if isinstance(command, ResumeReplication):
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -35,6 +35,15 @@
     When an instance acts on a primary that gets no write confirmed
     Then "m3" is promoted and "m0" is demoted
 
+  Scenario: No member is promoted while a primary that answers is not demoted
+    # Guards against the same loss (review/2) if the command or its answer is lost: until
+    # the promotion takes effect a new replica confirms commits of the primary.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.9" of which "none" do not answer
+    And the command to demote "m0" gets no answer
+    When an instance acts on a primary that gets no write confirmed
+    Then "none" is promoted and "none" is demoted
+    And the last outcome is "the primary was not demoted" and no replica is paused
+
   Scenario Outline: A pause is repeated with a higher term until it has an effect
     # Guards against a group that never gets a primary again once the members that know
     # its newest term are gone (review/3).
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -71,6 +71,12 @@
     context.group.joining = member
 
 
+@given('the command to demote "{member}" gets no answer')
+def no_answer(context: Context, member: str) -> None:
+    """Lose the command."""
+    context.group.undemotable = member
+
+
 @given("the newest term of the group is {term:d}, which no member reports")
 def hidden_term(context: Context, term: int) -> None:
     """Raise the term above those in the logs."""
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -123,9 +123,9 @@
         """
         demoted = await self._replication.send(primary, DemotePrimary(term))
         if demoted is None or demoted.claims_primary:
-            return await self._select_unfenced(
-                trigger, replicas, term, record, members_since
-            )
+            # It may go on acknowledging commits. If it no longer responds, the next
+            # attempt is made without it.
+            return PromotionPlan(reason="the primary was not demoted", paused=replicas)
         logging.info("succession: demoted member=%s term=%d", primary.id, term)
         listing_by_id = await members_since(current_time())
         listed = (
