Repeat a command about the log while the member is busy

Cause: a member whose slots are all in use answers STATUS with BUSY, which was taken for no answer. A primary with unconfirmed writes is in this state, so it was replaced without being demoted, and a busy replica ended the attempt.

Change: the command is sent again every 50 ms, up to the same time limit of 0.4 s as before.

Result: "A command to a busy member is repeated" failed before for a member that is busy three times and passes.

--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -177,6 +177,19 @@
     Given an attempt during which an earlier request promotes "m1"
     Then no promotion is requested and the lock is released
 
+  Scenario Outline: A command to a busy member is repeated
+    # Guards against taking a member whose slots are all in use for one that is gone, as
+    # a primary with unconfirmed writes is.
+    Given a member that is busy for the first <count> commands
+    When its log status is queried
+    Then the log status is <result> within 0.4 s
+
+    Examples:
+      | count | result    |
+      | 0     | known     |
+      | 3     | known     |
+      | 100   | not known |
+
   Scenario: A primary that answers is not replaced
     # Guards against replacing a primary for one broken connection.
     Given an attempt whose primary answers
--- a/src/jackdawspread/tasks/fleet/replication_control.py
+++ b/src/jackdawspread/tasks/fleet/replication_control.py
@@ -5,6 +5,7 @@
     current_time,
     open_memory_channel,
     open_nursery,
+    sleep,
 )
 
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
@@ -24,6 +25,9 @@
 # Workspace name of connections that the proxy uses for its own commands.
 INTERNAL_WORKSPACE = "jackdawspread"
 COMMAND_TIMEOUT_S = 0.4
+# Gives a busy member time to free a slot before a statement is sent again.
+BUSY_RETRY_DELAY_S = 0.05
+BUSY = "busy"
 
 
 class ReplicationControl:
@@ -64,7 +68,8 @@
     ) -> LogStatus | None:
         """Send a statement to one member; return its log status.
 
-        The result is None if no log status arrived in time.
+        A busy member has not run the statement, which is then sent again. The result is
+        None if no log status arrived in time.
         """
         deadline = current_time() + COMMAND_TIMEOUT_S
         lease = await self._lease(listing, deadline)
@@ -72,6 +77,9 @@
             return None
         command = MemberCommand("", statement)
         outcome = await run_exchange(lease, (command,), deadline)
+        while _is_busy(outcome) and current_time() + BUSY_RETRY_DELAY_S < deadline:
+            await sleep(BUSY_RETRY_DELAY_S)
+            outcome = await run_exchange(lease, (command,), deadline)
         self._return_lease(lease, isinstance(outcome, MemberReply))
         if isinstance(outcome, ExchangeFailure) or outcome.log_status is None:
             return None
@@ -100,3 +108,7 @@
     def _return_lease(self, lease: MemberLease, usable: bool) -> None:
         context = lease.context if usable else None
         self._router.send_nowait(LeaseReturned(lease.connection, lease.member, context))
+
+
+def _is_busy(outcome: MemberReply | ExchangeFailure) -> bool:
+    return isinstance(outcome, MemberReply) and outcome.error == BUSY
