Compare rosters only with lists that an instance reads regularly

Cause: every instance reads the list once when it starts, and each of these lists was compared with the rosters, so a fleet that started together read and wrote each roster once for each instance.

Change: the roster task gets a list only if the instance has read the one before it too.

--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -70,7 +70,8 @@
     peers : trio.MemorySendChannel
         Inbox of the peers task.
     rosters : trio.MemorySendChannel
-        Receives the lists that this instance has read itself.
+        Receives the lists that this instance reads itself, from the second one in a
+        row.
     """
 
     def __init__(
@@ -108,6 +109,8 @@
         self._attempted_at = 0.0
         self._is_requested = False
         self._must_read = False
+        # Whether this instance has read the newest list itself.
+        self._is_own_list = False
 
     async def run(self) -> None:
         """Keep the list up to date until cancelled."""
@@ -152,6 +155,7 @@
         read_at -= RELAY_CLOCK_MARGIN_S
         if self._read_at < read_at <= current_time():
             listed = {listing.id: listing for listing in event.listings}
+            self._is_own_list = False
             await self._publish(listed, read_at)
 
     async def _read(self, client: HttpClient) -> None:
@@ -175,8 +179,19 @@
         )
         await self._publish(listed, requested_at)
         self._relay(to_store_time(self._clock, since_boot))
+        if self._is_own_list:
+            self._compare_rosters(requested_at)
+        self._is_own_list = True
+
+    def _compare_rosters(self, read_at: float) -> None:
+        """Pass the list to the roster task.
+
+        Only an instance that reads lists regularly does this. One that has just started
+        reads a single list, and a fleet that starts together would read and write each
+        roster once for each instance.
+        """
         try:
-            self._rosters.send_nowait(MembersSeen(self._listing_by_id, requested_at))
+            self._rosters.send_nowait(MembersSeen(self._listing_by_id, read_at))
         except WouldBlock:
             # The rosters are compared with the next list.
             return
