--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -1,8 +1,11 @@
 """Fake group of members with logs, terms and pauses."""
 
-from trio import open_memory_channel, open_nursery
+from trio import current_time, open_memory_channel, open_nursery
 
+from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
+from jackdawspread.decisions.failover.promotion_lock import PROMOTION_LOCK_TTL_S
+from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
@@ -16,6 +19,7 @@
 
 PRIMARY = "m0"
 EVACUATED_DOMAIN = "z2"
+MAX_INSTANCES = 20
 
 
 def address(id: str) -> str:
@@ -43,7 +47,10 @@
         self.end_by_member = end_by_member
         self.listed = end_by_member.keys() | silent
         self.newest_term = max(end.term for end in end_by_member.values())
-        self.roster: list[str] = []
+        self.leaving: set[str] = set()
+        # Member that does not get the command to demote it.
+        self.undemotable = ""
+        self.record = PromotionLockRecord(token=1, holder="", until=0.0, ordered="")
         # Replica that is listed and receives the primary's log once the first logs
         # have been compared.
         self.joining = ""
@@ -57,10 +64,13 @@
         self.outcomes: list[str] = []
         promotions, self._inbox = open_memory_channel(1)
         router, _ = open_memory_channel(100)
-        self._attempt = FailoverAttempt("i1", self, self, promotions, router)
+        self._attempts = [
+            FailoverAttempt(f"i{number}", self, self, promotions, router)
+            for number in range(MAX_INSTANCES)
+        ]
 
-    async def attempt(self, writes_stalled: bool) -> None:
-        """Run one attempt to replace the primary."""
+    async def attempt(self, writes_stalled: bool, instance: int = 0) -> None:
+        """Run one attempt of an instance to replace the primary."""
         reason = "writes not confirmed" if writes_stalled else "unreachable"
         trigger = FailoverTrigger(
             "g",
@@ -73,7 +83,9 @@
         async with open_nursery() as nursery:
             nursery.start_soon(self._promote)
             self.outcomes.append(
-                await self._attempt.run(trigger, self._list(), self._members_since)
+                await self._attempts[instance].run(
+                    trigger, self._list(), self._members_since
+                )
             )
             nursery.cancel_scope.cancel()
 
@@ -82,6 +94,8 @@
         id = member.id
         if id not in self.end_by_member:
             return None
+        if isinstance(command, DemotePrimary) and id == self.undemotable:
+            return None
         if isinstance(command, PauseReplication) and command.term > self.newest_term:
             self.paused[id] = command.term
         if isinstance(command, ResumeReplication):
@@ -101,9 +115,8 @@
 
     async def acquire(self, group: str) -> HeldPromotionLock:
         """Let the attempt acquire the promotion lock."""
-        record = {"token": 1, "holder": "i1", "until": 3.0, "ordered": ""}
-        if self.roster:
-            record["roster"] = self.roster
+        record = self.record.copy()
+        record["until"] = current_time() + PROMOTION_LOCK_TTL_S
         return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
 
     async def record_promotion(
@@ -112,14 +125,18 @@
         """Accept the record of the chosen member."""
         return lock
 
-    async def release(self, lock: HeldPromotionLock) -> None:
-        """Release the promotion lock."""
+    async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
+        """Release the promotion lock after an attempt."""
+        self.record = record_blocked(lock.record, roster) if roster else lock.record
 
     async def _members_since(self, since: float) -> dict[str, MemberListing]:
         return self._list()
 
     def _list(self) -> dict[str, MemberListing]:
-        listed = {id: listing(id) for id in sorted(self.listed)}
+        listed = {
+            id: listing(id)._replace(leaving=id in self.leaving)
+            for id in sorted(self.listed)
+        }
         if self.joining and self.paused:
             listed[self.joining] = listing(self.joining)
             self.end_by_member[self.joining] = self.end_by_member[PRIMARY]
--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -92,6 +92,25 @@
       | is done                       | is lost                       |
       | is lost                       | is done late and not answered |
 
+  Scenario Outline: The released lock names the members whose logs were missing
+    # Guards against an attempt of another instance that does not know of a member that
+    # was listed during an earlier one.
+    Given a store whose next write is done and whose write after that is done
+    When an instance acquires the promotion lock and releases it with "<roster>"
+    Then the record has no holder and the roster "<recorded>"
+
+    Examples:
+      | roster   | recorded |
+      | m0,m1,m2 | m0,m1,m2 |
+      | none     | none     |
+
+  Scenario: The lock is released after a rejected promotion
+    # Guards against a release over the version from before the member was recorded: the
+    # store refused it, and no instance could act until the lock expired.
+    Given a store whose next write is done and whose write after that is done
+    When an instance requests the promotion of "m1", which is rejected
+    Then the record has no holder and the roster "m0,m1,m2"
+
   Scenario: A lost answer does not hide that another instance was first
     # Guards against two holders of one promotion lock.
     Given a store in which another instance acquires the lock while a write is lost
@@ -158,6 +177,19 @@
     Given an attempt during which an earlier request promotes "m1"
     Then no promotion is requested and the lock is released
 
+  Scenario Outline: A command to a busy member is repeated
+    # Guards against taking a member whose slots are all in use for one that is gone, as
+    # a primary with unconfirmed writes is.
+    Given a member that is busy for the first <count> commands
+    When its log status is queried
+    Then the log status is <result> within 0.4 s
+
+    Examples:
+      | count | result    |
+      | 0     | known     |
+      | 3     | known     |
+      | 100   | not known |
+
   Scenario: A primary that answers is not replaced
     # Guards against replacing a primary for one broken connection.
     Given an attempt whose primary answers
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -38,6 +38,15 @@
     When an instance acts on a primary that gets no write confirmed
     Then "m3" is promoted and "m0" is demoted
 
+  Scenario: No member is promoted while a primary that answers is not demoted
+    # Guards against the same loss (review/2) if the command or its answer is lost: until
+    # the promotion takes effect a new replica confirms commits of the primary.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.9" of which "none" do not answer
+    And the command to demote "m0" gets no answer
+    When an instance acts on a primary that gets no write confirmed
+    Then "none" is promoted and "none" is demoted
+    And the last outcome is "the primary was not demoted" and no replica is paused
+
   Scenario Outline: A pause is repeated with a higher term until it has an effect
     # Guards against a group that never gets a primary again once the members that know
     # its newest term are gone (review/3).
@@ -66,6 +75,45 @@
       | m0     | 12      | m1       |
       | m0,m2  | 12      | none     |
 
+  Scenario Outline: The wait for a missing log does not depend on who acts
+    # Guards against a group that never gets a primary because each instance of a large
+    # fleet acquires the lock too seldom to see that the logs have long been missing.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "m0" do not answer
+    And "m9" has left the group and may have confirmed commits
+    When <count> instances act in turn for <seconds> s on an unreachable primary
+    Then "<promoted>" is promoted and "none" is demoted
+
+    Examples:
+      | count | seconds | promoted |
+      | 2     | 9       | none     |
+      | 2     | 12      | m1       |
+      | 20    | 9       | none     |
+      | 20    | 12      | m1       |
+
+  Scenario: A member that was listed in a failed attempt still counts after it is gone
+    # Guards against the loss of commits of a replica that crashes with the primary while
+    # the record does not name it: because it has just joined, because the store was
+    # restored from a copy, or because an instance of an earlier version wrote the record.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7,m3=1.9" of which "m0,m3" do not answer
+    When an instance acts on a primary that is unreachable
+    And the members "m0,m3" are gone and another instance acts
+    Then "none" is promoted and "none" is demoted
+
+  Scenario Outline: After the wait the most advanced of the remaining logs is taken
+    # Guards against the loss of commits that a remaining replica has: with two logs left
+    # the choice preferred a staying or an earlier chosen member to the more advanced one.
+    Given members with the logs "m1=1.7,m2=1.9" of which "none" do not answer
+    And "m9" has left the group and may have confirmed commits
+    And "<leaving>" is leaving and the promotion of "<ordered>" was requested earlier
+    When instances act for 12 s on a primary that is unreachable
+    Then "m2" is promoted and "none" is demoted
+
+    Examples:
+      | leaving | ordered |
+      | none    | none    |
+      | none    | m1      |
+      | m2      | none    |
+
   Scenario: A log that ends in a term that never was is ignored
     # Guards against a promotion on a status that can't be true.
     Given members with the logs "m0=1.9,m1=1.7,m2=4.1" of which "m0" do not answer
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -57,7 +57,14 @@
 def departed(context: Context, member: str) -> None:
     """Name a departed member in the recorded roster."""
     ids = {*context.group.listed, member}
-    context.group.roster = sorted(address(id) for id in ids)
+    context.group.record["roster"] = sorted(address(id) for id in ids)
+
+
+@given('"{leaving}" is leaving and the promotion of "{ordered}" was requested earlier')
+def preferences(context: Context, leaving: str, ordered: str) -> None:
+    """Give reasons for and against members other than their logs."""
+    context.group.leaving = _ids(leaving)
+    context.group.record["ordered"] = "" if ordered == "none" else ordered
 
 
 @given('the replica "{member}" joins and confirms commits during the attempt')
@@ -72,6 +79,12 @@
     context.group.evacuated = member
 
 
+@given('the command to demote "{member}" gets no answer')
+def no_answer(context: Context, member: str) -> None:
+    """Lose the command."""
+    context.group.undemotable = member
+
+
 @given("the newest term of the group is {term:d}, which no member reports")
 def hidden_term(context: Context, term: int) -> None:
     """Raise the term above those in the logs."""
@@ -91,6 +104,25 @@
     run(context.group.attempt, stalled, clock=MockClock(autojump_threshold=0))
 
 
+@when("{count:d} instances act in turn for {seconds:g} s on an unreachable primary")
+def attempts_in_turn(context: Context, count: int, seconds: float) -> None:
+    """Run the attempts of several instances at regular times."""
+
+    async def act() -> None:
+        for number in range(int(seconds / ATTEMPT_INTERVAL_S) + 1):
+            await context.group.attempt(False, number % count)
+            await sleep(ATTEMPT_INTERVAL_S)
+
+    run(act, clock=MockClock(autojump_threshold=0))
+
+
+@when('the members "{gone}" are gone and another instance acts')
+def attempts_without(context: Context, gone: str) -> None:
+    """Run an attempt after members have left the list."""
+    context.group.listed -= _ids(gone)
+    run(context.group.attempt, False, clock=MockClock(autojump_threshold=0))
+
+
 @when("instances act for {seconds:g} s on a primary that is unreachable")
 def attempts_for(context: Context, seconds: float) -> None:
     """Run attempts at regular times."""
--- a/src/jackdawspread/decisions/failover/promotion_candidate.py
+++ b/src/jackdawspread/decisions/failover/promotion_candidate.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Iterable
 
 from jackdawspread.decisions.failover.promotion_evidence import PromotionEvidence
+from jackdawspread.decisions.failover.roster import UNKNOWN_ADDRESS
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 
@@ -68,6 +69,22 @@
     return evidence.roster - answered
 
 
+def without_departed(
+    evidence: PromotionEvidence, listed: Collection[str], primary: str
+) -> PromotionEvidence:
+    """Return the evidence without the members that are gone.
+
+    ``listed`` holds the addresses of the listed members, ``primary`` that of the former
+    primary. Replicas that are listed still count, also if they did not answer. One
+    unknown member stands for all that are gone and for a silent primary: each remaining
+    log may share a commit with it, so only the most advanced one is complete.
+    """
+    remaining = evidence.roster & frozenset(listed)
+    if primary in silent_addresses(evidence):
+        remaining -= {primary}
+    return evidence._replace(roster=remaining | {UNKNOWN_ADDRESS})
+
+
 def most_advanced_log(
     statuses: Collection[LogStatus], leaving: Collection[str]
 ) -> LogStatus | None:
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -5,16 +5,13 @@
 from absl import logging
 from trio import current_time
 
-from jackdawspread.decisions.failover.blocked_promotion import (
-    BlockedPromotion,
-    count_blocked_attempt,
-    is_overdue,
-)
+from jackdawspread.decisions.failover.blocked_promotion import is_overdue
 from jackdawspread.decisions.failover.pause_term import pause_term
 from jackdawspread.decisions.failover.promotion_candidate import (
     choose_candidate,
     replicas_to_query,
     silent_addresses,
+    without_departed,
 )
 from jackdawspread.decisions.failover.promotion_evidence import PromotionEvidence
 from jackdawspread.decisions.failover.promotion_lock import (
@@ -48,7 +45,6 @@
         self._replication = replication
         self._search = CandidateSearch(replication)
         self._pause = ReplicationPause(replication)
-        self._blocked_by_group: dict[str, BlockedPromotion] = {}
 
     async def run(
         self,
@@ -71,9 +67,9 @@
         evidence = _collect(trigger, queried, listing_by_id, record, status_by_member)
         if trigger.member in status_by_member:
             evidence = evidence._replace(demoted_primary=trigger.member)
-        candidate = self._choose(trigger, evidence, listing_by_id)
+        candidate = _choose(trigger, evidence, listing_by_id, record)
         if candidate is None:
-            return PromotionPlan(reason=_describe_missing(evidence))
+            return _refuse(evidence, ())
         if candidate.member == trigger.member:
             return PromotionPlan(reason="only the primary has every commit")
         term = pause_term(status_by_member.values(), recorded_term(record))
@@ -107,9 +103,9 @@
                 reason="no replica is known to have every commit", paused=replicas
             )
         evidence = _collect(trigger, replicas, listing_by_id, record, status_by_member)
-        candidate = self._choose(trigger, evidence, listing_by_id)
+        candidate = _choose(trigger, evidence, listing_by_id, record)
         if candidate is None:
-            return PromotionPlan(reason=_describe_missing(evidence), paused=replicas)
+            return _refuse(evidence, replicas)
         return PromotionPlan(candidate.member, "", term, evidence.roster, replicas)
 
     async def _select_fenced(
@@ -124,9 +120,9 @@
         """Demote a primary that answers, so that all logs can be compared."""
         demoted = await self._replication.send(primary, DemotePrimary(term))
         if demoted is None or demoted.claims_primary:
-            return await self._select_unfenced(
-                trigger, replicas, term, record, members_since
-            )
+            # It may go on acknowledging commits. If it no longer responds, the next
+            # attempt is made without it.
+            return PromotionPlan(reason="the primary was not demoted", paused=replicas)
         logging.info("succession: demoted member=%s term=%d", primary.id, term)
         listed_after = await members_since(current_time())
         listing_by_id = listed_after or {m.id: m for m in (*replicas, primary)}
@@ -148,45 +144,41 @@
         )
         candidate = choose_candidate(evidence)
         if candidate is None:
-            return PromotionPlan(reason=_describe_missing(evidence), paused=paused)
+            return _refuse(evidence, paused)
         return PromotionPlan(candidate.member, "", term, evidence.roster, paused)
 
-    def _choose(
-        self,
-        trigger: FailoverTrigger,
-        evidence: PromotionEvidence,
-        listing_by_id: dict[str, MemberListing],
-    ) -> LogStatus | None:
-        """Return the member to promote.
 
-        Members that are gone are waited for. After that time the most advanced of the
-        listed replicas is taken if all of them answer, so that a group whose logs are
-        lost has a primary.
-        """
-        group = trigger.group
-        candidate = choose_candidate(evidence)
-        if candidate is not None:
-            self._blocked_by_group.pop(group, None)
-            return candidate
-        blocked = count_blocked_attempt(
-            self._blocked_by_group.get(group), current_time()
-        )
-        self._blocked_by_group[group] = blocked
-        listed = {listing.address for listing in listing_by_id.values()}
-        remaining = evidence._replace(roster=evidence.roster & listed)
-        primary = listing_by_id.get(trigger.member)
-        silent = silent_addresses(remaining) - {primary.address if primary else ""}
-        if not is_overdue(blocked) or silent:
-            return None
-        candidate = choose_candidate(remaining)
-        if candidate is not None:
-            logging.error(
-                "succession: commits may be lost, promoting without the logs of "
-                "addresses=%s group=%s",
-                ",".join(sorted(evidence.roster - listed)),
-                group,
-            )
+def _choose(
+    trigger: FailoverTrigger,
+    evidence: PromotionEvidence,
+    listing_by_id: dict[str, MemberListing],
+    record: PromotionLockRecord,
+) -> LogStatus | None:
+    """Return the member to promote.
+
+    Members that are gone are waited for. After that time the most advanced of the
+    listed replicas is taken if all of them answer, so that a group whose logs are lost
+    has a primary.
+    """
+    candidate = choose_candidate(evidence)
+    if candidate is not None or not is_overdue(record):
         return candidate
+    listed = {listing.address for listing in listing_by_id.values()}
+    primary = listing_by_id.get(trigger.member)
+    remaining = without_departed(
+        evidence, listed, primary.address if primary is not None else UNKNOWN_ADDRESS
+    )
+    if silent_addresses(remaining) - {UNKNOWN_ADDRESS}:
+        return None
+    candidate = choose_candidate(remaining)
+    if candidate is not None:
+        logging.error(
+            "succession: commits may be lost, promoting without the logs of "
+            "addresses=%s group=%s",
+            ",".join(sorted(evidence.roster - remaining.roster)),
+            trigger.group,
+        )
+    return candidate
 
 
 def _collect(
@@ -227,6 +219,14 @@
     return ""
 
 
-def _describe_missing(evidence: PromotionEvidence) -> str:
+def _refuse(
+    evidence: PromotionEvidence, paused: tuple[MemberListing, ...]
+) -> PromotionPlan:
+    """Return a plan without a promotion, because logs are missing."""
     names = ",".join(sorted(silent_addresses(evidence))) or "none"
-    return f"no replica is known to have every commit, logs missing addresses={names}"
+    return PromotionPlan(
+        reason="no replica is known to have every commit, "
+        f"logs missing addresses={names}",
+        roster=evidence.roster,
+        paused=paused,
+    )
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -3,6 +3,7 @@
 from absl import logging
 from msgspec.json import encode
 
+from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.promotion_lock import (
     PROMOTION_LOCK_TTL_S,
@@ -85,9 +86,14 @@
             return None
         return lock._replace(version=outcome.version, record=record)
 
-    async def release(self, lock: HeldPromotionLock) -> None:
-        """Release the lock, so that other instances need not wait until it expires."""
-        record = release_promotion_lock(lock.record)
+    async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
+        """Release the lock, so that other instances need not wait until it expires.
+
+        ``roster`` is that of an attempt that ended because logs were missing; it is
+        empty otherwise.
+        """
+        record = record_blocked(lock.record, roster) if roster else lock.record
+        record = release_promotion_lock(record)
         outcome = await self._write(lock, record, lock.held_until)
         if outcome.status is not RecordStatus.DONE:
             logging.info("succession: promotion lock not released name=%s", lock.name)
--- a/src/jackdawspread/tasks/fleet/roster_task.py
+++ b/src/jackdawspread/tasks/fleet/roster_task.py
@@ -56,6 +56,8 @@
         # Addresses, and whether each claims to be the primary, of lists that were equal
         # to the recorded roster. A promotion changes both the record and the claims.
         self._settled_by_group: dict[str, frozenset[tuple[str, bool]]] = {}
+        # Lists from before the last comparison don't show who has left since.
+        self._compared_at_by_group: dict[str, float] = {}
         self._busy: set[str] = set()
 
     async def run(self) -> None:
@@ -71,7 +73,11 @@
         first_read_count = 0
         for group, listings in listings_by_group.items():
             settled = self._settled_by_group.get(group)
-            if group in self._busy or settled == _claims(listings):
+            if (
+                group in self._busy
+                or event.as_of < self._compared_at_by_group.get(group, 0.0)
+                or settled == _claims(listings)
+            ):
                 continue
             is_first_read = group not in self._roster_by_group
             first_read_count += is_first_read
@@ -112,6 +118,7 @@
         self._roster_by_group[group] = roster
         if roster == listed:
             self._settled_by_group[group] = _claims(listings)
+        self._compared_at_by_group[group] = current_time()
 
     async def _is_covered(self, listings: tuple[MemberListing, ...]) -> bool:
         """Whether a staying replica receives all that the primary now has."""
