--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -15,3 +15,4 @@
       | member protocol |
       | settings        |
       | admission       |
+      | caller protocol |
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -7,6 +7,7 @@
 
 from behave import then
 from behave.runner import Context
+from features.support.caller_wire_fuzz import fuzz_caller_wire
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from msgspec import json, msgpack
@@ -344,6 +345,7 @@
     "member protocol": fuzz_member,
     "settings": fuzz_settings,
     "admission": fuzz_admission,
+    "caller protocol": fuzz_caller_wire,
 }
 
 
