--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -46,8 +46,6 @@
     async def act() -> None:
         async with open_nursery() as nursery:
             nursery.start_soon(task.run)
-            # The list that every instance reads at its start is not compared.
-            await send.send(MembersSeen({}, 0.0))
             for number, ids in enumerate(lists.split(";")):
                 listed = {id: listing(id) for id in ids.split(",")}
                 await send.send(MembersSeen(listed, float(number)))
--- a/src/jackdawspread/tasks/fleet/roster_task.py
+++ b/src/jackdawspread/tasks/fleet/roster_task.py
@@ -62,9 +62,6 @@
 
     async def run(self) -> None:
         """Compare lists with the rosters until cancelled."""
-        # Every instance of a fleet that starts together reads one list; only those that
-        # go on reading keep the rosters.
-        await self._inbox.receive()
         async with open_nursery() as updates:
             async for event in self._inbox:
                 self._compare(event, updates)
