Keep roster calls apart from the promotion lock, and check coverage less often

Cause (review of promotions): the calls about rosters shared the store connection of the promotion lock, which runs one call at a time, so the loss of a failure domain could put them before an acquisition. While a departed member could not be covered, every list led to up to five rounds of status queries. Change: a connection of their own; a coverage check that fails is repeated after 3 s. Joined members are recorded at once as before.

--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -323,9 +323,9 @@
             promotions,
             self._router,
         )
-        roster_task = RosterTask(
-            RosterClient(records), replication, self._rosters_inbox
-        )
+        # Calls about rosters must not delay the promotion lock.
+        rosters = RosterClient(self._open_records("rosters", tasks))
+        roster_task = RosterTask(rosters, replication, self._rosters_inbox)
         failover_task = FailoverTask(attempt, self._failover_inbox, self._members)
         tasks.start_soon(promotion_client.run)
         tasks.start_soon(failover_task.run)
--- a/src/jackdawspread/tasks/fleet/roster_task.py
+++ b/src/jackdawspread/tasks/fleet/roster_task.py
@@ -23,6 +23,8 @@
 # queries.
 COVER_TIMEOUT_S = 0.5
 COVER_POLL_INTERVAL_S = 0.1
+# Time after which departed members are checked again that were not covered.
+UNCOVERED_RETRY_S = 3.0
 
 
 class RosterTask:
@@ -58,6 +60,8 @@
         self._settled_by_group: dict[str, frozenset[tuple[str, bool]]] = {}
         # Lists from before the last comparison don't show who has left since.
         self._compared_at_by_group: dict[str, float] = {}
+        # Time until which the replicas of a group are not asked again for its coverage.
+        self._uncovered_until_by_group: dict[str, float] = {}
         self._busy: set[str] = set()
 
     async def run(self) -> None:
@@ -104,7 +108,7 @@
         listed = frozenset(listing.address for listing in listings)
         previous = self._roster_by_group.get(group, frozenset())
         has_departed = bool((recorded | previous) - listed)
-        is_covered = has_departed and await self._is_covered(listings)
+        is_covered = has_departed and await self._check_coverage(group, listings)
         roster = next_roster(recorded, previous, listed, is_covered)
         if roster != recorded:
             if not await self._rosters.write(stored, roster):
@@ -120,6 +124,21 @@
             self._settled_by_group[group] = _claims(listings)
         self._compared_at_by_group[group] = current_time()
 
+    async def _check_coverage(
+        self, group: str, listings: tuple[MemberListing, ...]
+    ) -> bool:
+        """Whether departed members are covered; a failed check is not repeated soon.
+
+        Each check takes slots of the members.
+        """
+        if current_time() < self._uncovered_until_by_group.get(group, 0.0):
+            return False
+        is_covered = await self._is_covered(listings)
+        if not is_covered:
+            retry_at = current_time() + UNCOVERED_RETRY_S
+            self._uncovered_until_by_group[group] = retry_at
+        return is_covered
+
     async def _is_covered(self, listings: tuple[MemberListing, ...]) -> bool:
         """Whether a staying replica receives all that the primary now has."""
         primaries = tuple(listing for listing in listings if listing.claims_primary)
