Let the stand-ins wait for instances that refuse the first caller

Cause: an instance without a configuration refuses a caller after one second and closes the session. Change: it connects again until the instance serves.

--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -194,6 +194,10 @@
             except OSError:
                 await sleep(0.02)
                 continue
+            if not caller.opened.startswith("READY"):
+                # The instance has not read its configuration yet.
+                await sleep(0.02)
+                continue
             answer = await caller.query("READ warm-up")
             if answer[-2].startswith("DONE"):
                 await caller.send_raw(b"BYE\r\n")
