--- a/features/placement.feature
+++ b/features/placement.feature
@@ -15,14 +15,14 @@
     Given members that accept 16,56,75,270 connections, and 2 hosts in 3 domains
     Then the hosts together keep at most 0.6 of them idle, most in the member's domain
 
-  Scenario Outline: Only dear crossings change the placement
+  Scenario Outline: Only expensive crossings change the placement
     # Guards against a changed placement where messages between domains are fast, or
     # where the processes are slow and not the network.
     Given a delay of <within> ms within the failure domain and <across> ms to another one
-    Then crossings are dear: <dear>, and dear afterwards at <later> ms: <still>
+    Then crossings are expensive: <first>, and afterwards at <later> ms: <still>
 
     Examples:
-      | within | across | dear  | later | still |
+      | within | across | first | later | still |
       | 0.2    | 0.5    | False | 0.5   | False |
       | 0.2    | 1.4    | False | 2.9   | False |
       | 0.2    | 4.4    | True  | 2.5   | True  |
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -126,13 +126,13 @@
         context.delays = record_delay(context.delays, domain, ms / 1000, "a", LIMIT_S)
 
 
-@then("crossings are dear: {dear}, and dear afterwards at {later:f} ms: {still}")
-def dear(context: Context, dear: str, later: float, still: str) -> None:
+@then("crossings are expensive: {first}, and afterwards at {later:f} ms: {still}")
+def expensive(context: Context, first: str, later: float, still: str) -> None:
     """Compare before and after further measurements."""
-    assert str(context.delays.is_dear) == dear
+    assert str(context.delays.is_expensive) == first
     for _ in range(3):
         context.delays = record_delay(context.delays, "b", later / 1000, "a", LIMIT_S)
-    assert str(context.delays.is_dear) == still
+    assert str(context.delays.is_expensive) == still
 
 
 @given("a caller in domain a, a primary in domain b, and domain c farther away")
--- a/src/jackdawspread/decisions/placement/crossing_delays.py
+++ b/src/jackdawspread/decisions/placement/crossing_delays.py
@@ -4,9 +4,9 @@
 
 # Delays of this many measurements are kept for each failure domain.
 KEPT_MEASUREMENTS = 3
-# Fraction of the limit below which crossings count as cheap again. Between the two the
-# placement stays as it is, as each change moves the connections to other hosts.
-CHEAP_FRACTION = 0.6
+# Fraction of the limit below which crossings no longer count as expensive. Between the
+# two the placement stays as it is, as each change moves the connections to other hosts.
+EXPENSIVE_END_FRACTION = 0.6
 
 
 class CrossingDelays(NamedTuple):
@@ -16,12 +16,12 @@
     ----------
     recent_s_by_domain : dict
         Newest measured delays in seconds, one way, by failure domain.
-    is_dear : bool
+    is_expensive : bool
         Whether placement avoids messages between failure domains.
     """
 
     recent_s_by_domain: dict[str, tuple[float, ...]] = {}
-    is_dear: bool = False
+    is_expensive: bool = False
 
 
 def record_delay(
@@ -52,11 +52,11 @@
         **delays.recent_s_by_domain,
         domain: recent[-KEPT_MEASUREMENTS:],
     }
-    threshold_s = CHEAP_FRACTION * limit_s if delays.is_dear else limit_s
-    measured = CrossingDelays(recent_by_domain, delays.is_dear)
+    threshold_s = EXPENSIVE_END_FRACTION * limit_s if delays.is_expensive else limit_s
+    measured = CrossingDelays(recent_by_domain, delays.is_expensive)
     extra_s = extra_delay_s_by_domain(measured, own_domain)
-    is_dear = any(delay_s >= threshold_s for delay_s in extra_s.values())
-    return measured._replace(is_dear=is_dear)
+    is_expensive = any(delay_s >= threshold_s for delay_s in extra_s.values())
+    return measured._replace(is_expensive=is_expensive)
 
 
 def extra_delay_s_by_domain(
--- a/src/jackdawspread/tasks/pool_hosts/host_placement.py
+++ b/src/jackdawspread/tasks/pool_hosts/host_placement.py
@@ -86,7 +86,7 @@
 
     def update_delay(self, event: CrossingMeasured) -> None:
         """Take over a measured delay, which may change the placement."""
-        was_dear = self._delays.is_dear
+        was_expensive = self._delays.is_expensive
         self._delays = record_delay(
             self._delays,
             event.failure_domain,
@@ -100,10 +100,12 @@
             1000 * event.delay_s,
             1000 * self._limit_s,
         )
-        if self._delays.is_dear != was_dear:
-            logging.info("broker: placement changed domain_aware=%s", not was_dear)
+        if self._delays.is_expensive != was_expensive:
+            logging.info("broker: placement changed domain_aware=%s", not was_expensive)
             self._hosts_by_group = {}
-            changed = PlacementChanged(self._delays.is_dear, self._nearest_delay_s())
+            changed = PlacementChanged(
+                self._delays.is_expensive, self._nearest_delay_s()
+            )
             self._router.send_nowait(changed)
             self._capacities.send_nowait(changed)
 
@@ -123,7 +125,7 @@
     def hosts_in_order(self, request: ConnectionRequest) -> tuple[str, ...]:
         """Return the pool hosts that may serve a request, the best one first."""
         hosts = self._hosts(request.group)
-        if not self._delays.is_dear:
+        if not self._delays.is_expensive:
             return rank_pool_hosts(request.workspace, hosts)
         domains = order_domains(
             request,
@@ -138,7 +140,7 @@
     def prepare(self, request: ConnectionRequest) -> ConnectionRequest:
         """Return a request with the failure domain of its caller, where it matters."""
         asks = request.departure is not Departure.STAY
-        if not asks or not self._delays.is_dear:
+        if not asks or not self._delays.is_expensive:
             return request._replace(departure=Departure.STAY)
         return request._replace(caller_domain=self._failure_domain)
 
@@ -160,7 +162,7 @@
         return hosts
 
     def _choose_hosts(self, group: str) -> tuple[str, ...]:
-        if not self._delays.is_dear:
+        if not self._delays.is_expensive:
             return choose_pool_hosts(group, self.entry_by_instance)
         return choose_domain_hosts(
             group, self.entry_by_instance, self._capacity_by_instance
