Reword comments and docstrings that stop a new reader

"Take over" stood for store or apply, some headers named less or more than their module holds (the probe also measures the own failure domain), and a few constants had neither a unit nor a reason. No behaviour changes; the literal 0.01 s of cold tokens got a name.

--- a/src/jackdawspread/decisions/evacuations/evacuation_updates.py
+++ b/src/jackdawspread/decisions/evacuations/evacuation_updates.py
@@ -1,4 +1,4 @@
-"""Updates of the known evacuations from what the store has."""
+"""Updates of the known evacuations from the rows of the store."""
 
 from collections.abc import Mapping
 
--- a/src/jackdawspread/decisions/limits/connections_to_close.py
+++ b/src/jackdawspread/decisions/limits/connections_to_close.py
@@ -1,8 +1,8 @@
 """Chooses the connections that are closed when memory is short.
 
-This answers clients that start large messages or leave large answers unread, many at a
-time. A client that makes progress holds its memory for a short time, so the product
-of bytes and time is large only for those that hold much and progress little.
+This protects against clients that start large messages or leave large answers unread,
+many at a time. A client that makes progress holds its memory for a short time, so the
+product of bytes and time is large only for those that hold much and progress little.
 """
 
 from collections.abc import Mapping
--- a/src/jackdawspread/decisions/limits/memory_limits.py
+++ b/src/jackdawspread/decisions/limits/memory_limits.py
@@ -11,7 +11,7 @@
 HTTP_PROCESS_BYTES = 96 * MIB
 # A process with less memory than this beyond its own can't serve one large message.
 MIN_CONNECTIONS_BYTES = 16 * MIB
-# Part of the memory from which on large messages are refused.
+# Fraction of the memory for connections above which large messages are refused.
 REFUSE_FRACTION = 0.5
 
 
--- a/src/jackdawspread/decisions/members/member_concurrency.py
+++ b/src/jackdawspread/decisions/members/member_concurrency.py
@@ -27,6 +27,7 @@
 # answer ends with the timeout of its route and says nothing about the member's queue.
 MAX_DURATION_FACTOR = 2
 MAX_SLOWDOWN = 4
+# Factors of the limit after the member refused a statement, and while it is slow.
 BUSY_FACTOR = 0.5
 SLOW_FACTOR = 0.8
 # Shares of the member that one instance uses at most, while others need less.
--- a/src/jackdawspread/decisions/members/priority_admission.py
+++ b/src/jackdawspread/decisions/members/priority_admission.py
@@ -28,7 +28,7 @@
 )
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 
-# Room that an open transaction occupies, as it pauses between its statements.
+# Statements as which an open transaction counts, as it pauses between them.
 TRANSACTION_ROOM = 0.5
 # Part of the limit that open transactions occupy at most. Callers may rest inside a
 # transaction, and must not keep single statements from the member.
@@ -37,6 +37,7 @@
 # more: its answer is probably lost, and the member has long ended it. No more than
 # the limit are left out in this way, as the member may also have stopped.
 OVERDUE_FACTOR = 4
+# Assumed duration of a statement in seconds before one has ended.
 INITIAL_DURATION_S = 0.02
 
 
--- a/src/jackdawspread/decisions/placement/departures.py
+++ b/src/jackdawspread/decisions/placement/departures.py
@@ -1,7 +1,7 @@
 """Decides when reads leave their failure domain, and how many.
 
-It answers a burst in one failure domain, or a member there that is lost or slow, while
-the members of other domains have room.
+Reads leave during a burst in one failure domain, or while a member there is lost or
+slow, if the members of other domains have room.
 """
 
 from math import inf
--- a/src/jackdawspread/decisions/placement/domain_candidates.py
+++ b/src/jackdawspread/decisions/placement/domain_candidates.py
@@ -1,4 +1,4 @@
-"""Restricts a read to the members of the failure domain that serves it."""
+"""Preference of a read for members of the own failure domain."""
 
 from collections.abc import Sequence
 
--- a/src/jackdawspread/decisions/placement/domain_order.py
+++ b/src/jackdawspread/decisions/placement/domain_order.py
@@ -20,9 +20,9 @@
 ) -> tuple[str, ...]:
     """Return the failure domains whose hosts may serve a request, best first.
 
-    Work for the primary prefers the domain of the primary: its path crosses once
-    there and back, as it would from a host of its own domain, and the whole fleet
-    shares the connections to the primary at few hosts. A read prefers its own domain;
+    Work for the primary prefers the domain of the primary. A host in the own domain
+    would save no message between domains, and the whole fleet shares the connections
+    to the primary at few hosts. A read prefers its own domain;
     one that was sent elsewhere may only use the others.
 
     Parameters
--- a/src/jackdawspread/decisions/placement/nearest_holders.py
+++ b/src/jackdawspread/decisions/placement/nearest_holders.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
+# Weight of a longer delay in the known one.
 LONGER_DELAY_WEIGHT = 0.05
 
 
--- a/src/jackdawspread/messages/pool_hosts/crossing_measured.py
+++ b/src/jackdawspread/messages/pool_hosts/crossing_measured.py
@@ -1,4 +1,4 @@
-"""Measured delay to another failure domain."""
+"""Measured delay to a failure domain."""
 
 from typing import NamedTuple
 
--- a/src/jackdawspread/messages/pool_hosts/crossing_unmeasured.py
+++ b/src/jackdawspread/messages/pool_hosts/crossing_unmeasured.py
@@ -1,4 +1,4 @@
-"""Failed measurement of the delay to another failure domain."""
+"""Failed measurement of the delay to a failure domain."""
 
 from typing import NamedTuple
 
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -33,7 +33,7 @@
 REGION_PREFIX = "Zones."
 # Set only where failure domains can be evacuated.
 EVACUATION_LIMIT = "Bounds.EvacuateMs"
-# Part of the platform's contracts with callers of different urgency.
+# Entry in the list of contracts with which a deployment asks for admission by priority.
 PRIORITY_CONTRACT = "pressure"
 BYTES_PER_MB = 1024 * 1024
 BYTES_PER_MBIT = 1_000_000 / 8
--- a/src/jackdawspread/tasks/fleet/reply_cold_token.py
+++ b/src/jackdawspread/tasks/fleet/reply_cold_token.py
@@ -8,7 +8,7 @@
 
 
 def reply_cold_token(request: ColdTokenRequest, wait_s: float | None) -> None:
-    """Grant a token, or tell after how many seconds one may be available."""
+    """Grant a token if ``wait_s`` is None, else reply when one may be available."""
     COLD_TOKENS.labels("granted" if wait_s is None else "refused").inc()
     try:
         request.reply_to.send_nowait(wait_s)
--- a/src/jackdawspread/tasks/http_server_connection.py
+++ b/src/jackdawspread/tasks/http_server_connection.py
@@ -30,6 +30,7 @@
 CLOSE_AFTER_IDLE_S = 0.25
 # Copies of a body that exist while it is handled or written.
 BODY_COPIES = 3
+# Memory of a connection without a request.
 IDLE_BYTES = 16 * 1024
 
 
--- a/src/jackdawspread/tasks/limits/memory_account.py
+++ b/src/jackdawspread/tasks/limits/memory_account.py
@@ -27,8 +27,8 @@
         self.idle_bytes = idle_bytes
         # The connection's task runs in this scope, and the budget ends it.
         self.scope = CancelScope()
-        # Time since which the connection waits for a client that has not shown yet
-        # that it is one; None while the connection may stay.
+        # Monotonic time in seconds since which no complete first message, or next
+        # request, has arrived; None while the connection is in use.
         self.waiting_since: float | None = current_time()
         self._load = ConnectionLoad(0, 0.0, False)
         self._changed = changed
--- a/src/jackdawspread/tasks/limits/memory_budget.py
+++ b/src/jackdawspread/tasks/limits/memory_budget.py
@@ -17,13 +17,14 @@
 # A message of this size or less is refused only if no memory is left at all, so that
 # ordinary callers are served while large messages are refused.
 SMALL_BYTES = 64 * 1024
+# Seconds for which a connection may wait for its client before a new one replaces it.
 MIN_WAIT_S = 1.0
 SHORT_OF_MEMORY = "short of memory"
 TOO_MANY = "too many connections"
 
 
 class MemoryBudget:
-    """Gives the memory of a process to its connections.
+    """Limits the memory that the connections of a process hold.
 
     The composition root owns it. Every accepted connection has an account. When the
     accounts exceed the budget, the connections that hold most and progress least are
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -187,7 +187,10 @@
         self._report_primary_domain(group, state)
 
     def _report_primary_domain(self, group: str, state: GroupState) -> None:
-        """Tell the broker where the primary is, again if its inbox was full."""
+        """Report the primary's failure domain to the broker.
+
+        If the inbox is full, the next update of the group reports it again.
+        """
         listing = state.listing_by_id.get(state.primary)
         domain = listing.failure_domain if listing is not None else ""
         if domain == self._reported_domain_by_group.get(group, ""):
--- a/src/jackdawspread/tasks/members/member_limits.py
+++ b/src/jackdawspread/tasks/members/member_limits.py
@@ -1,4 +1,4 @@
-"""Limits of this instance's connections, by the placement of the pool hosts."""
+"""Pool hosts of the groups, and the connection limits that follow from them."""
 
 from jackdawspread.decisions.members.connection_limits import (
     ConnectionLimits,
@@ -36,12 +36,12 @@
         self._is_domain_aware = False
 
     def set_groups(self, group_by_name: dict[str, MemberGroup]) -> None:
-        """Take over the groups of a configuration."""
+        """Use the groups of a configuration."""
         self._group_by_name = group_by_name
         self._choose_hosts()
 
     def set_instances(self, entry_by_instance: dict[str, InstanceEntry]) -> bool:
-        """Take over a list of the instances; return whether it has changed."""
+        """Use a list of the instances; return whether it has changed."""
         if entry_by_instance == self._entry_by_instance:
             return False
         self._entry_by_instance = entry_by_instance
@@ -49,12 +49,12 @@
         return True
 
     def set_capacities(self, capacity_by_instance: dict[str, InstanceCapacity]) -> None:
-        """Take over the capacities of the instances."""
+        """Use the capacities of the instances."""
         self._capacity_by_instance = capacity_by_instance
         self._choose_hosts()
 
     def set_placement(self, is_domain_aware: bool) -> None:
-        """Take over whether each failure domain has pool hosts of its own."""
+        """Set whether each failure domain has pool hosts of its own."""
         self._is_domain_aware = is_domain_aware
         self._choose_hosts()
 
--- a/src/jackdawspread/tasks/members/read_routing.py
+++ b/src/jackdawspread/tasks/members/read_routing.py
@@ -84,17 +84,17 @@
         )
 
     def update_placement(self, event: PlacementChanged) -> None:
-        """Take over the delays between failure domains."""
+        """Apply a change of the placement."""
         self._limits.set_placement(event.is_domain_aware)
         self._departures.crossing_delay_s = event.crossing_delay_s
 
     def answer_position(self, event: PrimaryPositionRequested) -> None:
-        """Tell another instance the newest position of a primary."""
+        """Send the newest position of a primary to another instance."""
         samples = self._group_monitor.state(event.request.group).samples
         self._positions.answer(event, samples)
 
     def add_position(self, reply: PrimaryPositionReply) -> None:
-        """Take over the position that another instance has told."""
+        """Add the position that another instance has sent."""
         answered = self._positions.take_reply(reply)
         if answered is not None:
             self._group_monitor.add_sample(*answered)
--- a/src/jackdawspread/tasks/pool_hosts/crossing_probe.py
+++ b/src/jackdawspread/tasks/pool_hosts/crossing_probe.py
@@ -1,4 +1,4 @@
-"""Measures the delay to another failure domain."""
+"""Measures the delay to a failure domain."""
 
 from trio import (
     BrokenResourceError,
@@ -25,12 +25,14 @@
 
 
 class CrossingProbe:
-    """Sends a few probes to an instance of another failure domain.
+    """Sends a few probes to an instance of a failure domain.
+
+    The own domain is measured too, since that delay is subtracted from the others.
 
     Parameters
     ----------
     failure_domain : str
-        The other failure domain.
+        Failure domain to measure.
     addresses : tuple of str
         ``IP:port`` of instances there, which are tried in this order.
     broker : trio.MemorySendChannel
--- a/src/jackdawspread/tasks/pool_hosts/host_placement.py
+++ b/src/jackdawspread/tasks/pool_hosts/host_placement.py
@@ -44,9 +44,9 @@
         Delay in seconds, one way, from which messages between failure domains are
         avoided.
     router : trio.MemorySendChannel
-        Inbox of this instance's member router, which is told of a changed placement.
+        Inbox of this instance's member router; receives changes of the placement.
     capacities : trio.MemorySendChannel
-        Inbox of the capacity exchange, which is told of it too.
+        Inbox of the capacity exchange; receives the same changes.
     """
 
     def __init__(
@@ -69,23 +69,23 @@
         self.entry_by_instance: dict[str, InstanceEntry] = {}
 
     def update_instances(self, entry_by_instance: dict[str, InstanceEntry]) -> None:
-        """Take over a newer list of the instances."""
+        """Use a newer list of the instances."""
         self.entry_by_instance = entry_by_instance
         self._hosts_by_group = {}
         self._capacities.send_nowait(PeersSeen(entry_by_instance))
 
     def update_capacities(self, event: CapacitiesSeen) -> None:
-        """Take over newer capacities of the instances."""
+        """Use newer capacities of the instances."""
         if event.capacity_by_instance != self._capacity_by_instance:
             self._capacity_by_instance = event.capacity_by_instance
             self._hosts_by_group = {}
 
     def update_primary(self, event: PrimaryMoved) -> None:
-        """Take over the failure domain of a group's primary."""
+        """Store the failure domain of a group's primary."""
         self._primary_domain_by_group[event.group] = event.failure_domain
 
     def update_delay(self, event: CrossingMeasured) -> None:
-        """Take over a measured delay, which may change the placement."""
+        """Record a measured delay, which may change the placement."""
         was_expensive = self._delays.is_expensive
         self._delays = record_delay(
             self._delays,
--- a/src/jackdawspread/tasks/run_isolated.py
+++ b/src/jackdawspread/tasks/run_isolated.py
@@ -1,8 +1,8 @@
-"""Runs what an unexpected error must not end the process for.
+"""Keeps an unexpected error from ending the whole process.
 
-The rule of the code base: whatever one connection, datagram, file or signal can reach
-runs through this module. ``scripts/check_isolation.py`` checks it for tasks; it lists
-those that the whole process depends on, where a restart is better than going on.
+Whatever one connection, datagram, file or signal can reach runs through this module.
+``scripts/check_isolation.py`` checks this for tasks. It lists the tasks on which the
+whole process depends, where a restart is better than going on.
 """
 
 from collections.abc import Awaitable, Callable
--- a/src/jackdawspread/tasks/sessions/cold_tokens.py
+++ b/src/jackdawspread/tasks/sessions/cold_tokens.py
@@ -15,6 +15,8 @@
 
 # Statements that wait for longer keep a connection of the member from others.
 MAX_WAIT_S = 0.3
+# Keeps a wait of 0 from becoming a busy loop.
+MIN_RETRY_DELAY_S = 0.01
 
 
 async def wait_for_cold_token(
@@ -37,7 +39,7 @@
             wait_s = await receive.receive()
         if wait_s is None:
             return True
-        retry_at = current_time() + max(wait_s, 0.01)
+        retry_at = current_time() + max(wait_s, MIN_RETRY_DELAY_S)
         if retry_at > give_up_at:
             return False
         await sleep_until(retry_at)
