Keep one copy of the choice of pool hosts, the region check and a callable type

The lease broker and the member router each chose the hosts for the placement in use, and must agree; the broker and the router each compared regions; two selections and the attempt each wrote out the type of the function that reads the list of members. Each stands once now. No behaviour changes.

--- a/src/jackdawspread/decisions/members/eligible_members.py
+++ b/src/jackdawspread/decisions/members/eligible_members.py
@@ -103,7 +103,7 @@
             continue
         if listing.failure_domain in state.work_until_by_domain:
             continue
-        if not is_region_allowed(request, listing, region_by_domain):
+        if not is_region_allowed(request, listing.failure_domain, region_by_domain):
             continue
         if now - failed_at < FAILURE_AVOIDANCE_S:
             continue
--- a/src/jackdawspread/decisions/members/routing_refusal.py
+++ b/src/jackdawspread/decisions/members/routing_refusal.py
@@ -10,7 +10,6 @@
 )
 from jackdawspread.decisions.members.group_state import GroupState
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
-from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 
 
@@ -29,13 +28,13 @@
 
 def is_region_allowed(
     request: ConnectionRequest,
-    listing: MemberListing,
+    failure_domain: str,
     region_by_domain: Mapping[str, str],
 ) -> bool:
-    """Whether a request may run in the region of a member."""
+    """Whether a request may be sent to a member or host of a failure domain."""
     if not request.allowed_regions:
         return True
-    return region_by_domain.get(listing.failure_domain) in request.allowed_regions
+    return region_by_domain.get(failure_domain) in request.allowed_regions
 
 
 def routing_refusal(
@@ -61,7 +60,8 @@
             return RoutingRefusal.EVACUATED
         needed = [primary]
     if needed and not any(
-        is_region_allowed(request, listing, region_by_domain) for listing in needed
+        is_region_allowed(request, listing.failure_domain, region_by_domain)
+        for listing in needed
     ):
         return RoutingRefusal.REGION
     return None
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -1,7 +1,5 @@
 """One attempt to replace the primary of a group (failover or switchover)."""
 
-from collections.abc import Awaitable, Callable
-
 from absl import logging
 from trio import MemorySendChannel
 
@@ -23,11 +21,10 @@
 from jackdawspread.tasks.fleet.failover_selection import FailoverSelection
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.promotion_sender import PromotionSender
+from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.switchover_selection import SwitchoverSelection
 
-ReadMembersSince = Callable[[float], Awaitable[dict[str, MemberListing] | None]]
-
 
 class FailoverAttempt:
     """Checks a trigger and promotes a member that has every acknowledged commit.
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -1,7 +1,5 @@
 """Selection of the member that replaces a failed primary."""
 
-from collections.abc import Awaitable, Callable
-
 from absl import logging
 from trio import current_time
 
@@ -26,11 +24,10 @@
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.replication_pause import ReplicationPause
 
-ReadMembersSince = Callable[[float], Awaitable[dict[str, MemberListing] | None]]
-
 
 class FailoverSelection:
     """Compares the logs of a group once they can't grow any more.
--- a/src/jackdawspread/tasks/fleet/switchover_selection.py
+++ b/src/jackdawspread/tasks/fleet/switchover_selection.py
@@ -1,7 +1,5 @@
 """Selection of the member that takes over from a leaving primary."""
 
-from collections.abc import Awaitable, Callable
-
 from trio import current_time
 
 from jackdawspread.decisions.failover.pause_term import pause_term
@@ -21,6 +19,7 @@
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.replication_pause import ReplicationPause
 
@@ -43,7 +42,7 @@
         trigger: FailoverTrigger,
         listing_by_id: dict[str, MemberListing],
         record: PromotionLockRecord,
-        members_since: Callable[[float], Awaitable[dict[str, MemberListing] | None]],
+        members_since: ReadMembersSince,
     ) -> PromotionPlan:
         """Return the member to promote and the replicas that were paused for it."""
         replicas = replicas_to_query(
--- a/src/jackdawspread/tasks/members/member_limits.py
+++ b/src/jackdawspread/tasks/members/member_limits.py
@@ -6,10 +6,9 @@
     pool_host_limits,
 )
 from jackdawspread.decisions.placement.domain_host_limits import domain_host_limits
-from jackdawspread.decisions.placement.domain_hosts import choose_domain_hosts
+from jackdawspread.decisions.placement.placed_hosts import choose_placed_hosts
 from jackdawspread.decisions.pool_hosts.choose_pool_hosts import (
     MIN_FLEET_WITH_POOL_HOSTS,
-    choose_pool_hosts,
 )
 from jackdawspread.messages.fleet.instance_capacity import InstanceCapacity
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
@@ -123,12 +122,11 @@
 
     def _choose_hosts(self) -> None:
         self._hosts_by_group = {
-            group: self._hosts(group) for group in self._group_by_name
+            group: choose_placed_hosts(
+                group,
+                self._entry_by_instance,
+                self._capacity_by_instance,
+                self._is_domain_aware,
+            )
+            for group in self._group_by_name
         }
-
-    def _hosts(self, group: str) -> tuple[str, ...]:
-        if not self._is_domain_aware:
-            return choose_pool_hosts(group, self._entry_by_instance)
-        return choose_domain_hosts(
-            group, self._entry_by_instance, self._capacity_by_instance
-        )
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -304,7 +304,7 @@
         member = usable_primary(state, now, self._drain_s)
         listing = state.listing_by_id.get(member)
         if listing is not None and not is_region_allowed(
-            request, listing, self._region_by_domain
+            request, listing.failure_domain, self._region_by_domain
         ):
             return ""
         return member
--- a/src/jackdawspread/tasks/pool_hosts/host_placement.py
+++ b/src/jackdawspread/tasks/pool_hosts/host_placement.py
@@ -8,15 +8,10 @@
     extra_delay_s_by_domain,
     record_delay,
 )
-from jackdawspread.decisions.placement.domain_hosts import (
-    choose_domain_hosts,
-    order_hosts,
-)
+from jackdawspread.decisions.placement.domain_hosts import order_hosts
 from jackdawspread.decisions.placement.domain_order import order_domains
-from jackdawspread.decisions.pool_hosts.choose_pool_hosts import (
-    choose_pool_hosts,
-    rank_pool_hosts,
-)
+from jackdawspread.decisions.placement.placed_hosts import choose_placed_hosts
+from jackdawspread.decisions.pool_hosts.choose_pool_hosts import rank_pool_hosts
 from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
@@ -155,15 +150,13 @@
     def _hosts(self, group: str) -> tuple[str, ...]:
         hosts = self._hosts_by_group.get(group)
         if hosts is None:
-            hosts = self._choose_hosts(group)
+            hosts = choose_placed_hosts(
+                group,
+                self.entry_by_instance,
+                self._capacity_by_instance,
+                self._delays.is_expensive,
+            )
             self._hosts_by_group[group] = hosts
             if hosts:
                 logging.info("broker: hosts group=%s hosts=%s", group, ",".join(hosts))
         return hosts
-
-    def _choose_hosts(self, group: str) -> tuple[str, ...]:
-        if not self._delays.is_expensive:
-            return choose_pool_hosts(group, self.entry_by_instance)
-        return choose_domain_hosts(
-            group, self.entry_by_instance, self._capacity_by_instance
-        )
--- a/src/jackdawspread/tasks/pool_hosts/lease_broker.py
+++ b/src/jackdawspread/tasks/pool_hosts/lease_broker.py
@@ -14,6 +14,7 @@
     open_nursery,
 )
 
+from jackdawspread.decisions.members.routing_refusal import is_region_allowed
 from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
@@ -75,7 +76,7 @@
         # Monotonic time from which a new stream may be opened; infinite while one is
         # being opened or is open.
         self._open_at_by_host: dict[str, float] = {}
-        self._probed_domains: set[str] = set()
+        self._domains_in_measurement: set[str] = set()
 
     async def run(self) -> None:
         """Forward requests until cancelled."""
@@ -91,7 +92,7 @@
     def _(self, event: PeersSeen, links: Nursery) -> None:
         self._placement.update_instances(event.entry_by_instance)
         for domain in self._placement.probed_addresses_by_domain():
-            if domain not in self._probed_domains:
+            if domain not in self._domains_in_measurement:
                 self._start_probe(domain, 0.0, links)
 
     @_handle.register
@@ -100,13 +101,13 @@
 
     @_handle.register
     def _(self, event: CrossingMeasured, links: Nursery) -> None:
-        self._probed_domains.discard(event.failure_domain)
+        self._domains_in_measurement.discard(event.failure_domain)
         self._placement.update_delay(event)
 
     @_handle.register
     def _(self, event: CrossingUnmeasured, links: Nursery) -> None:
         logging.info("broker: delay unknown failure_domain=%s", event.failure_domain)
-        self._probed_domains.discard(event.failure_domain)
+        self._domains_in_measurement.discard(event.failure_domain)
         self._start_probe(event.failure_domain, PROBE_RETRY_DELAY_S, links)
 
     @_handle.register
@@ -134,7 +135,9 @@
                 MEMBER_LEASES.labels("local").inc()
                 lease_here(request, self._router)
                 return
-            if not self._is_allowed(event, host):
+            domain = self._placement.entry_by_instance[host].failure_domain
+            if not is_region_allowed(event, domain, self._region_by_domain):
+                # The text of the statement must not be sent to another region.
                 continue
             link = self._link_by_host.get(host)
             if link is None:
@@ -148,18 +151,11 @@
         # Without a host this instance serves the request wherever a member is.
         lease_here(request._replace(caller_domain=""), self._router)
 
-    def _is_allowed(self, request: ConnectionRequest, host: str) -> bool:
-        """Whether statements of a request may be sent to the region of a host."""
-        if not request.allowed_regions:
-            return True
-        domain = self._placement.entry_by_instance[host].failure_domain
-        return self._region_by_domain.get(domain) in request.allowed_regions
-
     def _start_probe(self, domain: str, delay_s: float, links: Nursery) -> None:
         addresses = self._placement.probed_addresses_by_domain().get(domain)
         if addresses is None:
             return
-        self._probed_domains.add(domain)
+        self._domains_in_measurement.add(domain)
         probe = CrossingProbe(domain, addresses, self._broker, delay_s)
         links.start_soon(run_isolated, "broker", probe.run)
 
