--- a/src/jackdawspread/decisions/members/group_updates.py
+++ b/src/jackdawspread/decisions/members/group_updates.py
@@ -97,8 +97,7 @@
 
     The current primary stays the primary while it is in the list. It is replaced if
     another member claims to be the primary and the current one either makes no such
-    claim or has failed since its last answer. A member that is leaving in the first
-    list that names it may have begun to leave at any time before.
+    claim or has failed since its last answer.
     """
     claims = [
         listing.id
@@ -111,20 +110,13 @@
         primary = others[0]
     since = 0.0 if primary else (state.no_primary_since or now)
     changed = primary != state.primary
-    leaving = {
-        id: state.leaving_at_by_member.get(
-            id, now if id in state.listing_by_id else -inf
-        )
-        for id, listing in listing_by_id.items()
-        if listing.leaving
-    }
     primary_health = GroupState().primary_health if changed else state.primary_health
     return state._replace(
         listing_by_id=listing_by_id,
         listed_at=now,
         primary=primary,
         no_primary_since=since,
-        leaving_at_by_member=leaving,
+        leaving_at_by_member=_leaving_at(state, listing_by_id, now),
         cold_until_by_member=update_cold_until(
             state.cold_until_by_member,
             state.listing_by_id,
@@ -135,6 +127,23 @@
     )
 
 
+def _leaving_at(
+    state: GroupState, listing_by_id: dict[str, MemberListing], now: float
+) -> dict[str, float]:
+    """Return the monotonic times at which the leaving members began to leave.
+
+    A member that is leaving in the first list that names it may have begun at any time
+    before.
+    """
+    return {
+        id: state.leaving_at_by_member.get(
+            id, now if id in state.listing_by_id else -inf
+        )
+        for id, listing in listing_by_id.items()
+        if listing.leaving
+    }
+
+
 def _is_claim_accepted(state: GroupState, member: str, now: float) -> bool:
     refused_at = state.leadership_refused_at_by_member.get(member)
     return refused_at is None or now - refused_at > REFUSED_CLAIM_IGNORE_S
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -201,6 +201,13 @@
             settings.crossing_delay_limit_s,
             settings.admits_by_priority,
         )
+        broker = self._make_broker()
+        tasks.start_soon(router.run)
+        tasks.start_soon(broker.run)
+        tasks.start_soon(admission.run)
+
+    def _make_broker(self) -> LeaseBroker:
+        settings = self._settings
         placement = HostPlacement(
             self._instance_id,
             settings.failure_domain,
@@ -208,7 +215,7 @@
             self._router,
             self._capacities,
         )
-        broker = LeaseBroker(
+        return LeaseBroker(
             self._instance_id,
             settings.region_by_domain,
             placement,
@@ -216,9 +223,6 @@
             self._broker,
             self._router,
         )
-        tasks.start_soon(router.run)
-        tasks.start_soon(broker.run)
-        tasks.start_soon(admission.run)
 
     def _start_store_readers(self, tasks: Nursery) -> None:
         """Start what reads the configuration and the members from the store."""
@@ -255,7 +259,7 @@
         tasks.start_soon(poll.run)
 
     def _start_peers(self, tasks: Nursery) -> None:
-        """Start what the instances agree on and tell each other."""
+        """Start what exchanges state with the other instances."""
         entry = InstanceEntry(
             self._settings.peer_address, self._settings.failure_domain
         )
@@ -290,8 +294,15 @@
             self._feed,
             self._peers,
         )
+        capacities = self._make_capacity_exchange(records)
+        tasks.start_soon(capacities.run)
+        tasks.start_soon(datagrams.run)
+        tasks.start_soon(leases.run)
+        tasks.start_soon(directory.run)
+
+    def _make_capacity_exchange(self, records: RecordClient) -> CapacityExchange:
         resources = self._settings.resources
-        capacities = CapacityExchange(
+        return CapacityExchange(
             self._instance_id,
             InstanceCapacity(
                 resources.cores,
@@ -304,10 +315,6 @@
             self._router,
             self._broker,
         )
-        tasks.start_soon(capacities.run)
-        tasks.start_soon(datagrams.run)
-        tasks.start_soon(leases.run)
-        tasks.start_soon(directory.run)
 
     def _start_failover(self, tasks: Nursery) -> None:
         promotions, promotion_inbox = open_memory_channel[PromotionRequest](SMALL_INBOX)
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -77,11 +77,7 @@
 
         listing_by_id = mark_evacuated(listing_by_id, domains)
         primary = listing_by_id.get(trigger.member)
-        is_suspected = (
-            primary is not None
-            and not trigger.is_planned
-            and not trigger.writes_stalled
-        )
+        is_suspected = not (trigger.is_planned or trigger.writes_stalled)
         if (
             is_suspected
             and primary is not None
--- a/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_server_stream.py
@@ -219,24 +219,8 @@
 
     async def _lease(self, message: LeaseRequested) -> None:
         send, receive = open_memory_channel[MemberLease | Refusal](1)
-        request = ConnectionRequest(
-            message.group,
-            message.workspace,
-            message.requirement,
-            "",
-            message.max_staleness_s,
-            message.session_position,
-            message.excluded,
-            message.priority,
-            current_time() + message.wait_s,
-            message.is_single_statement,
-            send,
-            current_time() + message.target_s,
-            message.caller_domain,
-            message.allowed_regions,
-        )
         try:
-            self._router.send_nowait(request)
+            self._router.send_nowait(_to_request(message, send))
         except WouldBlock:
             self._refuse(message.lease, "the pool host is overloaded")
             return
@@ -294,3 +278,26 @@
     def _fail(self, exchange: int, reason: str) -> None:
         failure = ExchangeFailure(False, reason, at_host=True)
         self._send(ExchangeFailed(exchange, failure))
+
+
+def _to_request(
+    message: LeaseRequested, reply_to: MemorySendChannel[MemberLease | Refusal]
+) -> ConnectionRequest:
+    """Return the request for this instance's router; times become deadlines."""
+    now = current_time()
+    return ConnectionRequest(
+        message.group,
+        message.workspace,
+        message.requirement,
+        "",
+        message.max_staleness_s,
+        message.session_position,
+        message.excluded,
+        message.priority,
+        now + message.wait_s,
+        message.is_single_statement,
+        reply_to,
+        now + message.target_s,
+        message.caller_domain,
+        message.allowed_regions,
+    )
