Divide the admission to a member by choice and by change of state

The changes of the state are now in admission_updates.py. Functions that read as if the instance lost or rejected something (lose_member, reject_statement) are named after what they do: reduce_after_loss, reduce_after_rejection, record_loss, record_rejection.

--- a/features/steps/admission_by_priority_steps.py
+++ b/features/steps/admission_by_priority_steps.py
@@ -12,8 +12,8 @@
 from jackdawspread.decisions.members.member_concurrency import (
     MemberConcurrency,
     complete_statement,
-    lose_member,
-    reject_statement,
+    reduce_after_loss,
+    reduce_after_rejection,
 )
 from jackdawspread.decisions.members.priority_admission import (
     PriorityAdmission,
@@ -213,7 +213,7 @@
 def lost(context: Context, count: int) -> None:
     """Lose connections."""
     for _ in range(count):
-        context.concurrency = lose_member(context.concurrency, MEMBER_SLOTS)
+        context.concurrency = reduce_after_loss(context.concurrency, MEMBER_SLOTS)
 
 
 @given("a member that {count:d} statements may use at a time")
@@ -255,7 +255,7 @@
     """Refuse them within a few milliseconds."""
     for _ in range(count):
         context.now += 0.001
-        context.concurrency = reject_statement(context.concurrency, context.now)
+        context.concurrency = reduce_after_rejection(context.concurrency, context.now)
 
 
 @then("{count:d} statement may be in progress")
--- a/src/jackdawspread/decisions/members/member_concurrency.py
+++ b/src/jackdawspread/decisions/members/member_concurrency.py
@@ -109,7 +109,7 @@
     return mean_s + DURATION_WEIGHT * (sample_s - mean_s)
 
 
-def lose_member(state: MemberConcurrency, slots: int) -> MemberConcurrency:
+def reduce_after_loss(state: MemberConcurrency, slots: int) -> MemberConcurrency:
     """Return the state after the member could not be reached.
 
     It keeps its share: where only this member can serve, a lower limit would leave its
@@ -118,7 +118,7 @@
     return state._replace(limit=min(state.limit, max(MIN_LIMIT, _share(slots))))
 
 
-def reject_statement(state: MemberConcurrency, now: float) -> MemberConcurrency:
+def reduce_after_rejection(state: MemberConcurrency, now: float) -> MemberConcurrency:
     """Return the state after the member refused a statement as its queue was full."""
     return _reduce(state, BUSY_FACTOR, MIN_LIMIT, now)
 
--- a/src/jackdawspread/decisions/members/priority_admission.py
+++ b/src/jackdawspread/decisions/members/priority_admission.py
@@ -16,9 +16,9 @@
     MemberConcurrency,
     complete_statement,
     initial_concurrency,
-    lose_member,
     next_mean_s,
-    reject_statement,
+    reduce_after_loss,
+    reduce_after_rejection,
 )
 from jackdawspread.decisions.members.statement_in_progress import StatementInProgress
 from jackdawspread.decisions.members.waiting_refusal import (
@@ -120,14 +120,14 @@
     )
 
 
-def reject_by_member(state: PriorityAdmission, now: float) -> PriorityAdmission:
+def record_rejection(state: PriorityAdmission, now: float) -> PriorityAdmission:
     """Return the state after the member refused a statement as its queue was full."""
-    return state._replace(concurrency=reject_statement(state.concurrency, now))
+    return state._replace(concurrency=reduce_after_rejection(state.concurrency, now))
 
 
-def lose_connection(state: PriorityAdmission, slots: int) -> PriorityAdmission:
+def record_loss(state: PriorityAdmission, slots: int) -> PriorityAdmission:
     """Return the state after the member could not be reached."""
-    return state._replace(concurrency=lose_member(state.concurrency, slots))
+    return state._replace(concurrency=reduce_after_loss(state.concurrency, slots))
 
 
 def order_waiting(
--- a/src/jackdawspread/decisions/members/statement_admission.py
+++ b/src/jackdawspread/decisions/members/statement_admission.py
@@ -1,4 +1,7 @@
-"""Which waiting requests a member may be sent, by the kind of admission in use."""
+"""Which waiting requests a member may be sent, by the kind of admission in use.
+
+``admission_updates`` has the changes of the state.
+"""
 
 from collections.abc import Mapping, Sequence
 from functools import singledispatch
@@ -6,19 +9,13 @@
 from jackdawspread.decisions.members.next_waiter import next_waiter
 from jackdawspread.decisions.members.priority_admission import (
     PriorityAdmission,
-    begin_request,
-    end_request,
     free_room,
-    lose_connection,
     order_waiting,
     refuse_waiting,
-    reject_by_member,
 )
 from jackdawspread.decisions.members.statement_queue import (
     StatementQueue,
-    end_statement,
     expected_wait_s,
-    start_statement,
     statement_limit,
 )
 from jackdawspread.decisions.members.waiting_refusal import NO_ROOM, WaitingRefusal
@@ -144,109 +141,3 @@
     now: float,
 ) -> list[WaitingRefusal]:
     return refuse_waiting(state, waiting, newest, in_use_by_workspace, now)
-
-
-@singledispatch
-def lease_started(
-    state: StatementAdmission,
-    lease: int,
-    request: ConnectionRequest,
-    waiting: Sequence[ConnectionRequest],
-    now: float,
-) -> StatementAdmission:
-    """Return the state after a request has got a connection."""
-    raise TypeError(f"no admission of type {type(state).__name__}")
-
-
-@lease_started.register
-def _(
-    state: StatementQueue,
-    lease: int,
-    request: ConnectionRequest,
-    waiting: Sequence[ConnectionRequest],
-    now: float,
-) -> StatementAdmission:
-    if not request.is_single_statement:
-        return state
-    return start_statement(state, lease, now)
-
-
-@lease_started.register
-def _(
-    state: PriorityAdmission,
-    lease: int,
-    request: ConnectionRequest,
-    waiting: Sequence[ConnectionRequest],
-    now: float,
-) -> StatementAdmission:
-    return begin_request(state, lease, request, waiting, now)
-
-
-@singledispatch
-def lease_ended(
-    state: StatementAdmission, lease: int, slots: int, others_wait: bool, now: float
-) -> StatementAdmission:
-    """Return the state after a connection was returned."""
-    raise TypeError(f"no admission of type {type(state).__name__}")
-
-
-@lease_ended.register
-def _(
-    state: StatementQueue, lease: int, slots: int, others_wait: bool, now: float
-) -> StatementAdmission:
-    return end_statement(state, lease, now)
-
-
-@lease_ended.register
-def _(
-    state: PriorityAdmission, lease: int, slots: int, others_wait: bool, now: float
-) -> StatementAdmission:
-    return end_request(state, lease, slots, others_wait, now)
-
-
-@singledispatch
-def member_rejected(state: StatementAdmission, now: float) -> StatementAdmission:
-    """Return the state after the member refused a statement as its queue was full."""
-    raise TypeError(f"no admission of type {type(state).__name__}")
-
-
-@member_rejected.register
-def _(state: StatementQueue, now: float) -> StatementAdmission:
-    return state
-
-
-@member_rejected.register
-def _(state: PriorityAdmission, now: float) -> StatementAdmission:
-    return reject_by_member(state, now)
-
-
-@singledispatch
-def member_lost(state: StatementAdmission, slots: int) -> StatementAdmission:
-    """Return the state after the member could not be reached."""
-    raise TypeError(f"no admission of type {type(state).__name__}")
-
-
-@member_lost.register
-def _(state: StatementQueue, slots: int) -> StatementAdmission:
-    return state
-
-
-@member_lost.register
-def _(state: PriorityAdmission, slots: int) -> StatementAdmission:
-    return lose_connection(state, slots)
-
-
-@singledispatch
-def concurrency_limit(state: StatementAdmission, slots: int) -> int:
-    """Return how many single statements may be in progress at the member."""
-    raise TypeError(f"no admission of type {type(state).__name__}")
-
-
-@concurrency_limit.register
-def _(state: StatementQueue, slots: int) -> int:
-    return statement_limit(slots)
-
-
-@concurrency_limit.register
-def _(state: PriorityAdmission, slots: int) -> int:
-    return int(state.concurrency.limit)
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -4,6 +4,13 @@
 
 from absl import logging
 
+from jackdawspread.decisions.members.admission_updates import (
+    concurrency_limit,
+    lease_ended,
+    lease_started,
+    member_lost,
+    member_rejected,
+)
 from jackdawspread.decisions.members.connection_limits import ConnectionLimits
 from jackdawspread.decisions.members.priority_admission import (
     make_priority_admission,
@@ -12,11 +19,6 @@
     StatementAdmission,
     admissible_requests,
     choose_request,
-    concurrency_limit,
-    lease_ended,
-    lease_started,
-    member_lost,
-    member_rejected,
     refuse_unservable,
 )
 from jackdawspread.decisions.members.statement_queue import StatementQueue
