--- a/src/jackdawspread/decisions/members/priority_admission.py
+++ b/src/jackdawspread/decisions/members/priority_admission.py
@@ -16,9 +16,9 @@
     MemberConcurrency,
     complete_statement,
     initial_concurrency,
-    lose_member,
     next_mean_s,
-    reject_statement,
+    reduce_after_loss,
+    reduce_after_rejection,
 )
 from jackdawspread.decisions.members.statement_in_progress import StatementInProgress
 from jackdawspread.decisions.members.waiting_refusal import (
@@ -28,7 +28,7 @@
 )
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 
-# Room that an open transaction occupies, as it pauses between its statements.
+# Statements as which an open transaction counts, as it pauses between them.
 TRANSACTION_ROOM = 0.5
 # Part of the limit that open transactions occupy at most. Callers may rest inside a
 # transaction, and must not keep single statements from the member.
@@ -37,6 +37,7 @@
 # more: its answer is probably lost, and the member has long ended it. No more than
 # the limit are left out in this way, as the member may also have stopped.
 OVERDUE_FACTOR = 4
+# Assumed duration of a statement in seconds before one has ended.
 INITIAL_DURATION_S = 0.02
 
 
@@ -119,14 +120,14 @@
     )
 
 
-def reject_by_member(state: PriorityAdmission, now: float) -> PriorityAdmission:
+def record_rejection(state: PriorityAdmission, now: float) -> PriorityAdmission:
     """Return the state after the member refused a statement as its queue was full."""
-    return state._replace(concurrency=reject_statement(state.concurrency, now))
+    return state._replace(concurrency=reduce_after_rejection(state.concurrency, now))
 
 
-def lose_connection(state: PriorityAdmission, slots: int) -> PriorityAdmission:
+def record_loss(state: PriorityAdmission, slots: int) -> PriorityAdmission:
     """Return the state after the member could not be reached."""
-    return state._replace(concurrency=lose_member(state.concurrency, slots))
+    return state._replace(concurrency=reduce_after_loss(state.concurrency, slots))
 
 
 def order_waiting(
--- a/src/jackdawspread/tasks/pool_hosts/host_placement.py
+++ b/src/jackdawspread/tasks/pool_hosts/host_placement.py
@@ -8,15 +8,10 @@
     extra_delay_s_by_domain,
     record_delay,
 )
-from jackdawspread.decisions.placement.domain_hosts import (
-    choose_domain_hosts,
-    order_hosts,
-)
+from jackdawspread.decisions.placement.domain_hosts import order_hosts
 from jackdawspread.decisions.placement.domain_order import order_domains
-from jackdawspread.decisions.pool_hosts.choose_pool_hosts import (
-    choose_pool_hosts,
-    rank_pool_hosts,
-)
+from jackdawspread.decisions.placement.placed_hosts import choose_placed_hosts
+from jackdawspread.decisions.pool_hosts.choose_pool_hosts import rank_pool_hosts
 from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
@@ -44,9 +39,9 @@
         Delay in seconds, one way, from which messages between failure domains are
         avoided.
     router : trio.MemorySendChannel
-        Inbox of this instance's member router, which is told of a changed placement.
+        Inbox of this instance's member router; receives changes of the placement.
     capacities : trio.MemorySendChannel
-        Inbox of the capacity exchange, which is told of it too.
+        Inbox of the capacity exchange; receives the same changes.
     """
 
     def __init__(
@@ -69,24 +64,24 @@
         self.entry_by_instance: dict[str, InstanceEntry] = {}
 
     def update_instances(self, entry_by_instance: dict[str, InstanceEntry]) -> None:
-        """Take over a newer list of the instances."""
+        """Use a newer list of the instances."""
         self.entry_by_instance = entry_by_instance
         self._hosts_by_group = {}
         self._capacities.send_nowait(PeersSeen(entry_by_instance))
 
     def update_capacities(self, event: CapacitiesSeen) -> None:
-        """Take over newer capacities of the instances."""
+        """Use newer capacities of the instances."""
         if event.capacity_by_instance != self._capacity_by_instance:
             self._capacity_by_instance = event.capacity_by_instance
             self._hosts_by_group = {}
 
     def update_primary(self, event: PrimaryMoved) -> None:
-        """Take over the failure domain of a group's primary."""
+        """Store the failure domain of a group's primary."""
         self._primary_domain_by_group[event.group] = event.failure_domain
 
     def update_delay(self, event: CrossingMeasured) -> None:
-        """Take over a measured delay, which may change the placement."""
-        was_dear = self._delays.is_dear
+        """Record a measured delay, which may change the placement."""
+        was_expensive = self._delays.is_expensive
         self._delays = record_delay(
             self._delays,
             event.failure_domain,
@@ -100,10 +95,12 @@
             1000 * event.delay_s,
             1000 * self._limit_s,
         )
-        if self._delays.is_dear != was_dear:
-            logging.info("broker: placement changed domain_aware=%s", not was_dear)
+        if self._delays.is_expensive != was_expensive:
+            logging.info("broker: placement changed domain_aware=%s", not was_expensive)
             self._hosts_by_group = {}
-            changed = PlacementChanged(self._delays.is_dear, self._nearest_delay_s())
+            changed = PlacementChanged(
+                self._delays.is_expensive, self._nearest_delay_s()
+            )
             self._router.send_nowait(changed)
             self._capacities.send_nowait(changed)
 
@@ -123,7 +120,7 @@
     def hosts_in_order(self, request: ConnectionRequest) -> tuple[str, ...]:
         """Return the pool hosts that may serve a request, the best one first."""
         hosts = self._hosts(request.group)
-        if not self._delays.is_dear:
+        if not self._delays.is_expensive:
             return rank_pool_hosts(request.workspace, hosts)
         domains = order_domains(
             request,
@@ -138,7 +135,7 @@
     def prepare(self, request: ConnectionRequest) -> ConnectionRequest:
         """Return a request with the failure domain of its caller, where it matters."""
         asks = request.departure is not Departure.STAY
-        if not asks or not self._delays.is_dear:
+        if not asks or not self._delays.is_expensive:
             return request._replace(departure=Departure.STAY)
         return request._replace(caller_domain=self._failure_domain)
 
@@ -153,15 +150,13 @@
     def _hosts(self, group: str) -> tuple[str, ...]:
         hosts = self._hosts_by_group.get(group)
         if hosts is None:
-            hosts = self._choose_hosts(group)
+            hosts = choose_placed_hosts(
+                group,
+                self.entry_by_instance,
+                self._capacity_by_instance,
+                self._delays.is_expensive,
+            )
             self._hosts_by_group[group] = hosts
             if hosts:
                 logging.info("broker: hosts group=%s hosts=%s", group, ",".join(hosts))
         return hosts
-
-    def _choose_hosts(self, group: str) -> tuple[str, ...]:
-        if not self._delays.is_dear:
-            return choose_pool_hosts(group, self.entry_by_instance)
-        return choose_domain_hosts(
-            group, self.entry_by_instance, self._capacity_by_instance
-        )
