--- a/src/jackdawspread/decisions/evacuations/evacuation_updates.py
+++ b/src/jackdawspread/decisions/evacuations/evacuation_updates.py
@@ -38,10 +38,10 @@
     listed = dict(version_by_domain)
     if held.epoch and epoch > held.epoch:
         return HeldEvacuations(
-            listed, held.begun_at_by_domain, epoch, copied_until=now + max_age_s
+            listed, held.begun_at_by_domain, epoch, copy_ignored_until=now + max_age_s
         )
     domains = listed.keys() | held.begun_at_by_domain.keys()
-    if now < held.copied_until:
+    if now < held.copy_ignored_until:
         domains = _changed(held.version_by_domain, listed)
     begun_at_by_domain = dict(held.begun_at_by_domain)
     for domain in domains:
@@ -49,7 +49,7 @@
             begun_at_by_domain.setdefault(domain, begun_at)
         else:
             begun_at_by_domain.pop(domain, None)
-    return HeldEvacuations(listed, begun_at_by_domain, epoch, held.copied_until)
+    return HeldEvacuations(listed, begun_at_by_domain, epoch, held.copy_ignored_until)
 
 
 def _changed(before: Mapping[str, int], after: Mapping[str, int]) -> set[str]:
--- a/src/jackdawspread/decisions/evacuations/held_evacuations.py
+++ b/src/jackdawspread/decisions/evacuations/held_evacuations.py
@@ -16,7 +16,7 @@
         have been accepted at the earliest.
     epoch : int
         Epoch of the store in which the rows were read; 0 before the first read.
-    copied_until : float
+    copy_ignored_until : float
         Boot-clock time in seconds until which rows that a restored store has from its
         copy are not used.
     """
@@ -24,7 +24,7 @@
     version_by_domain: dict[str, int] = {}
     begun_at_by_domain: dict[str, float] = {}
     epoch: int = 0
-    copied_until: float = -inf
+    copy_ignored_until: float = -inf
 
     @property
     def domains(self) -> tuple[str, ...]:
