--- a/features/steps/hostile_http_steps.py
+++ b/features/steps/hostile_http_steps.py
@@ -1,7 +1,6 @@
 """Steps for clients of the HTTP front end that do not behave."""
 
 import socket
-import subprocess
 import sys
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
@@ -11,7 +10,7 @@
 from behave import given, then
 from behave.runner import Context
 from features.steps.hostile_client_steps import ATTEMPTS, lives_within_limits
-from features.support.process_limits import limit_descriptors
+from features.support.logged_process import LoggedProcess
 
 IP = "127.0.77.9"
 PROGRAM = Path(sys.executable).parent / "jackdawspread"
@@ -37,36 +36,6 @@
 """
 
 
-class FrontEndProcess:
-    """Process of the HTTP front end."""
-
-    def __init__(self, settings: Path) -> None:
-        self._log = settings.with_suffix(".log")
-        with self._log.open("wb") as log:
-            self._process = subprocess.Popen(
-                [PROGRAM, "proxy", settings],
-                stdout=log,
-                stderr=log,
-                preexec_fn=lambda: limit_descriptors(DESCRIPTORS),
-            )
-        self.pid = self._process.pid
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the process has not ended."""
-        return self._process.poll() is None
-
-    @property
-    def log(self) -> str:
-        """What the process has written so far."""
-        return self._log.read_text(encoding="utf-8", errors="replace")
-
-    def end(self) -> None:
-        """Kill the process."""
-        self._process.kill()
-        self._process.wait()
-
-
 @given("an HTTP front end with {memory_mb:d} MB and {connections:d} connections")
 def front_end(context: Context, memory_mb: int, connections: int) -> None:
     """Start it without a platform, as bad input is handled before any routing."""
@@ -86,7 +55,9 @@
             **context.port_by_name,
         )
     )
-    context.process = FrontEndProcess(path)
+    context.process = LoggedProcess(
+        (PROGRAM, "proxy", path), path.with_suffix(".log"), DESCRIPTORS
+    )
     context.add_cleanup(context.process.end)
     deadline = monotonic() + START_TIMEOUT_S
     while not _is_answered(context):
