Let operators switch on admission by priority, which is off by default

Change: the setting Admission.ByPriority in place of an entry of the contracts; a value other than true or false is a settings error.

--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -33,8 +33,8 @@
 REGION_PREFIX = "Zones."
 # Set only where failure domains can be evacuated.
 EVACUATION_LIMIT = "Bounds.EvacuateMs"
-# Entry in the list of contracts with which a deployment asks for admission by priority.
-PRIORITY_CONTRACT = "pressure"
+# Set by operators of this project, not by the platform.
+ADMISSION_BY_PRIORITY = "Admission.ByPriority"
 BYTES_PER_MB = 1024 * 1024
 BYTES_PER_MBIT = 1_000_000 / 8
 ANY_HOST = "0.0.0.0"
@@ -82,6 +82,14 @@
             errors.append(SettingsError(file, "platform", name, text, accepted))
         else:
             number_by_name[name] = number
+    by_priority = value_by_name.get(ADMISSION_BY_PRIORITY, "false")
+    if by_priority not in ("true", "false"):
+        accepted = "true or false"
+        errors.append(
+            SettingsError(
+                file, "platform", ADMISSION_BY_PRIORITY, by_priority, accepted
+            )
+        )
     port = value_by_name.get("InternalPorts", "").split(",")[0]
     if port and not _is_address(f"{ANY_HOST}:{port}"):
         errors.append(SettingsError(file, "platform", "InternalPorts", port, "a port"))
@@ -124,8 +132,7 @@
         },
         resources=_resources(number_by_name),
         evacuation_s=number_by_name.get(EVACUATION_LIMIT, 0.0) / 1000,
-        admits_by_priority=PRIORITY_CONTRACT
-        in value_by_name.get("Contracts", "").split(","),
+        admits_by_priority=value_by_name.get(ADMISSION_BY_PRIORITY) == "true",
     )
 
 
