--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -72,6 +72,7 @@
       | ListenAddrs.Front=10.1.0.26   | ListenAddrs.Front = '10.1.0.26' is not      |
       | Bounds.GraceS=soon            | Bounds.GraceS = 'soon' is not accepted      |
       | Bounds.DrainMs=-1             | Bounds.DrainMs = '-1' is not accepted       |
+      | Admission.ByPriority=yes      | Admission.ByPriority = 'yes' is not accepted |
       | InternalPorts=http            | InternalPorts = 'http' is not accepted      |
       | InternalPorts=75²             | InternalPorts = '75²' is not accepted       |
       | ListenAddrs.Front=10.1.0.2:8² | ListenAddrs.Front = '10.1.0.2:8²' is not    |
