Resume only the requested member while its promotion may be executed late

A promotion request without an answer may be executed seconds later, until the platform has received a higher fencing token. Its attempt left the replicas paused, but a later attempt that ended without a promotion resumed them (at a switchover even all but the requested member). A primary that is alive then acknowledged through another replica, and the late request promoted a member without those commits.

The record of the lock now names the members of all requests that may still be executed. While there are any, an attempt without a promotion resumes only the requested member, so every acknowledged commit is on it, and none if there are several. A member of the list that is the primary ends its request and those before it. A definitely refused request is taken off the list. Records of earlier versions count their last request as unanswered.

--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -84,7 +84,12 @@
         return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
 
     async def record_promotion(
-        self, lock: HeldPromotionLock, member: str, term: int, roster: frozenset[str]
+        self,
+        lock: HeldPromotionLock,
+        member: str,
+        term: int,
+        roster: frozenset[str],
+        outstanding: tuple[str, ...] = (),
     ) -> HeldPromotionLock:
         """Record the member that the attempt will promote."""
         self.chosen = member
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -57,6 +57,8 @@
         self.former_primary = PRIMARY
         # Member whose failure domain is evacuated.
         self.evacuated = ""
+        # Whether no list of members can be read during an attempt.
+        self.is_list_late = False
         self.leaders = {PRIMARY}
         self.paused: dict[str, int] = {}
         self.demoted: list[str] = []
@@ -120,7 +122,12 @@
         return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
 
     async def record_promotion(
-        self, lock: HeldPromotionLock, member: str, term: int, roster: frozenset[str]
+        self,
+        lock: HeldPromotionLock,
+        member: str,
+        term: int,
+        roster: frozenset[str],
+        outstanding: tuple[str, ...] = (),
     ) -> HeldPromotionLock:
         """Accept the record of the chosen member."""
         return lock
@@ -129,8 +136,8 @@
         """Release the promotion lock after an attempt."""
         self.record = record_blocked(lock.record, roster) if roster else lock.record
 
-    async def _members_since(self, since: float) -> dict[str, MemberListing]:
-        return self._list()
+    async def _members_since(self, since: float) -> dict[str, MemberListing] | None:
+        return None if self.is_list_late else self._list()
 
     def _list(self) -> dict[str, MemberListing]:
         listed = {
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -126,3 +126,22 @@
     And "m2" claims to be the primary too
     When an instance acts on a primary that gets no write confirmed
     Then "none" is promoted and "none" is demoted
+
+  Scenario Outline: Only a requested member is resumed while its request may be executed
+    # Guards against the loss of commits that another replica confirms before a request
+    # without an answer is executed (spec succession, all-resumed-after-request).
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.9" of which "m0" do not answer
+    And a record with the request "<ordered>" and outstanding requests "<outstanding>"
+    And "m1,m2" are paused and no list of members can be read
+    When an instance acts on a primary that is unreachable
+    Then "none" is promoted and the replicas "<paused>" rest paused
+
+    Examples:
+      | ordered | outstanding  | paused |
+      | m1      | m1           | m2     |
+      | m1      | m2,m1        | m1,m2  |
+      | m1      | m2,m0        | none   |
+      | m1      | m0,m1        | m2     |
+      | m1      | none         | none   |
+      | m1      | not recorded | m2     |
+      | m0      | not recorded | none   |
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -73,6 +73,22 @@
     context.group.joining = member
 
 
+@given('a record with the request "{ordered}" and outstanding requests "{outstanding}"')
+def requested(context: Context, ordered: str, outstanding: str) -> None:
+    """Record promotion requests; a record of an earlier version names only the last."""
+    context.group.record["ordered"] = ordered
+    if outstanding != "not recorded":
+        members = [] if outstanding == "none" else outstanding.split(",")
+        context.group.record["outstanding"] = members
+
+
+@given('"{members}" are paused and no list of members can be read')
+def paused_before(context: Context, members: str) -> None:
+    """Let an earlier attempt leave replicas paused, and let the next one fail."""
+    context.group.paused = dict.fromkeys(_ids(members), 1)
+    context.group.is_list_late = True
+
+
 @given('"{member}" is in an evacuated failure domain')
 def evacuated(context: Context, member: str) -> None:
     """Evacuate the failure domain of one member."""
@@ -155,3 +171,11 @@
     """Compare the outcome of the last attempt."""
     assert context.group.outcomes[-1] == outcome, context.group.outcomes
     assert not context.group.paused, context.group.paused
+
+
+@then('"{promoted}" is promoted and the replicas "{paused}" rest paused')
+def rest_paused(context: Context, promoted: str, paused: str) -> None:
+    """Compare the replicas that don't receive after the attempt."""
+    group = context.group
+    assert set(group.promoted) == _ids(promoted), group.promoted
+    assert set(group.paused) == _ids(paused), (group.paused, group.outcomes)
--- a/spec/succession/actions.py
+++ b/spec/succession/actions.py
@@ -60,7 +60,8 @@
     if not state.duty_is_free or state.duty_token == MAX_TOKEN:
         return
     token = state.duty_token + 1
-    attempt = Attempt(token, state.primary, state.duty_ordered, (-1,) * 3, False, False)
+    outstanding = _outstanding(state)
+    attempt = Attempt(token, state.primary, outstanding, (-1,) * 3, False, False)
     for index in range(len(state.attempts)):
         taken = _with_attempt(state, index, attempt)
         yield f"instance={index}", taken._replace(duty_token=token, duty_is_free=False)
@@ -124,12 +125,32 @@
                 f"instance={index} member={member}",
                 ordered._replace(
                     orders=tuple(sorted({*state.orders, (attempt.token, member)})),
-                    duty_ordered=member,
+                    duty_outstanding=_append(attempt.outstanding, member),
                     duty_is_free=not rules.keep_lock_after_order,
                 ),
             )
 
 
+def resume(state: State, rules: Rules) -> Steps:
+    """End an attempt without a promotion and resume replicas while the lock is held.
+
+    A request of an earlier attempt may still be executed. Then only the member that it
+    names is resumed, so that no other one confirms entries; with several such members
+    none is.
+    """
+    for index, attempt in enumerate(state.attempts):
+        held = attempt.token == state.duty_token and not state.duty_is_free
+        if not held or attempt.has_ordered:
+            continue
+        resumed = {m for m in MEMBERS if attempt.seen[m] >= 0}
+        if attempt.outstanding and rules.resume_ordered_only:
+            named = set(attempt.outstanding)
+            resumed = named if len(named) == 1 else set()
+        paused = tuple(p and m not in resumed for m, p in enumerate(state.paused))
+        ended = _with_attempt(state, index, IDLE)
+        yield f"instance={index}", ended._replace(paused=paused, duty_is_free=True)
+
+
 def promote(state: State, rules: Rules) -> Steps:
     """Execute a promotion request, at any time after it was sent.
 
@@ -151,6 +172,21 @@
             yield f"token={token} member={member}", fenced
 
 
+def _outstanding(state: State) -> tuple[int, ...]:
+    """Return the members whose recorded requests may still be executed.
+
+    Those up to the request that made the present primary have no effect any more.
+    """
+    named = state.duty_outstanding
+    if state.primary in named:
+        return named[named.index(state.primary) + 1 :]
+    return named
+
+
+def _append(outstanding: tuple[int, ...], member: int) -> tuple[int, ...]:
+    return outstanding if outstanding[-1:] == (member,) else (*outstanding, member)
+
+
 def _roll_back(log: tuple[int, ...], source: tuple[int, ...]) -> tuple[int, ...]:
     """Return the part of a log that the new primary's log holds too."""
     common = 0
@@ -168,9 +204,8 @@
         return known
     end = max(attempt.seen[member] for member in known)
     able = [member for member in known if attempt.seen[member] == end]
-    if rules.prefer_ordered and attempt.earlier_ordered in able:
-        return [attempt.earlier_ordered]
-    return able
+    preferred = [m for m in reversed(attempt.outstanding) if m in able]
+    return preferred[:1] if rules.prefer_ordered and preferred else able
 
 
 def _with_log(state: State, member: int, log: tuple[int, ...]) -> State:
--- a/spec/succession/attempt.py
+++ b/spec/succession/attempt.py
@@ -6,18 +6,18 @@
 class Attempt(NamedTuple):
     """Attempt under a token.
 
-    ``earlier_ordered`` is the member that an earlier attempt requested to promote, -1
-    if none. ``seen`` is the end of each paused log, -1 while a member is not paused
+    ``outstanding`` are the members of earlier requests that may still be executed, in
+    their order. ``seen`` is the end of each paused log, -1 while a member is not paused
     by this attempt. ``is_checked`` states that all replicas were still paused after
     the last pause.
     """
 
     token: int
     former: int
-    earlier_ordered: int
+    outstanding: tuple[int, ...]
     seen: tuple[int, ...]
     is_checked: bool
     has_ordered: bool
 
 
-IDLE = Attempt(0, 0, -1, (-1, -1, -1), False, False)
+IDLE = Attempt(0, 0, (), (-1, -1, -1), False, False)
--- a/spec/succession/model.py
+++ b/spec/succession/model.py
@@ -26,7 +26,7 @@
         attempts=(IDLE, IDLE),
         duty_token=0,
         duty_is_free=True,
-        duty_ordered=-1,
+        duty_outstanding=(),
         orders=(),
         highest_token=0,
     ),
@@ -40,6 +40,7 @@
         actions.pause,
         actions.check,
         actions.order,
+        actions.resume,
         actions.promote,
     ),
     invariants={KEPT: replaced_primary},
@@ -54,6 +55,9 @@
             KEPT,
         ),
         Mutant("earlier-order-ignored", RULES._replace(prefer_ordered=False), KEPT),
+        Mutant(
+            "all-resumed-after-request", RULES._replace(resume_ordered_only=False), KEPT
+        ),
         Mutant("order-after-lapse", RULES._replace(stop_when_lock_expired=False), KEPT),
     ),
 )
--- a/spec/succession/rules.py
+++ b/spec/succession/rules.py
@@ -13,3 +13,4 @@
     keep_lock_after_order: bool = True
     prefer_ordered: bool = True
     stop_when_lock_expired: bool = True
+    resume_ordered_only: bool = True
--- a/spec/succession/state.py
+++ b/spec/succession/state.py
@@ -21,6 +21,6 @@
     attempts: tuple[Attempt, ...]
     duty_token: int
     duty_is_free: bool
-    duty_ordered: int
+    duty_outstanding: tuple[int, ...]
     orders: tuple[tuple[int, int], ...]
     highest_token: int
--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -44,16 +44,24 @@
 
 
 def record_ordered_member(
-    record: PromotionLockRecord, member: str, term: int, roster: Collection[str]
+    record: PromotionLockRecord,
+    member: str,
+    term: int,
+    roster: Collection[str],
+    outstanding: tuple[str, ...] = (),
 ) -> PromotionLockRecord:
     """Return the record that names the member whose promotion will be requested.
 
+    ``outstanding`` are the members of earlier requests that may still be executed.
+
     A promotion request without an answer may be executed later, so the next holder
     has to prefer the same member. The promoted member may be the only one that knows
     its term, so the next holder takes a term above the recorded one.
     """
     ordered = record.copy()
     ordered["ordered"] = member
+    is_repeated = outstanding[-1:] == (member,)
+    ordered["outstanding"] = [*outstanding, *(() if is_repeated else (member,))]
     ordered["term"] = max(term, recorded_term(record))
     if roster:
         ordered["roster"] = sorted(roster)
--- a/src/jackdawspread/decisions/failover/promotion_lock_record.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock_record.py
@@ -23,6 +23,9 @@
         Addresses of the members that may hold an acknowledged commit: the listed ones,
         and those that have left and are not known to be covered. Records of earlier
         versions and of groups whose list has never been recorded lack it.
+    outstanding : list of str
+        Members whose promotion was requested and may still be executed, in order of the
+        requests. Records of earlier versions lack it.
     blocked_since, blocked_at : float
         Times of the store's clock in seconds of the first and the last in a row of
         attempts that ended because logs were missing. The record lacks them if there
@@ -35,5 +38,6 @@
     ordered: str
     term: NotRequired[int]
     roster: NotRequired[list[str]]
+    outstanding: NotRequired[list[str]]
     blocked_since: NotRequired[float]
     blocked_at: NotRequired[float]
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -5,6 +5,11 @@
 
 from jackdawspread.decisions.evacuations.evacuated_members import mark_evacuated
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
+from jackdawspread.decisions.failover.outstanding_requests import (
+    outstanding_requests,
+    record_outstanding,
+    replicas_to_resume,
+)
 from jackdawspread.decisions.failover.promotion_candidate import (
     MIN_LOGS,
     replicas_to_query,
@@ -92,11 +97,14 @@
         lock = await self._locks.acquire(trigger.group)
         if isinstance(lock, str):
             return lock
+        outstanding = outstanding_requests(lock.record, trigger.member)
+        current = record_outstanding(lock.record, outstanding)
         select = self._switchover if trigger.is_planned else self._failover
-        plan = await select.run(
-            trigger, listing_by_id, lock.record, marked_members_since
+        plan = await select.run(trigger, listing_by_id, current, marked_members_since)
+        paused = replicas_to_resume(plan.paused, replicas, outstanding)
+        outcome, unused = await self._promote(
+            trigger, plan._replace(paused=paused), lock, outstanding
         )
-        outcome, unused = await self._promote(trigger, plan, lock)
         if unused is not None:
             roster = frozenset() if plan.member else plan.roster
             await self._locks.release(unused, roster)
@@ -110,19 +118,23 @@
         return True
 
     async def _promote(
-        self, trigger: FailoverTrigger, plan: PromotionPlan, lock: HeldPromotionLock
+        self,
+        trigger: FailoverTrigger,
+        plan: PromotionPlan,
+        lock: HeldPromotionLock,
+        outstanding: tuple[str, ...],
     ) -> tuple[str, HeldPromotionLock | None]:
         """Return the outcome, and the lock to release unless it has to expire.
 
         It expires if a promotion has or may have happened: until the new primary takes
         over, the members report the same state as before, and another attempt could
         choose another candidate. The replicas that were paused for the safety of an
-        unanswered request stay paused.
+        unanswered request stay paused, also in later attempts.
         """
         recorded = None
         if plan.member:
             recorded = await self._locks.record_promotion(
-                lock, plan.member, plan.term, plan.roster
+                lock, plan.member, plan.term, plan.roster, outstanding
             )
         if recorded is None:
             await self._resume(plan.paused, lock)
@@ -134,7 +146,8 @@
         if may_have_promoted:
             return outcome, None
         await self._resume(plan.paused, recorded)
-        return outcome, recorded
+        record = record_outstanding(recorded.record, outstanding)
+        return outcome, recorded._replace(record=record)
 
     async def _resume(
         self, paused: tuple[MemberListing, ...], lock: HeldPromotionLock
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -4,6 +4,7 @@
 from trio import current_time
 
 from jackdawspread.decisions.failover.blocked_promotion import is_overdue
+from jackdawspread.decisions.failover.outstanding_requests import last_request
 from jackdawspread.decisions.failover.pause_term import pause_term
 from jackdawspread.decisions.failover.promotion_candidate import (
     choose_candidate,
@@ -191,7 +192,7 @@
         {listing.id: listing.address for listing in (*queried, *listings)},
         status_by_member,
         frozenset(listing.id for listing in listings if listing.leaving),
-        requested_earlier=record["ordered"],
+        requested_earlier=last_request(record),
     )
 
 
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -72,14 +72,20 @@
         return lock._replace(version=outcome.version)
 
     async def record_promotion(
-        self, lock: HeldPromotionLock, member: str, term: int, roster: frozenset[str]
+        self,
+        lock: HeldPromotionLock,
+        member: str,
+        term: int,
+        roster: frozenset[str],
+        outstanding: tuple[str, ...] = (),
     ) -> HeldPromotionLock | None:
         """Record the member that the holder will promote; None if that fails.
 
         ``term`` is the term under which replicas were paused, and ``roster`` names the
-        members that may hold an acknowledged commit.
+        members that may hold an acknowledged commit. ``outstanding`` are the members
+        of earlier requests that may still be executed.
         """
-        record = record_ordered_member(lock.record, member, term, roster)
+        record = record_ordered_member(lock.record, member, term, roster, outstanding)
         deadline = lock.held_until - RESUME_RESERVE_S
         outcome = await self._write(lock, record, deadline)
         if outcome.status is not RecordStatus.DONE:
--- a/src/jackdawspread/tasks/fleet/switchover_selection.py
+++ b/src/jackdawspread/tasks/fleet/switchover_selection.py
@@ -2,6 +2,7 @@
 
 from trio import current_time
 
+from jackdawspread.decisions.failover.outstanding_requests import last_request
 from jackdawspread.decisions.failover.pause_term import pause_term
 from jackdawspread.decisions.failover.promotion_candidate import (
     MAX_UNCOVERED,
@@ -53,7 +54,7 @@
             return PromotionPlan(reason="a replica did not answer")
         if any(status.claims_primary for status in status_by_member.values()):
             return PromotionPlan(reason="another member claims to be the primary")
-        unpaused = choose_unpaused(replicas, status_by_member, record["ordered"])
+        unpaused = choose_unpaused(replicas, status_by_member, last_request(record))
         to_pause = tuple(replica for replica in replicas if replica.id != unpaused)
         term = pause_term(status_by_member.values(), recorded_term(record))
         term, _ = await self._pause.run(to_pause, term)
