Resume replicas that an earlier attempt left paused

An attempt that ends before its own pauses now also resumes the replicas that report a pause.

The scenario fails without the change.

--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -30,6 +30,15 @@
     Then "none" is promoted and "none" is demoted
     And the last outcome is "only the primary has every commit" and no replica is paused
 
+  Scenario: Replicas that an earlier attempt left paused are resumed
+    # Guards against a primary that gets no write confirmed until it fails: of its
+    # replicas two rested paused, and it alone had every commit.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7" of which "none" do not answer
+    And "m9" has left the group and may have confirmed commits
+    And "m1,m2" are paused and no list of members can be read
+    When an instance acts on a primary that gets no write confirmed
+    Then "none" is promoted and the replicas "none" rest paused
+
   Scenario: A replica that joins during an attempt is compared
     # Guards against the loss of commits that a new replica confirms until a promotion
     # takes effect (review/2): the primary was alive and went on acknowledging.
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -66,10 +66,13 @@
         if trigger.member in status_by_member:
             evidence = evidence._replace(demoted_primary=trigger.member)
         candidate = _choose(trigger, evidence, listing_by_id, record)
+        left_paused = _paused_before(replicas, status_by_member)
         if candidate is None:
-            return _refuse(evidence, ())
+            return _refuse(evidence, left_paused)
         if candidate.member == trigger.member:
-            return PromotionPlan(reason="only the primary has every commit")
+            return PromotionPlan(
+                reason="only the primary has every commit", paused=left_paused
+            )
         term = pause_term(status_by_member.values(), recorded_term(record))
         term, _ = await self._pause.run(replicas, term)
         if primary is not None and primary.id in status_by_member:
@@ -207,6 +210,20 @@
     return tuple(listing for listing in listed if listing.id not in known)
 
 
+def _paused_before(
+    replicas: tuple[MemberListing, ...], status_by_member: dict[str, LogStatus]
+) -> tuple[MemberListing, ...]:
+    """Return the replicas that an earlier attempt left paused.
+
+    This attempt holds the lock, so no other one relies on their pauses.
+    """
+    return tuple(
+        replica
+        for replica in replicas
+        if replica.id in status_by_member and status_by_member[replica.id].paused_term
+    )
+
+
 def _find_other_primary(
     trigger: FailoverTrigger, status_by_member: dict[str, LogStatus]
 ) -> str:
