Promote without missing logs only where the settings say so

After 10 s without the logs of members that are gone, the most advanced of the others was promoted, with "commits may be lost" in the log. Acknowledged commits come before the availability of one group, so there is no limit by default now. Operators who prefer a primary set Failover.MissingLogTimeoutS.

The scenarios of the wait keep their figures with the setting on; new ones show that nothing is promoted in 60 s without it.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -1,6 +1,13 @@
 """Fake group of members with logs, terms and pauses."""
 
-from trio import current_time, open_memory_channel, open_nursery
+from math import inf
+
+from trio import (
+    MemoryReceiveChannel,
+    current_time,
+    open_memory_channel,
+    open_nursery,
+)
 
 from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
@@ -19,7 +26,6 @@
 
 PRIMARY = "m0"
 EVACUATED_DOMAIN = "z2"
-MAX_INSTANCES = 20
 
 
 def address(id: str) -> str:
@@ -64,15 +70,15 @@
         self.demoted: list[str] = []
         self.promoted: list[str] = []
         self.outcomes: list[str] = []
-        promotions, self._inbox = open_memory_channel(1)
-        router, _ = open_memory_channel(100)
-        self._attempts = [
-            FailoverAttempt(f"i{number}", self, self, promotions, router)
-            for number in range(MAX_INSTANCES)
-        ]
+        self.missing_log_timeout_s = inf
 
     async def attempt(self, writes_stalled: bool, instance: int = 0) -> None:
         """Run one attempt of an instance to replace the primary."""
+        promotions, inbox = open_memory_channel(1)
+        router, _ = open_memory_channel(100)
+        acting = FailoverAttempt(
+            f"i{instance}", self, self, promotions, router, self.missing_log_timeout_s
+        )
         reason = "writes not confirmed" if writes_stalled else "unreachable"
         trigger = FailoverTrigger(
             "g",
@@ -83,11 +89,9 @@
             frozenset({EVACUATED_DOMAIN}),
         )
         async with open_nursery() as nursery:
-            nursery.start_soon(self._promote)
+            nursery.start_soon(self._promote, inbox)
             self.outcomes.append(
-                await self._attempts[instance].run(
-                    trigger, self._list(), self._members_since
-                )
+                await acting.run(trigger, self._list(), self._members_since)
             )
             nursery.cancel_scope.cancel()
 
@@ -152,7 +156,7 @@
             listed[self.evacuated] = entry._replace(failure_domain=EVACUATED_DOMAIN)
         return listed
 
-    async def _promote(self) -> None:
-        async for request in self._inbox:
+    async def _promote(self, inbox: MemoryReceiveChannel) -> None:
+        async for request in inbox:
             self.promoted.append(request.member)
             request.reply_to.send_nowait(PromotionResult.ACCEPTED)
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -73,6 +73,8 @@
       | Bounds.GraceS=soon            | Bounds.GraceS = 'soon' is not accepted      |
       | Bounds.DrainMs=-1             | Bounds.DrainMs = '-1' is not accepted       |
       | Admission.ByPriority=yes      | Admission.ByPriority = 'yes' is not accepted |
+      | Failover.MissingLogTimeoutS=0 | Failover.MissingLogTimeoutS = '0' is not    |
+      | Failover.MissingLogTimeoutS=9 | accepted                                    |
       | InternalPorts=http            | InternalPorts = 'http' is not accepted      |
       | InternalPorts=75²             | InternalPorts = '75²' is not accepted       |
       | ListenAddrs.Front=10.1.0.2:8² | ListenAddrs.Front = '10.1.0.2:8²' is not    |
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -70,11 +70,25 @@
       | 3    |
       | 60   |
 
-  Scenario Outline: A missing log is waited for, and not for ever
+  Scenario Outline: A missing log is waited for as long as it takes
+    # Guards against the loss of commits of members that are gone: after 10 s a member was
+    # promoted that may have lacked them.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "<silent>" do not answer
+    And "m9" has left the group and may have confirmed commits
+    When instances act for 60 s on a primary that is unreachable
+    Then "none" is promoted and "none" is demoted
+
+    Examples:
+      | silent |
+      | m0     |
+      | m0,m2  |
+
+  Scenario Outline: A missing log is not waited for longer than the settings say
     # Guards against both the loss of commits of a member that returns, and a group that
     # never gets a primary because a member is gone for good.
     Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "<silent>" do not answer
     And "m9" has left the group and may have confirmed commits
+    And settings that limit the wait for missing logs to 10 s
     When instances act for <seconds> s on a primary that is unreachable
     Then "<promoted>" is promoted and "none" is demoted
 
@@ -89,6 +103,7 @@
     # fleet acquires the lock too seldom to see that the logs have long been missing.
     Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "m0" do not answer
     And "m9" has left the group and may have confirmed commits
+    And settings that limit the wait for missing logs to 10 s
     When <count> instances act in turn for <seconds> s on an unreachable primary
     Then "<promoted>" is promoted and "none" is demoted
 
@@ -114,6 +129,7 @@
     Given members with the logs "m1=1.7,m2=1.9" of which "none" do not answer
     And "m9" has left the group and may have confirmed commits
     And "<leaving>" is leaving and the promotion of "<ordered>" was requested earlier
+    And settings that limit the wait for missing logs to 10 s
     When instances act for 12 s on a primary that is unreachable
     Then "m2" is promoted and "none" is demoted
 
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -60,6 +60,12 @@
     context.group.record["roster"] = sorted(address(id) for id in ids)
 
 
+@given("settings that limit the wait for missing logs to {seconds:g} s")
+def limited_wait(context: Context, seconds: float) -> None:
+    """Prefer a primary to the commits of members that are gone."""
+    context.group.missing_log_timeout_s = seconds
+
+
 @given('"{leaving}" is leaving and the promotion of "{ordered}" was requested earlier')
 def preferences(context: Context, leaving: str, ordered: str) -> None:
     """Give reasons for and against members other than their logs."""
--- a/src/jackdawspread/decisions/failover/blocked_promotion.py
+++ b/src/jackdawspread/decisions/failover/blocked_promotion.py
@@ -12,16 +12,16 @@
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 
-# A member that crashed may return with the missing log. The failover gap of the design
-# scale, 16 s, leaves this time to wait for it.
-MISSING_LOG_TIMEOUT_S = 10.0
 # Attempts follow each other faster than this while a group has no primary.
 MAX_ATTEMPT_INTERVAL_S = 3.0
 
 
-def is_overdue(record: PromotionLockRecord) -> bool:
-    """Whether the holder of the lock no longer waits for members that are gone."""
-    return _acquired_at(record) - _blocked_since(record) >= MISSING_LOG_TIMEOUT_S
+def is_overdue(record: PromotionLockRecord, timeout_s: float) -> bool:
+    """Whether the holder of the lock no longer waits for members that are gone.
+
+    ``timeout_s`` is infinite if it waits for ever.
+    """
+    return _acquired_at(record) - _blocked_since(record) >= timeout_s
 
 
 def record_blocked(
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -329,6 +329,7 @@
             PromotionLockClient(self._instance_id, records),
             promotions,
             self._router,
+            self._settings.missing_log_timeout_s,
         )
         # Calls about rosters must not delay the promotion lock.
         rosters = RosterClient(self._open_records("rosters", tasks))
--- a/src/jackdawspread/platform/settings_file.py
+++ b/src/jackdawspread/platform/settings_file.py
@@ -35,6 +35,7 @@
 EVACUATION_LIMIT = "Bounds.EvacuateMs"
 # Set by operators of this project, not by the platform.
 ADMISSION_BY_PRIORITY = "Admission.ByPriority"
+MISSING_LOG_TIMEOUT = "Failover.MissingLogTimeoutS"
 BYTES_PER_MB = 1024 * 1024
 BYTES_PER_MBIT = 1_000_000 / 8
 ANY_HOST = "0.0.0.0"
@@ -73,7 +74,7 @@
         and not _is_address(value_by_name[name])
     ]
     number_by_name = {}
-    optional = {EVACUATION_LIMIT} & value_by_name.keys()
+    optional = {EVACUATION_LIMIT, MISSING_LOG_TIMEOUT} & value_by_name.keys()
     for name in (*DEFAULT_BY_NAME, *optional):
         text = value_by_name.get(name) or str(DEFAULT_BY_NAME.get(name, ""))
         number = _parse_number(text)
@@ -133,6 +134,7 @@
         resources=_resources(number_by_name),
         evacuation_s=number_by_name.get(EVACUATION_LIMIT, 0.0) / 1000,
         admits_by_priority=value_by_name.get(ADMISSION_BY_PRIORITY) == "true",
+        missing_log_timeout_s=number_by_name.get(MISSING_LOG_TIMEOUT, inf),
     )
 
 
--- a/src/jackdawspread/settings/session_proxy_settings.py
+++ b/src/jackdawspread/settings/session_proxy_settings.py
@@ -1,5 +1,6 @@
 """Settings of an instance that serves sessions of callers."""
 
+from math import inf
 from typing import NamedTuple
 
 from jackdawspread.settings.instance_resources import InstanceResources
@@ -52,6 +53,9 @@
         platform has no evacuations.
     admits_by_priority : bool
         Whether statements compete for members by the priority of their route.
+    missing_log_timeout_s : float
+        Time in seconds after which a member is promoted without the logs of members
+        that are gone; infinite if never, as commits may be lost.
     crossing_delay_limit_s : float
         Delay in seconds, one way, from which messages between failure domains are
         avoided.
@@ -75,4 +79,5 @@
     resources: InstanceResources = InstanceResources()
     evacuation_s: float = 0.0
     admits_by_priority: bool = False
+    missing_log_timeout_s: float = inf
     crossing_delay_limit_s: float = CROSSING_DELAY_LIMIT_S
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -1,5 +1,7 @@
 """One attempt to replace the primary of a group (failover or switchover)."""
 
+from math import inf
+
 from absl import logging
 from trio import MemorySendChannel
 
@@ -46,6 +48,9 @@
         Receives promotion requests for the users' platform.
     router : trio.MemorySendChannel
         Inbox of the member router.
+    missing_log_timeout_s : float
+        Time in seconds after which a member is promoted without the logs of members
+        that are gone; infinite if never, as commits may be lost.
     """
 
     def __init__(
@@ -55,9 +60,10 @@
         locks: PromotionLockClient,
         promotions: MemorySendChannel[PromotionRequest],
         router: MemorySendChannel[RouterEvent],
+        missing_log_timeout_s: float = inf,
     ) -> None:
         self._replication = replication
-        self._failover = FailoverSelection(replication)
+        self._failover = FailoverSelection(replication, missing_log_timeout_s)
         self._switchover = SwitchoverSelection(replication)
         self._locks = locks
         self._sender = PromotionSender(instance, promotions)
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -37,10 +37,16 @@
     ----------
     replication : ReplicationControl
         Sends status queries and replication commands to members.
+    missing_log_timeout_s : float
+        Time in seconds after which a member is promoted without the logs of members
+        that are gone; infinite if never, as commits may be lost.
     """
 
-    def __init__(self, replication: ReplicationControl) -> None:
+    def __init__(
+        self, replication: ReplicationControl, missing_log_timeout_s: float
+    ) -> None:
         self._replication = replication
+        self._missing_log_timeout_s = missing_log_timeout_s
         self._search = CandidateSearch(replication)
         self._pause = ReplicationPause(replication)
 
@@ -65,7 +71,7 @@
         evidence = _collect(trigger, queried, listing_by_id, record, status_by_member)
         if trigger.member in status_by_member:
             evidence = evidence._replace(demoted_primary=trigger.member)
-        candidate = _choose(trigger, evidence, listing_by_id, record)
+        candidate = self._choose(trigger, evidence, listing_by_id, record)
         left_paused = _paused_before(replicas, status_by_member)
         if candidate is None:
             return _refuse(evidence, left_paused)
@@ -104,7 +110,7 @@
                 reason="no replica is known to have every commit", paused=replicas
             )
         evidence = _collect(trigger, replicas, listing_by_id, record, status_by_member)
-        candidate = _choose(trigger, evidence, listing_by_id, record)
+        candidate = self._choose(trigger, evidence, listing_by_id, record)
         if candidate is None:
             return _refuse(evidence, replicas)
         return PromotionPlan(candidate.member, "", term, evidence.roster, replicas)
@@ -148,38 +154,39 @@
             return _refuse(evidence, paused)
         return PromotionPlan(candidate.member, "", term, evidence.roster, paused)
 
+    def _choose(
+        self,
+        trigger: FailoverTrigger,
+        evidence: PromotionEvidence,
+        listing_by_id: dict[str, MemberListing],
+        record: PromotionLockRecord,
+    ) -> LogStatus | None:
+        """Return the member to promote.
 
-def _choose(
-    trigger: FailoverTrigger,
-    evidence: PromotionEvidence,
-    listing_by_id: dict[str, MemberListing],
-    record: PromotionLockRecord,
-) -> LogStatus | None:
-    """Return the member to promote.
-
-    Members that are gone are waited for. After that time the most advanced of the
-    listed replicas is taken if all of them answer, so that a group whose logs are lost
-    has a primary.
-    """
-    candidate = choose_candidate(evidence)
-    if candidate is not None or not is_overdue(record):
-        return candidate
-    listed = {listing.address for listing in listing_by_id.values()}
-    primary = listing_by_id.get(trigger.member)
-    remaining = without_departed(
-        evidence, listed, primary.address if primary is not None else UNKNOWN_ADDRESS
-    )
-    if silent_addresses(remaining) - {UNKNOWN_ADDRESS}:
-        return None
-    candidate = choose_candidate(remaining)
-    if candidate is not None:
-        logging.error(
-            "succession: commits may be lost, promoting without the logs of "
-            "addresses=%s group=%s",
-            ",".join(sorted(evidence.roster - remaining.roster)),
-            trigger.group,
+        Members that are gone are waited for. Where the settings limit that time, the
+        most advanced of the listed replicas is then taken if all of them answer.
+        """
+        candidate = choose_candidate(evidence)
+        if candidate is not None or not is_overdue(record, self._missing_log_timeout_s):
+            return candidate
+        listed = {listing.address for listing in listing_by_id.values()}
+        primary = listing_by_id.get(trigger.member)
+        remaining = without_departed(
+            evidence,
+            listed,
+            primary.address if primary is not None else UNKNOWN_ADDRESS,
         )
-    return candidate
+        if silent_addresses(remaining) - {UNKNOWN_ADDRESS}:
+            return None
+        candidate = choose_candidate(remaining)
+        if candidate is not None:
+            logging.error(
+                "succession: commits may be lost, promoting without the logs of "
+                "addresses=%s group=%s",
+                ",".join(sorted(evidence.roster - remaining.roster)),
+                trigger.group,
+            )
+        return candidate
 
 
 def _collect(
