Don't demote a primary that a late request would promote again

Three attempts had requested the promotion of the same member, most requests without an answer. One was executed, the primary got no write confirmed as its replicas rested paused, and it was demoted to be replaced. Another copy of its own request was executed then: it led again and acknowledged commits until the other member took over.

A request for the present primary has no effect, so such copies count only once it is demoted. While the record names the primary among the outstanding requests, it is therefore requested once more under the new token instead, which ends the earlier requests, and its replicas are resumed. The record drops a request that was answered, so a primary that was promoted without a lost answer is demoted as before. A primary that does not answer no longer counts as the end of its request, as it may have been demoted.

--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -34,6 +34,8 @@
     def __init__(self, unreachable: set[str], answers: list[str]) -> None:
         self.unreachable = unreachable
         self.earlier_request = ""
+        # Seconds for which the promotion lock is held.
+        self.held_s = 60.0
         self.answers = [PromotionResult(answer) for answer in answers]
         self.paused: dict[str, int] = {}
         # Member that an earlier request promotes just after the replicas were paused.
@@ -81,7 +83,9 @@
         self.is_acquired = True
         ordered = self.earlier_request
         record = {"token": 1, "holder": "i1", "until": 3.0, "ordered": ordered}
-        return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
+        return HeldPromotionLock(
+            "duty-g", 1, 1, record, seconds_since_boot() + self.held_s
+        )
 
     async def record_promotion(
         self,
@@ -95,6 +99,9 @@
         self.chosen = member
         return lock
 
+    async def update(self, lock: HeldPromotionLock) -> None:
+        """Write the record of the lock."""
+
     async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
         """Release the promotion lock."""
         self.is_released = True
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -11,7 +11,10 @@
 
 from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
-from jackdawspread.decisions.failover.promotion_lock import PROMOTION_LOCK_TTL_S
+from jackdawspread.decisions.failover.promotion_lock import (
+    PROMOTION_LOCK_TTL_S,
+    record_ordered_member,
+)
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
@@ -134,7 +137,12 @@
         outstanding: tuple[str, ...] = (),
     ) -> HeldPromotionLock:
         """Accept the record of the chosen member."""
-        return lock
+        recorded = record_ordered_member(lock.record, member, term, roster, outstanding)
+        return lock._replace(record=recorded)
+
+    async def update(self, lock: HeldPromotionLock) -> None:
+        """Write the record of the lock."""
+        self.record = lock.record
 
     async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
         """Release the promotion lock after an attempt."""
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -165,8 +165,24 @@
       | ordered | outstanding  | paused |
       | m1      | m1           | m2     |
       | m1      | m2,m1        | m1,m2  |
-      | m1      | m2,m0        | none   |
-      | m1      | m0,m1        | m2     |
+      | m1      | m2,m0        | m1,m2  |
+      | m1      | m1,m1        | m2     |
       | m1      | none         | none   |
       | m1      | not recorded | m2     |
-      | m0      | not recorded | none   |
+      | m0      | not recorded | m1,m2  |
+
+  Scenario Outline: A primary that a late request would promote again is not demoted
+    # Guards against the loss of commits that a demoted primary acknowledges after a late
+    # request for it, before another member takes over (trial late-slow, LOST 9).
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7" of which "none" do not answer
+    And a record with the request "<ordered>" and outstanding requests "<outstanding>"
+    And "m1,m2" are paused and no list of members can be read
+    When an instance acts on a primary that gets no write confirmed
+    Then "<promoted>" is promoted and "none" is demoted
+    And the outstanding requests are "<left>" and the replicas "<paused>" rest paused
+
+    Examples:
+      | ordered | outstanding | promoted | left  | paused |
+      | m0      | m0          | m0       | none  | none   |
+      | m0      | m1,m0       | m0       | none  | none   |
+      | m1      | m0,m1       | none     | m0,m1 | m2     |
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -185,3 +185,12 @@
     group = context.group
     assert set(group.promoted) == _ids(promoted), group.promoted
     assert set(group.paused) == _ids(paused), (group.paused, group.outcomes)
+
+
+@then('the outstanding requests are "{left}" and the replicas "{paused}" rest paused')
+def requests_left(context: Context, left: str, paused: str) -> None:
+    """Compare the record after the attempt, and the replicas that don't receive."""
+    group = context.group
+    expected = [] if left == "none" else left.split(",")
+    assert group.record["outstanding"] == expected, (group.record, group.outcomes)
+    assert set(group.paused) == _ids(paused), (group.paused, group.outcomes)
--- a/src/jackdawspread/decisions/failover/outstanding_requests.py
+++ b/src/jackdawspread/decisions/failover/outstanding_requests.py
@@ -13,9 +13,10 @@
 def outstanding_requests(record: PromotionLockRecord, primary: str) -> tuple[str, ...]:
     """Return the members whose promotion may still happen, in order of the requests.
 
-    The request that made a member the primary raised the token above that of all
-    earlier ones, and repeating it has no effect. Records of earlier versions name the
-    last request only, and not whether it was answered.
+    ``primary`` is a member that is certainly the primary, empty if none is known to be:
+    the request that made it the primary raised the token above that of all earlier
+    ones, and repeating it has no effect. Records of earlier versions name the last
+    request only, and not whether it was answered.
     """
     ordered = [record["ordered"]] if record["ordered"] else []
     members = tuple(record.get("outstanding", ordered))
@@ -24,6 +25,14 @@
     return members
 
 
+def may_be_promoted_again(record: PromotionLockRecord, primary: str) -> bool:
+    """Whether a late request would make a primary that was demoted the primary again.
+
+    Such a request has no effect while the member is the primary.
+    """
+    return primary in record.get("outstanding", [record["ordered"]])
+
+
 def last_request(record: PromotionLockRecord) -> str:
     """Return the member whose promotion was requested last, empty if none may happen.
 
--- a/src/jackdawspread/messages/fleet/promotion_plan.py
+++ b/src/jackdawspread/messages/fleet/promotion_plan.py
@@ -21,6 +21,9 @@
         empty unless logs of them were missing.
     paused : tuple of MemberListing
         Replicas that were paused.
+    keeps_primary : bool
+        Whether the member is the present primary. Its request changes nothing but the
+        fencing token, after which earlier requests have no effect.
     """
 
     member: str = ""
@@ -28,3 +31,4 @@
     term: int = 0
     roster: frozenset[str] = frozenset()
     paused: tuple[MemberListing, ...] = ()
+    keeps_primary: bool = False
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -8,6 +8,7 @@
 from jackdawspread.decisions.evacuations.evacuated_members import mark_evacuated
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.outstanding_requests import (
+    may_be_promoted_again,
     outstanding_requests,
     record_outstanding,
     replicas_to_resume,
@@ -21,6 +22,7 @@
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
+from jackdawspread.messages.fleet.promotion_result import PromotionResult
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.statements.query_status import QueryStatus
 from jackdawspread.messages.statements.resume_replication import ResumeReplication
@@ -103,10 +105,12 @@
         lock = await self._locks.acquire(trigger.group)
         if isinstance(lock, str):
             return lock
-        outstanding = outstanding_requests(lock.record, trigger.member)
-        current = record_outstanding(lock.record, outstanding)
-        select = self._switchover if trigger.is_planned else self._failover
-        plan = await select.run(trigger, listing_by_id, current, marked_members_since)
+        # A silent primary may have been demoted, after which a late request counts.
+        leader = "" if is_suspected else trigger.member
+        outstanding = outstanding_requests(lock.record, leader)
+        plan = await self._select(
+            trigger, listing_by_id, lock, outstanding, marked_members_since
+        )
         paused = replicas_to_resume(plan.paused, replicas, outstanding)
         outcome, unused = await self._promote(
             trigger, plan._replace(paused=paused), lock, outstanding
@@ -116,6 +120,24 @@
             await self._locks.release(unused, roster)
         return outcome
 
+    async def _select(
+        self,
+        trigger: FailoverTrigger,
+        listing_by_id: dict[str, MemberListing],
+        lock: HeldPromotionLock,
+        outstanding: tuple[str, ...],
+        members_since: ReadMembersSince,
+    ) -> PromotionPlan:
+        record = record_outstanding(lock.record, outstanding)
+        if trigger.is_planned:
+            return await self._switchover.run(
+                trigger, listing_by_id, record, members_since
+            )
+        may_be_demoted = not may_be_promoted_again(lock.record, trigger.member)
+        return await self._failover.run(
+            trigger, listing_by_id, record, members_since, may_be_demoted
+        )
+
     async def _primary_responds(self, primary: MemberListing) -> bool:
         """Query a suspected primary; return whether it responds."""
         if await self._replication.send(primary, QueryStatus()) is None:
@@ -145,11 +167,18 @@
         if recorded is None:
             await self._resume(plan.paused, lock)
             return plan.reason or "the promotion lock was not written", lock
-        result, may_have_promoted = await self._sender.run(
-            trigger, plan.member, recorded
-        )
+        result, is_uncertain = await self._sender.run(trigger, plan.member, recorded)
         outcome = f"promotion {result.value} member={plan.member}"
-        if may_have_promoted:
+        is_accepted = result is PromotionResult.ACCEPTED
+        if is_accepted and not is_uncertain:
+            answered = record_outstanding(recorded.record, ())
+            if not plan.keeps_primary:
+                await self._locks.update(recorded._replace(record=answered))
+                return outcome, None
+            await self._resume(plan.paused, recorded)
+            outcome = f"earlier requests ended member={plan.member}"
+            return outcome, recorded._replace(record=answered)
+        if is_accepted or is_uncertain:
             return outcome, None
         await self._resume(plan.paused, recorded)
         record = record_outstanding(recorded.record, outstanding)
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -56,8 +56,12 @@
         listing_by_id: dict[str, MemberListing],
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
+        may_be_demoted: bool = True,
     ) -> PromotionPlan:
-        """Return the member to promote and the replicas that were paused for it."""
+        """Return the member to promote and the replicas that were paused for it.
+
+        ``may_be_demoted`` states that no late request would promote the primary again.
+        """
         replicas = replicas_to_query(
             listing_by_id.values(), trigger.group, trigger.member
         )
@@ -79,6 +83,8 @@
             return PromotionPlan(
                 reason="only the primary has every commit", paused=left_paused
             )
+        if trigger.member in status_by_member and not may_be_demoted:
+            return _end_requests(trigger, record, left_paused)
         term = pause_term(status_by_member.values(), recorded_term(record))
         term, _ = await self._pause.run(replicas, term)
         if primary is not None and primary.id in status_by_member:
@@ -241,6 +247,22 @@
     return ""
 
 
+def _end_requests(
+    trigger: FailoverTrigger,
+    record: PromotionLockRecord,
+    paused: tuple[MemberListing, ...],
+) -> PromotionPlan:
+    """Return a plan that requests the present primary once more.
+
+    Requests for other members may still be executed in between, so they end nothing.
+    """
+    if last_request(record) not in ("", trigger.member):
+        return PromotionPlan(
+            reason="earlier requests may still be executed", paused=paused
+        )
+    return PromotionPlan(trigger.member, paused=paused, keeps_primary=True)
+
+
 def _refuse(
     evidence: PromotionEvidence, paused: tuple[MemberListing, ...]
 ) -> PromotionPlan:
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -92,6 +92,12 @@
             return None
         return lock._replace(version=outcome.version, record=record)
 
+    async def update(self, lock: HeldPromotionLock) -> None:
+        """Write the record of a lock that stays held."""
+        outcome = await self._write(lock, lock.record, lock.held_until)
+        if outcome.status is not RecordStatus.DONE:
+            logging.info("succession: record not updated name=%s", lock.name)
+
     async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
         """Release the lock, so that other instances need not wait until it expires.
 
--- a/src/jackdawspread/tasks/fleet/promotion_sender.py
+++ b/src/jackdawspread/tasks/fleet/promotion_sender.py
@@ -34,8 +34,8 @@
     ) -> tuple[PromotionResult, bool]:
         """Request the promotion until it has a definite result or the lock expires.
 
-        Return the last result, and whether the promotion has or may have happened: an
-        unanswered request may still take effect.
+        Return the last result, and whether a request was not answered, so that it may
+        still take effect.
         """
         logging.info(
             "succession: promoting member=%s group=%s token=%d reason=%s",
@@ -45,14 +45,14 @@
             trigger.reason,
         )
         result = PromotionResult.NOT_DONE
-        uncertain = False
+        is_uncertain = False
         while seconds_since_boot() < lock.held_until:
             result = await self._request(trigger.group, candidate, lock)
-            uncertain = uncertain or result is PromotionResult.UNKNOWN
+            is_uncertain = is_uncertain or result is PromotionResult.UNKNOWN
             if result in (PromotionResult.ACCEPTED, PromotionResult.REJECTED):
                 break
             await sleep(PROMOTION_RETRY_DELAY_S)
-        return result, result is PromotionResult.ACCEPTED or uncertain
+        return result, is_uncertain
 
     async def _request(
         self, group: str, candidate: str, lock: HeldPromotionLock
