Resume replicas only if the command arrives before the lock expires

A resume was sent up to the last moment of the promotion lock, and takes up to 0.4 s. The next holder might have relied on the pause by then. The scenario fails without the change. Found by reading, not seen in a run.

--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -143,6 +143,17 @@
       | rejected          | promotion rejected  | is released | resumed |
       | unknown,rejected  | promotion rejected  | is kept     | paused  |
 
+  Scenario Outline: Replicas are resumed only while the lock is still held
+    # Guards against a resume that arrives after another instance has acquired the lock
+    # and relies on the pauses.
+    Given an attempt that ends <held> s before its lock expires
+    Then the attempt ends with "promotion rejected", the lock is released and the replicas <state>
+
+    Examples:
+      | held | state   |
+      | 0.3  | paused  |
+      | 1.0  | resumed |
+
   Scenario Outline: No promotion without the replicas' logs
     # Guards against a promotion while the replica with the last commit is unreachable.
     Given an attempt in which "<silent>" do not answer
--- a/features/steps/failover_steps.py
+++ b/features/steps/failover_steps.py
@@ -34,6 +34,14 @@
     _run(context, {"m0", *silent.split(",")}, ["accepted"])
 
 
+@given("an attempt that ends {held:g} s before its lock expires")
+def ends_late(context: Context, held: float) -> None:
+    """Run an attempt that is refused shortly before its lock expires."""
+    context.attempt = FailoverWorld({"m0"}, ["rejected"])
+    context.attempt.held_s = held
+    trio.run(context.attempt.run, clock=MockClock(autojump_threshold=0))
+
+
 @given("an attempt whose primary answers")
 def primary_answers(context: Context) -> None:
     """Run an attempt to replace a reachable primary."""
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -31,7 +31,10 @@
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.promotion_sender import PromotionSender
 from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
-from jackdawspread.tasks.fleet.replication_control import ReplicationControl
+from jackdawspread.tasks.fleet.replication_control import (
+    COMMAND_TIMEOUT_S,
+    ReplicationControl,
+)
 from jackdawspread.tasks.fleet.switchover_selection import SwitchoverSelection
 
 
@@ -187,13 +190,13 @@
     async def _resume(
         self, paused: tuple[MemberListing, ...], lock: HeldPromotionLock
     ) -> None:
-        """Resume paused replicas while the lock is held.
+        """Resume paused replicas if the commands arrive while the lock is held.
 
         After its expiry another instance may rely on the pause.
         """
         if not paused:
             return
-        if seconds_since_boot() < lock.held_until:
+        if seconds_since_boot() + COMMAND_TIMEOUT_S < lock.held_until:
             await self._replication.send_all(paused, ResumeReplication())
         else:
             logging.warning(
