Free an oversized message before its connection lingers

Cause: a session whose message is over the limit reads and drops further bytes for 0.1 s, so that its close does not reset the connection, and kept the megabyte that it had received meanwhile. The memory budget subtracts what the connections hold that it is closing already, so further messages took that memory before it was free.

The buffer is emptied before the error is raised, and the account says so.

--- a/src/jackdawspread/platform/line_buffer.py
+++ b/src/jackdawspread/platform/line_buffer.py
@@ -37,7 +37,8 @@
         ------
         ValueError
             If a line is too long, or contains another kind of line break, which
-            could hide a second message.
+            could hide a second message. The bytes of a line that is too long are
+            dropped.
         """
         end = self._buffer.find(LINE_END, self._searched)
         if end < 0 or end > MAX_LINE_BYTES:
@@ -45,6 +46,7 @@
             # that grows with the square of its length.
             self._searched = max(0, len(self._buffer) - 1)
             if len(self._buffer) > MAX_LINE_BYTES:
+                self._buffer.clear()
                 raise ValueError(f"a line is longer than {MAX_LINE_BYTES} bytes")
             return None
         with memoryview(self._buffer) as view:
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -108,6 +108,7 @@
         except ValueError as error:
             logging.vlog(1, "session: cannot decode message reason=%r", error)
             self._budget.refuse(PART, "invalid message")
+            self._hold(0)
         finally:
             if self._operations is not None:
                 self._operations.close()
