Log how callers' sessions end, and the requests dropped while they are closed

The log could not tell an idle close that meets a statement from a connection that the kernel gives up.

--- a/features/steps/client_limit_steps.py
+++ b/features/steps/client_limit_steps.py
@@ -24,6 +24,7 @@
 from jackdawspread.platform.statement_texts import parse_statement
 from jackdawspread.tasks.limits.memory_budget import MemoryBudget
 from jackdawspread.tasks.sessions.caller_session import CallerSession
+from jackdawspread.tasks.sessions.session_end_log import SessionEndLog
 
 NOW = 1000.0
 LOAD = re.compile(r"(\w)=(\d+) for (\d+) s( running)?")
@@ -126,8 +127,15 @@
     channel, inbox = open_memory_channel(10)
     budget = MemoryBudget(UNLIMITED)
     account = budget.open_account("session", 0)
-    served = CallerSession(
-        context.server, CallerWireCodec(), channel, channel, channel, budget, account
+    served = context.served = CallerSession(
+        context.server,
+        CallerWireCodec(),
+        channel,
+        channel,
+        channel,
+        budget,
+        account,
+        SessionEndLog(),
     )
     async with open_nursery() as nursery:
         nursery.start_soon(_admit, inbox, context.admitted)
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -1,10 +1,12 @@
 """Session of one caller."""
 
+from errno import errorcode
 from math import inf
 
 from absl import logging
 from trio import (
     BrokenResourceError,
+    Cancelled,
     CancelScope,
     ClosedResourceError,
     MemorySendChannel,
@@ -27,7 +29,14 @@
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.limits.memory_account import MemoryAccount
 from jackdawspread.tasks.limits.memory_budget import SHORT_OF_MEMORY, MemoryBudget
+from jackdawspread.tasks.sessions.dropped_input import DroppedInput
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
+from jackdawspread.tasks.sessions.session_end import SessionEnd
+from jackdawspread.tasks.sessions.session_end_log import (
+    CALLER_CLOSED,
+    CONNECTION_FAILED,
+    SessionEndLog,
+)
 from jackdawspread.tasks.sessions.session_operations import SessionOperations
 
 PART = "session"
@@ -68,6 +77,8 @@
         Memory of all connections.
     account : MemoryAccount
         What this session holds of it.
+    ends : SessionEndLog
+        Logs how the session ended.
     """
 
     def __init__(
@@ -79,7 +90,9 @@
         router: MemorySendChannel[RouterEvent],
         budget: MemoryBudget,
         account: MemoryAccount,
+        ends: SessionEndLog,
     ) -> None:
+        self._ends = ends
         self._budget = budget
         self._account = account
         self._stream = stream
@@ -95,6 +108,11 @@
         self._active_at = current_time()
         # Size of the message that was decoded last.
         self._message_bytes = 0
+        self._database = ""
+        self._end_reason = "unexpected error"
+        self._socket_error = ""
+        # The request whose answer has not been written.
+        self._request_id = ""
 
     async def run(self) -> None:
         """Serve until the caller disconnects or the session is stopped."""
@@ -102,17 +120,50 @@
             with self._account.scope:
                 if await self._open():
                     await self._serve()
-        except (BrokenResourceError, ClosedResourceError):
+            if self._account.scope.cancelled_caught:
+                self._end_reason = "closed for other connections"
+        except Cancelled:
+            self._end_reason = "exit"
+            raise
+        except (BrokenResourceError, ClosedResourceError) as error:
             # The caller has disconnected, so no answer can be sent.
+            self._end_reason = CONNECTION_FAILED
+            self._socket_error = _error_name(error)
             return
         except ValueError as error:
+            self._end_reason = "invalid message"
             logging.vlog(1, "session: cannot decode message reason=%r", error)
             self._budget.refuse(PART, "invalid message")
         finally:
+            idle_s = current_time() - self._active_at
+            in_transaction = False
             if self._operations is not None:
+                in_transaction = self._operations.in_transaction
                 self._operations.close()
-            with CancelScope(shield=True, deadline=current_time() + 1):
-                await self._close()
+            dropped = DroppedInput(self._codec)
+            try:
+                with CancelScope(shield=True, deadline=current_time() + 1):
+                    await self._close(dropped)
+            finally:
+                self._log_end(dropped, in_transaction, idle_s)
+
+    def _log_end(
+        self, dropped: DroppedInput, in_transaction: bool, idle_s: float
+    ) -> None:
+        # Before the handshake, and after an invalid message, there are no requests.
+        is_decodable = self._database and self._end_reason != "invalid message"
+        self._ends.write(
+            SessionEnd(
+                self._end_reason,
+                self._database,
+                self._socket_error,
+                self._request_id,
+                in_transaction,
+                idle_s,
+                dropped.size,
+                dropped.request_ids() if is_decodable else (),
+            )
+        )
 
     def stop(self, times: StopTimes) -> None:
         """End the session as its instance stops, without cutting off an operation."""
@@ -140,6 +191,7 @@
         if handshake is None:
             return False
         self._account.waiting_since = None
+        self._database = handshake.database
         self._operations = SessionOperations(
             handshake, self._admission, self._broker, self._router
         )
@@ -147,6 +199,7 @@
             self._operations.stop(self._stop_times)
         refusal = await self._operations.check_handshake()
         if refusal is not None:
+            self._end_reason = "refused"
             logging.info(
                 "session: refused database=%s outcome=%s reason=%r",
                 handshake.database,
@@ -163,11 +216,13 @@
                 if not await self._receive():
                     return None
             return handshake
+        self._end_reason = "handshake not complete in time"
         return None
 
     async def _serve(self) -> None:
         assert self._operations is not None
         while (request := await self._next_request()) is not None:
+            self._request_id = request.id
             answer = await self._answer(request)
             data = self._codec.encode_answer(answer)
             # The request and the rows are not kept while the caller reads.
@@ -175,6 +230,7 @@
             self._hold(ANSWER_COPIES * len(data))
             if not await self._write(data):
                 return
+            self._request_id = ""
             del data
             self._hold(0)
 
@@ -204,11 +260,13 @@
                 complete_by = current_time() + MESSAGE_TIMEOUT_S
             deadline = min(idle_until, complete_by, self._close_at())
             if current_time() >= self._close_at():
+                self._end_reason = self._stop_reason()
                 return None
             with CancelScope(deadline=deadline) as self._reading:
                 if not await self._receive():
                     return None
             if current_time() >= complete_by:
+                self._end_reason = "message not complete in time"
                 self._budget.refuse(PART, "message not complete in time")
                 return None
             if self._reading.cancelled_caught and current_time() >= idle_until:
@@ -216,7 +274,16 @@
                 self._operations.roll_back_idle_transaction()
                 idle_until = inf
         self._reading = None
-        return message if isinstance(message, SessionRequest) else None
+        if isinstance(message, SessionRequest):
+            return message
+        self._end_reason = CALLER_CLOSED
+        return None
+
+    def _stop_reason(self) -> str:
+        assert self._operations is not None
+        if self._operations.in_transaction or self._codec.has_partial_message:
+            return "exit"
+        return "idle at a stop"
 
     def _next_message(self) -> SessionRequest | CloseSession | None:
         """Return the next message and note its size."""
@@ -236,6 +303,8 @@
         data = await self._stream.receive_some(READ_CHUNK_BYTES)
         self._codec.receive(data)
         self._hold(0)
+        if not data:
+            self._end_reason = CALLER_CLOSED
         return bool(data)
 
     async def _write(self, data: bytes) -> bool:
@@ -247,10 +316,11 @@
             await self._stream.send_all(data)
         self._active_at = current_time()
         if scope.cancelled_caught:
+            self._end_reason = "answer not read in time"
             self._budget.refuse(PART, "answer not read in time", len(data))
         return not scope.cancelled_caught
 
-    async def _close(self) -> None:
+    async def _close(self, dropped: DroppedInput) -> None:
         if self._account.scope.cancel_called:
             # The memory is needed at once.
             await aclose_forcefully(self._stream)
@@ -258,8 +328,16 @@
         try:
             await self._stream.send_eof()
             with move_on_at(current_time() + LINGER_TIMEOUT_S):
-                while await self._stream.receive_some(READ_CHUNK_BYTES):
-                    pass
+                while data := await self._stream.receive_some(READ_CHUNK_BYTES):
+                    dropped.receive(data)
         except (BrokenResourceError, ClosedResourceError):
             logging.vlog(1, "session: the caller closed the connection first")
         await self._stream.aclose()
+
+
+def _error_name(error: BrokenResourceError | ClosedResourceError) -> str:
+    """Return the name of the error of the socket, such as ETIMEDOUT."""
+    cause = error.__cause__
+    if isinstance(cause, OSError) and cause.errno is not None:
+        return errorcode.get(cause.errno, str(cause.errno))
+    return type(error).__name__
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -28,6 +28,7 @@
 from jackdawspread.tasks.run_isolated import call_isolated, run_isolated
 from jackdawspread.tasks.sessions.caller_session import PART, CallerSession
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
+from jackdawspread.tasks.sessions.session_end_log import SessionEndLog
 from jackdawspread.tasks.sessions.session_metrics import SESSIONS
 
 # Memory of an idle session, with its task and its socket.
@@ -76,6 +77,7 @@
         self._broker = broker
         self._router = router
         self._max_sessions = max_sessions
+        self._ends = SessionEndLog()
         self._sessions: set[CallerSession] = set()
         self._stop_times: StopTimes | None = None
 
@@ -120,6 +122,7 @@
             self._router,
             self._budget,
             account,
+            self._ends,
         )
         if self._stop_times is not None:
             session.stop(self._stop_times)
--- a/src/jackdawspread/tasks/sessions/session_metrics.py
+++ b/src/jackdawspread/tasks/sessions/session_metrics.py
@@ -19,3 +19,11 @@
     ("place",),
 )
 SESSIONS = Gauge("jackdawspread_sessions", "Open sessions of callers.")
+SESSIONS_ENDED = Counter(
+    "jackdawspread_sessions_ended", "Sessions of callers that ended.", ("reason",)
+)
+REQUESTS_DROPPED = Counter(
+    "jackdawspread_requests_dropped",
+    "Complete requests that were received and dropped while their session was closed.",
+    ("reason",),
+)
