Log what promotions compare, and acknowledged commits that a new primary lacks

The log could not show a request that is executed late, or a pause that ended without this instance's doing. The comparison of acknowledged commits uses the positions that an instance sees anyway, so it sends no further query.

--- a/src/jackdawspread/logs/request_lines.py
+++ b/src/jackdawspread/logs/request_lines.py
@@ -11,6 +11,8 @@
     "admission: configuration",
     "router: primary changed",
     "router: member unreachable",
+    "router: term changed",
+    "router: acknowledged commits missing",
     "succession: ",
     "readiness: ",
     "instance: ",
--- a/src/jackdawspread/messages/fleet/promotion_plan.py
+++ b/src/jackdawspread/messages/fleet/promotion_plan.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 
 
@@ -21,6 +22,11 @@
         empty unless logs of them were missing.
     paused : tuple of MemberListing
         Replicas that were paused.
+    statuses : tuple of LogStatus
+        Logs that were compared.
+    listed_since : float
+        Monotonic time in seconds at or after which the list of members was read; 0 if
+        it could not be read again.
     """
 
     member: str = ""
@@ -28,3 +34,5 @@
     term: int = 0
     roster: frozenset[str] = frozenset()
     paused: tuple[MemberListing, ...] = ()
+    statuses: tuple[LogStatus, ...] = ()
+    listed_since: float = 0.0
--- a/src/jackdawspread/tasks/fleet/candidate_search.py
+++ b/src/jackdawspread/tasks/fleet/candidate_search.py
@@ -43,9 +43,18 @@
         An earlier promotion that takes effect late ends all pauses.
         """
         status_by_member = await self.query(replicas)
-        if all(_is_paused(s, term) for s in status_by_member.values()):
-            return status_by_member
-        return None
+        unpaused = [s for s in status_by_member.values() if not _is_paused(s, term)]
+        for status in unpaused:
+            logging.warning(
+                "succession: replica not paused any more member=%s claims_primary=%s "
+                "paused_term=%d expected=%d received=%d.%d",
+                status.member,
+                status.claims_primary,
+                status.paused_term,
+                term,
+                *status.received,
+            )
+        return None if unpaused else status_by_member
 
     async def catch_up(
         self,
@@ -74,8 +83,8 @@
                 return CatchUp(False, False)
             if former is not None and has_primary_log:
                 needed.append(former)
-            if _has_received(status, needed):
-                return CatchUp(True, has_primary_log)
+            if status is not None and _has_received(status, needed):
+                return CatchUp(True, has_primary_log, (status, *needed))
             if current_time() >= deadline:
                 return CatchUp(False, False)
             await sleep(CATCH_UP_POLL_INTERVAL_S)
@@ -100,8 +109,8 @@
     return not status.claims_primary and status.paused_term == term
 
 
-def _has_received(status: LogStatus | None, needed: list[LogStatus]) -> bool:
+def _has_received(status: LogStatus, needed: list[LogStatus]) -> bool:
     """Whether a replica has received the ends of the other logs."""
-    if status is None or status.claims_primary:
+    if status.claims_primary:
         return False
     return all(status.received >= other.received for other in needed)
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -20,6 +20,7 @@
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.failover_selection import FailoverSelection
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
+from jackdawspread.tasks.fleet.promotion_log import log_comparison
 from jackdawspread.tasks.fleet.promotion_sender import PromotionSender
 from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
@@ -127,6 +128,7 @@
         if recorded is None:
             await self._resume(plan.paused, lock)
             return plan.reason or "the promotion lock was not written", lock
+        log_comparison(trigger, plan, lock.record)
         result, may_have_promoted = await self._sender.run(
             trigger, plan.member, recorded
         )
@@ -146,6 +148,11 @@
         if not paused:
             return
         if seconds_since_boot() < lock.held_until:
+            logging.info(
+                "succession: resuming replicas name=%s members=%s",
+                lock.name,
+                ",".join(member.id for member in paused),
+            )
             await self._replication.send_all(paused, ResumeReplication())
         else:
             logging.warning(
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -103,7 +103,15 @@
         candidate = _choose(trigger, evidence, listing_by_id, record)
         if candidate is None:
             return _refuse(evidence, replicas)
-        return PromotionPlan(candidate.member, "", term, evidence.roster, replicas)
+        return PromotionPlan(
+            candidate.member,
+            "",
+            term,
+            evidence.roster,
+            replicas,
+            tuple(status_by_member.values()),
+            paused_at,
+        )
 
     async def _select_fenced(
         self,
@@ -121,7 +129,8 @@
             # attempt is made without it.
             return PromotionPlan(reason="the primary was not demoted", paused=replicas)
         logging.info("succession: demoted member=%s term=%d", primary.id, term)
-        listed_after = await members_since(current_time())
+        demoted_at = current_time()
+        listed_after = await members_since(demoted_at)
         listing_by_id = listed_after or {m.id: m for m in (*replicas, primary)}
         joined = _joined_replicas(trigger, replicas, listing_by_id)
         await self._pause.run(joined, term)
@@ -142,7 +151,15 @@
         candidate = choose_candidate(evidence)
         if candidate is None:
             return _refuse(evidence, paused)
-        return PromotionPlan(candidate.member, "", term, evidence.roster, paused)
+        return PromotionPlan(
+            candidate.member,
+            "",
+            term,
+            evidence.roster,
+            paused,
+            tuple(status_by_member.values()),
+            demoted_at if listed_after is not None else 0.0,
+        )
 
 
 def _choose(
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -98,6 +98,10 @@
     "Sessions and connections that an unexpected error has ended, by part.",
     ("part",),
 )
+LOST_COMMITS = Counter(
+    "jackdawspread_lost_commits_detected",
+    "Promotions whose log lacks a commit that this instance has seen acknowledged.",
+)
 PROMOTIONS = Counter(
     "jackdawspread_promotions", "Attempts to promote a member, by result.", ("result",)
 )
--- a/src/jackdawspread/tasks/fleet/replication_control.py
+++ b/src/jackdawspread/tasks/fleet/replication_control.py
@@ -1,5 +1,6 @@
 """Status queries and replication commands to members."""
 
+from absl import logging
 from trio import (
     MemorySendChannel,
     current_time,
@@ -16,10 +17,13 @@
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.refusal import Refusal
+from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.messages.statements.exchange_failure import ExchangeFailure
 from jackdawspread.messages.statements.member_command import MemberCommand
 from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.messages.statements.member_statement import MemberStatement
+from jackdawspread.messages.statements.pause_replication import PauseReplication
+from jackdawspread.messages.statements.resume_replication import ResumeReplication
 from jackdawspread.tasks.members.run_exchange import run_exchange
 
 # Workspace name of connections that the proxy uses for its own commands.
@@ -28,6 +32,8 @@
 # Gives a busy member time to free a slot before a statement is sent again.
 BUSY_RETRY_DELAY_S = 0.05
 BUSY = "busy"
+# Statements that change the state of a member.
+COMMANDS = (PauseReplication, DemotePrimary, ResumeReplication)
 
 
 class ReplicationControl:
@@ -74,6 +80,7 @@
         deadline = current_time() + COMMAND_TIMEOUT_S
         lease = await self._lease(listing, deadline)
         if isinstance(lease, Refusal):
+            _log_unanswered(listing, statement, lease.detail, was_sent=False)
             return None
         command = MemberCommand("", statement)
         outcome = await run_exchange(lease, (command,), deadline)
@@ -81,7 +88,11 @@
             await sleep(BUSY_RETRY_DELAY_S)
             outcome = await run_exchange(lease, (command,), deadline)
         self._return_lease(lease, isinstance(outcome, MemberReply))
-        if isinstance(outcome, ExchangeFailure) or outcome.log_status is None:
+        if isinstance(outcome, ExchangeFailure):
+            _log_unanswered(listing, statement, outcome.reason, outcome.sent)
+            return None
+        if outcome.log_status is None:
+            _log_unanswered(listing, statement, outcome.error or "no status", True)
             return None
         return outcome.log_status._replace(member=listing.id)
 
@@ -112,3 +123,19 @@
 
 def _is_busy(outcome: MemberReply | ExchangeFailure) -> bool:
     return isinstance(outcome, MemberReply) and outcome.error == BUSY
+
+
+def _log_unanswered(
+    listing: MemberListing, statement: MemberStatement, reason: str, was_sent: bool
+) -> None:
+    """Log a command without its answer: it may still be executed later."""
+    if isinstance(statement, COMMANDS):
+        logging.warning(
+            "succession: command not answered command=%r member=%s group=%s sent=%s "
+            "reason=%r",
+            statement,
+            listing.id,
+            listing.group,
+            was_sent,
+            reason,
+        )
--- a/src/jackdawspread/tasks/fleet/replication_pause.py
+++ b/src/jackdawspread/tasks/fleet/replication_pause.py
@@ -40,4 +40,10 @@
             logging.warning("succession: pause had no effect term=%d", term)
             term += step
             paused = await self._replication.send_all(replicas, PauseReplication(term))
+        logging.info(
+            "succession: replicas paused term=%d requested=%s answered=%s",
+            term,
+            ",".join(replica.id for replica in replicas) or "none",
+            ",".join(sorted(paused)) or "none",
+        )
         return term, paused
--- a/src/jackdawspread/tasks/fleet/switchover_selection.py
+++ b/src/jackdawspread/tasks/fleet/switchover_selection.py
@@ -73,7 +73,9 @@
         if len(missing) > MAX_UNCOVERED:
             reason = f"logs are missing addresses={','.join(sorted(missing))}"
             return PromotionPlan(reason=reason, paused=to_pause)
-        return PromotionPlan(unpaused, "", term, roster, to_pause)
+        return PromotionPlan(
+            unpaused, "", term, roster, to_pause, catch_up.statuses, paused_at
+        )
 
 
 def _missing_logs(
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -23,9 +23,11 @@
 from jackdawspread.messages.fleet.member_observation import MemberObservation
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
+from jackdawspread.messages.fleet.position_seen import PositionSeen
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.messages.pool_hosts.primary_moved import PrimaryMoved
+from jackdawspread.tasks.members.commit_check import CommitCheck
 
 # An evacuation reaches all instances at once. Those that don't serve connections of a
 # group for the others begin its switchover only after this time, so that a few
@@ -62,6 +64,7 @@
         self._state_by_group: dict[str, GroupState] = {}
         self._reported_domain_by_group: dict[str, str] = {}
         self._work_until_by_domain: dict[str, float] = {}
+        self._commit_check_by_group: dict[str, CommitCheck] = {}
         self._evacuated_at = -inf
         # Groups whose switchovers this instance begins.
         self._own_groups: frozenset[str] | None = None
@@ -121,6 +124,8 @@
         """Apply an observation of one member to the state of its group."""
         state = apply_observation(event, self.state(event.group))
         self._set_state(event.group, state, type(event).__name__)
+        if isinstance(event, PositionSeen):
+            self._check_commits(event)
         if isinstance(event, MemberUnreachable):
             logging.info(
                 "router: member unreachable member=%s group=%s stalled_write=%s "
@@ -135,6 +140,12 @@
             self.request_refresh(type(event).__name__)
             self.report_failover_trigger(event.group, now)
 
+    def _check_commits(self, event: PositionSeen) -> None:
+        check = self._commit_check_by_group.get(event.group)
+        if check is None:
+            check = self._commit_check_by_group[event.group] = CommitCheck(event.group)
+        check.observe(event)
+
     def add_sample(self, group: str, sample: PrimaryPositionSample) -> None:
         """Add a position of the primary that another instance has seen."""
         state = self.state(group)
