--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -29,6 +29,7 @@
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.failover_selection import FailoverSelection
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
+from jackdawspread.tasks.fleet.promotion_log import log_comparison
 from jackdawspread.tasks.fleet.promotion_sender import PromotionSender
 from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import (
@@ -114,9 +115,9 @@
         plan = await self._select(
             trigger, listing_by_id, lock, outstanding, marked_members_since
         )
-        paused = replicas_to_resume(plan.paused, replicas, outstanding)
+        resumable = replicas_to_resume(plan.paused, replicas, outstanding)
         outcome, unused = await self._promote(
-            trigger, plan._replace(paused=paused), lock, outstanding
+            trigger, plan, lock, outstanding, resumable
         )
         if unused is not None:
             roster = frozenset() if plan.member else plan.roster
@@ -154,6 +155,7 @@
         plan: PromotionPlan,
         lock: HeldPromotionLock,
         outstanding: tuple[str, ...],
+        resumable: tuple[MemberListing, ...],
     ) -> tuple[str, HeldPromotionLock | None]:
         """Return the outcome, and the lock to release unless it has to expire.
 
@@ -168,22 +170,22 @@
                 lock, plan.member, plan.term, plan.roster, outstanding
             )
         if recorded is None:
-            await self._resume(plan.paused, lock)
+            await self._resume(resumable, lock)
             return plan.reason or "the promotion lock was not written", lock
+        log_comparison(trigger, plan, lock.record)
         result, is_uncertain = await self._sender.run(trigger, plan.member, recorded)
         outcome = f"promotion {result.value} member={plan.member}"
         is_accepted = result is PromotionResult.ACCEPTED
         if is_accepted and not is_uncertain:
             answered = record_outstanding(recorded.record, ())
-            if not plan.keeps_primary:
-                await self._locks.update(recorded._replace(record=answered))
-                return outcome, None
-            await self._resume(plan.paused, recorded)
-            outcome = f"earlier requests ended member={plan.member}"
-            return outcome, recorded._replace(record=answered)
+            await self._locks.update(recorded._replace(record=answered))
+            if plan.keeps_primary:
+                await self._resume(resumable, recorded)
+                outcome = f"earlier requests ended member={plan.member}"
+            return outcome, None
         if is_accepted or is_uncertain:
             return outcome, None
-        await self._resume(plan.paused, recorded)
+        await self._resume(resumable, recorded)
         record = record_outstanding(recorded.record, outstanding)
         return outcome, recorded._replace(record=record)
 
@@ -197,6 +199,11 @@
         if not paused:
             return
         if seconds_since_boot() + COMMAND_TIMEOUT_S < lock.held_until:
+            logging.info(
+                "succession: resuming replicas name=%s members=%s",
+                lock.name,
+                ",".join(member.id for member in paused),
+            )
             await self._replication.send_all(paused, ResumeReplication())
         else:
             logging.warning(
