Promote a leaving member while its earlier request may be executed

With equal logs a member that stays was preferred to a leaving one whose promotion had been requested without an answer. If that request is executed before the next one, the leaving member acknowledges commits in between that the other lacks; at a switchover the other one went on receiving while the leaving one was paused. It is preferred now and leaves in a switchover of its own. Of the scenario, the example with a request fails without the change.

--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -139,6 +139,19 @@
       | none    | m1      |
       | m2      | none    |
 
+  Scenario Outline: A leaving member is promoted while its request may be executed
+    # Guards against the loss of commits that it acknowledges after a late request for it,
+    # before another member takes over.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.9" of which "m0" do not answer
+    And "m2" is leaving and the promotion of "<ordered>" was requested earlier
+    When an instance acts on a primary that is unreachable
+    Then "<promoted>" is promoted and "none" is demoted
+
+    Examples:
+      | ordered | promoted |
+      | none    | m1       |
+      | m2      | m2       |
+
   Scenario: A log that ends in a term that never was is ignored
     # Guards against a promotion on a status that can't be true.
     Given members with the logs "m0=1.9,m1=1.7,m2=4.1" of which "m0" do not answer
--- a/src/jackdawspread/decisions/failover/promotion_candidate.py
+++ b/src/jackdawspread/decisions/failover/promotion_candidate.py
@@ -41,9 +41,10 @@
 def choose_candidate(evidence: PromotionEvidence) -> LogStatus | None:
     """Return the member to promote; None if no log is known to be complete.
 
-    Members that stay are preferred to leaving ones, and replicas to the demoted
-    primary, which was replaced for a reason. Then the member whose promotion was
-    requested earlier comes first, because that request may still be executed.
+    The member whose promotion was requested earlier comes first, also if it leaves,
+    because that request may still be executed before the next one. Then members that
+    stay are preferred to leaving ones, and replicas to the demoted primary, which was
+    replaced for a reason.
     """
     statuses = evidence.status_by_member.values()
     complete = [status for status in statuses if _is_complete(status, evidence)]
@@ -53,9 +54,9 @@
 
     def preference(status: LogStatus) -> tuple[bool, bool, bool, bool, str]:
         return (
+            status.member != evidence.requested_earlier,
             status.member in evidence.leaving,
             status.member == evidence.demoted_primary,
-            status.member != evidence.requested_earlier,
             status.received != newest,
             status.member,
         )
--- a/src/jackdawspread/decisions/failover/unpaused_replica.py
+++ b/src/jackdawspread/decisions/failover/unpaused_replica.py
@@ -15,12 +15,13 @@
     """Return the replica that is not paused during a switchover.
 
     It keeps receiving until it has the logs of the paused replicas. A member whose
-    promotion was requested earlier is therefore preferred, whatever its log. A leaving
-    replica is better than none.
+    promotion was requested earlier is therefore preferred, whatever its log and also if
+    it leaves, as that request may still be executed. A leaving replica is better than
+    none.
     """
     leaving = {replica.id for replica in replicas if replica.leaving}
     staying = [s for s in status_by_member.values() if s.member not in leaving]
-    if any(status.member == previously_requested for status in staying):
+    if previously_requested in status_by_member:
         return previously_requested
     best = most_advanced_log(staying or status_by_member.values(), ())
     return best.member if best is not None else ""
