Model a primary that is demoted while its request may be executed again

The model succession-demotion has a holder of the lock that demotes the primary, and one that requests it once more to end earlier requests. The first version of the model chose the longest log only; the code takes a requested member whose log at most one other may exceed, and so does the model now.

--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -11,6 +11,7 @@
 from spec.rates.model import MODEL as RATES
 from spec.session.model import MODEL as SESSION
 from spec.succession.model import MODEL as SUCCESSION
+from spec.succession.model import MODEL_DEMOTION
 from spec.view.model import MODEL as VIEW
 from spec.view.model import MODEL_JOIN_REMOVE, MODEL_JOIN_THREE
 from spec.withdrawal.model import MODEL as WITHDRAWAL
@@ -27,5 +28,6 @@
     RATES,
     CONFIGURATION,
     SUCCESSION,
+    MODEL_DEMOTION,
     EVIDENCE,
 )
--- a/spec/succession/actions.py
+++ b/spec/succession/actions.py
@@ -12,8 +12,8 @@
 
 Steps = Iterator[tuple[str, State]]
 MEMBERS = (0, 1, 2)
-MAX_ENTRIES = 2
-MAX_TOKEN = 3
+# Stands for no primary, after it was demoted.
+NONE = -1
 
 
 def end_of(log: tuple[int, ...]) -> int:
@@ -24,7 +24,7 @@
 def write(state: State, rules: Rules) -> Steps:
     """Append an entry at the primary."""
     log = state.logs[state.primary]
-    if len(log) < MAX_ENTRIES:
+    if state.leads and len(log) < rules.max_entries:
         entry = 10 * state.term + len(log)
         yield "", _with_log(state, state.primary, (*log, entry))
 
@@ -34,13 +34,16 @@
     source = state.logs[state.primary]
     for member in MEMBERS:
         log = state.logs[member]
-        if member != state.primary and not state.paused[member] and log != source:
+        receives = state.leads and not state.paused[member]
+        if member != state.primary and receives and log != source:
             longer = source[: len(log) + 1]
             yield f"member={member}", _with_log(state, member, longer)
 
 
 def acknowledge(state: State, rules: Rules) -> Steps:
     """Acknowledge an entry that the primary and one replica hold."""
+    if not state.leads:
+        return
     for entry in state.logs[state.primary]:
         replicas = [m for m in MEMBERS if m != state.primary]
         held = any(entry in state.logs[member] for member in replicas)
@@ -57,11 +60,13 @@
 
 def take_lock(state: State, rules: Rules) -> Steps:
     """Take the promotion lock by a conditional write."""
-    if not state.duty_is_free or state.duty_token == MAX_TOKEN:
+    if not state.duty_is_free or state.duty_token == rules.max_tokens:
         return
     token = state.duty_token + 1
     outstanding = _outstanding(state)
-    attempt = Attempt(token, state.primary, outstanding, (-1,) * 3, False, False)
+    named = state.duty_outstanding
+    former = state.primary if state.leads else NONE
+    attempt = Attempt(token, former, named, outstanding, (-1,) * 3, False, False)
     for index in range(len(state.attempts)):
         taken = _with_attempt(state, index, attempt)
         yield f"instance={index}", taken._replace(duty_token=token, duty_is_free=False)
@@ -75,7 +80,7 @@
         for member in MEMBERS:
             if member == attempt.former or attempt.seen[member] >= 0:
                 continue
-            if member == state.primary:
+            if member == state.primary and state.leads:
                 yield f"instance={index} leads", _with_attempt(state, index, IDLE)
                 continue
             seen = _set(attempt.seen, member, end_of(state.logs[member]))
@@ -97,7 +102,8 @@
             continue
         if rules.pause_all_replicas and len(paused) < len(replicas) or not paused:
             continue
-        kept = all(state.paused[m] and m != state.primary for m in paused)
+        leader = state.primary if state.leads else NONE
+        kept = all(state.paused[m] and m != leader for m in paused)
         seen = tuple(end_of(state.logs[m]) if m in paused else -1 for m in MEMBERS)
         checked = attempt._replace(seen=seen, is_checked=True)
         yield (
@@ -106,6 +112,52 @@
         )
 
 
+def demote(state: State, rules: Rules) -> Steps:
+    """Demote the primary and read its log's end once the replicas are paused.
+
+    A primary whose own request may still be executed is not demoted: the request would
+    make it the primary again.
+    """
+    for index, attempt in enumerate(state.attempts):
+        former = attempt.former
+        if not attempt.is_checked or attempt.has_ordered or former != state.primary:
+            continue
+        held = attempt.token == state.duty_token and not state.duty_is_free
+        if not held or not state.leads or not rules.demotes:
+            continue
+        if rules.keep_requested_primary and former in attempt.named:
+            continue
+        seen = _set(attempt.seen, former, end_of(state.logs[former]))
+        demoted = _with_attempt(state, index, attempt._replace(seen=seen))
+        yield f"instance={index}", demoted._replace(leads=False)
+
+
+def repeat(state: State, rules: Rules) -> Steps:
+    """Request the present primary once more and receive the answer.
+
+    Nothing changes but the highest token, so earlier requests have no effect any more.
+    """
+    for index, attempt in enumerate(state.attempts):
+        held = attempt.token == state.duty_token and not state.duty_is_free
+        is_leading = state.leads and attempt.former == state.primary
+        if not held or attempt.has_ordered or not is_leading:
+            continue
+        if attempt.token < state.highest_token or set(attempt.outstanding) - {
+            state.primary
+        }:
+            continue
+        ended = _with_attempt(state, index, IDLE)
+        yield (
+            f"instance={index}",
+            ended._replace(
+                duty_outstanding=(),
+                duty_is_free=True,
+                highest_token=attempt.token,
+                paused=(False,) * 3,
+            ),
+        )
+
+
 def order(state: State, rules: Rules) -> Steps:
     """Record the chosen member and send the promotion request."""
     for index, attempt in enumerate(state.attempts):
@@ -161,11 +213,12 @@
         if rules.fence_orders and token < state.highest_token:
             continue
         fenced = state._replace(highest_token=max(token, state.highest_token))
-        if member != state.primary:
+        if member != state.primary or not state.leads:
             fenced = fenced._replace(
                 logs=tuple(_roll_back(log, state.logs[member]) for log in state.logs),
                 primary=member,
                 term=state.term + 1,
+                leads=True,
                 paused=(False, False, False),
             )
         if fenced != state:
@@ -178,7 +231,7 @@
     Those up to the request that made the present primary have no effect any more.
     """
     named = state.duty_outstanding
-    if state.primary in named:
+    if state.leads and state.primary in named:
         return named[named.index(state.primary) + 1 :]
     return named
 
@@ -200,12 +253,31 @@
 
 
 def _choices(attempt: Attempt, known: list[int], rules: Rules) -> list[int]:
+    """Return the members that may be chosen.
+
+    At most one log may be unknown or longer than the chosen one, as an acknowledged
+    entry is in two. A requested member comes first, a demoted primary last.
+    """
     if not rules.choose_most_advanced:
         return known
-    end = max(attempt.seen[member] for member in known)
-    able = [member for member in known if attempt.seen[member] == end]
-    preferred = [m for m in reversed(attempt.outstanding) if m in able]
-    return preferred[:1] if rules.prefer_ordered and preferred else able
+    counted = MEMBERS if rules.pause_all_replicas else (*known, attempt.former)
+    complete = [
+        member
+        for member in known
+        if sum(_may_have_more(attempt, other, member) for other in counted) <= 1
+    ]
+    preferred = [m for m in reversed(attempt.outstanding) if m in complete]
+    if rules.prefer_ordered and preferred:
+        return preferred[:1]
+    end = max((attempt.seen[member] for member in complete), default=0)
+    staying = [m for m in complete if m != attempt.former] or complete
+    return [m for m in staying if attempt.seen[m] == end] or staying
+
+
+def _may_have_more(attempt: Attempt, other: int, member: int) -> bool:
+    if other == NONE:
+        return False
+    return attempt.seen[other] < 0 or attempt.seen[other] > attempt.seen[member]
 
 
 def _with_log(state: State, member: int, log: tuple[int, ...]) -> State:
--- a/spec/succession/model.py
+++ b/spec/succession/model.py
@@ -6,6 +6,7 @@
 from spec.succession.attempt import IDLE
 from spec.succession.rules import Rules
 from spec.succession.state import State
+from spec.succession.symmetry import canonical
 
 
 def replaced_primary(state: State) -> bool:
@@ -20,6 +21,7 @@
     initial=State(
         logs=((), (), ()),
         primary=0,
+        leads=True,
         term=1,
         paused=(False, False, False),
         acknowledged=(),
@@ -39,6 +41,8 @@
         actions.take_lock,
         actions.pause,
         actions.check,
+        actions.demote,
+        actions.repeat,
         actions.order,
         actions.resume,
         actions.promote,
@@ -60,4 +64,18 @@
         ),
         Mutant("order-after-lapse", RULES._replace(stop_when_lock_expired=False), KEPT),
     ),
+    canonical=canonical,
+)
+
+DEMOTING = RULES._replace(max_tokens=2, demotes=True)
+MODEL_DEMOTION = MODEL._replace(
+    name="succession-demotion",
+    rules=DEMOTING,
+    mutants=(
+        Mutant(
+            "requested-primary-demoted",
+            DEMOTING._replace(keep_requested_primary=False),
+            KEPT,
+        ),
+    ),
 )
--- a/spec/succession/rules.py
+++ b/spec/succession/rules.py
@@ -4,8 +4,14 @@
 
 
 class Rules(NamedTuple):
-    """Steps and checks of the protocol that mutants change."""
+    """Bounds, and steps and checks of the protocol that mutants change.
 
+    ``demotes`` adds a holder of the lock that demotes the primary.
+    """
+
+    max_entries: int = 2
+    max_tokens: int = 3
+    demotes: bool = False
     pause_all_replicas: bool = True
     check_pauses: bool = True
     choose_most_advanced: bool = True
@@ -13,4 +19,5 @@
     keep_lock_after_order: bool = True
     prefer_ordered: bool = True
     stop_when_lock_expired: bool = True
+    keep_requested_primary: bool = True
     resume_ordered_only: bool = True
--- a/spec/succession/state.py
+++ b/spec/succession/state.py
@@ -15,6 +15,7 @@
 
     logs: tuple[tuple[int, ...], ...]
     primary: int
+    leads: bool
     term: int
     paused: tuple[bool, ...]
     acknowledged: tuple[int, ...]
