Tell callers before a stop closes their idle sessions

Callers saw the end of the stream as the only answer to a statement that was unread in the kernel's buffer, or in flight, when a stopping instance closed their session as idle: 3 to 76 ms after they had sent it, and no line of the log named it.

Cause: the wait for the next message ended at the close time without a look at what had arrived, and the end of the stream can't be an answer to what is in flight at that moment.

The session now reads what has arrived, and then sends an ERR line without READY. A caller with nothing outstanding closes its session on any message; for a statement that was on its way the line is its refusal, so it isn't run, and READY completes the answer. An open transaction that rests until the answers end is rolled back and told so in the same way.

On the code before, the new scenarios of features/planned_stop.feature fail: 16 of 16 callers that send in the moment of the close get the end of the stream and no line, the idle caller reads the end of the stream as its first message, and the resting transaction gets no ABORTED. The scenario of a message that has arrived in part passes there too; it guards the notice.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -23,6 +23,40 @@
     When it begins to stop while a caller's commit waits for a silent member
     Then the commit is answered with INDOUBT
 
+  Scenario: A statement that crosses the closing of its idle session is answered
+    # Guards against a connection that ends without an answer to a whole statement, which
+    # was unread in the kernel's buffer or in flight when a stop closed the session.
+    Given an instance with stand-ins for the store and the members
+    When 16 callers send a statement in the moment in which a stop closes idle sessions
+    Then each of them has a complete answer
+    And only statements that were answered with rows have run at a member
+
+  Scenario: An idle caller is told that its session is about to be closed
+    # Guards against a caller that learns of the closing only from the end of the stream.
+    Given an instance with stand-ins for the store and the members
+    When a stop reaches an idle session of a caller that reads and one of a caller that does not
+    Then the caller that reads has got ERR BUSY without READY before the end of the stream
+    And the other one's session is closed before the instance has to exit
+
+  Scenario: A message of which a part has arrived is not answered by a notice
+    # Guards against a notice that is taken for the answer to another statement.
+    Given an instance with stand-ins for the store and the members
+    When a stop closes idle sessions while half of a caller's statement has arrived
+    Then the statement runs once its other half has arrived
+
+  Scenario Outline: A transaction that rests until the end of a stop is told that nothing is kept
+    # Guards against a connection that ends between two statements at the exit, as its
+    # caller can't know whether its transaction was rolled back.
+    Given an instance with stand-ins for the store and the members
+    When a caller's transaction rests until a stop ends, and then sends "<text>"
+    Then it has got ERR ABORTED before it sent the statement, and READY <state> after it
+    And nothing of its transaction is kept
+
+    Examples:
+      | text          | state |
+      | COMMIT        | I     |
+      | WRITE more 1  | E     |
+
   Scenario Outline: A request that reaches an HTTP server as it stops is answered
     # Guards against a connection that is reset although its request was on the way or
     # the kernel had accepted it, and against a server that waits for ever for a client
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -62,18 +62,29 @@
       | in_transaction | COMMIT    | aborted |
       | has_written    | COMMIT    | indoubt |
 
-  Scenario Outline: A session is closed for a stop only between operations
-    # Guards against closing a connection between two statements of a transaction.
+  Scenario Outline: A session is told of a stop only between operations
+    # Guards against closing a session between two statements of a transaction, and
+    # against telling its caller so late that no answer can follow before the exit.
     Given a session in the phase <phase>
     When its caller was active <seconds> s after the stop of 6 s began
-    Then the session is closed <close> s after the stop began
+    Then the caller is told <notify> s after the stop began
 
     Examples:
-      | phase          | seconds | close |
-      | idle           | 0.5     | 2.3   |
-      | idle           | 3.0     | 3.25  |
-      | in_transaction | 0.5     | 5.1   |
-      | failed         | 0.5     | 5.1   |
+      | phase          | seconds | notify |
+      | idle           | 0.5     | 2.3    |
+      | idle           | 3.0     | 3.25   |
+      | in_transaction | 0.5     | 4.98   |
+      | failed         | 0.5     | 4.98   |
+
+  Scenario Outline: A session whose caller ignores that it is told ends all the same
+    # Guards against a process that stays for a caller that doesn't read while it is idle.
+    When its caller is told <notify> s after the stop of 6 s began
+    Then the session ends <end> s after the stop began
+
+    Examples:
+      | notify | end |
+      | 2.3    | 3.3 |
+      | 4.98   | 5.1 |
 
   Scenario Outline: A statement waits for a member only while it can still be answered in time
     # Guards against a wait until the caller's deadline: in the experiment
--- a/features/steps/client_limit_steps.py
+++ b/features/steps/client_limit_steps.py
@@ -1,6 +1,7 @@
 """Steps for the limits of what one client may hold."""
 
 import re
+from types import SimpleNamespace
 
 from behave import given, then, when
 from behave.runner import Context
@@ -124,6 +125,8 @@
 
 async def _run_session(context: Context) -> None:
     context.client, context.server = memory_stream_pair()
+    # Between two steps the session has read all that was sent.
+    context.server.socket = SimpleNamespace(is_readable=lambda: False)
     channel, inbox = open_memory_channel(10)
     budget = MemoryBudget(UNLIMITED)
     account = budget.open_account("session", 0)
--- a/features/steps/session_end_steps.py
+++ b/features/steps/session_end_steps.py
@@ -9,6 +9,7 @@
 from trio import BrokenResourceError, current_time, run, sleep
 from trio.testing import MockClock
 
+from jackdawspread.decisions.sessions.session_shutdown import NOTICE_TIMEOUT_S
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.sessions import session_end_log
 from jackdawspread.tasks.sessions.session_end import SessionEnd
@@ -63,7 +64,8 @@
 
 def _send_after_close(context: Context, data: bytes) -> None:
     _stop(context, 1.0, 5.0)
-    context.thread.advance(1.02)
+    # The client ignores the closing notice.
+    context.thread.advance(1.02 + NOTICE_TIMEOUT_S)
     _send(context, data)
     context.thread.advance(0.2)
 
--- a/features/wire/wire_caller.py
+++ b/features/wire/wire_caller.py
@@ -43,6 +43,10 @@
         """Send bytes unchanged."""
         await self._stream.send_all(data)
 
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
     async def read_line(self) -> str:
         """Return the next line, empty at the end of the session."""
         while b"\r\n" not in self._buffer:
--- a/src/jackdawspread/decisions/sessions/session_shutdown.py
+++ b/src/jackdawspread/decisions/sessions/session_shutdown.py
@@ -19,19 +19,36 @@
 # A session is closed only after it has been idle for this long. A caller that has just
 # been answered may already have sent its next statement.
 CLOSE_AFTER_IDLE_S = 0.25
+# A caller closes its session within a round trip after the notice. One that doesn't
+# read while it is idle must not keep the process from its exit.
+NOTICE_TIMEOUT_S = 1.0
 
 
-def close_session_at(times: StopTimes, in_transaction: bool, active_at: float) -> float:
-    """Return the time at which a session that waits for a statement is closed.
+def notify_session_at(
+    times: StopTimes, in_transaction: bool, active_at: float
+) -> float:
+    """Return the time at which a session that waits for a statement gets its notice.
 
-    A session with an open transaction waits until the process exits, because a
-    connection that ends between two statements tells its caller nothing.
+    A caller that gets it while no statement is outstanding closes the session. To a
+    statement that was sent before, it is a refusal that is true, whereas the end of
+    the stream would leave the statement without an answer. A session with an open
+    transaction waits as long as its next statement could still run.
     """
     if in_transaction:
-        return times.exit_at
+        return times.answer_by
     return max(times.close_at, active_at + CLOSE_AFTER_IDLE_S)
 
 
+def closing_notice(in_transaction: bool) -> Refusal:
+    """Return what a caller is told before its session is closed."""
+    return _refuse_aborted() if in_transaction else refuse_stopping()
+
+
+def end_session_at(times: StopTimes, notified_at: float) -> float:
+    """Return the time at which a session ends whose caller ignores its notice."""
+    return min(times.exit_at, notified_at + NOTICE_TIMEOUT_S)
+
+
 def refuse_handshake(times: StopTimes, now: float) -> Refusal | None:
     """Return the refusal of a new session, None if it is still served."""
     return refuse_stopping() if now >= times.refuse_at else None
--- a/src/jackdawspread/platform/caller_wire_codec.py
+++ b/src/jackdawspread/platform/caller_wire_codec.py
@@ -85,6 +85,14 @@
         """Encode the answer to a request."""
         return self._encode_result(answer.result) + _encode_ready(answer.phase)
 
+    def encode_closing_notice(self, notice: Refusal) -> bytes:
+        """Encode the error without the line that ends an answer."""
+        return _encode_error(notice)
+
+    def encode_answer_end(self, phase: SessionPhase) -> bytes:
+        """Encode the line that ends an answer."""
+        return _encode_ready(phase)
+
     @singledispatchmethod
     def _encode_result(self, result: object) -> bytes:
         raise TypeError(f"no encoding for {type(result).__name__}")
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -16,7 +16,11 @@
     move_on_at,
 )
 
-from jackdawspread.decisions.sessions.session_shutdown import close_session_at
+from jackdawspread.decisions.sessions.session_shutdown import (
+    closing_notice,
+    end_session_at,
+    notify_session_at,
+)
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -106,6 +110,8 @@
         self._answering: CancelScope | None = None
         self._stop_times: StopTimes | None = None
         self._active_at = current_time()
+        # The closing notice that the caller has got since its last answer.
+        self._notice: Refusal | None = None
         # Size of the message that was decoded last.
         self._message_bytes = 0
         self._database = ""
@@ -172,18 +178,22 @@
         if self._operations is not None:
             self._operations.stop(times)
         if self._reading is not None:
-            self._reading.deadline = min(self._reading.deadline, self._close_at())
+            self._reading.deadline = min(
+                self._reading.deadline, self._stop_waiting_at()
+            )
         if self._answering is not None:
             self._answering.deadline = times.answer_by
 
-    def _close_at(self) -> float:
-        """Time at which the wait for the next message ends for a shutdown."""
+    def _stop_waiting_at(self) -> float:
+        """Time of the next step of a shutdown while the session waits for a message."""
         if self._stop_times is None:
             return inf
         if self._codec.has_partial_message:
             return self._stop_times.exit_at
+        if self._notice is not None:
+            return end_session_at(self._stop_times, self._active_at)
         assert self._operations is not None
-        return close_session_at(
+        return notify_session_at(
             self._stop_times, self._operations.in_transaction, self._active_at
         )
 
@@ -224,8 +234,13 @@
         assert self._operations is not None
         while (request := await self._next_request()) is not None:
             self._request_id = request.id
-            answer = await self._answer(request)
-            data = self._codec.encode_answer(answer)
+            if self._notice is None:
+                answer = await self._answer(request)
+                data = self._codec.encode_answer(answer)
+            else:
+                answer = self._operations.refuse(request, self._notice)
+                data = self._codec.encode_answer_end(answer.phase)
+                self._notice = None
             # The request and the rows are not kept while the caller reads.
             del request, answer
             self._hold(ANSWER_COPIES * len(data))
@@ -259,10 +274,11 @@
         while (message := self._next_message()) is None:
             if self._codec.has_partial_message and complete_by == inf:
                 complete_by = current_time() + MESSAGE_TIMEOUT_S
-            deadline = min(idle_until, complete_by, self._close_at())
-            if current_time() >= self._close_at():
-                self._end_reason = self._stop_reason()
-                return None
+            deadline = min(idle_until, complete_by, self._stop_waiting_at())
+            if current_time() >= self._stop_waiting_at():
+                if not await self._end_waiting():
+                    return None
+                continue
             with CancelScope(deadline=deadline) as self._reading:
                 if not await self._receive():
                     return None
@@ -286,6 +302,20 @@
             return "exit"
         return "idle at a stop"
 
+    async def _end_waiting(self) -> bool:
+        """Take the next step of a shutdown; return whether the session goes on."""
+        if self._stream.socket.is_readable():
+            return await self._receive()
+        if self._notice is not None or self._codec.has_partial_message:
+            self._end_reason = self._stop_reason()
+            return False
+        assert self._operations is not None
+        in_transaction = self._operations.in_transaction
+        if in_transaction:
+            self._operations.roll_back_idle_transaction()
+        self._notice = closing_notice(in_transaction)
+        return await self._write(self._codec.encode_closing_notice(self._notice))
+
     def _next_message(self) -> SessionRequest | CloseSession | None:
         """Return the next message and note its size."""
         received = self._codec.held_bytes
--- a/src/jackdawspread/tasks/sessions/session_codec.py
+++ b/src/jackdawspread/tasks/sessions/session_codec.py
@@ -6,6 +6,7 @@
 from jackdawspread.messages.statements.close_session import CloseSession
 from jackdawspread.messages.statements.open_session import OpenSession
 from jackdawspread.messages.statements.session_answer import SessionAnswer
+from jackdawspread.messages.statements.session_phase import SessionPhase
 from jackdawspread.messages.statements.session_request import SessionRequest
 
 
@@ -38,3 +39,13 @@
 
     def encode_answer(self, answer: SessionAnswer) -> bytes:
         """Encode the answer to a request."""
+
+    def encode_closing_notice(self, notice: Refusal) -> bytes:
+        """Encode what tells an idle caller to close its session.
+
+        A caller that has sent a request meanwhile takes it for the refusal of this
+        request, which `encode_answer_end` completes.
+        """
+
+    def encode_answer_end(self, phase: SessionPhase) -> bytes:
+        """Encode what completes the answer that a closing notice has begun."""
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -123,7 +123,10 @@
         return self._finish(request, outcome, elapsed_s)
 
     def refuse(self, request: SessionRequest, refusal: Refusal) -> SessionAnswer:
-        """Return the answer to a statement that is refused before it is planned."""
+        """Return the answer to a statement that is refused and does not run.
+
+        An open transaction is rolled back.
+        """
         plan = plan_statement(request.statement, self._state)
         self.close()
         return self._finish(request, self._refused(refusal, plan), 0.0)
@@ -158,8 +161,14 @@
         return SessionAnswer(outcome.result, outcome.state.phase)
 
     def _refused(self, refusal: Refusal, plan: Plan) -> StatementOutcome:
-        """Return the outcome of a plan that is refused; COMMIT ends its transaction."""
-        if isinstance(plan, FinishTransaction):
+        """Return the outcome of a plan that is refused.
+
+        What ends a transaction ends it also if it is refused.
+        """
+        ends_failed = (
+            isinstance(plan, AnswerLocally) and plan.state.phase is SessionPhase.IDLE
+        )
+        if isinstance(plan, FinishTransaction) or ends_failed:
             return StatementOutcome(refusal, end_transaction(self._state))
         return StatementOutcome(refusal, fail_transaction(self._state))
 
