Answer callers that a stop meets at the exit

A session that was never idle for 250 ms, a connection without START, and a connection in the queue of the listening socket got the end of the stream or a reset at the exit, with a statement or a START possibly on its way.

From the time on at which every operation is refused, each session gets its closing notice as soon as it waits for a statement, also one with an open transaction: its next statement couldn't run any more. A connection whose START hasn't been answered is refused before it is closed. The process stays for what waits in the kernel's queue, and closes the listening socket before the sessions end, so that later connections are refused by the kernel.

On the code before, three new scenarios of features/planned_stop.feature fail: the caller that sends a statement every 200 ms gets no line before the end of the stream, the silent connection no ERR, and 20 of 20 connections in the queue no answer.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -57,6 +57,26 @@
       | COMMIT        | I     |
       | WRITE more 1  | E     |
 
+  Scenario: A caller that never pauses is told before a stop ends its session
+    # Guards against a statement without an answer in a session that is never idle for
+    # long enough to be closed before the process exits.
+    Given an instance with stand-ins for the store and the members
+    When a caller keeps a session until a stop ends and sends a statement every 200 ms
+    Then the caller has been told of the end of its session by ERR BUSY before it ended
+
+  Scenario: A connection without START is refused before a stop ends it
+    # Guards against a START that is in flight at the exit and gets no answer.
+    Given an instance with stand-ins for the store and the members
+    When a caller connects and sends nothing until a stop ends
+    Then each START is answered with READY or ERR BUSY
+
+  Scenario: Callers that the kernel has accepted when a stop ends are answered
+    # Guards against connections that are reset because the process exits with them in
+    # the queue of its listening socket.
+    Given an instance with stand-ins for the store and the members
+    When 20 callers connect in the moment in which a stop ends
+    Then each START is answered with READY or ERR BUSY
+
   Scenario Outline: A request that reaches an HTTP server as it stops is answered
     # Guards against a connection that is reset although its request was on the way or
     # the kernel had accepted it, and against a server that waits for ever for a client
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -73,8 +73,11 @@
       | phase          | seconds | notify |
       | idle           | 0.5     | 2.3    |
       | idle           | 3.0     | 3.25   |
-      | in_transaction | 0.5     | 4.98   |
-      | failed         | 0.5     | 4.98   |
+      | idle           | 4.4     | 4.5    |
+      | idle           | 4.6     | 4.6    |
+      | in_transaction | 0.5     | 4.5    |
+      | in_transaction | 4.7     | 4.7    |
+      | failed         | 0.5     | 4.5    |
 
   Scenario Outline: A session whose caller ignores that it is told ends all the same
     # Guards against a process that stays for a caller that doesn't read while it is idle.
@@ -84,7 +87,7 @@
     Examples:
       | notify | end |
       | 2.3    | 3.3 |
-      | 4.98   | 5.1 |
+      | 4.5    | 5.1 |
 
   Scenario Outline: A statement waits for a member only while it can still be answered in time
     # Guards against a wait until the caller's deadline: in the experiment
--- a/src/jackdawspread/decisions/sessions/session_shutdown.py
+++ b/src/jackdawspread/decisions/sessions/session_shutdown.py
@@ -34,9 +34,10 @@
     the stream would leave the statement without an answer. A session with an open
     transaction waits as long as its next statement could still run.
     """
+    refused_from = max(times.refuse_at, active_at)
     if in_transaction:
-        return times.answer_by
-    return max(times.close_at, active_at + CLOSE_AFTER_IDLE_S)
+        return refused_from
+    return min(max(times.close_at, active_at + CLOSE_AFTER_IDLE_S), refused_from)
 
 
 def closing_notice(in_transaction: bool) -> Refusal:
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -171,7 +171,7 @@
         await sleep_until(times.close_at)
         logging.info("listener: closing idle sessions count=%d", listener.session_count)
         while current_time() < times.exit_at and (
-            listener.session_count or pool_server.has_leases
+            listener.has_callers or pool_server.has_leases
         ):
             await sleep(STOP_POLL_INTERVAL_S)
         logging.info(
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -84,10 +84,20 @@
     async def run(self) -> None:
         """Accept callers until cancelled."""
         async with open_nursery() as sessions:
-            while True:
-                stream = await accept(self._listener, "listener")
-                if not call_isolated(PART, self._start, stream, sessions):
-                    sessions.start_soon(run_isolated, PART, stream.aclose)
+            # Nobody accepts what still connects while the sessions end.
+            with self._listener.socket:
+                await self._accept(sessions)
+
+    async def _accept(self, sessions: Nursery) -> None:
+        while True:
+            stream = await accept(self._listener, "listener")
+            if not call_isolated(PART, self._start, stream, sessions):
+                sessions.start_soon(run_isolated, PART, stream.aclose)
+
+    @property
+    def has_callers(self) -> bool:
+        """Whether a session is open, or a connection waits to be accepted."""
+        return bool(self._sessions) or self._listener.socket.is_readable()
 
     @property
     def session_count(self) -> int:
