Resume replicas before the request that ends earlier ones

Requests for the primary have no effect while it leads, so its replicas are resumed before. The request is not sent while one for another member may be executed in between, wherever the record names it; the first code looked at the last one only. The scenario of the resume fails without the change; the example with three requests passed before too.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -74,6 +74,8 @@
         self.promoted: list[str] = []
         self.outcomes: list[str] = []
         self.missing_log_timeout_s = inf
+        # Results of the next promotion requests; further ones are accepted.
+        self.answers: list[PromotionResult] = []
 
     async def attempt(self, writes_stalled: bool, instance: int = 0) -> None:
         """Run one attempt of an instance to replace the primary."""
@@ -167,4 +169,5 @@
     async def _promote(self, inbox: MemoryReceiveChannel) -> None:
         async for request in inbox:
             self.promoted.append(request.member)
-            request.reply_to.send_nowait(PromotionResult.ACCEPTED)
+            answer = self.answers.pop(0) if self.answers else PromotionResult.ACCEPTED
+            request.reply_to.send_nowait(answer)
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -139,6 +139,16 @@
       | none    | m1      |
       | m2      | none    |
 
+  Scenario: Replicas are resumed also if no request for the primary is answered
+    # Guards against a primary that gets no write confirmed while requests for it, which
+    # change nothing, are not answered.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7" of which "none" do not answer
+    And a record with the request "m0" and outstanding requests "m0"
+    And "m1,m2" are paused and no list of members can be read
+    And promotion requests are answered with "unknown,accepted"
+    When an instance acts on a primary that gets no write confirmed
+    Then "m0" is promoted and the replicas "none" rest paused
+
   Scenario Outline: A leaving member is promoted while its request may be executed
     # Guards against the loss of commits that it acknowledges after a late request for it,
     # before another member takes over.
@@ -199,3 +209,4 @@
       | m0      | m0          | m0       | none  | none   |
       | m0      | m1,m0       | m0       | none  | none   |
       | m1      | m0,m1       | none     | m0,m1 | m2     |
+      | m0      | m0,m1,m0    | none     | m0,m1,m0 | m1,m2 |
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -9,6 +9,7 @@
 from jackdawspread.decisions.failover.promotion_candidate import choose_candidate
 from jackdawspread.decisions.failover.promotion_evidence import PromotionEvidence
 from jackdawspread.messages.fleet.log_status import LogStatus
+from jackdawspread.messages.fleet.promotion_result import PromotionResult
 from jackdawspread.messages.position import Position
 
 ATTEMPT_INTERVAL_S = 0.5
@@ -95,6 +96,12 @@
     context.group.is_list_late = True
 
 
+@given('promotion requests are answered with "{answers}"')
+def promotion_answers(context: Context, answers: str) -> None:
+    """Choose the results of the promotion requests."""
+    context.group.answers = [PromotionResult(answer) for answer in answers.split(",")]
+
+
 @given('"{member}" is in an evacuated failure domain')
 def evacuated(context: Context, member: str) -> None:
     """Evacuate the failure domain of one member."""
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -173,6 +173,9 @@
             await self._resume(resumable, lock)
             return plan.reason or "the promotion lock was not written", lock
         log_comparison(trigger, plan, lock.record)
+        if plan.keeps_primary:
+            # Requests for the present primary have no effect, so no pause is needed.
+            await self._resume(resumable, recorded)
         result, is_uncertain = await self._sender.run(trigger, plan.member, recorded)
         outcome = f"promotion {result.value} member={plan.member}"
         is_accepted = result is PromotionResult.ACCEPTED
@@ -180,7 +183,6 @@
             answered = record_outstanding(recorded.record, ())
             await self._locks.update(recorded._replace(record=answered))
             if plan.keeps_primary:
-                await self._resume(resumable, recorded)
                 outcome = f"earlier requests ended member={plan.member}"
             return outcome, None
         if is_accepted or is_uncertain:
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -273,7 +273,7 @@
 
     Requests for other members may still be executed in between, so they end nothing.
     """
-    if last_request(record) not in ("", trigger.member):
+    if set(record.get("outstanding", ())) - {trigger.member}:
         return PromotionPlan(
             reason="earlier requests may still be executed", paused=paused
         )
