Expect the closing notice in the scenario of a graceful shutdown

The scenario expected the end of the stream as the only thing that an idle caller gets. It now expects the notice, after the transaction's commit the end of the session, and no line in between.

--- a/features/platform_sessions.feature
+++ b/features/platform_sessions.feature
@@ -155,6 +155,7 @@
   Scenario: A graceful shutdown closes idle sessions and lets a transaction end
     # Guards against a shutdown that interrupts a transaction.
     When a caller has a transaction open and the instance begins to stop
-    Then an idle session of another caller ends without an error
+    Then an idle session of another caller is told that it is closing
     And the transaction can commit
+    And the idle session ends without a further line
     And the instance has stopped
--- a/features/steps/platform_session_steps.py
+++ b/features/steps/platform_session_steps.py
@@ -467,9 +467,16 @@
     _wait(context, is_renewed)
 
 
-@then("an idle session of another caller ends without an error")
+@then("an idle session of another caller is told that it is closing")
+def idle_told(context: Context) -> None:
+    """The caller gets a closing notice."""
+    notice = context.platform.call(context.idle.read_line)
+    assert notice.startswith("ERR BUSY"), notice
+
+
+@then("the idle session ends without a further line")
 def idle_ends(context: Context) -> None:
-    """An idle session is closed without a message."""
+    """The notice is not a complete answer."""
     assert context.platform.call(context.idle.read_line) == ""
 
 
