Expect a closing notice in the scenario of an idle session at a stop

The scenario expected the end of the stream as the first thing that an idle caller gets. That is the close that could cut off a statement in flight; since closing notices an idle caller gets one error line and closes its session. The check is as strict: exactly this line, no READY and no end of the stream after it, and the instance has stopped once the caller has closed.

--- a/features/platform_sessions.feature
+++ b/features/platform_sessions.feature
@@ -155,6 +155,6 @@
   Scenario: A graceful shutdown closes idle sessions and lets a transaction end
     # Guards against a shutdown that interrupts a transaction.
     When a caller has a transaction open and the instance begins to stop
-    Then an idle session of another caller ends without an error
+    Then an idle session of another caller gets a closing notice, and its caller closes it
     And the transaction can commit
     And the instance has stopped
