--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -6,14 +6,17 @@
 from absl import logging
 from trio import (
     BrokenResourceError,
+    CancelScope,
     ClosedResourceError,
     MemorySendChannel,
     Nursery,
     SocketListener,
     SocketStream,
+    current_time,
     open_nursery,
 )
 
+from jackdawspread.decisions.sessions.session_shutdown import refuse_stopping
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -21,18 +24,26 @@
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.accept import accept
+from jackdawspread.tasks.end_stream import end_stream
 from jackdawspread.tasks.limits.memory_account import MemoryAccount
 from jackdawspread.tasks.limits.memory_budget import TOO_MANY, MemoryBudget
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
 from jackdawspread.tasks.pool_hosts.pool_server import PART as STREAM_PART
 from jackdawspread.tasks.run_isolated import call_isolated, run_isolated
-from jackdawspread.tasks.sessions.caller_session import PART, CallerSession
+from jackdawspread.tasks.sessions.caller_session import (
+    PART,
+    WRITE_TIMEOUT_S,
+    CallerSession,
+)
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
 from jackdawspread.tasks.sessions.session_end_log import SessionEndLog
 from jackdawspread.tasks.sessions.session_metrics import SESSIONS
 
 # Memory of an idle session, with its task and its socket.
 IDLE_BYTES = 12 * 1024
+# The kernel allows a caller as much time to take an answer as the session does. The
+# limit between processes would end the connection of one that only reads slowly.
+CALLER_USER_TIMEOUT_MS = int(1000 * WRITE_TIMEOUT_S)
 OVERLOADED = Refusal(
     "busy",
     ExecutionStatus.NOT_RUN,
@@ -86,7 +97,20 @@
         async with open_nursery() as sessions:
             # Nobody accepts what still connects while the sessions end.
             with self._listener.socket:
-                await self._accept(sessions)
+                try:
+                    await self._accept(sessions)
+                finally:
+                    with CancelScope(shield=True, deadline=current_time() + 1):
+                        await self._refuse_waiting()
+
+    async def _refuse_waiting(self) -> None:
+        """Refuse at the exit what the kernel has accepted, and close the listener."""
+        async with open_nursery() as refused:
+            while self._listener.socket.is_readable():
+                stream = await accept(self._listener, "listener")
+                reject = partial(_reject, stream, self._make_codec(), refuse_stopping())
+                refused.start_soon(run_isolated, PART, reject)
+            self._listener.socket.close()
 
     async def _accept(self, sessions: Nursery) -> None:
         while True:
@@ -115,12 +139,14 @@
             session.stop(times)
 
     def _start(self, stream: SocketStream, sessions: Nursery) -> None:
-        enable_dead_peer_detection(stream)
+        enable_dead_peer_detection(stream, CALLER_USER_TIMEOUT_MS)
         is_full = self._budget.count(PART, STREAM_PART) >= self._max_sessions
         if is_full and not self._make_room():
             self._budget.refuse(PART, TOO_MANY)
             sessions.start_soon(
-                run_isolated, "session", partial(_reject, stream, self._make_codec())
+                run_isolated,
+                "session",
+                partial(_reject, stream, self._make_codec(), OVERLOADED),
             )
             return
         account = self._budget.open_account(PART, IDLE_BYTES)
@@ -153,9 +179,10 @@
             SESSIONS.set(len(self._sessions))
 
 
-async def _reject(stream: SocketStream, codec: SessionCodec) -> None:
+async def _reject(stream: SocketStream, codec: SessionCodec, refusal: Refusal) -> None:
     async with stream:
         try:
-            await stream.send_all(codec.encode_handshake_reply(OVERLOADED))
+            await stream.send_all(codec.encode_handshake_reply(refusal))
+            await end_stream(stream, len)
         except (BrokenResourceError, ClosedResourceError) as error:
             logging.vlog(1, "listener: refused caller is gone reason=%r", error)
