Give callers as much time in the kernel as in the session to take an answer

The connection of a caller that took nothing of an answer for 0.7 s was aborted by the kernel: TCP_USER_TIMEOUT was that of connections between processes, and counts a closed window as well as a missing acknowledgement. The session itself allows 10 s. The new scenario of features/connections.feature fails before: the caller that pauses for 2 s gets nothing of an answer of 900 kB, and the log says reason='connection failed' error=ETIMEDOUT.

Accepted connections of callers now have the limit of the session. A dead caller that is idle is noticed after 10 s instead of about 2 s; the limit for idle transactions rolls its transaction back before. Streams between instances and connections to members keep their limit.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -1,5 +1,5 @@
-Feature: Outgoing connections
-  Each answer is matched to its own call.
+Feature: Connections
+  Each answer is matched to its own call, and a peer that is slow isn't taken for dead.
 
   Scenario: A late answer on a connection reaches no other call
     # Guards against the reuse of a connection with an answer outstanding.
@@ -7,3 +7,17 @@
     When two calls are made over one connection
     Then the first call ends without an answer and may have been sent
     And the second call gets no answer of the first
+
+  Scenario: A caller that pauses while it reads a large answer gets all of it
+    # Guards against a connection of a caller that the kernel aborts after 0.7 s, the limit
+    # for connections between processes, although callers may take 10 s to read.
+    Given an instance with stand-ins for the store and the members
+    When a caller with a narrow window reads nothing for 2 s while a large answer is sent
+    Then it gets the whole answer
+
+  Scenario: A caller that takes no answer for too long is disconnected by the kernel
+    # Guards against a dead caller whose connection has no limit at all.
+    Given an instance with stand-ins for the store and the members
+    And connections of callers that fail after 0.5 s without progress
+    When a caller with a narrow window reads nothing for 2 s while a large answer is sent
+    Then it does not get the whole answer
--- a/src/jackdawspread/tasks/open_stream.py
+++ b/src/jackdawspread/tasks/open_stream.py
@@ -16,7 +16,7 @@
 # The kernel resends a lost SYN packet after 1, 3 and 7 s. A new attempt connects
 # sooner to a peer that has become reachable again.
 CONNECT_TIMEOUT_S = 1.0
-# A peer that acknowledges no sent data for this long is treated as dead.
+# A process that acknowledges no sent data for this long is treated as dead.
 USER_TIMEOUT_MS = 700
 # The keepalive detects an idle connection that was dropped silently after about 3 s.
 KEEPALIVE_IDLE_S = 1
@@ -42,11 +42,22 @@
     )
 
 
-def enable_dead_peer_detection(stream: SocketStream) -> None:
-    """Set the TCP options with which a connection to a dead peer fails."""
+def enable_dead_peer_detection(
+    stream: SocketStream, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> None:
+    """Set the TCP options with which a connection to a dead peer fails.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        The connection.
+    user_timeout_ms : int
+        Milliseconds after which it fails if the peer acknowledges no sent data or has
+        no room for more.
+    """
     stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
     stream.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     stream.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     stream.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     stream.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
-    stream.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    stream.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms)
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -26,13 +26,20 @@
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
 from jackdawspread.tasks.pool_hosts.pool_server import PART as STREAM_PART
 from jackdawspread.tasks.run_isolated import call_isolated, run_isolated
-from jackdawspread.tasks.sessions.caller_session import PART, CallerSession
+from jackdawspread.tasks.sessions.caller_session import (
+    PART,
+    WRITE_TIMEOUT_S,
+    CallerSession,
+)
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
 from jackdawspread.tasks.sessions.session_end_log import SessionEndLog
 from jackdawspread.tasks.sessions.session_metrics import SESSIONS
 
 # Memory of an idle session, with its task and its socket.
 IDLE_BYTES = 12 * 1024
+# The kernel allows a caller as much time to take an answer as the session does. The
+# limit between processes would end the connection of one that only reads slowly.
+CALLER_USER_TIMEOUT_MS = int(1000 * WRITE_TIMEOUT_S)
 OVERLOADED = Refusal(
     "busy",
     ExecutionStatus.NOT_RUN,
@@ -115,7 +122,7 @@
             session.stop(times)
 
     def _start(self, stream: SocketStream, sessions: Nursery) -> None:
-        enable_dead_peer_detection(stream)
+        enable_dead_peer_detection(stream, CALLER_USER_TIMEOUT_MS)
         is_full = self._budget.count(PART, STREAM_PART) >= self._max_sessions
         if is_full and not self._make_room():
             self._budget.refuse(PART, TOO_MANY)
