End the connection of a refused caller without a reset

A caller beyond the limit of sessions whose START lay unread in the kernel's buffer got a reset after its refusal, because closing a socket with unread bytes resets the connection; the reset can overtake the refusal on the network.

The connection is now ended as that of a session: the end of the stream, then what the caller has sent is dropped for 100 ms. The new scenario of features/connections.feature reads 'reset' after the refusal on the code before.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -21,3 +21,10 @@
     And connections of callers that fail after 0.5 s without progress
     When a caller with a narrow window reads nothing for 2 s while a large answer is sent
     Then it does not get the whole answer
+
+  Scenario: A caller beyond the limit of sessions gets its refusal and no reset
+    # Guards against closing a connection whose START is unread: the reset can overtake
+    # the refusal.
+    Given an instance with stand-ins for the store and the members
+    When a caller sends START while the limit of sessions is reached
+    Then it gets ERR BUSY, and then the end of the stream
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -14,6 +14,8 @@
 DATABASE, KEY = "primary-db", "key-of-w1"
 RECEIVE_BUFFER_BYTES = 4096
 LARGE = "x" * 900_000
+# The limit in the settings of the instance.
+MAX_SESSIONS = 100
 
 
 @given("connections of callers that fail after {seconds:g} s without progress")
@@ -68,3 +70,31 @@
 def cut_answer(context: Context) -> None:
     """The connection was reset."""
     assert not _is_whole(context.answer), [line[:40] for line in context.answer]
+
+
+@when("a caller sends START while the limit of sessions is reached")
+def start_at_limit(context: Context) -> None:
+    """Send it before the instance accepts the connection."""
+    host, port = context.platform.address.rsplit(":", 1)
+    context.open = [context.platform.open() for _ in range(MAX_SESSIONS)]
+
+    async def start() -> list[str]:
+        connected = socket.create_connection((host, int(port)))
+        connected.sendall(f"START {DATABASE} {KEY}\r\n".encode())
+        connected.setblocking(False)
+        caller = WireCaller(SocketStream(from_stdlib_socket(connected)))
+        lines = [await caller.read_line()]
+        try:
+            lines.append(await caller.read_line())
+        except BrokenResourceError:
+            lines.append("reset")
+        return lines
+
+    context.answer = context.platform.call(start)
+
+
+@then("it gets ERR BUSY, and then the end of the stream")
+def refused_without_reset(context: Context) -> None:
+    """An empty line stands for the end of the stream."""
+    first, second = context.answer
+    assert first.startswith("ERR BUSY") and second == "", context.answer
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -32,6 +32,7 @@
 from jackdawspread.messages.statements.session_answer import SessionAnswer
 from jackdawspread.messages.statements.session_request import SessionRequest
 from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.end_stream import end_stream
 from jackdawspread.tasks.limits.memory_account import MemoryAccount
 from jackdawspread.tasks.limits.memory_budget import SHORT_OF_MEMORY, MemoryBudget
 from jackdawspread.tasks.sessions.dropped_input import DroppedInput
@@ -51,9 +52,6 @@
 MESSAGE_TIMEOUT_S = 10.0
 # The session of a caller that does not read its answer for this long is closed.
 WRITE_TIMEOUT_S = 10.0
-# After the last answer the session reads and drops further bytes of the caller for
-# this long, because closing a socket with unread bytes resets the connection.
-LINGER_TIMEOUT_S = 0.1
 # Copies of a message and of an answer that exist while they are handled.
 MESSAGE_COPIES = 3
 ANSWER_COPIES = 2
@@ -366,13 +364,11 @@
             if self._stop_times is not None and not self._has_answered_handshake:
                 refusal = self._codec.encode_handshake_reply(refuse_stopping())
                 await self._stream.send_all(refusal)
-            await self._stream.send_eof()
-            with move_on_at(current_time() + LINGER_TIMEOUT_S):
-                while data := await self._stream.receive_some(READ_CHUNK_BYTES):
-                    dropped.receive(data)
+            await end_stream(self._stream, dropped.receive)
         except (BrokenResourceError, ClosedResourceError):
             logging.vlog(1, "session: the caller closed the connection first")
-        await self._stream.aclose()
+        finally:
+            await self._stream.aclose()
 
 
 def _error_name(error: BrokenResourceError | ClosedResourceError) -> str:
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -21,6 +21,7 @@
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.accept import accept
+from jackdawspread.tasks.end_stream import end_stream
 from jackdawspread.tasks.limits.memory_account import MemoryAccount
 from jackdawspread.tasks.limits.memory_budget import TOO_MANY, MemoryBudget
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
@@ -164,5 +165,6 @@
     async with stream:
         try:
             await stream.send_all(codec.encode_handshake_reply(OVERLOADED))
+            await end_stream(stream, len)
         except (BrokenResourceError, ClosedResourceError) as error:
             logging.vlog(1, "listener: refused caller is gone reason=%r", error)
