--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -232,6 +232,8 @@
             self._reading = None
             return handshake
         self._end_reason = "handshake not complete in time"
+        if current_time() >= self._stop_waiting_at():
+            self._end_reason = "refused at a stop"
         return None
 
     async def _serve(self) -> None:
