--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -77,6 +77,13 @@
     When 20 callers connect in the moment in which a stop ends
     Then each START is answered with READY or ERR BUSY
 
+  Scenario: Callers that the kernel has accepted at the latest exit are answered
+    # Guards against resets where the process exits although callers still come.
+    Given an instance with stand-ins for the store and the members
+    And a caller whose half statement keeps the instance until its latest exit
+    When 20 callers connect in the moment of the latest exit
+    Then each START is answered with READY or ERR BUSY
+
   Scenario Outline: A request that reaches an HTTP server as it stops is answered
     # Guards against a connection that is reset although its request was on the way or
     # the kernel had accepted it, and against a server that waits for ever for a client
--- a/features/steps/closing_notice_steps.py
+++ b/features/steps/closing_notice_steps.py
@@ -3,7 +3,7 @@
 import socket
 import time
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 from features.wire.wire_caller import WireCaller
 from trio import (
@@ -205,6 +205,24 @@
 
 @when("{number:d} callers connect in the moment in which a stop ends")
 def connect_at_exit(context: Context, number: int) -> None:
+    """Stop an instance without callers."""
+    _connect_at(context, number, BALANCER_NOTICE_S)
+
+
+@given("a caller whose half statement keeps the instance until its latest exit")
+def half_until_exit(context: Context) -> None:
+    """Leave the statement incomplete."""
+    context.caller = context.platform.open()
+    context.platform.call(context.caller.send_raw, b"QUERY half0002 READ ")
+
+
+@when("{number:d} callers connect in the moment of the latest exit")
+def connect_at_latest_exit(context: Context, number: int) -> None:
+    """Stop an instance that another caller keeps."""
+    _connect_at(context, number, EXIT_FRACTION * GRACE_S)
+
+
+def _connect_at(context: Context, number: int, after_s: float) -> None:
     """Connect and send START while the instance accepts no connection."""
     host, port = context.platform.address.rsplit(":", 1)
     callers = []
@@ -219,7 +237,7 @@
         time.sleep(2 * BLOCKED_S)
 
     async def stop() -> None:
-        at = current_time() + BALANCER_NOTICE_S
+        at = current_time() + after_s
         context.platform.set_stopping()
         await connect(at)
 
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -6,14 +6,17 @@
 from absl import logging
 from trio import (
     BrokenResourceError,
+    CancelScope,
     ClosedResourceError,
     MemorySendChannel,
     Nursery,
     SocketListener,
     SocketStream,
+    current_time,
     open_nursery,
 )
 
+from jackdawspread.decisions.sessions.session_shutdown import refuse_stopping
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -94,7 +97,20 @@
         async with open_nursery() as sessions:
             # Nobody accepts what still connects while the sessions end.
             with self._listener.socket:
-                await self._accept(sessions)
+                try:
+                    await self._accept(sessions)
+                finally:
+                    with CancelScope(shield=True, deadline=current_time() + 1):
+                        await self._refuse_waiting()
+
+    async def _refuse_waiting(self) -> None:
+        """Refuse at the exit what the kernel has accepted, and close the listener."""
+        async with open_nursery() as refused:
+            while self._listener.socket.is_readable():
+                stream = await accept(self._listener, "listener")
+                reject = partial(_reject, stream, self._make_codec(), refuse_stopping())
+                refused.start_soon(run_isolated, PART, reject)
+            self._listener.socket.close()
 
     async def _accept(self, sessions: Nursery) -> None:
         while True:
@@ -128,7 +144,9 @@
         if is_full and not self._make_room():
             self._budget.refuse(PART, TOO_MANY)
             sessions.start_soon(
-                run_isolated, "session", partial(_reject, stream, self._make_codec())
+                run_isolated,
+                "session",
+                partial(_reject, stream, self._make_codec(), OVERLOADED),
             )
             return
         account = self._budget.open_account(PART, IDLE_BYTES)
@@ -161,10 +179,10 @@
             SESSIONS.set(len(self._sessions))
 
 
-async def _reject(stream: SocketStream, codec: SessionCodec) -> None:
+async def _reject(stream: SocketStream, codec: SessionCodec, refusal: Refusal) -> None:
     async with stream:
         try:
-            await stream.send_all(codec.encode_handshake_reply(OVERLOADED))
+            await stream.send_all(codec.encode_handshake_reply(refusal))
             await end_stream(stream, len)
         except (BrokenResourceError, ClosedResourceError) as error:
             logging.vlog(1, "listener: refused caller is gone reason=%r", error)
