--- a/src/jackdawspread/tasks/open_stream.py
+++ b/src/jackdawspread/tasks/open_stream.py
@@ -18,7 +18,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # A process that acknowledges no sent data for this long is treated as dead.
 USER_TIMEOUT_MS = 700
-# The keepalive detects an idle connection that was dropped silently after about 3 s.
+# An idle connection is probed after 1 s. One that was dropped silently ends after about
+# 2 s, or after the user timeout if that is longer.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
