--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -1,6 +1,5 @@
 """Session of one caller."""
 
-from errno import errorcode
 from math import inf
 
 from absl import logging
@@ -11,7 +10,6 @@
     ClosedResourceError,
     MemorySendChannel,
     SocketStream,
-    aclose_forcefully,
     current_time,
     move_on_at,
 )
@@ -32,17 +30,15 @@
 from jackdawspread.messages.statements.session_answer import SessionAnswer
 from jackdawspread.messages.statements.session_request import SessionRequest
 from jackdawspread.settings.stop_times import StopTimes
-from jackdawspread.tasks.end_stream import end_stream
 from jackdawspread.tasks.limits.memory_account import MemoryAccount
 from jackdawspread.tasks.limits.memory_budget import SHORT_OF_MEMORY, MemoryBudget
-from jackdawspread.tasks.sessions.dropped_input import DroppedInput
 from jackdawspread.tasks.sessions.session_codec import SessionCodec
-from jackdawspread.tasks.sessions.session_end import SessionEnd
 from jackdawspread.tasks.sessions.session_end_log import (
     CALLER_CLOSED,
-    CONNECTION_FAILED,
+    INVALID_MESSAGE,
     SessionEndLog,
 )
+from jackdawspread.tasks.sessions.session_ending import SessionEnding
 from jackdawspread.tasks.sessions.session_operations import SessionOperations
 
 PART = "session"
@@ -95,7 +91,6 @@
         account: MemoryAccount,
         ends: SessionEndLog,
     ) -> None:
-        self._ends = ends
         self._budget = budget
         self._account = account
         self._stream = stream
@@ -114,11 +109,7 @@
         self._notice: Refusal | None = None
         # Size of the message that was decoded last.
         self._message_bytes = 0
-        self._database = ""
-        self._end_reason = "unexpected error"
-        self._socket_error = ""
-        # The request whose answer has not been written.
-        self._request_id = ""
+        self._ending = SessionEnding(stream, codec, account, ends)
 
     async def run(self) -> None:
         """Serve until the caller disconnects or the session is stopped."""
@@ -127,50 +118,32 @@
                 if await self._open():
                     await self._serve()
             if self._account.scope.cancelled_caught:
-                self._end_reason = "closed for other connections"
+                self._ending.reason = "closed for other connections"
         except Cancelled:
-            self._end_reason = "exit"
+            self._ending.reason = "exit"
             raise
         except (BrokenResourceError, ClosedResourceError) as error:
             # The caller has disconnected, so no answer can be sent.
-            self._end_reason = CONNECTION_FAILED
-            self._socket_error = _error_name(error)
-            return
+            self._ending.fail(error)
         except ValueError as error:
-            self._end_reason = "invalid message"
+            self._ending.reason = INVALID_MESSAGE
             logging.vlog(1, "session: cannot decode message reason=%r", error)
-            self._budget.refuse(PART, "invalid message")
+            self._budget.refuse(PART, INVALID_MESSAGE)
             self._hold(0)
         finally:
-            idle_s = current_time() - self._active_at
-            in_transaction = False
-            if self._operations is not None:
-                in_transaction = self._operations.in_transaction
-                self._operations.close()
-            dropped = DroppedInput(self._codec)
-            try:
-                with CancelScope(shield=True, deadline=current_time() + 1):
-                    await self._close(dropped)
-            finally:
-                self._log_end(dropped, in_transaction, idle_s)
+            await self._end()
 
-    def _log_end(
-        self, dropped: DroppedInput, in_transaction: bool, idle_s: float
-    ) -> None:
-        # Before the handshake, and after an invalid message, there are no requests.
-        is_decodable = self._database and self._end_reason != "invalid message"
-        self._ends.write(
-            SessionEnd(
-                self._end_reason,
-                self._database,
-                self._socket_error,
-                self._request_id,
-                in_transaction,
-                idle_s,
-                dropped.size,
-                dropped.request_ids() if is_decodable else (),
-            )
-        )
+    async def _end(self) -> None:
+        """Roll back an open transaction and close the connection."""
+        idle_s = current_time() - self._active_at
+        in_transaction = False
+        if self._operations is not None:
+            in_transaction = self._operations.in_transaction
+            self._operations.close()
+        refusal = None
+        if self._stop_times is not None and not self._has_answered_handshake:
+            refusal = refuse_stopping()
+        await self._ending.close(refusal, in_transaction, idle_s)
 
     def stop(self, times: StopTimes) -> None:
         """End the session as its instance stops, without cutting off an operation."""
@@ -203,7 +176,7 @@
         if handshake is None:
             return False
         self._account.waiting_since = None
-        self._database = handshake.database
+        self._ending.database = handshake.database
         self._operations = SessionOperations(
             handshake, self._admission, self._broker, self._router
         )
@@ -211,7 +184,7 @@
             self._operations.stop(self._stop_times)
         refusal = await self._operations.check_handshake()
         if refusal is not None:
-            self._end_reason = "refused"
+            self._ending.reason = "refused"
             logging.info(
                 "session: refused database=%s outcome=%s reason=%r",
                 handshake.database,
@@ -231,15 +204,15 @@
                     return None
             self._reading = None
             return handshake
-        self._end_reason = "handshake not complete in time"
+        self._ending.reason = "handshake not complete in time"
         if current_time() >= self._stop_waiting_at():
-            self._end_reason = "refused at a stop"
+            self._ending.reason = "refused at a stop"
         return None
 
     async def _serve(self) -> None:
         assert self._operations is not None
         while (request := await self._next_request()) is not None:
-            self._request_id = request.id
+            self._ending.request_id = request.id
             if self._notice is None:
                 answer = await self._answer(request)
                 data = self._codec.encode_answer(answer)
@@ -252,7 +225,7 @@
             self._hold(ANSWER_COPIES * len(data))
             if not await self._write(data):
                 return
-            self._request_id = ""
+            self._ending.request_id = ""
             del data
             self._hold(0)
 
@@ -289,7 +262,7 @@
                 if not await self._receive():
                     return None
             if current_time() >= complete_by:
-                self._end_reason = "message not complete in time"
+                self._ending.reason = "message not complete in time"
                 self._budget.refuse(PART, "message not complete in time")
                 return None
             if self._reading.cancelled_caught and current_time() >= idle_until:
@@ -299,7 +272,7 @@
         self._reading = None
         if isinstance(message, SessionRequest):
             return message
-        self._end_reason = CALLER_CLOSED
+        self._ending.reason = CALLER_CLOSED
         return None
 
     def _stop_reason(self) -> str:
@@ -313,7 +286,7 @@
         if self._stream.socket.is_readable():
             return await self._receive()
         if self._notice is not None or self._codec.has_partial_message:
-            self._end_reason = self._stop_reason()
+            self._ending.reason = self._stop_reason()
             return False
         assert self._operations is not None
         in_transaction = self._operations.in_transaction
@@ -341,7 +314,7 @@
         self._codec.receive(data)
         self._hold(0)
         if not data:
-            self._end_reason = CALLER_CLOSED
+            self._ending.reason = CALLER_CLOSED
         return bool(data)
 
     async def _write(self, data: bytes) -> bool:
@@ -353,29 +326,6 @@
             await self._stream.send_all(data)
         self._active_at = current_time()
         if scope.cancelled_caught:
-            self._end_reason = "answer not read in time"
+            self._ending.reason = "answer not read in time"
             self._budget.refuse(PART, "answer not read in time", len(data))
         return not scope.cancelled_caught
-
-    async def _close(self, dropped: DroppedInput) -> None:
-        if self._account.scope.cancel_called:
-            # The memory is needed at once.
-            await aclose_forcefully(self._stream)
-            return
-        try:
-            if self._stop_times is not None and not self._has_answered_handshake:
-                refusal = self._codec.encode_handshake_reply(refuse_stopping())
-                await self._stream.send_all(refusal)
-            await end_stream(self._stream, dropped.receive)
-        except (BrokenResourceError, ClosedResourceError):
-            logging.vlog(1, "session: the caller closed the connection first")
-        finally:
-            await self._stream.aclose()
-
-
-def _error_name(error: BrokenResourceError | ClosedResourceError) -> str:
-    """Return the name of the error of the socket, such as ETIMEDOUT."""
-    cause = error.__cause__
-    if isinstance(cause, OSError) and cause.errno is not None:
-        return errorcode.get(cause.errno, str(cause.errno))
-    return type(error).__name__
--- a/src/jackdawspread/tasks/sessions/session_end_log.py
+++ b/src/jackdawspread/tasks/sessions/session_end_log.py
@@ -11,6 +11,7 @@
 
 CALLER_CLOSED = "caller closed"
 CONNECTION_FAILED = "connection failed"
+INVALID_MESSAGE = "invalid message"
 # Ends that are only counted: the caller's own, and those that have a line already.
 COUNTED_ONLY = (CALLER_CLOSED, "refused")
 # Lines a second for ends without an unanswered request or an open transaction, such as
