Demote an unreachable primary through other instances

What callers saw: acknowledged commits were gone after a failover. An instance that a partition separated from the primary paused the replicas that it knew, and requested a promotion. The primary was alive for other instances. A new replica joined it before the promotion took effect and confirmed commits, which the promoted member lacked.

Cause: such an attempt compares the paused logs without the primary, and cannot know a replica that joins after the last list.

The attempt now asks other instances to demote the primary under the term of the pauses, beside its look at the paused logs. An acknowledgement needs an instance that reaches the primary, so one of these can usually send the command. With a reply the attempt goes on as after a demotion of its own: joined replicas are paused and compared, and the primary's log counts.

The instance that is asked queries the status first. The log of a member that is a replica already may lack the commits of the primary after it, so it must not count as the log of the primary.

Evidence: of the new scenarios in promotion_evidence.feature, the two with a joining replica fail without this change (the promoted log ends at 1.9, acknowledged was 1.10).

--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -52,7 +52,7 @@
         """Run the attempt, with a client of promotion locks in place of the fake."""
         promotions, inbox = open_memory_channel(1)
         router, _ = open_memory_channel(100)
-        attempt = FailoverAttempt("i1", self, locks or self, promotions, router)
+        attempt = FailoverAttempt("i1", self, locks or self, promotions, router, self)
         trigger = FailoverTrigger("g", "m0", False, False, "unreachable")
         async with open_nursery() as nursery:
             nursery.start_soon(self._answer_promotions, inbox)
@@ -71,6 +71,10 @@
         claims_primary = bool(paused_term) and listing.id == self.late_promotion
         return LogStatus(listing.id, claims_primary, 3, Position(3, 7), paused_term)
 
+    async def demote(self, primary: MemberListing, term: int) -> LogStatus | None:
+        """Refuse to demote a primary, as an instance does that can't reach it."""
+        return None
+
     async def send_all(
         self, members: tuple[MemberListing, ...], command: object
     ) -> dict[str, LogStatus]:
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -64,6 +64,11 @@
         # have been compared.
         self.joining = ""
         self.former_primary = PRIMARY
+        # Members that answer other instances only.
+        self.cut_off: set[str] = set()
+        # Replica through which the primary confirms a commit after the last list.
+        self.late_joiner = ""
+        self.acknowledged = Position(0, 0)
         # Member whose failure domain is evacuated.
         self.evacuated = ""
         # Whether no list of members can be read during an attempt.
@@ -82,7 +87,13 @@
         promotions, inbox = open_memory_channel(1)
         router, _ = open_memory_channel(100)
         acting = FailoverAttempt(
-            f"i{instance}", self, self, promotions, router, self.missing_log_timeout_s
+            f"i{instance}",
+            self,
+            self,
+            promotions,
+            router,
+            self,
+            self.missing_log_timeout_s,
         )
         reason = "writes not confirmed" if writes_stalled else "unreachable"
         trigger = FailoverTrigger(
@@ -102,7 +113,17 @@
 
     async def send(self, member: MemberListing, command: object) -> LogStatus | None:
         """Answer one command as a member does."""
-        id = member.id
+        if member.id in self.cut_off:
+            return None
+        return self._execute(member.id, command)
+
+    async def demote(self, primary: MemberListing, term: int) -> LogStatus | None:
+        """Demote a primary as another instance does."""
+        if primary.id not in self.cut_off:
+            return None
+        return self._execute(primary.id, DemotePrimary(term))
+
+    def _execute(self, id: str, command: object) -> LogStatus | None:
         if id not in self.end_by_member:
             return None
         if isinstance(command, DemotePrimary) and id == self.undemotable:
@@ -168,6 +189,11 @@
 
     async def _promote(self, inbox: MemoryReceiveChannel) -> None:
         async for request in inbox:
+            if self.late_joiner and PRIMARY in self.leaders:
+                end = self.end_by_member[PRIMARY]
+                self.acknowledged = end._replace(sequence=end.sequence + 1)
+                self.end_by_member[PRIMARY] = self.acknowledged
+                self.end_by_member[self.late_joiner] = self.acknowledged
             self.promoted.append(request.member)
             answer = self.answers.pop(0) if self.answers else PromotionResult.ACCEPTED
             request.reply_to.send_nowait(answer)
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -91,8 +91,14 @@
       | [2, 2, 5, true, 0]       | a reply        |
       | [2, 5, 7, 1.5]           | a confirmation |
       | [2, 4, "i1", "z1", 1, []] | a list        |
+      | [2, 8, 5, "g", "m0", 4]  | a demotion     |
+      | [2, 9, 5, null]          | a result       |
+      | [2, 9, 5, ["m0", false, 4, [3, 7], 0]] | a result |
       | [1, 1, 5, "w", 1]        | ignored        |
       | [3, 1, 5, "w"]           | ignored        |
+      | [2, 99, 5, "w"]          | ignored        |
+      | [2, 8, 5, "g", "m 0", 4] | ignored        |
+      | [2, 8, 5, "g", "m0", 0]  | ignored        |
       | [2, 9, 5, "w"]           | ignored        |
       | [2, 2, 5, 1, 0]          | ignored        |
       | [2, 2, 5, true]          | ignored        |
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -56,6 +56,39 @@
     Then "none" is promoted and "none" is demoted
     And the last outcome is "the primary was not demoted" and no replica is paused
 
+  Scenario: A primary that only other instances reach stops acknowledging
+    # Guards against the loss of commits that a replica confirms for a primary which is
+    # alive for other instances, before the promotion takes effect (issue 41).
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "none" do not answer
+    And only other instances reach "m0"
+    And the primary confirms commits through "m3", which joins after the list
+    When an instance acts on a primary that is unreachable
+    Then every acknowledged commit is at the promoted member
+    And "m1" is promoted and "m0" is demoted
+
+  Scenario: A primary that only other instances reach is demoted before logs are compared
+    # Guards against a group without a primary after a replica that joins has confirmed
+    # commits of a primary which this instance can't reach.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7" of which "none" do not answer
+    And only other instances reach "m0"
+    And the replica "m3" joins and confirms commits during the attempt
+    When an instance acts on a primary that is unreachable
+    Then "m3" is promoted and "m0" is demoted
+
+  Scenario Outline: A primary that a late request would promote again is left to its peers
+    # Guards against the loss of commits that a primary acknowledges after it was demoted
+    # through other instances and a late request has promoted it again.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "none" do not answer
+    And only other instances reach "m0"
+    And a record with the request "<ordered>" and outstanding requests "<outstanding>"
+    When an instance acts on a primary that is unreachable
+    Then "m1" is promoted and "none" is demoted
+
+    Examples:
+      | ordered | outstanding |
+      | m0      | m0          |
+      | m1      | m0,m1       |
+
   Scenario Outline: A pause is repeated with a higher term until it has an effect
     # Guards against a group that never gets a primary again once the members that know
     # its newest term are gone (review/3).
--- a/features/steps/broadcast_steps.py
+++ b/features/steps/broadcast_steps.py
@@ -32,11 +32,12 @@
 @given("an instance that broadcasts to two others")
 def broadcasts(context: Context) -> None:
     """Start a broadcast, whose first datagram waits."""
-    inboxes = [open_memory_channel(INBOX) for _ in range(6)]
+    inboxes = [open_memory_channel(INBOX) for _ in range(7)]
     # The receiving ends are kept, as a channel without one is broken.
     context.inboxes = inboxes
-    (_, inbox), (admission, _), (leases, _), (members, _), (feed, _), (router, _) = (
-        inboxes
+    inbox = inboxes[0][1]
+    admission, leases, members, feed, router, demotions = (
+        send for send, _ in inboxes[1:]
     )
     entry = InstanceEntry(ADDRESS.format(1), "z1")
     context.socket = _SlowSocket()
@@ -47,7 +48,7 @@
 
     async def broadcast() -> None:
         context.peers = PeerDatagrams(
-            "i1", entry, inbox, admission, leases, members, feed, router
+            "i1", entry, inbox, admission, leases, members, feed, router, demotions
         )
         context.peers._socket = context.socket
         await context.peers._handle(PeersSeen(others))
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -156,5 +156,7 @@
         "TokenReply": "a reply",
         "ConfigurationConfirmed": "a confirmation",
         "MembersRelayed": "a list",
+        "PrimaryDemotionRequest": "a demotion",
+        "PrimaryDemotionReply": "a result",
     }
     assert names.get(type(context.message).__name__, "ignored") == result
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -80,6 +80,18 @@
     context.group.joining = member
 
 
+@given('only other instances reach "{member}"')
+def cut_off(context: Context, member: str) -> None:
+    """Partition a member from the instance that acts."""
+    context.group.cut_off = {member}
+
+
+@given('the primary confirms commits through "{member}", which joins after the list')
+def joins_late(context: Context, member: str) -> None:
+    """Let a replica join after the last list, before the promotion takes effect."""
+    context.group.late_joiner = member
+
+
 @given('a record with the request "{ordered}" and outstanding requests "{outstanding}"')
 def requested(context: Context, ordered: str, outstanding: str) -> None:
     """Record promotion requests; a record of an earlier version names only the last."""
@@ -179,6 +191,14 @@
     assert set(group.demoted) == _ids(demoted), group.demoted
 
 
+@then("every acknowledged commit is at the promoted member")
+def has_commits(context: Context) -> None:
+    """Compare the log of the promoted member with what the primary has acknowledged."""
+    group = context.group
+    end = group.end_by_member[group.promoted[-1]]
+    assert end >= group.acknowledged, (end, group.acknowledged)
+
+
 @then('the last outcome is "{outcome}" and no replica is paused')
 def outcome(context: Context, outcome: str) -> None:
     """Compare the outcome of the last attempt."""
--- a/scripts/check_isolation.py
+++ b/scripts/check_isolation.py
@@ -41,6 +41,7 @@
         "promotion_client.run",
         "failover_task.run",
         "roster_task.run",
+        "demotions.run",
         "store.run",
         "server.run",
     },
@@ -54,6 +55,7 @@
 # tasks whose loss their owner would not notice, so that a restart is better.
 CHILD_TASKS = {
     "tasks/connection_manager.py": {"_run_in_scope"},
+    "tasks/fleet/failover_selection.py": {"demote"},
     "tasks/fleet/replication_control.py": {"send_one"},
     "tasks/http_client.py": {"connection.run"},
     "tasks/instance_registration.py": {"connection.run"},
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -19,6 +19,10 @@
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.members_relayed import MembersRelayed
 from jackdawspread.messages.fleet.peer_datagram import PeerDatagram
+from jackdawspread.messages.fleet.primary_demotion_reply import PrimaryDemotionReply
+from jackdawspread.messages.fleet.primary_demotion_request import (
+    PrimaryDemotionRequest,
+)
 from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
 from jackdawspread.messages.fleet.primary_position_request import (
     PrimaryPositionRequest,
@@ -37,8 +41,12 @@
     5: ConfigurationConfirmed,
     6: PrimaryPositionRequest,
     7: PrimaryPositionReply,
+    8: PrimaryDemotionRequest,
+    9: PrimaryDemotionReply,
 }
 KIND_BY_TYPE = {type: kind for kind, type in TYPE_BY_KIND.items()}
+# A larger number does not fit into 64 bits.
+MAX_TERM = 2**63 - 1
 # Longer messages are not sent; their receivers ask the store.
 MAX_DATAGRAM_BYTES = 32 * 1024
 
@@ -104,6 +112,14 @@
         raise ValueError("an age must be finite and not negative")
 
 
+@_check.register
+def _(message: PrimaryDemotionRequest) -> None:
+    check_name(message.group)
+    check_name(message.member)
+    if not 0 < message.term <= MAX_TERM:
+        raise ValueError("a term must be positive and not too large")
+
+
 def _check_time(store_time_s: float) -> None:
     if not isfinite(store_time_s):
         raise ValueError("a time must be finite")
--- a/src/jackdawspread/messages/fleet/peer_datagram.py
+++ b/src/jackdawspread/messages/fleet/peer_datagram.py
@@ -2,6 +2,10 @@
 
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.members_relayed import MembersRelayed
+from jackdawspread.messages.fleet.primary_demotion_reply import PrimaryDemotionReply
+from jackdawspread.messages.fleet.primary_demotion_request import (
+    PrimaryDemotionRequest,
+)
 from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
 from jackdawspread.messages.fleet.primary_position_request import (
     PrimaryPositionRequest,
@@ -13,6 +17,8 @@
 PeerDatagram = (
     ConfigurationConfirmed
     | MembersRelayed
+    | PrimaryDemotionReply
+    | PrimaryDemotionRequest
     | PrimaryPositionReply
     | PrimaryPositionRequest
     | RateLeasesAnnounced
--- a/src/jackdawspread/messages/fleet/router_event.py
+++ b/src/jackdawspread/messages/fleet/router_event.py
@@ -1,5 +1,6 @@
 """Events that the member router handles."""
 
+from jackdawspread.messages.fleet.asked_instances_query import AskedInstancesQuery
 from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
@@ -19,10 +20,12 @@
     PrimaryPositionRequested,
 )
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
+from jackdawspread.messages.fleet.reachable_member_query import ReachableMemberQuery
 from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
 
 RouterEvent = (
-    CapacitiesSeen
+    AskedInstancesQuery
+    | CapacitiesSeen
     | ConfigurationSeen
     | ConnectionClosed
     | ConnectionOpened
@@ -38,6 +41,7 @@
     | PositionSeen
     | PrimaryPositionReply
     | PrimaryPositionRequested
+    | ReachableMemberQuery
     | ReplicaLagged
     | PrimaryResponded
 )
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -24,6 +24,7 @@
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
 from jackdawspread.messages.fleet.members_seen import MembersSeen
+from jackdawspread.messages.fleet.peer_demotion_event import PeerDemotionEvent
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
@@ -48,6 +49,9 @@
 from jackdawspread.tasks.fleet.failover_task import FailoverTask
 from jackdawspread.tasks.fleet.instance_directory import InstanceDirectory
 from jackdawspread.tasks.fleet.peer_datagrams import PeerDatagrams
+from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
+from jackdawspread.tasks.fleet.peer_demotion_executor import PeerDemotionExecutor
+from jackdawspread.tasks.fleet.peer_demotion_task import PeerDemotionTask
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.rate_lease_task import RateLeaseTask
 from jackdawspread.tasks.fleet.record_client import RecordClient
@@ -116,6 +120,9 @@
         )
         self._rosters, self._rosters_inbox = open_memory_channel[MembersSeen](1)
         self._peers, self._peers_inbox = open_memory_channel[PeerEvent](PEERS_INBOX)
+        self._demotions, self._demotions_inbox = open_memory_channel[PeerDemotionEvent](
+            SMALL_INBOX
+        )
         self._capacities, self._capacities_inbox = open_memory_channel[CapacityEvent](
             SMALL_INBOX
         )
@@ -273,6 +280,7 @@
             self._members,
             self._feed,
             self._router,
+            self._demotions,
         )
         records = self._open_records("instances", tasks)
         leases = RateLeaseTask(
@@ -329,8 +337,14 @@
             PromotionLockClient(self._instance_id, records),
             promotions,
             self._router,
+            PeerDemotionClient(self._router, self._demotions),
             self._settings.missing_log_timeout_s,
         )
+        demotions = PeerDemotionTask(
+            PeerDemotionExecutor(replication, self._router),
+            self._demotions_inbox,
+            self._peers,
+        )
         # Calls about rosters must not delay the promotion lock.
         rosters = RosterClient(self._open_records("rosters", tasks))
         roster_task = RosterTask(rosters, replication, self._rosters_inbox)
@@ -338,6 +352,7 @@
         tasks.start_soon(promotion_client.run)
         tasks.start_soon(failover_task.run)
         tasks.start_soon(roster_task.run)
+        tasks.start_soon(demotions.run)
 
     def _open_records(self, user: str, tasks: Nursery) -> RecordClient:
         """Open a separate connection to the store for one task."""
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -28,6 +28,7 @@
 from jackdawspread.messages.statements.resume_replication import ResumeReplication
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.failover_selection import FailoverSelection
+from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.promotion_log import log_comparison
 from jackdawspread.tasks.fleet.promotion_sender import PromotionSender
@@ -54,6 +55,8 @@
         Receives promotion requests for the users' platform.
     router : trio.MemorySendChannel
         Inbox of the member router.
+    peer_demotion : PeerDemotionClient
+        Demotes primaries that this instance can't reach through other instances.
     missing_log_timeout_s : float
         Time in seconds after which a member is promoted without the logs of members
         that are gone; infinite if never, as commits may be lost.
@@ -66,10 +69,13 @@
         locks: PromotionLockClient,
         promotions: MemorySendChannel[PromotionRequest],
         router: MemorySendChannel[RouterEvent],
+        peer_demotion: PeerDemotionClient,
         missing_log_timeout_s: float = inf,
     ) -> None:
         self._replication = replication
-        self._failover = FailoverSelection(replication, missing_log_timeout_s)
+        self._failover = FailoverSelection(
+            replication, peer_demotion, missing_log_timeout_s
+        )
         self._switchover = SwitchoverSelection(replication)
         self._locks = locks
         self._sender = PromotionSender(instance, promotions)
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -1,7 +1,7 @@
 """Selection of the member that replaces a failed primary."""
 
 from absl import logging
-from trio import current_time
+from trio import current_time, open_nursery
 
 from jackdawspread.decisions.failover.blocked_promotion import is_overdue
 from jackdawspread.decisions.failover.outstanding_requests import last_request
@@ -25,6 +25,7 @@
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
 from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.replication_pause import ReplicationPause
@@ -37,15 +38,21 @@
     ----------
     replication : ReplicationControl
         Sends status queries and replication commands to members.
+    peer_demotion : PeerDemotionClient
+        Demotes primaries that this instance can't reach through other instances.
     missing_log_timeout_s : float
         Time in seconds after which a member is promoted without the logs of members
         that are gone; infinite if never, as commits may be lost.
     """
 
     def __init__(
-        self, replication: ReplicationControl, missing_log_timeout_s: float
+        self,
+        replication: ReplicationControl,
+        peer_demotion: PeerDemotionClient,
+        missing_log_timeout_s: float,
     ) -> None:
         self._replication = replication
+        self._peer_demotion = peer_demotion
         self._missing_log_timeout_s = missing_log_timeout_s
         self._search = CandidateSearch(replication)
         self._pause = ReplicationPause(replication)
@@ -91,14 +98,24 @@
             return await self._select_fenced(
                 trigger, replicas, primary, term, record, members_since
             )
+        unreachable = listing_by_id.get(trigger.member)
+        if unreachable is not None and not may_be_demoted:
+            logging.info(
+                "succession: peers not asked to demote member=%s group=%s reason='an "
+                "earlier request may promote it again'",
+                unreachable.id,
+                unreachable.group,
+            )
+            unreachable = None
         return await self._select_unfenced(
-            trigger, replicas, term, record, members_since
+            trigger, replicas, unreachable, term, record, members_since
         )
 
     async def _select_unfenced(
         self,
         trigger: FailoverTrigger,
         replicas: tuple[MemberListing, ...],
+        primary: MemberListing | None,
         term: int,
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
@@ -106,11 +123,26 @@
         """Compare the logs of paused replicas while the primary is unreachable.
 
         A replica that joins in the meantime may confirm commits of a primary that is
-        alive, so the list is read after the logs.
+        alive, so other instances are asked to demote ``primary``. If none does, the
+        list is read last, as only the replicas in it are known.
         """
-        paused_at = current_time()
-        status_by_member = await self._search.query_paused(replicas, term)
-        listing_by_id = await members_since(paused_at) if status_by_member else None
+        demoted: list[LogStatus] = []
+
+        async def demote(primary: MemberListing) -> None:
+            status = await self._peer_demotion.demote(primary, term)
+            if status is not None:
+                demoted.append(status)
+
+        async with open_nursery() as nursery:
+            if primary is not None:
+                nursery.start_soon(demote, primary)
+            status_by_member = await self._search.query_paused(replicas, term)
+        if primary is not None and demoted:
+            return await self._select_demoted(
+                trigger, replicas, primary, demoted[0], term, record, members_since
+            )
+        listed_since = current_time()
+        listing_by_id = await members_since(listed_since) if status_by_member else None
         if status_by_member is None or listing_by_id is None:
             return PromotionPlan(
                 reason="no replica is known to have every commit", paused=replicas
@@ -126,7 +158,7 @@
             evidence.roster,
             replicas,
             tuple(status_by_member.values()),
-            paused_at,
+            listed_since,
         )
 
     async def _select_fenced(
@@ -145,6 +177,21 @@
             # attempt is made without it.
             return PromotionPlan(reason="the primary was not demoted", paused=replicas)
         logging.info("succession: demoted member=%s term=%d", primary.id, term)
+        return await self._select_demoted(
+            trigger, replicas, primary, demoted, term, record, members_since
+        )
+
+    async def _select_demoted(
+        self,
+        trigger: FailoverTrigger,
+        replicas: tuple[MemberListing, ...],
+        primary: MemberListing,
+        demoted: LogStatus,
+        term: int,
+        record: PromotionLockRecord,
+        members_since: ReadMembersSince,
+    ) -> PromotionPlan:
+        """Compare all logs, which can't grow once the primary is demoted."""
         demoted_at = current_time()
         listed_after = await members_since(demoted_at)
         listing_by_id = listed_after or {m.id: m for m in (*replicas, primary)}
--- a/src/jackdawspread/tasks/fleet/peer_datagrams.py
+++ b/src/jackdawspread/tasks/fleet/peer_datagrams.py
@@ -22,8 +22,16 @@
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
 from jackdawspread.messages.fleet.members_relayed import MembersRelayed
 from jackdawspread.messages.fleet.peer_datagram import PeerDatagram
+from jackdawspread.messages.fleet.peer_demotion_event import PeerDemotionEvent
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.primary_demotion_reply import PrimaryDemotionReply
+from jackdawspread.messages.fleet.primary_demotion_request import (
+    PrimaryDemotionRequest,
+)
+from jackdawspread.messages.fleet.primary_demotion_requested import (
+    PrimaryDemotionRequested,
+)
 from jackdawspread.messages.fleet.primary_position_reply import PrimaryPositionReply
 from jackdawspread.messages.fleet.primary_position_request import (
     PrimaryPositionRequest,
@@ -66,6 +74,8 @@
         Receives versions of the configuration that the store has confirmed to others.
     router : trio.MemorySendChannel
         Receives requests for positions of primaries and the replies to them.
+    demotions : trio.MemorySendChannel
+        Receives requests to demote primaries and the replies to them.
     """
 
     def __init__(
@@ -78,6 +88,7 @@
         members: MemorySendChannel[MemberPollEvent],
         configurations: MemorySendChannel[ConfigurationFeedEvent],
         router: MemorySendChannel[RouterEvent],
+        demotions: MemorySendChannel[PeerDemotionEvent],
     ) -> None:
         self._instance = instance
         self._entry = entry
@@ -87,6 +98,7 @@
         self._members = members
         self._configurations = configurations
         self._router = router
+        self._demotions = demotions
         self._socket: SocketType = socket(type=SOCK_DGRAM)
         self._entry_by_instance: dict[str, InstanceEntry] = {}
 
@@ -200,3 +212,11 @@
     @_deliver.register
     def _(self, message: PrimaryPositionReply, sender: str) -> None:
         self._router.send_nowait(message)
+
+    @_deliver.register
+    def _(self, message: PrimaryDemotionRequest, sender: str) -> None:
+        self._demotions.send_nowait(PrimaryDemotionRequested(message, sender))
+
+    @_deliver.register
+    def _(self, message: PrimaryDemotionReply, sender: str) -> None:
+        self._demotions.send_nowait(message)
--- a/src/jackdawspread/tasks/members/member_limits.py
+++ b/src/jackdawspread/tasks/members/member_limits.py
@@ -1,5 +1,6 @@
 """Pool hosts of the groups, and the connection limits that follow from them."""
 
+from jackdawspread.decisions.failover.asked_instances import choose_asked_instances
 from jackdawspread.decisions.members.connection_limits import (
     ConnectionLimits,
     connection_limits,
@@ -94,6 +95,14 @@
             and self._entry_by_instance[host].failure_domain == failure_domain
         )
 
+    def asked_addresses(self, group: str) -> tuple[str, ...]:
+        """Return ``IP:port`` of the instances that are asked to demote a primary."""
+        hosts = self._hosts_by_group.get(group, ())
+        asked = choose_asked_instances(
+            group, self._instance, hosts, self._entry_by_instance
+        )
+        return tuple(self._entry_by_instance[id].address for id in asked)
+
     def limits(self, listing: MemberListing) -> ConnectionLimits | None:
         """Return the limits for a member, None if its group is not configured."""
         group = self._group_by_name.get(listing.group)
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -18,11 +18,13 @@
     lease_conditions,
     usable_primary,
 )
+from jackdawspread.decisions.members.reachable_member import reachable_member
 from jackdawspread.decisions.members.routing_refusal import (
     DETAIL_BY_REASON,
     is_region_allowed,
     routing_refusal,
 )
+from jackdawspread.messages.fleet.asked_instances_query import AskedInstancesQuery
 from jackdawspread.messages.fleet.capacities_seen import CapacitiesSeen
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.connection_closed import ConnectionClosed
@@ -47,6 +49,7 @@
     PrimaryPositionRequested,
 )
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
+from jackdawspread.messages.fleet.reachable_member_query import ReachableMemberQuery
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.messages.fleet.replica_lagged import ReplicaLagged
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -257,6 +260,15 @@
     def _(self, event: PrimaryPositionReply, now: float) -> None:
         self._reads.add_position(event)
 
+    @_handle.register
+    def _(self, event: AskedInstancesQuery, now: float) -> None:
+        event.reply_to.send_nowait(self._limits.asked_addresses(event.group))
+
+    @_handle.register
+    def _(self, event: ReachableMemberQuery, now: float) -> None:
+        state = self._group_monitor.state(event.group)
+        event.reply_to.send_nowait(reachable_member(state, event.member))
+
     def _handle_observation(self, event: MemberObservation, now: float) -> None:
         self._group_monitor.handle_observation(event, now)
         if isinstance(event, MemberUnreachable) and not event.write_timed_out:
