Keep a promotion request outstanding if it is accepted near the lock's expiry

Callers could lose acknowledged commits: the answer 200 only starts a promotion, which takes effect up to about 1 s later, but the record named no outstanding request from then on. If the answer came when the lock had nearly expired, the next holder did not prefer that member, and could promote another one or resume other replicas before the first promotion took effect.

The member is taken off the record only if 1.5 s of the lock's time are left. No other instance acts before the lock expires, so the promotion has taken effect by then; otherwise the next holder finds the member still named.

The example with 1.4 s of the lock left fails before the change.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -74,6 +74,8 @@
         self.promoted: list[str] = []
         self.outcomes: list[str] = []
         self.missing_log_timeout_s = inf
+        # Seconds for which the promotion lock is held.
+        self.held_s = 60.0
         # Results of the next promotion requests; further ones are accepted.
         self.answers: list[PromotionResult] = []
 
@@ -128,7 +130,9 @@
         """Let the attempt acquire the promotion lock."""
         record = self.record.copy()
         record["until"] = current_time() + PROMOTION_LOCK_TTL_S
-        return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
+        return HeldPromotionLock(
+            "duty-g", 1, 1, record, seconds_since_boot() + self.held_s
+        )
 
     async def record_promotion(
         self,
@@ -140,6 +144,7 @@
     ) -> HeldPromotionLock:
         """Accept the record of the chosen member."""
         recorded = record_ordered_member(lock.record, member, term, roster, outstanding)
+        self.record = recorded
         return lock._replace(record=recorded)
 
     async def update(self, lock: HeldPromotionLock) -> None:
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -210,3 +210,17 @@
       | m0      | m1,m0       | m0       | none  | none   |
       | m1      | m0,m1       | none     | m0,m1 | m2     |
       | m0      | m0,m1,m0    | none     | m0,m1,m0 | m1,m2 |
+
+  Scenario Outline: The next holder prefers a member whose promotion was accepted late
+    # Guards against a second promotion before the accepted one has taken effect.
+    Given members with the logs "m1=1.9,m2=1.9" of which "m0" do not answer
+    And a record with the request "m2" and outstanding requests "m2"
+    And the promotion lock is held for <held> s
+    When an instance acts on a primary that is unreachable
+    Then "m2" is promoted and "none" is demoted
+    And the outstanding requests are "<left>" and the replicas "m1,m2" rest paused
+
+    Examples:
+      | held | left |
+      | 3.0  | none |
+      | 1.4  | m2   |
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -102,6 +102,12 @@
     context.group.answers = [PromotionResult(answer) for answer in answers.split(",")]
 
 
+@given("the promotion lock is held for {seconds:g} s")
+def held_for(context: Context, seconds: float) -> None:
+    """Let the promotion lock expire soon."""
+    context.group.held_s = seconds
+
+
 @given('"{member}" is in an evacuated failure domain')
 def evacuated(context: Context, member: str) -> None:
     """Evacuate the failure domain of one member."""
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -38,6 +38,9 @@
 )
 from jackdawspread.tasks.fleet.switchover_selection import SwitchoverSelection
 
+# Time that an accepted promotion may need until the members show it.
+PROMOTION_EFFECT_S = 1.5
+
 
 class FailoverAttempt:
     """Checks a trigger and promotes a member that has every acknowledged commit.
@@ -180,9 +183,7 @@
         outcome = f"promotion {result.value} member={plan.member}"
         is_accepted = result is PromotionResult.ACCEPTED
         if is_accepted and not is_uncertain:
-            answered = record_outstanding(recorded.record, ())
-            await self._locks.update(recorded._replace(record=answered))
-            if plan.keeps_primary:
+            if await self._end_outstanding(recorded) and plan.keeps_primary:
                 outcome = f"earlier requests ended member={plan.member}"
             return outcome, None
         if is_accepted or is_uncertain:
@@ -191,6 +192,23 @@
         record = record_outstanding(recorded.record, outstanding)
         return outcome, recorded._replace(record=record)
 
+    async def _end_outstanding(self, lock: HeldPromotionLock) -> bool:
+        """Record that no request is outstanding after the acceptance of the last one.
+
+        Return whether the rest of the lock's time is enough for the promotion to take
+        effect. If not, the next holder has to prefer the same member.
+        """
+        if seconds_since_boot() + PROMOTION_EFFECT_S > lock.held_until:
+            logging.info(
+                "succession: promotion accepted late name=%s outstanding=%s",
+                lock.name,
+                ",".join(lock.record.get("outstanding", ())),
+            )
+            return False
+        ended = record_outstanding(lock.record, ())
+        await self._locks.update(lock._replace(record=ended))
+        return True
+
     async def _resume(
         self, paused: tuple[MemberListing, ...], lock: HeldPromotionLock
     ) -> None:
