Count promotion requests as outstanding for 30 s at most

Callers of a group whose primary was alive got no write confirmed any more if an outstanding request named a member that was gone: no replica could replace the primary ("only the primary has every commit"), only the member that was gone could be resumed, and nothing took it off the record. If the record named the primary and then another member, every attempt ended with "earlier requests may still be executed". After an upgrade the primary that a record named as ordered had the same effect on one attempt.

The record holds the time of the store's clock until which the last request could be sent. OUTSTANDING_REQUEST_S after it no request is outstanding, so an attempt resumes all replicas, or demotes and replaces the primary. A refused request does not prolong the time of earlier ones. A record without the time counts from the expiry of its lock. If that was released, the time is unknown and counts from the next attempt, as acknowledged commits come before a primary. Groups without a request are not affected.

The fake group acquires and releases its lock as the store does, with a clock that does not begin at 0. The example "m0 | not recorded" stays for a recent record and has a counterpart for an old one.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -12,14 +12,16 @@
 from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.promotion_lock import (
-    PROMOTION_LOCK_TTL_S,
+    acquire_promotion_lock,
     record_ordered_member,
+    release_promotion_lock,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.promotion_result import PromotionResult
+from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.messages.statements.pause_replication import PauseReplication
@@ -29,6 +31,8 @@
 
 PRIMARY = "m0"
 EVACUATED_DOMAIN = "z2"
+# Time of the store's clock at which a scenario begins.
+STORE_START_S = 1000.0
 
 
 def address(id: str) -> str:
@@ -128,8 +132,12 @@
 
     async def acquire(self, group: str) -> HeldPromotionLock:
         """Let the attempt acquire the promotion lock."""
-        record = self.record.copy()
-        record["until"] = current_time() + PROMOTION_LOCK_TTL_S
+        free = self.record.copy()
+        free["holder"] = ""
+        now = STORE_START_S + current_time()
+        record = acquire_promotion_lock(free, "i", now, StoreEpoch(0, began_s=0.0))
+        assert record is not None
+        self.record = record
         return HeldPromotionLock(
             "duty-g", 1, 1, record, seconds_since_boot() + self.held_s
         )
@@ -153,7 +161,8 @@
 
     async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
         """Release the promotion lock after an attempt."""
-        self.record = record_blocked(lock.record, roster) if roster else lock.record
+        record = record_blocked(lock.record, roster) if roster else lock.record
+        self.record = release_promotion_lock(record)
 
     async def _members_since(self, since: float) -> dict[str, MemberListing] | None:
         return None if self.is_list_late else self._list()
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -180,19 +180,24 @@
     # without an answer is executed (spec succession, all-resumed-after-request).
     Given members with the logs "m0=1.9,m1=1.9,m2=1.9" of which "m0" do not answer
     And a record with the request "<ordered>" and outstanding requests "<outstanding>"
+    And its lock has expired <age> s ago
     And "m1,m2" are paused and no list of members can be read
     When an instance acts on a primary that is unreachable
     Then "none" is promoted and the replicas "<paused>" rest paused
 
     Examples:
-      | ordered | outstanding  | paused |
-      | m1      | m1           | m2     |
-      | m1      | m2,m1        | m1,m2  |
-      | m1      | m2,m0        | m1,m2  |
-      | m1      | m1,m1        | m2     |
-      | m1      | none         | none   |
-      | m1      | not recorded | m2     |
-      | m0      | not recorded | m1,m2  |
+      | ordered | outstanding  | age | paused |
+      | m1      | m1           | 1   | m2     |
+      | m1      | m2,m1        | 1   | m1,m2  |
+      | m1      | m2,m0        | 1   | m1,m2  |
+      | m1      | m1,m1        | 1   | m2     |
+      | m1      | none         | 1   | none   |
+      | m1      | not recorded | 1   | m2     |
+      | m0      | not recorded | 1   | m1,m2  |
+      | m0      | not recorded | 29  | m1,m2  |
+      | m0      | not recorded | 31  | none   |
+      | m1      | not recorded | 31  | none   |
+      | m1      | m2,m1        | 31  | none   |
 
   Scenario Outline: A primary that a late request would promote again is not demoted
     # Guards against the loss of commits that a demoted primary acknowledges after a late
@@ -224,3 +229,55 @@
       | held | left |
       | 3.0  | none |
       | 1.4  | m2   |
+
+  Scenario Outline: Replicas are resumed although the requested member is gone for good
+    # Guards against a live primary that never gets a write confirmed again, because an
+    # outstanding request names a member that can't be promoted any more.
+    Given members with the logs "m0=1.9,m2=1.7" of which "m1" do not answer
+    And a record with the request "m1" and outstanding requests "<outstanding>"
+    And "m2" are paused
+    When instances act for <seconds> s on a primary that gets no write confirmed
+    Then "none" is promoted and the replicas "<paused>" rest paused
+
+    Examples:
+      | outstanding  | seconds | paused |
+      | m1           | 29      | m2     |
+      | m1           | 31      | none   |
+      | not recorded | 29      | m2     |
+      | not recorded | 31      | none   |
+
+  Scenario: Replicas are resumed although the requested member has left the list
+    # Guards against the same in a group of four members.
+    Given members with the logs "m0=1.9,m2=1.7,m3=1.7" of which "none" do not answer
+    And "m1" has left the group and may have confirmed commits
+    And a record with the request "m1" and outstanding requests "m1"
+    And "m2,m3" are paused
+    When instances act for 60 s on a primary that gets no write confirmed
+    Then "none" is promoted and the replicas "none" rest paused
+
+  Scenario: A primary that was requested before another member is replaced in the end
+    # Guards against attempts that all end because earlier requests may be executed.
+    Given members with the logs "m0=1.9,m2=1.9,m3=1.9" of which "none" do not answer
+    And a record with the request "m1" and outstanding requests "m0,m1"
+    And "m2,m3" are paused
+    When instances act for 60 s on a primary that gets no write confirmed
+    Then a replica receives or another member is promoted
+
+  Scenario: A primary that was unreachable for one instance gets its replicas back
+    # Guards against a write outage without an end after one attempt of an instance that
+    # does not reach the primary, if the requested member then crashes.
+    Given members with the logs "m1=1.7,m2=1.7" of which "m0" do not answer
+    And a record with the request "m1" and outstanding requests "m1"
+    When an instance that can read no list acts, and "m1" crashes
+    And "m0=1.9" answers again
+    And instances act for 60 s on a primary that gets no write confirmed
+    Then "none" is promoted and the replicas "none" rest paused
+
+  Scenario: A refused request does not prolong the time of an earlier one
+    # Guards against requests that stay outstanding as long as attempts are refused.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.9" of which "m0" do not answer
+    And a record with the request "m2" and outstanding requests "m2"
+    And its lock has expired 20 s ago
+    And promotion requests are answered with "rejected"
+    When an instance acts on a primary that is unreachable
+    Then the requests count from 20 s ago
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from features.fakes.replicated_group import ReplicatedGroup, address
+from features.fakes.replicated_group import STORE_START_S, ReplicatedGroup, address
 from trio import run, sleep
 from trio.testing import MockClock
 
@@ -89,6 +89,18 @@
         context.group.record["outstanding"] = members
 
 
+@given("its lock has expired {seconds:g} s ago")
+def expired(context: Context, seconds: float) -> None:
+    """Let the holder of the record have ended without releasing the lock."""
+    context.group.record["until"] = STORE_START_S - seconds
+
+
+@given('"{members}" are paused')
+def paused(context: Context, members: str) -> None:
+    """Let an earlier attempt leave replicas paused."""
+    context.group.paused = dict.fromkeys(_ids(members), 1)
+
+
 @given('"{members}" are paused and no list of members can be read')
 def paused_before(context: Context, members: str) -> None:
     """Let an earlier attempt leave replicas paused, and let the next one fail."""
@@ -158,6 +170,37 @@
     run(context.group.attempt, False, clock=MockClock(autojump_threshold=0))
 
 
+@when("instances act for {seconds:g} s on a primary that gets no write confirmed")
+def attempts_stalled(context: Context, seconds: float) -> None:
+    """Run attempts at regular times until a member is promoted."""
+
+    async def act() -> None:
+        for _ in range(int(seconds / ATTEMPT_INTERVAL_S) + 1):
+            await context.group.attempt(True)
+            if context.group.promoted:
+                return
+            await sleep(ATTEMPT_INTERVAL_S)
+
+    run(act, clock=MockClock(autojump_threshold=0))
+
+
+@when('an instance that can read no list acts, and "{crashed}" crashes')
+def acts_before_crash(context: Context, crashed: str) -> None:
+    """Run an attempt on a suspected primary that leaves replicas paused."""
+    group = context.group
+    group.is_list_late = True
+    run(group.attempt, False, clock=MockClock(autojump_threshold=0))
+    group.is_list_late = False
+    group.end_by_member.pop(crashed)
+    group.paused.pop(crashed, None)
+
+
+@when('"{logs}" answers again')
+def answers_again(context: Context, logs: str) -> None:
+    """Let a member answer."""
+    context.group.end_by_member.update(_ends(logs))
+
+
 @when("instances act for {seconds:g} s on a primary that is unreachable")
 def attempts_for(context: Context, seconds: float) -> None:
     """Run attempts at regular times."""
@@ -200,6 +243,14 @@
     assert set(group.paused) == _ids(paused), (group.paused, group.outcomes)
 
 
+@then("a replica receives or another member is promoted")
+def progress(context: Context) -> None:
+    """Check that a write can be confirmed, now or after the promotion."""
+    group = context.group
+    receiving = group.end_by_member.keys() - group.leaders - group.paused.keys()
+    assert group.promoted or receiving, (group.paused, group.outcomes[-1])
+
+
 @then('the outstanding requests are "{left}" and the replicas "{paused}" rest paused')
 def requests_left(context: Context, left: str, paused: str) -> None:
     """Compare the record after the attempt, and the replicas that don't receive."""
@@ -207,3 +258,10 @@
     expected = [] if left == "none" else left.split(",")
     assert group.record["outstanding"] == expected, (group.record, group.outcomes)
     assert set(group.paused) == _ids(paused), (group.paused, group.outcomes)
+
+
+@then("the requests count from {seconds:g} s ago")
+def counted_from(context: Context, seconds: float) -> None:
+    """Compare the recorded time."""
+    record = context.group.record
+    assert record["requested_at"] == STORE_START_S - seconds, record
--- a/src/jackdawspread/decisions/failover/blocked_promotion.py
+++ b/src/jackdawspread/decisions/failover/blocked_promotion.py
@@ -7,7 +7,7 @@
 from collections.abc import Collection
 
 from jackdawspread.decisions.failover.promotion_lock import (
-    PROMOTION_LOCK_TTL_S,
+    acquired_at,
     record_roster,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
@@ -21,7 +21,7 @@
 
     ``timeout_s`` is infinite if it waits for ever.
     """
-    return _acquired_at(record) - _blocked_since(record) >= timeout_s
+    return acquired_at(record) - _blocked_since(record) >= timeout_s
 
 
 def record_blocked(
@@ -34,17 +34,13 @@
     """
     blocked = record_roster(record, roster)
     blocked["blocked_since"] = _blocked_since(record)
-    blocked["blocked_at"] = _acquired_at(record)
+    blocked["blocked_at"] = acquired_at(record)
     return blocked
 
 
-def _acquired_at(record: PromotionLockRecord) -> float:
-    return record["until"] - PROMOTION_LOCK_TTL_S
-
-
 def _blocked_since(record: PromotionLockRecord) -> float:
     """Return the time of the first in a row of attempts that includes this one."""
-    now = _acquired_at(record)
+    now = acquired_at(record)
     elapsed_s = now - record.get("blocked_at", now)
     if not 0 <= elapsed_s <= MAX_ATTEMPT_INTERVAL_S:
         return now
--- a/src/jackdawspread/decisions/failover/outstanding_requests.py
+++ b/src/jackdawspread/decisions/failover/outstanding_requests.py
@@ -1,14 +1,21 @@
 """Promotion requests that may still be executed.
 
 A request without an answer may be executed late, until the platform has received a
-request with a higher fencing token.
+request with a higher fencing token. A request counts as outstanding for a bounded time:
+the member that it names may be gone for good, and while only this one may be resumed no
+write is confirmed. All times are of the store's clock, and the record is one that its
+holder has acquired.
 """
 
 from collections.abc import Sequence
 
+from jackdawspread.decisions.failover.promotion_lock import acquired_at
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.member_listing import MemberListing
 
+# Time after which a request without an answer is no longer executed.
+OUTSTANDING_REQUEST_S = 30.0
+
 
 def outstanding_requests(record: PromotionLockRecord, primary: str) -> tuple[str, ...]:
     """Return the members whose promotion may still happen, in order of the requests.
@@ -18,8 +25,7 @@
     ones, and repeating it has no effect. Records of earlier versions name the last
     request only, and not whether it was answered.
     """
-    ordered = [record["ordered"]] if record["ordered"] else []
-    members = tuple(record.get("outstanding", ordered))
+    members = _unexpired_requests(record)
     if primary in members:
         return members[members.index(primary) + 1 :]
     return members
@@ -30,7 +36,7 @@
 
     Such a request has no effect while the member is the primary.
     """
-    return primary in record.get("outstanding", [record["ordered"]])
+    return primary in _unexpired_requests(record)
 
 
 def last_request(record: PromotionLockRecord) -> str:
@@ -50,6 +56,21 @@
     return changed
 
 
+def record_refusal(
+    record: PromotionLockRecord,
+    acquired: PromotionLockRecord,
+    outstanding: Sequence[str],
+) -> PromotionLockRecord:
+    """Return the record after the holder's own request was definitely refused.
+
+    ``acquired`` is the record before that request, whose time of the earlier requests
+    is kept.
+    """
+    refused = record_outstanding(record, outstanding)
+    refused["requested_at"] = acquired.get("requested_at", acquired_at(acquired))
+    return refused
+
+
 def replicas_to_resume(
     paused: tuple[MemberListing, ...],
     replicas: tuple[MemberListing, ...],
@@ -64,3 +85,11 @@
     if not outstanding:
         return paused
     return tuple(replica for replica in replicas if {replica.id} == set(outstanding))
+
+
+def _unexpired_requests(record: PromotionLockRecord) -> tuple[str, ...]:
+    now = acquired_at(record)
+    if now - record.get("requested_at", now) >= OUTSTANDING_REQUEST_S:
+        return ()
+    ordered = [record["ordered"]] if record["ordered"] else []
+    return tuple(record.get("outstanding", ordered))
--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -35,9 +35,16 @@
     acquired["token"] = max(record["token"], epoch.number * TOKENS_PER_EPOCH) + 1
     acquired["holder"] = instance
     acquired["until"] = store_time_s + PROMOTION_LOCK_TTL_S
+    if record["ordered"]:
+        acquired["requested_at"] = _requested_at(record, store_time_s)
     return acquired
 
 
+def acquired_at(record: PromotionLockRecord) -> float:
+    """Return the time of the store's clock at which the holder acquired the lock."""
+    return record["until"] - PROMOTION_LOCK_TTL_S
+
+
 def is_held(record: PromotionLockRecord, store_time_s: float) -> bool:
     """Whether an instance may rely on the lock at a time of the store's clock."""
     return bool(record["holder"]) and record["until"] > store_time_s
@@ -62,6 +69,7 @@
     ordered["ordered"] = member
     is_repeated = outstanding[-1:] == (member,)
     ordered["outstanding"] = [*outstanding, *(() if is_repeated else (member,))]
+    ordered["requested_at"] = record["until"]
     ordered["term"] = max(term, recorded_term(record))
     if roster:
         ordered["roster"] = sorted(roster)
@@ -95,3 +103,13 @@
 def recorded_roster(record: PromotionLockRecord) -> frozenset[str]:
     """Return the roster that the record names, empty if it names none."""
     return frozenset(record.get("roster", ()))
+
+
+def _requested_at(record: PromotionLockRecord, store_time_s: float) -> float:
+    """Return the time until which the last request was sent, as far as it is known.
+
+    Records of earlier versions show it by the expiry of the lock, unless the lock was
+    released after a later attempt.
+    """
+    expired_at = record["until"] or store_time_s
+    return min(record.get("requested_at", expired_at), store_time_s)
--- a/src/jackdawspread/decisions/failover/promotion_lock_record.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock_record.py
@@ -26,6 +26,10 @@
     outstanding : list of str
         Members whose promotion was requested and may still be executed, in order of the
         requests. Records of earlier versions lack it.
+    requested_at : float
+        Time of the store's clock in seconds until which the last promotion request
+        could be sent, the expiry of its holder's lock. Records of earlier versions and
+        of groups without a request lack it.
     blocked_since, blocked_at : float
         Times of the store's clock in seconds of the first and the last in a row of
         attempts that ended because logs were missing. The record lacks them if there
@@ -39,5 +43,6 @@
     term: NotRequired[int]
     roster: NotRequired[list[str]]
     outstanding: NotRequired[list[str]]
+    requested_at: NotRequired[float]
     blocked_since: NotRequired[float]
     blocked_at: NotRequired[float]
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -11,6 +11,7 @@
     may_be_promoted_again,
     outstanding_requests,
     record_outstanding,
+    record_refusal,
     replicas_to_resume,
 )
 from jackdawspread.decisions.failover.promotion_candidate import (
@@ -189,7 +190,7 @@
         if is_accepted or is_uncertain:
             return outcome, None
         await self._resume(resumable, recorded)
-        record = record_outstanding(recorded.record, outstanding)
+        record = record_refusal(recorded.record, lock.record, outstanding)
         return outcome, recorded._replace(record=record)
 
     async def _end_outstanding(self, lock: HeldPromotionLock) -> bool:
