Let the promotion lock expire if a replica may still be resumed

Callers could lose acknowledged commits: a command to resume a replica names no term, and the lock was released also if the command was not answered. It could be executed after the next holder had paused the replica, which then confirmed commits that the compared logs lacked.

ReplicationControl.resume_all reports the members to which a command was sent without an answer. The lock is then not released, so the next holder pauses 3 s after the lock was acquired at the earliest. A replica that can't be reached gets no command and delays nothing. What the attempt lacked is written to the lock that stays held, and attempts 3.5 s apart count as in a row, or the wait for missing logs would begin anew each time.

The scenarios of the lock that is held and of the attempts every 3.5 s fail before the change.

--- a/features/commit_check.feature
+++ b/features/commit_check.feature
@@ -60,6 +60,17 @@
       | demote  | DemotePrimary(term=4)     |
       | resume  | ResumeReplication()       |
 
+  Scenario Outline: A resume without an answer may be executed later if it was sent
+    # Guards against releasing the promotion lock before it is executed, and against
+    # keeping it because of a replica that can't be reached.
+    When a replica is resumed and the command <fate>
+    Then the command may still be executed by "<members>"
+
+    Examples:
+      | fate           | members |
+      | gets no answer | m0      |
+      | is not sent    | none    |
+
   Scenario: A status query without an answer is not logged
     # Guards against lines for each query to a member that is down.
     When the command "status" gets no answer
--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -78,6 +78,11 @@
         answers = {member.id: await self.send(member, command) for member in members}
         return {id: status for id, status in answers.items() if status is not None}
 
+    async def resume_all(self, members: tuple[MemberListing, ...]) -> frozenset[str]:
+        """Resume replicas; those that do not answer do not get the command."""
+        await self.send_all(members, ResumeReplication())
+        return frozenset()
+
     async def acquire(self, group: str) -> HeldPromotionLock:
         """Let the attempt acquire the promotion lock."""
         self.is_acquired = True
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -63,6 +63,8 @@
         self.leaving: set[str] = set()
         # Member that does not get the command to demote it.
         self.undemotable = ""
+        # Member that does not answer the command to resume it.
+        self.unresumed = ""
         self.record = PromotionLockRecord(token=1, holder="", until=0.0, ordered="")
         # Replica that is listed and receives the primary's log once the first logs
         # have been compared.
@@ -130,6 +132,13 @@
         answers = {member.id: await self.send(member, command) for member in members}
         return {id: status for id, status in answers.items() if status is not None}
 
+    async def resume_all(self, members: tuple[MemberListing, ...]) -> frozenset[str]:
+        """Resume replicas; return those that may run the command later."""
+        unanswered = {m.id for m in members if m.id == self.unresumed}
+        answering = tuple(m for m in members if m.id not in unanswered)
+        await self.send_all(answering, ResumeReplication())
+        return frozenset(unanswered)
+
     async def acquire(self, group: str) -> HeldPromotionLock:
         """Let the attempt acquire the promotion lock."""
         free = self.record.copy()
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -281,3 +281,27 @@
     And promotion requests are answered with "rejected"
     When an instance acts on a primary that is unreachable
     Then the requests count from 20 s ago
+
+  Scenario Outline: The lock is not released while a replica may still be resumed
+    # Guards against a resume that is executed after the next holder's pause: the replica
+    # then confirms commits that the compared logs lack.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.9" of which "m0" do not answer
+    And "m1,m2" are paused and no list of members can be read
+    And the command to resume "<unanswered>" gets no answer
+    When an instance acts on a primary that is unreachable
+    Then "none" is promoted and the replicas "<paused>" rest paused
+    And the lock is <state>
+
+    Examples:
+      | unanswered | paused | state    |
+      | none       | none   | released |
+      | m2         | m2     | held     |
+
+  Scenario: An attempt that leaves the lock to expire counts as lacking logs
+    # Guards against a wait for missing logs that begins anew after each attempt.
+    Given members with the logs "m0=1.9,m1=1.9,m2=1.7" of which "m0" do not answer
+    And "m9" has left the group and may have confirmed commits
+    And the command to resume "m2" gets no answer
+    And settings that limit the wait for missing logs to 10 s
+    When instances act every 3.5 s for 14 s on a primary that is unreachable
+    Then "m1" is promoted and "none" is demoted
--- a/features/steps/commit_check_steps.py
+++ b/features/steps/commit_check_steps.py
@@ -1,6 +1,7 @@
 """Steps for acknowledged commits and the lines about promotions."""
 
 import re
+from collections.abc import Awaitable, Callable
 from unittest import mock
 
 from absl import logging
@@ -109,7 +110,33 @@
 def unanswered(context: Context, name: str) -> None:
     """Fail the exchange after it was sent."""
     _collect(context)
-    failure = ExchangeFailure(True, "no answer in time", True)
+
+    async def send(control: ReplicationControl) -> None:
+        assert await control.send(MEMBER, STATEMENT_BY_NAME[name]) is None
+
+    _run_failing(send, was_sent=True)
+
+
+@when("a replica is resumed and the command {fate}")
+def resumed(context: Context, fate: str) -> None:
+    """Fail the exchange before or after it was sent."""
+
+    async def resume(control: ReplicationControl) -> None:
+        context.unanswered = await control.resume_all((MEMBER,))
+
+    _run_failing(resume, was_sent=fate == "gets no answer")
+
+
+@then('the command may still be executed by "{members}"')
+def executed_late(context: Context, members: str) -> None:
+    """Compare the members that did not answer."""
+    assert context.unanswered == frozenset({members} - {"none"}), context.unanswered
+
+
+def _run_failing(
+    act_on: Callable[[ReplicationControl], Awaitable[None]], was_sent: bool
+) -> None:
+    failure = ExchangeFailure(was_sent, "no answer in time", True)
 
     async def act() -> None:
         router, requests = open_memory_channel(10)
@@ -131,8 +158,7 @@
         async with open_nursery() as nursery:
             nursery.start_soon(lease)
             nursery.start_soon(fail)
-            control = ReplicationControl(router)
-            assert await control.send(MEMBER, STATEMENT_BY_NAME[name]) is None
+            await act_on(ReplicationControl(router))
             nursery.cancel_scope.cancel()
 
     run(act, clock=MockClock(autojump_threshold=0))
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -132,6 +132,12 @@
     context.group.undemotable = member
 
 
+@given('the command to resume "{member}" gets no answer')
+def no_resume_answer(context: Context, member: str) -> None:
+    """Let the command be executed later."""
+    context.group.unresumed = "" if member == "none" else member
+
+
 @given("the newest term of the group is {term:d}, which no member reports")
 def hidden_term(context: Context, term: int) -> None:
     """Raise the term above those in the logs."""
@@ -204,11 +210,20 @@
 @when("instances act for {seconds:g} s on a primary that is unreachable")
 def attempts_for(context: Context, seconds: float) -> None:
     """Run attempts at regular times."""
+    attempts_every(context, ATTEMPT_INTERVAL_S, seconds)
+
+
+@when(
+    "instances act every {interval:g} s for {seconds:g} s on a primary that is "
+    "unreachable"
+)
+def attempts_every(context: Context, interval: float, seconds: float) -> None:
+    """Run attempts at regular times."""
 
     async def act() -> None:
-        for _ in range(int(seconds / ATTEMPT_INTERVAL_S) + 1):
+        for _ in range(int(seconds / interval) + 1):
             await context.group.attempt(False)
-            await sleep(ATTEMPT_INTERVAL_S)
+            await sleep(interval)
 
     run(act, clock=MockClock(autojump_threshold=0))
 
@@ -265,3 +280,10 @@
     """Compare the recorded time."""
     record = context.group.record
     assert record["requested_at"] == STORE_START_S - seconds, record
+
+
+@then("the lock is {state}")
+def lock_state(context: Context, state: str) -> None:
+    """Compare the holder after the attempt."""
+    held = bool(context.group.record["holder"])
+    assert held == (state == "held"), (context.group.record, context.group.outcomes)
--- a/src/jackdawspread/decisions/failover/blocked_promotion.py
+++ b/src/jackdawspread/decisions/failover/blocked_promotion.py
@@ -7,13 +7,15 @@
 from collections.abc import Collection
 
 from jackdawspread.decisions.failover.promotion_lock import (
+    PROMOTION_LOCK_TTL_S,
     acquired_at,
     record_roster,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 
-# Attempts follow each other faster than this while a group has no primary.
-MAX_ATTEMPT_INTERVAL_S = 3.0
+# Attempts follow each other faster than this while a group has no primary, also those
+# that leave the lock to expire.
+MAX_ATTEMPT_INTERVAL_S = 2 * PROMOTION_LOCK_TTL_S
 
 
 def is_overdue(record: PromotionLockRecord, timeout_s: float) -> bool:
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -6,6 +6,7 @@
 from trio import MemorySendChannel
 
 from jackdawspread.decisions.evacuations.evacuated_members import mark_evacuated
+from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.outstanding_requests import (
     may_be_promoted_again,
@@ -26,8 +27,8 @@
 from jackdawspread.messages.fleet.promotion_result import PromotionResult
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.statements.query_status import QueryStatus
-from jackdawspread.messages.statements.resume_replication import ResumeReplication
 from jackdawspread.tasks.boot_clock import seconds_since_boot
+from jackdawspread.tasks.fleet.attempt_result import AttemptResult
 from jackdawspread.tasks.fleet.failover_selection import FailoverSelection
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.promotion_log import log_comparison
@@ -120,13 +121,9 @@
             trigger, listing_by_id, lock, outstanding, marked_members_since
         )
         resumable = replicas_to_resume(plan.paused, replicas, outstanding)
-        outcome, unused = await self._promote(
-            trigger, plan, lock, outstanding, resumable
-        )
-        if unused is not None:
-            roster = frozenset() if plan.member else plan.roster
-            await self._locks.release(unused, roster)
-        return outcome
+        result = await self._promote(trigger, plan, lock, outstanding, resumable)
+        await self._end(result, frozenset() if plan.member else plan.roster)
+        return result.outcome
 
     async def _select(
         self,
@@ -160,8 +157,8 @@
         lock: HeldPromotionLock,
         outstanding: tuple[str, ...],
         resumable: tuple[MemberListing, ...],
-    ) -> tuple[str, HeldPromotionLock | None]:
-        """Return the outcome, and the lock to release unless it has to expire.
+    ) -> AttemptResult:
+        """Return the outcome, and the lock unless it has to expire.
 
         It expires if a promotion has or may have happened: until the new primary takes
         over, the members report the same state as before, and another attempt could
@@ -174,24 +171,45 @@
                 lock, plan.member, plan.term, plan.roster, outstanding
             )
         if recorded is None:
-            await self._resume(resumable, lock)
-            return plan.reason or "the promotion lock was not written", lock
+            is_resumed = await self._resume(resumable, lock)
+            reason = plan.reason or "the promotion lock was not written"
+            return AttemptResult(reason, lock, is_resumed)
         log_comparison(trigger, plan, lock.record)
+        is_resumed = True
         if plan.keeps_primary:
             # Requests for the present primary have no effect, so no pause is needed.
-            await self._resume(resumable, recorded)
+            is_resumed = await self._resume(resumable, recorded)
         result, is_uncertain = await self._sender.run(trigger, plan.member, recorded)
         outcome = f"promotion {result.value} member={plan.member}"
         is_accepted = result is PromotionResult.ACCEPTED
         if is_accepted and not is_uncertain:
             if await self._end_outstanding(recorded) and plan.keeps_primary:
                 outcome = f"earlier requests ended member={plan.member}"
-            return outcome, None
+            return AttemptResult(outcome)
         if is_accepted or is_uncertain:
-            return outcome, None
-        await self._resume(resumable, recorded)
+            return AttemptResult(outcome)
+        is_resumed = await self._resume(resumable, recorded) and is_resumed
         record = record_refusal(recorded.record, lock.record, outstanding)
-        return outcome, recorded._replace(record=record)
+        return AttemptResult(outcome, recorded._replace(record=record), is_resumed)
+
+    async def _end(self, result: AttemptResult, roster: frozenset[str]) -> None:
+        """Release the lock of an attempt without a promotion.
+
+        A replica that may be resumed later would receive after the next holder's pause,
+        so the lock is then left to expire. ``roster`` is empty unless logs are missing.
+        """
+        lock = result.unused
+        if lock is None:
+            return
+        if result.is_resumed:
+            await self._locks.release(lock, roster)
+            return
+        logging.warning(
+            "succession: lock left to expire, replicas may be resumed late name=%s",
+            lock.name,
+        )
+        record = record_blocked(lock.record, roster) if roster else lock.record
+        await self._locks.update(lock._replace(record=record))
 
     async def _end_outstanding(self, lock: HeldPromotionLock) -> bool:
         """Record that no request is outstanding after the acceptance of the last one.
@@ -212,22 +230,23 @@
 
     async def _resume(
         self, paused: tuple[MemberListing, ...], lock: HeldPromotionLock
-    ) -> None:
+    ) -> bool:
         """Resume paused replicas if the commands arrive while the lock is held.
 
-        After its expiry another instance may rely on the pause.
+        After its expiry another instance may rely on the pause. Return whether no
+        command may still be executed.
         """
         if not paused:
-            return
+            return True
         if seconds_since_boot() + COMMAND_TIMEOUT_S < lock.held_until:
             logging.info(
                 "succession: resuming replicas name=%s members=%s",
                 lock.name,
                 ",".join(member.id for member in paused),
             )
-            await self._replication.send_all(paused, ResumeReplication())
-        else:
-            logging.warning(
-                "succession: replicas left paused, lock expired name=%s",
-                lock.name,
-            )
+            return not await self._replication.resume_all(paused)
+        logging.warning(
+            "succession: replicas left paused, lock expired name=%s",
+            lock.name,
+        )
+        return True
--- a/src/jackdawspread/tasks/fleet/replication_control.py
+++ b/src/jackdawspread/tasks/fleet/replication_control.py
@@ -69,6 +69,24 @@
                 nursery.start_soon(send_one, listing)
         return status_by_member
 
+    async def resume_all(self, members: tuple[MemberListing, ...]) -> frozenset[str]:
+        """Resume several replicas concurrently.
+
+        The result names the members that did not answer and may run the command later.
+        """
+        unanswered: set[str] = set()
+
+        async def resume(listing: MemberListing) -> None:
+            outcome = await self._run(listing, ResumeReplication())
+            _log_without_status(listing, ResumeReplication(), outcome)
+            if isinstance(outcome, ExchangeFailure) and outcome.sent:
+                unanswered.add(listing.id)
+
+        async with open_nursery() as nursery:
+            for listing in members:
+                nursery.start_soon(resume, listing)
+        return frozenset(unanswered)
+
     async def send(
         self, listing: MemberListing, statement: MemberStatement
     ) -> LogStatus | None:
@@ -77,24 +95,26 @@
         A busy member has not run the statement, which is then sent again. The result is
         None if no log status arrived in time.
         """
+        outcome = await self._run(listing, statement)
+        _log_without_status(listing, statement, outcome)
+        if not isinstance(outcome, MemberReply) or outcome.log_status is None:
+            return None
+        return outcome.log_status._replace(member=listing.id)
+
+    async def _run(
+        self, listing: MemberListing, statement: MemberStatement
+    ) -> MemberReply | ExchangeFailure | Refusal:
         deadline = current_time() + COMMAND_TIMEOUT_S
         lease = await self._lease(listing, deadline)
         if isinstance(lease, Refusal):
-            _log_unanswered(listing, statement, lease.detail, was_sent=False)
-            return None
+            return lease
         command = MemberCommand("", statement)
         outcome = await run_exchange(lease, (command,), deadline)
         while _is_busy(outcome) and current_time() + BUSY_RETRY_DELAY_S < deadline:
             await sleep(BUSY_RETRY_DELAY_S)
             outcome = await run_exchange(lease, (command,), deadline)
         self._return_lease(lease, isinstance(outcome, MemberReply))
-        if isinstance(outcome, ExchangeFailure):
-            _log_unanswered(listing, statement, outcome.reason, outcome.sent)
-            return None
-        if outcome.log_status is None:
-            _log_unanswered(listing, statement, outcome.error or "no status", True)
-            return None
-        return outcome.log_status._replace(member=listing.id)
+        return outcome
 
     async def _lease(
         self, listing: MemberListing, deadline: float
@@ -125,6 +145,20 @@
     return isinstance(outcome, MemberReply) and outcome.error == BUSY
 
 
+def _log_without_status(
+    listing: MemberListing,
+    statement: MemberStatement,
+    outcome: MemberReply | ExchangeFailure | Refusal,
+) -> None:
+    if isinstance(outcome, Refusal):
+        _log_unanswered(listing, statement, outcome.detail, was_sent=False)
+    elif isinstance(outcome, ExchangeFailure):
+        _log_unanswered(listing, statement, outcome.reason, outcome.sent)
+    elif outcome.log_status is None:
+        reason = outcome.error or "no status"
+        _log_unanswered(listing, statement, reason, was_sent=True)
+
+
 def _log_unanswered(
     listing: MemberListing, statement: MemberStatement, reason: str, was_sent: bool
 ) -> None:
