Take a primary for the present one only if it claims to be

Callers could lose acknowledged commits: an attempt on a primary that answers or leaves left out its request and those before it, although the primary may have been demoted since the trigger was sent. Only the member of a later request was then resumed, and a late request for the former primary promoted it without the commits that this member had confirmed.

If the record names the primary, its status is now read under the lock, and the requests up to its own are left out only if it claims to be the primary. Other attempts send no further query.

The two examples in which no member claims to be the primary fail before the change.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -75,6 +75,8 @@
         # Whether no list of members can be read during an attempt.
         self.is_list_late = False
         self.leaders = {PRIMARY}
+        # Whether attempts are made because the primary leaves.
+        self.is_planned = False
         self.paused: dict[str, int] = {}
         self.demoted: list[str] = []
         self.promoted: list[str] = []
@@ -96,7 +98,7 @@
         trigger = FailoverTrigger(
             "g",
             self.former_primary,
-            False,
+            self.is_planned,
             writes_stalled,
             reason,
             frozenset({EVACUATED_DOMAIN}),
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -305,3 +305,20 @@
     And settings that limit the wait for missing logs to 10 s
     When instances act every 3.5 s for 14 s on a primary that is unreachable
     Then "m1" is promoted and "none" is demoted
+
+  Scenario Outline: A request for a primary counts unless it claims to be the primary
+    # Guards against a demoted primary that is taken for the present one: a late request
+    # for it would be executed after another replica was resumed.
+    Given members with the logs "m0=1.9,m1=1.7,m2=1.7" of which "none" do not answer
+    And a record with the request "m1" and outstanding requests "m0,m1"
+    And "m1,m2" are paused and no list of members can be read
+    And "<primary>" is the only member that claims to be the primary
+    When an instance acts on a primary that <trouble>
+    Then "none" is promoted and the replicas "<paused>" rest paused
+
+    Examples:
+      | primary | trouble                 | paused |
+      | m0      | gets no write confirmed | m2     |
+      | none    | gets no write confirmed | m1,m2  |
+      | m0      | leaves                  | m2     |
+      | none    | leaves                  | m1,m2  |
--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -150,9 +150,16 @@
     context.group.leaders.add(member)
 
 
+@given('"{member}" is the only member that claims to be the primary')
+def only_primary(context: Context, member: str) -> None:
+    """Choose the members that claim to be the primary."""
+    context.group.leaders = _ids(member)
+
+
 @when("an instance acts on a primary that {trouble}")
 def attempts(context: Context, trouble: str) -> None:
     """Run one attempt."""
+    context.group.is_planned = trouble == "leaves"
     stalled = trouble == "gets no write confirmed"
     run(context.group.attempt, stalled, clock=MockClock(autojump_threshold=0))
 
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -19,6 +19,7 @@
     MIN_LOGS,
     replicas_to_query,
 )
+from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
@@ -115,8 +116,8 @@
         if isinstance(lock, str):
             return lock
         # A silent primary may have been demoted, after which a late request counts.
-        leader = "" if is_suspected else trigger.member
-        outstanding = outstanding_requests(lock.record, leader)
+        reachable = None if is_suspected else primary
+        outstanding = await self._outstanding_requests(lock.record, reachable)
         plan = await self._select(
             trigger, listing_by_id, lock, outstanding, marked_members_since
         )
@@ -125,6 +126,22 @@
         await self._end(result, frozenset() if plan.member else plan.roster)
         return result.outcome
 
+    async def _outstanding_requests(
+        self, record: PromotionLockRecord, primary: MemberListing | None
+    ) -> tuple[str, ...]:
+        """Return the members of outstanding requests.
+
+        Those up to the request for the primary are left out if it shows that it still
+        claims to be the primary.
+        """
+        members = outstanding_requests(record, "")
+        if primary is None or primary.id not in members:
+            return members
+        status = await self._replication.send(primary, QueryStatus())
+        if status is None or not status.claims_primary:
+            return members
+        return outstanding_requests(record, primary.id)
+
     async def _select(
         self,
         trigger: FailoverTrigger,
