Let the model of the succession take requests off the record

The model kept a request outstanding until the member was the primary at the next acquisition, so it could not show the fault of clearing the record on the answer of a promotion that has not taken effect yet.

--- a/spec/succession/actions.py
+++ b/spec/succession/actions.py
@@ -183,6 +183,32 @@
             )
 
 
+def end_request(state: State, rules: Rules) -> Steps:
+    """Take a request off the record whose only copy was answered.
+
+    The lock is held until the promotion has taken effect; an answer that comes too late
+    for that ends nothing.
+    """
+    for index, attempt in enumerate(state.attempts):
+        held = attempt.token == state.duty_token and not state.duty_is_free
+        if not attempt.has_ordered or not held or not state.duty_outstanding:
+            continue
+        member = state.duty_outstanding[-1]
+        is_effective = state.leads and state.primary == member
+        is_effective = is_effective and state.highest_token == attempt.token
+        if rules.await_effect and not is_effective:
+            continue
+        request = (attempt.token, member)
+        pending = tuple(o for o in state.orders if not is_effective or o != request)
+        ended = _with_attempt(state, index, IDLE)
+        yield (
+            f"instance={index}",
+            ended._replace(
+                orders=pending, duty_outstanding=(), highest_token=attempt.token
+            ),
+        )
+
+
 def resume(state: State, rules: Rules) -> Steps:
     """End an attempt without a promotion and resume replicas while the lock is held.
 
--- a/spec/succession/model.py
+++ b/spec/succession/model.py
@@ -44,6 +44,7 @@
         actions.demote,
         actions.repeat,
         actions.order,
+        actions.end_request,
         actions.resume,
         actions.promote,
     ),
@@ -62,6 +63,7 @@
         Mutant(
             "all-resumed-after-request", RULES._replace(resume_ordered_only=False), KEPT
         ),
+        Mutant("request-ended-before-effect", RULES._replace(await_effect=False), KEPT),
         Mutant("order-after-lapse", RULES._replace(stop_when_lock_expired=False), KEPT),
     ),
     canonical=canonical,
--- a/spec/succession/rules.py
+++ b/spec/succession/rules.py
@@ -21,3 +21,4 @@
     stop_when_lock_expired: bool = True
     keep_requested_primary: bool = True
     resume_ordered_only: bool = True
+    await_effect: bool = True
