--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -12,14 +12,16 @@
 from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.promotion_lock import (
-    PROMOTION_LOCK_TTL_S,
+    acquire_promotion_lock,
     record_ordered_member,
+    release_promotion_lock,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.promotion_result import PromotionResult
+from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.messages.statements.pause_replication import PauseReplication
@@ -29,6 +31,8 @@
 
 PRIMARY = "m0"
 EVACUATED_DOMAIN = "z2"
+# Time of the store's clock at which a scenario begins.
+STORE_START_S = 1000.0
 
 
 def address(id: str) -> str:
@@ -59,6 +63,8 @@
         self.leaving: set[str] = set()
         # Member that does not get the command to demote it.
         self.undemotable = ""
+        # Member that does not answer the command to resume it.
+        self.unresumed = ""
         self.record = PromotionLockRecord(token=1, holder="", until=0.0, ordered="")
         # Replica that is listed and receives the primary's log once the first logs
         # have been compared.
@@ -74,11 +80,15 @@
         # Whether no list of members can be read during an attempt.
         self.is_list_late = False
         self.leaders = {PRIMARY}
+        # Whether attempts are made because the primary leaves.
+        self.is_planned = False
         self.paused: dict[str, int] = {}
         self.demoted: list[str] = []
         self.promoted: list[str] = []
         self.outcomes: list[str] = []
         self.missing_log_timeout_s = inf
+        # Seconds for which the promotion lock is held.
+        self.held_s = 60.0
         # Results of the next promotion requests; further ones are accepted.
         self.answers: list[PromotionResult] = []
 
@@ -99,7 +109,7 @@
         trigger = FailoverTrigger(
             "g",
             self.former_primary,
-            False,
+            self.is_planned,
             writes_stalled,
             reason,
             frozenset({EVACUATED_DOMAIN}),
@@ -145,11 +155,24 @@
         answers = {member.id: await self.send(member, command) for member in members}
         return {id: status for id, status in answers.items() if status is not None}
 
+    async def resume_all(self, members: tuple[MemberListing, ...]) -> frozenset[str]:
+        """Resume replicas; return those that may run the command later."""
+        unanswered = {m.id for m in members if m.id == self.unresumed}
+        answering = tuple(m for m in members if m.id not in unanswered)
+        await self.send_all(answering, ResumeReplication())
+        return frozenset(unanswered)
+
     async def acquire(self, group: str) -> HeldPromotionLock:
         """Let the attempt acquire the promotion lock."""
-        record = self.record.copy()
-        record["until"] = current_time() + PROMOTION_LOCK_TTL_S
-        return HeldPromotionLock("duty-g", 1, 1, record, seconds_since_boot() + 60)
+        free = self.record.copy()
+        free["holder"] = ""
+        now = STORE_START_S + current_time()
+        record = acquire_promotion_lock(free, "i", now, StoreEpoch(0, began_s=0.0))
+        assert record is not None
+        self.record = record
+        return HeldPromotionLock(
+            "duty-g", 1, 1, record, seconds_since_boot() + self.held_s
+        )
 
     async def record_promotion(
         self,
@@ -161,6 +184,7 @@
     ) -> HeldPromotionLock:
         """Accept the record of the chosen member."""
         recorded = record_ordered_member(lock.record, member, term, roster, outstanding)
+        self.record = recorded
         return lock._replace(record=recorded)
 
     async def update(self, lock: HeldPromotionLock) -> None:
@@ -169,7 +193,8 @@
 
     async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
         """Release the promotion lock after an attempt."""
-        self.record = record_blocked(lock.record, roster) if roster else lock.record
+        record = record_blocked(lock.record, roster) if roster else lock.record
+        self.record = release_promotion_lock(record)
 
     async def _members_since(self, since: float) -> dict[str, MemberListing] | None:
         return None if self.is_list_late else self._list()
