--- a/spec/succession/rules.py
+++ b/spec/succession/rules.py
@@ -6,7 +6,8 @@
 class Rules(NamedTuple):
     """Bounds, and steps and checks of the protocol that mutants change.
 
-    ``demotes`` adds a holder of the lock that demotes the primary.
+    ``demotes`` lets a holder of the lock demote the primary. ``await_effect`` keeps a
+    request in the record until its promotion has taken effect.
     """
 
     max_entries: int = 2
--- a/spec/succession/state.py
+++ b/spec/succession/state.py
@@ -10,7 +10,9 @@
 
     An entry of a log is its term times ten plus its number, so entries order like
     positions. ``orders`` are promotions that were sent and may be executed at any
-    time, and repeatedly.
+    time, and repeatedly. ``leads`` states that ``primary`` has not been demoted.
+    ``duty_outstanding`` are the members of the requests in the lock's record, in their
+    order.
     """
 
     logs: tuple[tuple[int, ...], ...]
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -45,7 +45,7 @@
     9: PrimaryDemotionReply,
 }
 KIND_BY_TYPE = {type: kind for kind, type in TYPE_BY_KIND.items()}
-# A larger number does not fit into 64 bits.
+# A larger term does not fit into a signed 64-bit integer.
 MAX_TERM = 2**63 - 1
 # Longer messages are not sent; their receivers ask the store.
 MAX_DATAGRAM_BYTES = 32 * 1024
--- a/src/jackdawspread/tasks/fleet/attempt_result.py
+++ b/src/jackdawspread/tasks/fleet/attempt_result.py
@@ -6,7 +6,7 @@
 
 
 class AttemptResult(NamedTuple):
-    """Outcome of an attempt, and what becomes of the promotion lock.
+    """Outcome of an attempt, and whether its promotion lock may be released.
 
     Parameters
     ----------
@@ -15,7 +15,8 @@
     unused : HeldPromotionLock, optional
         Lock under which no promotion can have happened; None if one has or may have.
     is_resumed : bool
-        Whether no command to resume a replica may still be executed.
+        Whether no command to resume a replica may still be executed, as none was sent
+        or all were answered. If not, the lock is left to expire.
     """
 
     outcome: str
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -257,7 +257,7 @@
         """Resume paused replicas if the commands arrive while the lock is held.
 
         After its expiry another instance may rely on the pause. Return whether no
-        command may still be executed.
+        command may still be executed, which is also true if none was sent.
         """
         if not paused:
             return True
--- a/src/jackdawspread/tasks/fleet/peer_demotion_client.py
+++ b/src/jackdawspread/tasks/fleet/peer_demotion_client.py
@@ -24,6 +24,8 @@
 class PeerDemotionClient:
     """Demotes primaries through other instances.
 
+    Used by the failover task, in attempts that can't reach the primary.
+
     Parameters
     ----------
     router : trio.MemorySendChannel
--- a/src/jackdawspread/tasks/fleet/peer_demotion_executor.py
+++ b/src/jackdawspread/tasks/fleet/peer_demotion_executor.py
@@ -19,6 +19,8 @@
 class PeerDemotionExecutor:
     """Executes requests of other instances to demote a primary.
 
+    Used by the peer demotion task.
+
     Parameters
     ----------
     replication : ReplicationControl
--- a/src/jackdawspread/tasks/fleet/replication_control.py
+++ b/src/jackdawspread/tasks/fleet/replication_control.py
@@ -162,7 +162,11 @@
 def _log_unanswered(
     listing: MemberListing, statement: MemberStatement, reason: str, was_sent: bool
 ) -> None:
-    """Log a command without its answer: it may still be executed later."""
+    """Log a command that was not answered with a log status.
+
+    It may still be executed later if it was sent, unless the member has refused it.
+    Status queries are not logged.
+    """
     if isinstance(statement, COMMANDS):
         logging.warning(
             "succession: command not answered command=%r member=%s group=%s sent=%s "
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -166,6 +166,7 @@
         if self._codec.has_partial_message:
             return self._stop_times.exit_at
         if self._notice is not None:
+            # The notice was the last thing written, which set this time.
             return end_session_at(self._stop_times, self._active_at)
         return notify_session_at(
             self._stop_times, self._operations.in_transaction, self._active_at
@@ -282,7 +283,11 @@
         return "idle at a stop"
 
     async def _end_waiting(self) -> bool:
-        """Take the next step of a shutdown; return whether the session goes on."""
+        """Take the next step of a shutdown; return whether the session goes on.
+
+        What has arrived is read first. Otherwise the caller gets a closing notice, and
+        the session ends if the caller has had one or has sent a part of a message.
+        """
         if self._stream.socket.is_readable():
             return await self._receive()
         if self._notice is not None or self._codec.has_partial_message:
--- a/src/jackdawspread/tasks/sessions/dropped_input.py
+++ b/src/jackdawspread/tasks/sessions/dropped_input.py
@@ -15,6 +15,8 @@
 class DroppedInput:
     """Counts the bytes that a session drops and finds the requests in them.
 
+    `SessionEnding` creates one when it begins to close the connection.
+
     Parameters
     ----------
     codec : SessionCodec
@@ -38,7 +40,9 @@
             self._codec.receive(data)
 
     def request_ids(self) -> tuple[str, ...]:
-        """Return the ids of the complete requests, the first 100 at most.
+        """Decode the complete requests and return their ids, the first 100 at most.
+
+        A second call does not return them again.
 
         The text of a malformed request may contain a key, so its id is not used.
         """
--- a/src/jackdawspread/tasks/sessions/session_end.py
+++ b/src/jackdawspread/tasks/sessions/session_end.py
@@ -1,4 +1,4 @@
-"""End of a caller's session."""
+"""Facts about the end of a caller's session, for its log line."""
 
 from typing import NamedTuple
 
--- a/src/jackdawspread/tasks/sessions/session_end_log.py
+++ b/src/jackdawspread/tasks/sessions/session_end_log.py
@@ -21,7 +21,11 @@
 
 
 class SessionEndLog:
-    """Writes a line for each session that its instance or the network ends."""
+    """Writes a line for each session that its instance or the network ends.
+
+    Belongs to the session listener. Its sessions share it, so that the number of lines
+    a second is bounded for all of them together.
+    """
 
     def __init__(self) -> None:
         self._second = 0
--- a/src/jackdawspread/tasks/sessions/session_ending.py
+++ b/src/jackdawspread/tasks/sessions/session_ending.py
@@ -1,4 +1,4 @@
-"""End of a caller's session."""
+"""Closes the connection of a caller's session."""
 
 from errno import errorcode
 
@@ -31,7 +31,8 @@
 class SessionEnding:
     """Closes the connection of a session, and logs why and what was dropped.
 
-    Only the session's task uses it, and states the reason before it closes.
+    Belongs to one `CallerSession`, whose task sets ``reason``, ``database`` and
+    ``request_id`` as it learns them, and calls `close` once at the end.
 
     Parameters
     ----------
@@ -79,7 +80,7 @@
         in_transaction : bool
             Whether a transaction was open.
         idle_s : float
-            Seconds since the session was active.
+            Seconds since the last answer was written.
         """
         dropped = DroppedInput(self._codec)
         try:
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -95,7 +95,8 @@
     async def run(self) -> None:
         """Accept callers until cancelled."""
         async with open_nursery() as sessions:
-            # Nobody accepts what still connects while the sessions end.
+            # The socket is closed before the sessions end. The kernel then refuses new
+            # connections, which would otherwise wait without being accepted.
             with self._listener.socket:
                 try:
                     await self._accept(sessions)
