List the task that resumes one replica as a child of its attempt

Like send_one it runs in the nursery of an attempt, which is isolated, so an error ends that attempt only. The isolation check failed without the entry.

--- a/scripts/check_isolation.py
+++ b/scripts/check_isolation.py
@@ -56,7 +56,7 @@
 CHILD_TASKS = {
     "tasks/connection_manager.py": {"_run_in_scope"},
     "tasks/fleet/failover_selection.py": {"demote"},
-    "tasks/fleet/replication_control.py": {"send_one"},
+    "tasks/fleet/replication_control.py": {"send_one", "resume"},
     "tasks/http_client.py": {"connection.run"},
     "tasks/instance_registration.py": {"connection.run"},
     "tasks/peer_client.py": {"task.run"},
