Log each attempt to get the configuration, and the newest known version

Change: one line a call with its result, bytes, time to the first byte and time of the transfer; one line for a call that this instance gives up; the way and the age of each new version; newest_version beside version in the line of a statement, and both in a refusal for a key or a route. Metrics: transfers and bytes by way and result, delay by way, newest known version. No logic changes.

--- a/src/jackdawspread/decisions/sessions/operation_check.py
+++ b/src/jackdawspread/decisions/sessions/operation_check.py
@@ -19,6 +19,7 @@
     max_age_s: float,
     database: str,
     key: str,
+    newest_version: int = 0,
 ) -> OperationAdmitted | Refusal:
     """Return the route and workspace of an operation, or its refusal.
 
@@ -35,6 +36,8 @@
         Database that the caller named.
     key : str
         The caller's key.
+    newest_version : int
+        Newest version that is known to exist, for the log.
     """
     if configuration is None:
         return _refuse("busy", "no configuration has been read yet", RETRY_AFTER_MS)
@@ -43,10 +46,12 @@
         return _refuse("busy", detail, RETRY_AFTER_MS)
     route = configuration.route_by_database.get(database)
     if route is None:
-        return _refuse("nodb", f"there is no route for the database {database}")
+        detail = f"there is no route for the database {database}"
+        return _refuse("nodb", f"{detail}, {_versions(configuration, newest_version)}")
     workspace = configuration.workspace_by_key.get(key, "")
     if not workspace and not route.public:
-        return _refuse("noauth", "the key is not valid")
+        versions = _versions(configuration, newest_version)
+        return _refuse("noauth", f"the key is not valid, {versions}")
     regions = allowed_regions(configuration, route, workspace)
     if regions is None:
         detail = "the route and the workspace have no allowed region in common"
@@ -58,9 +63,14 @@
         age_s,
         configuration.transaction_idle_s,
         regions,
+        newest_version,
     )
 
 
+def _versions(configuration: FleetConfiguration, newest_version: int) -> str:
+    return f"version {configuration.version}, newest known {newest_version}"
+
+
 def refuse_rate(
     limit: WorkspaceLimit, leases: int, other_holders: int, wait_s: float
 ) -> Refusal:
--- a/src/jackdawspread/messages/fleet/admission_event.py
+++ b/src/jackdawspread/messages/fleet/admission_event.py
@@ -3,6 +3,9 @@
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.cold_token_request import ColdTokenRequest
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
+from jackdawspread.messages.fleet.newer_configuration_known import (
+    NewerConfigurationKnown,
+)
 from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
 from jackdawspread.messages.fleet.readiness_check import ReadinessCheck
@@ -13,6 +16,7 @@
     AdmissionRequest
     | ColdTokenRequest
     | ConfigurationSeen
+    | NewerConfigurationKnown
     | OperationNotRun
     | RateLeasesHeld
     | ReadinessCheck
--- a/src/jackdawspread/messages/fleet/configuration_seen.py
+++ b/src/jackdawspread/messages/fleet/configuration_seen.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from jackdawspread.messages.fleet.configuration_way import ConfigurationWay
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
 
 
@@ -13,8 +14,11 @@
     configuration : FleetConfiguration or None
         The newest version; None if it has not changed since the last report.
     as_of : float
-        Boot-time clock in seconds when the request was sent to the store.
+        Boot-time clock in seconds at which the store had it.
+    way : ConfigurationWay or None
+        How a new version arrived.
     """
 
     configuration: FleetConfiguration | None
     as_of: float
+    way: ConfigurationWay | None = None
--- a/src/jackdawspread/messages/fleet/operation_admitted.py
+++ b/src/jackdawspread/messages/fleet/operation_admitted.py
@@ -22,6 +22,8 @@
         Time in seconds after which an idle transaction may be rolled back.
     allowed_regions : frozenset of str
         Regions in which the operation may run; any region if empty.
+    newest_version : int
+        Newest version that is known to exist.
     """
 
     route: DatabaseRoute
@@ -30,3 +32,4 @@
     age_s: float
     transaction_idle_s: float
     allowed_regions: frozenset[str] = frozenset()
+    newest_version: int = 0
--- a/src/jackdawspread/messages/http_outcome.py
+++ b/src/jackdawspread/messages/http_outcome.py
@@ -26,6 +26,10 @@
         Reason why no response arrived; empty if one did.
     headers : mapping
         Headers of the response by name in lower case.
+    received_bytes : int
+        Number of bytes of the response that arrived, also of an incomplete one.
+    began_at : float
+        Boot-time clock in seconds when the first byte arrived; 0 if none did.
     """
 
     id: int
@@ -35,3 +39,5 @@
     sent: bool
     error: str = ""
     headers: Mapping[str, str] = NO_HEADERS
+    received_bytes: int = 0
+    began_at: float = 0.0
--- a/src/jackdawspread/platform/configuration_feed.py
+++ b/src/jackdawspread/platform/configuration_feed.py
@@ -38,11 +38,19 @@
     ConfigurationFeedEvent,
 )
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
+from jackdawspread.messages.fleet.configuration_way import ConfigurationWay
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
+from jackdawspread.messages.fleet.newer_configuration_known import (
+    NewerConfigurationKnown,
+)
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.platform.configuration_attempt_log import (
+    log_attempt,
+    log_cancelled,
+)
 from jackdawspread.platform.configuration_rows import decode_configuration
 from jackdawspread.platform.epoch_tracker import EpochTracker
 from jackdawspread.platform.evacuation_tracker import EvacuationTracker
@@ -130,6 +138,8 @@
         # Monotonic time of the last confirmation by the store or by another instance.
         self._confirmed_at = 0.0
         self._feed_scope = CancelScope()
+        # Why the call in progress may be cancelled.
+        self._cancel_reason = ""
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
@@ -162,20 +172,25 @@
 
     async def _request(self, client: HttpClient) -> HttpOutcome | None:
         """Return an answer of the store, None if the configuration must be read."""
-        now = current_time()
+        now, begun_at = current_time(), seconds_since_boot()
         if self._version is None:
-            return await client.call("GET", READ_TARGET, {}, now + READ_TIMEOUT_S)
+            read = await client.call("GET", READ_TARGET, {}, now + READ_TIMEOUT_S)
+            log_attempt(ConfigurationWay.READ, begun_at, read)
+            return read
         wait_s = feed_wait_s(self._rank)
         target = (
             f"/rows-feed?Table={TABLE}&after={self._version}&WaitMs={1000 * wait_s:.0f}"
         )
-        outcome = None
+        outcome, self._cancel_reason = None, "not confirmed in time"
         with CancelScope(deadline=self._confirm_by()) as self._feed_scope:
             outcome = await client.call(
                 "GET", target, {}, now + wait_s + ANSWER_MARGIN_S
             )
         if outcome is None:
+            log_cancelled(ConfigurationWay.FEED, begun_at, self._cancel_reason)
             client.close()
+        else:
+            log_attempt(ConfigurationWay.FEED, begun_at, outcome)
         return outcome
 
     def _confirm_by(self) -> float:
@@ -216,7 +231,9 @@
                 event.version,
                 own,
             )
+            self._cancel_reason = "newer version known to a peer"
             self._feed_scope.cancel()
+            await self._admission.send(NewerConfigurationKnown(event.version))
         elif event.version == own and not self._has_same_evacuations(event):
             # A change is on its way to this instance, unless its connection is lost.
             if self._held is not None and as_of > self._held.confirmed_at:
@@ -303,7 +320,8 @@
         as_of = to_local_time(self._clock, store_now_s)
         self._held = HeldConfiguration(stored, self._epoch.number, as_of)
         is_new = choice is ConfigurationChoice.TAKE
-        seen = ConfigurationSeen(stored if is_new else None, as_of)
+        way = ConfigurationWay.READ if is_read else ConfigurationWay.FEED
+        seen = ConfigurationSeen(stored if is_new else None, as_of, way)
         await self._admission.send(seen)
         if is_new:
             self._regions.report(stored)
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -21,6 +21,9 @@
 from jackdawspread.messages.fleet.cold_token_request import ColdTokenRequest
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
+from jackdawspread.messages.fleet.newer_configuration_known import (
+    NewerConfigurationKnown,
+)
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
 from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.peer_event import PeerEvent
@@ -34,7 +37,9 @@
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.fleet_metrics import (
     CONFIGURATION_AGE,
+    CONFIGURATION_DELAY_SECONDS,
     CONFIGURATION_VERSION,
+    NEWEST_CONFIGURATION_VERSION,
     RATE_LEASES_HELD,
 )
 from jackdawspread.tasks.fleet.pending_admission import PendingAdmission
@@ -86,6 +91,7 @@
             peers, round(1000 * seconds_since_boot()), crossing_delay_limit_s
         )
         self._configuration: FleetConfiguration | None = None
+        self._newest_version = 0
         self._confirmed_at = 0.0
         self._buckets = RateBuckets()
         self._waiting: list[PendingAdmission] = []
@@ -135,21 +141,30 @@
         known = self._configuration
         if newest is None:
             return
+        way = event.way.value if event.way is not None else "unknown"
+        delay_s = seconds_since_boot() - event.as_of
+        CONFIGURATION_DELAY_SECONDS.labels(way).observe(delay_s)
         logging.info(
             "admission: configuration version=%d previous=%s routes=%d workspaces=%d "
-            "age_ms=%d",
+            "way=%s age_ms=%d",
             newest.version,
             known.version if known is not None else "none",
             len(newest.route_by_database),
             len(newest.limit_by_workspace),
-            1000 * (seconds_since_boot() - event.as_of),
+            way,
+            1000 * delay_s,
         )
         self._configuration = newest
         self._buckets.limit_by_workspace = newest.limit_by_workspace
         self._buckets.group_by_name = newest.group_by_name
         CONFIGURATION_VERSION.set(newest.version)
+        self._report_newest(newest.version)
         self._answer_waiting()
 
+    @_handle.register
+    def _(self, event: NewerConfigurationKnown) -> None:
+        self._report_newest(event.version)
+
     @_handle.register
     def _(self, event: RateLeasesHeld) -> None:
         self._buckets.set_held(event)
@@ -193,9 +208,18 @@
         else:
             event.reply_to.send_nowait("")
 
+    def _report_newest(self, version: int) -> None:
+        self._newest_version = version
+        NEWEST_CONFIGURATION_VERSION.set(version)
+
     def _check(self, event: AdmissionRequest) -> OperationAdmitted | Refusal:
         return check_operation(
-            self._configuration, self._age(), self._max_age_s, event.database, event.key
+            self._configuration,
+            self._age(),
+            self._max_age_s,
+            event.database,
+            event.key,
+            self._newest_version,
         )
 
     def _limited_workspace(
--- a/src/jackdawspread/tasks/fleet/fleet_metrics.py
+++ b/src/jackdawspread/tasks/fleet/fleet_metrics.py
@@ -10,6 +10,26 @@
 CONFIGURATION_VERSION = Gauge(
     "jackdawspread_configuration_version", "Version of the configuration in force."
 )
+NEWEST_CONFIGURATION_VERSION = Gauge(
+    "jackdawspread_newest_configuration_version",
+    "Newest version of the configuration that is known to exist.",
+)
+CONFIGURATION_TRANSFERS = Counter(
+    "jackdawspread_configuration_transfers",
+    "Attempts to get the configuration, by the way and the result.",
+    ("way", "result"),
+)
+CONFIGURATION_BYTES = Counter(
+    "jackdawspread_configuration_bytes",
+    "Bytes received in attempts to get the configuration, by the way and the result.",
+    ("way", "result"),
+)
+CONFIGURATION_DELAY_SECONDS = Histogram(
+    "jackdawspread_configuration_delay_seconds",
+    "Time from the store's answer with a new version to its use, by the way.",
+    ("way",),
+    buckets=(0.01, 0.03, 0.1, 0.3, 1, 2, 3, 5, 10, 30),
+)
 CONFIGURATION_AGE = Gauge(
     "jackdawspread_configuration_age_seconds",
     "Time since the store last confirmed the configuration.",
--- a/src/jackdawspread/tasks/http_client_connection.py
+++ b/src/jackdawspread/tasks/http_client_connection.py
@@ -14,6 +14,7 @@
 from jackdawspread.codecs.untyped_json import decode_object, encode_json
 from jackdawspread.messages.http_call import HttpCall
 from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.open_stream import open_stream
 
 READ_CHUNK_BYTES = 64 * 1024
@@ -43,6 +44,9 @@
         self._inbox = inbox
         self._codec = HttpClientCodec(address)
         self._stream: SocketStream | None = None
+        # Bytes of the current response, and when the first one arrived.
+        self._received_bytes = 0
+        self._began_at = 0.0
 
     async def run(self) -> None:
         """Send calls until the inbox closes or a call fails."""
@@ -60,6 +64,13 @@
                     await self._stream.aclose()
 
     async def _call(self, call: HttpCall) -> HttpOutcome:
+        self._received_bytes, self._began_at = 0, 0.0
+        outcome = await self._try_call(call)
+        return outcome._replace(
+            received_bytes=self._received_bytes, began_at=self._began_at
+        )
+
+    async def _try_call(self, call: HttpCall) -> HttpOutcome:
         sent = False
         with CancelScope(deadline=call.deadline) as scope:
             try:
@@ -95,6 +106,9 @@
                     call.id, self._id, response.status, body, True, headers=headers
                 )
             data = await self._stream.receive_some(READ_CHUNK_BYTES)
+            if data and not self._received_bytes:
+                self._began_at = seconds_since_boot()
+            self._received_bytes += len(data)
             self._codec.receive(data)
             if not data:
                 raise BrokenResourceError("closed by the other end")
--- a/src/jackdawspread/tasks/sessions/statement_log.py
+++ b/src/jackdawspread/tasks/sessions/statement_log.py
@@ -42,8 +42,8 @@
         ).inc()
     logging.info(
         "session: statement id=%s kind=%s database=%s workspace=%s phase=%s "
-        "version=%s version_age_ms=%s member=%s terms=%s attempts=%d elapsed_ms=%.1f "
-        "outcome=%s %s",
+        "version=%s version_age_ms=%s newest_version=%s member=%s terms=%s "
+        "attempts=%d elapsed_ms=%.1f outcome=%s %s",
         request.id,
         kind,
         database,
@@ -51,6 +51,7 @@
         phase_before.value,
         admitted.version if admitted else "none",
         round(1000 * admitted.age_s) if admitted else "none",
+        admitted.newest_version if admitted else "none",
         outcome.member or "none",
         outcome.conditions_text or "none",
         outcome.attempts,
