Show that a configuration does not arrive, or arrives at every instance

A link of limited rate stands between an instance and the store.

Seen: a transfer of 2.5 s never ends (running instance and one that starts); a neighbour's message makes an instance receive 608 kB for 230 kB; the store sends a change to all 6 instances of a failure domain; an instance that the store refuses accepts a withdrawn key for more than 3 s.

--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -3,6 +3,7 @@
 import json
 
 from features.support.trio_thread import TrioThread
+from features.wire.store_link import StoreLink
 from features.wire.table_store import TableStore
 from features.wire.wire_caller import WireCaller
 from features.wire.wire_group import WireGroup
@@ -41,6 +42,10 @@
     evacuation_s : float
         Seconds within which an evacuation must take effect; 0 for a platform without
         them.
+    failure_domains : tuple of str
+        Failure domains, in which the instances take turns.
+    link_bytes_per_s : tuple of float
+        Rate at which answers of the store reach each of the first instances.
     """
 
     def __init__(
@@ -48,7 +53,13 @@
         instances: int = 1,
         max_connections: int = MAX_CONNECTIONS,
         evacuation_s: float = 0.0,
+        failure_domains: tuple[str, ...] = FAILURE_DOMAINS,
+        link_bytes_per_s: tuple[float, ...] = (),
     ) -> None:
+        self._failure_domains = failure_domains
+        self._link_bytes_per_s = link_bytes_per_s
+        # Links to the store, in the order of the instances.
+        self.links: list[StoreLink] = []
         self._instances = instances
         self._evacuation_s = evacuation_s
         self._is_first_start = True
@@ -56,6 +67,7 @@
         self._nursery: Nursery
         self._stopping_by_instance = [Event() for _ in range(instances)]
         self._scope_by_instance = [CancelScope() for _ in range(instances)]
+        self._ended_by_instance = [Event() for _ in range(instances)]
         self.is_stopped = False
         self.store = TableStore(self._promote)
         self.group = WireGroup(GROUP, self.store)
@@ -120,6 +132,15 @@
         """End an instance at once; its sockets are closed."""
         self.call(_as_coroutine, self._scope_by_instance[instance].cancel)
 
+    def restart(self, instance: int) -> None:
+        """Start an instance that was killed."""
+        self.call(self._ended_by_instance[instance].wait)
+        self._ended_by_instance[instance] = Event()
+        self._stopping_by_instance[instance] = Event()
+        self._scope_by_instance[instance] = CancelScope()
+        self._is_first_start = False
+        self.call(self.start_instance, instance)
+
     def connections(self) -> int:
         """Return how many connections the members have accepted so far."""
         return sum(member.accepted for member in self.member_by_id.values())
@@ -142,7 +163,7 @@
             self.store.put("op", "config", value)
             self.ports = await _free_ports()
             for number in range(self._instances):
-                self._start_instance(number)
+                await self.start_instance(number)
             for address in self.addresses:
                 await self._wait_until_serving(address)
             ready.set()
@@ -161,16 +182,22 @@
         self.group.address_by_member[id] = _address(listeners[0])
         self._nursery.start_soon(member.run)
 
-    def _start_instance(self, number: int) -> None:
+    async def start_instance(self, number: int) -> None:
+        """Start an instance, also one that was killed; called in the world's thread."""
         ip = INSTANCE_IP.format(number + 1)
         session, readiness, peer, metrics = (f"{ip}:{port}" for port in self.ports)
-        self.addresses.append(session)
+        store_address = self.store_address
+        if number < len(self._link_bytes_per_s):
+            link = StoreLink(store_address, self._link_bytes_per_s[number])
+            self.links[number:] = [link, *self.links[number + 1 :]]
+            store_address = await link.start(self._nursery)
+        self.addresses[number:] = [session, *self.addresses[number + 1 :]]
         settings = SessionProxySettings(
             instance=f"i{number + 1}",
-            failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
+            failure_domain=self._failure_domains[number % len(self._failure_domains)],
             session_address=session,
             readiness_address=readiness,
-            store_address=self.store_address,
+            store_address=store_address,
             promotion_address=self.store_address,
             ip=ip,
             metrics_address=metrics,
@@ -190,6 +217,7 @@
         with self._scope_by_instance[number]:
             await PlatformInstance(settings, stopping).run()
             self.is_stopped = True
+        self._ended_by_instance[number].set()
 
     async def _wait_until_serving(self, address: str) -> None:
         while True:
