Read an answer of the store as long as it makes progress

Cause: an answer had to end by a fixed time, while its transfer takes longer the larger the configuration is; what had arrived was thrown away and the next attempt began with the first byte. A call that was cancelled left its connection open until its own deadline, so that two transfers shared the link.

HttpClient.close ends the call in progress. A later page of a list is read again without those before it. The store's clock is compared with the time at which an answer began to arrive, not ended, so that a slow transfer makes nothing look fresher than it is.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -28,3 +28,23 @@
     Given an instance with stand-ins for the store and the members
     When a caller sends START while the limit of sessions is reached
     Then it gets ERR BUSY, and then the end of the stream
+
+  Scenario Outline: An answer of the store is read as long as it makes progress
+    # Guards against a transfer that is given up and starts over (incident CONFIG), and
+    # against one that has stopped and is waited for without a limit.
+    Given a server on loopback that sends its answer in parts, <parts>
+    When it is called by <method> with a deadline of 0.3 s
+    Then the call gets <outcome>
+
+    Examples:
+      | parts                     | method | outcome   |
+      | 8 of them 0.1 s apart     | GET    | an answer |
+      | 8 of them 0.1 s apart     | POST   | no answer |
+      | 2 of them 5.0 s apart     | GET    | no answer |
+      | the first after 0.5 s     | GET    | no answer |
+
+  Scenario: Closing a client ends the call that is in progress
+    # Guards against a transfer that goes on beside the next one on a full link.
+    Given a server on loopback that never ends its answer
+    When the client is closed during a call
+    Then the server sees the end of the connection within 1 s
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -203,7 +203,7 @@
         self._is_restored = self._epoch.observe(outcome) or self._is_restored
         if outcome.status == OK:
             store_now_s = store_time_s(outcome.body)
-            self._clock = update_offset(self._clock, store_now_s, seconds_since_boot())
+            self._clock = update_offset(self._clock, store_now_s, outcome.began_at)
 
     async def _publish(self, listed: dict[str, MemberListing], read_at: float) -> None:
         if self._read_at and read_at - self._read_at > OUTAGE_S:
--- a/src/jackdawspread/platform/read_rows.py
+++ b/src/jackdawspread/platform/read_rows.py
@@ -10,6 +10,8 @@
 from jackdawspread.tasks.http_client import HttpClient
 
 PAGE_ROWS = 500
+# A later page that fails is read once more, and the pages before it are kept.
+LATER_PAGE_ATTEMPTS = 2
 OK = 200
 
 
@@ -31,7 +33,7 @@
     prefix : str
         Beginning of the keys; all rows of the table if it is empty.
     page_timeout_s : float
-        Seconds until which each page must be answered.
+        Seconds until which the answer with each page must have begun.
     report : callable
         Called with the outcome of each call.
     """
@@ -39,13 +41,18 @@
     # "~" is greater than all characters in the names of records.
     end = f"&To={quote(prefix)}~" if prefix else ""
     start = f"&From={quote(prefix)}" if prefix else ""
+    failures = 0
     while True:
         target = f"/rows-get?Table={table}&part=&Limit={PAGE_ROWS}{start}{end}"
         deadline = current_time() + page_timeout_s
         outcome = await client.call("GET", target, {}, deadline)
         report(outcome)
         if outcome.status != OK:
-            return None
+            failures += 1
+            if not rows or failures == LATER_PAGE_ATTEMPTS:
+                return None
+            continue
+        failures = 0
         page = list(decode_rows(outcome.body))
         rows += page
         if not outcome.body.get("HasMore") or not page:
--- a/src/jackdawspread/tasks/http_client.py
+++ b/src/jackdawspread/tasks/http_client.py
@@ -34,6 +34,7 @@
         self._nursery = nursery
         self._ids = count(1)
         self._calls: MemorySendChannel[HttpCall] | None = None
+        self._connection: HttpClientConnection | None = None
 
     async def call(
         self,
@@ -43,7 +44,11 @@
         deadline: float,
         headers: tuple[tuple[str, str], ...] = (),
     ) -> HttpOutcome:
-        """Send one call and return its outcome, at the latest at its deadline."""
+        """Send one call and return its outcome.
+
+        A call that changes nothing (GET) may go on beyond its deadline while bytes of
+        the response arrive.
+        """
         send, receive = open_memory_channel[HttpOutcome](1)
         call = HttpCall(next(self._ids), method, target, body, deadline, send, headers)
         try:
@@ -57,15 +62,24 @@
             self.close()
         return outcome
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of the response to the current call has arrived."""
+        return self._connection is not None and self._connection.is_receiving
+
     def close(self) -> None:
-        """Close the connection, if there is one."""
+        """Close the connection, if there is one, and end its call."""
         if self._calls is not None:
             self._calls.close()
             self._calls = None
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
 
     def _connect(self) -> MemorySendChannel[HttpCall]:
         if self._calls is None:
             self._calls, inbox = open_memory_channel[HttpCall](0)
             connection = HttpClientConnection(next(self._ids), self._address, inbox)
+            self._connection = connection
             self._nursery.start_soon(connection.run)
         return self._calls
