Keep a log line that can't be formatted from ending the process

Cause: an infinite number in place of a whole one raised OverflowError out of the log handler, which no task expects.

Change: such a line is written with its text and the reason. Result: the scenario fails without the change (OverflowError).

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -35,3 +35,9 @@
     Given the sources with a task of one connection that is not isolated
     When the check of CI runs on them
     Then it names that task
+
+  Scenario: A log line that can't be formatted
+    # Guards against a process that ends because a number in a log line is infinite.
+    Given the log handler of an instance
+    When a line with an infinite number in place of a whole one is logged
+    Then the line says that it could not be formatted
--- a/src/jackdawspread/logs/bounded_log_handler.py
+++ b/src/jackdawspread/logs/bounded_log_handler.py
@@ -37,7 +37,7 @@
         if not allowed:
             DROPPED.inc()
             return
-        line = self.format(record).replace("\n", " ")
+        line = self._format_safely(record).replace("\n", " ")
         if self._budget.dropped:
             line = f"{line} dropped_before={self._budget.dropped}"
             self._budget = self._budget._replace(dropped=0)
@@ -47,6 +47,13 @@
             DROPPED.inc()
         self.flush()
 
+    def _format_safely(self, record: LogRecord) -> str:
+        """Format a line; a line with unsuitable arguments must not end the process."""
+        try:
+            return self.format(record)
+        except (OverflowError, TypeError, ValueError) as error:
+            return f"ERROR logs: line not formatted text={record.msg!r} reason={error}"
+
     def flush(self) -> None:
         """Write as much as standard output accepts without blocking."""
         try:
