Give a large statement the time that its link needs

Callers would see: all their statements at a pool host fail with an unknown outcome, as the stream to it is given up.

Change: the limit holds for each 16 KiB, and a host that takes the later parts of a message does not count as silent.

--- a/features/pool_hosts.feature
+++ b/features/pool_hosts.feature
@@ -55,6 +55,13 @@
     When this process does not run for 900 ms after it has forwarded a write
     Then the write has the host's answer
 
+  Scenario: A large statement over a narrow link reaches the pool host
+    # Guards against a link, with all its leases, that is given up because one message
+    # takes longer than a silent host is waited for.
+    Given a stream to a pool host that reads 640 kB/s
+    When a write of 1000 kB is forwarded to it
+    Then the write has the host's answer
+
   Scenario: A pool host that has answered everything is not probed
     # Guards against messages between instances that nobody needs.
     Given a stream to a pool host that answers a write after 100 ms
--- a/features/steps/pool_host_steps.py
+++ b/features/steps/pool_host_steps.py
@@ -1,6 +1,7 @@
 """Steps for the connections that a fleet shares through pool hosts."""
 
-from socket import socket
+from functools import partial
+from socket import SO_RCVBUF, SOL_SOCKET, socket
 from time import sleep as block_thread
 
 from behave import given, then, when
@@ -69,6 +70,9 @@
 LINK_OPENING_S = 0.5
 # Time after which the slow host answers an exchange.
 ANSWER_DELAY_S = 0.1
+# Small enough that the sender notices how slowly the host reads, in bytes.
+RECEIVE_BUFFER = 16 * 1024
+READS_PER_S = 20
 STATEMENTS = (
     BeginTransaction(True),
     CommitTransaction(),
@@ -295,19 +299,21 @@
     open_link(context, _grant_only)
 
 
-def open_link(context: Context, serve) -> None:
+def open_link(context: Context, serve, receive_buffer: int = 0) -> None:
     """Open a stream to a host that is served by ``serve``, and lease a connection."""
     context.thread = TrioThread(real_time=True)
     context.add_cleanup(context.thread.stop)
     broker, context.broker_inbox = open_memory_channel(10)
     router, context.router_inbox = open_memory_channel(10)
     context.inboxes = broker, router
-    context.thread.start(_run_link, context, serve)
+    context.thread.start(_run_link, context, serve, receive_buffer)
     context.thread.call(_await_lease, context)
 
 
-async def _run_link(context: Context, serve) -> None:
+async def _run_link(context: Context, serve, receive_buffer: int) -> None:
     (listener,) = await open_tcp_listeners(0, host="127.0.0.1")
+    if receive_buffer:
+        listener.socket.setsockopt(SOL_SOCKET, SO_RCVBUF, receive_buffer)
     address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
     async with open_nursery() as nursery:
         nursery.start_soon(serve_listeners, serve, [listener])
@@ -337,6 +343,39 @@
                 await stream.send_all(encode_frame(grant))
 
 
+@given("a stream to a pool host that reads {rate:d} kB/s")
+def narrow_host(context: Context, rate: int) -> None:
+    """Run a stream against a host behind a narrow link."""
+    open_link(context, partial(_read_slowly, rate), receive_buffer=RECEIVE_BUFFER)
+
+
+async def _read_slowly(rate: int, stream) -> None:
+    frames = PoolHostFrames()
+    while data := await stream.receive_some(rate * 1000 // READS_PER_S):
+        await sleep(1 / READS_PER_S)
+        frames.receive(data)
+        while (message := frames.next_message()) is not None:
+            if isinstance(message, LeaseRequested):
+                values = ConnectionContext({}, frozenset())
+                granted = (message.lease, "m0", GROUP, values, True, None, 0.0)
+                await stream.send_all(encode_frame(LeaseGranted(*granted)))
+            elif isinstance(message, ExchangeRequested):
+                answer = ExchangeAnswered(message.exchange, REPLY)
+                await stream.send_all(encode_frame(answer))
+
+
+@when("a write of {size:d} kB is forwarded to it")
+def forward_large_write(context: Context, size: int) -> None:
+    """Wait for the outcome of the write."""
+    command = MemberCommand("c1", WriteItem("a " + size * 1000 * "x"))
+
+    async def forward() -> None:
+        deadline = current_time() + 10
+        context.outcome = await run_exchange(context.lease, (command,), deadline)
+
+    context.thread.call(forward)
+
+
 def _serve_blocking(descriptor: int, probes: list[LinkProbe]) -> None:
     with socket(fileno=descriptor) as connection:
         connection.settimeout(2)
--- a/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
+++ b/src/jackdawspread/tasks/pool_hosts/pool_host_link.py
@@ -49,6 +49,7 @@
 )
 
 READ_CHUNK_BYTES = 64 * 1024
+SEND_CHUNK_BYTES = 16 * 1024
 INBOX = 2_000
 # While answers are outstanding the host is probed at this interval.
 PROBE_INTERVAL_S = 0.2
@@ -171,12 +172,23 @@
             data = data or encode_frame(LinkProbe(False))
             self._count_bytes("sent", data)
             try:
-                with fail_after(SILENCE_LIMIT_S):
-                    await stream.send_all(data)
+                await self._send(stream, data)
             except (OSError, BrokenResourceError, TooSlowError) as error:
                 self._reason = f"connection failed: {error.__cause__ or error}"
                 return
 
+    async def _send(self, stream: SocketStream, data: bytes) -> None:
+        """Send data; raise TooSlowError if the host takes none for a time.
+
+        A host that takes the later parts of a large message is not silent; the first
+        part, or a probe, only shows that the kernel has room for it.
+        """
+        for start in range(0, len(data), SEND_CHUNK_BYTES):
+            with fail_after(SILENCE_LIMIT_S):
+                await stream.send_all(data[start : start + SEND_CHUNK_BYTES])
+            if start:
+                self._heard_at = current_time()
+
     def _count_bytes(self, direction: str, data: bytes) -> None:
         if self._leaves_domain:
             CROSSING_BYTES.labels(direction).inc(len(data))
