Let no odd digest or copy keep an instance from its configuration

Cause, found by reading the new code against the suspects: one datagram with a version that does not exist would have made instances refuse everything; what was given up after a restore could have come back from an instance that still held it, back and forth; a copy was not compared with what was announced; readers that hold something else kept an instance from reading itself, until its configuration was too old.

Change: a newer version is forgotten once the store has had the held one later; a configuration of an earlier epoch is not taken if it was confirmed longer ago than the age limit; a copy counts only if its checksum is the announced one; an instance whose configuration nobody has confirmed for 6 s reads. The keeper is split: what is in use, fetches, digests, and the role in reading.

--- a/features/configuration_keeper.feature
+++ b/features/configuration_keeper.feature
@@ -33,6 +33,30 @@
     And instances "a" and "b" announce version 5, and the first fetch fails
     Then the other one is asked
 
+  Scenario: A version that does not exist is announced
+    # Guards against one odd datagram that makes instances refuse everything.
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And instance "a" announces version 99, and no fetch succeeds
+    And 3 s later another instance announces version 3 as of 0 s ago
+    Then admission is told that version 3 is the newest one
+
+  Scenario: A copy does not lead to what was announced
+    # Guards against the use of changes that were applied to another configuration.
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And instance "a" announces version 5 and gives the changes to version 4
+    Then version 3 is in use
+    And the next fetch asks for everything
+
+  Scenario: No reader confirms what an instance holds
+    # Guards against an instance that relies on readers which hold something else, until
+    # its configuration is too old and it refuses everything.
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And 3 readers announce version 2 for 8 s
+    Then it begins to read the store
+
   Scenario Outline: An outdated configuration is used for a short time
     # Guards against a withdrawn key that works although the instance knows better, and
     # against refusals during each ordinary change.
--- a/features/steps/configuration_keeper_steps.py
+++ b/features/steps/configuration_keeper_steps.py
@@ -1,5 +1,6 @@
 """Steps for the configuration keeper and what admission makes of it."""
 
+from math import inf
 from unittest import mock
 
 from behave import given, then, when
@@ -17,6 +18,7 @@
     EMPTY_CONFIGURATION,
     configuration_changes,
 )
+from jackdawspread.decisions.store_reads.reader_role import DIGEST_INTERVAL_S
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.configuration_copy import ConfigurationCopy
 from jackdawspread.messages.fleet.configuration_digest import ConfigurationDigest
@@ -34,15 +36,24 @@
 )
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
 from jackdawspread.messages.fleet.rate_leases_held import RateLeasesHeld
+from jackdawspread.messages.fleet.store_reading import StoreReading
 from jackdawspread.messages.fleet.stored_configuration_seen import (
     StoredConfigurationSeen,
 )
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.platform.configuration_rows import decode_configuration
-from jackdawspread.tasks.fleet import admission_task, configuration_keeper
+from jackdawspread.tasks.fleet import (
+    admission_task,
+    configuration_fetches,
+    configuration_in_use,
+    configuration_keeper,
+)
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
 from jackdawspread.tasks.fleet.configuration_exchange import ConfigurationExchange
+from jackdawspread.tasks.fleet.configuration_fetches import ConfigurationFetches
+from jackdawspread.tasks.fleet.configuration_in_use import ConfigurationInUse
 from jackdawspread.tasks.fleet.configuration_keeper import ConfigurationKeeper
+from jackdawspread.tasks.fleet.store_reading_role import StoreReadingRole
 
 # Differences between the store's clock, the boot-time clock and the monotonic one.
 STORE_OFFSET_S = 5000.0
@@ -65,9 +76,10 @@
     """Run the keeper of an instance with a simulated clock."""
     context.thread = TrioThread()
     context.add_cleanup(context.thread.stop)
-    patch = mock.patch.object(configuration_keeper, "seconds_since_boot", _boot_time)
-    patch.start()
-    context.add_cleanup(patch.stop)
+    for module in (configuration_keeper, configuration_fetches, configuration_in_use):
+        patch = mock.patch.object(module, "seconds_since_boot", _boot_time)
+        patch.start()
+        context.add_cleanup(patch.stop)
     reader, context.reader = open_memory_channel(100)
     peers, context.peers = open_memory_channel(1000)
     copier, context.fetches = open_memory_channel(1)
@@ -75,17 +87,13 @@
     router, context.router = open_memory_channel(100)
     context.keeper, inbox = open_memory_channel(100)
     entry = InstanceEntry("10.0.0.1:7", "z1")
-    exchange = ConfigurationExchange("own", entry, 1e6, 8, reader, peers)
-    keeper = ConfigurationKeeper(
-        MAX_AGE_S,
-        None,
-        lambda configuration: None,
-        exchange,
-        inbox,
-        copier,
-        admission,
-        router,
+    role = StoreReadingRole("own", 1e6, reader)
+    exchange = ConfigurationExchange("own", entry, 1e6, 8, role, peers)
+    in_use = ConfigurationInUse(
+        MAX_AGE_S, None, lambda configuration: None, admission, router
     )
+    fetches = ConfigurationFetches(in_use, exchange, copier)
+    keeper = ConfigurationKeeper(in_use, exchange, fetches, inbox)
     context.thread.start(keeper.run)
 
 
@@ -161,10 +169,12 @@
     return digest
 
 
-def _give_copy(context: Context, digest: ConfigurationDigest) -> None:
+def _give_copy(
+    context: Context, digest: ConfigurationDigest, version: int | None = None
+) -> None:
     fetch = context.fetches.receive_nowait()
     assert fetch.source == digest.instance, fetch
-    configuration = _configuration(digest.revision.version)
+    configuration = _configuration(version or digest.revision.version)
     changes = configuration_changes(EMPTY_CONFIGURATION, configuration)
     copy = ConfigurationCopy(
         digest.revision,
@@ -219,6 +229,57 @@
     assert {context.first.source, second.source} == {"a", "b"}, second
 
 
+@when('instance "a" announces version {version:d}, and no fetch succeeds')
+def no_fetch_succeeds(context: Context, version: int) -> None:
+    """Announce a version that nobody has."""
+    _announce(context, "a", version)
+    context.fetches.receive_nowait()
+    _deliver(context, ConfigurationFetched("a", None))
+
+
+@then("admission is told that version {version:d} is the newest one")
+def newest_is(context: Context, version: int) -> None:
+    """Compare the last report of a newer version."""
+    events = _received(context.admission)
+    newer = [event for event in events if isinstance(event, NewerConfigurationKnown)]
+    assert newer[-1] == NewerConfigurationKnown(version, inf), newer
+
+
+@when(
+    'instance "a" announces version {version:d} and gives the changes to version '
+    "{given_version:d}"
+)
+def other_changes(context: Context, version: int, given_version: int) -> None:
+    """Give a copy that leads to another configuration."""
+    digest = _announce(context, "a", version)
+    _give_copy(context, digest, given_version)
+
+
+@then("the next fetch asks for everything")
+def fetch_everything(context: Context) -> None:
+    """Announce the version again and look at the fetch."""
+    context.thread.advance(1, 0.1)
+    _announce(context, "a", 5)
+    assert context.fetches.receive_nowait().base == NO_REVISION
+
+
+@when("3 readers announce version {version:d} for {seconds:d} s")
+def readers_announce(context: Context, version: int, seconds: int) -> None:
+    """Announce at the readers' interval."""
+    for _ in range(round(seconds / DIGEST_INTERVAL_S)):
+        for instance in "abc":
+            _announce(context, instance, version)
+        context.thread.advance(DIGEST_INTERVAL_S, 0.1)
+
+
+@then("it begins to read the store")
+def reads(context: Context) -> None:
+    """Look at the last order to the reader."""
+    orders = _received(context.reader)
+    readings = [order for order in orders if isinstance(order, StoreReading)]
+    assert [order.is_on for order in readings][-2:] == [False, True], readings
+
+
 def _received(channel: MemoryReceiveChannel) -> list:
     received = []
     while True:
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -232,6 +232,18 @@
     )
 
 
+@when(
+    "another instance has version {version:d} of epoch {epoch:d}, which the store had "
+    "{age:d} s ago"
+)
+def other_has(context: Context, version: int, epoch: int, age: int) -> None:
+    """Compare what another instance holds with the held one."""
+    revision = configuration_revision(_configuration(version, "other"))
+    context.choice = choose_configuration(
+        context.held, revision, epoch, START_S - age, MAX_AGE_S
+    )
+
+
 @then("the instance decides to {choice} it")
 def decides(context: Context, choice: str) -> None:
     """Compare the choice."""
--- a/features/store_restore.feature
+++ b/features/store_restore.feature
@@ -54,6 +54,18 @@
       | 1   | 11      | other     | 3     | take    |
       | 1   | 11      | other     | 2     | keep    |
 
+  Scenario Outline: What was given up after a restore does not come back from others
+    # Guards against instances that go back and forth between two configurations.
+    Given version 8 of the configuration, which the store had 0 s ago in epoch 3
+    When another instance has version 11 of epoch <epoch>, which the store had <age> s ago
+    Then the instance decides to <choice> it
+
+    Examples:
+      | epoch | age | choice |
+      | 2     | 10  | take   |
+      | 2     | 16  | keep   |
+      | 3     | 1   | take   |
+
   Scenario: A change under a version that was given out before is in force
     # Guards against an added or withdrawn route that is ignored (incident CONFIG).
     Given an instance with stand-ins for the store and the members
--- a/src/jackdawspread/messages/fleet/newer_configuration_known.py
+++ b/src/jackdawspread/messages/fleet/newer_configuration_known.py
@@ -1,4 +1,4 @@
-"""Report that a newer configuration exists than the one in use."""
+"""Report of whether a newer configuration exists than the one in use."""
 
 from typing import NamedTuple
 
@@ -11,7 +11,8 @@
     version : int
         The newest version.
     known_since : float
-        Boot-time clock in seconds at which this instance learned of it.
+        Boot-time clock in seconds at which this instance learned of it; infinite if it
+        is the one in use.
     """
 
     version: int
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -50,6 +50,8 @@
 from jackdawspread.tasks.fleet.capacity_exchange import CapacityExchange
 from jackdawspread.tasks.fleet.configuration_copier import ConfigurationCopier
 from jackdawspread.tasks.fleet.configuration_exchange import ConfigurationExchange
+from jackdawspread.tasks.fleet.configuration_fetches import ConfigurationFetches
+from jackdawspread.tasks.fleet.configuration_in_use import ConfigurationInUse
 from jackdawspread.tasks.fleet.configuration_keeper import ConfigurationKeeper
 from jackdawspread.tasks.fleet.configuration_server import ConfigurationServer
 from jackdawspread.tasks.fleet.evacuation_tracker import EvacuationTracker
@@ -66,6 +68,7 @@
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.roster_client import RosterClient
 from jackdawspread.tasks.fleet.roster_task import RosterTask
+from jackdawspread.tasks.fleet.store_reading_role import StoreReadingRole
 from jackdawspread.tasks.http_server import HttpServer
 from jackdawspread.tasks.limits.memory_budget import MemoryBudget
 from jackdawspread.tasks.listen import listen
@@ -276,12 +279,13 @@
         copier: MemorySendChannel[FetchConfiguration],
     ) -> ConfigurationKeeper:
         settings = self._settings
+        link_bytes_per_s = min(settings.resources.link_bytes_per_s, float_info.max)
         exchange = ConfigurationExchange(
             self._instance_id,
             InstanceEntry(settings.peer_address, settings.failure_domain),
-            min(settings.resources.link_bytes_per_s, float_info.max),
+            link_bytes_per_s,
             parse_address(settings.copy_address)[1],
-            reader,
+            StoreReadingRole(self._instance_id, link_bytes_per_s, reader),
             self._peers,
         )
         evacuations = EvacuationTracker(
@@ -289,16 +293,15 @@
             settings.evacuation_s,
             settings.max_configuration_age_s,
         )
-        return ConfigurationKeeper(
+        in_use = ConfigurationInUse(
             settings.max_configuration_age_s,
             evacuations if settings.evacuation_s else None,
             RegionCheck(settings.region_by_domain.values()).report,
-            exchange,
-            self._keeper_inbox,
-            copier,
             self._admission,
             self._router,
         )
+        fetches = ConfigurationFetches(in_use, exchange, copier)
+        return ConfigurationKeeper(in_use, exchange, fetches, self._keeper_inbox)
 
     def _start_peers(self, tasks: Nursery) -> None:
         """Start what exchanges state with the other instances."""
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -174,7 +174,9 @@
 
     @_handle.register
     def _(self, event: NewerConfigurationKnown) -> None:
-        self._outdated_since = min(self._outdated_since, event.known_since)
+        is_outdated = event.known_since < inf
+        since = min(self._outdated_since, event.known_since)
+        self._outdated_since = since if is_outdated else inf
         self._report_newest(event.version)
 
     @_handle.register
--- a/src/jackdawspread/tasks/fleet/configuration_copier.py
+++ b/src/jackdawspread/tasks/fleet/configuration_copier.py
@@ -2,11 +2,8 @@
 
 from absl import logging
 from trio import (
-    BrokenResourceError,
-    ClosedResourceError,
     MemoryReceiveChannel,
     MemorySendChannel,
-    TooSlowError,
     current_time,
 )
 
@@ -22,7 +19,7 @@
 from jackdawspread.messages.fleet.configuration_fetched import ConfigurationFetched
 from jackdawspread.messages.fleet.configuration_way import ConfigurationWay
 from jackdawspread.messages.fleet.fetch_configuration import FetchConfiguration
-from jackdawspread.tasks.fleet.copy_frames import read_frame
+from jackdawspread.tasks.fleet.copy_frames import COPY_ERRORS, read_frame
 from jackdawspread.tasks.fleet.fleet_metrics import (
     CONFIGURATION_BYTES,
     CONFIGURATION_TRANSFERS,
@@ -57,13 +54,7 @@
             copy, result = None, "done"
             try:
                 copy = await self._fetch(order)
-            except (
-                BrokenResourceError,
-                ClosedResourceError,
-                TooSlowError,
-                ValueError,
-                OSError,
-            ) as error:
+            except COPY_ERRORS as error:
                 result = str(error.__cause__ or error) or type(error).__name__
             self._report(order, copy, result, begun_at)
             await self._keeper.send(ConfigurationFetched(order.source, copy))
--- a/src/jackdawspread/tasks/fleet/configuration_exchange.py
+++ b/src/jackdawspread/tasks/fleet/configuration_exchange.py
@@ -1,50 +1,34 @@
 """Exchange of digests of the configuration between instances."""
 
-from collections.abc import Callable, Mapping
-from math import inf
+from collections.abc import Callable, Iterable, Mapping
 
-from absl import logging
 from trio import MemorySendChannel, WouldBlock, current_time
 
 from jackdawspread.codecs.network_address import parse_address
-from jackdawspread.decisions.store_reads.configuration_schedule import (
-    confirmation_timeout_s,
-    feed_wait_s,
-)
 from jackdawspread.decisions.store_reads.digest_relay import MAX_HOPS, next_receivers
-from jackdawspread.decisions.store_reads.domain_rank import MAX_RANK, rank_in_domain
+from jackdawspread.decisions.store_reads.domain_rank import rank_in_domain
 from jackdawspread.decisions.store_reads.held_configuration import HeldConfiguration
 from jackdawspread.decisions.store_reads.reader_role import (
     DIGEST_INTERVAL_S,
-    DISTRUST_S,
     RANK_DELAY_S,
-    ReaderRole,
-    readers_before,
-    update_role,
 )
 from jackdawspread.messages.fleet.broadcast_datagram import BroadcastDatagram
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.configuration_digest import ConfigurationDigest
-from jackdawspread.messages.fleet.configuration_reader_event import (
-    ConfigurationReaderEvent,
-)
 from jackdawspread.messages.fleet.configuration_revision import NO_REVISION
-from jackdawspread.messages.fleet.confirm_configuration import ConfirmConfiguration
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.send_datagram import SendDatagram
-from jackdawspread.messages.fleet.store_reading import StoreReading
 from jackdawspread.tasks.fleet.heard_digests import HeardDigests
+from jackdawspread.tasks.fleet.store_reading_role import StoreReadingRole
 
 # An instance that hears of no reader and gets no answer of the store asks one instance
 # of each failure domain at this interval.
 ASK_INTERVAL_S = 1.0
-# A reader asks again for a confirmation that has not come after this time.
-CONFIRMATION_RETRY_S = 2.0
 
 
 class ConfigurationExchange:
-    """Decides who reads the store, and tells other instances what this one holds.
+    """Tells other instances what this one holds, and keeps what they hold.
 
     Only the configuration keeper uses it.
 
@@ -58,8 +42,8 @@
         Rate of the link of this instance's machine.
     copy_port : int
         Port on which every instance gives copies.
-    reader : trio.MemorySendChannel
-        Inbox of the configuration reader.
+    role : StoreReadingRole
+        Decides whether this instance reads the store.
     peers : trio.MemorySendChannel
         Inbox of the peers task.
     """
@@ -70,64 +54,55 @@
         entry: InstanceEntry,
         link_bytes_per_s: float,
         copy_port: int,
-        reader: MemorySendChannel[ConfigurationReaderEvent],
+        role: StoreReadingRole,
         peers: MemorySendChannel[PeerEvent],
     ) -> None:
         self._instance = instance
         self._entry = entry
         self._link_bytes_per_s = link_bytes_per_s
         self._copy_port = copy_port
-        self._reader = reader
+        self._role = role
         self._peers = peers
         self._heard = HeardDigests(entry.failure_domain)
         self._entry_by_instance: dict[str, InstanceEntry] = {instance: entry}
-        # An instance reads until it hears of enough others.
-        self._role = ReaderRole(True)
-        self._rank = MAX_RANK
-        self._order: StoreReading | None = None
-        # Whether the last call to the store was answered.
-        self._is_answered = False
+        # Whether the others were told of this instance, and whether the configuration
+        # in use has not been announced yet.
         self._is_announced = False
-        # Whether the configuration in use has not been announced yet.
         self._is_news = False
         # Monotonic times in seconds.
         self.next_tick_at = 0.0
         self._digest_at = 0.0
         self._ask_at = 0.0
-        self._confirm_at = inf
-        self._distrusted_until = -inf
         self._asked_turn = 0
 
     def update_instances(self, entries: Mapping[str, InstanceEntry]) -> None:
         """Use a newer list of the instances."""
         self._entry_by_instance = {**entries, self._instance: self._entry}
-        self._rank = rank_in_domain(
+        self._role.rank = rank_in_domain(
             self._instance, self._entry.failure_domain, self._entry_by_instance
         )
 
     def store_answered(self) -> None:
         """Note an answer of the store to this instance."""
-        self._is_answered = True
-        self._distrusted_until = -inf
+        self._role.store_answered()
 
     def store_failed(self) -> None:
         """Note a call that the store did not answer."""
-        self._is_answered = False
-        self._distrusted_until = current_time() + DISTRUST_S
+        self._role.store_failed()
 
     def configuration_taken(self) -> None:
         """Announce a new configuration at the next tick."""
         self._digest_at = 0.0
         self._is_news = True
-        self.configuration_confirmed()
+        self._role.configuration_confirmed()
 
     def configuration_confirmed(self) -> None:
         """Note that the store had the configuration in use a moment ago."""
-        self._confirm_at = current_time() + confirmation_timeout_s(self._before())
+        self._role.configuration_confirmed()
 
     def confirm_to_earlier_versions(self, confirmed: ConfigurationConfirmed) -> None:
         """Tell instances of an earlier version what the store has confirmed."""
-        if self._before():
+        if not self._role.is_first:
             return
         try:
             self._peers.send_nowait(BroadcastDatagram(confirmed, True))
@@ -165,62 +140,24 @@
         self._heard.add(digest, current_time())
         if digest.hops:
             passed_on = digest._replace(hops=digest.hops - 1)
-            self._send(passed_on, *self._next_receivers(digest.instance))
+            self._send(passed_on, self._next_receivers(digest.instance))
         is_question = not digest.is_reader and not digest.hops
         if is_question and held is not None:
-            self._send(self._digest(held, domains, 0), digest.address)
+            self._send(self._digest(held, domains, 0), (digest.address,))
 
     async def tick(
         self, held: HeldConfiguration | None, domains: tuple[str, ...] | None
     ) -> bool:
         """Do what is due; return whether this instance begins to read the store."""
         now = current_time()
-        was_reader = self._role.is_reader
-        self._update_role(now)
-        await self._order_reading(held)
-        if held is not None and self._role.is_reader and now >= self._confirm_at:
-            self._confirm_at = now + CONFIRMATION_RETRY_S
-            await self._reader.send(ConfirmConfiguration())
+        begins = await self._role.update(self._heard.readers(now), held, now)
         self._announce(held, domains, now)
         if self._is_isolated(held, now) and now >= self._ask_at:
             self._ask_at = now + ASK_INTERVAL_S
-            self._send(self._digest(held, domains, 0), *self._asked_addresses())
-        self.next_tick_at = self._next_tick_at(now)
-        return self._role.is_reader and not was_reader
-
-    def _update_role(self, now: float) -> None:
-        before, role = self._before(), self._role
-        readers = len(self._heard.readers(now))
-        is_trusted = now >= self._distrusted_until
-        self._role = update_role(role, before, readers, is_trusted, self._rank, now)
-        if self._role.is_reader != role.is_reader:
-            logging.info(
-                "configuration: role changed reads_store=%s other_readers=%d "
-                "preferred=%d trusted=%s",
-                self._role.is_reader,
-                readers,
-                before,
-                is_trusted,
-            )
-
-    def _before(self) -> int:
-        readers = self._heard.readers(current_time())
-        return readers_before(self._instance, self._link_bytes_per_s, readers)
-
-    async def _order_reading(self, held: HeldConfiguration | None) -> None:
-        # Without a configuration this instance serves nobody.
-        rank = self._rank if held is not None else 0
-        order = StoreReading(
-            self._role.is_reader,
-            feed_wait_s(self._before()),
-            rank,
-            held.store_version if held is not None else 0,
-            held.epoch if held is not None else 0,
-        )
-        last = self._order
-        if last is None or order[:3] != last[:3]:
-            self._order = order
-            await self._reader.send(order)
+            self._send(self._digest(held, domains, 0), self._one_of_each_domain())
+        delay_s = RANK_DELAY_S if self._role.is_waiting else DIGEST_INTERVAL_S
+        self.next_tick_at = now + delay_s
+        return begins
 
     def _announce(
         self,
@@ -228,17 +165,17 @@
         domains: tuple[str, ...] | None,
         now: float,
     ) -> None:
-        """Send a digest to the failure domain if it is due."""
+        """Send the digests that are due."""
         if not self._is_announced and len(self._entry_by_instance) > 1:
             # The others may not know this instance yet.
             self._is_announced = True
             others = [name for name in self._in_domain() if name != self._instance]
-            self._send(self._digest(held, domains, 0), *self._addresses(others))
-        is_reading = self._role.is_reader and self._is_answered and held is not None
+            self._send(self._digest(held, domains, 0), self._addresses(others))
+        is_reading = self._role.is_reading and held is not None
         if is_reading and now >= self._digest_at:
             self._digest_at = now + DIGEST_INTERVAL_S
             digest = self._digest(held, domains, MAX_HOPS - 1)
-            self._send(digest, *self._next_receivers(self._instance))
+            self._send(digest, self._next_receivers(self._instance))
         if self._is_news:
             self._is_news = False
             self._announce_news(is_reading, held, domains)
@@ -255,17 +192,17 @@
         That instance passes it on in its domain, unless the readers there are faster.
         """
         if is_reading:
-            own = self._entry.failure_domain
-            digest = self._digest(held, domains, 0)
-            self._send(digest, *self._asked_addresses(without=own))
+            others = self._one_of_each_domain(without=self._entry.failure_domain)
+            self._send(self._digest(held, domains, 0), others)
         elif not self._heard.has_reader_with(held, current_time()):
             digest = self._digest(held, domains, MAX_HOPS - 1)
-            self._send(digest, *self._next_receivers(self._instance))
+            self._send(digest, self._next_receivers(self._instance))
 
     def _is_isolated(self, held: HeldConfiguration | None, now: float) -> bool:
-        if held is not None and self._is_answered and self._role.is_reader:
-            return False
-        return held is None or not self._heard.readers(now)
+        """Whether this instance can learn of a change only by asking."""
+        if held is None:
+            return True
+        return not self._role.is_reading and not self._heard.readers(now)
 
     def _digest(
         self,
@@ -273,7 +210,6 @@
         domains: tuple[str, ...] | None,
         hops: int,
     ) -> ConfigurationDigest:
-        is_reader = self._role.is_reader and self._is_answered and held is not None
         return ConfigurationDigest(
             self._instance,
             self._entry.address,
@@ -283,7 +219,7 @@
             held.store_version if held is not None else 0,
             held.confirmed_s if held is not None else 0.0,
             domains,
-            is_reader,
+            self._role.is_reading and held is not None,
             self._link_bytes_per_s,
             hops,
         )
@@ -300,7 +236,7 @@
         instances = self._in_domain()
         return self._addresses(next_receivers(origin, self._instance, instances))
 
-    def _asked_addresses(self, without: str = "") -> list[str]:
+    def _one_of_each_domain(self, without: str = "") -> list[str]:
         """Return the addresses of one instance of each failure domain, in turn."""
         self._asked_turn += 1
         instances_by_domain: dict[str, list[str]] = {}
@@ -309,23 +245,18 @@
             if instance != self._instance and domain != without:
                 instances_by_domain.setdefault(domain, []).append(instance)
         # Each instance begins with another one.
-        turn = self._asked_turn + self._rank
+        turn = self._asked_turn + self._role.rank
         return self._addresses(
             [names[turn % len(names)] for names in instances_by_domain.values()]
         )
 
-    def _addresses(self, instances: list[str] | tuple[str, ...]) -> list[str]:
+    def _addresses(self, instances: Iterable[str]) -> list[str]:
         return [self._entry_by_instance[instance].address for instance in instances]
 
-    def _send(self, digest: ConfigurationDigest, *addresses: str) -> None:
+    def _send(self, digest: ConfigurationDigest, addresses: Iterable[str]) -> None:
         for address in addresses:
             try:
                 self._peers.send_nowait(SendDatagram(digest, address))
             except WouldBlock:
                 # The next digest is sent.
                 return
-
-    def _next_tick_at(self, now: float) -> float:
-        if self._role.wanted_since is not None:
-            return now + RANK_DELAY_S
-        return now + DIGEST_INTERVAL_S
--- a/src/jackdawspread/tasks/fleet/configuration_server.py
+++ b/src/jackdawspread/tasks/fleet/configuration_server.py
@@ -4,12 +4,9 @@
 
 from absl import logging
 from trio import (
-    BrokenResourceError,
-    ClosedResourceError,
     MemorySendChannel,
     SocketListener,
     SocketStream,
-    TooSlowError,
     WouldBlock,
     current_time,
     open_memory_channel,
@@ -29,7 +26,7 @@
 )
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
 from jackdawspread.tasks.accept import accept
-from jackdawspread.tasks.fleet.copy_frames import read_frame
+from jackdawspread.tasks.fleet.copy_frames import COPY_ERRORS, read_frame
 from jackdawspread.tasks.open_stream import enable_dead_peer_detection
 from jackdawspread.tasks.run_isolated import run_isolated
 
@@ -74,13 +71,7 @@
             self._streams += 1
             try:
                 await self._answer(stream)
-            except (
-                BrokenResourceError,
-                ClosedResourceError,
-                TooSlowError,
-                ValueError,
-                OSError,
-            ) as error:
+            except COPY_ERRORS as error:
                 logging.info(
                     "configuration: copy not given reason=%r", error.__cause__ or error
                 )
--- a/src/jackdawspread/tasks/fleet/copy_frames.py
+++ b/src/jackdawspread/tasks/fleet/copy_frames.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Callable
 
-from trio import BrokenResourceError, SocketStream, current_time, fail_at
+from trio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    SocketStream,
+    TooSlowError,
+    current_time,
+    fail_at,
+)
 
 from jackdawspread.codecs.configuration_copies import LENGTH_BYTES, MAX_FRAME_BYTES
 
@@ -10,6 +17,14 @@
 # A frame takes as long as its link needs; it is given up after this time without a
 # byte.
 STALL_TIMEOUT_S = 1.0
+# What the exchange of a copy may raise.
+COPY_ERRORS = (
+    BrokenResourceError,
+    ClosedResourceError,
+    TooSlowError,
+    ValueError,
+    OSError,
+)
 
 
 async def read_frame(
