Name an answer by the call that was made, and check the times of copies

Cause, by reading: an answer to a complete read that was in transfer while the reader's order changed would have counted as changes, so that an evacuation that had ended would have stayed; a copy with a time that is not finite was taken.

--- a/src/jackdawspread/codecs/configuration_copies.py
+++ b/src/jackdawspread/codecs/configuration_copies.py
@@ -5,6 +5,8 @@
 routes resemble each other.
 """
 
+from functools import singledispatch
+from math import isfinite
 from typing import TypeVar
 from zlib import compress, crc32, decompressobj
 from zlib import error as ZlibError
@@ -78,7 +80,20 @@
     try:
         match decode(frame, type=list):
             case [1, *values]:
-                return convert(values, type=message_type)
+                message = convert(values, type=message_type)
+                _check(message)
+                return message
     except DECODE_ERRORS as error:
         raise ValueError(f"malformed frame: {error}") from error
     raise ValueError("a frame of an unsupported format")
+
+
+@singledispatch
+def _check(message: object) -> None:
+    """Check what the types don't express; raise ValueError."""
+
+
+@_check.register
+def _(message: ConfigurationCopy) -> None:
+    if not isfinite(message.confirmed_s):
+        raise ValueError("a time must be finite")
--- a/src/jackdawspread/platform/configuration_answer.py
+++ b/src/jackdawspread/platform/configuration_answer.py
@@ -11,7 +11,6 @@
 )
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.platform.configuration_rows import decode_configuration
-from jackdawspread.platform.epoch_tracker import read_epoch
 from jackdawspread.platform.ignored_rows import IgnoredRows
 from jackdawspread.platform.store_rows import (
     StoreRow,
@@ -27,9 +26,21 @@
 
 
 def decode_answer(
-    outcome: HttpOutcome, way: ConfigurationWay, ignored: IgnoredRows
+    outcome: HttpOutcome, way: ConfigurationWay, epoch: int, ignored: IgnoredRows
 ) -> StoredConfigurationSeen:
-    """Decode an answer; a row that can't be read leaves the last good one in use."""
+    """Decode an answer; a row that can't be read leaves the last good one in use.
+
+    Parameters
+    ----------
+    outcome : HttpOutcome
+        Outcome of the call.
+    way : ConfigurationWay
+        Kind of the call.
+    epoch : int
+        Epoch of the store.
+    ignored : IgnoredRows
+        Logs the rows that can't be read.
+    """
     rows = tuple(decode_rows(outcome.body))
     configuration = _configuration(rows, ignored)
     has_row = any(row.key == CONFIGURATION_KEY for row in rows)
@@ -39,7 +50,7 @@
         way is ConfigurationWay.READ and not has_row,
         configuration_revision(configuration) if configuration else NO_REVISION,
         _evacuations(rows),
-        read_epoch(outcome),
+        epoch,
         newest_version(outcome.body),
         store_time_s(outcome.body),
         outcome.began_at,
--- a/src/jackdawspread/platform/configuration_reader.py
+++ b/src/jackdawspread/platform/configuration_reader.py
@@ -78,6 +78,8 @@
         self._version: int | None = None
         self._version_epoch = UNKNOWN_EPOCH
         self._must_confirm = False
+        # Kind of the call in progress.
+        self._way = ConfigurationWay.READ
         self._failures = 0
         self._wait_scope = CancelScope()
 
@@ -128,9 +130,9 @@
     async def _call(self, client: HttpClient) -> HttpOutcome | None:
         """Return an answer of the store, None if the wait for it was ended."""
         begun_at = seconds_since_boot()
-        way, target, wait_s = ConfigurationWay.READ, READ_TARGET, 0.0
+        self._way, target, wait_s = ConfigurationWay.READ, READ_TARGET, 0.0
         if self._version is not None:
-            way = ConfigurationWay.FEED
+            self._way = ConfigurationWay.FEED
             wait_s = CONFIRMATION_WAIT_S if self._must_confirm else self._order.wait_s
             wait_ms = f"{1000 * wait_s:.0f}"
             target = f"/rows-feed?Table={TABLE}&after={self._version}&WaitMs={wait_ms}"
@@ -140,10 +142,10 @@
             deadline = current_time() + wait_s + ANSWER_TIMEOUT_S
             outcome = await client.call("GET", target, {}, deadline)
         if outcome is None:
-            log_cancelled(way, begun_at)
+            log_cancelled(self._way, begun_at)
             client.close()
             return None
-        log_attempt(way, begun_at, outcome)
+        log_attempt(self._way, begun_at, outcome)
         return outcome
 
     async def _handle_outcome(self, outcome: HttpOutcome) -> None:
@@ -158,17 +160,18 @@
             await self._pause()
             return
         self._failures = 0
-        is_read = self._version is None
+        is_restored = self._epoch.number != self._version_epoch
         if outcome.status == HISTORY_GONE or (
-            not is_read and self._epoch.number != self._version_epoch
+            self._way is ConfigurationWay.FEED and is_restored
         ):
             # The answer goes on from a version of the lost history.
             self._version = None
             return
         self._version = newest_version(outcome.body)
         self._version_epoch = self._epoch.number
-        way = ConfigurationWay.READ if is_read else ConfigurationWay.FEED
-        await self._keeper.send(decode_answer(outcome, way, self._ignored))
+        epoch = self._epoch.number
+        seen = decode_answer(outcome, self._way, epoch, self._ignored)
+        await self._keeper.send(seen)
 
     async def _pause(self) -> None:
         """Wait before the next call; a new order ends the wait."""
