Keep evacuations and positions of copies true, and model them

Callers would see: work sent to an evacuated failure domain, at an instance that follows others.

Cause: the version in a digest confirmed the position of its sender also if that knew of other evacuations; the evacuations of a late copy replaced newer ones; and the confirmation moved the time by which the difference was found, so that it led to no fetch. The first two were found by the model copies, the third by the scenario of the first.

Change: a digest confirms its position only with the same evacuations; those of a copy from an earlier position are not used; a difference counts by position. The ports of the stand-ins leave room for that of the copies.

--- a/features/configuration_keeper.feature
+++ b/features/configuration_keeper.feature
@@ -49,6 +49,23 @@
     Then version 3 is in use
     And the next fetch asks for everything
 
+  Scenario: A digest confirms the configuration, but names other evacuations
+    # Guards against a reader that begins after a change which it does not have (model
+    # copies, digest-of-other-evacuations).
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And 1 s later an instance at position 9 announces version 3 and an evacuation
+    Then the instance knows all changes up to position 3
+    And a copy is fetched
+
+  Scenario: A copy arrives after a newer answer of the store
+    # Guards against a late copy that ends an evacuation (model copies, older-copy).
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And 1 s later an instance at position 9 announces version 3 and an evacuation
+    And the store reports an evacuation at position 12 before the copy arrives
+    Then the failure domain is still evacuated
+
   Scenario: No reader confirms what an instance holds
     # Guards against an instance that relies on readers which hold something else, until
     # its configuration is too old and it refuses everything.
--- a/features/steps/configuration_keeper_steps.py
+++ b/features/steps/configuration_keeper_steps.py
@@ -21,6 +21,9 @@
 from jackdawspread.decisions.store_reads.reader_role import DIGEST_INTERVAL_S
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.configuration_copy import ConfigurationCopy
+from jackdawspread.messages.fleet.configuration_copy_query import (
+    ConfigurationCopyQuery,
+)
 from jackdawspread.messages.fleet.configuration_digest import ConfigurationDigest
 from jackdawspread.messages.fleet.configuration_digest_received import (
     ConfigurationDigestReceived,
@@ -53,6 +56,7 @@
 from jackdawspread.tasks.fleet.configuration_fetches import ConfigurationFetches
 from jackdawspread.tasks.fleet.configuration_in_use import ConfigurationInUse
 from jackdawspread.tasks.fleet.configuration_keeper import ConfigurationKeeper
+from jackdawspread.tasks.fleet.evacuation_tracker import EvacuationTracker
 from jackdawspread.tasks.fleet.store_reading_role import StoreReadingRole
 
 # Differences between the store's clock, the boot-time clock and the monotonic one.
@@ -89,8 +93,9 @@
     entry = InstanceEntry("10.0.0.1:7", "z1")
     role = StoreReadingRole("own", 1e6, reader)
     exchange = ConfigurationExchange("own", entry, 1e6, 8, role, peers)
+    evacuations = EvacuationTracker(("z1", "z2"), 5.0, MAX_AGE_S)
     in_use = ConfigurationInUse(
-        MAX_AGE_S, None, lambda configuration: None, admission, router
+        MAX_AGE_S, evacuations, lambda configuration: None, admission, router
     )
     fetches = ConfigurationFetches(in_use, exchange, copier)
     keeper = ConfigurationKeeper(in_use, exchange, fetches, inbox)
@@ -182,7 +187,7 @@
         digest.epoch,
         digest.store_version,
         digest.confirmed_s,
-        None,
+        {},
         encode_changes(changes),
     )
     _deliver(context, ConfigurationFetched(digest.instance, copy))
@@ -280,6 +285,64 @@
     assert [order.is_on for order in readings][-2:] == [False, True], readings
 
 
+@when(
+    "1 s later an instance at position {position:d} announces version {version:d} and "
+    "an evacuation"
+)
+def announces_evacuation(context: Context, position: int, version: int) -> None:
+    """Announce the held version beside an evacuation that is not known here."""
+    context.thread.advance(1, 0.1)
+    digest = _digest(context, "a", version, 1, 0)
+    context.digest = digest._replace(store_version=position, evacuated_domains=("z2",))
+    _deliver(context, ConfigurationDigestReceived(context.digest, "10.0.0.2:7"))
+
+
+@when(
+    "the store reports an evacuation at position {position:d} before the copy arrives"
+)
+def evacuated_before_copy(context: Context, position: int) -> None:
+    """Report a change, then deliver a copy from before it."""
+    now = _now(context)
+    change = StoredConfigurationSeen(
+        ConfigurationWay.FEED,
+        None,
+        False,
+        NO_REVISION,
+        {"z1": position},
+        1,
+        position,
+        now + STORE_OFFSET_S,
+        now + BOOT_OFFSET_S,
+    )
+    _deliver(context, change)
+    _give_copy(context, context.digest)
+
+
+@then("the instance knows all changes up to position {position:d}")
+def knows_up_to(context: Context, position: int) -> None:
+    """Look at a copy that the instance gives."""
+    assert _given_copy(context).store_version == position
+
+
+@then("a copy is fetched")
+def copy_fetched(context: Context) -> None:
+    """The evacuation is on its way."""
+    assert context.fetches.receive_nowait().source == "a"
+
+
+@then("the failure domain is still evacuated")
+def still_evacuated(context: Context) -> None:
+    """Look at a copy that the instance gives."""
+    evacuations = _given_copy(context).evacuation_version_by_domain
+    assert "z1" in evacuations, evacuations
+
+
+def _given_copy(context: Context) -> ConfigurationCopy:
+    reply_to, reply = open_memory_channel(1)
+    _deliver(context, ConfigurationCopyQuery(NO_REVISION, reply_to))
+    return reply.receive_nowait()
+
+
 def _received(channel: MemoryReceiveChannel) -> list:
     received = []
     while True:
--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -240,13 +240,25 @@
 
 
 async def _free_ports() -> tuple[int, ...]:
-    """Return four ports, which are the same for all instances, as on the platform."""
-    ports = []
-    for _ in range(4):
-        listeners = await open_tcp_listeners(0, host=INSTANCE_IP.format(1))
-        ports.append(listeners[0].socket.getsockname()[1])
-        await listeners[0].aclose()
-    return tuple(ports)
+    """Return four ports, which are the same for all instances, as on the platform.
+
+    The one after the third, for copies of the configuration, is free too.
+    """
+    while True:
+        ports = [await _free_port() for _ in range(4)]
+        copies = ports[2] + 1
+        try:
+            if copies not in ports and await _free_port(copies):
+                return tuple(ports)
+        except OSError:
+            continue
+
+
+async def _free_port(port: int = 0) -> int:
+    (listener,) = await open_tcp_listeners(port, host=INSTANCE_IP.format(1))
+    found = listener.socket.getsockname()[1]
+    await listener.aclose()
+    return found
 
 
 def initial_configuration() -> dict:
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -38,6 +38,7 @@
     counts = [tuple(map(int, c)) for c in COUNTED.findall(done.stdout)]
     passed, failed = counts[-1] if counts else (0, 0)
     if done.returncode != 0:
+        print(f"{name}: exit status {done.returncode}", flush=True)
         return passed, max(failed, 1)
     return max(passed, 1), failed
 
--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -4,6 +4,7 @@
 
 from spec.binding.model import MODEL as BINDING
 from spec.configuration.model import MODEL as CONFIGURATION
+from spec.copies.model import MODEL as COPIES
 from spec.evidence.model import MODEL as EVIDENCE
 from spec.model import Model
 from spec.promotion.model import MODEL as PROMOTION
@@ -30,4 +31,5 @@
     SUCCESSION,
     MODEL_DEMOTION,
     EVIDENCE,
+    COPIES,
 )
--- /dev/null
+++ b/spec/copies/__init__.py
@@ -0,0 +1,1 @@
+"""Copies of the configuration between instances."""
--- a/src/jackdawspread/decisions/store_reads/held_configuration.py
+++ b/src/jackdawspread/decisions/store_reads/held_configuration.py
@@ -22,7 +22,8 @@
     confirmed_s : float
         The same moment on the store's clock, in seconds.
     store_version : int
-        Version of the store up to which all changes are known.
+        Version of the store up to which all changes are known, those of evacuations
+        too; 0 if it is not known.
     """
 
     configuration: FleetConfiguration
--- a/src/jackdawspread/tasks/fleet/configuration_fetches.py
+++ b/src/jackdawspread/tasks/fleet/configuration_fetches.py
@@ -83,7 +83,7 @@
             self._in_use.domains is not None
             and digest.evacuated_domains is not None
             and digest.evacuated_domains != self._in_use.domains
-            and digest.confirmed_s > held.confirmed_s
+            and (digest.epoch, digest.store_version) > (held.epoch, held.store_version)
         )
 
     def decode(self, copy: ConfigurationCopy) -> HeldConfiguration | None:
--- a/src/jackdawspread/tasks/fleet/configuration_keeper.py
+++ b/src/jackdawspread/tasks/fleet/configuration_keeper.py
@@ -155,11 +155,12 @@
             await self._in_use.report_newer(version, digest.instance)
         elif choice is ConfigurationChoice.CONFIRM:
             assert self._in_use.held is not None
+            knows_same = digest.evacuated_domains == self._in_use.domains
             confirmed = self._in_use.held._replace(
                 epoch=digest.epoch,
                 confirmed_at=as_of,
                 confirmed_s=digest.confirmed_s,
-                store_version=digest.store_version,
+                store_version=digest.store_version if knows_same else 0,
             )
             if await self._in_use.confirm(confirmed):
                 self._exchange.configuration_confirmed()
@@ -185,10 +186,20 @@
         if found is None:
             return
         requested = copy.evacuation_version_by_domain
-        if requested is not None:
+        if requested is None and self._in_use.domains is not None:
+            found = found._replace(store_version=0)
+        elif requested is not None and not self._is_older(found):
             await self._in_use.update_evacuations(requested, True, copy.epoch)
         await self._consider(found, ConfigurationWay.PEER)
 
+    def _is_older(self, found: HeldConfiguration) -> bool:
+        """Whether a copy is from before what this instance knows."""
+        held = self._in_use.held
+        return held is not None and (found.epoch, found.store_version) < (
+            held.epoch,
+            held.store_version,
+        )
+
     @_handle.register
     async def _(self, event: ConfigurationCopyQuery) -> None:
         try:
