--- a/src/jackdawspread/tasks/fleet/heard_digests.py
+++ b/src/jackdawspread/tasks/fleet/heard_digests.py
@@ -75,8 +75,7 @@
         wanted = [
             digest
             for instance, digest in self._digest_by_instance.items()
-            if self._avoided_until_by_instance.get(instance, now) <= now
-            and is_wanted(digest)
+            if instance not in self._avoided_until_by_instance and is_wanted(digest)
         ]
         near = [item for item in wanted if item.failure_domain == self._failure_domain]
         return near or [
@@ -95,4 +94,8 @@
             del self._digest_by_instance[instance]
             del self._valid_until_by_instance[instance]
             del self._heard_at_by_instance[instance]
-            self._avoided_until_by_instance.pop(instance, None)
+        self._avoided_until_by_instance = {
+            instance: until
+            for instance, until in self._avoided_until_by_instance.items()
+            if until > now
+        }
