Let instances that start together wait long for changes

Cause: until the list of instances is known an instance hears of no other reader, so each one had the configuration confirmed after 3 s as the first of its failure domain does.

--- a/src/jackdawspread/tasks/fleet/configuration_exchange.py
+++ b/src/jackdawspread/tasks/fleet/configuration_exchange.py
@@ -245,7 +245,7 @@
             if instance != self._instance and domain != without:
                 instances_by_domain.setdefault(domain, []).append(instance)
         # Each instance begins with another one.
-        turn = self._asked_turn + self._role.rank
+        turn = self._asked_turn + (self._role.rank or 0)
         return self._addresses(
             [names[turn % len(names)] for names in instances_by_domain.values()]
         )
--- a/src/jackdawspread/tasks/fleet/store_reading_role.py
+++ b/src/jackdawspread/tasks/fleet/store_reading_role.py
@@ -54,8 +54,9 @@
         self._instance = instance
         self._link_bytes_per_s = link_bytes_per_s
         self._reader = reader
-        # Number of instances of the failure domain with a smaller id.
-        self.rank = MAX_RANK
+        # Number of instances of the failure domain with a smaller id; None until the
+        # others are known.
+        self.rank: int | None = None
         # An instance reads until it hears of enough others.
         self._role = ReaderRole(True)
         # Number of readers that are preferred to this instance.
@@ -131,8 +132,9 @@
         role, link = self._role, self._link_bytes_per_s
         self._before = readers_before(self._instance, link, readers)
         is_trusted = now >= self._distrusted_until
+        rank = MAX_RANK if self.rank is None else self.rank
         self._role = update_role(
-            role, self._before, len(readers), is_trusted, self.rank, now
+            role, self._before, len(readers), is_trusted, rank, now
         )
         if self._role.is_reader != role.is_reader:
             logging.info(
@@ -146,11 +148,14 @@
 
     async def _send_order(self, held: HeldConfiguration | None) -> None:
         """Tell the reader what has changed."""
+        rank = MAX_RANK if self.rank is None else self.rank
+        # Instances that start together do not all have the configuration confirmed.
+        position = MAX_RANK if self.rank is None else self._before
         order = StoreReading(
             self._role.is_reader,
-            feed_wait_s(self._before),
+            feed_wait_s(position),
             # Without a configuration this instance serves nobody.
-            self.rank if held is not None else 0,
+            rank if held is not None else 0,
             held.store_version if held is not None else 0,
             held.epoch if held is not None else 0,
         )
