Remove what nobody reads from the messages of the configuration keeper

The sender of a digest and the reason of a failed call were carried and never used: a digest names its instance's address, and the reader logs the reason. The rank of an instance that does not know the others, and whether an instance is of use as a reader, are each derived in one place. Behaviour is unchanged.

--- a/features/steps/configuration_keeper_steps.py
+++ b/features/steps/configuration_keeper_steps.py
@@ -25,9 +25,6 @@
     ConfigurationCopyQuery,
 )
 from jackdawspread.messages.fleet.configuration_digest import ConfigurationDigest
-from jackdawspread.messages.fleet.configuration_digest_received import (
-    ConfigurationDigestReceived,
-)
 from jackdawspread.messages.fleet.configuration_fetched import ConfigurationFetched
 from jackdawspread.messages.fleet.configuration_revision import NO_REVISION
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
@@ -170,7 +167,7 @@
     context: Context, instance: str, version: int, epoch: int = 1, age: int = 0
 ) -> ConfigurationDigest:
     digest = _digest(context, instance, version, epoch, age)
-    _deliver(context, ConfigurationDigestReceived(digest, digest.address))
+    _deliver(context, digest)
     return digest
 
 
@@ -294,7 +291,7 @@
     context.thread.advance(1, 0.1)
     digest = _digest(context, "a", version, 1, 0)
     context.digest = digest._replace(store_version=position, evacuated_domains=("z2",))
-    _deliver(context, ConfigurationDigestReceived(context.digest, "10.0.0.2:7"))
+    _deliver(context, context.digest)
 
 
 @when(
--- a/src/jackdawspread/messages/fleet/configuration_event.py
+++ b/src/jackdawspread/messages/fleet/configuration_event.py
@@ -3,9 +3,7 @@
 from jackdawspread.messages.fleet.configuration_copy_query import (
     ConfigurationCopyQuery,
 )
-from jackdawspread.messages.fleet.configuration_digest_received import (
-    ConfigurationDigestReceived,
-)
+from jackdawspread.messages.fleet.configuration_digest import ConfigurationDigest
 from jackdawspread.messages.fleet.configuration_fetched import ConfigurationFetched
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.store_reading_failed import StoreReadingFailed
@@ -15,7 +13,7 @@
 
 ConfigurationEvent = (
     ConfigurationCopyQuery
-    | ConfigurationDigestReceived
+    | ConfigurationDigest
     | ConfigurationFetched
     | PeersSeen
     | StoreReadingFailed
--- a/src/jackdawspread/messages/fleet/store_reading_failed.py
+++ b/src/jackdawspread/messages/fleet/store_reading_failed.py
@@ -4,6 +4,4 @@
 
 
 class StoreReadingFailed(NamedTuple):
-    """Reports that the store did not answer, and why."""
-
-    reason: str
+    """Reports that the store did not answer; the reader has logged why."""
--- a/src/jackdawspread/platform/configuration_reader.py
+++ b/src/jackdawspread/platform/configuration_reader.py
@@ -156,7 +156,7 @@
         if not is_answered:
             self._must_confirm = True
             self._failures += 1
-            await self._keeper.send(StoreReadingFailed(reason))
+            await self._keeper.send(StoreReadingFailed())
             await self._pause()
             return
         self._failures = 0
--- a/src/jackdawspread/tasks/fleet/configuration_exchange.py
+++ b/src/jackdawspread/tasks/fleet/configuration_exchange.py
@@ -171,7 +171,7 @@
             self._is_announced = True
             others = [name for name in self._in_domain() if name != self._instance]
             self._send(self._digest(held, domains, 0), self._addresses(others))
-        is_reading = self._role.is_reading and held is not None
+        is_reading = self._is_reading(held)
         if is_reading and now >= self._digest_at:
             self._digest_at = now + DIGEST_INTERVAL_S
             digest = self._digest(held, domains, MAX_HOPS - 1)
@@ -198,6 +198,10 @@
             digest = self._digest(held, domains, MAX_HOPS - 1)
             self._send(digest, self._next_receivers(self._instance))
 
+    def _is_reading(self, held: HeldConfiguration | None) -> bool:
+        """Whether this instance is of use to others as a reader."""
+        return self._role.is_reading and held is not None
+
     def _is_isolated(self, held: HeldConfiguration | None, now: float) -> bool:
         """Whether this instance can learn of a change only by asking."""
         if held is None:
@@ -219,7 +223,7 @@
             held.store_version if held is not None else 0,
             held.confirmed_s if held is not None else 0.0,
             domains,
-            self._role.is_reading and held is not None,
+            self._is_reading(held),
             self._link_bytes_per_s,
             hops,
         )
--- a/src/jackdawspread/tasks/fleet/configuration_keeper.py
+++ b/src/jackdawspread/tasks/fleet/configuration_keeper.py
@@ -15,9 +15,6 @@
     ConfigurationCopyQuery,
 )
 from jackdawspread.messages.fleet.configuration_digest import ConfigurationDigest
-from jackdawspread.messages.fleet.configuration_digest_received import (
-    ConfigurationDigestReceived,
-)
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
 from jackdawspread.messages.fleet.configuration_fetched import ConfigurationFetched
 from jackdawspread.messages.fleet.configuration_revision import NO_REVISION
@@ -133,8 +130,8 @@
             self._exchange.configuration_confirmed()
 
     @_handle.register
-    async def _(self, event: ConfigurationDigestReceived) -> None:
-        digest, now = event.digest, seconds_since_boot()
+    async def _(self, digest: ConfigurationDigest) -> None:
+        now = seconds_since_boot()
         as_of = self._in_use.to_local_time(digest.confirmed_s)
         if as_of > now + CLOCK_MARGIN_S:
             logging.warning(
--- a/src/jackdawspread/tasks/fleet/peer_datagrams.py
+++ b/src/jackdawspread/tasks/fleet/peer_datagrams.py
@@ -16,9 +16,6 @@
 from jackdawspread.messages.fleet.broadcast_datagram import BroadcastDatagram
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.configuration_digest import ConfigurationDigest
-from jackdawspread.messages.fleet.configuration_digest_received import (
-    ConfigurationDigestReceived,
-)
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
@@ -209,7 +206,7 @@
 
     @_deliver.register
     def _(self, message: ConfigurationDigest, sender: str) -> None:
-        self._configurations.send_nowait(ConfigurationDigestReceived(message, sender))
+        self._configurations.send_nowait(message)
 
     @_deliver.register
     def _(self, message: PrimaryPositionRequest, sender: str) -> None:
--- a/src/jackdawspread/tasks/fleet/store_reading_role.py
+++ b/src/jackdawspread/tasks/fleet/store_reading_role.py
@@ -69,6 +69,10 @@
         self._confirm_at = inf
         self._unconfirmed_at = inf
 
+    @property
+    def _known_rank(self) -> int:
+        return MAX_RANK if self.rank is None else self.rank
+
     @property
     def is_reading(self) -> bool:
         """Whether this instance has the store report changes, and gets answers."""
@@ -132,9 +136,8 @@
         role, link = self._role, self._link_bytes_per_s
         self._before = readers_before(self._instance, link, readers)
         is_trusted = now >= self._distrusted_until
-        rank = MAX_RANK if self.rank is None else self.rank
         self._role = update_role(
-            role, self._before, len(readers), is_trusted, rank, now
+            role, self._before, len(readers), is_trusted, self._known_rank, now
         )
         if self._role.is_reader != role.is_reader:
             logging.info(
@@ -148,14 +151,13 @@
 
     async def _send_order(self, held: HeldConfiguration | None) -> None:
         """Tell the reader what has changed."""
-        rank = MAX_RANK if self.rank is None else self.rank
         # Instances that start together do not all have the configuration confirmed.
         position = MAX_RANK if self.rank is None else self._before
         order = StoreReading(
             self._role.is_reader,
             feed_wait_s(position),
             # Without a configuration this instance serves nobody.
-            rank if held is not None else 0,
+            self._known_rank if held is not None else 0,
             held.store_version if held is not None else 0,
             held.epoch if held is not None else 0,
         )
