Split frames on a stream in one place

The copies of the configuration read their frames, a length in four bytes and a body, by a loop of their own beside that of the pool hosts, and both wrote the length. FrameBuffer and to_frame serve both.

--- a/features/steps/mixed_version_steps.py
+++ b/features/steps/mixed_version_steps.py
@@ -4,9 +4,9 @@
 from behave.runner import Context
 from msgspec.msgpack import decode
 
+from jackdawspread.codecs.frame_buffer import LENGTH_BYTES
 from jackdawspread.codecs.peer_datagrams import decode_datagram, encode_datagram
 from jackdawspread.codecs.pool_host_frames import (
-    LENGTH_BYTES,
     PoolHostFrames,
     encode_frame,
 )
--- a/src/jackdawspread/codecs/configuration_copies.py
+++ b/src/jackdawspread/codecs/configuration_copies.py
@@ -14,6 +14,7 @@
 from msgspec import convert
 from msgspec.msgpack import decode, encode
 
+from jackdawspread.codecs.frame_buffer import to_frame
 from jackdawspread.codecs.stored_json import DECODE_ERRORS
 from jackdawspread.messages.fleet.configuration_changes import ConfigurationChanges
 from jackdawspread.messages.fleet.configuration_copy import ConfigurationCopy
@@ -26,7 +27,6 @@
 M = TypeVar("M", ConfigurationCopy, ConfigurationCopyRequest)
 
 FORMAT = 1
-LENGTH_BYTES = 4
 # The higher levels take several times as long for a few per cent less.
 COMPRESSION_LEVEL = 1
 # More than the largest configuration that the store accepts.
@@ -66,7 +66,7 @@
 def encode_copy_frame(message: ConfigurationCopy | ConfigurationCopyRequest) -> bytes:
     """Encode a message as a frame."""
     body = encode((FORMAT, *message))
-    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+    return to_frame(body)
 
 
 def decode_copy_frame(frame: bytes, message_type: type[M]) -> M:
--- a/src/jackdawspread/codecs/pool_host_frames.py
+++ b/src/jackdawspread/codecs/pool_host_frames.py
@@ -11,6 +11,7 @@
 from msgspec import convert
 from msgspec.msgpack import decode, encode
 
+from jackdawspread.codecs.frame_buffer import FrameBuffer, to_frame
 from jackdawspread.codecs.stored_json import DECODE_ERRORS
 from jackdawspread.codecs.trailing_defaults import without_trailing_defaults
 from jackdawspread.messages.pool_hosts.exchange_answered import ExchangeAnswered
@@ -38,7 +39,6 @@
 from jackdawspread.messages.statements.write_item import WriteItem
 
 FORMAT = 1
-LENGTH_BYTES = 4
 # An answer of a member is at most 1 MiB; the encoding adds little to it.
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 TYPE_BY_KIND: dict[int, type[PoolHostMessage]] = {
@@ -73,16 +73,16 @@
     """Collects received bytes and decodes the messages in them."""
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._buffer = FrameBuffer(MAX_FRAME_BYTES)
 
     @property
     def held_bytes(self) -> int:
         """Number of received bytes of an incomplete frame."""
-        return len(self._buffer)
+        return self._buffer.held_bytes
 
     def receive(self, data: bytes) -> None:
         """Add received bytes."""
-        self._buffer += data
+        self._buffer.receive(data)
 
     def next_message(self) -> PoolHostMessage | None:
         """Return the next message, None if it is incomplete.
@@ -92,23 +92,14 @@
         ValueError
             If the frame is malformed, too long or of another format.
         """
-        if len(self._buffer) < LENGTH_BYTES:
-            return None
-        length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
-        if length > MAX_FRAME_BYTES:
-            raise ValueError(f"a frame of {length} bytes is longer than allowed")
-        end = LENGTH_BYTES + length
-        if len(self._buffer) < end:
-            return None
-        frame = bytes(self._buffer[LENGTH_BYTES:end])
-        del self._buffer[:end]
-        return _decode(frame)
+        body = self._buffer.next_body()
+        return _decode(body) if body is not None else None
 
 
 def encode_frame(message: PoolHostMessage) -> bytes:
     """Encode a message as a frame."""
     body = encode((FORMAT, KIND_BY_TYPE[type(message)], *_fields(message)))
-    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+    return to_frame(body)
 
 
 @singledispatch
--- a/src/jackdawspread/tasks/fleet/copy_frames.py
+++ b/src/jackdawspread/tasks/fleet/copy_frames.py
@@ -11,7 +11,8 @@
     fail_at,
 )
 
-from jackdawspread.codecs.configuration_copies import LENGTH_BYTES, MAX_FRAME_BYTES
+from jackdawspread.codecs.configuration_copies import MAX_FRAME_BYTES
+from jackdawspread.codecs.frame_buffer import FrameBuffer
 
 READ_CHUNK_BYTES = 64 * 1024
 # A frame takes as long as its link needs; it is given up after this time without a
@@ -52,18 +53,12 @@
     ValueError
         If the frame is too long.
     """
-    buffer = bytearray()
-    end = LENGTH_BYTES
-    while len(buffer) < end:
+    buffer = FrameBuffer(max_bytes)
+    while (body := buffer.next_body()) is None:
         with fail_at(current_time() + STALL_TIMEOUT_S):
             data = await stream.receive_some(READ_CHUNK_BYTES)
         if not data:
             raise BrokenResourceError("closed by the other end")
         received(len(data))
-        buffer += data
-        if len(buffer) >= LENGTH_BYTES:
-            length = int.from_bytes(buffer[:LENGTH_BYTES], "big")
-            if length > max_bytes:
-                raise ValueError(f"a frame of {length} bytes is longer than allowed")
-            end = LENGTH_BYTES + length
-    return bytes(buffer[LENGTH_BYTES:end])
+        buffer.receive(data)
+    return body
