Describe acknowledgements while a promotion may take effect, with their messages

A promotion rests on logs that were compared before a call that takes effect later. The messages are those between its parts; nothing uses them yet.

--- /dev/null
+++ b/src/jackdawspread/decisions/acknowledgement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about the acknowledgement of commits while a promotion may take effect."""
--- a/src/jackdawspread/decisions/failover/promotion_lock_record.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock_record.py
@@ -34,6 +34,12 @@
         Times of the store's clock in seconds of the first and the last in a row of
         attempts that ended because logs were missing. The record lacks them if there
         was none since the last promotion.
+    suspended : bool
+        Whether the holder is comparing logs, so that no commit may be acknowledged
+        until it releases the lock or the lock expires. Missing if it is not.
+    log_end : list of int
+        Term and sequence at which the log of ``ordered`` ended when logs were compared.
+        Missing if its log went on growing, and in records of earlier versions.
     """
 
     token: int
@@ -46,3 +52,5 @@
     requested_at: NotRequired[float]
     blocked_since: NotRequired[float]
     blocked_at: NotRequired[float]
+    suspended: NotRequired[bool]
+    log_end: NotRequired[list[int]]
--- a/src/jackdawspread/messages/fleet/failover_trigger.py
+++ b/src/jackdawspread/messages/fleet/failover_trigger.py
@@ -21,6 +21,9 @@
         What was observed, for the log.
     evacuated_domains : frozenset of str
         Failure domains whose members may not become the primary.
+    withdraws_requests : bool
+        Whether the primary stays, and requests to promote other members are to be
+        withdrawn.
     """
 
     group: str
@@ -29,3 +32,4 @@
     writes_stalled: bool
     reason: str
     evacuated_domains: frozenset[str] = frozenset()
+    withdraws_requests: bool = False
