--- a/src/jackdawspread/decisions/sessions/statement_outcome.py
+++ b/src/jackdawspread/decisions/sessions/statement_outcome.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from jackdawspread.decisions.sessions.session_state import SessionState
+from jackdawspread.messages.position import Position
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.statements.statement_success import StatementSuccess
 
@@ -23,6 +24,8 @@
     conditions_text : str
         ``"lead"`` if the member had to be the primary, else the log position that it
         had to have, and the age of that position; then the pool host, if any.
+    position : Position or None
+        End of the member's log in its answer to a write or COMMIT that succeeded.
     """
 
     result: StatementSuccess | Refusal
@@ -30,3 +33,4 @@
     member: str = ""
     attempts: int = 0
     conditions_text: str = ""
+    position: Position | None = None
--- a/src/jackdawspread/tasks/sessions/single_statement.py
+++ b/src/jackdawspread/tasks/sessions/single_statement.py
@@ -90,7 +90,9 @@
     if plan.writes and reply.position is not None:
         newest = newest_position(reply.position, state.position)
         state = state._replace(position=newest)
-    return StatementOutcome(StatementSuccess(reply.rows, reply.signature), state)
+    success = StatementSuccess(reply.rows, reply.signature)
+    written = reply.position if plan.writes else None
+    return StatementOutcome(success, state, position=written)
 
 
 def _may_request_lease_again(refusal: Refusal, operation: Operation) -> bool:
--- a/src/jackdawspread/tasks/sessions/statement_log.py
+++ b/src/jackdawspread/tasks/sessions/statement_log.py
@@ -43,7 +43,7 @@
     logging.info(
         "session: statement id=%s kind=%s database=%s workspace=%s phase=%s "
         "version=%s version_age_ms=%s newest_version=%s member=%s terms=%s "
-        "attempts=%d elapsed_ms=%.1f outcome=%s %s",
+        "attempts=%d elapsed_ms=%.1f outcome=%s %s%s",
         request.id,
         kind,
         database,
@@ -58,9 +58,17 @@
         1000 * elapsed_s,
         code,
         _reason(outcome.result),
+        _describe_commit(outcome),
     )
 
 
+def _describe_commit(outcome: StatementOutcome) -> str:
+    """Return the position of an acknowledged write, empty for other statements."""
+    if outcome.position is None:
+        return ""
+    return f" position={outcome.position.term}.{outcome.position.sequence}"
+
+
 @singledispatch
 def _code(result: object) -> str:
     raise TypeError(f"no code for a {type(result).__name__}")
--- a/src/jackdawspread/tasks/sessions/transaction_runner.py
+++ b/src/jackdawspread/tasks/sessions/transaction_runner.py
@@ -228,7 +228,8 @@
             newest = newest_position(reply.position, state.position)
             state = state._replace(position=newest)
         success = StatementSuccess(reply.rows, reply.signature)
-        done = self._outcome(success, end_transaction(state))
+        written = reply.position if state.has_written else None
+        done = self._outcome(success, end_transaction(state))._replace(position=written)
         idle = reply.phase is SessionPhase.IDLE
         self._calls.return_lease(self._lease, self._context if idle else None)
         self._lease = None
