Model the acknowledgements while a promotion may take effect

Cause: the design of docs/design/acknowledgements.md was not checked. Change: spec/acknowledgement with three sizes of the model.

--- /dev/null
+++ b/spec/acknowledgement/__init__.py
@@ -0,0 +1,1 @@
+"""Acknowledgement of commits while a promotion may take effect."""
--- /dev/null
+++ b/spec/acknowledgement/commits.py
@@ -0,0 +1,168 @@
+"""Actions of the instances that acknowledge commits."""
+
+from collections.abc import Iterator
+
+from spec.acknowledgement.instance import (
+    NO_PERMIT,
+    NONE,
+    PERMIT,
+    UNDECIDED,
+    Instance,
+)
+from spec.acknowledgement.members import MEMBERS, bit, replaced, replicas
+from spec.acknowledgement.rules import Rules
+from spec.acknowledgement.state import State
+
+Steps = Iterator[tuple[str, State]]
+WAIT = -1
+
+
+def write(state: State, rules: Rules) -> Steps:
+    """Send a commit to the primary; the outcome of an earlier one stays unknown."""
+    log = state.logs[state.primary]
+    written = sum(entry // 10 == state.term for entry in log)
+    if not state.leads or written == rules.max_commits:
+        return
+    entry = 10 * state.term + written
+    for index, instance in enumerate(state.instances):
+        if instance.is_suspended and rules.check_outstanding:
+            continue
+        sent = _without_commit(instance)._replace(
+            entry=entry, position=len(log), member=state.primary
+        )
+        longer = replaced(state.logs, state.primary, (*log, entry))
+        yield f"instance={index}", _with(state, index, sent)._replace(logs=longer)
+
+
+def answer(state: State, rules: Rules) -> Steps:
+    """Answer a commit that one replica, listed or not, has received."""
+    for index, instance in enumerate(state.instances):
+        if not instance.entry or instance.is_answered or not state.leads:
+            continue
+        if instance.member != state.primary or instance.entry // 10 != state.term:
+            continue
+        if any(instance.entry in state.logs[m] for m in replicas(state)):
+            answered = instance._replace(is_answered=True)
+            yield f"instance={index}", _with(state, index, answered)
+
+
+def decide(state: State, rules: Rules) -> Steps:
+    """Apply the rule for a commit to an answer."""
+    for index, instance in enumerate(state.instances):
+        if not instance.is_answered or instance.remaining != UNDECIDED:
+            continue
+        members = members_to_verify(state, instance, rules)
+        if members == WAIT:
+            continue
+        if members:
+            waiting = instance._replace(remaining=members)
+            yield f"instance={index} verify={members:b}", _with(state, index, waiting)
+        else:
+            yield f"instance={index} acknowledged", _acknowledged(state, index)
+
+
+def verify(state: State, rules: Rules) -> Steps:
+    """See from a status that a member has received a commit."""
+    for index, instance in enumerate(state.instances):
+        for member in MEMBERS:
+            if instance.remaining <= 0 or not instance.remaining & bit(member):
+                continue
+            log = state.logs[member]
+            is_in_term = instance.entry // 10 == state.term
+            if not rules.verify_term:
+                has_received = len(log) > instance.position
+            else:
+                has_received = is_in_term and instance.entry in log
+            if not has_received or not state.present[member]:
+                continue
+            remaining = instance.remaining & ~bit(member)
+            left = instance._replace(remaining=remaining)
+            after = _with(state, index, left)
+            label = f"instance={index} member={member}"
+            if remaining:
+                yield label, after
+            else:
+                yield f"{label} acknowledged", _acknowledged(after, index)
+
+
+def read_evidence(state: State, rules: Rules) -> Steps:
+    """Read the record from the store, which gives a permit."""
+    for index, instance in enumerate(state.instances):
+        known = _learn(state, instance)._replace(permit=PERMIT)
+        yield f"instance={index}", _with(state, index, known)
+
+
+def hear(state: State, rules: Rules) -> Steps:
+    """Receive an announcement; a late one changes nothing."""
+    for index, instance in enumerate(state.instances):
+        yield f"instance={index}", _with(state, index, _learn(state, instance))
+        if not rules.permit_needs_evidence:
+            permitted = instance._replace(permit=PERMIT)
+            yield f"instance={index} late", _with(state, index, permitted)
+
+
+def lose_permit(state: State, rules: Rules) -> Steps:
+    """Let a permit lapse."""
+    for index, instance in enumerate(state.instances):
+        lapsed = instance._replace(permit=NO_PERMIT)
+        yield f"instance={index}", _with(state, index, lapsed)
+
+
+def members_to_verify(state: State, instance: Instance, rules: Rules) -> int:
+    """Return the members that have to receive a commit, or that it has to wait."""
+    own = bit(instance.member)
+    if not rules.check_outstanding:
+        return 0
+    if instance.is_suspended:
+        return WAIT
+    outstanding = instance.outstanding
+    listed = sum(
+        bit(m)
+        for m in MEMBERS
+        if state.roster[m] and state.present[m] and (rules.lists_are_current or m < 3)
+    )
+    everyone = (listed | outstanding) & ~own
+    if instance.permit == NO_PERMIT and rules.verify_without_permit:
+        return everyone or WAIT
+    if instance.is_changed and rules.verify_after_change:
+        if instance.ordered not in (NONE, instance.member):
+            return everyone or WAIT
+        if instance.ordered == instance.member and rules.verify_own_term:
+            return (outstanding & ~own) | own
+    if outstanding & own and not rules.verify_at_others_than_requested:
+        return 0
+    return outstanding & ~own
+
+
+def _learn(state: State, instance: Instance) -> Instance:
+    before = (instance.token, instance.outstanding)
+    is_changed = (state.token, state.outstanding) != before
+    return instance._replace(
+        token=state.token,
+        is_suspended=state.is_suspended,
+        outstanding=state.outstanding,
+        ordered=state.ordered,
+        is_changed=instance.entry > 0 and (instance.is_changed or is_changed),
+    )
+
+
+def _acknowledged(state: State, index: int) -> State:
+    instance = state.instances[index]
+    known = tuple(sorted({*state.acknowledged, instance.entry}))
+    after = _with(state, index, _without_commit(instance))
+    return after._replace(acknowledged=known)
+
+
+def _without_commit(instance: Instance) -> Instance:
+    return instance._replace(
+        entry=0,
+        position=0,
+        member=NONE,
+        is_answered=False,
+        is_changed=False,
+        remaining=UNDECIDED,
+    )
+
+
+def _with(state: State, index: int, instance: Instance) -> State:
+    return state._replace(instances=replaced(state.instances, index, instance))
--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from spec.acknowledgement.model import MODEL as ACKNOWLEDGEMENT
+from spec.acknowledgement.model import MODEL_INSTANCES, MODEL_JOIN
 from spec.binding.model import MODEL as BINDING
 from spec.configuration.model import MODEL as CONFIGURATION
 from spec.copies.model import MODEL as COPIES
@@ -32,4 +34,7 @@
     MODEL_DEMOTION,
     EVIDENCE,
     COPIES,
+    ACKNOWLEDGEMENT,
+    MODEL_JOIN,
+    MODEL_INSTANCES,
 )
