Learn promotion states from the store and from other instances

An instance may acknowledge a commit only if it knows recently that no promotion can lose it, so it needs the records of all promotion locks at short intervals.

One instance reads them every second and broadcasts them; the first instances of the other failure domains are next in order. The receiver converts the time with an upper bound of the store's clock (store_clock_bound.py), which registrations and own reads give. The bound grows by 1 ms/s, as clocks are slewed by up to 500 ppm each.

An unreadable record gives no evidence at all, so that commits are verified at all listed members.

Copies of the configuration carry SyncReplicas in a second compressed stream, which the earlier version ignores; the revision leaves it out.

--- a/features/steps/broadcast_steps.py
+++ b/features/steps/broadcast_steps.py
@@ -32,13 +32,11 @@
 @given("an instance that broadcasts to two others")
 def broadcasts(context: Context) -> None:
     """Start a broadcast, whose first datagram waits."""
-    inboxes = [open_memory_channel(INBOX) for _ in range(7)]
+    inboxes = [open_memory_channel(INBOX) for _ in range(10)]
     # The receiving ends are kept, as a channel without one is broken.
     context.inboxes = inboxes
     inbox = inboxes[0][1]
-    admission, leases, members, feed, router, demotions = (
-        send for send, _ in inboxes[1:]
-    )
+    outboxes = [send for send, _ in inboxes[1:]]
     entry = InstanceEntry(ADDRESS.format(1), "z1")
     context.socket = _SlowSocket()
     others = {f"i{n}": InstanceEntry(ADDRESS.format(n), "z1") for n in (1, 2, 3)}
@@ -47,9 +45,7 @@
     context.ended = False
 
     async def broadcast() -> None:
-        context.peers = PeerDatagrams(
-            "i1", entry, inbox, admission, leases, members, feed, router, demotions
-        )
+        context.peers = PeerDatagrams("i1", entry, inbox, *outboxes)
         context.peers._socket = context.socket
         await context.peers._handle(PeersSeen(others))
         message = ConfigurationConfirmed(1, 1.0)
--- a/features/steps/configuration_keeper_steps.py
+++ b/features/steps/configuration_keeper_steps.py
@@ -86,13 +86,19 @@
     copier, context.fetches = open_memory_channel(1)
     admission, context.admission = open_memory_channel(100)
     router, context.router = open_memory_channel(100)
+    acknowledgements, context.acknowledgements = open_memory_channel(100)
     context.keeper, inbox = open_memory_channel(100)
     entry = InstanceEntry("10.0.0.1:7", "z1")
     role = StoreReadingRole("own", 1e6, reader)
     exchange = ConfigurationExchange("own", entry, 1e6, 8, role, peers)
     evacuations = EvacuationTracker(("z1", "z2"), 5.0, MAX_AGE_S)
     in_use = ConfigurationInUse(
-        MAX_AGE_S, evacuations, lambda configuration: None, admission, router
+        MAX_AGE_S,
+        evacuations,
+        lambda configuration: None,
+        admission,
+        router,
+        acknowledgements,
     )
     fetches = ConfigurationFetches(in_use, exchange, copier)
     keeper = ConfigurationKeeper(in_use, exchange, fetches, inbox)
--- a/features/steps/instance_directory_steps.py
+++ b/features/steps/instance_directory_steps.py
@@ -32,6 +32,7 @@
     context.thread = TrioThread()
     context.add_cleanup(context.thread.stop)
     context.scope_by_instance, context.seen_by_instance = {}, {}
+    context.registered_by_instance = {}
     for number, name in enumerate(names.split(",")):
         entry = InstanceEntry(f"10.0.0.{number}:7", "z1")
         _start(context, name, entry, is_first_start=True)
@@ -45,10 +46,13 @@
     (router, _router), (broker, _broker), (members, _members), (feed, _feed) = (
         open_memory_channel(INBOX) for _ in range(4)
     )
+    promotions, _promotions = open_memory_channel(INBOX)
+    acknowledgements, registered = open_memory_channel(INBOX)
+    context.registered_by_instance[name] = registered
     peers, seen = open_memory_channel(INBOX)
     context.seen_by_instance[name] = seen
     unread = getattr(context, "unread", [])
-    context.unread = [*unread, _router, _broker, _members, _feed]
+    context.unread = [*unread, _router, _broker, _members, _feed, _promotions]
     directory = InstanceDirectory(
         name,
         entry,
@@ -59,6 +63,8 @@
         members,
         feed,
         peers,
+        promotions,
+        acknowledgements,
     )
 
     async def run() -> None:
--- a/scripts/check_isolation.py
+++ b/scripts/check_isolation.py
@@ -37,6 +37,8 @@
         "keeper.run",
         "copies.run",
         "poll.run",
+        "promotions.run",
+        "drain_inbox",
         "datagrams.run",
         "leases.run",
         "directory.run",
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -30,6 +30,14 @@
 from jackdawspread.messages.fleet.primary_position_request import (
     PrimaryPositionRequest,
 )
+from jackdawspread.messages.fleet.promotion_announced import PromotionAnnounced
+from jackdawspread.messages.fleet.promotion_announcement_received import (
+    PromotionAnnouncementReceived,
+)
+from jackdawspread.messages.fleet.promotion_state import PromotionState
+from jackdawspread.messages.fleet.promotion_states_relayed import (
+    PromotionStatesRelayed,
+)
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.token_reply import TokenReply
 from jackdawspread.messages.fleet.token_request import TokenRequest
@@ -47,10 +55,13 @@
     8: PrimaryDemotionRequest,
     9: PrimaryDemotionReply,
     10: ConfigurationDigest,
+    11: PromotionStatesRelayed,
+    12: PromotionAnnounced,
+    13: PromotionAnnouncementReceived,
 }
 KIND_BY_TYPE = {type: kind for kind, type in TYPE_BY_KIND.items()}
-# A larger term does not fit into a signed 64-bit integer.
-MAX_TERM = 2**63 - 1
+# A larger term, token or version does not fit into a signed 64-bit integer.
+MAX_INTEGER = 2**63 - 1
 # Longer messages are not sent; their receivers ask the store.
 MAX_DATAGRAM_BYTES = 32 * 1024
 
@@ -71,6 +82,13 @@
     return message.instance, message.failure_domain, message.store_time_s, listings
 
 
+@_fields.register
+def _(message: PromotionStatesRelayed) -> tuple[Any, ...]:
+    # Most groups have no promotion under way, so their states are short.
+    states = [without_trailing_defaults(state) for state in message.states]
+    return message.instance, message.epoch, message.store_time_s, states
+
+
 def decode_datagram(data: bytes) -> PeerDatagram | None:
     """Decode a datagram; None if it is malformed or of another format or kind."""
     try:
@@ -133,10 +151,49 @@
 def _(message: PrimaryDemotionRequest) -> None:
     check_name(message.group)
     check_name(message.member)
-    if not 0 < message.term <= MAX_TERM:
+    if not 0 < message.term <= MAX_INTEGER:
         raise ValueError("a term must be positive and not too large")
 
 
+@_check.register
+def _(message: PromotionStatesRelayed) -> None:
+    check_name(message.instance)
+    _check_time(message.store_time_s)
+    _check_integers(message.epoch)
+    groups = {state.group for state in message.states}
+    if len(groups) != len(message.states):
+        raise ValueError("a group may have one state only")
+    for state in message.states:
+        _check_promotion_state(state)
+        if state.epoch != message.epoch:
+            raise ValueError("all states must be of the epoch that was read")
+
+
+@_check.register
+def _(message: PromotionAnnounced) -> None:
+    _check_integers(message.id)
+    _check_promotion_state(message.state)
+
+
+@_check.register
+def _(message: PromotionAnnouncementReceived) -> None:
+    _check_integers(message.id)
+    check_name(message.instance)
+
+
+def _check_promotion_state(state: PromotionState) -> None:
+    _check_integers(state.epoch, state.version, state.token, *(state.log_end or ()))
+    check_name(state.group)
+    # The name is empty if no promotion was ever requested.
+    for member in (*state.outstanding, state.last_requested or "none"):
+        check_name(member)
+
+
+def _check_integers(*numbers: int) -> None:
+    if not all(0 <= number <= MAX_INTEGER for number in numbers):
+        raise ValueError("a number must not be negative or too large")
+
+
 def _check_time(store_time_s: float) -> None:
     if not isfinite(store_time_s):
         raise ValueError("a time must be finite")
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -1,10 +1,12 @@
 """Composition root of an instance on the users' platform."""
 
 from sys import float_info
+from typing import Any
 
 from absl import logging
 from trio import (
     Event,
+    MemoryReceiveChannel,
     MemorySendChannel,
     Nursery,
     current_time,
@@ -16,7 +18,9 @@
 
 from jackdawspread.codecs.network_address import parse_address
 from jackdawspread.decisions.limits.memory_limits import PROCESS_BYTES, memory_limits
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.announcement_event import AnnouncementEvent
 from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
 from jackdawspread.messages.fleet.configuration_reader_event import (
@@ -30,6 +34,7 @@
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peer_demotion_event import PeerDemotionEvent
 from jackdawspread.messages.fleet.peer_event import PeerEvent
+from jackdawspread.messages.fleet.promotion_poll_event import PromotionPollEvent
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.record_request import RecordRequest
@@ -40,6 +45,7 @@
 from jackdawspread.platform.member_poll import MemberPoll
 from jackdawspread.platform.member_wire_codec import MemberWireCodec
 from jackdawspread.platform.promotion_client import PromotionClient
+from jackdawspread.platform.promotion_state_poll import PromotionStatePoll
 from jackdawspread.platform.readiness_handler import ReadinessHandler
 from jackdawspread.platform.record_store import RecordStore
 from jackdawspread.platform.region_check import RegionCheck
@@ -83,6 +89,7 @@
 ROUTER_INBOX = 20_000
 BROKER_INBOX = 10_000
 ADMISSION_INBOX = 10_000
+ACKNOWLEDGEMENT_INBOX = 20_000
 PEERS_INBOX = 10_000
 KEEPER_INBOX = 500
 SMALL_INBOX = 64
@@ -101,6 +108,12 @@
 STOP_POLL_INTERVAL_S = 0.1
 
 
+async def drain_inbox(inbox: MemoryReceiveChannel[Any]) -> None:
+    """Drop what is sent to a task that does not exist yet."""
+    async for _ in inbox:
+        pass
+
+
 class PlatformInstance:
     """Creates and runs the tasks of an instance and the channels between them.
 
@@ -138,6 +151,15 @@
         self._capacities, self._capacities_inbox = open_memory_channel[CapacityEvent](
             SMALL_INBOX
         )
+        self._acknowledgements, self._acknowledgements_inbox = open_memory_channel[
+            AcknowledgementEvent
+        ](ACKNOWLEDGEMENT_INBOX)
+        self._announcements, self._announcements_inbox = open_memory_channel[
+            AnnouncementEvent
+        ](SMALL_INBOX)
+        self._promotions, self._promotions_inbox = open_memory_channel[
+            PromotionPollEvent
+        ](SMALL_INBOX)
         self._budget = MemoryBudget(
             memory_limits(settings.resources.memory_bytes, PROCESS_BYTES)
         )
@@ -153,6 +175,8 @@
             self._start_peers(tasks)
             self._start_failover(tasks)
             await self._start_servers(tasks)
+            for inbox in (self._acknowledgements_inbox, self._announcements_inbox):
+                tasks.start_soon(drain_inbox, inbox)
             listener = SessionListener(
                 await listen(self._settings.session_address),
                 CallerWireCodec,
@@ -267,7 +291,17 @@
             self._failover,
             self._peers,
             self._rosters,
+            self._acknowledgements,
+        )
+        promotions = PromotionStatePoll(
+            settings.store_address,
+            self._instance_id,
+            settings.failure_domain,
+            self._promotions_inbox,
+            self._acknowledgements,
+            self._peers,
         )
+        tasks.start_soon(promotions.run)
         tasks.start_soon(reader.run)
         tasks.start_soon(copier.run)
         tasks.start_soon(keeper.run)
@@ -299,6 +333,7 @@
             RegionCheck(settings.region_by_domain.values()).report,
             self._admission,
             self._router,
+            self._acknowledgements,
         )
         fetches = ConfigurationFetches(in_use, exchange, copier)
         return ConfigurationKeeper(in_use, exchange, fetches, self._keeper_inbox)
@@ -319,6 +354,9 @@
             self._keeper,
             self._router,
             self._demotions,
+            self._promotions,
+            self._acknowledgements,
+            self._announcements,
         )
         records = self._open_records("instances", tasks)
         leases = RateLeaseTask(
@@ -339,6 +377,8 @@
             self._members,
             self._keeper,
             self._peers,
+            self._promotions,
+            self._acknowledgements,
         )
         capacities = self._make_capacity_exchange(records)
         tasks.start_soon(capacities.run)
--- a/src/jackdawspread/platform/configuration_rows.py
+++ b/src/jackdawspread/platform/configuration_rows.py
@@ -3,6 +3,7 @@
 from math import inf
 from typing import Any
 
+from absl import logging
 from msgspec import Struct, field
 
 from jackdawspread.codecs.listing_check import check_name
@@ -17,6 +18,7 @@
 DEFAULT_TARGET_MS = 200.0
 DEFAULT_IDLE_MS = 3000.0
 DEFAULT_CONNECTIONS = 16
+MAX_SYNC_REPLICAS = 10_000
 
 
 class _Route(Struct):
@@ -38,6 +40,8 @@
     # Maximum for each member, over all instances.
     max_connections: int = field(name="MaxConns", default=DEFAULT_CONNECTIONS)
     cold_rate_per_s: float = field(name="ColdPerS", default=0.0)
+    # Checked apart, since the rest of a version with a wrong value can be used.
+    sync_replicas: Any = field(name="SyncReplicas", default=0)
 
 
 class _Workspace(Struct):
@@ -77,7 +81,10 @@
         },
         group_by_name={
             group.name: MemberGroup(
-                group.name, group.max_connections, group.cold_rate_per_s
+                group.name,
+                group.max_connections,
+                group.cold_rate_per_s,
+                _to_sync_replicas(group),
             )
             for group in document.groups
         },
@@ -154,6 +161,17 @@
     )
 
 
+def _to_sync_replicas(group: _Group) -> int:
+    """Return the number of replicas; a wrong value means that commits are at risk."""
+    value = group.sync_replicas
+    if type(value) is int and 0 <= value <= MAX_SYNC_REPLICAS:
+        return value
+    logging.error(
+        "configuration: SyncReplicas taken as 1 group=%s value=%.40r", group.name, value
+    )
+    return 1
+
+
 def _to_limit(workspace: _Workspace) -> WorkspaceLimit:
     rate = workspace.rate_per_s or 0.0
     burst = workspace.burst if workspace.burst is not None else rate
--- a/src/jackdawspread/tasks/fleet/configuration_in_use.py
+++ b/src/jackdawspread/tasks/fleet/configuration_in_use.py
@@ -21,6 +21,7 @@
     to_local_time,
     update_offset,
 )
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.configuration_copy import ConfigurationCopy
 from jackdawspread.messages.fleet.configuration_revision import (
@@ -56,7 +57,7 @@
         there are none.
     check_regions : callable
         Called with each new configuration.
-    admission, router : trio.MemorySendChannel
+    admission, router, acknowledgements : trio.MemorySendChannel
         Receive the configuration.
     """
 
@@ -67,12 +68,14 @@
         check_regions: Callable[[FleetConfiguration], None],
         admission: MemorySendChannel[AdmissionEvent],
         router: MemorySendChannel[RouterEvent],
+        acknowledgements: MemorySendChannel[AcknowledgementEvent],
     ) -> None:
         self._max_age_s = max_age_s
         self._evacuations = evacuations
         self._check_regions = check_regions
         self._admission = admission
         self._router = router
+        self._acknowledgements = acknowledgements
         self._clock = StoreClockOffset()
         self._history = ConfigurationHistory()
         self.held: HeldConfiguration | None = None
@@ -115,7 +118,11 @@
     ) -> ConfigurationChoice:
         """Use a configuration that the store has or had, if it is to be used."""
         choice = self.choose(found.revision, found.epoch, found.confirmed_at)
-        if choice is ConfigurationChoice.TAKE:
+        if choice is ConfigurationChoice.TAKE or (
+            choice is ConfigurationChoice.CONFIRM
+            and way is not ConfigurationWay.PEER
+            and self._differs_in_replicas(found)
+        ):
             await self._take(found, way)
         elif choice is ConfigurationChoice.CONFIRM:
             await self.confirm(found)
@@ -131,6 +138,16 @@
             )
         return choice
 
+    def _differs_in_replicas(self, found: HeldConfiguration) -> bool:
+        """Whether the held groups are those of a copy from an earlier version.
+
+        Such a copy lacks the numbers of replicas that confirm commits, and the revision
+        does not cover them.
+        """
+        assert self.held is not None
+        held = self.held.configuration
+        return held.group_by_name != found.configuration.group_by_name
+
     async def _take(self, found: HeldConfiguration, way: ConfigurationWay) -> None:
         old = self.held.configuration if self.held else EMPTY_CONFIGURATION
         # Unchanged entries are shared with the configuration before.
@@ -145,6 +162,7 @@
         await self._admission.send(seen)
         self._check_regions(configuration)
         await self._router.send(seen)
+        await self._acknowledgements.send(seen)
         if self._newer_version:
             await self._send_newer()
 
--- a/src/jackdawspread/tasks/fleet/instance_directory.py
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -6,15 +6,20 @@
 
 from jackdawspread.codecs.network_address import parse_address
 from jackdawspread.codecs.stored_json import decode_stored
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
+from jackdawspread.messages.fleet.instance_registered import InstanceRegistered
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.promotion_poll_event import PromotionPollEvent
 from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.fleet.store_clock_sampled import StoreClockSampled
 from jackdawspread.messages.fleet.stored_record import StoredRecord
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
+from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.record_client import RecordClient
 
 PREFIX = "instance-"
@@ -44,6 +49,10 @@
         Access to the store.
     router, broker, members, configurations, peers : trio.MemorySendChannel
         Receive the list of the instances.
+    promotions : trio.MemorySendChannel
+        Receives the list, and the store's clock at each registration.
+    acknowledgements : trio.MemorySendChannel
+        Receives a report of each registration.
     """
 
     def __init__(
@@ -57,6 +66,8 @@
         members: MemorySendChannel[MemberPollEvent],
         configurations: MemorySendChannel[ConfigurationEvent],
         peers: MemorySendChannel[PeerEvent],
+        promotions: MemorySendChannel[PromotionPollEvent],
+        acknowledgements: MemorySendChannel[AcknowledgementEvent],
     ) -> None:
         self._instance = instance
         self._entry = entry
@@ -67,6 +78,8 @@
         self._members = members
         self._configurations = configurations
         self._peers = peers
+        self._promotions = promotions
+        self._acknowledgements = acknowledgements
         # Version of each entry, and the monotonic time until which it counts.
         self._version_by_instance: dict[str, int] = {}
         self._valid_until_by_instance: dict[str, float] = {}
@@ -79,9 +92,7 @@
         """
         is_listed = not self._is_first_start and await self._read()
         while True:
-            name = f"{PREFIX}{self._instance}"
-            outcome = await self._records.put(name, encode(self._entry))
-            if outcome.status is not RecordStatus.DONE:
+            if not await self._register():
                 await sleep(RETRY_DELAY_S)
                 continue
             if not is_listed:
@@ -92,6 +103,20 @@
             is_listed = False
             await sleep(REGISTRATION_INTERVAL_S)
 
+    async def _register(self) -> bool:
+        """Write and report the registration; return whether the store has it."""
+        sent_at = seconds_since_boot()
+        name = f"{PREFIX}{self._instance}"
+        outcome = await self._records.put(name, encode(self._entry))
+        if outcome.status is not RecordStatus.DONE:
+            return False
+        received_at = seconds_since_boot()
+        await self._acknowledgements.send(InstanceRegistered(sent_at, received_at))
+        if outcome.store_time_s:
+            sample = StoreClockSampled(outcome.store_time_s, sent_at, received_at)
+            await self._promotions.send(sample)
+        return True
+
     async def _read(self) -> bool:
         """Read and publish the list; return whether this instance is in it."""
         records = await self._records.list(PREFIX)
@@ -123,6 +148,7 @@
         await self._configurations.send(seen)
         await self._router.send(seen)
         await self._broker.send(seen)
+        await self._promotions.send(seen)
         return expired if self._instance == min(entry_by_instance) else []
 
 
--- a/src/jackdawspread/tasks/fleet/peer_datagrams.py
+++ b/src/jackdawspread/tasks/fleet/peer_datagrams.py
@@ -12,7 +12,9 @@
     decode_datagram,
     encode_datagram,
 )
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.announcement_event import AnnouncementEvent
 from jackdawspread.messages.fleet.broadcast_datagram import BroadcastDatagram
 from jackdawspread.messages.fleet.configuration_confirmed import ConfigurationConfirmed
 from jackdawspread.messages.fleet.configuration_digest import ConfigurationDigest
@@ -38,6 +40,15 @@
 from jackdawspread.messages.fleet.primary_position_requested import (
     PrimaryPositionRequested,
 )
+from jackdawspread.messages.fleet.promotion_announced import PromotionAnnounced
+from jackdawspread.messages.fleet.promotion_announcement import PromotionAnnouncement
+from jackdawspread.messages.fleet.promotion_announcement_received import (
+    PromotionAnnouncementReceived,
+)
+from jackdawspread.messages.fleet.promotion_poll_event import PromotionPollEvent
+from jackdawspread.messages.fleet.promotion_states_relayed import (
+    PromotionStatesRelayed,
+)
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.fleet.send_datagram import SendDatagram
@@ -75,6 +86,12 @@
         Receives requests for positions of primaries and the replies to them.
     demotions : trio.MemorySendChannel
         Receives requests to demote primaries and the replies to them.
+    promotions : trio.MemorySendChannel
+        Receives promotion states that other instances have read.
+    acknowledgements : trio.MemorySendChannel
+        Receives announcements of promotion states.
+    announcements : trio.MemorySendChannel
+        Receives confirmations of this instance's announcements.
     """
 
     def __init__(
@@ -88,6 +105,9 @@
         configurations: MemorySendChannel[ConfigurationEvent],
         router: MemorySendChannel[RouterEvent],
         demotions: MemorySendChannel[PeerDemotionEvent],
+        promotions: MemorySendChannel[PromotionPollEvent],
+        acknowledgements: MemorySendChannel[AcknowledgementEvent],
+        announcements: MemorySendChannel[AnnouncementEvent],
     ) -> None:
         self._instance = instance
         self._entry = entry
@@ -98,6 +118,9 @@
         self._configurations = configurations
         self._router = router
         self._demotions = demotions
+        self._promotions = promotions
+        self._acknowledgements = acknowledgements
+        self._announcements = announcements
         self._socket: SocketType = socket(type=SOCK_DGRAM)
         self._entry_by_instance: dict[str, InstanceEntry] = {}
 
@@ -223,3 +246,15 @@
     @_deliver.register
     def _(self, message: PrimaryDemotionReply, sender: str) -> None:
         self._demotions.send_nowait(message)
+
+    @_deliver.register
+    def _(self, message: PromotionStatesRelayed, sender: str) -> None:
+        self._promotions.send_nowait(message)
+
+    @_deliver.register
+    def _(self, message: PromotionAnnounced, sender: str) -> None:
+        self._acknowledgements.send_nowait(PromotionAnnouncement(message, sender))
+
+    @_deliver.register
+    def _(self, message: PromotionAnnouncementReceived, sender: str) -> None:
+        self._announcements.send_nowait(message)
