--- a/features/instance_directory.feature
+++ b/features/instance_directory.feature
@@ -7,6 +7,19 @@
     When 3 s have passed
     Then "i1" knows "i1,i2,i3"
 
+  Scenario: An acknowledged registration is reported with its times
+    # Guards against an instance that acknowledges commits while promotions do not wait
+    # for it, as the store does not list it.
+    Given instances "i1,i2" that register in one store
+    When 63 s have passed
+    Then "i1" has reported 2 registrations, each sent before it was acknowledged
+
+  Scenario: A registration that fails is not reported
+    # Guards against an instance that counts as registered for a write that was lost.
+    Given instances "i1,i2" that register in one store, which does not answer
+    When 5 s have passed
+    Then "i1" has reported 0 registrations, each sent before it was acknowledged
+
   Scenario: A restarted instance knows the others at once
     # Guards against a restarted fleet whose instances act as if they were alone.
     Given instances "i1,i2,i3" that register in one store
--- a/features/mixed_versions.feature
+++ b/features/mixed_versions.feature
@@ -24,3 +24,22 @@
       | message                |
       | ConfigurationConfirmed |
       | MembersRelayed         |
+
+  Scenario: A datagram of a kind that the earlier version lacks is ignored there
+    # Guards against instances of the earlier version that fail for what an upgraded one
+    # tells them of promotions.
+    When "PromotionStatesRelayed,PromotionAnnounced,PromotionAnnouncementReceived" are sent to the earlier version
+    Then it ignores them
+
+  Scenario: A copy of the configuration can be read by the earlier version
+    # Guards against instances of the earlier version that refuse the copies of an
+    # upgraded one, or that do not confirm its configuration.
+    Given a configuration with a group that has 2 synchronous replicas
+    Then the earlier version reads a copy of it, with the same revision
+    And this version reads 2 synchronous replicas from the copy
+
+  Scenario: A copy of the earlier version does not say how many replicas confirm
+    # Guards against commits that are acknowledged as in a group without synchronous
+    # replicas, since an instance of the earlier version has passed its configuration on.
+    Given a configuration with a group that has 2 synchronous replicas
+    Then this version reads 1 synchronous replicas from a copy of the earlier version
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -69,6 +69,24 @@
       | Service | ""                 |
       | Zone    | "z 1"              |
 
+  Scenario Outline: A wrong number of synchronous replicas counts as one
+    # Guards against acknowledged commits that are lost since a value was mistyped, and
+    # against a version that is not taken for it.
+    When a configuration is decoded whose group has <value> synchronous replicas
+    Then the group has <count> synchronous replicas
+
+    Examples:
+      | value     | count |
+      | 0         | 0     |
+      | 2         | 2     |
+      | -1        | 1     |
+      | 1.5       | 1     |
+      | "2"       | 1     |
+      | true      | 1     |
+      | null      | 1     |
+      | [0]       | 1     |
+      | 1000000000000000000000000000000 | 1 |
+
   Scenario Outline: An invalid configuration is not taken
     # Guards against a version that contradicts itself or that no route can follow.
     Given a valid configuration in which <change>
--- a/features/steps/instance_directory_steps.py
+++ b/features/steps/instance_directory_steps.py
@@ -1,5 +1,7 @@
 """Steps for the list of instances."""
 
+from unittest import mock
+
 from behave import given, then, when
 from behave.runner import Context
 from features.fakes.memory_records import MemoryRecords
@@ -15,7 +17,9 @@
 
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_request import RecordRequest
+from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.platform.record_store import RecordStore
 from jackdawspread.platform.store_entries import TABLE
 from jackdawspread.tasks.fleet.instance_directory import PREFIX, InstanceDirectory
@@ -38,6 +42,19 @@
         _start(context, name, entry, is_first_start=True)
 
 
+@given('instances "{names}" that register in one store, which does not answer')
+def register_in_vain(context: Context, names: str) -> None:
+    """Start the directories while the outcome of every write is unknown."""
+
+    async def put(records: MemoryRecords, name: str, value: bytes) -> RecordOutcome:
+        return RecordOutcome(RecordStatus.UNKNOWN)
+
+    patch = mock.patch.object(MemoryRecords, "put", put)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    register(context, names)
+
+
 def _start(
     context: Context, name: str, entry: InstanceEntry, is_first_start: bool
 ) -> None:
@@ -110,6 +127,21 @@
     assert ",".join(sorted(seen.entry_by_instance)) == names, seen
 
 
+@then(
+    '"{name}" has reported {count:d} registrations, each sent before it was '
+    "acknowledged"
+)
+def reported(context: Context, name: str, count: int) -> None:
+    """Compare the reports to the acknowledgement task."""
+    reports = context.registered_by_instance[name]
+    found = [
+        reports.receive_nowait()
+        for _ in range(reports.statistics().current_buffer_used)
+    ]
+    assert len(found) == count, found
+    assert all(report.at < report.acknowledged_at for report in found), found
+
+
 @then('the store has the entries of "{names}"')
 def has_entries(context: Context, names: str) -> None:
     """Compare the names of the records."""
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -249,3 +249,18 @@
     except ValueError:
         return
     raise AssertionError(taken)
+
+
+@when("a configuration is decoded whose group has {value} synchronous replicas")
+def replicas_configured(context: Context, value: str) -> None:
+    """Decode it."""
+    document = initial_configuration()
+    document["Services"][0]["SyncReplicas"] = json.loads(value)
+    context.decoded = decode_configuration(json.dumps(document).encode())
+
+
+@then("the group has {count:d} synchronous replicas")
+def has_replicas(context: Context, count: int) -> None:
+    """Compare the number."""
+    found = context.decoded.group_by_name[GROUP].sync_replicas
+    assert found == count, found
