--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -8,6 +8,7 @@
 
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.store_epoch import StoreEpoch
+from jackdawspread.messages.position import Position
 
 # Other instances can acquire the lock after this time; a promotion takes less than a
 # second.
@@ -35,6 +36,8 @@
     acquired["token"] = max(record["token"], epoch.number * TOKENS_PER_EPOCH) + 1
     acquired["holder"] = instance
     acquired["until"] = store_time_s + PROMOTION_LOCK_TTL_S
+    # The suspension of a holder that has died ended with its lock.
+    acquired.pop("suspended", None)
     if record["ordered"]:
         acquired["requested_at"] = _requested_at(record, store_time_s)
     return acquired
@@ -56,10 +59,13 @@
     term: int,
     roster: Collection[str],
     outstanding: tuple[str, ...] = (),
+    log_end: Position | None = None,
 ) -> PromotionLockRecord:
     """Return the record that names the member whose promotion will be requested.
 
     ``outstanding`` are the members of earlier requests that may still be executed.
+    ``log_end`` is the end of the member's log when logs were compared, None if its log
+    goes on growing.
 
     A promotion request without an answer may be executed later, so the next holder
     has to prefer the same member. The promoted member may be the only one that knows
@@ -71,6 +77,9 @@
     ordered["outstanding"] = [*outstanding, *(() if is_repeated else (member,))]
     ordered["requested_at"] = record["until"]
     ordered["term"] = max(term, recorded_term(record))
+    ordered.pop("log_end", None)
+    if log_end is not None:
+        ordered["log_end"] = list(log_end)
     if roster:
         ordered["roster"] = sorted(roster)
     ordered.pop("blocked_since", None)
@@ -92,6 +101,7 @@
     released = record.copy()
     released["holder"] = ""
     released["until"] = 0.0
+    released.pop("suspended", None)
     return released
 
 
