--- a/features/steps/instance_directory_steps.py
+++ b/features/steps/instance_directory_steps.py
@@ -18,7 +18,8 @@
 from jackdawspread.messages.fleet.record_request import RecordRequest
 from jackdawspread.platform.record_store import RecordStore
 from jackdawspread.platform.store_entries import TABLE
-from jackdawspread.tasks.fleet.instance_directory import PREFIX, InstanceDirectory
+from jackdawspread.tasks.fleet.decode_instance_entry import INSTANCE_PREFIX
+from jackdawspread.tasks.fleet.instance_directory import InstanceDirectory
 from jackdawspread.tasks.fleet.record_client import RecordClient
 from jackdawspread.tasks.http_server import HttpServer
 
@@ -107,7 +108,8 @@
 @then('the store has the entries of "{names}"')
 def has_entries(context: Context, names: str) -> None:
     """Compare the names of the records."""
-    found = sorted(name.removeprefix(PREFIX) for name in context.records.record_by_name)
+    stored = context.records.record_by_name
+    found = sorted(name.removeprefix(INSTANCE_PREFIX) for name in stored)
     assert ",".join(found) == names, found
 
 
--- a/scripts/check_isolation.py
+++ b/scripts/check_isolation.py
@@ -45,6 +45,9 @@
         "failover_task.run",
         "roster_task.run",
         "demotions.run",
+        "announcement_task.run",
+        "_confirm_announcements",
+        "_discard_datagrams",
         "store.run",
         "server.run",
     },
@@ -58,7 +61,9 @@
 # tasks whose loss their owner would not notice, so that a restart is better.
 CHILD_TASKS = {
     "tasks/connection_manager.py": {"_run_in_scope"},
+    "tasks/fleet/acknowledgement_fence.py": {"self._cancel_wait"},
     "tasks/fleet/failover_selection.py": {"demote"},
+    "tasks/fleet/promotion_announcement_task.py": {"self._announce_here"},
     "tasks/fleet/replication_control.py": {"send_one", "resume"},
     "tasks/http_client.py": {"connection.run"},
     "tasks/instance_registration.py": {"connection.run"},
--- a/src/jackdawspread/tasks/fleet/instance_directory.py
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -4,8 +4,6 @@
 from msgspec.json import encode
 from trio import MemorySendChannel, current_time, sleep
 
-from jackdawspread.codecs.network_address import parse_address
-from jackdawspread.codecs.stored_json import decode_stored
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.member_poll_event import MemberPollEvent
@@ -15,9 +13,12 @@
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.fleet.stored_record import StoredRecord
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
+from jackdawspread.tasks.fleet.decode_instance_entry import (
+    INSTANCE_PREFIX,
+    decode_instance_entry,
+)
 from jackdawspread.tasks.fleet.record_client import RecordClient
 
-PREFIX = "instance-"
 REGISTRATION_INTERVAL_S = 60.0
 # Instances that start at the same time have registered after this time.
 SETTLING_S = 2.0
@@ -79,7 +80,7 @@
         """
         is_listed = not self._is_first_start and await self._read()
         while True:
-            name = f"{PREFIX}{self._instance}"
+            name = f"{INSTANCE_PREFIX}{self._instance}"
             outcome = await self._records.put(name, encode(self._entry))
             if outcome.status is not RecordStatus.DONE:
                 await sleep(RETRY_DELAY_S)
@@ -94,12 +95,14 @@
 
     async def _read(self) -> bool:
         """Read and publish the list; return whether this instance is in it."""
-        records = await self._records.list(PREFIX)
+        records = await self._records.list(INSTANCE_PREFIX)
         if not records:
             return False
         for record in await self._publish(records):
             await self._records.remove(record.name, record.version)
-        return any(record.name == f"{PREFIX}{self._instance}" for record in records)
+        return any(
+            record.name == f"{INSTANCE_PREFIX}{self._instance}" for record in records
+        )
 
     async def _publish(self, records: list[StoredRecord]) -> list[StoredRecord]:
         """Publish the list; return the expired entries that this instance removes."""
@@ -107,11 +110,11 @@
         entry_by_instance = {self._instance: self._entry}
         expired = []
         for record in records:
-            instance = record.name.removeprefix(PREFIX)
+            instance = record.name.removeprefix(INSTANCE_PREFIX)
             if record.version != self._version_by_instance.get(instance):
                 self._version_by_instance[instance] = record.version
                 self._valid_until_by_instance[instance] = now + ENTRY_TTL_S
-            entry = _decode_entry(record)
+            entry = decode_instance_entry(record)
             if now >= self._valid_until_by_instance[instance]:
                 expired.append(record)
             elif entry is not None:
@@ -124,13 +127,3 @@
         await self._router.send(seen)
         await self._broker.send(seen)
         return expired if self._instance == min(entry_by_instance) else []
-
-
-def _decode_entry(record: StoredRecord) -> InstanceEntry | None:
-    try:
-        entry = decode_stored(record.value, InstanceEntry)
-        parse_address(entry.address)
-        return entry
-    except ValueError as error:
-        logging.error("instance: entry ignored name=%s reason=%r", record.name, error)
-        return None
