Fence acknowledgements at promotions, and end requests by proof only

A promotion rests on logs that were compared before its call, and the call may take effect many seconds later.

An attempt now suspends acknowledgements before it compares logs, or requires the member before a switchover's catch-up and before a repeated request, and waits until all registered instances have confirmed the state or their permits have lapsed. If the primary was demoted and no request is outstanding, nobody is waited for. The end of the attempt is announced once. This applies to triggers with fences_acknowledgements; the others write and wait as before.

A request is outstanding until it is refused or one with a higher token is accepted, and an accepted one until a status shows its effect. A claim to be the primary alone ends no request any more: the primary may have had the role before its own request. Requests for members that are gone are withdrawn by requesting the present primary again, by a trigger with withdraws_requests or if that primary gets no write confirmed and can't be replaced.

The scenarios of the 30 s rule and of the 1.5 s rule are replaced: requests that are an hour old are still outstanding, an accepted promotion is outstanding until its effect is seen (after 0.6, 2.5 and 3.5 s), and where replicas were resumed after 31 s the scenario now asks for a request of the primary that is accepted, at the first attempt; if it is rejected they rest paused.

--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -227,10 +227,15 @@
       | m1      | none         | 1   | none   |
       | m1      | not recorded | 1   | m2     |
       | m0      | not recorded | 1   | m1,m2  |
-      | m0      | not recorded | 29  | m1,m2  |
-      | m0      | not recorded | 31  | none   |
-      | m1      | not recorded | 31  | none   |
-      | m1      | m2,m1        | 31  | none   |
+
+    # Guards against a call that is executed after any time that was guessed for it:
+    # requests were taken to end after 30 s.
+    Examples: requests never end by time alone
+      | ordered | outstanding  | age  | paused |
+      | m0      | not recorded | 3600 | m1,m2  |
+      | m1      | not recorded | 3600 | m2     |
+      | m1      | m1           | 3600 | m2     |
+      | m1      | m2,m1        | 3600 | m1,m2  |
 
   Scenario Outline: A primary that a late request would promote again is not demoted
     # Guards against the loss of commits that a demoted primary acknowledges after a late
@@ -246,38 +251,44 @@
       | ordered | outstanding | promoted | left  | paused |
       | m0      | m0          | m0       | none  | none   |
       | m0      | m1,m0       | m0       | none  | none   |
-      | m1      | m0,m1       | none     | m0,m1 | m2     |
-      | m0      | m0,m1,m0    | none     | m0,m1,m0 | m1,m2 |
+      | m1      | m0,m1       | m0       | none  | none   |
+      | m0      | m0,m1,m0    | m0       | none  | none   |
 
-  Scenario Outline: The next holder prefers a member whose promotion was accepted late
-    # Guards against a second promotion before the accepted one has taken effect.
+  Scenario Outline: An accepted promotion is outstanding until a member shows its effect
+    # Guards against a second promotion before the accepted one has taken effect: it was
+    # taken to be in effect 1.5 s after its acceptance at the latest.
     Given members with the logs "m1=1.9,m2=1.9" of which "m0" do not answer
     And a record with the request "m2" and outstanding requests "m2"
-    And the promotion lock is held for <held> s
+    And the promotion lock is held for 3 s
+    And accepted promotions take effect after <delay> s
     When an instance acts on a primary that is unreachable
     Then "m2" is promoted and "none" is demoted
     And the outstanding requests are "<left>" and the replicas "m1,m2" rest paused
 
     Examples:
-      | held | left |
-      | 3.0  | none |
-      | 1.4  | m2   |
+      | delay | left |
+      | 0.6   | none |
+      | 2.5   | none |
+      | 3.5   | m2   |
 
   Scenario Outline: Replicas are resumed although the requested member is gone for good
     # Guards against a live primary that never gets a write confirmed again, because an
-    # outstanding request names a member that can't be promoted any more.
+    # outstanding request names a member that can't be promoted any more. The request of
+    # the primary itself withdraws it.
     Given members with the logs "m0=1.9,m2=1.7" of which "m1" do not answer
     And a record with the request "m1" and outstanding requests "<outstanding>"
     And "m2" are paused
-    When instances act for <seconds> s on a primary that gets no write confirmed
-    Then "none" is promoted and the replicas "<paused>" rest paused
+    And promotion requests are answered with "<answers>"
+    When an instance acts on a primary that gets no write confirmed
+    Then "m0" is promoted and "none" is demoted
+    And the outstanding requests are "<left>" and the replicas "<paused>" rest paused
 
     Examples:
-      | outstanding  | seconds | paused |
-      | m1           | 29      | m2     |
-      | m1           | 31      | none   |
-      | not recorded | 29      | m2     |
-      | not recorded | 31      | none   |
+      | outstanding  | answers  | left  | paused |
+      | m1           | accepted | none  | none   |
+      | not recorded | accepted | none  | none   |
+      | m1           | rejected | m1    | m2     |
+      | m3,m1        | accepted | none  | none   |
 
   Scenario: Replicas are resumed although the requested member has left the list
     # Guards against the same in a group of four members.
@@ -285,8 +296,8 @@
     And "m1" has left the group and may have confirmed commits
     And a record with the request "m1" and outstanding requests "m1"
     And "m2,m3" are paused
-    When instances act for 60 s on a primary that gets no write confirmed
-    Then "none" is promoted and the replicas "none" rest paused
+    When an instance acts on a primary that gets no write confirmed
+    Then "m0" is promoted and the replicas "none" rest paused
 
   Scenario: A primary that was requested before another member is replaced in the end
     # Guards against attempts that all end because earlier requests may be executed.
@@ -303,17 +314,18 @@
     And a record with the request "m1" and outstanding requests "m1"
     When an instance that can read no list acts, and "m1" crashes
     And "m0=1.9" answers again
-    And instances act for 60 s on a primary that gets no write confirmed
-    Then "none" is promoted and the replicas "none" rest paused
+    And an instance acts on a primary that gets no write confirmed
+    Then "m0" is promoted and the replicas "none" rest paused
 
-  Scenario: A refused request does not prolong the time of an earlier one
-    # Guards against requests that stay outstanding as long as attempts are refused.
+  Scenario: A refused request ends no earlier one
+    # Guards against an earlier call that is executed after replicas were resumed, as a
+    # refusal of the later call says nothing about it.
     Given members with the logs "m0=1.9,m1=1.9,m2=1.9" of which "m0" do not answer
     And a record with the request "m2" and outstanding requests "m2"
     And its lock has expired 20 s ago
     And promotion requests are answered with "rejected"
     When an instance acts on a primary that is unreachable
-    Then the requests count from 20 s ago
+    Then the outstanding requests are "m2" and the replicas "m1" rest paused
 
   Scenario Outline: The lock is not released while a replica may still be resumed
     # Guards against a resume that is executed after the next holder's pause: the replica
@@ -347,11 +359,12 @@
     And "m1,m2" are paused and no list of members can be read
     And "<primary>" is the only member that claims to be the primary
     When an instance acts on a primary that <trouble>
-    Then "none" is promoted and the replicas "<paused>" rest paused
+    Then "<promoted>" is promoted and the replicas "<paused>" rest paused
 
+    # A primary that gets no write confirmed is requested again, which ends the requests.
     Examples:
-      | primary | trouble                 | paused |
-      | m0      | gets no write confirmed | m2     |
-      | none    | gets no write confirmed | m1,m2  |
-      | m0      | leaves                  | m2     |
-      | none    | leaves                  | m1,m2  |
+      | primary | trouble                 | promoted | paused |
+      | m0      | gets no write confirmed | m0       | none   |
+      | none    | gets no write confirmed | none     | m1,m2  |
+      | m0      | leaves                  | none     | m2     |
+      | none    | leaves                  | none     | m1,m2  |
--- a/src/jackdawspread/decisions/acknowledgement/promotion_state_of.py
+++ b/src/jackdawspread/decisions/acknowledgement/promotion_state_of.py
@@ -1,5 +1,6 @@
 """Promotion state that follows from the record of a promotion lock."""
 
+from jackdawspread.decisions.failover.outstanding_requests import outstanding_requests
 from jackdawspread.decisions.failover.promotion_lock import is_held
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.promotion_state import PromotionState
@@ -15,10 +16,8 @@
 ) -> PromotionState:
     """Return the promotion state of a group.
 
-    The suspension of a holder that has died ends with its lock. Records of earlier
-    versions name the last request only, and not whether it was answered.
+    The suspension of a holder that has died ends with its lock.
     """
-    ordered = record["ordered"]
     log_end = record.get("log_end")
     return PromotionState(
         group,
@@ -26,7 +25,7 @@
         version,
         record["token"],
         record.get("suspended", False) and is_held(record, store_time_s),
-        tuple(record.get("outstanding", [ordered] if ordered else [])),
-        ordered,
+        outstanding_requests(record),
+        record["ordered"],
         Position(*log_end) if log_end is not None else None,
     )
--- a/src/jackdawspread/decisions/failover/blocked_promotion.py
+++ b/src/jackdawspread/decisions/failover/blocked_promotion.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection
 
+from jackdawspread.decisions.acknowledgement.permit import PERMIT_S
 from jackdawspread.decisions.failover.promotion_lock import (
     PROMOTION_LOCK_TTL_S,
     acquired_at,
@@ -14,8 +15,8 @@
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 
 # Attempts follow each other faster than this while a group has no primary, also those
-# that leave the lock to expire.
-MAX_ATTEMPT_INTERVAL_S = 2 * PROMOTION_LOCK_TTL_S
+# that leave the lock to expire, and those that wait until permits have lapsed.
+MAX_ATTEMPT_INTERVAL_S = 2 * PROMOTION_LOCK_TTL_S + PERMIT_S
 
 
 def is_overdue(record: PromotionLockRecord, timeout_s: float) -> bool:
--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -38,8 +38,6 @@
     acquired["until"] = store_time_s + PROMOTION_LOCK_TTL_S
     # The suspension of a holder that has died ended with its lock.
     acquired.pop("suspended", None)
-    if record["ordered"]:
-        acquired["requested_at"] = _requested_at(record, store_time_s)
     return acquired
 
 
@@ -75,6 +73,7 @@
     ordered["ordered"] = member
     is_repeated = outstanding[-1:] == (member,)
     ordered["outstanding"] = [*outstanding, *(() if is_repeated else (member,))]
+    # Instances of earlier versions end requests 30 s after this time.
     ordered["requested_at"] = record["until"]
     ordered["term"] = max(term, recorded_term(record))
     ordered.pop("log_end", None)
@@ -113,13 +112,3 @@
 def recorded_roster(record: PromotionLockRecord) -> frozenset[str]:
     """Return the roster that the record names, empty if it names none."""
     return frozenset(record.get("roster", ()))
-
-
-def _requested_at(record: PromotionLockRecord, store_time_s: float) -> float:
-    """Return the time until which the last request was sent, as far as it is known.
-
-    Records of earlier versions show it by the expiry of the lock, unless the lock was
-    released after a later attempt.
-    """
-    expired_at = record["until"] or store_time_s
-    return min(record.get("requested_at", expired_at), store_time_s)
--- a/src/jackdawspread/decisions/failover/promotion_lock_record.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock_record.py
@@ -28,8 +28,8 @@
         requests. Records of earlier versions lack it.
     requested_at : float
         Time of the store's clock in seconds until which the last promotion request
-        could be sent, the expiry of its holder's lock. Records of earlier versions and
-        of groups without a request lack it.
+        could be sent, the expiry of its holder's lock. Only instances of earlier
+        versions use it. Records of groups without a request lack it.
     blocked_since, blocked_at : float
         Times of the store's clock in seconds of the first and the last in a row of
         attempts that ended because logs were missing. The record lacks them if there
--- a/src/jackdawspread/messages/fleet/failover_trigger.py
+++ b/src/jackdawspread/messages/fleet/failover_trigger.py
@@ -24,6 +24,9 @@
     withdraws_requests : bool
         Whether the primary stays, and requests to promote other members are to be
         withdrawn.
+    fences_acknowledgements : bool
+        Whether acknowledgements in the group depend on its promotion state, so that a
+        promotion has to fence them.
     """
 
     group: str
@@ -33,3 +36,4 @@
     reason: str
     evacuated_domains: frozenset[str] = frozenset()
     withdraws_requests: bool = False
+    fences_acknowledgements: bool = False
--- a/src/jackdawspread/messages/fleet/promotion_request.py
+++ b/src/jackdawspread/messages/fleet/promotion_request.py
@@ -23,6 +23,8 @@
         the highest one that it has received.
     reply_to : trio.MemorySendChannel
         Receives the result.
+    timeout_s : float
+        Time in seconds to wait for the answer.
     """
 
     group: str
@@ -30,3 +32,4 @@
     holder: str
     fencing_token: int
     reply_to: MemorySendChannel[PromotionResult]
+    timeout_s: float
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -5,6 +5,7 @@
 from absl import logging
 from trio import (
     Event,
+    MemoryReceiveChannel,
     MemorySendChannel,
     Nursery,
     current_time,
@@ -16,7 +17,9 @@
 
 from jackdawspread.codecs.network_address import parse_address
 from jackdawspread.decisions.limits.memory_limits import PROCESS_BYTES, memory_limits
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.announcement_event import AnnouncementEvent
 from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
 from jackdawspread.messages.fleet.configuration_reader_event import (
@@ -30,6 +33,7 @@
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peer_demotion_event import PeerDemotionEvent
 from jackdawspread.messages.fleet.peer_event import PeerEvent
+from jackdawspread.messages.fleet.promotion_announcement import PromotionAnnouncement
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.record_request import RecordRequest
@@ -45,6 +49,7 @@
 from jackdawspread.platform.region_check import RegionCheck
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.fleet.acknowledgement_fences import AcknowledgementFences
 from jackdawspread.tasks.fleet.activity_log import ActivityLog
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
 from jackdawspread.tasks.fleet.capacity_exchange import CapacityExchange
@@ -62,6 +67,9 @@
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
 from jackdawspread.tasks.fleet.peer_demotion_executor import PeerDemotionExecutor
 from jackdawspread.tasks.fleet.peer_demotion_task import PeerDemotionTask
+from jackdawspread.tasks.fleet.promotion_announcement_task import (
+    PromotionAnnouncementTask,
+)
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.rate_lease_task import RateLeaseTask
 from jackdawspread.tasks.fleet.record_client import RecordClient
@@ -369,13 +377,22 @@
         )
         replication = ReplicationControl(self._router)
         records = self._open_records("succession", tasks)
+        locks = PromotionLockClient(self._instance_id, records)
+        announcements, announcement_inbox = open_memory_channel[AnnouncementEvent](
+            SMALL_INBOX
+        )
+        acknowledgements, acknowledgement_inbox = open_memory_channel[
+            AcknowledgementEvent
+        ](SMALL_INBOX)
+        datagrams, datagram_inbox = open_memory_channel[PeerEvent](SMALL_INBOX)
         attempt = FailoverAttempt(
             self._instance_id,
             replication,
-            PromotionLockClient(self._instance_id, records),
+            locks,
             promotions,
             self._router,
             PeerDemotionClient(self._router, self._demotions),
+            AcknowledgementFences(locks, records, announcements),
             self._settings.missing_log_timeout_s,
         )
         demotions = PeerDemotionTask(
@@ -383,6 +400,12 @@
             self._demotions_inbox,
             self._peers,
         )
+        announcement_task = PromotionAnnouncementTask(
+            self._instance_id, announcement_inbox, datagrams, acknowledgements
+        )
+        tasks.start_soon(announcement_task.run)
+        tasks.start_soon(_confirm_announcements, acknowledgement_inbox)
+        tasks.start_soon(_discard_datagrams, datagram_inbox)
         # Calls about rosters must not delay the promotion lock.
         rosters = RosterClient(self._open_records("rosters", tasks))
         roster_task = RosterTask(rosters, replication, self._rosters_inbox)
@@ -433,3 +456,18 @@
             answer_by=now + ANSWER_FRACTION * grace_s,
             exit_at=now + EXIT_FRACTION * grace_s,
         )
+
+
+async def _confirm_announcements(
+    inbox: MemoryReceiveChannel[AcknowledgementEvent],
+) -> None:
+    """Stand in for the acknowledgement task."""
+    async for event in inbox:
+        if isinstance(event, PromotionAnnouncement) and event.reply_to is not None:
+            event.reply_to.send_nowait(True)
+
+
+async def _discard_datagrams(inbox: MemoryReceiveChannel[PeerEvent]) -> None:
+    """Discard announcements, which the codec of datagrams does not know."""
+    async for _ in inbox:
+        pass
--- a/src/jackdawspread/platform/promotion_client.py
+++ b/src/jackdawspread/platform/promotion_client.py
@@ -12,8 +12,6 @@
 from jackdawspread.messages.http_outcome import HttpOutcome
 from jackdawspread.tasks.http_client import HttpClient
 
-# An answer takes a few milliseconds. After a lost answer the request is sent again.
-CALL_TIMEOUT_S = 0.5
 RESULT_BY_STATUS = {200: PromotionResult.ACCEPTED, 409: PromotionResult.REJECTED}
 
 
@@ -43,7 +41,7 @@
                     "POST",
                     "/promote",
                     {"Service": request.group, "Id": request.member},
-                    current_time() + CALL_TIMEOUT_S,
+                    current_time() + request.timeout_s,
                     (
                         ("Jackdawspread-Duty-Holder", request.holder),
                         ("Jackdawspread-Fencing-Token", str(request.fencing_token)),
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -6,20 +6,20 @@
 from trio import MemorySendChannel
 
 from jackdawspread.decisions.evacuations.evacuated_members import mark_evacuated
+from jackdawspread.decisions.failover.acknowledgement_suspension import (
+    end_suspension,
+)
 from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.outstanding_requests import (
-    may_be_promoted_again,
     outstanding_requests,
     record_outstanding,
-    record_refusal,
     replicas_to_resume,
 )
 from jackdawspread.decisions.failover.promotion_candidate import (
     MIN_LOGS,
     replicas_to_query,
 )
-from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
@@ -27,13 +27,26 @@
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
 from jackdawspread.messages.fleet.promotion_result import PromotionResult
 from jackdawspread.messages.fleet.router_event import RouterEvent
+from jackdawspread.messages.position import Position
 from jackdawspread.messages.statements.query_status import QueryStatus
 from jackdawspread.tasks.boot_clock import seconds_since_boot
+from jackdawspread.tasks.fleet.acknowledgement_fence import (
+    NOT_FENCED,
+    AcknowledgementFence,
+)
+from jackdawspread.tasks.fleet.acknowledgement_fences import AcknowledgementFences
 from jackdawspread.tasks.fleet.attempt_result import AttemptResult
 from jackdawspread.tasks.fleet.failover_selection import FailoverSelection
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
-from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
-from jackdawspread.tasks.fleet.promotion_log import log_comparison
+from jackdawspread.tasks.fleet.promotion_effect import PromotionEffect
+from jackdawspread.tasks.fleet.promotion_lock_client import (
+    PromotionLockClient,
+    promotion_lock_name,
+)
+from jackdawspread.tasks.fleet.promotion_log import (
+    log_comparison,
+    log_ended_requests,
+)
 from jackdawspread.tasks.fleet.promotion_sender import PromotionSender
 from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import (
@@ -41,9 +54,7 @@
     ReplicationControl,
 )
 from jackdawspread.tasks.fleet.switchover_selection import SwitchoverSelection
-
-# Time that an accepted promotion may need until the members show it.
-PROMOTION_EFFECT_S = 1.5
+from jackdawspread.tasks.fleet.withdrawal_selection import WithdrawalSelection
 
 
 class FailoverAttempt:
@@ -63,6 +74,8 @@
         Inbox of the member router.
     peer_demotion : PeerDemotionClient
         Demotes primaries that this instance can't reach through other instances.
+    fences : AcknowledgementFences
+        Fences acknowledgements of commits during attempts.
     missing_log_timeout_s : float
         Time in seconds after which a member is promoted without the logs of members
         that are gone; infinite if never, as commits may be lost.
@@ -76,6 +89,7 @@
         promotions: MemorySendChannel[PromotionRequest],
         router: MemorySendChannel[RouterEvent],
         peer_demotion: PeerDemotionClient,
+        fences: AcknowledgementFences,
         missing_log_timeout_s: float = inf,
     ) -> None:
         self._replication = replication
@@ -83,6 +97,9 @@
             replication, peer_demotion, missing_log_timeout_s
         )
         self._switchover = SwitchoverSelection(replication)
+        self._withdrawal = WithdrawalSelection(replication)
+        self._effect = PromotionEffect(replication)
+        self._fences = fences
         self._locks = locks
         self._sender = PromotionSender(instance, promotions)
         self._router = router
@@ -106,9 +123,11 @@
 
         listing_by_id = mark_evacuated(listing_by_id, domains)
         primary = listing_by_id.get(trigger.member)
-        is_suspected = not (trigger.is_planned or trigger.writes_stalled)
+        is_alive = (
+            trigger.is_planned or trigger.writes_stalled or trigger.withdraws_requests
+        )
         if (
-            is_suspected
+            not is_alive
             and primary is not None
             and await self._primary_responds(primary)
         ):
@@ -116,55 +135,66 @@
         replicas = replicas_to_query(
             listing_by_id.values(), trigger.group, trigger.member
         )
-        if len(replicas) < MIN_LOGS:
+        if len(replicas) < MIN_LOGS and not trigger.withdraws_requests:
             return "too few replicas in the list of members"
         lock = await self._locks.acquire(trigger.group)
         if isinstance(lock, str):
             return lock
+        outstanding = outstanding_requests(lock.record)
+        lock = lock._replace(record=record_outstanding(lock.record, outstanding))
+        fence = self._fences.open(trigger.group, lock, trigger.fences_acknowledgements)
         # A silent primary may have been demoted, after which a late request counts.
-        reachable = None if is_suspected else primary
-        outstanding = await self._outstanding_requests(lock.record, reachable)
+        others = await self._other_members(outstanding, primary if is_alive else None)
         plan = await self._select(
-            trigger, listing_by_id, lock, outstanding, marked_members_since
+            trigger, listing_by_id, lock, marked_members_since, fence
         )
-        resumable = replicas_to_resume(plan.paused, replicas, outstanding)
-        result = await self._promote(trigger, plan, lock, outstanding, resumable)
-        await self._end(result, frozenset() if plan.member else plan.roster)
+        resumable = replicas_to_resume(plan.paused, replicas, others)
+        result = await self._promote(
+            trigger, plan, lock, resumable, listing_by_id, fence
+        )
+        await self._end(result, frozenset() if plan.member else plan.roster, fence)
         return result.outcome
 
-    async def _outstanding_requests(
-        self, record: PromotionLockRecord, primary: MemberListing | None
+    async def _other_members(
+        self, outstanding: tuple[str, ...], primary: MemberListing | None
     ) -> tuple[str, ...]:
-        """Return the members of outstanding requests.
+        """Return the members of outstanding requests without the present primary.
 
-        Those up to the request for the primary are left out if it shows that it still
-        claims to be the primary.
+        A primary is left out if it shows that it still claims to be the primary: it has
+        every commit that it acknowledges.
         """
-        members = outstanding_requests(record, "")
-        if primary is None or primary.id not in members:
-            return members
+        if primary is None or primary.id not in outstanding:
+            return outstanding
         status = await self._replication.send(primary, QueryStatus())
         if status is None or not status.claims_primary:
-            return members
-        return outstanding_requests(record, primary.id)
+            return outstanding
+        return tuple(member for member in outstanding if member != primary.id)
 
     async def _select(
         self,
         trigger: FailoverTrigger,
         listing_by_id: dict[str, MemberListing],
         lock: HeldPromotionLock,
-        outstanding: tuple[str, ...],
         members_since: ReadMembersSince,
+        fence: AcknowledgementFence,
     ) -> PromotionPlan:
-        record = record_outstanding(lock.record, outstanding)
-        if trigger.is_planned:
-            return await self._switchover.run(
-                trigger, listing_by_id, record, members_since
+        """Return the member to promote, once acknowledgements are fenced for it."""
+        record = lock.record
+        if trigger.withdraws_requests:
+            plan = await self._withdrawal.run(trigger, listing_by_id, record)
+        elif trigger.is_planned:
+            plan = await self._switchover.run(
+                trigger, listing_by_id, record, members_since, fence
             )
-        may_be_demoted = not may_be_promoted_again(lock.record, trigger.member)
-        return await self._failover.run(
-            trigger, listing_by_id, record, members_since, may_be_demoted
-        )
+        else:
+            plan = await self._failover.run(
+                trigger, listing_by_id, record, members_since, fence
+            )
+        if plan.repeats_request and not await fence.require(
+            plan.member, plan.term, plan.roster
+        ):
+            return PromotionPlan(reason=NOT_FENCED, paused=plan.paused)
+        return plan
 
     async def _primary_responds(self, primary: MemberListing) -> bool:
         """Query a suspected primary; return whether it responds."""
@@ -177,9 +207,10 @@
         self,
         trigger: FailoverTrigger,
         plan: PromotionPlan,
-        lock: HeldPromotionLock,
-        outstanding: tuple[str, ...],
+        acquired: HeldPromotionLock,
         resumable: tuple[MemberListing, ...],
+        listing_by_id: dict[str, MemberListing],
+        fence: AcknowledgementFence,
     ) -> AttemptResult:
         """Return the outcome, and the lock unless it has to expire.
 
@@ -188,34 +219,53 @@
         choose another candidate. The replicas that were paused for the safety of an
         unanswered request stay paused, also in later attempts.
         """
+        outstanding = outstanding_requests(acquired.record)
         recorded = None
         if plan.member:
             recorded = await self._locks.record_promotion(
-                lock, plan.member, plan.term, plan.roster, outstanding
+                fence.lock,
+                plan.member,
+                plan.term,
+                plan.roster,
+                outstanding,
+                _log_end(trigger, plan),
             )
         if recorded is None:
-            is_resumed = await self._resume(resumable, lock)
+            is_resumed = await self._resume(resumable, fence.lock)
             reason = plan.reason or "the promotion lock was not written"
+            # A member that was required was not requested.
+            lock = fence.lock._replace(record=acquired.record)
             return AttemptResult(reason, lock, is_resumed)
         is_resumed = True
         if plan.repeats_request:
             # Requests for the present primary have no effect, so no pause is needed.
             is_resumed = await self._resume(resumable, recorded)
         else:
-            log_comparison(trigger, plan, record_outstanding(lock.record, outstanding))
-        result, is_uncertain = await self._sender.run(trigger, plan.member, recorded)
+            log_comparison(trigger, plan, acquired.record)
+        result, is_uncertain = await self._sender.run(
+            trigger, plan.member, recorded, plan.repeats_request
+        )
         outcome = f"promotion {result.value} member={plan.member}"
-        is_accepted = result is PromotionResult.ACCEPTED
-        is_last = is_accepted and not is_uncertain
-        if is_last and await self._end_outstanding(recorded) and plan.repeats_request:
-            outcome = f"earlier requests ended member={plan.member}"
-        if is_accepted or is_uncertain:
+        if result is PromotionResult.ACCEPTED:
+            is_shown = await self._end_earlier(plan, listing_by_id, recorded, fence)
+            if is_shown and plan.repeats_request:
+                await self._resume(plan.paused, recorded)
+                outcome = f"earlier requests ended member={plan.member}"
+            return AttemptResult(outcome)
+        if is_uncertain:
+            await self._update(recorded, fence)
             return AttemptResult(outcome)
+        log_ended_requests(trigger.group, (plan.member,), result.value)
         is_resumed = await self._resume(resumable, recorded) and is_resumed
-        record = record_refusal(recorded.record, lock.record, outstanding)
+        record = record_outstanding(recorded.record, outstanding)
         return AttemptResult(outcome, recorded._replace(record=record), is_resumed)
 
-    async def _end(self, result: AttemptResult, roster: frozenset[str]) -> None:
+    async def _end(
+        self,
+        result: AttemptResult,
+        roster: frozenset[str],
+        fence: AcknowledgementFence,
+    ) -> None:
         """Release the lock of an attempt without a promotion.
 
         A replica that may be resumed later would receive after the next holder's pause,
@@ -225,31 +275,58 @@
         if lock is None:
             return
         if result.is_resumed:
-            await self._locks.release(lock, roster)
+            fence.announce_end(await self._locks.release(lock, roster))
             return
         logging.warning(
             "succession: lock left to expire, replicas may be resumed late name=%s",
             lock.name,
         )
-        record = record_blocked(lock.record, roster) if roster else lock.record
-        await self._locks.update(lock._replace(record=record))
+        record = record_blocked(lock.record, roster) if roster else lock.record.copy()
+        record["until"] = fence.lock.record["until"]
+        written = await self._locks.update(lock._replace(record=end_suspension(record)))
+        fence.announce_end(written)
 
-    async def _end_outstanding(self, lock: HeldPromotionLock) -> bool:
-        """Record that no request is outstanding after the acceptance of the last one.
+    async def _end_earlier(
+        self,
+        plan: PromotionPlan,
+        listing_by_id: dict[str, MemberListing],
+        lock: HeldPromotionLock,
+        fence: AcknowledgementFence,
+    ) -> bool:
+        """Record which requests the acceptance of the last one has ended.
 
-        Return whether the rest of the lock's time is enough for the promotion to take
-        effect. If not, the next holder has to prefer the same member.
+        Its token is above those of the earlier ones, so that they are refused from now
+        on. The request itself has ended once the members show its effect: late copies
+        change nothing at the primary, and are refused after a later promotion. Return
+        whether they show it before the lock expires. If not, the next holder has to
+        prefer the same member.
         """
-        if seconds_since_boot() + PROMOTION_EFFECT_S > lock.held_until:
-            logging.info(
-                "succession: promotion accepted late name=%s outstanding=%s",
+        is_shown = await self._effect.is_shown(plan, listing_by_id, lock.held_until)
+        left = () if is_shown else (plan.member,)
+        group = lock.name.removeprefix(promotion_lock_name(""))
+        if is_shown:
+            ended = outstanding_requests(lock.record)
+            log_ended_requests(group, ended, f"effect of {plan.member}")
+        else:
+            earlier = [m for m in outstanding_requests(lock.record) if m not in left]
+            log_ended_requests(group, earlier, f"acceptance of {plan.member}")
+            logging.warning(
+                "succession: no effect seen of an accepted promotion member=%s name=%s",
+                plan.member,
                 lock.name,
-                ",".join(lock.record.get("outstanding", ())),
             )
-            return False
-        ended = record_outstanding(lock.record, ())
-        await self._locks.update(lock._replace(record=ended))
-        return True
+        record = record_outstanding(lock.record, left)
+        written = await self._locks.update(lock._replace(record=end_suspension(record)))
+        fence.announce_end(written)
+        return is_shown
+
+    async def _update(
+        self, lock: HeldPromotionLock, fence: AcknowledgementFence
+    ) -> None:
+        """End the suspension of an attempt whose request is outstanding."""
+        if fence.has_written:
+            record = end_suspension(lock.record)
+            fence.announce_end(await self._locks.update(lock._replace(record=record)))
 
     async def _resume(
         self, paused: tuple[MemberListing, ...], lock: HeldPromotionLock
@@ -273,3 +350,11 @@
             lock.name,
         )
         return True
+
+
+def _log_end(trigger: FailoverTrigger, plan: PromotionPlan) -> Position | None:
+    """Return the end of the log of the member to promote if it does not grow."""
+    if trigger.is_planned or plan.repeats_request:
+        return None
+    ends = [status.received for status in plan.statuses if status.member == plan.member]
+    return ends[0] if ends else None
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -4,7 +4,10 @@
 from trio import current_time, open_nursery
 
 from jackdawspread.decisions.failover.blocked_promotion import is_overdue
-from jackdawspread.decisions.failover.outstanding_requests import last_request
+from jackdawspread.decisions.failover.outstanding_requests import (
+    last_request,
+    outstanding_requests,
+)
 from jackdawspread.decisions.failover.pause_term import pause_term
 from jackdawspread.decisions.failover.promotion_candidate import (
     choose_candidate,
@@ -18,12 +21,20 @@
     recorded_term,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
+from jackdawspread.decisions.failover.reported_roles import (
+    find_other_primary,
+    paused_replicas,
+)
 from jackdawspread.decisions.failover.roster import UNKNOWN_ADDRESS, group_roster
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.messages.statements.demote_primary import DemotePrimary
+from jackdawspread.tasks.fleet.acknowledgement_fence import (
+    NOT_FENCED,
+    AcknowledgementFence,
+)
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
 from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
@@ -63,12 +74,16 @@
         listing_by_id: dict[str, MemberListing],
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
-        may_be_demoted: bool = True,
+        fence: AcknowledgementFence,
     ) -> PromotionPlan:
         """Return the member to promote and the replicas that were paused for it.
 
-        ``may_be_demoted`` states that no late request would promote the primary again.
+        A primary that a late request may promote again is not demoted, but requested
+        once more. So is a primary that can't be replaced while any request is
+        outstanding, as replicas rest paused until the requests end.
         """
+        outstanding = outstanding_requests(record)
+        may_be_demoted = trigger.member not in outstanding
         replicas = replicas_to_query(
             listing_by_id.values(), trigger.group, trigger.member
         )
@@ -76,26 +91,33 @@
         primary = listing_by_id.get(trigger.member) if trigger.writes_stalled else None
         queried = replicas if primary is None else (*replicas, primary)
         status_by_member = await self._search.query(queried)
-        refusal = _find_other_primary(trigger, status_by_member)
+        refusal = find_other_primary(trigger.member, status_by_member)
         if refusal:
             return PromotionPlan(reason=refusal)
         evidence = _collect(trigger, queried, listing_by_id, record, status_by_member)
         if trigger.member in status_by_member:
             evidence = evidence._replace(demoted_primary=trigger.member)
         candidate = self._choose(trigger, evidence, listing_by_id, record)
-        left_paused = _paused_before(replicas, status_by_member)
+        left_paused = paused_replicas(replicas, status_by_member)
+        is_replaceable = candidate is not None and candidate.member != trigger.member
+        is_kept = not (is_replaceable and may_be_demoted)
+        if trigger.member in status_by_member and outstanding and is_kept:
+            return PromotionPlan(
+                trigger.member, paused=left_paused, repeats_request=True
+            )
         if candidate is None:
             return _refuse(evidence, left_paused)
         if candidate.member == trigger.member:
             return PromotionPlan(
                 reason="only the primary has every commit", paused=left_paused
             )
-        if trigger.member in status_by_member and not may_be_demoted:
-            return _plan_repeated_request(trigger, record, left_paused)
         term = pause_term(status_by_member.values(), recorded_term(record))
         term, _ = await self._pause.run(replicas, term)
         if primary is not None and primary.id in status_by_member:
-            return await self._select_fenced(
+            # Without outstanding requests nobody acknowledges after the demotion.
+            if outstanding and not await fence.suspend():
+                return PromotionPlan(reason=NOT_FENCED, paused=replicas)
+            return await self._demote_and_select(
                 trigger, replicas, primary, term, record, members_since
             )
         unreachable = listing_by_id.get(trigger.member)
@@ -107,11 +129,11 @@
                 unreachable.group,
             )
             unreachable = None
-        return await self._select_unfenced(
-            trigger, replicas, unreachable, term, record, members_since
+        return await self._select_unreachable(
+            trigger, replicas, unreachable, term, record, members_since, fence
         )
 
-    async def _select_unfenced(
+    async def _select_unreachable(
         self,
         trigger: FailoverTrigger,
         replicas: tuple[MemberListing, ...],
@@ -119,12 +141,15 @@
         term: int,
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
+        fence: AcknowledgementFence,
     ) -> PromotionPlan:
         """Compare the logs of paused replicas while the primary is unreachable.
 
         A replica that joins in the meantime may confirm commits of a primary that is
-        alive, so other instances are asked to demote ``primary``. If none does, the
-        list is read last, as only the replicas in it are known.
+        alive, so other instances are asked to demote ``primary`` while acknowledgements
+        are fenced. If none does, the list is read last, as only the replicas in it are
+        known. A demoted primary acknowledges nothing, so the fence is then waited for
+        only if a request may make a member the primary meanwhile.
         """
         demoted: list[LogStatus] = []
 
@@ -132,11 +157,18 @@
             status = await self._peer_demotion.demote(primary, term)
             if status is not None:
                 demoted.append(status)
+                if not outstanding_requests(record):
+                    fence.end_wait()
 
         async with open_nursery() as nursery:
             if primary is not None:
                 nursery.start_soon(demote, primary)
-            status_by_member = await self._search.query_paused(replicas, term)
+            is_fenced = await fence.suspend()
+            status_by_member = None
+            if is_fenced:
+                status_by_member = await self._search.query_paused(replicas, term)
+        if not is_fenced:
+            return PromotionPlan(reason=NOT_FENCED, paused=replicas)
         if primary is not None and demoted:
             return await self._select_demoted(
                 trigger, replicas, primary, demoted[0], term, record, members_since
@@ -161,7 +193,7 @@
             listed_since,
         )
 
-    async def _select_fenced(
+    async def _demote_and_select(
         self,
         trigger: FailoverTrigger,
         replicas: tuple[MemberListing, ...],
@@ -287,46 +319,6 @@
     return tuple(listing for listing in listed if listing.id not in known)
 
 
-def _paused_before(
-    replicas: tuple[MemberListing, ...], status_by_member: dict[str, LogStatus]
-) -> tuple[MemberListing, ...]:
-    """Return the replicas that an earlier attempt left paused.
-
-    This attempt holds the lock, so no other one relies on their pauses.
-    """
-    return tuple(
-        replica
-        for replica in replicas
-        if replica.id in status_by_member and status_by_member[replica.id].paused_term
-    )
-
-
-def _find_other_primary(
-    trigger: FailoverTrigger, status_by_member: dict[str, LogStatus]
-) -> str:
-    """Return why the members show that there is another primary, empty if not."""
-    for member, status in status_by_member.items():
-        if status.claims_primary != (member == trigger.member):
-            return "another member claims to be the primary"
-    return ""
-
-
-def _plan_repeated_request(
-    trigger: FailoverTrigger,
-    record: PromotionLockRecord,
-    paused: tuple[MemberListing, ...],
-) -> PromotionPlan:
-    """Return a plan that requests the present primary once more.
-
-    Requests for other members may still be executed in between, so they end nothing.
-    """
-    if set(record.get("outstanding", ())) - {trigger.member}:
-        return PromotionPlan(
-            reason="earlier requests may still be executed", paused=paused
-        )
-    return PromotionPlan(trigger.member, paused=paused, repeats_request=True)
-
-
 def _refuse(
     evidence: PromotionEvidence, paused: tuple[MemberListing, ...]
 ) -> PromotionPlan:
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -14,6 +14,7 @@
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_status import RecordStatus
+from jackdawspread.messages.position import Position
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.decode_promotion_lock import decode_promotion_lock
 from jackdawspread.tasks.fleet.record_client import RecordClient
@@ -71,6 +72,25 @@
             return f"the promotion lock was not written: {outcome.status.value}"
         return lock._replace(version=outcome.version)
 
+    async def extend(
+        self, lock: HeldPromotionLock, record: PromotionLockRecord
+    ) -> HeldPromotionLock | None:
+        """Write a record that extends the lock; None if that fails.
+
+        Without an answer the extension may be stored, but this instance does not use
+        it.
+        """
+        deadline = lock.held_until - RESUME_RESERVE_S
+        outcome = await self._write(lock, record, deadline)
+        if outcome.status is not RecordStatus.DONE:
+            return None
+        extension_s = record["until"] - lock.record["until"]
+        return lock._replace(
+            version=outcome.version,
+            record=record,
+            held_until=lock.held_until + extension_s,
+        )
+
     async def record_promotion(
         self,
         lock: HeldPromotionLock,
@@ -78,29 +98,39 @@
         term: int,
         roster: frozenset[str],
         outstanding: tuple[str, ...] = (),
+        log_end: Position | None = None,
     ) -> HeldPromotionLock | None:
         """Record the member that the holder will promote; None if that fails.
 
         ``term`` is the term under which replicas were paused, and ``roster`` names the
         members that may hold an acknowledged commit. ``outstanding`` are the members
-        of earlier requests that may still be executed.
+        of earlier requests that may still be executed, and ``log_end`` is the end of
+        the member's log when logs were compared.
         """
-        record = record_ordered_member(lock.record, member, term, roster, outstanding)
+        record = record_ordered_member(
+            lock.record, member, term, roster, outstanding, log_end
+        )
         deadline = lock.held_until - RESUME_RESERVE_S
         outcome = await self._write(lock, record, deadline)
         if outcome.status is not RecordStatus.DONE:
             return None
         return lock._replace(version=outcome.version, record=record)
 
-    async def update(self, lock: HeldPromotionLock) -> None:
-        """Write the record of a lock that stays held."""
+    async def update(self, lock: HeldPromotionLock) -> HeldPromotionLock | None:
+        """Write the record of a lock that stays held; None if that fails."""
         outcome = await self._write(lock, lock.record, lock.held_until)
         if outcome.status is not RecordStatus.DONE:
             logging.info("succession: record not updated name=%s", lock.name)
+            return None
+        return lock._replace(version=outcome.version)
 
-    async def release(self, lock: HeldPromotionLock, roster: frozenset[str]) -> None:
+    async def release(
+        self, lock: HeldPromotionLock, roster: frozenset[str]
+    ) -> HeldPromotionLock | None:
         """Release the lock, so that other instances need not wait until it expires.
 
+        Return the lock as it was written, None if that fails.
+
         ``roster`` is that of an attempt that ended because logs were missing; it is
         empty otherwise.
         """
@@ -109,6 +139,8 @@
         outcome = await self._write(lock, record, lock.held_until)
         if outcome.status is not RecordStatus.DONE:
             logging.info("succession: promotion lock not released name=%s", lock.name)
+            return None
+        return lock._replace(version=outcome.version, record=record)
 
     async def _write(
         self, lock: HeldPromotionLock, record: PromotionLockRecord, deadline: float
--- a/src/jackdawspread/tasks/fleet/promotion_log.py
+++ b/src/jackdawspread/tasks/fleet/promotion_log.py
@@ -1,9 +1,14 @@
-"""Log line about the comparison on which a promotion was decided."""
+"""Log lines about the decision on a promotion, and about requests that end."""
+
+from collections.abc import Iterable
 
 from absl import logging
 from trio import current_time
 
-from jackdawspread.decisions.failover.outstanding_requests import last_request
+from jackdawspread.decisions.failover.outstanding_requests import (
+    last_request,
+    outstanding_requests,
+)
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
@@ -22,7 +27,8 @@
         list_age_ms = f"{1000 * (current_time() - plan.listed_since):.0f}"
     logging.info(
         "succession: compared group=%s primary=%s member=%s logs=%s paused=%s "
-        "pause_term=%d roster=%s max_list_age_ms=%s requested_earlier=%s",
+        "pause_term=%d roster=%s max_list_age_ms=%s requested_earlier=%s "
+        "outstanding=%s",
         trigger.group,
         trigger.member or "none",
         plan.member,
@@ -32,9 +38,19 @@
         ",".join(address or "unknown" for address in sorted(plan.roster)),
         list_age_ms,
         last_request(record) or "none",
+        ",".join(outstanding_requests(record)) or "none",
     )
 
 
+def log_ended_requests(group: str, members: Iterable[str], proof: str) -> None:
+    """Log which requests are not outstanding any more, and by what proof."""
+    names = ",".join(members)
+    if names:
+        logging.info(
+            "succession: requests ended group=%s members=%s by=%s", group, names, proof
+        )
+
+
 def _describe(status: LogStatus) -> str:
     position = status.received
     return f"{status.member}={position.term}.{position.sequence}"
--- a/src/jackdawspread/tasks/fleet/switchover_selection.py
+++ b/src/jackdawspread/tasks/fleet/switchover_selection.py
@@ -19,6 +19,10 @@
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
+from jackdawspread.tasks.fleet.acknowledgement_fence import (
+    NOT_FENCED,
+    AcknowledgementFence,
+)
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
 from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
@@ -44,8 +48,14 @@
         listing_by_id: dict[str, MemberListing],
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
+        fence: AcknowledgementFence,
     ) -> PromotionPlan:
-        """Return the member to promote and the replicas that were paused for it."""
+        """Return the member to promote and the replicas that were paused for it.
+
+        The replica that receives may confirm commits of the primary for another
+        replica. From the fence on they are acknowledged only once it has them, so the
+        primary's log is queried after it.
+        """
         replicas = replicas_to_query(
             listing_by_id.values(), trigger.group, trigger.member
         )
@@ -58,6 +68,11 @@
         to_pause = tuple(replica for replica in replicas if replica.id != unpaused)
         term = pause_term(status_by_member.values(), recorded_term(record))
         term, _ = await self._pause.run(to_pause, term)
+        recorded = recorded_roster(record)
+        if not await fence.require(
+            unpaused, term, group_roster(trigger, listing_by_id.values(), recorded)
+        ):
+            return PromotionPlan(reason=NOT_FENCED, paused=to_pause)
         paused_at = current_time()
         primary = listing_by_id.get(trigger.member)
         catch_up = await self._search.catch_up(
@@ -68,7 +83,6 @@
             return PromotionPlan(
                 reason="no replica is known to have every commit", paused=to_pause
             )
-        recorded = recorded_roster(record)
         roster = group_roster(trigger, listed_after.values(), recorded)
         missing = _missing_logs(roster, replicas, listed_after, catch_up)
         if len(missing) > MAX_UNCOVERED:
--- /dev/null
+++ b/src/jackdawspread/tasks/fleet/withdrawal_selection.py
@@ -0,0 +1,51 @@
+"""Repeated request for the present primary, which withdraws earlier requests."""
+
+from jackdawspread.decisions.failover.outstanding_requests import outstanding_requests
+from jackdawspread.decisions.failover.promotion_candidate import replicas_to_query
+from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
+from jackdawspread.decisions.failover.reported_roles import (
+    find_other_primary,
+    paused_replicas,
+)
+from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
+from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.replication_control import ReplicationControl
+
+
+class WithdrawalSelection:
+    """Checks that the primary of a group leads it and may be requested again.
+
+    Parameters
+    ----------
+    replication : ReplicationControl
+        Sends status queries to members.
+    """
+
+    def __init__(self, replication: ReplicationControl) -> None:
+        self._search = CandidateSearch(replication)
+
+    async def run(
+        self,
+        trigger: FailoverTrigger,
+        listing_by_id: dict[str, MemberListing],
+        record: PromotionLockRecord,
+    ) -> PromotionPlan:
+        """Return the plan that requests the present primary once more."""
+        if not outstanding_requests(record):
+            return PromotionPlan(reason="no request is outstanding")
+        primary = listing_by_id.get(trigger.member)
+        if primary is None:
+            return PromotionPlan(reason="the primary is not in the list of members")
+        replicas = replicas_to_query(
+            listing_by_id.values(), trigger.group, trigger.member
+        )
+        status_by_member = await self._search.query((*replicas, primary))
+        if primary.id not in status_by_member:
+            return PromotionPlan(reason="the primary did not answer")
+        refusal = find_other_primary(primary.id, status_by_member)
+        if refusal:
+            return PromotionPlan(reason=refusal)
+        paused = paused_replicas(replicas, status_by_member)
+        return PromotionPlan(primary.id, paused=paused, repeats_request=True)
