--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -1,12 +1,10 @@
 """Composition root of an instance on the users' platform."""
 
 from sys import float_info
-from typing import Any
 
 from absl import logging
 from trio import (
     Event,
-    MemoryReceiveChannel,
     MemorySendChannel,
     Nursery,
     current_time,
@@ -51,6 +49,7 @@
 from jackdawspread.platform.region_check import RegionCheck
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.fleet.acknowledgement_fences import AcknowledgementFences
 from jackdawspread.tasks.fleet.activity_log import ActivityLog
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
 from jackdawspread.tasks.fleet.capacity_exchange import CapacityExchange
@@ -68,6 +67,9 @@
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
 from jackdawspread.tasks.fleet.peer_demotion_executor import PeerDemotionExecutor
 from jackdawspread.tasks.fleet.peer_demotion_task import PeerDemotionTask
+from jackdawspread.tasks.fleet.promotion_announcement_task import (
+    PromotionAnnouncementTask,
+)
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.rate_lease_task import RateLeaseTask
 from jackdawspread.tasks.fleet.record_client import RecordClient
@@ -108,12 +110,6 @@
 STOP_POLL_INTERVAL_S = 0.1
 
 
-async def drain_inbox(inbox: MemoryReceiveChannel[Any]) -> None:
-    """Drop what is sent to a task that does not exist yet."""
-    async for _ in inbox:
-        pass
-
-
 class PlatformInstance:
     """Creates and runs the tasks of an instance and the channels between them.
 
@@ -175,8 +171,6 @@
             self._start_peers(tasks)
             self._start_failover(tasks)
             await self._start_servers(tasks)
-            for inbox in (self._acknowledgements_inbox, self._announcements_inbox):
-                tasks.start_soon(drain_inbox, inbox)
             listener = SessionListener(
                 await listen(self._settings.session_address),
                 CallerWireCodec,
@@ -409,13 +403,15 @@
         )
         replication = ReplicationControl(self._router)
         records = self._open_records("succession", tasks)
+        locks = PromotionLockClient(self._instance_id, records)
         attempt = FailoverAttempt(
             self._instance_id,
             replication,
-            PromotionLockClient(self._instance_id, records),
+            locks,
             promotions,
             self._router,
             PeerDemotionClient(self._router, self._demotions),
+            AcknowledgementFences(locks, records, self._announcements),
             self._settings.missing_log_timeout_s,
         )
         demotions = PeerDemotionTask(
@@ -423,6 +419,13 @@
             self._demotions_inbox,
             self._peers,
         )
+        announcement_task = PromotionAnnouncementTask(
+            self._instance_id,
+            self._announcements_inbox,
+            self._peers,
+            self._acknowledgements,
+        )
+        tasks.start_soon(announcement_task.run)
         # Calls about rosters must not delay the promotion lock.
         rosters = RosterClient(self._open_records("rosters", tasks))
         roster_task = RosterTask(rosters, replication, self._rosters_inbox)
