Decide when a commit may be acknowledged

A promotion takes effect some time after the logs were compared, and commits that are acknowledged in between may be lost.

--- /dev/null
+++ b/src/jackdawspread/decisions/acknowledgement/acknowledge_commit.py
@@ -0,0 +1,7 @@
+"""Decision to acknowledge a commit."""
+
+from typing import NamedTuple
+
+
+class AcknowledgeCommit(NamedTuple):
+    """Acknowledges a commit that no promotion can lose."""
