--- a/src/jackdawspread/messages/fleet/confirm_commit.py
+++ b/src/jackdawspread/messages/fleet/confirm_commit.py
@@ -17,8 +17,9 @@
         Member group.
     member : str
         Id of the member that answered the write or the COMMIT.
-    position : Position
-        End of that member's log in its answer.
+    position : Position or None
+        End of that member's log in its answer; None if the answer has none, so that the
+        commit can't be verified at other members.
     sent_at : float
         Time in seconds of the boot-time clock at which the statement was sent.
     expires_at : float
@@ -29,7 +30,7 @@
 
     group: str
     member: str
-    position: Position
+    position: Position | None
     sent_at: float
     expires_at: float
     reply_to: MemorySendChannel[CommitConfirmation]
--- a/src/jackdawspread/messages/fleet/member_group.py
+++ b/src/jackdawspread/messages/fleet/member_group.py
@@ -15,8 +15,12 @@
     cold_rate_per_s : float
         Statements that a member may get each second from all instances together while
         it is slow after its start; 0 if they are not limited.
+    sync_replicas : int
+        Number of replicas that confirm a commit before it is answered; 0 if replication
+        is asynchronous.
     """
 
     name: str
     max_connections: int
     cold_rate_per_s: float = 0.0
+    sync_replicas: int = 0
--- a/src/jackdawspread/messages/fleet/peer_datagram.py
+++ b/src/jackdawspread/messages/fleet/peer_datagram.py
@@ -11,6 +11,9 @@
 from jackdawspread.messages.fleet.primary_position_request import (
     PrimaryPositionRequest,
 )
+from jackdawspread.messages.fleet.promotion_announcement_received import (
+    PromotionAnnouncementReceived,
+)
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.token_reply import TokenReply
 from jackdawspread.messages.fleet.token_request import TokenRequest
@@ -23,6 +26,7 @@
     | PrimaryDemotionRequest
     | PrimaryPositionReply
     | PrimaryPositionRequest
+    | PromotionAnnouncementReceived
     | RateLeasesAnnounced
     | TokenReply
     | TokenRequest
