Confirm commits of sessions before they are acknowledged

A session told its caller of a commit as soon as the member had answered, also while a promotion might take effect that loses it.

Single writes and the COMMIT of a transaction that has written now wait until the group is writable, and are refused as not run otherwise. After the member's answer the acknowledgement task decides; a commit that it does not confirm has an unknown outcome and does not count as confirmed in the position that the router learns. The connection is held meanwhile, as a pool host learns the position by its lease. The line of an acknowledged write names the basis.

--- a/features/steps/client_limit_steps.py
+++ b/features/steps/client_limit_steps.py
@@ -139,6 +139,7 @@
         budget,
         account,
         SessionEndLog(),
+        channel,
     )
     async with open_nursery() as nursery:
         nursery.start_soon(_admit, inbox, context.admitted)
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -75,6 +75,7 @@
         channel,
         10,
         MemoryBudget(UNLIMITED),
+        channel,
     )
     async with open_nursery() as nursery:
         nursery.start_soon(sessions.run)
--- a/scripts/check_isolation.py
+++ b/scripts/check_isolation.py
@@ -32,6 +32,7 @@
         "router.run",
         "broker.run",
         "admission.run",
+        "acknowledgements.run",
         "reader.run",
         "copier.run",
         "keeper.run",
--- a/src/jackdawspread/decisions/sessions/member_outcomes.py
+++ b/src/jackdawspread/decisions/sessions/member_outcomes.py
@@ -66,6 +66,26 @@
     return Refusal("indoubt", ExecutionStatus.UNKNOWN, MEMBER, member, detail)
 
 
+def refuse_unwritable(reason: str) -> Refusal:
+    """Return the refusal of a write that was not sent, as it could not be confirmed."""
+    detail = f"no write can be confirmed now: {reason}"
+    return Refusal("busy", ExecutionStatus.NOT_RUN, MEMBER, "", detail, RETRY_AFTER_MS)
+
+
+def refuse_unwritable_commit(reason: str) -> Refusal:
+    """Return the refusal of a COMMIT that was not sent; its transaction is undone."""
+    detail = (
+        f"the transaction was rolled back, no commit can be confirmed now: {reason}"
+    )
+    return Refusal("aborted", ExecutionStatus.NOT_RUN, MEMBER, "", detail)
+
+
+def refuse_unconfirmed(basis: str, member: str) -> Refusal:
+    """Return the refusal of a commit that a promotion may lose."""
+    detail = f"the write may have taken effect: {basis}"
+    return Refusal("indoubt", ExecutionStatus.UNKNOWN, MEMBER, member, detail)
+
+
 def refuse_aborted(outcome: MemberReply | ExchangeFailure, member: str) -> Refusal:
     """Return the refusal of a statement whose failure aborted its transaction."""
     detail = f"the transaction was rolled back: {failure_reason(outcome)}"
--- a/src/jackdawspread/decisions/sessions/statement_outcome.py
+++ b/src/jackdawspread/decisions/sessions/statement_outcome.py
@@ -26,6 +26,8 @@
         had to have, and the age of that position; then the pool host, if any.
     position : Position or None
         End of the member's log in its answer to a write or COMMIT that succeeded.
+    basis : str
+        Why such a write or COMMIT may be acknowledged; empty for other statements.
     """
 
     result: StatementSuccess | Refusal
@@ -34,3 +36,4 @@
     attempts: int = 0
     conditions_text: str = ""
     position: Position | None = None
+    basis: str = ""
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -16,6 +16,7 @@
 
 from jackdawspread.codecs.network_address import parse_address
 from jackdawspread.decisions.limits.memory_limits import PROCESS_BYTES, memory_limits
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
@@ -45,6 +46,7 @@
 from jackdawspread.platform.region_check import RegionCheck
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.fleet.acknowledgement_task import AcknowledgementTask
 from jackdawspread.tasks.fleet.activity_log import ActivityLog
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
 from jackdawspread.tasks.fleet.capacity_exchange import CapacityExchange
@@ -83,6 +85,7 @@
 ROUTER_INBOX = 20_000
 BROKER_INBOX = 10_000
 ADMISSION_INBOX = 10_000
+ACKNOWLEDGEMENT_INBOX = 10_000
 PEERS_INBOX = 10_000
 KEEPER_INBOX = 500
 SMALL_INBOX = 64
@@ -124,6 +127,9 @@
         self._admission, self._admission_inbox = open_memory_channel[AdmissionEvent](
             ADMISSION_INBOX
         )
+        self._acknowledgements, self._acknowledgements_inbox = open_memory_channel[
+            AcknowledgementEvent
+        ](ACKNOWLEDGEMENT_INBOX)
         self._failover, self._failover_inbox = open_memory_channel[FailoverEvent](
             SMALL_INBOX
         )
@@ -161,6 +167,7 @@
                 self._router,
                 self._settings.max_sessions,
                 self._budget,
+                self._acknowledgements,
             )
             pool_server = PoolServer(
                 await listen(self._settings.peer_address),
@@ -267,6 +274,7 @@
             self._failover,
             self._peers,
             self._rosters,
+            self._acknowledgements,
         )
         tasks.start_soon(reader.run)
         tasks.start_soon(copier.run)
@@ -386,8 +394,16 @@
         # Calls about rosters must not delay the promotion lock.
         rosters = RosterClient(self._open_records("rosters", tasks))
         roster_task = RosterTask(rosters, replication, self._rosters_inbox)
+        acknowledgements = AcknowledgementTask(
+            self._acknowledgements_inbox,
+            replication,
+            self._peers,
+            self._failover,
+            self._instance_id,
+        )
         failover_task = FailoverTask(attempt, self._failover_inbox, self._members)
         tasks.start_soon(promotion_client.run)
+        tasks.start_soon(acknowledgements.run)
         tasks.start_soon(failover_task.run)
         tasks.start_soon(roster_task.run)
         tasks.start_soon(demotions.run)
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -25,6 +25,7 @@
     to_store_time,
     update_offset,
 )
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.broadcast_datagram import BroadcastDatagram
 from jackdawspread.messages.fleet.failover_event import FailoverEvent
 from jackdawspread.messages.fleet.member_listing import MemberListing
@@ -72,6 +73,8 @@
     rosters : trio.MemorySendChannel
         Receives the lists that this instance reads itself, from the second one in a
         row.
+    acknowledgements : trio.MemorySendChannel
+        Receives the list.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         failover: MemorySendChannel[FailoverEvent],
         peers: MemorySendChannel[PeerEvent],
         rosters: MemorySendChannel[MembersSeen],
+        acknowledgements: MemorySendChannel[AcknowledgementEvent],
     ) -> None:
         self._address = address
         self._instance = instance
@@ -93,6 +97,7 @@
         self._failover = failover
         self._peers = peers
         self._rosters = rosters
+        self._acknowledgements = acknowledgements
         self._availability = StoreAvailability("members")
         self._epoch = EpochTracker("members")
         self._clock = StoreClockOffset()
@@ -216,6 +221,7 @@
         seen = MembersSeen(self._listing_by_id, read_at)
         await self._router.send(seen)
         await self._failover.send(seen)
+        await self._acknowledgements.send(seen)
 
     def _relay(self, store_time_s: float) -> None:
         """Pass the list on to the other instances of the failure domain."""
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -21,6 +21,7 @@
     refuse_stopping,
 )
 from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
@@ -78,6 +79,8 @@
         What this session holds of it.
     ends : SessionEndLog
         Logs how the session ended.
+    acknowledgements : trio.MemorySendChannel
+        Inbox of the acknowledgement task.
     """
 
     def __init__(
@@ -90,7 +93,9 @@
         budget: MemoryBudget,
         account: MemoryAccount,
         ends: SessionEndLog,
+        acknowledgements: MemorySendChannel[AcknowledgementEvent],
     ) -> None:
+        self._acknowledgements = acknowledgements
         self._budget = budget
         self._account = account
         self._stream = stream
@@ -179,7 +184,11 @@
         self._account.waiting_since = None
         self._ending.database = handshake.database
         self._operations = SessionOperations(
-            handshake, self._admission, self._broker, self._router
+            handshake,
+            self._admission,
+            self._broker,
+            self._router,
+            self._acknowledgements,
         )
         if self._stop_times is not None:
             self._operations.stop(self._stop_times)
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -15,7 +15,11 @@
 from jackdawspread.decisions.sessions.operation import Operation
 from jackdawspread.decisions.sessions.session_memory import may_pool
 from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.await_writable import AwaitWritable
+from jackdawspread.messages.fleet.commit_confirmation import CommitConfirmation
+from jackdawspread.messages.fleet.confirm_commit import ConfirmCommit
 from jackdawspread.messages.fleet.connection_context import ConnectionContext
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.departure import Departure
@@ -42,6 +46,7 @@
 
 ROLLBACK_TIMEOUT_S = 1.0
 COLD_REASON = "the member has just started and gets only some statements each second"
+OVERLOADED = "the instance is overloaded"
 # A member answers BEGIN at once, as it needs no execution slot for it.
 BEGIN_TIMEOUT_S = 0.3
 
@@ -57,6 +62,8 @@
         Inbox of the member router.
     admission : trio.MemorySendChannel
         Inbox of the admission task.
+    acknowledgements : trio.MemorySendChannel
+        Inbox of the acknowledgement task.
     """
 
     def __init__(
@@ -64,7 +71,9 @@
         broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
         admission: MemorySendChannel[AdmissionEvent],
+        acknowledgements: MemorySendChannel[AcknowledgementEvent],
     ) -> None:
+        self._acknowledgements = acknowledgements
         self._admission = admission
         self._broker = broker
         self._router = router
@@ -134,7 +143,7 @@
                 ExecutionStatus.NOT_RUN,
                 "routing",
                 "",
-                "the instance is overloaded",
+                OVERLOADED,
             )
         # Closing the channel makes the sender keep a lease that arrives after a
         # cancellation.
@@ -168,6 +177,36 @@
         self._report_outcome(lease, outcome)
         return outcome
 
+    async def await_writable(self, group: str, expires_at: float) -> str:
+        """Wait until a write may be sent; return why it may not at ``expires_at``."""
+        send, receive = open_memory_channel[str](1)
+        try:
+            self._acknowledgements.send_nowait(AwaitWritable(group, expires_at, send))
+        except WouldBlock:
+            return OVERLOADED
+        with receive:
+            return await receive.receive()
+
+    async def confirm_commit(
+        self, lease: MemberLease, reply: MemberReply, deadline: float
+    ) -> CommitConfirmation:
+        """Return whether a commit may be acknowledged, and report its position.
+
+        The lease is still held, as a pool host learns the position by the lease.
+        """
+        send, receive = open_memory_channel[CommitConfirmation](1)
+        commit = ConfirmCommit(
+            lease.group, lease.member, reply.position, reply.sent_at, deadline, send
+        )
+        try:
+            self._acknowledgements.send_nowait(commit)
+        except WouldBlock:
+            return CommitConfirmation(False, OVERLOADED)
+        with receive:
+            confirmation = await receive.receive()
+        self.report_position(lease, reply, confirmation.is_confirmed)
+        return confirmation
+
     def return_lease(
         self, lease: MemberLease, context: ConnectionContext | None
     ) -> None:
--- a/src/jackdawspread/tasks/sessions/session_listener.py
+++ b/src/jackdawspread/tasks/sessions/session_listener.py
@@ -18,6 +18,7 @@
 
 from jackdawspread.decisions.sessions.session_shutdown import refuse_stopping
 from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
@@ -69,6 +70,8 @@
         Limit of connections that are accepted at the same time on all ports.
     budget : MemoryBudget
         Memory of all connections.
+    acknowledgements : trio.MemorySendChannel
+        Inbox of the acknowledgement task.
     """
 
     def __init__(
@@ -80,7 +83,9 @@
         router: MemorySendChannel[RouterEvent],
         max_sessions: int,
         budget: MemoryBudget,
+        acknowledgements: MemorySendChannel[AcknowledgementEvent],
     ) -> None:
+        self._acknowledgements = acknowledgements
         self._budget = budget
         self._listener = listener
         self._make_codec = make_codec
@@ -160,6 +165,7 @@
             self._budget,
             account,
             self._ends,
+            self._acknowledgements,
         )
         if self._stop_times is not None:
             session.stop(self._stop_times)
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -24,6 +24,7 @@
 )
 from jackdawspread.decisions.sessions.unfinished_statement import refuse_unfinished
 from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
@@ -58,6 +59,8 @@
         Inbox of the admission task.
     broker, router : trio.MemorySendChannel
         Inboxes of the lease broker and the member router.
+    acknowledgements : trio.MemorySendChannel
+        Inbox of the acknowledgement task.
     """
 
     def __init__(
@@ -66,10 +69,11 @@
         admission: MemorySendChannel[AdmissionEvent],
         broker: MemorySendChannel[LeaseBrokerEvent],
         router: MemorySendChannel[RouterEvent],
+        acknowledgements: MemorySendChannel[AcknowledgementEvent],
     ) -> None:
         self._handshake = handshake
         self._admission = admission
-        self._calls = MemberCalls(broker, router, admission)
+        self._calls = MemberCalls(broker, router, admission, acknowledgements)
         self._state = SessionState()
         self._admitted: OperationAdmitted | None = None
         self._transaction: TransactionRunner | None = None
--- a/src/jackdawspread/tasks/sessions/single_statement.py
+++ b/src/jackdawspread/tasks/sessions/single_statement.py
@@ -6,6 +6,8 @@
 from jackdawspread.decisions.sessions.member_outcomes import (
     execution_status,
     refuse_read,
+    refuse_unconfirmed,
+    refuse_unwritable,
     refuse_write,
 )
 from jackdawspread.decisions.sessions.operation import Operation
@@ -13,6 +15,7 @@
 from jackdawspread.decisions.sessions.session_state import SessionState
 from jackdawspread.decisions.sessions.statement_outcome import StatementOutcome
 from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.fleet.commit_confirmation import CommitConfirmation
 from jackdawspread.messages.fleet.consistency import Consistency
 from jackdawspread.messages.fleet.database_route import DatabaseRoute
 from jackdawspread.messages.fleet.member_lease import MemberLease
@@ -54,6 +57,15 @@
     refusal: Refusal | None = None
     member = conditions_text = ""
     for attempt in range(1, MAX_ATTEMPTS + 1):
+        if plan.writes:
+            reason = await calls.await_writable(
+                operation.admitted.route.group, operation.connection_deadline
+            )
+            if reason:
+                refusal = refuse_unwritable(reason)
+                return StatementOutcome(
+                    refusal, state, member, attempt, conditions_text
+                )
         lease = await calls.lease(
             operation, requirement, state.position, excluded, is_single_statement=True
         )
@@ -66,11 +78,11 @@
             await sleep(RETRY_DELAY_S)
             continue
         member, conditions_text = lease.member, describe_conditions(lease)
-        outcome = await attempt_statement(
+        outcome, confirmation = await attempt_statement(
             calls, lease, plan, state, operation.request_id, operation.deadline
         )
         if isinstance(outcome, MemberReply) and not outcome.error:
-            done = _succeed(outcome, plan, state)
+            done = _succeed(outcome, confirmation, state, member)
             return done._replace(
                 member=member, attempts=attempt, conditions_text=conditions_text
             )
@@ -85,14 +97,26 @@
 
 
 def _succeed(
-    reply: MemberReply, plan: RunStatement, state: SessionState
+    reply: MemberReply,
+    confirmation: CommitConfirmation | None,
+    state: SessionState,
+    member: str,
 ) -> StatementOutcome:
-    if plan.writes and reply.position is not None:
+    """Return the outcome of a statement that a member has run.
+
+    ``confirmation`` is None for a read.
+    """
+    success = StatementSuccess(reply.rows, reply.signature)
+    if confirmation is None:
+        return StatementOutcome(success, state)
+    if reply.position is not None:
         newest = newest_position(reply.position, state.position)
         state = state._replace(position=newest)
-    success = StatementSuccess(reply.rows, reply.signature)
-    written = reply.position if plan.writes else None
-    return StatementOutcome(success, state, position=written)
+    if not confirmation.is_confirmed:
+        return StatementOutcome(refuse_unconfirmed(confirmation.basis, member), state)
+    return StatementOutcome(
+        success, state, position=reply.position, basis=confirmation.basis
+    )
 
 
 def _may_request_lease_again(refusal: Refusal, operation: Operation) -> bool:
--- a/src/jackdawspread/tasks/sessions/statement_attempt.py
+++ b/src/jackdawspread/tasks/sessions/statement_attempt.py
@@ -3,6 +3,7 @@
 from jackdawspread.decisions.sessions.connection_preparation import prepare_connection
 from jackdawspread.decisions.sessions.run_statement import RunStatement
 from jackdawspread.decisions.sessions.session_state import SessionState
+from jackdawspread.messages.fleet.commit_confirmation import CommitConfirmation
 from jackdawspread.messages.fleet.connection_context import ConnectionContext
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.statements.begin_transaction import BeginTransaction
@@ -11,6 +12,9 @@
 from jackdawspread.messages.statements.member_reply import MemberReply
 from jackdawspread.messages.statements.session_phase import SessionPhase
 from jackdawspread.tasks.sessions.member_calls import MemberCalls
+from jackdawspread.tasks.sessions.statement_attempt_result import (
+    StatementAttemptResult,
+)
 
 
 async def attempt_statement(
@@ -20,20 +24,24 @@
     state: SessionState,
     request_id: str,
     deadline: float,
-) -> MemberReply | ExchangeFailure:
+) -> StatementAttemptResult:
     """Run a statement on a leased connection and return the lease."""
     preparation = prepare_connection(lease.context, state, plan.statement)
     command = MemberCommand(request_id, plan.statement, lease.required_position)
     if lease.requires_primary and not plan.writes:
-        return await _read_at_primary(
+        read = await _read_at_primary(
             calls, lease, preparation.commands, preparation.context, command, deadline
         )
+        return StatementAttemptResult(read)
     commands = (*preparation.commands, command)
     outcome = await calls.exchange(lease, commands, deadline)
-    if plan.writes:
-        _report_write(calls, lease, outcome)
-    calls.return_lease(lease, context_after(outcome, preparation.context))
-    return outcome
+    try:
+        confirmation = None
+        if plan.writes:
+            confirmation = await _finish_write(calls, lease, outcome, deadline)
+    finally:
+        calls.return_lease(lease, context_after(outcome, preparation.context))
+    return StatementAttemptResult(outcome, confirmation)
 
 
 async def _read_at_primary(
@@ -66,14 +74,20 @@
     return outcome
 
 
-def _report_write(
-    calls: MemberCalls, lease: MemberLease, outcome: MemberReply | ExchangeFailure
-) -> None:
+async def _finish_write(
+    calls: MemberCalls,
+    lease: MemberLease,
+    outcome: MemberReply | ExchangeFailure,
+    deadline: float,
+) -> CommitConfirmation | None:
+    """Report a stalled write, or check a commit; return the result of the check."""
     if isinstance(outcome, ExchangeFailure):
         if outcome.timed_out:
             calls.report_stalled_write(lease)
-    elif not outcome.error:
-        calls.report_position(lease, outcome, confirms_write=True)
+        return None
+    if outcome.error:
+        return None
+    return await calls.confirm_commit(lease, outcome, deadline)
 
 
 def context_after(
--- a/src/jackdawspread/tasks/sessions/statement_log.py
+++ b/src/jackdawspread/tasks/sessions/statement_log.py
@@ -63,10 +63,14 @@
 
 
 def _describe_commit(outcome: StatementOutcome) -> str:
-    """Return the position of an acknowledged write, empty for other statements."""
+    """Return the position of an acknowledged write, and why it is acknowledged.
+
+    The result is empty for other statements.
+    """
+    basis = f" basis={outcome.basis}" if outcome.basis else ""
     if outcome.position is None:
-        return ""
-    return f" position={outcome.position.term}.{outcome.position.sequence}"
+        return basis
+    return f" position={outcome.position.term}.{outcome.position.sequence}{basis}"
 
 
 @singledispatch
--- a/src/jackdawspread/tasks/sessions/transaction_runner.py
+++ b/src/jackdawspread/tasks/sessions/transaction_runner.py
@@ -8,6 +8,8 @@
     execution_status,
     refuse_aborted,
     refuse_busy,
+    refuse_unconfirmed,
+    refuse_unwritable_commit,
     refuse_write,
 )
 from jackdawspread.decisions.sessions.operation import Operation
@@ -19,12 +21,14 @@
     fail_transaction,
 )
 from jackdawspread.messages.execution_status import ExecutionStatus
+from jackdawspread.messages.fleet.commit_confirmation import CommitConfirmation
 from jackdawspread.messages.fleet.connection_context import (
     UNKNOWN_CONTEXT,
     ConnectionContext,
 )
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
+from jackdawspread.messages.position import Position
 from jackdawspread.messages.refusal import Refusal
 from jackdawspread.messages.statements.begin_transaction import BeginTransaction
 from jackdawspread.messages.statements.commit_transaction import CommitTransaction
@@ -95,12 +99,20 @@
         if refusal is not None:
             return self._outcome(refusal._replace(code="aborted"), ended)
         assert self._lease is not None
+        if state.has_written:
+            reason = await self._calls.await_writable(
+                self._lease.group, operation.connection_deadline
+            )
+            if reason:
+                done = self._outcome(refuse_unwritable_commit(reason), ended)
+                self.roll_back()
+                return done
         command = MemberCommand(operation.request_id, CommitTransaction())
         outcome = await self._calls.exchange(
             self._lease, (command,), operation.deadline
         )
         if isinstance(outcome, MemberReply) and not outcome.error:
-            return self._committed(outcome, state)
+            return await self._committed(outcome, state, operation.deadline)
         if (
             state.has_written
             and execution_status(outcome) is not ExecutionStatus.NOT_RUN
@@ -221,16 +233,36 @@
             and current_time() < operation.connection_deadline
         )
 
-    def _committed(self, reply: MemberReply, state: SessionState) -> StatementOutcome:
+    async def _committed(
+        self, reply: MemberReply, state: SessionState, deadline: float
+    ) -> StatementOutcome:
+        """Check a commit and return the connection."""
         assert self._lease is not None
-        if state.has_written and reply.position is not None:
-            self._calls.report_position(self._lease, reply, confirms_write=True)
-            newest = newest_position(reply.position, state.position)
-            state = state._replace(position=newest)
-        success = StatementSuccess(reply.rows, reply.signature)
-        written = reply.position if state.has_written else None
-        done = self._outcome(success, end_transaction(state))._replace(position=written)
+        done = self._outcome(
+            StatementSuccess(reply.rows, reply.signature), end_transaction(state)
+        )
+        if state.has_written:
+            confirmation = await self._calls.confirm_commit(
+                self._lease, reply, deadline
+            )
+            done = _after_commit(done, reply, confirmation, state.position)
         idle = reply.phase is SessionPhase.IDLE
         self._calls.return_lease(self._lease, self._context if idle else None)
         self._lease = None
         return done
+
+
+def _after_commit(
+    done: StatementOutcome,
+    reply: MemberReply,
+    confirmation: CommitConfirmation,
+    known: Position | None,
+) -> StatementOutcome:
+    """Return the outcome of a commit whose check has ended."""
+    if reply.position is not None:
+        newest = newest_position(reply.position, known)
+        done = done._replace(state=done.state._replace(position=newest))
+    if not confirmation.is_confirmed:
+        refusal = refuse_unconfirmed(confirmation.basis, done.member)
+        return done._replace(result=refusal)
+    return done._replace(position=reply.position, basis=confirmation.basis)
