--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -50,6 +50,7 @@
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.stop_times import StopTimes
 from jackdawspread.tasks.fleet.acknowledgement_fences import AcknowledgementFences
+from jackdawspread.tasks.fleet.acknowledgement_task import AcknowledgementTask
 from jackdawspread.tasks.fleet.activity_log import ActivityLog
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
 from jackdawspread.tasks.fleet.capacity_exchange import CapacityExchange
@@ -179,6 +180,7 @@
                 self._router,
                 self._settings.max_sessions,
                 self._budget,
+                self._acknowledgements,
             )
             pool_server = PoolServer(
                 await listen(self._settings.peer_address),
@@ -429,8 +431,16 @@
         # Calls about rosters must not delay the promotion lock.
         rosters = RosterClient(self._open_records("rosters", tasks))
         roster_task = RosterTask(rosters, replication, self._rosters_inbox)
+        acknowledgements = AcknowledgementTask(
+            self._acknowledgements_inbox,
+            replication,
+            self._peers,
+            self._failover,
+            self._instance_id,
+        )
         failover_task = FailoverTask(attempt, self._failover_inbox, self._members)
         tasks.start_soon(promotion_client.run)
+        tasks.start_soon(acknowledgements.run)
         tasks.start_soon(failover_task.run)
         tasks.start_soon(roster_task.run)
         tasks.start_soon(demotions.run)
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -66,13 +66,15 @@
         Id and failure domain of this instance.
     inbox : trio.MemoryReceiveChannel
         Requests for a newer list, lists that others have read, and the instances.
-    router, failover, acknowledgements : trio.MemorySendChannel
+    router, failover : trio.MemorySendChannel
         Receive the list.
     peers : trio.MemorySendChannel
         Inbox of the peers task.
     rosters : trio.MemorySendChannel
         Receives the lists that this instance reads itself, from the second one in a
         row.
+    acknowledgements : trio.MemorySendChannel
+        Receives the list.
     """
 
     def __init__(
