Bound the wait of sessions for the acknowledgement task

A commit whose group became asynchronous while it was being verified, with no evidence read yet, got no answer: the age of the evidence is infinite and can't be rounded, and the session waited for ever.

The basis of such a group is 'asynchronous'. Sessions wait 0.1 s longer than the time limit that they give, so that they never depend on an answer.

--- a/features/acknowledgements.feature
+++ b/features/acknowledgements.feature
@@ -236,6 +236,15 @@
     When a write is to be sent with 1000 ms left
     Then the write may be sent
 
+  Scenario: A group becomes asynchronous while a commit is being verified
+    # Guards against a session that gets no answer because no evidence has arrived.
+    Given an instance that has no evidence
+    And b has received the log up to 3.6
+    When a answers a commit at 3.7
+    And 50 ms pass
+    And the configuration says that the group has 0 synchronous replicas
+    Then the commit is acknowledged by "asynchronous"
+
   Scenario: An announcement is confirmed to its sender
     # Guards against promotions that wait for the time of a permit each time.
     Given an instance that holds a permit
--- a/features/fakes/gated_session.py
+++ b/features/fakes/gated_session.py
@@ -62,11 +62,11 @@
 
     Parameters
     ----------
-    is_writable, is_confirmed : bool
-        Answers of the acknowledgement task.
+    is_writable, is_confirmed : bool or None
+        Answers of the acknowledgement task; None if it never answers.
     """
 
-    def __init__(self, is_writable: bool, is_confirmed: bool) -> None:
+    def __init__(self, is_writable: bool | None, is_confirmed: bool | None) -> None:
         self._is_writable = is_writable
         self._is_confirmed = is_confirmed
         self.commands: list[str] = []
@@ -162,7 +162,8 @@
         assert request.group == "g", request
         assert request.expires_at <= current_time() + CONNECTION_WAIT_S, request
         self.asked.append("writable")
-        request.reply_to.send_nowait("" if self._is_writable else "suspended")
+        if self._is_writable is not None:
+            request.reply_to.send_nowait("" if self._is_writable else "suspended")
 
     @_answer.register
     def _(self, request: ConfirmCommit) -> None:
@@ -170,8 +171,9 @@
         assert request[: len(expected)] == expected, request
         assert request.expires_at <= current_time() + STATEMENT_TIMEOUT_S, request
         self.asked.append("commit")
-        basis = "permit" if self._is_confirmed else "no permit"
-        request.reply_to.send_nowait(CommitConfirmation(self._is_confirmed, basis))
+        if self._is_confirmed is not None:
+            basis = "permit" if self._is_confirmed else "no permit"
+            request.reply_to.send_nowait(CommitConfirmation(self._is_confirmed, basis))
 
 
 async def _run_kind(
--- a/features/session_acknowledgements.feature
+++ b/features/session_acknowledgements.feature
@@ -23,6 +23,20 @@
       | writing transaction   | no       | yes       | aborted not_run: suspended        | begin,write,rollback | writable      | begun 3.7                 | none     |
       | reading transaction   | no       | no        | done                              | begin,read,commit  | nothing         | begun 3.7                 | none     |
 
+  Scenario Outline: A session does not wait for ever
+    # Guards against sessions that hang because the acknowledgement task has failed.
+    Given an acknowledgement task whose answer to writes is "<writable>" and to commits "<confirmed>"
+    When a session runs a <kind>
+    Then its caller gets "<answer>"
+    And every connection that it leased was returned
+
+    Examples:
+      | kind                | writable | confirmed | answer                                                |
+      | write               | never    | yes       | busy not_run: the instance did not decide in time     |
+      | write               | yes      | never     | indoubt unknown: the instance did not decide in time  |
+      | writing transaction | never    | yes       | aborted not_run: the instance did not decide in time  |
+      | writing transaction | yes      | never     | indoubt unknown: the instance did not decide in time  |
+
   Scenario Outline: A session holds its connection only as long as the statement
     # Guards against connections that are lost to the pool after a commit in doubt.
     Given an acknowledgement task whose answer to writes is "<writable>" and to commits "<confirmed>"
--- a/features/steps/acknowledgement_task_steps.py
+++ b/features/steps/acknowledgement_task_steps.py
@@ -95,6 +95,7 @@
     context.instance.list_members(tuple(members.split(",")))
 
 
+@when("the configuration says that the group has {count:d} synchronous replicas")
 @given("the configuration says that the group has {count:d} synchronous replicas")
 def configured(context: Context, count: int) -> None:
     """Deliver a configuration."""
--- a/features/steps/session_acknowledgement_steps.py
+++ b/features/steps/session_acknowledgement_steps.py
@@ -21,7 +21,8 @@
 )
 def gated_session(context: Context, writable: str, confirmed: str) -> None:
     """Create the session."""
-    context.session = GatedSession(writable == "yes", confirmed == "yes")
+    answer_by_text = {"yes": True, "no": False, "never": None}
+    context.session = GatedSession(answer_by_text[writable], answer_by_text[confirmed])
 
 
 @when("a session runs a {kind}")
--- a/src/jackdawspread/tasks/fleet/acknowledgement_task.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_task.py
@@ -131,10 +131,8 @@
 
     @_handle.register
     def _(self, event: ConfirmCommit, waits: Nursery) -> None:
-        if event.group in self._asynchronous:
-            _reply_commit(event, CommitConfirmation(True, "asynchronous"))
-        elif isinstance(self._decide(event), AcknowledgeCommit):
-            self._acknowledge(event, self._permit_basis(event.group))
+        if isinstance(self._decide(event), AcknowledgeCommit):
+            self._acknowledge(event, self._basis(event.group))
         else:
             confirm = partial(self._confirm, event, waits)
             waits.start_soon(run_isolated, PART, confirm)
@@ -249,7 +247,7 @@
         while True:
             decision = self._decide(commit)
             if isinstance(decision, AcknowledgeCommit):
-                self._acknowledge(commit, self._permit_basis(commit.group))
+                self._acknowledge(commit, self._basis(commit.group))
                 return
             if isinstance(decision, WaitForState):
                 give_up_at = inf
@@ -362,7 +360,10 @@
         self._log.log_permit(is_permitted, self._evidence_age_s(now))
         return is_permitted
 
-    def _permit_basis(self, group: str) -> str:
+    def _basis(self, group: str) -> str:
+        """Return why a commit is acknowledged without a verification, for the log."""
+        if group in self._asynchronous:
+            return "asynchronous"
         age_ms = round(1000 * self._evidence_age_s(self._boot_clock()))
         return f"permit:{self._view(group).state.token}:{age_ms}ms"
 
--- a/src/jackdawspread/tasks/sessions/member_calls.py
+++ b/src/jackdawspread/tasks/sessions/member_calls.py
@@ -7,6 +7,7 @@
     MemorySendChannel,
     WouldBlock,
     current_time,
+    move_on_at,
     open_memory_channel,
 )
 
@@ -47,6 +48,10 @@
 ROLLBACK_TIMEOUT_S = 1.0
 COLD_REASON = "the member has just started and gets only some statements each second"
 OVERLOADED = "the instance is overloaded"
+UNDECIDED = "the instance did not decide in time"
+# The acknowledgement task answers by the time limit that it is given. The session does
+# not depend on it.
+ANSWER_RESERVE_S = 0.1
 # A member answers BEGIN at once, as it needs no execution slot for it.
 BEGIN_TIMEOUT_S = 0.3
 
@@ -184,8 +189,9 @@
             self._acknowledgements.send_nowait(AwaitWritable(group, expires_at, send))
         except WouldBlock:
             return OVERLOADED
-        with receive:
+        with receive, move_on_at(expires_at + ANSWER_RESERVE_S):
             return await receive.receive()
+        return UNDECIDED
 
     async def confirm_commit(
         self, lease: MemberLease, reply: MemberReply, deadline: float
@@ -202,7 +208,8 @@
             self._acknowledgements.send_nowait(commit)
         except WouldBlock:
             return CommitConfirmation(False, OVERLOADED)
-        with receive:
+        confirmation = CommitConfirmation(False, UNDECIDED)
+        with receive, move_on_at(deadline + ANSWER_RESERVE_S):
             confirmation = await receive.receive()
         self.report_position(lease, reply, confirmation.is_confirmed)
         return confirmation
