--- a/features/steps/instance_directory_steps.py
+++ b/features/steps/instance_directory_steps.py
@@ -1,5 +1,7 @@
 """Steps for the list of instances."""
 
+from unittest import mock
+
 from behave import given, then, when
 from behave.runner import Context
 from features.fakes.memory_records import MemoryRecords
@@ -15,10 +17,13 @@
 
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
+from jackdawspread.messages.fleet.record_outcome import RecordOutcome
 from jackdawspread.messages.fleet.record_request import RecordRequest
+from jackdawspread.messages.fleet.record_status import RecordStatus
 from jackdawspread.platform.record_store import RecordStore
 from jackdawspread.platform.store_entries import TABLE
-from jackdawspread.tasks.fleet.instance_directory import PREFIX, InstanceDirectory
+from jackdawspread.tasks.fleet.decode_instance_entry import INSTANCE_PREFIX
+from jackdawspread.tasks.fleet.instance_directory import InstanceDirectory
 from jackdawspread.tasks.fleet.record_client import RecordClient
 from jackdawspread.tasks.http_server import HttpServer
 
@@ -32,11 +37,25 @@
     context.thread = TrioThread()
     context.add_cleanup(context.thread.stop)
     context.scope_by_instance, context.seen_by_instance = {}, {}
+    context.registered_by_instance = {}
     for number, name in enumerate(names.split(",")):
         entry = InstanceEntry(f"10.0.0.{number}:7", "z1")
         _start(context, name, entry, is_first_start=True)
 
 
+@given('instances "{names}" that register in one store, which does not answer')
+def register_in_vain(context: Context, names: str) -> None:
+    """Start the directories while the outcome of every write is unknown."""
+
+    async def put(records: MemoryRecords, name: str, value: bytes) -> RecordOutcome:
+        return RecordOutcome(RecordStatus.UNKNOWN)
+
+    patch = mock.patch.object(MemoryRecords, "put", put)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    register(context, names)
+
+
 def _start(
     context: Context, name: str, entry: InstanceEntry, is_first_start: bool
 ) -> None:
@@ -45,10 +64,13 @@
     (router, _router), (broker, _broker), (members, _members), (feed, _feed) = (
         open_memory_channel(INBOX) for _ in range(4)
     )
+    promotions, _promotions = open_memory_channel(INBOX)
+    acknowledgements, registered = open_memory_channel(INBOX)
+    context.registered_by_instance[name] = registered
     peers, seen = open_memory_channel(INBOX)
     context.seen_by_instance[name] = seen
     unread = getattr(context, "unread", [])
-    context.unread = [*unread, _router, _broker, _members, _feed]
+    context.unread = [*unread, _router, _broker, _members, _feed, _promotions]
     directory = InstanceDirectory(
         name,
         entry,
@@ -59,6 +81,8 @@
         members,
         feed,
         peers,
+        promotions,
+        acknowledgements,
     )
 
     async def run() -> None:
@@ -104,10 +128,26 @@
     assert ",".join(sorted(seen.entry_by_instance)) == names, seen
 
 
+@then(
+    '"{name}" has reported {count:d} registrations, each sent before it was '
+    "acknowledged"
+)
+def reported(context: Context, name: str, count: int) -> None:
+    """Compare the reports to the acknowledgement task."""
+    reports = context.registered_by_instance[name]
+    found = [
+        reports.receive_nowait()
+        for _ in range(reports.statistics().current_buffer_used)
+    ]
+    assert len(found) == count, found
+    assert all(report.at < report.acknowledged_at for report in found), found
+
+
 @then('the store has the entries of "{names}"')
 def has_entries(context: Context, names: str) -> None:
     """Compare the names of the records."""
-    found = sorted(name.removeprefix(PREFIX) for name in context.records.record_by_name)
+    stored = context.records.record_by_name
+    found = sorted(name.removeprefix(INSTANCE_PREFIX) for name in stored)
     assert ",".join(found) == names, found
 
 
--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -8,6 +8,7 @@
 
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.store_epoch import StoreEpoch
+from jackdawspread.messages.position import Position
 
 # Other instances can acquire the lock after this time; a promotion takes less than a
 # second.
@@ -35,8 +36,8 @@
     acquired["token"] = max(record["token"], epoch.number * TOKENS_PER_EPOCH) + 1
     acquired["holder"] = instance
     acquired["until"] = store_time_s + PROMOTION_LOCK_TTL_S
-    if record["ordered"]:
-        acquired["requested_at"] = _requested_at(record, store_time_s)
+    # The suspension of a holder that has died ended with its lock.
+    acquired.pop("suspended", None)
     return acquired
 
 
@@ -56,10 +57,13 @@
     term: int,
     roster: Collection[str],
     outstanding: tuple[str, ...] = (),
+    log_end: Position | None = None,
 ) -> PromotionLockRecord:
     """Return the record that names the member whose promotion will be requested.
 
     ``outstanding`` are the members of earlier requests that may still be executed.
+    ``log_end`` is the end of the member's log when logs were compared, None if its log
+    goes on growing.
 
     A promotion request without an answer may be executed later, so the next holder
     has to prefer the same member. The promoted member may be the only one that knows
@@ -69,8 +73,12 @@
     ordered["ordered"] = member
     is_repeated = outstanding[-1:] == (member,)
     ordered["outstanding"] = [*outstanding, *(() if is_repeated else (member,))]
+    # Instances of earlier versions end requests 30 s after this time.
     ordered["requested_at"] = record["until"]
     ordered["term"] = max(term, recorded_term(record))
+    ordered.pop("log_end", None)
+    if log_end is not None:
+        ordered["log_end"] = list(log_end)
     if roster:
         ordered["roster"] = sorted(roster)
     ordered.pop("blocked_since", None)
@@ -92,6 +100,7 @@
     released = record.copy()
     released["holder"] = ""
     released["until"] = 0.0
+    released.pop("suspended", None)
     return released
 
 
@@ -103,13 +112,3 @@
 def recorded_roster(record: PromotionLockRecord) -> frozenset[str]:
     """Return the roster that the record names, empty if it names none."""
     return frozenset(record.get("roster", ()))
-
-
-def _requested_at(record: PromotionLockRecord, store_time_s: float) -> float:
-    """Return the time until which the last request was sent, as far as it is known.
-
-    Records of earlier versions show it by the expiry of the lock, unless the lock was
-    released after a later attempt.
-    """
-    expired_at = record["until"] or store_time_s
-    return min(record.get("requested_at", expired_at), store_time_s)
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -16,7 +16,9 @@
 
 from jackdawspread.codecs.network_address import parse_address
 from jackdawspread.decisions.limits.memory_limits import PROCESS_BYTES, memory_limits
+from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
+from jackdawspread.messages.fleet.announcement_event import AnnouncementEvent
 from jackdawspread.messages.fleet.capacity_event import CapacityEvent
 from jackdawspread.messages.fleet.configuration_event import ConfigurationEvent
 from jackdawspread.messages.fleet.configuration_reader_event import (
@@ -30,6 +32,7 @@
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.peer_demotion_event import PeerDemotionEvent
 from jackdawspread.messages.fleet.peer_event import PeerEvent
+from jackdawspread.messages.fleet.promotion_poll_event import PromotionPollEvent
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
 from jackdawspread.messages.fleet.rate_leases_announced import RateLeasesAnnounced
 from jackdawspread.messages.fleet.record_request import RecordRequest
@@ -40,11 +43,14 @@
 from jackdawspread.platform.member_poll import MemberPoll
 from jackdawspread.platform.member_wire_codec import MemberWireCodec
 from jackdawspread.platform.promotion_client import PromotionClient
+from jackdawspread.platform.promotion_state_poll import PromotionStatePoll
 from jackdawspread.platform.readiness_handler import ReadinessHandler
 from jackdawspread.platform.record_store import RecordStore
 from jackdawspread.platform.region_check import RegionCheck
 from jackdawspread.settings.session_proxy_settings import SessionProxySettings
 from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.fleet.acknowledgement_fences import AcknowledgementFences
+from jackdawspread.tasks.fleet.acknowledgement_task import AcknowledgementTask
 from jackdawspread.tasks.fleet.activity_log import ActivityLog
 from jackdawspread.tasks.fleet.admission_task import AdmissionTask
 from jackdawspread.tasks.fleet.capacity_exchange import CapacityExchange
@@ -62,6 +68,9 @@
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
 from jackdawspread.tasks.fleet.peer_demotion_executor import PeerDemotionExecutor
 from jackdawspread.tasks.fleet.peer_demotion_task import PeerDemotionTask
+from jackdawspread.tasks.fleet.promotion_announcement_task import (
+    PromotionAnnouncementTask,
+)
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.rate_lease_task import RateLeaseTask
 from jackdawspread.tasks.fleet.record_client import RecordClient
@@ -83,6 +92,7 @@
 ROUTER_INBOX = 20_000
 BROKER_INBOX = 10_000
 ADMISSION_INBOX = 10_000
+ACKNOWLEDGEMENT_INBOX = 20_000
 PEERS_INBOX = 10_000
 KEEPER_INBOX = 500
 SMALL_INBOX = 64
@@ -138,6 +148,15 @@
         self._capacities, self._capacities_inbox = open_memory_channel[CapacityEvent](
             SMALL_INBOX
         )
+        self._acknowledgements, self._acknowledgements_inbox = open_memory_channel[
+            AcknowledgementEvent
+        ](ACKNOWLEDGEMENT_INBOX)
+        self._announcements, self._announcements_inbox = open_memory_channel[
+            AnnouncementEvent
+        ](SMALL_INBOX)
+        self._promotions, self._promotions_inbox = open_memory_channel[
+            PromotionPollEvent
+        ](SMALL_INBOX)
         self._budget = MemoryBudget(
             memory_limits(settings.resources.memory_bytes, PROCESS_BYTES)
         )
@@ -161,6 +180,7 @@
                 self._router,
                 self._settings.max_sessions,
                 self._budget,
+                self._acknowledgements,
             )
             pool_server = PoolServer(
                 await listen(self._settings.peer_address),
@@ -267,7 +287,17 @@
             self._failover,
             self._peers,
             self._rosters,
+            self._acknowledgements,
         )
+        promotions = PromotionStatePoll(
+            settings.store_address,
+            self._instance_id,
+            settings.failure_domain,
+            self._promotions_inbox,
+            self._acknowledgements,
+            self._peers,
+        )
+        tasks.start_soon(promotions.run)
         tasks.start_soon(reader.run)
         tasks.start_soon(copier.run)
         tasks.start_soon(keeper.run)
@@ -299,6 +329,7 @@
             RegionCheck(settings.region_by_domain.values()).report,
             self._admission,
             self._router,
+            self._acknowledgements,
         )
         fetches = ConfigurationFetches(in_use, exchange, copier)
         return ConfigurationKeeper(in_use, exchange, fetches, self._keeper_inbox)
@@ -319,6 +350,9 @@
             self._keeper,
             self._router,
             self._demotions,
+            self._promotions,
+            self._acknowledgements,
+            self._announcements,
         )
         records = self._open_records("instances", tasks)
         leases = RateLeaseTask(
@@ -339,6 +373,8 @@
             self._members,
             self._keeper,
             self._peers,
+            self._promotions,
+            self._acknowledgements,
         )
         capacities = self._make_capacity_exchange(records)
         tasks.start_soon(capacities.run)
@@ -369,13 +405,15 @@
         )
         replication = ReplicationControl(self._router)
         records = self._open_records("succession", tasks)
+        locks = PromotionLockClient(self._instance_id, records)
         attempt = FailoverAttempt(
             self._instance_id,
             replication,
-            PromotionLockClient(self._instance_id, records),
+            locks,
             promotions,
             self._router,
             PeerDemotionClient(self._router, self._demotions),
+            AcknowledgementFences(locks, records, self._announcements),
             self._settings.missing_log_timeout_s,
         )
         demotions = PeerDemotionTask(
@@ -383,11 +421,26 @@
             self._demotions_inbox,
             self._peers,
         )
+        announcement_task = PromotionAnnouncementTask(
+            self._instance_id,
+            self._announcements_inbox,
+            self._peers,
+            self._acknowledgements,
+        )
+        tasks.start_soon(announcement_task.run)
         # Calls about rosters must not delay the promotion lock.
         rosters = RosterClient(self._open_records("rosters", tasks))
         roster_task = RosterTask(rosters, replication, self._rosters_inbox)
+        acknowledgements = AcknowledgementTask(
+            self._acknowledgements_inbox,
+            replication,
+            self._peers,
+            self._failover,
+            self._instance_id,
+        )
         failover_task = FailoverTask(attempt, self._failover_inbox, self._members)
         tasks.start_soon(promotion_client.run)
+        tasks.start_soon(acknowledgements.run)
         tasks.start_soon(failover_task.run)
         tasks.start_soon(roster_task.run)
         tasks.start_soon(demotions.run)
