Describe the fence of acknowledgements and the proof that ends requests

The log lines of the fence and of ended requests are checked, and the line of a comparison says what was outstanding.

--- a/features/commit_check.feature
+++ b/features/commit_check.feature
@@ -46,7 +46,7 @@
     And "leaving" is leaving and the promotion of "m2" was requested earlier
     When the lines of an attempt on an unreachable primary are collected
     Then one line contains "succession: compared group=g primary=m0 member=m2 logs=m1=1.7,m2=1.9 paused=m1,m2 pause_term=2 roster=10.0.0.0:1,10.0.0.1:1,10.0.0.2:1 max_list_age_ms="
-    And one line contains "requested_earlier=m2"
+    And one line contains "requested_earlier=m2 outstanding=m2"
     And one line contains "succession: replicas paused term=2 requested=m1,m2 answered=m1,m2"
 
   Scenario Outline: A command without an answer
@@ -82,3 +82,13 @@
     Given the lines of failovers are collected
     And an attempt during which an earlier request promotes "m1"
     Then a warning contains "succession: replica not paused any more member=m1 claims_primary=True"
+
+  Scenario: An attempt names its fence and the requests that it ended
+    # Guards against a promotion of which no log tells who went on acknowledging, and
+    # against a request that disappears from the record without a reason.
+    Given a group whose attempts fence acknowledgements at "i1=0,i2=0,i3=99"
+    And outstanding requests "m2" from before
+    And only other instances reach "m0"
+    When the lines of an attempt on an unreachable primary are collected
+    Then one line contains "succession: fence group=g token=2 instances=3 confirmed=2 waited_ms=2500 missing=i3"
+    And one line contains "succession: requests ended group=g members=m2 by=effect of m2"
