Check how long promotion calls wait for their answers

No scenario showed that a promotion which is answered after 0.6 s is requested once, and that 12 lost answers about the present primary leave time for another call in a lock of 3 s.

--- a/features/steps/promotion_evidence_steps.py
+++ b/features/steps/promotion_evidence_steps.py
@@ -126,6 +126,18 @@
     context.group.answers = [PromotionResult(answer) for answer in answers.split(",")]
 
 
+@given("the first {count:d} promotion requests get no answer")
+def lost_answers(context: Context, count: int) -> None:
+    """Lose answers until the time of the call is over."""
+    context.group.answers = [PromotionResult.UNKNOWN] * count
+
+
+@given("promotion requests are answered after {seconds:g} s")
+def answered_after(context: Context, seconds: float) -> None:
+    """Delay the answers of the platform."""
+    context.group.answer_delay_s = seconds
+
+
 @given("the promotion lock is held for {seconds:g} s")
 def held_for(context: Context, seconds: float) -> None:
     """Let the promotion lock expire soon."""
@@ -268,6 +280,14 @@
     assert set(group.demoted) == _ids(demoted), group.demoted
 
 
+@then('the promotion of "{member}" is requested {count:d} time and accepted')
+def requested_times(context: Context, member: str, count: int) -> None:
+    """Compare the requests and the outcome."""
+    group = context.group
+    assert group.promoted == [member] * count, group.promoted
+    assert group.outcomes == [f"promotion accepted member={member}"], group.outcomes
+
+
 @then("every acknowledged commit is at the promoted member")
 def has_commits(context: Context) -> None:
     """Compare the log of the promoted member with what the primary has acknowledged."""
--- a/src/jackdawspread/tasks/fleet/promotion_sender.py
+++ b/src/jackdawspread/tasks/fleet/promotion_sender.py
@@ -10,7 +10,7 @@
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 
 PROMOTION_RETRY_DELAY_S = 0.1
-# An answer may come after the promotion has taken effect, which took 0.6 s.
+# The platform of one deployment answers a promotion after 0.6 s.
 PROMOTION_TIMEOUT_S = 1.0
 # Requests for the present primary change nothing, so they are answered at once. Many
 # have to fit into the time of the lock where answers are lost.
