--- a/features/fleet_decisions.feature
+++ b/features/fleet_decisions.feature
@@ -104,6 +104,19 @@
       | m0,m1,m2 | m0,m1,m2 |
       | none     | none     |
 
+  Scenario Outline: A suspension extends the lock although answers are lost
+    # Guards against a holder that relies on a longer lock than the store shows, and
+    # against an attempt that is given up for one lost answer.
+    Given a store whose next write is done and whose write after that <second>
+    When an instance acquires the promotion lock and suspends acknowledgements
+    Then the record is suspended, and the lock is held for 5.5 s here and in the store
+
+    Examples:
+      | second                   |
+      | is done                  |
+      | is done but not answered |
+      | is lost                  |
+
   Scenario: The lock is released after a rejected promotion
     # Guards against a release over the version from before the member was recorded: the
     # store refused it, and no instance could act until the lock expired.
--- a/features/steps/promotion_lock_steps.py
+++ b/features/steps/promotion_lock_steps.py
@@ -3,10 +3,14 @@
 from behave import given, then, when
 from behave.runner import Context
 from features.fakes.failover_world import FailoverWorld
-from features.fakes.lossy_record_store import LossyRecordStore
+from features.fakes.lossy_record_store import NOW_S, LossyRecordStore
 from msgspec.json import decode, encode
 from trio import run
 
+from jackdawspread.decisions.failover.acknowledgement_suspension import (
+    suspend_acknowledgements,
+)
+from jackdawspread.decisions.failover.promotion_lock import PROMOTION_LOCK_TTL_S
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 
@@ -74,6 +78,34 @@
     run(act)
 
 
+@when("an instance acquires the promotion lock and suspends acknowledgements")
+def acquires_and_suspends(context: Context) -> None:
+    """Acquire the lock and extend it."""
+
+    async def act() -> None:
+        client = PromotionLockClient("i1", context.records)
+        acquired = await client.acquire("g")
+        context.acquired_until = acquired.held_until
+        suspended = suspend_acknowledgements(acquired.record)
+        context.lock = await client.extend(acquired, suspended)
+
+    run(act)
+
+
+@then(
+    "the record is suspended, and the lock is held for {seconds:g} s here and in the "
+    "store"
+)
+def extended(context: Context, seconds: float) -> None:
+    """Compare the record in the store with the lock that is held."""
+    record = decode(context.records.value, type=PromotionLockRecord)
+    extension_s = context.lock.held_until - context.acquired_until
+    assert record["suspended"] and context.lock.record == record, record
+    assert record["until"] == NOW_S + seconds, record
+    assert abs(PROMOTION_LOCK_TTL_S + extension_s - seconds) < 1e-6, extension_s
+    assert context.lock.version == context.records.version
+
+
 @then('the record has no holder and the roster "{roster}"')
 def released_with(context: Context, roster: str) -> None:
     """Compare the record in the store."""
