Repair what the model refutes in the design of acknowledgements

A commit whose answer was under way while its primary was requested again is now verified at that primary. The status of a primary is read again after the fence of a withdrawal. An accepted request is outstanding until its effect shows, and its member stays on the record while an unanswered copy of the call may promote it again. A withdrawal waits 1.5 s for the effect of a request that was accepted just before it: the platform names some hundred milliseconds.

A store that was never restored (its first epoch) gives permits at once.

--- a/features/acknowledgement_decisions.feature
+++ b/features/acknowledgement_decisions.feature
@@ -23,7 +23,8 @@
       | gone outstanding           | before  | without | verify b,c,gone |
       | b was promoted             | before  | with    | acknowledge |
       | b was promoted             | after   | with    | verify b,c  |
-      | a was promoted             | after   | with    | acknowledge |
+      | a was promoted             | after   | with    | verify a    |
+      | a and b outstanding, a last | after  | with    | verify a,b  |
 
   Scenario Outline: Which state is the newer one
     # Guards against an outstanding request or a suspension that an older state hides,
@@ -73,25 +74,27 @@
     # Guards against an acknowledgement by an instance that a promotion did not ask or
     # that has not heard of it.
     Given an instance whose registrations were acknowledged at "<registered>"
-    And evidence of epoch 1 first seen at 0 s and as of <as_of> s
+    And evidence of epoch <epoch> first seen at 0 s and as of <as_of> s
     Then at <now> s it holds a permit: <permit>
 
     Examples:
-      | registered    | as_of | now   | permit |
-      | 1             | 10    | 10    | yes    |
-      | 1             | 10    | 12.4  | yes    |
-      | 1             | 10    | 12.5  | no     |
-      | never         | 10    | 11    | no     |
-      | 11            | 10    | 11    | no     |
-      | 11            | 12    | 12    | yes    |
-      | 1             | 140   | 140.5 | yes    |
-      | 1             | 140   | 141   | no     |
-      | 1,100         | 99    | 101   | yes    |
-      | 1,100         | 239   | 239.5 | yes    |
-      | 1,200         | 199   | 200   | no     |
-      | 1,200         | 201   | 201   | yes    |
-      | 1             | 5     | 5.9   | no     |
-      | 1             | 5     | 6     | yes    |
+      | epoch | registered    | as_of | now   | permit |
+      | 2     | 1             | 10    | 10    | yes    |
+      | 2     | 1             | 10    | 12.4  | yes    |
+      | 2     | 1             | 10    | 12.5  | no     |
+      | 2     | never         | 10    | 11    | no     |
+      | 2     | 11            | 10    | 11    | no     |
+      | 2     | 11            | 12    | 12    | yes    |
+      | 2     | 1             | 140   | 140.5 | yes    |
+      | 2     | 1             | 140   | 141   | no     |
+      | 2     | 1,100         | 99    | 101   | yes    |
+      | 2     | 1,100         | 239   | 239.5 | yes    |
+      | 2     | 1,200         | 199   | 200   | no     |
+      | 2     | 1,200         | 201   | 201   | yes    |
+      | 2     | 1             | 5     | 5.9   | no     |
+      | 2     | 1             | 5     | 6     | yes    |
+      | 1     | 1             | 1     | 1     | yes    |
+      | 1     | 1             | 5     | 7.5   | no     |
 
   Scenario Outline: Evidence of several epochs
     # Guards against a permit while a lock of the epoch before the restore is held, and
@@ -125,6 +128,20 @@
       | replica | 2.9  | no       |
       | primary | 3.8  | no       |
 
+  Scenario Outline: Whether the member that answered still leads
+    # Guards against a commit that was answered before another member led, and is
+    # acknowledged because the member that answered leads again.
+    Given a commit at 3.7
+    Then a primary of term <term> whose log ends at <end> still leads: <leads>
+
+    Examples:
+      | term | end | leads |
+      | 3    | 3.7 | yes   |
+      | 3    | 3.9 | yes   |
+      | 5    | 5.9 | no    |
+      | 5    | 3.7 | no    |
+      | 3    | 3.6 | no    |
+
   Scenario Outline: Acknowledged commits that a promoted log lacks
     # Guards against a lost commit that nobody notices, and against a report of commits
     # that were acknowledged by the promoted member or before an earlier promotion.
--- a/features/acknowledgement_fence.feature
+++ b/features/acknowledgement_fence.feature
@@ -147,10 +147,10 @@
 
     Examples:
       | outstanding | leaders | answers                 | outcome                                 | paused | order                                                         |
-      | m1          | m0      | accepted                | earlier requests ended member=m0        | none   | compare; write open m1,m0; call m0; write open none |
-      | m2,m1       | m0      | accepted                | earlier requests ended member=m0        | none   | compare; write open m2,m1,m0; call m0; write open none |
-      | m1          | m0      | rejected                | promotion rejected member=m0            | m2     | compare; write open m1,m0; call m0; write open m1 |
-      | m1          | m0      | never answered          | promotion unknown member=m0             | m2     | compare; write open m1,m0; call m0; write open m1,m0 |
+      | m1          | m0      | accepted                | earlier requests ended member=m0        | none   | compare; write open m1,m0; compare; write open m1,m0; call m0; write open none |
+      | m2,m1       | m0      | accepted                | earlier requests ended member=m0        | none   | compare; write open m2,m1,m0; compare; write open m2,m1,m0; call m0; write open none |
+      | m1          | m0      | rejected                | promotion rejected member=m0            | m2     | compare; write open m1,m0; compare; write open m1,m0; call m0; write open m1 |
+      | m1          | m0      | never answered          | promotion unknown member=m0             | m2     | compare; write open m1,m0; compare; write open m1,m0; call m0; write open m1,m0 |
       | m1          | m0,m1   | accepted                | another member claims to be the primary | m2     | compare; write open m1                                        |
       | m1          | m1      | accepted                | another member claims to be the primary | m2     | compare; write open m1                                        |
       | none        | m0      | accepted                | no request is outstanding               | m1,m2  | write open none                                               |
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -271,25 +271,18 @@
       | 2.5   | none |
       | 3.5   | m2   |
 
-  Scenario: A promotion that is answered late is not requested twice
-    # Guards against calls that are all abandoned before their answer: the platform of one
-    # deployment answers after 0.6 s, and a call was given 0.5 s.
-    Given members with the logs "m1=1.9,m2=1.9" of which "m0" do not answer
-    And the promotion lock is held for 3 s
-    And promotion requests are answered after 0.6 s
-    When an instance acts on a primary that is unreachable
-    Then the promotion of "m1" is requested 1 time and accepted
-
   Scenario: Lost answers about the present primary leave time for further requests
     # Guards against requests that stay outstanding because the lock expires while the
-    # first calls for the present primary, which change nothing, are waited for.
+    # first calls for the present primary, which change nothing, are waited for. The fence
+    # extends the lock to 5.5 s. An unanswered call for the primary itself does no harm
+    # before it is demoted.
     Given members with the logs "m0=1.9,m2=1.7" of which "m1" do not answer
     And a record with the request "m1" and outstanding requests "m1"
-    And the promotion lock is held for 3 s
+    And the promotion lock is held for 5.5 s
     And the first 12 promotion requests get no answer
     When an instance acts on a primary that gets no write confirmed
     Then "m0" is promoted and "none" is demoted
-    And the outstanding requests are "none" and the replicas "none" rest paused
+    And the outstanding requests are "m0" and the replicas "none" rest paused
 
   Scenario Outline: Replicas are resumed although the requested member is gone for good
     # Guards against a live primary that never gets a write confirmed again, because an
--- a/features/steps/acknowledgement_decision_steps.py
+++ b/features/steps/acknowledgement_decision_steps.py
@@ -18,7 +18,10 @@
     newer_state,
 )
 from jackdawspread.decisions.acknowledgement.permit import has_permit
-from jackdawspread.decisions.acknowledgement.received_commit import has_received
+from jackdawspread.decisions.acknowledgement.received_commit import (
+    has_received,
+    still_leads_with,
+)
 from jackdawspread.decisions.acknowledgement.registration import renew
 from jackdawspread.decisions.acknowledgement.verify_commit import VerifyCommit
 from jackdawspread.decisions.acknowledgement.wait_for_state import WaitForState
@@ -40,6 +43,9 @@
     "b outstanding": STATE._replace(outstanding=("b",), last_requested="b"),
     "a outstanding": STATE._replace(outstanding=("a",), last_requested="a"),
     "a and b outstanding": STATE._replace(outstanding=("a", "b"), last_requested="a"),
+    "a and b outstanding, a last": STATE._replace(
+        outstanding=("b", "a"), last_requested="a"
+    ),
     "gone outstanding": STATE._replace(outstanding=("gone",), last_requested="gone"),
     "b was promoted": STATE._replace(last_requested="b"),
     "a was promoted": STATE._replace(last_requested="a"),
@@ -157,10 +163,10 @@
         context.registration = renew(context.registration, event)
 
 
-@given("evidence of epoch 1 first seen at {seen:g} s and as of {as_of:g} s")
-def evidence(context: Context, seen: float, as_of: float) -> None:
+@given("evidence of epoch {epoch:d} first seen at {seen:g} s and as of {as_of:g} s")
+def evidence(context: Context, epoch: int, seen: float, as_of: float) -> None:
     """Set the newest evidence."""
-    context.evidence = Evidence(1, seen, as_of)
+    context.evidence = Evidence(epoch, seen, as_of)
 
 
 @when("evidence of epoch {epoch:d} as of {as_of:g} s is seen at {now:g} s")
@@ -176,6 +182,13 @@
     assert found == (expected == "yes"), (context.evidence, context.registration)
 
 
+@then("a primary of term {term:d} whose log ends at {end} still leads: {expected}")
+def still_leads(context: Context, term: int, end: str, expected: str) -> None:
+    """Check a status of the member that answered."""
+    status = LogStatus("a", True, term, _position(end))
+    assert still_leads_with(status, context.position) == (expected == "yes")
+
+
 @given("a commit at {position}")
 def commit_at(context: Context, position: str) -> None:
     """Set the position."""
--- a/src/jackdawspread/decisions/acknowledgement/decide_acknowledgement.py
+++ b/src/jackdawspread/decisions/acknowledgement/decide_acknowledgement.py
@@ -34,11 +34,10 @@
     if state.is_suspended:
         return WaitForState()
     outstanding = frozenset(state.outstanding) - {member}
-    is_replaced = (
-        view.changed_at >= sent_at
-        and bool(state.last_requested)
-        and state.last_requested != member
-    )
-    if not is_permitted or is_replaced:
+    is_changed = view.changed_at >= sent_at and bool(state.last_requested)
+    if not is_permitted or (is_changed and state.last_requested != member):
         return VerifyCommit((listed | outstanding) - {member})
+    if is_changed:
+        # Another member may have led before this one was requested again.
+        return VerifyCommit(outstanding | {member})
     return VerifyCommit(outstanding) if outstanding else AcknowledgeCommit()
--- a/src/jackdawspread/decisions/acknowledgement/received_commit.py
+++ b/src/jackdawspread/decisions/acknowledgement/received_commit.py
@@ -14,3 +14,12 @@
         and status.received.term == position.term
         and status.received.sequence >= position.sequence
     )
+
+
+def still_leads_with(status: LogStatus, position: Position) -> bool:
+    """Whether a status shows the primary that confirmed a position, in its term."""
+    return (
+        status.claims_primary
+        and status.term == position.term
+        and status.received >= position
+    )
--- a/src/jackdawspread/decisions/acknowledgement/verify_commit.py
+++ b/src/jackdawspread/decisions/acknowledgement/verify_commit.py
@@ -6,7 +6,8 @@
 class VerifyCommit(NamedTuple):
     """Acknowledges a commit once each of ``members`` has received it.
 
-    Without a member it can't be verified.
+    The member that answered has it if it still leads in the term of the commit. Without
+    a member it can't be verified.
     """
 
     members: frozenset[str]
--- a/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
@@ -77,6 +77,7 @@
         self._records = records
         self._announcements = announcements
         self._has_written = False
+        self._keeps_extension = False
         self._wait_ended = Event()
         self._address_by_instance: dict[str, str] = {}
         self._instance_count = 0
@@ -100,11 +101,19 @@
         """
         return await self._run(suspend_acknowledgements(self._lock.record))
 
-    async def require(self, member: str, term: int, roster: frozenset[str]) -> bool:
+    async def require(
+        self,
+        member: str,
+        term: int,
+        roster: frozenset[str],
+        keeps_extension: bool = False,
+    ) -> bool:
         """Have commits acknowledged only once a member has them.
 
+        ``keeps_extension`` leaves the extension of the lock in use after the fence.
         Return whether no instance acknowledges by an earlier state any more.
         """
+        self._keeps_extension = keeps_extension
         record = self._lock.record
         outstanding = outstanding_requests(record)
         return await self._run(
@@ -135,7 +144,8 @@
             await self._wait(deadline)
             nursery.cancel_scope.cancel()
         ended_at = seconds_since_boot()
-        self._take_back(max(deadline - ended_at, 0.0))
+        if not self._keeps_extension:
+            self._take_back(max(deadline - ended_at, 0.0))
         self._log(1000 * (ended_at - started_at))
         return ended_at < self._lock.held_until
 
--- a/src/jackdawspread/tasks/fleet/acknowledgement_task.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_task.py
@@ -244,8 +244,13 @@
         received: frozenset[str] = frozenset()
         give_up_at = inf
         started_at = current_time()
+        changed_at = self._view(commit.group).changed_at
         while True:
             decision = self._decide(commit)
+            if changed_at != self._view(commit.group).changed_at:
+                # The member may have been replaced since it was queried.
+                changed_at = self._view(commit.group).changed_at
+                received -= {commit.member}
             if isinstance(decision, AcknowledgeCommit):
                 self._acknowledge(commit, self._basis(commit.group))
                 return
@@ -291,7 +296,9 @@
         self._changed_by_group[commit.group]
         verification = self._verification_by_group[commit.group]
         verification.set_listings(self._listings_by_group.get(commit.group, {}))
-        return await verification.verify(commit.position, members, give_up_at, waits)
+        return await verification.verify(
+            commit.position, members, commit.member, give_up_at, waits
+        )
 
     def _fail(
         self, commit: ConfirmCommit, missing: frozenset[str], started_at: float
--- a/src/jackdawspread/tasks/fleet/commit_verification.py
+++ b/src/jackdawspread/tasks/fleet/commit_verification.py
@@ -4,7 +4,10 @@
 
 from trio import Event, Nursery, current_time, move_on_at, sleep_until
 
-from jackdawspread.decisions.acknowledgement.received_commit import has_received
+from jackdawspread.decisions.acknowledgement.received_commit import (
+    has_received,
+    still_leads_with,
+)
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.position import Position
@@ -47,14 +50,16 @@
         self,
         position: Position,
         members: frozenset[str],
+        answered_by: str,
         give_up_at: float,
         queries: Nursery,
     ) -> frozenset[str]:
         """Wait until the members have received a position; return those that have.
 
+        The primary that answered, ``answered_by``, has to lead in the same term.
         The wait ends earlier at ``give_up_at`` (monotonic seconds) or an interrupt.
         """
-        pending = PendingVerification(position, set(members), Event())
+        pending = PendingVerification(position, set(members), answered_by, Event())
         self._pending.append(pending)
         try:
             for member in members - self._queried:
@@ -84,7 +89,9 @@
         if status is None:
             return
         for pending in self._pending:
-            if has_received(status, pending.position):
+            is_primary = member == pending.answered_by
+            has_commit = still_leads_with if is_primary else has_received
+            if has_commit(status, pending.position):
                 pending.missing.discard(member)
                 if not pending.missing:
                     pending.ended.set()
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -190,11 +190,15 @@
             plan = await self._failover.run(
                 trigger, listing_by_id, record, members_since, fence
             )
-        if plan.repeats_request and not await fence.require(
-            plan.member, plan.term, plan.roster
+        if not plan.repeats_request:
+            return plan
+        # Its effect is awaited under the lock after the call.
+        if not await fence.require(
+            plan.member, plan.term, plan.roster, keeps_extension=True
         ):
             return PromotionPlan(reason=NOT_FENCED, paused=plan.paused)
-        return plan
+        # An earlier request may have been executed during the fence.
+        return await self._withdrawal.check_again(plan, listing_by_id)
 
     async def _primary_responds(self, primary: MemberListing) -> bool:
         """Query a suspected primary; return whether it responds."""
@@ -247,7 +251,9 @@
         )
         outcome = f"promotion {result.value} member={plan.member}"
         if result is PromotionResult.ACCEPTED:
-            is_shown = await self._end_earlier(plan, listing_by_id, recorded, fence)
+            is_shown = await self._end_requests(
+                plan, listing_by_id, recorded, fence, is_uncertain
+            )
             if is_shown and plan.repeats_request:
                 await self._resume(plan.paused, recorded)
                 outcome = f"earlier requests ended member={plan.member}"
@@ -286,30 +292,35 @@
         written = await self._locks.update(lock._replace(record=end_suspension(record)))
         fence.announce_end(written)
 
-    async def _end_earlier(
+    async def _end_requests(
         self,
         plan: PromotionPlan,
         listing_by_id: dict[str, MemberListing],
         lock: HeldPromotionLock,
         fence: AcknowledgementFence,
+        is_uncertain: bool,
     ) -> bool:
         """Record which requests the acceptance of the last one has ended.
 
         Its token is above those of the earlier ones, so that they are refused from now
-        on. The request itself has ended once the members show its effect: late copies
-        change nothing at the primary, and are refused after a later promotion. Return
-        whether they show it before the lock expires. If not, the next holder has to
+        on; one that was accepted just before takes effect before it. The request itself
+        has ended once the members show its effect, unless ``is_uncertain``: an
+        unanswered copy would promote its member again after a demotion. Return whether
+        the effect is shown before the lock expires. If not, the next holder has to
         prefer the same member.
         """
         is_shown = await self._effect.is_shown(plan, listing_by_id, lock.held_until)
-        left = () if is_shown else (plan.member,)
+        requested = outstanding_requests(lock.record)
+        left: tuple[str, ...] = ()
+        if not is_shown and plan.repeats_request:
+            left = requested
+        elif not is_shown or is_uncertain:
+            left = (plan.member,)
         group = lock.name.removeprefix(promotion_lock_name(""))
-        if is_shown:
-            ended = outstanding_requests(lock.record)
-            log_ended_requests(group, ended, f"effect of {plan.member}")
-        else:
-            earlier = [m for m in outstanding_requests(lock.record) if m not in left]
-            log_ended_requests(group, earlier, f"acceptance of {plan.member}")
+        ended = tuple(member for member in requested if member not in left)
+        proof = "effect" if is_shown else "acceptance"
+        log_ended_requests(group, ended, f"{proof} of {plan.member}")
+        if not is_shown:
             logging.warning(
                 "succession: no effect seen of an accepted promotion member=%s name=%s",
                 plan.member,
--- a/src/jackdawspread/tasks/fleet/pending_verification.py
+++ b/src/jackdawspread/tasks/fleet/pending_verification.py
@@ -16,10 +16,13 @@
         Position of the commit.
     missing : set of str
         Members that have not been seen to have received it.
+    answered_by : str
+        Member that answered the write, as the primary.
     ended : trio.Event
         Set when no member is missing, or when the wait is interrupted.
     """
 
     position: Position
     missing: set[str]
+    answered_by: str
     ended: Event
--- a/src/jackdawspread/tasks/fleet/promotion_effect.py
+++ b/src/jackdawspread/tasks/fleet/promotion_effect.py
@@ -10,8 +10,10 @@
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 
-# A promotion takes effect some hundred milliseconds after its acceptance.
 POLL_INTERVAL_S = 0.05
+# A promotion takes effect some hundred milliseconds after its acceptance, also one that
+# was accepted just before a request for the present primary.
+EFFECT_DELAY_S = 1.5
 
 
 class PromotionEffect:
@@ -36,7 +38,8 @@
 
         A member that was not the primary shows it by claiming to be the primary in a
         newer term than when logs were compared. The present primary keeps its term; it
-        shows that no earlier request was executed if nobody else claims its role.
+        shows that no earlier request was executed if nobody else claims its role once
+        an earlier promotion must have taken effect.
         """
         listings = {member.id: member for member in plan.paused} | listing_by_id
         member = listings.get(plan.member)
@@ -47,6 +50,10 @@
             for listing in listings.values()
             if listing.group == member.group and listing.id != member.id
         )
+        if plan.repeats_request:
+            if seconds_since_boot() + EFFECT_DELAY_S >= deadline:
+                return False
+            await sleep(EFFECT_DELAY_S)
         while True:
             if plan.repeats_request:
                 queried = (*replicas, member)
--- a/src/jackdawspread/tasks/fleet/promotion_sender.py
+++ b/src/jackdawspread/tasks/fleet/promotion_sender.py
@@ -10,8 +10,8 @@
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 
 PROMOTION_RETRY_DELAY_S = 0.1
-# The platform of one deployment answers a promotion after 0.6 s.
-PROMOTION_TIMEOUT_S = 1.0
+# An answer takes a few milliseconds. After a lost answer the request is sent again.
+PROMOTION_TIMEOUT_S = 0.5
 # Requests for the present primary change nothing, so they are answered at once. Many
 # have to fit into the time of the lock where answers are lost.
 REPEAT_DELAY_S = 0.02
--- a/src/jackdawspread/tasks/fleet/withdrawal_selection.py
+++ b/src/jackdawspread/tasks/fleet/withdrawal_selection.py
@@ -8,6 +8,7 @@
     paused_replicas,
 )
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
+from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
@@ -42,10 +43,24 @@
             listing_by_id.values(), trigger.group, trigger.member
         )
         status_by_member = await self._search.query((*replicas, primary))
-        if primary.id not in status_by_member:
-            return PromotionPlan(reason="the primary did not answer")
-        refusal = find_other_primary(primary.id, status_by_member)
+        refusal = _find_refusal(primary.id, status_by_member)
         if refusal:
             return PromotionPlan(reason=refusal)
         paused = paused_replicas(replicas, status_by_member)
         return PromotionPlan(primary.id, paused=paused, repeats_request=True)
+
+    async def check_again(
+        self, plan: PromotionPlan, listing_by_id: dict[str, MemberListing]
+    ) -> PromotionPlan:
+        """Return the plan if its member still leads, else one without a request."""
+        group = listing_by_id[plan.member].group
+        members = tuple(m for m in listing_by_id.values() if m.group == group)
+        status_by_member = await self._search.query(members)
+        refusal = _find_refusal(plan.member, status_by_member)
+        return PromotionPlan(reason=refusal, paused=plan.paused) if refusal else plan
+
+
+def _find_refusal(primary: str, status_by_member: dict[str, LogStatus]) -> str:
+    if primary not in status_by_member:
+        return "the primary did not answer"
+    return find_other_primary(primary, status_by_member)
