Know the age of the store's epoch with the promotion states

An instance had no permit for 6 s after its first evidence, as it could not tell whether the epoch had just begun: all commits after a start were verified at all members, each over new connections. features/pool_hosts.feature counted 108 connections where 4 are allowed (93 of 93 writes verified).

The read of the records now takes the marker of the epoch along, whose key is the next in order, so it stays one call. The age is passed on with the states.

--- a/features/promotion_states.feature
+++ b/features/promotion_states.feature
@@ -121,6 +121,21 @@
       | without a token                |
       | with a log end of three numbers |
 
+  Scenario Outline: The age of the epoch is passed on
+    # Guards against instances that verify each commit for 6 s after their start, and
+    # against one that gets a permit while locks of the epoch before may be held.
+    Given polls of instances "a1:z1,b1:z2" that know each other
+    When the marker of epoch 1 is <marker> and 1.5 s pass
+    Then "b1" has learned that the epoch is <least> to <most> s old
+
+    Examples:
+      | marker            | least | most |
+      | missing           | 0     | 0    |
+      | 3 s old           | 3.9   | 4.1  |
+      | of the future     | 0     | 0    |
+      | not JSON          | 0     | 0    |
+      | of epoch 2        | 0     | 0    |
+
   Scenario: States that do not fit into a datagram are not passed on in part
     # Guards against groups that count as groups without a record.
     Given polls of instances "a1:z1,b1:z2" that know each other
@@ -162,6 +177,8 @@
       | [2, 11, "i1", 1, 5.0, [["g", 2, 3]]]                    |
       | [2, 11, "i1", 1, 5.0, [["g", 1, 3], ["g", 1, 3]]]       |
       | [2, 11, "i1", 1, 5.0, [["g h", 1, 3]]]                  |
+      | [2, 11, "i1", 1, 5.0, [], -1.0]                         |
+      | [2, 11, "i1", 1, 5.0, [], 1e999]                        |
       | [2, 12, 1, ["g", 1, 3, -1]]                             |
       | [2, 12, 1, ["g", 1, 3, 9223372036854775808]]            |
       | [2, 12, 1, ["g", 1, 3, 4, true, ["m 1"]]]               |
--- a/features/steps/promotion_state_steps.py
+++ b/features/steps/promotion_state_steps.py
@@ -298,6 +298,34 @@
     _pass(context, seconds)
 
 
+@when("the marker of epoch 1 is {marker} and {seconds:g} s pass")
+def marked(context: Context, marker: str, seconds: float) -> None:
+    """Write the marker."""
+
+    async def put() -> None:
+        began_s = store_time()
+        key, value = {
+            "missing": ("", b""),
+            "3 s old": ("epoch-1", b"[%f]" % (began_s - 3)),
+            "of the future": ("epoch-1", b"[%f]" % (began_s + 60)),
+            "not JSON": ("epoch-1", b"{"),
+            "of epoch 2": ("epoch-2", b"[%f]" % (began_s - 60)),
+        }[marker]
+        if key:
+            context.fleet.value_by_key[key] = value
+
+    context.thread.call(put)
+    _pass(context, seconds)
+
+
+@then('"{name}" has learned that the epoch is {least:g} to {most:g} s old')
+def epoch_age(context: Context, name: str, least: float, most: float) -> None:
+    """Compare the age; the marker is no record of a group."""
+    newest = context.seen[name][-1]
+    assert least <= newest.epoch_age_s <= most and not newest.states, newest
+    assert set(context.fleet.reads) != {name}
+
+
 @when("the record is readable again and {seconds:g} s pass")
 def readable_record(context: Context, seconds: float) -> None:
     """Write a record that can be read."""
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -86,7 +86,7 @@
 def _(message: PromotionStatesRelayed) -> tuple[Any, ...]:
     # Most groups have no promotion under way, so their states are short.
     states = [without_trailing_defaults(state) for state in message.states]
-    return message.instance, message.epoch, message.store_time_s, states
+    return without_trailing_defaults(message._replace(states=states))  # type: ignore[arg-type]
 
 
 def decode_datagram(data: bytes) -> PeerDatagram | None:
@@ -159,6 +159,9 @@
 def _(message: PromotionStatesRelayed) -> None:
     check_name(message.instance)
     _check_time(message.store_time_s)
+    _check_time(message.epoch_age_s)
+    if message.epoch_age_s < 0:
+        raise ValueError("an age must not be negative")
     _check_integers(message.epoch)
     groups = {state.group for state in message.states}
     if len(groups) != len(message.states):
--- a/src/jackdawspread/decisions/acknowledgement/evidence.py
+++ b/src/jackdawspread/decisions/acknowledgement/evidence.py
@@ -14,7 +14,7 @@
     epoch : int
         Epoch of the store.
     epoch_seen_at : float
-        Time in seconds of the boot-time clock at which the epoch was first seen.
+        Time in seconds of the boot-time clock at which the epoch had begun for certain.
     as_of : float
         Time in seconds of the boot-time clock at or before which the store was read.
     """
@@ -25,14 +25,27 @@
 
 
 def add_evidence(
-    evidence: Evidence | None, epoch: int, as_of: float, now: float
+    evidence: Evidence | None,
+    epoch: int,
+    as_of: float,
+    now: float,
+    epoch_age_s: float = 0.0,
 ) -> Evidence:
-    """Return the newest evidence after another read; an earlier epoch gives none."""
+    """Return the newest evidence after another read; an earlier epoch gives none.
+
+    ``epoch_age_s`` is how long the epoch had lasted at least when the store was read.
+    An instance that starts in an old epoch then need not wait.
+    """
+    epoch_seen_at = now - epoch_age_s
     if evidence is None or epoch > evidence.epoch:
-        return Evidence(epoch, now, as_of)
+        return Evidence(epoch, epoch_seen_at, as_of)
     if epoch < evidence.epoch:
         return evidence
-    return evidence._replace(as_of=max(as_of, evidence.as_of))
+    return Evidence(
+        epoch,
+        min(epoch_seen_at, evidence.epoch_seen_at),
+        max(as_of, evidence.as_of),
+    )
 
 
 def is_epoch_settled(evidence: Evidence, now: float) -> bool:
--- a/src/jackdawspread/messages/fleet/promotion_states_seen.py
+++ b/src/jackdawspread/messages/fleet/promotion_states_seen.py
@@ -17,8 +17,12 @@
     states : tuple of PromotionState
         One for each group that has a record; no promotion was ever requested in the
         others.
+    epoch_age_s : float
+        Seconds for which the epoch had lasted at least when the store was read; 0 if
+        that is not known.
     """
 
     epoch: int
     as_of: float
     states: tuple[PromotionState, ...]
+    epoch_age_s: float = 0.0
--- a/src/jackdawspread/platform/epoch_marker.py
+++ b/src/jackdawspread/platform/epoch_marker.py
@@ -34,6 +34,16 @@
     began_s: float
 
 
+def epoch_age_s(rows: list[StoreRow], number: int, store_time_s: float) -> float:
+    """Return for how long an epoch had lasted at least; 0 if that is not known."""
+    try:
+        marker = find_marker(rows, number)
+    except ValueError:
+        # Whoever writes in the epoch logs and replaces it.
+        return 0.0
+    return max(0.0, store_time_s - marker.epoch.began_s) if marker else 0.0
+
+
 def marker_key(number: int) -> str:
     """Return the key of the marker of an epoch."""
     return f"{PREFIX}{number}"
--- a/src/jackdawspread/platform/promotion_state_poll.py
+++ b/src/jackdawspread/platform/promotion_state_poll.py
@@ -28,13 +28,14 @@
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.peers_seen import PeersSeen
 from jackdawspread.messages.fleet.promotion_poll_event import PromotionPollEvent
-from jackdawspread.messages.fleet.promotion_state import PromotionState
 from jackdawspread.messages.fleet.promotion_states_relayed import (
     PromotionStatesRelayed,
 )
 from jackdawspread.messages.fleet.promotion_states_seen import PromotionStatesSeen
 from jackdawspread.messages.fleet.store_clock_sampled import StoreClockSampled
 from jackdawspread.messages.http_outcome import HttpOutcome
+from jackdawspread.platform.epoch_marker import PREFIX as MARKER_PREFIX
+from jackdawspread.platform.epoch_marker import epoch_age_s
 from jackdawspread.platform.epoch_tracker import read_epoch
 from jackdawspread.platform.promotion_rows import PREFIX, PromotionRows
 from jackdawspread.platform.read_rows import OK, read_rows
@@ -146,12 +147,18 @@
         # back. It must not hide the reads that follow.
         if self._as_of < as_of <= now and event.epoch >= self._epoch:
             self._heard_at = current_time()
-            await self._publish(event.epoch, as_of, event.states)
+            seen = PromotionStatesSeen(
+                event.epoch, as_of, event.states, event.epoch_age_s
+            )
+            await self._publish(seen)
 
     async def _read(self, client: HttpClient) -> None:
         self._attempted_at, requested_at = current_time(), seconds_since_boot()
         self._pages, self._has_failed = [], True
-        rows = await read_rows(client, TABLE, PREFIX, READ_TIMEOUT_S, self._report)
+        # One call reads the marker of the epoch too, whose key is the next in order.
+        rows = await read_rows(
+            client, TABLE, PREFIX, READ_TIMEOUT_S, self._report, MARKER_PREFIX
+        )
         if rows is None or not self._pages:
             return
         first = self._pages[0]
@@ -166,8 +173,11 @@
         if states is None or epoch < self._epoch:
             return
         self._has_failed = False
-        await self._publish(epoch, requested_at, states)
-        self._relay(PromotionStatesRelayed(self._instance, epoch, requested_s, states))
+        age_s = epoch_age_s(rows, epoch, requested_s)
+        await self._publish(PromotionStatesSeen(epoch, requested_at, states, age_s))
+        self._relay(
+            PromotionStatesRelayed(self._instance, epoch, requested_s, states, age_s)
+        )
 
     def _report(self, outcome: HttpOutcome) -> None:
         reason = outcome.error or f"status {outcome.status}"
@@ -175,11 +185,9 @@
         if outcome.status == OK:
             self._pages.append(outcome)
 
-    async def _publish(
-        self, epoch: int, as_of: float, states: tuple[PromotionState, ...]
-    ) -> None:
-        self._epoch, self._as_of = epoch, as_of
-        await self._acknowledgements.send(PromotionStatesSeen(epoch, as_of, states))
+    async def _publish(self, seen: PromotionStatesSeen) -> None:
+        self._epoch, self._as_of = seen.epoch, seen.as_of
+        await self._acknowledgements.send(seen)
 
     def _relay(self, message: PromotionStatesRelayed) -> None:
         """Pass the states on to all other instances.
--- a/src/jackdawspread/platform/read_rows.py
+++ b/src/jackdawspread/platform/read_rows.py
@@ -21,6 +21,7 @@
     prefix: str,
     page_timeout_s: float,
     report: Callable[[HttpOutcome], None],
+    last_prefix: str = "",
 ) -> list[StoreRow] | None:
     """Return the rows whose keys begin with ``prefix``, or None if a call failed.
 
@@ -36,10 +37,12 @@
         Seconds until which the answer with each page must have begun.
     report : callable
         Called with the outcome of each call.
+    last_prefix : str
+        Beginning of the last keys, if rows of several prefixes are read together.
     """
     rows: list[StoreRow] = []
     # "~" is greater than all characters in the names of records.
-    end = f"&To={quote(prefix)}~" if prefix else ""
+    end = f"&To={quote(last_prefix or prefix)}~" if prefix else ""
     start = f"&From={quote(prefix)}" if prefix else ""
     failures = 0
     while True:
--- a/src/jackdawspread/tasks/fleet/acknowledgement_task.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_task.py
@@ -164,7 +164,9 @@
         now = self._boot_clock()
         # A freeze that has just ended shows as a lost permit.
         self._is_permitted()
-        self._evidence = add_evidence(self._evidence, event.epoch, event.as_of, now)
+        self._evidence = add_evidence(
+            self._evidence, event.epoch, event.as_of, now, event.epoch_age_s
+        )
         for state in event.states:
             self._apply(state, "evidence", waits)
         if is_epoch_settled(self._evidence, now):
