--- a/features/acknowledgement_decisions.feature
+++ b/features/acknowledgement_decisions.feature
@@ -93,6 +93,20 @@
       | 1             | 5     | 5.9   | no     |
       | 1             | 5     | 6     | yes    |
 
+  Scenario Outline: First evidence of an epoch that has lasted for a time
+    # Guards against an instance that verifies all commits for 6 s after its start, and
+    # against a permit while a lock of the epoch before may be held.
+    Given an instance whose registrations were acknowledged at "10"
+    When the first evidence as of 20 s, of an epoch that is <age> s old, is seen at 20.1 s
+    Then at 20.2 s it holds a permit: <permit>
+
+    Examples:
+      | age | permit |
+      | 0   | no     |
+      | 5.8 | no     |
+      | 6   | yes    |
+      | 900 | yes    |
+
   Scenario Outline: Evidence of several epochs
     # Guards against a permit while a lock of the epoch before the restore is held, and
     # against one from a late answer of that epoch.
--- a/features/steps/acknowledgement_decision_steps.py
+++ b/features/steps/acknowledgement_decision_steps.py
@@ -169,6 +169,15 @@
     context.evidence = add_evidence(context.evidence, epoch, as_of, now)
 
 
+@when(
+    "the first evidence as of {as_of:g} s, of an epoch that is {age:g} s old, is seen "
+    "at {now:g} s"
+)
+def first_evidence(context: Context, as_of: float, age: float, now: float) -> None:
+    """Begin with evidence that tells the age of the epoch."""
+    context.evidence = add_evidence(None, 1, as_of, now, age)
+
+
 @then("at {now:g} s it holds a permit: {expected}")
 def holds_permit(context: Context, now: float, expected: str) -> None:
     """Compare the permit."""
