--- a/features/configuration_keeper.feature
+++ b/features/configuration_keeper.feature
@@ -11,6 +11,15 @@
     Then version 5 is in use
     And its age is known
 
+  Scenario: The store corrects what a copy of the earlier version does not say
+    # Guards against a number of synchronous replicas that stays assumed until the next
+    # version, as the copy has the same revision.
+    Given an instance that has just started
+    When an instance of the earlier version announces version 3 and gives a copy of it
+    Then the groups in use have 1 synchronous replicas
+    When the store answers with version 3, whose groups have 0 synchronous replicas
+    Then the groups in use have 0 synchronous replicas
+
   Scenario: An instance starts after a restore, before the operator has written again
     # Guards against a confirmed change that comes back older at restarted instances.
     Given an instance that has just started
--- a/features/steps/configuration_keeper_steps.py
+++ b/features/steps/configuration_keeper_steps.py
@@ -2,12 +2,14 @@
 
 from math import inf
 from unittest import mock
+from zlib import compress
 
 from behave import given, then, when
 from behave.runner import Context
 from features.support.trio_thread import TrioThread
 from features.wire.platform_world import KEY, initial_configuration
 from msgspec.json import encode as encode_json
+from msgspec.msgpack import encode
 from trio import MemoryReceiveChannel, WouldBlock, current_time, open_memory_channel
 
 from jackdawspread.codecs.configuration_copies import (
@@ -430,3 +432,63 @@
     expected = {"admitted": OperationAdmitted, "refused": Refusal}[result]
     assert isinstance(answer, expected), answer
     assert result == "admitted" or answer.code == "busy", answer
+
+
+@when(
+    "an instance of the earlier version announces version {version:d} and gives a "
+    "copy of it"
+)
+def earlier_copy(context: Context, version: int) -> None:
+    """Give a copy that lacks the numbers of synchronous replicas."""
+    digest = _announce(context, "a", version)
+    context.fetches.receive_nowait()
+    configuration = _configuration(version)
+    groups = {name: group[:3] for name, group in configuration.group_by_name.items()}
+    changes = configuration_changes(EMPTY_CONFIGURATION, configuration)
+    copy = ConfigurationCopy(
+        digest.revision,
+        NO_REVISION,
+        digest.epoch,
+        digest.store_version,
+        digest.confirmed_s,
+        {},
+        compress(encode(changes._replace(group_by_name=groups))),
+    )
+    _deliver(context, ConfigurationFetched("a", copy))
+
+
+@when(
+    "the store answers with version {version:d}, whose groups have {count:d} "
+    "synchronous replicas"
+)
+def store_answers_replicas(context: Context, version: int, count: int) -> None:
+    """Report a complete answer."""
+    groups = {
+        name: group._replace(sync_replicas=count)
+        for name, group in _configuration(version).group_by_name.items()
+    }
+    configuration = _configuration(version)._replace(group_by_name=groups)
+    seen = StoredConfigurationSeen(
+        ConfigurationWay.READ,
+        configuration,
+        False,
+        configuration_revision(configuration),
+        {},
+        1,
+        version,
+        _now(context) + STORE_OFFSET_S,
+        _now(context) + BOOT_OFFSET_S,
+    )
+    _deliver(context, seen)
+
+
+@then("the groups in use have {count:d} synchronous replicas")
+def groups_in_use(context: Context, count: int) -> None:
+    """Read what the acknowledgement task was told, as the router was."""
+    reports = context.acknowledgements
+    seen = [
+        reports.receive_nowait()
+        for _ in range(reports.statistics().current_buffer_used)
+    ]
+    groups = seen[-1].configuration.group_by_name.values()
+    assert {group.sync_replicas for group in groups} == {count}, groups
