--- a/features/acknowledgement_decisions.feature
+++ b/features/acknowledgement_decisions.feature
@@ -93,7 +93,6 @@
       | 2     | 1,200         | 201   | 201   | yes    |
       | 2     | 1             | 5     | 5.9   | no     |
       | 2     | 1             | 5     | 6     | yes    |
-      | 1     | 1             | 1     | 1     | yes    |
       | 1     | 1             | 5     | 7.5   | no     |
 
   Scenario Outline: First evidence of an epoch that has lasted for a time
--- a/src/jackdawspread/decisions/acknowledgement/evidence.py
+++ b/src/jackdawspread/decisions/acknowledgement/evidence.py
@@ -2,8 +2,6 @@
 
 from typing import NamedTuple
 
-# Epoch of a store that was never restored.
-FIRST_EPOCH = 1
 # A lock of the epoch before is held for at most 5.5 s: 3 s, extended by a permit.
 EPOCH_DELAY_S = 6.0
 
@@ -52,6 +50,4 @@
 
 def is_epoch_settled(evidence: Evidence, now: float) -> bool:
     """Whether no lock of an earlier epoch can be held any more."""
-    if evidence.epoch <= FIRST_EPOCH:
-        return True
     return now >= evidence.epoch_seen_at + EPOCH_DELAY_S
