Fence acknowledgements in groups with synchronous replicas

No sender of a trigger set fences_acknowledgements, so no promotion of a running instance was fenced. The router sets it from SyncReplicas, as the acknowledgement task does, and the triggers of a withdrawal, which is for these groups only.

--- a/features/acknowledgement_fence.feature
+++ b/features/acknowledgement_fence.feature
@@ -154,3 +154,16 @@
       | m1          | m0,m1   | accepted                | another member claims to be the primary | m2     | compare; write open m1                                        |
       | m1          | m1      | accepted                | another member claims to be the primary | m2     | compare; write open m1                                        |
       | none        | m0      | accepted                | no request is outstanding               | m1,m2  | write open none                                               |
+
+  Scenario Outline: A trigger says whether its group needs a fence
+    # Guards against promotions that fence nothing although instances acknowledge by the
+    # promotion state, and against a wait of 2.5 s in groups that do not use it.
+    Given a router that knows a configuration in which the group has <replicas> synchronous replicas
+    When its list of members names no primary
+    Then its trigger says that the promotion fences acknowledgements: <fences>
+
+    Examples:
+      | replicas | fences |
+      | 0        | no     |
+      | 1        | yes    |
+      | unknown  | yes    |
--- a/features/steps/acknowledgement_fence_steps.py
+++ b/features/steps/acknowledgement_fence_steps.py
@@ -8,16 +8,20 @@
 from features.fakes.memory_records import MemoryRecords
 from features.fakes.replicated_group import PRIMARY, STORE_START_S, ReplicatedGroup
 from msgspec.json import encode
-from trio import run
+from trio import open_memory_channel, run
 from trio.testing import MockClock
 
 from jackdawspread.decisions.acknowledgement.promotion_state_of import promotion_state
 from jackdawspread.decisions.failover.promotion_lock import acquire_promotion_lock
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.instance_entry import InstanceEntry
+from jackdawspread.messages.fleet.member_group import MemberGroup
+from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.promotion_result import PromotionResult
 from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.messages.position import Position
+from jackdawspread.tasks.members.group_monitor import GroupMonitor
 
 TOLERANCE_S = 0.003
 # More calls than fit into the time of a lock.
@@ -250,3 +254,37 @@
 
     async def list(self, prefix: str) -> None:
         """Return no list."""
+
+
+@given(
+    "a router that knows a configuration in which the group has {replicas} synchronous "
+    "replicas"
+)
+def router_with_group(context: Context, replicas: str) -> None:
+    """Create the part of the router that sends triggers."""
+    context.send, context.triggers = open_memory_channel(10)
+    others = [open_memory_channel(10) for _ in range(2)]
+    # The receiving ends are kept, as a channel without one is broken.
+    context.others = others
+    context.monitor = GroupMonitor(context.send, others[0][0], others[1][0])
+    if replicas != "unknown":
+        group = MemberGroup("g", 16, sync_replicas=int(replicas))
+        context.monitor.update_groups({"g": group})
+
+
+@when("its list of members names no primary")
+def without_primary(context: Context) -> None:
+    """Apply lists with two replicas until the router reports it."""
+    listings = {
+        name: MemberListing(name, "g", f"10.0.0.{number}:80", "z1", 1, False, False)
+        for number, name in enumerate(("m1", "m2"))
+    }
+    for now in (100.0, 110.0):
+        context.monitor.update_members(MembersSeen(listings, now), now)
+
+
+@then("its trigger says that the promotion fences acknowledgements: {expected}")
+def trigger_fences(context: Context, expected: str) -> None:
+    """Compare the trigger."""
+    trigger = context.triggers.receive_nowait()
+    assert trigger.fences_acknowledgements == (expected == "yes"), trigger
--- a/src/jackdawspread/tasks/fleet/withdrawal_triggers.py
+++ b/src/jackdawspread/tasks/fleet/withdrawal_triggers.py
@@ -61,6 +61,7 @@
             False,
             "requests outstanding",
             withdraws_requests=True,
+            fences_acknowledgements=True,
         )
         try:
             self._failover.send_nowait(trigger)
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -1,5 +1,6 @@
 """Tracks the state of all member groups."""
 
+from collections.abc import Mapping
 from math import inf
 
 from absl import logging
@@ -20,6 +21,7 @@
 )
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.leadership_refused import LeadershipRefused
+from jackdawspread.messages.fleet.member_group import MemberGroup
 from jackdawspread.messages.fleet.member_observation import MemberObservation
 from jackdawspread.messages.fleet.member_unreachable import MemberUnreachable
 from jackdawspread.messages.fleet.members_seen import MembersSeen
@@ -69,6 +71,8 @@
         # Groups whose switchovers this instance begins.
         self._own_groups: frozenset[str] | None = None
         self._triggered_at_by_group: dict[str, float] = {}
+        # Groups in which commits are not confirmed by replicas.
+        self._asynchronous: frozenset[str] = frozenset()
 
     def state(self, group: str) -> GroupState:
         """Return the tracked state of a group."""
@@ -77,6 +81,12 @@
             state = GroupState(work_until_by_domain=self._work_until_by_domain)
         return state
 
+    def update_groups(self, group_by_name: Mapping[str, MemberGroup]) -> None:
+        """Note in which groups a promotion has to fence acknowledgements."""
+        self._asynchronous = frozenset(
+            group.name for group in group_by_name.values() if not group.sync_replicas
+        )
+
     def update_members(self, event: MembersSeen, now: float) -> None:
         """Apply a list of members to the state of all groups."""
         groups = {listing.group for listing in event.listing_by_id.values()}
@@ -169,6 +179,9 @@
         if trigger.reason == EVACUATED and not self._begins_switchover(group, now):
             return
         self._triggered_at_by_group[group] = now
+        # As in the acknowledgement task, an unknown group counts as synchronous.
+        fences = group not in self._asynchronous
+        trigger = trigger._replace(fences_acknowledgements=fences)
         try:
             self._failover_triggers.send_nowait(trigger)
         except WouldBlock:
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -225,6 +225,7 @@
     def _(self, event: ConfigurationSeen, now: float) -> None:
         if event.configuration is not None:
             self._limits.set_groups(event.configuration.group_by_name)
+            self._group_monitor.update_groups(event.configuration.group_by_name)
             self._apply_hosts()
 
     @_handle.register
