Add splits, stops, late answers and a switchover to the late promotions

Each scenario guards against one way in which a replica that nobody paused confirms commits between the comparison of logs and the effect of a promotion.

A random run executes seeded faults in series and overlapping, by hand: python -m features.wire.random_run 1 50 30.

--- a/features/process/late_promotions.feature
+++ b/features/process/late_promotions.feature
@@ -15,3 +15,61 @@
     And callers get further answers
     And the calls are executed
     Then callers can write again and no acknowledged write is lost
+
+  @known_red
+  Scenario: A primary that only other instances reach gets a replica before its end
+    # Guards against commits that a replica without a pause confirms until the effect.
+    When i1 is cut off from the primary and from the other instances
+    And a replacement is requested
+    And a replica joins
+    And the promotion takes effect
+    Then callers can write again and no acknowledged write is lost
+
+  Scenario: An instance stops between the comparison of logs and its call
+    # Guards against a promotion that rests on logs compared under an expired lock.
+    Given i1 stops after it has recorded a promotion
+    When i1 is cut off from the primary and from the other instances
+    And i1 has stopped
+    And a replica joins
+    And callers get further answers
+    And the other instances lose the primary and request a replacement
+    And i1 continues
+    Then callers can write again and no acknowledged write is lost
+
+  Scenario: Replicas answer a pause after its time limit
+    # Guards against a comparison with replicas that receive after the pause.
+    Given what m2 and m3 send to i1 arrives 450 ms late
+    When i1 is cut off from the primary and from the other instances
+    And callers get further answers
+    And a replica joins
+    And messages arrive in time again
+    And the promotion takes effect
+    Then callers can write again and no acknowledged write is lost
+
+  @known_red
+  Scenario: A primary answers a demotion after its time limit
+    # Guards against commits between the request of a promotion and a late demotion.
+    Given what i2 and i3 send to m1 arrives 200 ms late
+    When i1 is cut off from the primary
+    And a replacement is requested
+    And a replica joins
+    And the promotion takes effect
+    Then callers can write again and no acknowledged write is lost
+
+  Scenario: A connection stays open to a member that is no longer the primary
+    # Guards against the commit of a transaction that began before the promotion.
+    Given a transaction of i2 is open at the primary
+    When i1 is cut off from the primary and from the other instances
+    And the promotion takes effect
+    And the open transaction is committed
+    Then callers can write again and no acknowledged write is lost
+
+  @known_red
+  Scenario: A replica joins between the catch-up and the effect of a switchover
+    # Guards against commits that the chosen replica has not received at the effect.
+    When the primary leaves
+    And a replacement is requested
+    And a replica joins
+    And the requested replica is cut off from the primary
+    And the promotion takes effect
+    Then callers can write again and no acknowledged write is lost
--- a/features/wire/fault_links.py
+++ b/features/wire/fault_links.py
@@ -39,13 +39,17 @@
     def restore_all(self) -> None:
         """End all faults."""
         self._silent.clear()
-        self._delay_by_direction.clear()
+        self.end_delays()
         self._notify()
 
     def delay(self, sender: str, receiver: str, seconds: float) -> None:
         """Delay what is sent in one direction."""
         self._delay_by_direction[sender, receiver] = seconds
 
+    def end_delays(self) -> None:
+        """Send without delay in all directions."""
+        self._delay_by_direction.clear()
+
     async def transfer(self, sender: str, receiver: str) -> bool:
         """Wait until a message arrives; return false if its connection has ended."""
         if delay_s := self._delay_by_direction.get((sender, receiver), 0.0):
--- a/features/wire/process_fleet.py
+++ b/features/wire/process_fleet.py
@@ -72,6 +72,10 @@
         for name in self.names:
             self.wait(self.ledger.wait_for_acknowledged, 5, name)
 
+    def address(self, name: str) -> str:
+        """Return ``IP:port`` for the callers of an instance."""
+        return f"{self._ip(name)}:{self._ports[0]}"
+
     def call(self, function, *args):
         """Run a coroutine function in the thread of the stand-ins."""
         return self._thread.call(function, *args)
@@ -161,8 +165,8 @@
     async def _start_load(self) -> None:
         for name in self.names:
             for number in range(CALLERS):
-                address = f"{self._ip(name)}:{self._ports[0]}"
-                load = WriteLoad(f"{name}-{number}", name, address, KEY, self.ledger)
+                prefix, address = f"{name}-{number}", self.address(name)
+                load = WriteLoad(prefix, name, address, KEY, self.ledger)
                 self._loads.append(load)
                 self.nursery.start_soon(load.run)
 
--- a/features/wire/promotion_call.py
+++ b/features/wire/promotion_call.py
@@ -68,6 +68,11 @@
         while len(self.requests) < count:
             await self._requested.wait()
 
+    async def wait_for_request_or(self, count: int, seconds: float) -> None:
+        """Wait until so many requests have arrived in all, or for a time."""
+        with move_on_after(seconds):
+            await self.wait_for_request(count)
+
     async def _take_effect(self, token: int, member: str, effect_s: float) -> None:
         await sleep(effect_s)
         # A call with a higher token replaces one that has not taken effect.
--- /dev/null
+++ b/features/wire/random_run.py
@@ -0,0 +1,68 @@
+"""Runs seeded random faults: ``python -m features.wire.random_run FIRST LAST SECONDS``.
+
+Prints one line for each seed, and the logs of those with a fault.
+"""
+
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from features.wire.fault_step import FaultStep
+from features.wire.plan_faults import plan_faults
+from features.wire.process_fleet import ProcessFleet
+from features.wire.random_faults import RandomFaults
+from trio import TooSlowError
+
+# Bounds a hang only. A request without an answer may block a group for about 35 s.
+PROGRESS_TIMEOUT_S = 120.0
+ACKNOWLEDGED_AT_END = 30
+LOG_WORDS = ("succession:", "acknowledg", "term changed")
+
+
+def run_seed(seed: int, seconds: float) -> tuple[list[str], str, list[str]]:
+    """Return the faults of a run, its counts, and lines of the logs."""
+    with TemporaryDirectory() as folder:
+        fleet = ProcessFleet(Path(folder))
+        try:
+            fleet.start()
+            steps = plan_faults(seed, seconds)
+            found = _execute(fleet, steps, seconds)
+            ledger = fleet.ledger
+            counts = (
+                f"promotions={fleet.checker.promotions} "
+                f"acknowledged={len(ledger.instance_by_acknowledged)} "
+                f"not_run={len(ledger.not_run)} unknown={len(ledger.unknown)}"
+            )
+            return found, counts, fleet.log_lines(*LOG_WORDS) + list(map(str, steps))
+        finally:
+            fleet.close()
+
+
+def _execute(
+    fleet: ProcessFleet, steps: tuple[FaultStep, ...], seconds: float
+) -> list[str]:
+    faults = RandomFaults(fleet)
+    try:
+        fleet.wait(faults.run, steps, timeout_s=PROGRESS_TIMEOUT_S + seconds)
+        fleet.wait(
+            fleet.ledger.wait_for_acknowledged,
+            ACKNOWLEDGED_AT_END,
+            timeout_s=PROGRESS_TIMEOUT_S,
+        )
+    except TooSlowError:
+        return [*fleet.checker.faults, "no progress at the end"]
+    return fleet.finish()
+
+
+def main() -> None:
+    """Run a range of seeds."""
+    first, last, seconds = (int(text) for text in sys.argv[1:4])
+    for seed in range(first, last + 1):
+        faults, counts, lines = run_seed(seed, seconds)
+        print(f"seed={seed} {counts} faults={faults or 'none'}", flush=True)
+        if faults:
+            print(*lines, sep="\n", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/features/wire/replicated_group.py
+++ b/features/wire/replicated_group.py
@@ -58,10 +58,12 @@
         return member
 
     async def leave(self, member: ReplicatedMember, drain_s: float) -> None:
-        """List a member as draining, and remove it later."""
+        """List a member as draining, and remove it later if it does not lead."""
         member.is_leaving = True
         self.register()
         await sleep(drain_s)
+        while self.leader is member:
+            await self.changed.wait()
         if self.member_by_id.get(member.id) is member:
             self._remove(member)
             self._store.delete("servers", member.id)
@@ -98,6 +100,11 @@
         self.on_promotion(member)
         self.register()
 
+    async def wait_for_term(self, term: int) -> None:
+        """Wait until a member leads that term or a later one."""
+        while self.leader is None or self.term < term:
+            await self.changed.wait()
+
     def register(self) -> None:
         """Write the entries of all running members to the list."""
         for member in self.running:
