--- a/features/process/late_promotions.feature
+++ b/features/process/late_promotions.feature
@@ -82,3 +82,18 @@
     Examples: short run
       | seed | seconds |
       | 5    | 12      |
+
+  @known_red
+  Scenario Outline: Seed <seed> lost acknowledged writes: <cause>
+    # Guards against losses that random runs have found.
+    When the faults of seed <seed> happen for <seconds> s
+    Then callers can write again and no acknowledged write is lost
+
+    Examples: a replica joins after the request and confirms until its effect
+      | seed | seconds | cause                                      |
+      | 2    | 25      | the crashed primary returns meanwhile      |
+      | 3    | 4       | one instance is split from the others      |
+      | 4    | 17      | the primary leaves and one instance is cut |
+      | 6    | 10      | writes stall while replicas are paused     |
+      | 31   | 11      | the demotion through peers is not answered |
+      | 33   | 19      | writes stall and the demotion is lost      |
