Let stand-in members join and leave as the platform's do

A replica could receive from a crashed primary, a member could leave before any read of the list named it, and a call to the store was executed after seconds of silence, which a real connection does not survive.

--- a/features/process/late_promotions.feature
+++ b/features/process/late_promotions.feature
@@ -95,5 +95,16 @@
       | 3    | 4       | one instance is split from the others      |
       | 4    | 17      | the primary leaves and one instance is cut |
       | 6    | 10      | writes stall while replicas are paused     |
+      | 9    | 25      | one instance is split from the others      |
+      | 10   | 25      | one instance is split from the others      |
+      | 14   | 25      | writes stall and the demotion is lost      |
+      | 15   | 25      | the primary leaves                         |
       | 31   | 11      | the demotion through peers is not answered |
       | 33   | 19      | writes stall and the demotion is lost      |
+      | 34   | 25      | writes stall while replicas are paused     |
+      | 36   | 25      | the demotion through peers is not answered |
+      | 37   | 25      | writes stall while replicas are paused     |
+
+    Examples: not traced
+      | seed | seconds | cause                                      |
+      | 35   | 25      | several promotions in a row                |
--- a/features/wire/process_fleet.py
+++ b/features/wire/process_fleet.py
@@ -33,6 +33,7 @@
 CALLERS = 3
 START_TIMEOUT_S = 30.0
 STORE = "store"
+UNAVAILABLE = 503
 REGISTRATION = "instance-"
 
 
@@ -185,7 +186,8 @@
 
     async def _handle(self, name: str, request: HttpRequest) -> HttpResponse:
         """Handle a call of an instance to the platform."""
-        await self.links.transfer(name, STORE)
+        if not await self.links.transfer(name, STORE):
+            return HttpResponse(UNAVAILABLE, (), b"{}")
         if urlsplit(request.target).path == "/promote":
             status = await self.promotions.handle(request)
             response = HttpResponse(status, (), b"{}")
--- a/features/wire/random_faults.py
+++ b/features/wire/random_faults.py
@@ -21,6 +21,8 @@
 from trio import current_time, open_nursery, sleep, sleep_until, to_thread
 
 MIN_MEMBERS, MAX_MEMBERS = 3, 6
+# The platform's list names a member for a few reads before the member may leave.
+MIN_AGE_S = 3.0
 # Answers of members are awaited for 0.4 s.
 DELAY_S = 0.5
 Item = TypeVar("Item")
@@ -98,6 +100,8 @@
         is_small = len(self._group.running) <= MIN_MEMBERS
         if member is None or self._is_leaving or is_small:
             return
+        if current_time() < member.started_at + MIN_AGE_S:
+            return
         self._is_leaving = True
         await self._group.leave(member, step.duration_s)
         self._is_leaving = False
--- a/features/wire/replicated_group.py
+++ b/features/wire/replicated_group.py
@@ -43,13 +43,15 @@
 
     async def start(self, count: int) -> None:
         """Start the first members."""
-        for _ in range(count):
-            await self.join()
-        self.leader = self.running[0]
+        self.leader = await self.join()
         self.register()
+        for _ in range(count - 1):
+            await self.join()
 
     async def join(self) -> ReplicatedMember:
         """Start a replica with a new address, which receives before it is listed."""
+        while self.running and (self.leader is None or not self.leader.is_running):
+            await self.changed.wait()
         (listener,) = await open_tcp_listeners(0, host="127.0.0.1")
         member = ReplicatedMember(self._next_id(), self, listener)
         if self.leader is not None:
--- a/features/wire/replicated_member.py
+++ b/features/wire/replicated_member.py
@@ -13,6 +13,7 @@
     ClosedResourceError,
     SocketListener,
     SocketStream,
+    current_time,
     open_nursery,
     sleep,
 )
@@ -41,6 +42,7 @@
         self.is_leaving = False
         self.is_running = True
         self.connections = 0
+        self.started_at = current_time()
         host, port = listener.socket.getsockname()[:2]
         self.address = f"{host}:{port}"
         self._listener = listener
