--- a/features/process/late_promotions.feature
+++ b/features/process/late_promotions.feature
@@ -99,12 +99,19 @@
       | 10   | 25      | one instance is split from the others      |
       | 14   | 25      | writes stall and the demotion is lost      |
       | 15   | 25      | the primary leaves                         |
+      | 16   | 25      | one instance is split from the others      |
+      | 17   | 6       | the demotion through peers is not answered |
+      | 19   | 6       | the demotion through peers is not answered |
+      | 20   | 25      | promotion calls are executed late          |
+      | 23   | 25      | the demotion through peers is not answered |
+      | 25   | 25      | the demotion through peers is not answered |
       | 31   | 11      | the demotion through peers is not answered |
       | 33   | 19      | writes stall and the demotion is lost      |
       | 34   | 25      | writes stall while replicas are paused     |
       | 36   | 25      | the demotion through peers is not answered |
       | 37   | 25      | writes stall while replicas are paused     |
-
-    Examples: not traced
-      | seed | seconds | cause                                      |
-      | 35   | 25      | several promotions in a row                |
+      | 35   | 25      | an earlier request forbids the demotion    |
+      | 43   | 6       | one instance is split from the others      |
+      | 45   | 6       | one instance is split from the others      |
+      | 46   | 25      | the demotion through peers is not answered |
+      | 49   | 25      | the demotion through peers is not answered |
--- a/features/wire/process_fleet.py
+++ b/features/wire/process_fleet.py
@@ -54,6 +54,8 @@
         self._reserved, self._block = _reserve_block()
         self.names = [f"i{number + 1}" for number in range(instances)]
         self.process_by_name: dict[str, InstanceProcess] = {}
+        # Also those that have ended, whose logs are kept.
+        self._started: list[tuple[str, InstanceProcess]] = []
         self.links = FaultLinks()
         self.ledger = WriteLedger()
         self.store = TableStore(lambda service, member: 404)
@@ -127,7 +129,7 @@
         """Return the lines of all instances that contain one of the words, by time."""
         return sorted(
             f"{line[:23]} {name} {line[24:]}"
-            for name, process in self.process_by_name.items()
+            for name, process in self._started
             for line in process.log.splitlines()
             if any(word in line for word in words)
         )
@@ -225,10 +227,11 @@
             "CloudApi.Address": self._store_address_by_name[name],
             "Bootstrap": "true" if is_first_start else "false",
         }
-        folder = self._folder / name
-        folder.mkdir(exist_ok=True)
+        folder = self._folder / f"{name}-{len(self._started)}"
+        folder.mkdir()
         process = InstanceProcess(folder, settings)
         self.process_by_name[name] = process
+        self._started.append((name, process))
         self.run(self.group.instance_by_pid.__setitem__, process.pid, name)
 
     def _ip(self, name: str, pattern: str = INSTANCE_IP) -> str:
