--- a/features/acknowledgement_decisions.feature
+++ b/features/acknowledgement_decisions.feature
@@ -42,7 +42,7 @@
       | 5     | 1     | 9       | 4          | 2          | 10           | c    | known | b           |
       | 5     | 1     | 9       | 5          | 2          | 3            | c    | seen  | b,c         |
       | 5     | 1     | 9       | 5          | 2          | 3            | none | seen  | b           |
-      | 5     | 1     | 9       | 2000       | 2          | 3            | none | seen  | none        |
+      | 5     | 1     | 9       | 2000       | 2          | 3            | none | seen  | b           |
       | 5     | 2     | 9       | 5          | 1          | 20           | c    | known | b           |
 
   Scenario Outline: A suspension ends with the lock
@@ -109,6 +109,20 @@
       | 6   | yes    |
       | 900 | yes    |
 
+  Scenario Outline: A restored store may have forgotten a registration
+    # Guards against a promotion that does not ask an instance, because the copy of the
+    # store is older than its registration.
+    Given an instance that registered at <since> s and again at <renewed> s
+    And a store that was restored at 100 s, and evidence as of <as_of> s
+    Then at <as_of> s it holds a permit: <permit>
+
+    Examples:
+      | since | renewed | as_of | permit |
+      | 65    | 99      | 110   | yes    |
+      | 75    | 99      | 110   | no     |
+      | 99    | 99      | 110   | no     |
+      | 99    | 120     | 125   | yes    |
+
   Scenario Outline: Evidence of several epochs
     # Guards against a permit while a lock of the epoch before the restore is held, and
     # against one from a late answer of that epoch.
--- a/features/acknowledgements.feature
+++ b/features/acknowledgements.feature
@@ -129,6 +129,17 @@
     And 420 ms pass
     Then the commit is in doubt as "not known to be received by c"
 
+  Scenario: A commit that was sent during a suspension whose request was not seen
+    # Guards against a commit of the former primary, sent just after the announcement of
+    # the suspension: the end of the attempt names the same token and no request.
+    Given an instance that holds a permit
+    And c has received the log up to 3.6
+    When the state "token 5 suspended" is announced
+    And 5 ms pass
+    And a is sent a commit, and answers it at 3.7 after the state "token 5 promoted b" was announced
+    And 420 ms pass
+    Then the commit is in doubt as "not known to be received by c"
+
   Scenario: A request that becomes outstanding during a verification counts too
     # Guards against a decision that was made before the last state.
     Given an instance that holds a permit
@@ -177,6 +188,7 @@
     And 420 ms pass
     Then the commit is in doubt as "not known to be received by b"
     When 5600 ms pass
+    And it registers in the epoch 2
     And the store is read in the epoch 2
     And a answers a commit at 3.7
     Then the commit is acknowledged by "permit:0:0ms"
@@ -268,8 +280,8 @@
     Examples:
       | state                         | ms   | count |
       | token 5 requested b           | 290  | 0     |
-      | token 5 requested b           | 310  | 1     |
-      | token 5 requested b           | 2350 | 3     |
+      | token 5 requested b           | 1810 | 1     |
+      | token 5 requested b           | 3850 | 3     |
       | token 5 requested a           | 2350 | 0     |
       | token 5 promoted b            | 2350 | 0     |
       | token 5 suspended requested b | 2350 | 0     |
@@ -282,7 +294,7 @@
     And 2000 ms pass
     Then 0 withdrawals of the primary a were triggered
     When the listed members are "a,b,c"
-    And 310 ms pass
+    And 1810 ms pass
     Then 1 withdrawals of the primary a were triggered
 
   Scenario Outline: Acknowledged commits that a promotion has lost are reported
--- a/features/fakes/acknowledging_instance.py
+++ b/features/fakes/acknowledging_instance.py
@@ -83,10 +83,10 @@
         self.thread.call(self._send, event)
         self.thread.advance(0)
 
-    def register(self) -> None:
+    def register(self, epoch: int = 1) -> None:
         """Report a registration."""
         now = self.now()
-        self.send(InstanceRegistered(now, now))
+        self.send(InstanceRegistered(now, now, epoch))
 
     def gain_permit(self, *states: PromotionState) -> None:
         """Register, and read the store until its epoch is settled."""
--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -115,6 +115,7 @@
         roster: frozenset[str],
         outstanding: tuple[str, ...] = (),
         log_end: Position | None = None,
+        extension_s: float = 0.0,
     ) -> HeldPromotionLock:
         """Record the member that the attempt will promote."""
         self.chosen = member
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -244,6 +244,7 @@
         roster: frozenset[str],
         outstanding: tuple[str, ...] = (),
         log_end: Position | None = None,
+        extension_s: float = 0.0,
     ) -> HeldPromotionLock:
         """Accept the record of the chosen member."""
         recorded = record_ordered_member(
--- a/features/session_acknowledgements.feature
+++ b/features/session_acknowledgements.feature
@@ -14,8 +14,8 @@
 
     Examples:
       | kind                  | writable | confirmed | answer                            | run                | asked           | told                      | position |
-      | write                 | yes      | yes       | done permit                       | write              | writable,commit | confirmed 3.7             | 3.7      |
-      | write                 | yes      | no        | indoubt unknown: no permit        | write              | writable,commit | unconfirmed 3.7           | 3.7      |
+      | write                 | yes      | yes       | done permit                       | write              | writable,writable,commit | confirmed 3.7    | 3.7      |
+      | write                 | yes      | no        | indoubt unknown: no permit        | write              | writable,writable,commit | unconfirmed 3.7  | 3.7      |
       | write                 | no       | yes       | busy not_run: suspended           | nothing            | writable        | nothing                   | none     |
       | read                  | no       | no        | done                              | read               | nothing         | nothing                   | none     |
       | writing transaction   | yes      | yes       | done permit                       | begin,write,commit | writable,commit | begun 3.7,confirmed 3.7   | 3.7      |
--- a/features/steps/acknowledgement_decision_steps.py
+++ b/features/steps/acknowledgement_decision_steps.py
@@ -159,7 +159,7 @@
     """Apply registrations that were sent at the time of their acknowledgement."""
     context.registration = None
     for at in () if times == "never" else map(float, times.split(",")):
-        event = InstanceRegistered(at, at)
+        event = InstanceRegistered(at, at, epoch=2)
         context.registration = renew(context.registration, event)
 
 
@@ -184,6 +184,20 @@
     context.evidence = add_evidence(None, 1, as_of, now, age)
 
 
+@given("an instance that registered at {since:g} s and again at {renewed:g} s")
+def registered_twice(context: Context, since: float, renewed: float) -> None:
+    """Register before a restore, and again after it."""
+    first = renew(None, InstanceRegistered(since, since, epoch=1))
+    epoch = 2 if renewed > 100 else 1
+    context.registration = renew(first, InstanceRegistered(renewed, renewed, epoch))
+
+
+@given("a store that was restored at {seen:g} s, and evidence as of {as_of:g} s")
+def restored(context: Context, seen: float, as_of: float) -> None:
+    """Set evidence of the second epoch."""
+    context.evidence = Evidence(2, seen, as_of)
+
+
 @then("at {now:g} s it holds a permit: {expected}")
 def holds_permit(context: Context, now: float, expected: str) -> None:
     """Compare the permit."""
--- a/features/steps/acknowledgement_fence_steps.py
+++ b/features/steps/acknowledgement_fence_steps.py
@@ -244,7 +244,8 @@
     assert record.get("outstanding", []) == names(members), record
     states = group.announced.received["i2"]
     if states:
-        id, state = states[-1]
+        # Datagrams may arrive in another order.
+        id, state = max(states, key=lambda received: received[1].version)
         assert id == 0 and not state.is_suspended, state
         assert state.outstanding == tuple(names(members)), state
 
--- a/features/steps/acknowledgement_task_steps.py
+++ b/features/steps/acknowledgement_task_steps.py
@@ -40,7 +40,9 @@
     """Return the state for a text such as ``token 5 compared 3.7 requested b``."""
     words = text.split()
     token = int(words[1])
-    state = PromotionState(GROUP, 1, 10 * token + ENDED_VERSION, token)
+    state = PromotionState(
+        GROUP, 1, 10 * token + ENDED_VERSION, token, fenced_token=token
+    )
     for word, version in VERSION_BY_WORD.items():
         if word in words:
             state = state._replace(version=10 * token + version)
@@ -181,6 +183,12 @@
     context.instance.read(epoch=epoch)
 
 
+@when("it registers in the epoch {epoch:d}")
+def registers_in(context: Context, epoch: int) -> None:
+    """Report a registration in a restored store."""
+    context.instance.register(epoch)
+
+
 @when("the log lines are collected")
 def collect(context: Context) -> None:
     """Collect log lines from now on."""
--- a/features/steps/promotion_state_steps.py
+++ b/features/steps/promotion_state_steps.py
@@ -450,7 +450,7 @@
 ) -> None:
     """Compare the whole state."""
     log_end = Position(term, sequence)
-    expected = PromotionState("g", 1, 3, 7, True, (member,), member, log_end)
+    expected = PromotionState("g", 1, 3, 7, True, (member,), member, log_end, 7)
     assert context.seen[name][-1].states == (expected,), context.seen[name]
     assert set(context.fleet.reads) != {name}
 
@@ -458,7 +458,9 @@
 # The datagrams
 
 IDLE = PromotionState("g", 4, 17)
-BUSY = PromotionState("h", 4, 18, 2**34, True, ("m1", "m2"), "m2", Position(3, 9))
+BUSY = PromotionState(
+    "h", 4, 18, 2**34, True, ("m1", "m2"), "m2", Position(3, 9), 2**33
+)
 MESSAGE_BY_TEXT = {
     "relayed states": PromotionStatesRelayed("i1", 4, 1.5, (IDLE, BUSY)),
     "an idle state": PromotionAnnounced(3, IDLE),
--- a/src/jackdawspread/decisions/acknowledgement/group_view.py
+++ b/src/jackdawspread/decisions/acknowledgement/group_view.py
@@ -14,8 +14,8 @@
     state : PromotionState
         The state.
     changed_at : float
-        Time in seconds of the boot-time clock at which the token or the outstanding
-        members last changed.
+        Time in seconds of the boot-time clock at which a suspension began or ended, or
+        the requests changed.
     """
 
     state: PromotionState
@@ -24,8 +24,13 @@
 
 def replace_state(view: GroupView, state: PromotionState, now: float) -> GroupView:
     """Return the view with another state at ``now`` (boot-time clock, seconds)."""
-    is_changed = (state.token, state.outstanding) != (
-        view.state.token,
-        view.state.outstanding,
-    )
+    is_changed = _requests(state) != _requests(view.state)
     return GroupView(state, now if is_changed else view.changed_at)
+
+
+def _requests(state: PromotionState) -> tuple[int, bool, tuple[str, ...]]:
+    """Return what decides whether a promotion may lose a commit that is under way.
+
+    A suspension may hide a request until it ends.
+    """
+    return state.fenced_token, state.is_suspended, state.outstanding
--- a/src/jackdawspread/decisions/acknowledgement/newer_state.py
+++ b/src/jackdawspread/decisions/acknowledgement/newer_state.py
@@ -22,7 +22,7 @@
         return known._replace(is_suspended=is_suspended)
     if _rank(seen) < _rank(known):
         return known
-    if seen.epoch > known.epoch and seen.token == known.token:
+    if seen.epoch > known.epoch:
         # A restored store may have forgotten the newest requests.
         outstanding = sorted({*known.outstanding, *seen.outstanding})
         return seen._replace(outstanding=tuple(outstanding))
--- a/src/jackdawspread/decisions/acknowledgement/permit.py
+++ b/src/jackdawspread/decisions/acknowledgement/permit.py
@@ -4,6 +4,7 @@
 from jackdawspread.decisions.acknowledgement.registration import (
     Registration,
     is_registered,
+    survives_restore,
 )
 
 # Covers two reads of the store, one each second, and the delay of a lost datagram. A
@@ -26,4 +27,5 @@
         and is_epoch_settled(evidence, now)
         and registration.since <= evidence.as_of
         and is_registered(registration, now)
+        and survives_restore(registration, evidence.epoch, evidence.epoch_seen_at)
     )
--- a/src/jackdawspread/decisions/acknowledgement/promotion_state_of.py
+++ b/src/jackdawspread/decisions/acknowledgement/promotion_state_of.py
@@ -28,4 +28,5 @@
         outstanding_requests(record),
         record["ordered"],
         Position(*log_end) if log_end is not None else None,
+        record.get("fenced_token", record["token"]),
     )
--- a/src/jackdawspread/decisions/failover/acknowledgement_suspension.py
+++ b/src/jackdawspread/decisions/failover/acknowledgement_suspension.py
@@ -15,6 +15,7 @@
     """Return the record of a holder that is about to compare logs."""
     suspended = record.copy()
     suspended["suspended"] = True
+    suspended["fenced_token"] = record["token"]
     return _extend(suspended)
 
 
--- a/src/jackdawspread/decisions/failover/promotion_lock.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection
 
+from jackdawspread.decisions.acknowledgement.permit import PERMIT_S
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
 from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.messages.position import Position
@@ -24,12 +25,12 @@
 ) -> PromotionLockRecord | None:
     """Return the record that acquires the lock, None if it may be in use.
 
-    Until a lock from before a restore of the store has expired, no instance acquires
-    one: the record may not show it.
+    Until a lock from before a restore of the store has expired, which a fence may have
+    extended, no instance acquires one: the record may not show it.
     """
     if (
         is_held(record, store_time_s)
-        or store_time_s < epoch.began_s + PROMOTION_LOCK_TTL_S
+        or store_time_s < epoch.began_s + PROMOTION_LOCK_TTL_S + PERMIT_S
     ):
         return None
     acquired = record.copy()
@@ -71,6 +72,7 @@
     """
     ordered = record.copy()
     ordered["ordered"] = member
+    ordered["fenced_token"] = record["token"]
     is_repeated = outstanding[-1:] == (member,)
     ordered["outstanding"] = [*outstanding, *(() if is_repeated else (member,))]
     # Instances of earlier versions end requests 30 s after this time.
--- a/src/jackdawspread/decisions/failover/promotion_lock_record.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock_record.py
@@ -37,6 +37,9 @@
     suspended : bool
         Whether the holder is comparing logs, so that no commit may be acknowledged
         until it releases the lock or the lock expires. Missing if it is not.
+    fenced_token : int
+        Token of the last attempt that suspended acknowledgements or recorded a request.
+        Records of earlier versions lack it.
     log_end : list of int
         Term and sequence at which the log of ``ordered`` ended when logs were compared.
         Missing if its log went on growing, and in records of earlier versions.
@@ -53,4 +56,5 @@
     blocked_since: NotRequired[float]
     blocked_at: NotRequired[float]
     suspended: NotRequired[bool]
+    fenced_token: NotRequired[int]
     log_end: NotRequired[list[int]]
--- a/src/jackdawspread/messages/fleet/instance_registered.py
+++ b/src/jackdawspread/messages/fleet/instance_registered.py
@@ -12,7 +12,10 @@
         Time in seconds of the boot-time clock at which the write was sent.
     acknowledged_at : float
         Time in seconds of the boot-time clock at which the store's answer was known.
+    epoch : int
+        Epoch of the store that has the registration.
     """
 
     at: float
     acknowledged_at: float
+    epoch: int = 0
--- a/src/jackdawspread/messages/fleet/promotion_state.py
+++ b/src/jackdawspread/messages/fleet/promotion_state.py
@@ -27,6 +27,8 @@
     log_end : Position or None
         End of the log of ``last_requested`` when logs were compared; None if its log
         went on growing.
+    fenced_token : int
+        Token of the last attempt that suspended acknowledgements or recorded a request.
     """
 
     group: str
@@ -37,3 +39,4 @@
     outstanding: tuple[str, ...] = ()
     last_requested: str = ""
     log_end: Position | None = None
+    fenced_token: int = 0
--- a/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
@@ -124,8 +124,8 @@
         """End the wait, as the primary was demoted: nobody can acknowledge."""
         self._wait_ended.set()
 
-    def announce_end(self, written: HeldPromotionLock | None) -> None:
-        """Announce the state after the attempt once, if it is known and was changed."""
+    def announce(self, written: HeldPromotionLock | None) -> None:
+        """Announce a written state once, if the attempt has fenced acknowledgements."""
         if written is not None and self._has_written:
             self._send(AnnouncePromotion(self._state(written), {}, inf, None))
 
--- a/src/jackdawspread/tasks/fleet/acknowledgement_task.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_task.py
@@ -69,6 +69,8 @@
 # A member that lacks one commit lacks the next ones too, whose outcome would also be
 # unknown.
 HOLD_AFTER_FAILURE_S = 0.5
+# Longer than the lock of an attempt that withdraws requests.
+WITHDRAWAL_S = 8.0
 SUSPENDED = "a promotion is being decided"
 UNVERIFIED = "a member has not received the last commits"
 
@@ -106,7 +108,7 @@
         self._instance = instance
         self._boot_clock = boot_clock
         self._log = AcknowledgementLog()
-        self._triggers = WithdrawalTriggers(failover, self._primary_to_keep)
+        self._triggers = WithdrawalTriggers(instance, failover, self._primary_to_keep)
         self._evidence: Evidence | None = None
         self._registration: Registration | None = None
         self._view_by_group: dict[str, GroupView] = {}
@@ -151,6 +153,9 @@
         self._apply(announced.state, "announcement", waits)
         if event.reply_to is not None:
             event.reply_to.send_nowait(True)
+        # A group that counts as asynchronous here is acknowledged whatever its state.
+        if announced.state.group in self._asynchronous:
+            return
         if announced.id and event.peer:
             reply = PromotionAnnouncementReceived(announced.id, self._instance)
             try:
@@ -236,6 +241,11 @@
             return ""
         listings = self._listings_by_group.get(group, {}).values()
         primaries = [listing.id for listing in listings if listing.claims_primary]
+        if state.outstanding[-1:] == tuple(primaries):
+            # A withdrawal is in progress, unless its holder has died.
+            begun_at = self._view(group).changed_at
+            if self._boot_clock() < begun_at + WITHDRAWAL_S:
+                return ""
         # With two claims one entry is out of date, and the next list shows which.
         if len(primaries) != 1 or not set(state.outstanding) - set(primaries):
             return ""
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -8,6 +8,7 @@
 from jackdawspread.decisions.evacuations.evacuated_members import mark_evacuated
 from jackdawspread.decisions.failover.acknowledgement_suspension import (
     end_suspension,
+    take_back_extension,
 )
 from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
@@ -20,6 +21,7 @@
     MIN_LOGS,
     replicas_to_query,
 )
+from jackdawspread.decisions.failover.promotion_lock import PROMOTION_LOCK_TTL_S
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
@@ -38,7 +40,10 @@
 from jackdawspread.tasks.fleet.attempt_result import AttemptResult
 from jackdawspread.tasks.fleet.failover_selection import FailoverSelection
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
-from jackdawspread.tasks.fleet.promotion_effect import PromotionEffect
+from jackdawspread.tasks.fleet.promotion_effect import (
+    EFFECT_DELAY_S,
+    PromotionEffect,
+)
 from jackdawspread.tasks.fleet.promotion_lock_client import (
     PromotionLockClient,
     promotion_lock_name,
@@ -233,6 +238,7 @@
                 plan.roster,
                 outstanding,
                 _log_end(trigger, plan),
+                EFFECT_DELAY_S if plan.repeats_request else 0.0,
             )
         if recorded is None:
             is_resumed = await self._resume(resumable, fence.lock)
@@ -240,6 +246,7 @@
             # A member that was required was not requested.
             lock = fence.lock._replace(record=acquired.record)
             return AttemptResult(reason, lock, is_resumed)
+        fence.announce(recorded)
         is_resumed = True
         if plan.repeats_request:
             # Requests for the present primary have no effect, so no pause is needed.
@@ -281,7 +288,7 @@
         if lock is None:
             return
         if result.is_resumed:
-            fence.announce_end(await self._locks.release(lock, roster))
+            fence.announce(await self._locks.release(lock, roster))
             return
         logging.warning(
             "succession: lock left to expire, replicas may be resumed late name=%s",
@@ -290,7 +297,7 @@
         record = record_blocked(lock.record, roster) if roster else lock.record.copy()
         record["until"] = fence.lock.record["until"]
         written = await self._locks.update(lock._replace(record=end_suspension(record)))
-        fence.announce_end(written)
+        fence.announce(written)
 
     async def _end_requests(
         self,
@@ -326,9 +333,13 @@
                 plan.member,
                 lock.name,
             )
-        record = record_outstanding(lock.record, left)
-        written = await self._locks.update(lock._replace(record=end_suspension(record)))
-        fence.announce_end(written)
+        record = end_suspension(record_outstanding(lock.record, left))
+        if plan.repeats_request and is_shown:
+            # The lock is held as long after the call as that of a promotion.
+            unused_s = lock.held_until - seconds_since_boot() - PROMOTION_LOCK_TTL_S
+            record = take_back_extension(record, max(unused_s + EFFECT_DELAY_S, 0.0))
+        written = await self._locks.update(lock._replace(record=record))
+        fence.announce(written)
         return is_shown
 
     async def _update(
@@ -337,7 +348,7 @@
         """End the suspension of an attempt whose request is outstanding."""
         if fence.has_written:
             record = end_suspension(lock.record)
-            fence.announce_end(await self._locks.update(lock._replace(record=record)))
+            fence.announce(await self._locks.update(lock._replace(record=record)))
 
     async def _resume(
         self, paused: tuple[MemberListing, ...], lock: HeldPromotionLock
--- a/src/jackdawspread/tasks/fleet/instance_directory.py
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -112,7 +112,9 @@
         if outcome.status is not RecordStatus.DONE:
             return False
         received_at = seconds_since_boot()
-        await self._acknowledgements.send(InstanceRegistered(sent_at, received_at))
+        await self._acknowledgements.send(
+            InstanceRegistered(sent_at, received_at, outcome.epoch)
+        )
         if outcome.store_time_s:
             sample = StoreClockSampled(outcome.store_time_s, sent_at, received_at)
             await self._promotions.send(sample)
--- a/src/jackdawspread/tasks/fleet/promotion_lock_client.py
+++ b/src/jackdawspread/tasks/fleet/promotion_lock_client.py
@@ -2,6 +2,7 @@
 
 from absl import logging
 from msgspec.json import encode
+from trio import sleep
 
 from jackdawspread.decisions.failover.blocked_promotion import record_blocked
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
@@ -21,6 +22,7 @@
 
 # Time before the expiry of the lock that is reserved for resuming paused members.
 RESUME_RESERVE_S = 1.0
+REFUSED_RETRY_DELAY_S = 0.1
 
 
 def promotion_lock_name(group: str) -> str:
@@ -99,26 +101,33 @@
         roster: frozenset[str],
         outstanding: tuple[str, ...] = (),
         log_end: Position | None = None,
+        extension_s: float = 0.0,
     ) -> HeldPromotionLock | None:
         """Record the member that the holder will promote; None if that fails.
 
         ``term`` is the term under which replicas were paused, and ``roster`` names the
         members that may hold an acknowledged commit. ``outstanding`` are the members
         of earlier requests that may still be executed, and ``log_end`` is the end of
-        the member's log when logs were compared.
+        the member's log when logs were compared. The lock is extended by
+        ``extension_s``.
         """
         record = record_ordered_member(
             lock.record, member, term, roster, outstanding, log_end
         )
+        record["until"] += extension_s
         deadline = lock.held_until - RESUME_RESERVE_S
         outcome = await self._write(lock, record, deadline)
         if outcome.status is not RecordStatus.DONE:
             return None
-        return lock._replace(version=outcome.version, record=record)
+        return lock._replace(
+            version=outcome.version,
+            record=record,
+            held_until=lock.held_until + extension_s,
+        )
 
     async def update(self, lock: HeldPromotionLock) -> HeldPromotionLock | None:
         """Write the record of a lock that stays held; None if that fails."""
-        outcome = await self._write(lock, lock.record, lock.held_until)
+        outcome = await self._write_end(lock, lock.record)
         if outcome.status is not RecordStatus.DONE:
             logging.info("succession: record not updated name=%s", lock.name)
             return None
@@ -136,12 +145,29 @@
         """
         record = record_blocked(lock.record, roster) if roster else lock.record
         record = release_promotion_lock(record)
-        outcome = await self._write(lock, record, lock.held_until)
+        outcome = await self._write_end(lock, record)
         if outcome.status is not RecordStatus.DONE:
             logging.info("succession: promotion lock not released name=%s", lock.name)
             return None
         return lock._replace(version=outcome.version, record=record)
 
+    async def _write_end(
+        self, lock: HeldPromotionLock, record: PromotionLockRecord
+    ) -> RecordOutcome:
+        """Write the record after an attempt; repeat it while the store refuses.
+
+        Until it is written, or the lock expires, the group may be suspended.
+        """
+        while True:
+            outcome = await self._write(lock, record, lock.held_until)
+            retry_at = seconds_since_boot() + REFUSED_RETRY_DELAY_S
+            if (
+                outcome.status is not RecordStatus.REFUSED
+                or retry_at >= lock.held_until
+            ):
+                return outcome
+            await sleep(REFUSED_RETRY_DELAY_S)
+
     async def _write(
         self, lock: HeldPromotionLock, record: PromotionLockRecord, deadline: float
     ) -> RecordOutcome:
--- a/src/jackdawspread/tasks/fleet/withdrawal_triggers.py
+++ b/src/jackdawspread/tasks/fleet/withdrawal_triggers.py
@@ -1,6 +1,7 @@
 """Triggers the withdrawal of promotion requests that are left outstanding."""
 
 from collections.abc import Callable
+from zlib import crc32
 
 from absl import logging
 from trio import MemorySendChannel, WouldBlock, sleep
@@ -10,6 +11,9 @@
 
 # An attempt that is in progress usually ends within this time.
 FIRST_DELAY_S = 0.3
+# The first triggers of the instances are spread over this time, as one of them begins a
+# withdrawal that the others learn of.
+SPREAD_S = 1.5
 INTERVAL_S = 1.0
 
 
@@ -20,6 +24,8 @@
 
     Parameters
     ----------
+    instance : str
+        Id of this instance.
     failover : trio.MemorySendChannel
         Inbox of the failover task, which runs one attempt a group at a time.
     find_primary : callable
@@ -29,9 +35,11 @@
 
     def __init__(
         self,
+        instance: str,
         failover: MemorySendChannel[FailoverEvent],
         find_primary: Callable[[str], str],
     ) -> None:
+        self._instance = instance
         self._failover = failover
         self._find_primary = find_primary
         self._groups: set[str] = set()
@@ -46,7 +54,8 @@
     async def run(self, group: str) -> None:
         """Send triggers until no request has to be withdrawn."""
         try:
-            await sleep(FIRST_DELAY_S)
+            share = crc32(f"{self._instance} {group}".encode()) / 2**32
+            await sleep(FIRST_DELAY_S + SPREAD_S * share)
             while primary := self._find_primary(group):
                 self._send(group, primary)
                 await sleep(INTERVAL_S)
