Test the repairs of the withdrawal and of accepted calls

Scenarios: an earlier request that is executed during the fence of a withdrawal, one that takes effect 0.6 s or 1.4 s after the withdrawal was accepted, and an accepted call of which a copy is unanswered.

--- a/features/acknowledgement_fence.feature
+++ b/features/acknowledgement_fence.feature
@@ -155,6 +155,32 @@
       | m1          | m1      | accepted                | another member claims to be the primary | m2     | compare; write open m1                                        |
       | none        | m0      | accepted                | no request is outstanding               | m1,m2  | write open none                                               |
 
+  Scenario: An earlier request is executed during the fence of a withdrawal
+    # Guards against a call that makes a replaced primary lead again: commits of the
+    # member that has led since are lost (fault 15 of spec/README.md).
+    Given a group whose attempts fence acknowledgements at "i1=0,i2=0,i3=0"
+    And outstanding requests "m1" from before, for which "m1,m2" rest paused
+    And the request for "m1" is executed during the fence
+    When an attempt is made to withdraw requests
+    Then no call was made and the outcome is "another member claims to be the primary"
+    And the record was written and calls were made in the order "compare; write open m1,m0; compare; write open m1"
+    And the last state announced is not suspended and has the outstanding requests "m1"
+
+  Scenario Outline: A request that was accepted just before a withdrawal takes effect
+    # Guards against commits that are acknowledged through any replica because the request
+    # counts as ended, although the platform executes it some hundred milliseconds later.
+    Given a group whose attempts fence acknowledgements at "i1=0,i2=0,i3=0"
+    And outstanding requests "m1" from before, for which "m1,m2" rest paused
+    And the request for "m1" is executed <delay> s after the next call
+    When an attempt is made to withdraw requests
+    Then the outcome is "promotion accepted member=m0" and "m2" rest paused
+    And the last state announced is not suspended and has the outstanding requests "m1,m0"
+
+    Examples:
+      | delay |
+      | 0.6   |
+      | 1.4   |
+
   Scenario Outline: A trigger says whether its group needs a fence
     # Guards against promotions that fence nothing although instances acknowledge by the
     # promotion state, and against a wait of 2.5 s in groups that do not use it.
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -52,6 +52,8 @@
 EVACUATED_DOMAIN = "z2"
 # Time of the store's clock at which a scenario begins.
 STORE_START_S = 1000.0
+# An event during a fence, which lasts 4 ms if no announcement is lost.
+FENCE_STEP_S = 0.001
 
 
 def address(id: str) -> str:
@@ -126,6 +128,12 @@
         # Whether the primary confirms a commit through a replica that was not listed
         # while acknowledgements are being fenced.
         self.commits_during_fence = False
+        # Members of earlier requests that are executed during a fence, and after the
+        # next call was accepted.
+        self.executed_during_fence = ""
+        self.executed_after_call = ""
+        # Seconds from the acceptance of that call to the execution.
+        self.execution_delay_s = 0.0
         # Whether the store refuses to extend the lock.
         self.is_unwritable = False
         # Results of the next promotion requests; further ones are accepted.
@@ -259,6 +267,10 @@
             return None
         if self.commits_during_fence:
             self.effects.start_soon(self._commit)
+        if self.executed_during_fence:
+            self.effects.start_soon(
+                self._take_effect, self.executed_during_fence, FENCE_STEP_S
+            )
         extension_s = record["until"] - lock.record["until"]
         written = self._write(lock, record)
         return written._replace(held_until=lock.held_until + extension_s)
@@ -312,12 +324,20 @@
             if answer is PromotionResult.UNKNOWN:
                 await sleep(request.timeout_s)
             if answer is PromotionResult.ACCEPTED:
-                self.effects.start_soon(self._take_effect, request.member)
+                self.effects.start_soon(
+                    self._take_effect, request.member, self.effect_delay_s
+                )
+                if self.executed_after_call:
+                    self.effects.start_soon(
+                        self._take_effect,
+                        self.executed_after_call,
+                        self.execution_delay_s,
+                    )
             request.reply_to.send_nowait(answer)
 
     async def _commit(self) -> None:
         """Acknowledge a commit that the receiving replicas have a little later."""
-        await sleep(0.001)
+        await sleep(FENCE_STEP_S)
         end = self.end_by_member[PRIMARY]
         self.acknowledged = end._replace(sequence=end.sequence + 1)
         self.end_by_member[PRIMARY] = self.acknowledged
@@ -325,9 +345,9 @@
         for id in self.end_by_member.keys() - self.paused.keys():
             self.end_by_member[id] = self.acknowledged
 
-    async def _take_effect(self, member: str) -> None:
+    async def _take_effect(self, member: str, delay_s: float) -> None:
         """Make a member the primary, unless it is already."""
-        await sleep(self.effect_delay_s)
+        await sleep(delay_s)
         if member in self.leaders:
             return
         self.leaders = {member}
--- a/features/promotion_evidence.feature
+++ b/features/promotion_evidence.feature
@@ -271,6 +271,22 @@
       | 2.5   | none |
       | 3.5   | m2   |
 
+  Scenario Outline: An accepted call with an unanswered copy stays on the record
+    # Guards against a copy that promotes its member once more, after a demotion, while
+    # commits are acknowledged that it lacks.
+    Given members with the logs "m1=1.9,m2=1.9" of which "m0" do not answer
+    And a record with the request "m2" and outstanding requests "m2"
+    And the first <lost> promotion requests get no answer
+    When an instance acts on a primary that is unreachable
+    Then "m2" is promoted and "none" is demoted
+    And the outstanding requests are "<left>" and the replicas "m1,m2" rest paused
+
+    Examples:
+      | lost | left |
+      | 0    | none |
+      | 1    | m2   |
+      | 2    | m2   |
+
   Scenario: Lost answers about the present primary leave time for further requests
     # Guards against requests that stay outstanding because the lock expires while the
     # first calls for the present primary, which change nothing, are waited for. The fence
--- a/features/steps/acknowledgement_fence_steps.py
+++ b/features/steps/acknowledgement_fence_steps.py
@@ -147,6 +147,19 @@
     context.group.commits_during_fence = True
 
 
+@given('the request for "{member}" is executed during the fence')
+def given_executed(context: Context, member: str) -> None:
+    """Let an earlier request take effect."""
+    context.group.executed_during_fence = member
+
+
+@given('the request for "{member}" is executed {delay:g} s after the next call')
+def given_executed_late(context: Context, member: str, delay: float) -> None:
+    """Let a request that was accepted before take effect after the next one."""
+    context.group.executed_after_call = member
+    context.group.execution_delay_s = delay
+
+
 @given("no list of members can be read in an attempt")
 def given_no_list(context: Context) -> None:
     """Lose the lists of members."""
