--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -4,6 +4,7 @@
 
 from spec.acknowledgement.model import MODEL as ACKNOWLEDGEMENT
 from spec.acknowledgement.model import MODEL_INSTANCES, MODEL_JOIN
+from spec.acknowledgement.recovery import MODEL_RECOVERY
 from spec.binding.model import MODEL as BINDING
 from spec.configuration.model import MODEL as CONFIGURATION
 from spec.copies.model import MODEL as COPIES
@@ -12,6 +13,7 @@
 from spec.promotion.model import MODEL as PROMOTION
 from spec.promotion.model import MODEL_FOUR_TERMS
 from spec.rates.model import MODEL as RATES
+from spec.recovery_model import RecoveryModel
 from spec.session.model import MODEL as SESSION
 from spec.succession.model import MODEL as SUCCESSION
 from spec.succession.model import MODEL_DEMOTION
@@ -19,7 +21,7 @@
 from spec.view.model import MODEL_JOIN_REMOVE, MODEL_JOIN_THREE
 from spec.withdrawal.model import MODEL as WITHDRAWAL
 
-MODELS: tuple[Model[Any, Any], ...] = (
+MODELS: tuple[Model[Any, Any] | RecoveryModel[Any, Any], ...] = (
     PROMOTION,
     MODEL_FOUR_TERMS,
     BINDING,
@@ -37,4 +39,5 @@
     ACKNOWLEDGEMENT,
     MODEL_JOIN,
     MODEL_INSTANCES,
+    MODEL_RECOVERY,
 )
--- a/spec/runner.py
+++ b/spec/runner.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterator
+from functools import singledispatch
 from typing import Any
 
 from minicheck import check_safety
@@ -9,7 +10,10 @@
 from spec.check import Check
 from spec.counterexample_found import CounterexampleFound
 from spec.model import Model
+from spec.mutant import Mutant
 from spec.outcome import Outcome
+from spec.recovery_model import RecoveryModel
+from spec.recovery_runner import run_recovery
 from spec.state_protocol import StateProtocol
 
 Transitions = Callable[[Any], Iterator[tuple[str, Any]]]
@@ -57,10 +61,8 @@
     return Outcome(passed, tuple(lines))
 
 
-def run_mutant(check: Check) -> Outcome:
+def run_mutant(model: Model[Any, Any], mutant: Mutant[Any]) -> Outcome:
     """Search for the shortest counterexample of a mutant."""
-    model, mutant = check
-    assert mutant is not None
     found = False
 
     def holds(state: Any) -> bool:
@@ -92,4 +94,19 @@
 
 def run_check(check: Check) -> Outcome:
     """Run a model or a mutant."""
-    return run_mutant(check) if check.mutant else run_model(check.model)
+    return _run(check.model, check.mutant)
+
+
+@singledispatch
+def _run(model: object, mutant: Mutant[Any] | None) -> Outcome:
+    raise TypeError(f"no check of {type(model).__name__}")
+
+
+@_run.register
+def _(model: Model, mutant: Mutant[Any] | None) -> Outcome:
+    return run_mutant(model, mutant) if mutant else run_model(model)
+
+
+@_run.register
+def _(model: RecoveryModel, mutant: Mutant[Any] | None) -> Outcome:
+    return run_recovery(model, mutant)
