Compare the decisions on acknowledgements with the model

The rule for a commit agrees with the model's in all 61440 views of an instance, and the reading of statuses in 30000 states.

--- a/features/conformance.feature
+++ b/features/conformance.feature
@@ -11,3 +11,9 @@
       | binding writes | 250  | 40    |
       | sessions       | 200  | 40    |
       | rates          | 150  | 40    |
+
+  Scenario: The acknowledgements take only steps of the model
+    # Guards against a rule for a commit, or a reading of a status, that departs from the
+    # checked one: a promotion then loses acknowledged commits.
+    Then the decision on each of 61440 views of a group is that of the model
+    And the statuses in 30000 reachable states show a commit as in the model
--- a/spec/decision_mutations.py
+++ b/spec/decision_mutations.py
@@ -4,6 +4,9 @@
 
 MEMBER = "standins/member/"
 PROMOTION, WRITES, SESSIONS, RATES = "promotions", "binding writes", "sessions", "rates"
+COMMITS = "acknowledgements"
+DECIDE = "decisions/acknowledgement/decide_acknowledgement.py"
+RECEIVED = "decisions/acknowledgement/received_commit.py"
 
 MUTATIONS = (
     M(
@@ -268,4 +271,22 @@
         "spend(limiter.bucket, len(waiting))",
         "spend(limiter.bucket, len(waiting) + 1)",
     ),
+    M(COMMITS, DECIDE, "if state.is_suspended:", "if False:"),
+    M(COMMITS, DECIDE, "view.changed_at >= sent_at", "view.changed_at > sent_at"),
+    M(COMMITS, DECIDE, " and bool(state.last_requested)", ""),
+    M(COMMITS, DECIDE, "if not is_permitted or (", "if ("),
+    M(COMMITS, DECIDE, "(listed | outstanding) - ", "listed - "),
+    M(COMMITS, DECIDE, "(outstanding | {member})", "(outstanding)"),
+    M(COMMITS, DECIDE, "if is_changed:", "if False:"),
+    M(
+        COMMITS,
+        DECIDE,
+        "return VerifyCommit(outstanding) if outstanding else AcknowledgeCommit()",
+        "return AcknowledgeCommit()",
+    ),
+    M(COMMITS, RECEIVED, "not status.claims_primary", "True"),
+    M(COMMITS, RECEIVED, "status.received.term == position.term", "True"),
+    M(COMMITS, RECEIVED, "sequence >= position", "sequence + 1 >= position"),
+    M(COMMITS, RECEIVED, "        status.claims_primary", "        True"),
+    M(COMMITS, RECEIVED, "status.term == position.term", "True"),
 )
