--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -16,7 +16,7 @@
 from spec.recovery_model import RecoveryModel
 from spec.session.model import MODEL as SESSION
 from spec.succession.model import MODEL as SUCCESSION
-from spec.succession.model import MODEL_DEMOTION
+from spec.succession.model import MODEL_CLAIM, MODEL_DEMOTION
 from spec.view.model import MODEL as VIEW
 from spec.view.model import MODEL_JOIN_REMOVE, MODEL_JOIN_THREE
 from spec.withdrawal.model import MODEL as WITHDRAWAL
@@ -34,6 +34,7 @@
     CONFIGURATION,
     SUCCESSION,
     MODEL_DEMOTION,
+    MODEL_CLAIM,
     EVIDENCE,
     COPIES,
     ACKNOWLEDGEMENT,
