--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -268,7 +268,8 @@
         if is_uncertain:
             await self._update(recorded, fence)
             return AttemptResult(outcome)
-        log_ended_requests(trigger.group, (plan.member,), result.value)
+        if plan.member not in outstanding:
+            log_ended_requests(trigger.group, (plan.member,), result.value)
         is_resumed = await self._resume(resumable, recorded) and is_resumed
         record = record_outstanding(recorded.record, outstanding)
         return AttemptResult(outcome, recorded._replace(record=record), is_resumed)
