--- a/spec/acknowledgement/commits.py
+++ b/spec/acknowledgement/commits.py
@@ -18,15 +18,16 @@
 
 
 def write(state: State, rules: Rules) -> Steps:
-    """Send a commit to the primary; the outcome of an earlier one stays unknown."""
+    """Send a commit to the primary; the outcome of an earlier one stays unknown.
+
+    The check for a suspension is made before, so one may have begun meanwhile.
+    """
     log = state.logs[state.primary]
     written = sum(entry // 10 == state.term for entry in log)
     if not state.leads or written == rules.max_commits:
         return
     entry = 10 * state.term + written
     for index, instance in enumerate(state.instances):
-        if instance.is_suspended and rules.check_outstanding:
-            continue
         sent = _without_commit(instance)._replace(
             entry=entry, position=len(log), member=state.primary
         )
@@ -95,14 +96,14 @@
 def read_evidence(state: State, rules: Rules) -> Steps:
     """Read the record from the store, which gives a permit."""
     for index, instance in enumerate(state.instances):
-        known = _learn(state, instance)._replace(permit=PERMIT)
+        known = _learn(state, instance, rules)._replace(permit=PERMIT)
         yield f"instance={index}", _with(state, index, known)
 
 
 def hear(state: State, rules: Rules) -> Steps:
     """Receive an announcement; a late one changes nothing."""
     for index, instance in enumerate(state.instances):
-        yield f"instance={index}", _with(state, index, _learn(state, instance))
+        yield f"instance={index}", _with(state, index, _learn(state, instance, rules))
         if not rules.permit_needs_evidence:
             permitted = instance._replace(permit=PERMIT)
             yield f"instance={index} late", _with(state, index, permitted)
@@ -141,9 +142,13 @@
     return outstanding & ~own
 
 
-def _learn(state: State, instance: Instance) -> Instance:
-    before = (instance.token, instance.outstanding)
-    is_changed = (state.token, state.outstanding) != before
+def _learn(state: State, instance: Instance, rules: Rules) -> Instance:
+    is_changed = (state.token, state.outstanding) != (
+        instance.token,
+        instance.outstanding,
+    )
+    if rules.suspension_is_change:
+        is_changed = is_changed or state.is_suspended != instance.is_suspended
     return instance._replace(
         token=state.token,
         is_suspended=state.is_suspended,
--- a/spec/acknowledgement/instance.py
+++ b/spec/acknowledgement/instance.py
@@ -14,9 +14,10 @@
 
     ``permit`` is ``OLD_PERMIT`` if its evidence was read before the write of the record
     that the last fence announced. ``entry`` is the commit that ``member`` was sent at
-    ``position``, 0 for none; ``is_changed`` states that the known token or the
-    outstanding members have changed since. ``remaining`` are the members that have to
-    receive it, as a bit mask, ``UNDECIDED`` before the rule was applied.
+    ``position``, 0 for none; ``is_changed`` states that the known token, the
+    suspension or the outstanding members have changed since. ``remaining`` are the
+    members that have to receive it, as a bit mask, ``UNDECIDED`` before the rule was
+    applied.
     """
 
     token: int = 0
--- a/spec/acknowledgement/model.py
+++ b/spec/acknowledgement/model.py
@@ -77,6 +77,11 @@
             RULES._replace(verify_at_others_than_requested=False),
             KEPT,
         ),
+        Mutant(
+            "suspension-not-a-change",
+            RULES._replace(suspension_is_change=False),
+            KEPT,
+        ),
         Mutant("answer-under-way", RULES._replace(verify_after_change=False), KEPT),
         Mutant("reinstated-primary", RULES._replace(verify_own_term=False), KEPT),
         Mutant("no-permit-needed", RULES._replace(verify_without_permit=False), KEPT),
--- a/spec/acknowledgement/rules.py
+++ b/spec/acknowledgement/rules.py
@@ -17,6 +17,7 @@
     check_outstanding: bool = True
     verify_at_others_than_requested: bool = True
     verify_after_change: bool = True
+    suspension_is_change: bool = True
     verify_own_term: bool = True
     verify_term: bool = True
     verify_without_permit: bool = True
