--- a/features/fakes/promotion_poll_fleet.py
+++ b/features/fakes/promotion_poll_fleet.py
@@ -51,7 +51,10 @@
         Failure domain of each instance.
     """
 
-    def __init__(self, domain_by_instance: dict[str, str]) -> None:
+    def __init__(
+        self, domain_by_instance: dict[str, str], is_first_start: bool = True
+    ) -> None:
+        self._is_first_start = is_first_start
         self.entry_by_instance = {
             name: InstanceEntry(f"10.0.0.{number}:7", domain)
             for number, (name, domain) in enumerate(domain_by_instance.items())
@@ -98,6 +101,7 @@
                         events,
                         acknowledgements,
                         peers,
+                        self._is_first_start,
                     )
                     tasks.start_soon(self._run_one, name, poll)
                     tasks.start_soon(self._deliver, name, sent)
--- a/features/promotion_states.feature
+++ b/features/promotion_states.feature
@@ -37,13 +37,22 @@
     And the newest states of each instance are at most 1.1 s old
 
   Scenario: Instances that start together wait for the first one's read
-    # Guards against a read by each instance of a fleet that has lost its power.
+    # Guards against a read by each instance of a fleet that starts for the first time.
     Given polls of instances "a1:z1,a2:z1,b1:z2,b2:z2,c1:z3"
     When the polls run for 2 s
     Then no poll has read
     When they get to know each other and 1.3 s pass
     Then only "a1" has read, 1 to 2 times
 
+  Scenario: A restarted instance reads once when it is registered
+    # Guards against writes that are verified at all members for a second after a fleet
+    # has lost its power, each over new connections.
+    Given polls of restarted instances "a1:z1,a2:z1,b1:z2,b2:z2,c1:z3"
+    When they are registered and 300 ms pass
+    Then each poll has read once
+    When the polls run for 5 s
+    Then only "a1" has read, 4 to 5 times
+
   Scenario: The next instance reads after the loss of the first one
     # Guards against a fleet without evidence until a lost instance is unregistered.
     Given polls of instances "a1:z1,a2:z1,b1:z2,b2:z2,c1:z3" that know each other
--- a/features/steps/promotion_state_steps.py
+++ b/features/steps/promotion_state_steps.py
@@ -131,11 +131,11 @@
 # The polls
 
 
-def _start(context: Context, text: str) -> None:
+def _start(context: Context, text: str, is_first_start: bool = True) -> None:
     domains = dict(part.split(":") for part in text.split(","))
     context.thread = TrioThread()
     context.add_cleanup(context.thread.stop)
-    context.fleet = PromotionPollFleet(domains)
+    context.fleet = PromotionPollFleet(domains, is_first_start)
     context.thread.start(context.fleet.run)
     context.thread.advance(0.01)
 
@@ -153,6 +153,12 @@
     context.thread.call(context.fleet.register)
 
 
+@given('polls of restarted instances "{text}"')
+def restarted_polls(context: Context, text: str) -> None:
+    """Start the polls of a fleet that has run before."""
+    _start(context, text, is_first_start=False)
+
+
 @given(
     'polls of instances "{text}" of which "{name}" knows the store\'s clock by a call '
     "of {seconds:g} s"
@@ -219,6 +225,14 @@
     _pass(context, seconds)
 
 
+@when("they are registered and {milliseconds:d} ms pass")
+def registered(context: Context, milliseconds: int) -> None:
+    """Register all instances, and count the reads from then on."""
+    context.fleet.reads.clear()
+    context.thread.call(context.fleet.register)
+    context.thread.advance(milliseconds / 1000)
+
+
 @when('"{name}" is lost and {seconds:g} s pass')
 def lost_instance(context: Context, name: str, seconds: float) -> None:
     """End one instance."""
@@ -368,6 +382,13 @@
     assert set(reads) == {name} and least <= len(reads) <= most, reads
 
 
+@then("each poll has read once")
+def each_read(context: Context) -> None:
+    """Compare who has called the store."""
+    fleet = context.fleet
+    assert sorted(fleet.reads) == sorted(fleet.inbox_by_instance), fleet.reads
+
+
 @then("no poll has read")
 def none_read(context: Context) -> None:
     """Check that the store was not called."""
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -296,6 +296,7 @@
             self._promotions_inbox,
             self._acknowledgements,
             self._peers,
+            settings.is_first_start,
         )
         tasks.start_soon(promotions.run)
         tasks.start_soon(reader.run)
--- a/src/jackdawspread/platform/promotion_state_poll.py
+++ b/src/jackdawspread/platform/promotion_state_poll.py
@@ -66,6 +66,9 @@
         Receives the states.
     peers : trio.MemorySendChannel
         Inbox of the peers task.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time, before it has callers. Else
+        the instance reads as soon as it is registered, to get a permit.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         inbox: MemoryReceiveChannel[PromotionPollEvent],
         acknowledgements: MemorySendChannel[AcknowledgementEvent],
         peers: MemorySendChannel[PeerEvent],
+        is_first_start: bool = True,
     ) -> None:
         self._address = address
         self._instance = instance
@@ -98,6 +102,8 @@
         # Whether the last read gave no states.
         self._has_failed = False
         self._is_too_long = False
+        self._reads_when_registered = not is_first_start
+        self._must_read = False
         # Answers with the pages of the current read.
         self._pages: list[HttpOutcome] = []
 
@@ -116,6 +122,8 @@
                 await self._read(client)
 
     def _next_read_at(self) -> float:
+        if self._must_read:
+            return 0.0
         rank = MAX_RANK if self._rank is None else self._rank
         return next_promotion_read_at(
             rank, self._heard_at, self._attempted_at, self._has_failed
@@ -138,6 +146,11 @@
     @_handle.register
     async def _(self, event: StoreClockSampled) -> None:
         self._clock = update_bound(self._clock, *event)
+        # The sample comes with the first registration.
+        self._must_read, self._reads_when_registered = (
+            self._reads_when_registered,
+            False,
+        )
 
     @_handle.register
     async def _(self, event: PromotionStatesRelayed) -> None:
@@ -153,6 +166,7 @@
             await self._publish(seen)
 
     async def _read(self, client: HttpClient) -> None:
+        self._must_read = False
         self._attempted_at, requested_at = current_time(), seconds_since_boot()
         self._pages, self._has_failed = [], True
         # One call reads the marker of the epoch too, whose key is the next in order.
