--- a/review/10/case.py
+++ b/review/10/case.py
@@ -9,7 +9,7 @@
 from tempfile import TemporaryDirectory
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lab-2"))
+sys.path.insert(0, str(HERE.parent / "8"))
 
 from fleet import ZONES, Fleet  # noqa: E402
 from standins import Client, Group, Store  # noqa: E402
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -8,12 +8,10 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lab-2"))
-
-from fleet import ZONES, Fleet  # noqa: E402
-from standins import Client, Group, Store  # noqa: E402
+from fleet import ZONES, Fleet
+from standins import Client, Group, Store
 
+HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CONFIG_APPLY_S = 3.0
 KEY, OTHER_KEY = "key-7f3a91c2", "key-0b44d1e9"
