review/8: two scripts that start together use other addresses

Cause: a block of addresses was probed and let go before the instances took it, so two runs that began at the same moment took the same one and couldn't start (exit status 2). Adds a socket that holds the block for the time of a run.

--- a/review/8/fleet.py
+++ b/review/8/fleet.py
@@ -45,7 +45,7 @@
         self._folder, self._store = folder, store_address
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self._command = deploy["roles"]["entry"]["run"].split(" ")
-        self._block = _free_block()
+        self._reserved, self._block = _reserve_block()
         self._front, self._ready, self._peer = _free_ports(self.ip(0))
         self._processes: dict[int, subprocess.Popen] = {}
 
@@ -130,18 +130,25 @@
         for number in self._processes:
             with suppress(ProcessLookupError):
                 self.kill(number)
+        self._reserved.close()
 
 
-def _free_block() -> int:
-    """Return a block of loopback addresses in which the metrics port is free."""
+def _reserve_block() -> tuple[socket, int]:
+    """Reserve a block of loopback addresses, as the port of the metrics is fixed.
+
+    The socket holds the block against other runs until it is closed.
+    """
     for block in range(130, 250):
+        reserved = socket()
         try:
+            reserved.bind((f"127.{block}.0.250", METRICS_PORT))
             for last in range(1, 6):
                 with socket() as probe:
                     probe.bind((f"127.{block}.0.{last}", METRICS_PORT))
         except OSError:
+            reserved.close()
             continue
-        return block
+        return reserved, block
     raise OSError("no block of addresses is free")
 
 
