Log the version that each statement of a transaction was checked with

Change: the version, its age and the newest version known are those of the statement's own check. Stand-in members record the workspace of a statement.

Result: the new scenario fails before ("version=3" with version 4 in force) and passes now.

--- /dev/null
+++ b/features/open_transactions.feature
@@ -0,0 +1,15 @@
+Feature: Open transactions and changes of the configuration
+  The key of a caller is checked at each statement of its transaction. Changes of the
+  route apply from the next transaction on.
+
+  Background:
+    Given an instance with stand-ins for the store and the members
+
+  Scenario: The log names the version that a statement of a transaction was checked with
+    # Guards against a log that doesn't tell whether a change was known to the instance
+    # when the statement ran.
+    Given a caller of "primary-db" has written in a transaction
+    When the log lines are collected
+    And a version without a change for it is in force
+    And it sends "READ kept" after the change
+    Then the log line of the statement names the newest version
--- /dev/null
+++ b/features/steps/open_transaction_steps.py
@@ -0,0 +1,101 @@
+"""Steps for open transactions during changes of the configuration."""
+
+from collections.abc import Callable
+from time import monotonic
+
+from behave import given, then, when
+from behave.runner import Context
+from trio import sleep
+
+KEY, OTHER_KEY = "key-of-w1", "key-of-w2"
+TIMEOUT_S = 20.0
+
+
+def publish(context: Context, change: Callable[[dict], None]) -> None:
+    """Publish a changed configuration and wait until the caller's instance uses it.
+
+    Each version brings a route of its own, by which its use shows.
+    """
+    platform = context.platform
+    change(platform.configuration)
+    database = f"since-{platform.configuration['Version'] + 1}"
+    routes = platform.configuration["Routes"]
+    platform.configuration["Routes"] = [
+        *routes,
+        {**routes[0], "Name": database, "Host": database, "Public": True},
+    ]
+    platform.publish()
+    deadline = monotonic() + TIMEOUT_S
+    instance = getattr(context, "caller_instance", 0)
+    while not platform.open(database, KEY, instance).opened.startswith("READY"):
+        assert monotonic() < deadline, "the change is not in force"
+        platform.call(sleep, 0.02)
+
+
+def pass_key(configuration: dict) -> None:
+    """Give the key of the first workspace to the second one."""
+    first, second = configuration["Tenants"]
+    first["ApiKeys"] = []
+    second["ApiKeys"] = [*second["ApiKeys"], KEY]
+
+
+@given('a caller of "{database}" has written in a transaction')
+def written(context: Context, database: str) -> None:
+    """Leave the transaction open."""
+    context.caller = context.platform.open(database)
+    for text in ("BEGIN", "WRITE kept 1"):
+        answer = context.platform.query(context.caller, text)
+        assert answer[0].startswith("DONE"), answer
+
+
+@when("its key passes to another workspace")
+def key_passes(context: Context) -> None:
+    """One version takes the key from its workspace and gives it to another one."""
+    publish(context, pass_key)
+
+
+@when('it sends "{text}" after the change')
+def sends_after(context: Context, text: str) -> None:
+    """Send a statement of the open transaction."""
+    context.answer = context.platform.query(context.caller, text)
+
+
+@then("the statement is refused with {code} and has not run")
+def refused_not_run(context: Context, code: str) -> None:
+    """No member has run the statement, and the refusal says so."""
+    assert context.answer[0].startswith(f"ERR {code}"), context.answer
+    ran = [run.id for run in context.platform.group.runs]
+    assert context.caller.last_id not in ran, ran
+
+
+@then("the write of its transaction is not kept")
+def not_kept(context: Context) -> None:
+    """A caller with another key doesn't see it."""
+    caller = context.platform.open("primary-db", OTHER_KEY)
+    answer = context.platform.query(caller, "READ kept")
+    assert answer[0] == "ROW none", answer
+
+
+@then("its next transaction runs for the new workspace")
+def next_transaction_runs(context: Context) -> None:
+    """The members have a connection for the new workspace that ran its statements."""
+    platform = context.platform
+    caller = platform.open("primary-db", KEY)
+    for text in ("BEGIN", "WRITE later 1", "COMMIT"):
+        answer = platform.query(caller, text)
+        assert answer[0].startswith("DONE"), answer
+    assert platform.group.runs[-1].workspace == "w2", platform.group.runs[-1]
+
+
+@when("a version without a change for it is in force")
+def other_version(context: Context) -> None:
+    """Publish a version that concerns no caller."""
+    publish(context, lambda configuration: None)
+
+
+@then("the log line of the statement names the newest version")
+def names_newest(context: Context) -> None:
+    """Compare the version in the line of the last statement."""
+    lines = [line for line in context.lines if f"id={context.caller.last_id}" in line]
+    version = context.platform.configuration["Version"]
+    assert len(lines) == 1 and f" version={version} " in lines[0], lines
--- a/features/wire/executed_statement.py
+++ b/features/wire/executed_statement.py
@@ -4,7 +4,7 @@
 
 
 class ExecutedStatement(NamedTuple):
-    """A statement, where it ran, and the session values of its connection."""
+    """A statement, where and for whom it ran, and the values of its connection."""
 
     member: str
     connection: int
@@ -12,3 +12,4 @@
     text: str
     values: dict[str, str]
     in_transaction: bool
+    workspace: str
--- a/features/wire/wire_member.py
+++ b/features/wire/wire_member.py
@@ -72,6 +72,7 @@
         self._member = member
         self._group = member.group
         self._number = number
+        self._workspace = ""
         self._values: dict[str, str] = {}
         self._templates: dict[str, str] = {}
         self._writes: dict[str, str] = {}
@@ -83,6 +84,7 @@
         word, _, rest = line.partition(" ")
         if word == "START":
             fields = rest.split(" ")
+            self._workspace = fields[1]
             if fields[2:] != [self._member.id]:
                 self.is_over = True
                 return ["ERR MISROUTED wrong id\r\n"]
@@ -143,7 +145,13 @@
         if word == "WRITE" and not is_primary:
             return ["ERR READONLY not the primary\r\n"]
         run = ExecutedStatement(
-            self._member.id, self._number, id, text, self._values, in_transaction
+            self._member.id,
+            self._number,
+            id,
+            text,
+            self._values,
+            in_transaction,
+            self._workspace,
         )
         self._group.runs.append(run)
         if word == "READ":
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -201,10 +201,21 @@
         ):
             self.close()
             return StatementOutcome(admitted, fail_transaction(self._state))
-        if isinstance(admitted, OperationAdmitted) and not in_transaction:
+        if isinstance(admitted, OperationAdmitted):
+            if in_transaction:
+                admitted = self._transaction_admission(admitted)
             self._admitted = admitted
         return await self._run_at_member(request, plan, in_transaction)
 
+    def _transaction_admission(self, latest: OperationAdmitted) -> OperationAdmitted:
+        """Return the admission of the open transaction with the latest version."""
+        assert self._admitted is not None
+        return self._admitted._replace(
+            version=latest.version,
+            age_s=latest.age_s,
+            newest_version=latest.newest_version,
+        )
+
     async def _start(self, plan: StartTransaction) -> StatementOutcome:
         admitted = await self._admit(consume_token=True)
         if isinstance(admitted, Refusal):
