End a transaction whose key has passed to another workspace

An open transaction of its caller went on and was committed 6 s after the ack for the workspace that had lost the key, while new sessions with it ran for the new holder.

Cause: each statement of a transaction was admitted anew, as an operation of its own, and the key was valid. Only the fact of the admission was used: nothing compared the workspace in it with the one for which the transaction had leased its connection.

Change: a statement of an open transaction is no new operation. It has a message (ContinuationRequest) and a decision (check_continuation) of its own, which know what the transaction was admitted with. If the key has another workspace, the transaction is rolled back and the caller gets ABORTED, a promise that nothing is kept, so it may run the transaction again, then for the new holder. It doesn't get NOAUTH, as the key is valid.

--- a/features/open_transactions.feature
+++ b/features/open_transactions.feature
@@ -13,3 +13,19 @@
     And a version without a change for it is in force
     And it sends "READ kept" after the change
     Then the log line of the statement names the newest version
+
+  Scenario Outline: A key that passed to another workspace ends the open transaction
+    # Guards against statements that run for a workspace that no longer holds the
+    # caller's key (UNASKED).
+    Given a caller of "primary-db" has written in a transaction
+    When its key passes to another workspace
+    And it sends "<text>" after the change
+    Then the statement is refused with ABORTED and has not run
+    And the write of its transaction is not kept
+    And its next transaction runs for the new workspace
+
+    Examples:
+      | text       |
+      | READ kept  |
+      | WRITE a 2  |
+      | COMMIT     |
--- a/features/pool_hosts.feature
+++ b/features/pool_hosts.feature
@@ -40,6 +40,19 @@
     Then every other instance still runs a write of the workspace
     And the open transaction commits
 
+  Scenario: A key that passed to another workspace ends the transaction at a pool host
+    # Guards against statements on a connection of the workspace that no longer holds
+    # the caller's key (UNASKED).
+    Given 12 instances and members that accept 56 connections
+    When each instance has run a write of the same workspace
+    And the log lines are collected
+    And a caller at another instance has written in a transaction
+    Then the transaction uses a connection of the pool host
+    When its key passes to another workspace
+    And it sends "COMMIT" after the change
+    Then the statement is refused with ABORTED and has not run
+    And the write of its transaction is not kept
+
   Scenario: A pool host goes silent after it received a write
     # Guards against a write that is run again after its answer was lost (TWICE), and
     # against a false "not run".
--- a/features/steps/open_transaction_steps.py
+++ b/features/steps/open_transaction_steps.py
@@ -33,8 +33,9 @@
 
 
 def pass_key(configuration: dict) -> None:
-    """Give the key of the first workspace to the second one."""
+    """Give the key of the first workspace, and its rate, to the second one."""
     first, second = configuration["Tenants"]
+    second["RatePerS"] = second["Burst"] = first["RatePerS"]
     first["ApiKeys"] = []
     second["ApiKeys"] = [*second["ApiKeys"], KEY]
 
--- a/features/steps/pool_host_steps.py
+++ b/features/steps/pool_host_steps.py
@@ -220,13 +220,21 @@
 @when("a caller at another instance has written in a transaction")
 def open_transaction(context: Context) -> None:
     """Leave the transaction open."""
-    other = (context.host + 1) % context.instances
+    other = context.caller_instance = (context.host + 1) % context.instances
     context.caller = context.platform.open("primary-db", KEY, other)
     for text in ("BEGIN", "WRITE kept 1"):
         answer = context.platform.query(context.caller, text)
         assert "DONE" in answer[-2], answer
 
 
+@then("the transaction uses a connection of the pool host")
+def uses_host(context: Context) -> None:
+    """The line of its last statement names the host."""
+    host = f"host=i{context.host + 1}@"
+    lines = [line for line in context.lines if f"id={context.caller.last_id}" in line]
+    assert len(lines) == 1 and host in lines[0], lines
+
+
 @then("the open transaction commits")
 def commits(context: Context) -> None:
     """Commit and look for the write."""
--- a/src/jackdawspread/messages/fleet/admission_event.py
+++ b/src/jackdawspread/messages/fleet/admission_event.py
@@ -3,6 +3,7 @@
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.cold_token_request import ColdTokenRequest
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
+from jackdawspread.messages.fleet.continuation_request import ContinuationRequest
 from jackdawspread.messages.fleet.newer_configuration_known import (
     NewerConfigurationKnown,
 )
@@ -16,6 +17,7 @@
     AdmissionRequest
     | ColdTokenRequest
     | ConfigurationSeen
+    | ContinuationRequest
     | NewerConfigurationKnown
     | OperationNotRun
     | RateLeasesHeld
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -13,6 +13,7 @@
 )
 
 from jackdawspread.decisions.members.cold_members import cold_bucket_name
+from jackdawspread.decisions.sessions.continuation_check import check_continuation
 from jackdawspread.decisions.sessions.operation_check import (
     check_operation,
     refuse_outdated,
@@ -22,6 +23,7 @@
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
 from jackdawspread.messages.fleet.cold_token_request import ColdTokenRequest
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
+from jackdawspread.messages.fleet.continuation_request import ContinuationRequest
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
 from jackdawspread.messages.fleet.newer_configuration_known import (
     NewerConfigurationKnown,
@@ -133,6 +135,10 @@
             return
         send_admission_reply(event, checked)
 
+    @_handle.register
+    def _(self, event: ContinuationRequest) -> None:
+        send_admission_reply(event, self._check_continuation(event))
+
     @_handle.register
     def _(self, event: ColdTokenRequest) -> None:
         now, bucket = current_time(), cold_bucket_name(event.group, event.member)
@@ -244,6 +250,20 @@
             self._newest_version,
         )
 
+    def _check_continuation(
+        self, event: ContinuationRequest
+    ) -> OperationAdmitted | Refusal:
+        if self._is_outdated():
+            return refuse_outdated(self._newest_version)
+        return check_continuation(
+            self._configuration,
+            self._age(),
+            self._max_age_s,
+            event.transaction,
+            event.key,
+            self._newest_version,
+        )
+
     def _limited_workspace(
         self, event: AdmissionRequest, checked: OperationAdmitted | Refusal
     ) -> str:
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -1,7 +1,13 @@
 """Runs the statements of one session."""
 
 from absl import logging
-from trio import MemorySendChannel, WouldBlock, current_time, open_memory_channel
+from trio import (
+    MemoryReceiveChannel,
+    MemorySendChannel,
+    WouldBlock,
+    current_time,
+    open_memory_channel,
+)
 
 from jackdawspread.decisions.sessions.answer_locally import AnswerLocally
 from jackdawspread.decisions.sessions.connection_wait import connection_wait_s
@@ -27,6 +33,7 @@
 from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
 from jackdawspread.messages.fleet.admission_request import AdmissionRequest
+from jackdawspread.messages.fleet.continuation_request import ContinuationRequest
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
 from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.router_event import RouterEvent
@@ -195,27 +202,17 @@
         if isinstance(plan, FinishTransaction) and not plan.commit:
             self.close()
             return StatementOutcome(StatementSuccess(), end_transaction(self._state))
-        admitted = await self._admit(consume_token=not in_transaction)
-        if isinstance(admitted, Refusal) and not (
-            in_transaction and admitted.code == NO_ROUTE_CODE
-        ):
-            self.close()
-            return StatementOutcome(admitted, fail_transaction(self._state))
+        if in_transaction:
+            admitted = await self._check_continuation()
+        else:
+            admitted = await self._admit(consume_token=True)
         if isinstance(admitted, OperationAdmitted):
-            if in_transaction:
-                admitted = self._transaction_admission(admitted)
             self._admitted = admitted
+        elif not (in_transaction and admitted.code == NO_ROUTE_CODE):
+            self.close()
+            return StatementOutcome(admitted, fail_transaction(self._state))
         return await self._run_at_member(request, plan, in_transaction)
 
-    def _transaction_admission(self, latest: OperationAdmitted) -> OperationAdmitted:
-        """Return the admission of the open transaction with the latest version."""
-        assert self._admitted is not None
-        return self._admitted._replace(
-            version=latest.version,
-            age_s=latest.age_s,
-            newest_version=latest.newest_version,
-        )
-
     async def _start(self, plan: StartTransaction) -> StatementOutcome:
         admitted = await self._admit(consume_token=True)
         if isinstance(admitted, Refusal):
@@ -273,15 +270,30 @@
         )
 
     async def _admit(self, consume_token: bool) -> OperationAdmitted | Refusal:
+        """Have a new operation, or the session itself, admitted or refused."""
         send, receive = open_memory_channel[OperationAdmitted | Refusal](1)
         handshake = self._handshake
         request = AdmissionRequest(
             handshake.database, handshake.key, consume_token, send
         )
+        return await self._ask_admission(request, receive)
+
+    async def _check_continuation(self) -> OperationAdmitted | Refusal:
+        """Have the next statement of the open transaction admitted or refused."""
+        assert self._admitted is not None
+        send, receive = open_memory_channel[OperationAdmitted | Refusal](1)
+        request = ContinuationRequest(self._admitted, self._handshake.key, send)
+        return await self._ask_admission(request, receive)
+
+    async def _ask_admission(
+        self,
+        request: AdmissionRequest | ContinuationRequest,
+        replies: MemoryReceiveChannel[OperationAdmitted | Refusal],
+    ) -> OperationAdmitted | Refusal:
         try:
             self._admission.send_nowait(request)
         except WouldBlock:
             logging.warning("session: admission inbox full")
             detail = "the instance is overloaded"
             return Refusal("busy", ExecutionStatus.NOT_RUN, "admission", "", detail)
-        return await receive.receive()
+        return await replies.receive()
