Check the key of an open transaction also if its route is gone

An open transaction went on writing with the key and was committed 6 s after the ack, while new sessions with it were refused.

Cause: a statement of a transaction was admitted as a new operation. For a database without a route that check ended with "nodb" before it had looked at the key, and the session lets an open transaction go on after "nodb", as a removed route alone must not end it. So from then on no key was checked. The log shows it: version 7 is in use 0.5 s before the next statement, and all later statements name version 3 as the last one with which a check succeeded.

The session no longer ignores a refusal by its code.

--- a/features/open_transactions.feature
+++ b/features/open_transactions.feature
@@ -29,3 +29,34 @@
       | READ kept  |
       | WRITE a 2  |
       | COMMIT     |
+
+  Scenario Outline: A key that is withdrawn with its route ends the open transaction
+    # Guards against statements with a withdrawn key while the route is gone (CONFIG).
+    Given a caller of "bounded-db" has written in a transaction
+    When its key and its route are removed
+    And it sends "<text>" after the change
+    Then the statement is refused with NOAUTH and has not run
+    And the write of its transaction is not kept
+
+    Examples:
+      | text       |
+      | READ kept  |
+      | WRITE a 2  |
+      | COMMIT     |
+
+  Scenario Outline: An open transaction outlives <change>
+    # Guards against a change that ends a transaction although its key is valid.
+    Given a caller of "bounded-db" has written in a transaction
+    When <change> is in force
+    And it sends "WRITE a 2" after the change
+    And it sends "COMMIT" after the change
+    Then its transaction is kept
+
+    Examples:
+      | change                                    |
+      | the removal of its route                  |
+      | the removal of its route and its group    |
+      | another member group of its route         |
+      | a lower rate of its workspace             |
+      | a lower limit of its members' connections |
+      | a second key of its workspace             |
--- a/features/pool_hosts.feature
+++ b/features/pool_hosts.feature
@@ -40,19 +40,41 @@
     Then every other instance still runs a write of the workspace
     And the open transaction commits
 
-  Scenario: A key that passed to another workspace ends the transaction at a pool host
+  Scenario Outline: A lost key ends the open transaction at a pool host
     # Guards against statements on a connection of the workspace that no longer holds
-    # the caller's key (UNASKED).
+    # the caller's key (UNASKED), and with a key that was withdrawn (CONFIG).
     Given 12 instances and members that accept 56 connections
     When each instance has run a write of the same workspace
     And the log lines are collected
     And a caller at another instance has written in a transaction
     Then the transaction uses a connection of the pool host
-    When its key passes to another workspace
+    When <change>
     And it sends "COMMIT" after the change
-    Then the statement is refused with ABORTED and has not run
+    Then the statement is refused with <code> and has not run
     And the write of its transaction is not kept
 
+    Examples:
+      | change                              | code    |
+      | its key passes to another workspace | ABORTED |
+      | its key and its route are removed   | NOAUTH  |
+
+  Scenario Outline: An open transaction at a pool host outlives <change>
+    # Guards against a change that ends a transaction although its key is valid.
+    Given 12 instances and members that accept 56 connections
+    When each instance has run a write of the same workspace
+    And the log lines are collected
+    And a caller at another instance has written in a transaction
+    Then the transaction uses a connection of the pool host
+    When <change> is in force
+    And it sends "WRITE a 2" after the change
+    And it sends "COMMIT" after the change
+    Then its transaction is kept
+
+    Examples:
+      | change                                 |
+      | the removal of its route               |
+      | the removal of its route and its group |
+
   Scenario: A pool host goes silent after it received a write
     # Guards against a write that is run again after its answer was lost (TWICE), and
     # against a false "not run".
--- a/features/steps/pool_host_steps.py
+++ b/features/steps/pool_host_steps.py
@@ -221,7 +221,8 @@
 def open_transaction(context: Context) -> None:
     """Leave the transaction open."""
     other = context.caller_instance = (context.host + 1) % context.instances
-    context.caller = context.platform.open("primary-db", KEY, other)
+    context.database = "primary-db"
+    context.caller = context.platform.open(context.database, KEY, other)
     for text in ("BEGIN", "WRITE kept 1"):
         answer = context.platform.query(context.caller, text)
         assert "DONE" in answer[-2], answer
--- a/src/jackdawspread/decisions/sessions/operation_check.py
+++ b/src/jackdawspread/decisions/sessions/operation_check.py
@@ -39,23 +39,18 @@
     newest_version : int
         Newest version that is known to exist, for the log.
     """
-    if configuration is None:
-        return _refuse("busy", "no configuration has been read yet", RETRY_AFTER_MS)
-    if age_s > max_age_s:
-        detail = f"the configuration was last confirmed {age_s:.1f} s ago"
-        return _refuse("busy", detail, RETRY_AFTER_MS)
+    if configuration is None or age_s > max_age_s:
+        return refuse_unconfirmed(configuration, age_s)
     route = configuration.route_by_database.get(database)
     if route is None:
         detail = f"there is no route for the database {database}"
         return _refuse("nodb", f"{detail}, {_versions(configuration, newest_version)}")
     workspace = configuration.workspace_by_key.get(key, "")
     if not workspace and not route.public:
-        versions = _versions(configuration, newest_version)
-        return _refuse("noauth", f"the key is not valid, {versions}")
+        return refuse_key(configuration, newest_version)
     regions = allowed_regions(configuration, route, workspace)
     if regions is None:
-        detail = "the route and the workspace have no allowed region in common"
-        return _refuse("busy", detail, NO_REGION_RETRY_MS)
+        return refuse_regions()
     return OperationAdmitted(
         route,
         workspace,
@@ -67,6 +62,28 @@
     )
 
 
+def refuse_unconfirmed(
+    configuration: FleetConfiguration | None, age_s: float
+) -> Refusal:
+    """Return the refusal while there is no configuration, or it is too old."""
+    if configuration is None:
+        return _refuse("busy", "no configuration has been read yet", RETRY_AFTER_MS)
+    detail = f"the configuration was last confirmed {age_s:.1f} s ago"
+    return _refuse("busy", detail, RETRY_AFTER_MS)
+
+
+def refuse_key(configuration: FleetConfiguration, newest_version: int) -> Refusal:
+    """Return the refusal of a key that no workspace holds."""
+    versions = _versions(configuration, newest_version)
+    return _refuse("noauth", f"the key is not valid, {versions}")
+
+
+def refuse_regions() -> Refusal:
+    """Return the refusal if the route and the workspace have no region in common."""
+    detail = "the route and the workspace have no allowed region in common"
+    return _refuse("busy", detail, NO_REGION_RETRY_MS)
+
+
 def refuse_outdated(newest_version: int) -> Refusal:
     """Return the refusal of an operation while a newer version has not arrived.
 
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -50,10 +50,6 @@
 from jackdawspread.tasks.sessions.statement_log import log_statement
 from jackdawspread.tasks.sessions.transaction_runner import TransactionRunner
 
-# An open transaction continues although its route was removed; a change of a route
-# applies from the next transaction on.
-NO_ROUTE_CODE = "nodb"
-
 
 class SessionOperations:
     """Answers the statements of one session; only the session's task uses it.
@@ -206,11 +202,10 @@
             admitted = await self._check_continuation()
         else:
             admitted = await self._admit(consume_token=True)
-        if isinstance(admitted, OperationAdmitted):
-            self._admitted = admitted
-        elif not (in_transaction and admitted.code == NO_ROUTE_CODE):
+        if isinstance(admitted, Refusal):
             self.close()
             return StatementOutcome(admitted, fail_transaction(self._state))
+        self._admitted = admitted
         return await self._run_at_member(request, plan, in_transaction)
 
     async def _start(self, plan: StartTransaction) -> StatementOutcome:
