Keep the route and regions of an open transaction until it ends

What callers saw: a transaction that began without a key on a public route was refused with NOAUTH as soon as a version ended "Public", and one whose route and workspace had no region in common in a new version was refused as busy. The users' page says that a change to a route applies from the next transaction onward, and ours says so of regions.

Cause: a statement of an open transaction was checked with the route in force, of which only the removal was excused.

Change: check_continuation asks one question, whether the caller's key still belongs to the workspace that the transaction runs for. Route and regions stay as they were. A key that is gone is refused with NOAUTH only where it couldn't begin a new transaction either; where the route has become public, the caller gets ABORTED and may run the transaction again.

--- a/features/open_transactions.feature
+++ b/features/open_transactions.feature
@@ -60,3 +60,46 @@
       | a lower rate of its workspace             |
       | a lower limit of its members' connections |
       | a second key of its workspace             |
+      | a region of its route and another region of its workspace |
+
+  Scenario: An open transaction without a key outlives the end of its public route
+    # Guards against a change of a route that applies before the next transaction.
+    Given a caller without a key has written in a transaction on a public route
+    When its route is no longer public
+    And it sends "WRITE a 2" after the change
+    And it sends "COMMIT" after the change
+    Then its transaction is kept
+    And its next transaction is refused with NOAUTH
+
+  Scenario: A withdrawn key ends the open transaction although its route becomes public
+    # Guards against statements for a workspace that no longer holds the caller's key,
+    # and against a key that is called invalid where none is needed.
+    Given a caller of "bounded-db" has written in a transaction
+    When its key is withdrawn and its route becomes public
+    And it sends "READ kept" after the change
+    Then the statement is refused with ABORTED and has not run
+    And the write of its transaction is not kept
+
+  Scenario: A transaction whose key passes to another workspace while it is idle
+    # Guards against a transaction that stays open for a workspace without a caller.
+    Given a version with a limit of 1 s for idle transactions is in force
+    And a caller of "primary-db" has written in a transaction
+    When its key passes to another workspace
+    And its transaction is idle for 1.5 s
+    Then the member has rolled the transaction back
+    When it sends "COMMIT" after the change
+    Then the statement is refused with ABORTED and has not run
+    And the write of its transaction is not kept
+
+  Scenario Outline: A key that is lost while the first statement of a transaction waits
+    # Guards against a second statement that runs because the first one did.
+    Given a caller has begun a transaction whose first statement waits for a connection
+    When <change>
+    Then the statement that waited ends within the time of its route
+    When it sends "COMMIT" after the change
+    Then the statement is refused and has not run
+
+    Examples:
+      | change                              |
+      | its key passes to another workspace |
+      | its key and its route are removed   |
--- a/features/steps/open_transaction_steps.py
+++ b/features/steps/open_transaction_steps.py
@@ -1,13 +1,16 @@
 """Steps for open transactions during changes of the configuration."""
 
 from collections.abc import Callable
+from functools import partial
 from time import monotonic
 
 from behave import given, then, when
 from behave.runner import Context
+from features.wire.platform_world import MAX_CONNECTIONS
+from features.wire.wire_caller import WireCaller
 from trio import sleep
 
-KEY, OTHER_KEY = "key-of-w1", "key-of-w2"
+KEY, OTHER_KEY, UNKNOWN_KEY = "key-of-w1", "key-of-w2", "key-of-nobody"
 TIMEOUT_S = 20.0
 
 
@@ -81,6 +84,23 @@
     configuration["Tenants"][0]["ApiKeys"] = ["key-new", KEY]
 
 
+def separate_regions(configuration: dict, database: str) -> None:
+    """Allow the route one region and the first workspace another one."""
+    configuration["Tenants"][0]["AllowedRegions"] = ["south"]
+    configuration["Routes"] = [
+        {**route, "AllowedRegions": ["north"]} if route["Host"] == database else route
+        for route in configuration["Routes"]
+    ]
+
+
+def set_public(configuration: dict, database: str, public: bool) -> None:
+    """Serve a database with or without a key."""
+    configuration["Routes"] = [
+        {**route, "Public": public} if route["Host"] == database else route
+        for route in configuration["Routes"]
+    ]
+
+
 CHANGES = {
     "the removal of its route": remove_route,
     "the removal of its route and its group": remove_group,
@@ -88,6 +108,7 @@
     "a lower rate of its workspace": lower_rate,
     "a lower limit of its members' connections": lower_connections,
     "a second key of its workspace": add_key,
+    "a region of its route and another region of its workspace": separate_regions,
     "a version without a change for it": lambda configuration, database: None,
 }
 
@@ -97,11 +118,84 @@
     """Leave the transaction open."""
     context.database = database
     context.caller = context.platform.open(database)
+    begin_and_write(context)
+
+
+def begin_and_write(context: Context) -> None:
+    """Begin a transaction and run its first write."""
     for text in ("BEGIN", "WRITE kept 1"):
         answer = context.platform.query(context.caller, text)
         assert answer[0].startswith("DONE"), answer
 
 
+@given("a caller without a key has written in a transaction on a public route")
+def written_without_key(context: Context) -> None:
+    """Make a route public and leave a transaction open."""
+    context.database = "primary-db"
+    publish(context, partial(set_public, public=True))
+    context.caller = context.platform.open(context.database, UNKNOWN_KEY)
+    begin_and_write(context)
+
+
+@given("a version with a limit of {seconds:g} s for idle transactions is in force")
+@when("a version with a limit of {seconds:g} s for idle transactions is in force")
+def idle_limit(context: Context, seconds: float) -> None:
+    """Publish another limit."""
+    context.database = "primary-db"
+
+    def change(configuration: dict, database: str) -> None:
+        configuration["Limits"] = {"TxIdleMs": 1000 * seconds}
+
+    publish(context, change)
+
+
+@given("a caller has begun a transaction whose first statement waits for a connection")
+def first_statement_waits(context: Context) -> None:
+    """Use every connection of the primary by other transactions, then send a write."""
+    platform = context.platform
+    context.database = "bounded-db"
+    context.holders = []
+    for _ in range(MAX_CONNECTIONS):
+        caller = platform.open(context.database, OTHER_KEY)
+        for text in ("BEGIN", "WRITE held 1"):
+            _query_within_rate(context, caller, text)
+        context.holders.append(caller)
+    context.caller = platform.open(context.database)
+    assert platform.query(context.caller, "BEGIN")[0].startswith("DONE")
+    platform.call(context.caller.send_raw, b"QUERY waits WRITE kept 1\r\n")
+
+
+def _query_within_rate(context: Context, caller: WireCaller, text: str) -> None:
+    answer = context.platform.query(caller, text)
+    while "above its rate" in answer[0]:
+        context.platform.call(sleep, 0.1)
+        answer = context.platform.query(caller, text)
+    assert answer[0].startswith("DONE"), answer
+
+
+@when("its route is no longer public")
+def not_public(context: Context) -> None:
+    """One version changes the route."""
+    publish(context, partial(set_public, public=False))
+
+
+@when("its key is withdrawn and its route becomes public")
+def withdrawn_and_public(context: Context) -> None:
+    """One version changes both."""
+
+    def change(configuration: dict, database: str) -> None:
+        remove_key(configuration, database)
+        set_public(configuration, database, public=True)
+
+    publish(context, change)
+
+
+@when("its transaction is idle for {seconds:g} s")
+def is_idle(context: Context, seconds: float) -> None:
+    """Send nothing."""
+    context.platform.call(sleep, seconds)
+
+
 @when("its key passes to another workspace")
 def key_passes(context: Context) -> None:
     """One version takes the key from its workspace and gives it to another one."""
@@ -171,3 +265,46 @@
     """Its last statement is answered with success, and its first write is there."""
     assert context.answer[0].startswith("DONE"), context.answer
     assert context.platform.group.item_by_name["kept"] == "1"
+
+
+@then("the session is ready for its next transaction")
+def ready(context: Context) -> None:
+    """The answer ends outside of a transaction, and BEGIN is accepted."""
+    assert context.answer[-1].startswith("READY I"), context.answer
+    answer = context.platform.query(context.caller, "BEGIN")
+    assert answer[0].startswith("DONE"), answer
+
+
+@then("its next transaction is refused with {code}")
+def next_refused(context: Context, code: str) -> None:
+    """The change applies to the next transaction."""
+    answer = context.platform.query(context.caller, "BEGIN")
+    assert answer[0].startswith(f"ERR {code}"), answer
+
+
+@then("the member has rolled the transaction back")
+def rolled_back(context: Context) -> None:
+    """No member has a transaction open."""
+    members = context.platform.member_by_id.values()
+    assert sum(member.open_transactions for member in members) == 0
+
+
+@then("the statement that waited ends within the time of its route")
+def waited(context: Context) -> None:
+    """It was sent before the change, so it may run for the workspace that had the key.
+
+    Its time limit is below the bound for a change of the configuration.
+    """
+    answer = context.platform.call(context.caller.read_answer)
+    ran = "waits" in [run.id for run in context.platform.group.runs]
+    assert answer[0].startswith(("DONE", "ERR BUSY")), answer
+    assert ran == answer[0].startswith("DONE"), answer
+
+
+@then("the statement is refused and has not run")
+def refused(context: Context) -> None:
+    """The refusal depends on what became of the statement before it."""
+    assert context.answer[0].startswith("ERR "), context.answer
+    assert "BUSY" not in context.answer[0], context.answer
+    ran = [run.id for run in context.platform.group.runs]
+    assert context.caller.last_id not in ran, ran
--- a/features/wire/wire_member.py
+++ b/features/wire/wire_member.py
@@ -28,6 +28,7 @@
         self._listener = listener
         self._scope = CancelScope()
         self.accepted = 0
+        self.open_transactions = 0
 
     async def run(self) -> None:
         """Serve until the member is killed."""
@@ -64,6 +65,7 @@
         except (BrokenResourceError, ClosedResourceError):
             return
         finally:
+            session.leave()
             await stream.aclose()
 
 
@@ -80,6 +82,12 @@
         self._requires_primary = False
         self.is_over = False
 
+    def leave(self) -> None:
+        """Leave the open transaction, if there is one."""
+        if self._state != "I":
+            self._member.open_transactions -= 1
+        self._state, self._requires_primary, self._writes = "I", False, {}
+
     def answer(self, line: str) -> list[str]:
         word, _, rest = line.partition(" ")
         if word == "START":
@@ -126,8 +134,9 @@
             if rest != "READ" and not is_primary:
                 return ["ERR READONLY not the primary\r\n"]
             self._state, self._requires_primary = "T", rest != "READ"
+            self._member.open_transactions += 1
         elif word == "ROLLBACK":
-            self._state, self._requires_primary, self._writes = "I", False, {}
+            self.leave()
         else:
             return self._run_item(id, text, is_primary)
         return ["DONE -\r\n"]
@@ -167,7 +176,7 @@
     def _commit(self) -> list[str]:
         if self._writes:
             self._group.commit(self._writes)
-        self._state, self._requires_primary, self._writes = "I", False, {}
+        self.leave()
         if self._group.lose_answers:
             self._group.lose_answers -= 1
             self.is_over = True
--- a/src/jackdawspread/decisions/sessions/continuation_check.py
+++ b/src/jackdawspread/decisions/sessions/continuation_check.py
@@ -1,10 +1,8 @@
 """Checks the statements of an open transaction against the configuration."""
 
-from jackdawspread.decisions.sessions.allowed_regions import allowed_regions
 from jackdawspread.decisions.sessions.operation_check import (
     STEP,
     refuse_key,
-    refuse_regions,
     refuse_unconfirmed,
 )
 from jackdawspread.messages.execution_status import ExecutionStatus
@@ -23,8 +21,8 @@
 ) -> OperationAdmitted | Refusal:
     """Return the admission of the next statement of a transaction, or its refusal.
 
-    The transaction goes on if its route is removed. The caller's key must still belong
-    to the workspace for which the transaction has leased its member connection.
+    The transaction keeps the route and the regions with which it began. The caller's
+    key must still belong to the workspace for which it has leased its connection.
 
     Parameters
     ----------
@@ -35,23 +33,30 @@
     """
     if configuration is None or age_s > max_age_s:
         return refuse_unconfirmed(configuration, age_s)
-    began_with = transaction.route
-    route = configuration.route_by_database.get(began_with.database, began_with)
     workspace = configuration.workspace_by_key.get(key, "")
-    if not workspace and not route.public:
-        return refuse_key(configuration, newest_version)
     if workspace != transaction.workspace:
-        return _refuse_other_workspace(configuration)
-    if allowed_regions(configuration, route, workspace) is None:
-        return refuse_regions()
+        return _refuse_lost_key(configuration, transaction, workspace, newest_version)
     return transaction._replace(
         version=configuration.version, age_s=age_s, newest_version=newest_version
     )
 
 
-def _refuse_other_workspace(configuration: FleetConfiguration) -> Refusal:
+def _refuse_lost_key(
+    configuration: FleetConfiguration,
+    transaction: OperationAdmitted,
+    workspace: str,
+    newest_version: int,
+) -> Refusal:
+    """Return the refusal of a key that the transaction's workspace has lost.
+
+    The key is refused as invalid only if it couldn't begin a new transaction either.
+    """
+    began_with = transaction.route
+    route = configuration.route_by_database.get(began_with.database, began_with)
+    if not workspace and not route.public:
+        return refuse_key(configuration, newest_version)
     detail = (
-        "the transaction was rolled back: the key belongs to another workspace in "
-        f"version {configuration.version}"
+        "the transaction was rolled back: the key no longer belongs to workspace "
+        f"{transaction.workspace or 'none'} in version {configuration.version}"
     )
     return Refusal("aborted", ExecutionStatus.NOT_RUN, STEP, "", detail)
--- a/src/jackdawspread/decisions/sessions/operation_check.py
+++ b/src/jackdawspread/decisions/sessions/operation_check.py
@@ -50,7 +50,8 @@
         return refuse_key(configuration, newest_version)
     regions = allowed_regions(configuration, route, workspace)
     if regions is None:
-        return refuse_regions()
+        detail = "the route and the workspace have no allowed region in common"
+        return _refuse("busy", detail, NO_REGION_RETRY_MS)
     return OperationAdmitted(
         route,
         workspace,
@@ -78,12 +79,6 @@
     return _refuse("noauth", f"the key is not valid, {versions}")
 
 
-def refuse_regions() -> Refusal:
-    """Return the refusal if the route and the workspace have no region in common."""
-    detail = "the route and the workspace have no allowed region in common"
-    return _refuse("busy", detail, NO_REGION_RETRY_MS)
-
-
 def refuse_outdated(newest_version: int) -> Refusal:
     """Return the refusal of an operation while a newer version has not arrived.
 
