End the transaction if its COMMIT is refused at admission

What callers saw: a COMMIT that was refused because of its key, or because the configuration was too old, was answered with READY E. The transaction had been rolled back at the member, yet the caller had to end it a second time; BEGIN got MALFORMED, and a caller whose operation ends outside of state I closes its session.

Cause: SessionOperations built the outcome of this refusal itself, with the state of a failed statement, while all other refusals go through _refused, which ends what a COMMIT ends.

Change: it uses _refused as well.

--- a/features/open_transactions.feature
+++ b/features/open_transactions.feature
@@ -80,6 +80,14 @@
     Then the statement is refused with ABORTED and has not run
     And the write of its transaction is not kept
 
+  Scenario: The session goes on after a refused COMMIT
+    # Guards against a caller that has to end a transaction a second time.
+    Given a caller of "primary-db" has written in a transaction
+    When its key passes to another workspace
+    And it sends "COMMIT" after the change
+    Then the statement is refused with ABORTED and has not run
+    And the session is ready for its next transaction
+
   Scenario: A transaction whose key passes to another workspace while it is idle
     # Guards against a transaction that stays open for a workspace without a caller.
     Given a version with a limit of 1 s for idle transactions is in force
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -204,7 +204,7 @@
             admitted = await self._admit(consume_token=True)
         if isinstance(admitted, Refusal):
             self.close()
-            return StatementOutcome(admitted, fail_transaction(self._state))
+            return self._refused(admitted, plan)
         self._admitted = admitted
         return await self._run_at_member(request, plan, in_transaction)
 
