Roll an idle transaction back by the limit in force

What callers saw: a version raises TxIdleMs while a transaction is idle, and the transaction is rolled back by the limit with which it began. A caller that came back within the new limit got ABORTED.

Cause: the limit was part of the admission at BEGIN and was never read again.

Change: each check of a statement brings the limit in force, and before an idle transaction is rolled back the session asks for it once more.

--- a/features/open_transactions.feature
+++ b/features/open_transactions.feature
@@ -88,6 +88,16 @@
     Then the statement is refused with ABORTED and has not run
     And the session is ready for its next transaction
 
+  Scenario: An idle transaction is rolled back by the limit in force
+    # Guards against a transaction that is rolled back by a limit that a later version
+    # has raised.
+    Given a version with a limit of 1 s for idle transactions is in force
+    And a caller of "primary-db" has written in a transaction
+    When a version with a limit of 20 s for idle transactions is in force
+    And its transaction is idle for 1.5 s
+    And it sends "COMMIT" after the change
+    Then its transaction is kept
+
   Scenario: A transaction whose key passes to another workspace while it is idle
     # Guards against a transaction that stays open for a workspace without a caller.
     Given a version with a limit of 1 s for idle transactions is in force
--- a/src/jackdawspread/decisions/sessions/continuation_check.py
+++ b/src/jackdawspread/decisions/sessions/continuation_check.py
@@ -21,8 +21,9 @@
 ) -> OperationAdmitted | Refusal:
     """Return the admission of the next statement of a transaction, or its refusal.
 
-    The transaction keeps the route and the regions with which it began. The caller's
-    key must still belong to the workspace for which it has leased its connection.
+    The transaction keeps the route and the regions with which it began, and gets the
+    limit for idle transactions in force. The caller's key must still belong to the
+    workspace for which it has leased its connection.
 
     Parameters
     ----------
@@ -37,7 +38,10 @@
     if workspace != transaction.workspace:
         return _refuse_lost_key(configuration, transaction, workspace, newest_version)
     return transaction._replace(
-        version=configuration.version, age_s=age_s, newest_version=newest_version
+        version=configuration.version,
+        age_s=age_s,
+        newest_version=newest_version,
+        transaction_idle_s=configuration.transaction_idle_s,
     )
 
 
--- a/src/jackdawspread/tasks/sessions/caller_session.py
+++ b/src/jackdawspread/tasks/sessions/caller_session.py
@@ -258,7 +258,8 @@
         """Return the next request, None if the session has ended."""
         assert self._operations is not None
         # The first byte of a message does not extend the time of a transaction.
-        idle_until = current_time() + self._operations.idle_limit_s
+        idle_since = current_time()
+        idle_until = idle_since + self._operations.idle_limit_s
         complete_by = inf
         while (message := self._next_message()) is None:
             if self._codec.has_partial_message and complete_by == inf:
@@ -276,15 +277,26 @@
                 self._budget.refuse(PART, "message not complete in time")
                 return None
             if self._reading.cancelled_caught and current_time() >= idle_until:
-                logging.info("session: idle transaction rolled back")
-                self._operations.roll_back_idle_transaction()
-                idle_until = inf
+                idle_until = await self._check_idle_transaction(idle_since)
         self._reading = None
         if isinstance(message, SessionRequest):
             return message
         self._ending.reason = CALLER_CLOSED
         return None
 
+    async def _check_idle_transaction(self, idle_since: float) -> float:
+        """Roll the transaction back, or return the later end of its idle time.
+
+        A version may have raised the limit since the last statement.
+        """
+        assert self._operations is not None
+        idle_until = idle_since + await self._operations.renew_idle_limit()
+        if current_time() < idle_until:
+            return idle_until
+        logging.info("session: idle transaction rolled back")
+        self._operations.roll_back_idle_transaction()
+        return inf
+
     def _stop_reason(self) -> str:
         assert self._operations is not None
         if self._operations.in_transaction or self._codec.has_partial_message:
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -95,6 +95,14 @@
         assert self._admitted is not None
         return self._admitted.transaction_idle_s
 
+    async def renew_idle_limit(self) -> float:
+        """Return the limit in force for the idle transaction; 0 if it must end."""
+        admitted = await self._check_continuation()
+        if isinstance(admitted, Refusal):
+            return 0.0
+        self._admitted = admitted
+        return self.idle_limit_s
+
     @property
     def state_bytes(self) -> int:
         """Memory of the session's values and prepared statements."""
