Move a session's requests to the admission task to a class of their own

Its requests to admission now stand in AdmissionCalls, as those to members do in MemberCalls, and refuse_unconfirmed, a name that member_outcomes has too, is refuse_without_configuration. No behaviour changes.

--- a/src/jackdawspread/decisions/sessions/continuation_check.py
+++ b/src/jackdawspread/decisions/sessions/continuation_check.py
@@ -3,7 +3,7 @@
 from jackdawspread.decisions.sessions.operation_check import (
     STEP,
     refuse_key,
-    refuse_unconfirmed,
+    refuse_without_configuration,
 )
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.fleet_configuration import FleetConfiguration
@@ -33,7 +33,7 @@
         Admission of the transaction.
     """
     if configuration is None or age_s > max_age_s:
-        return refuse_unconfirmed(configuration, age_s)
+        return refuse_without_configuration(configuration, age_s)
     workspace = configuration.workspace_by_key.get(key, "")
     if workspace != transaction.workspace:
         return _refuse_lost_key(configuration, transaction, workspace, newest_version)
--- a/src/jackdawspread/decisions/sessions/operation_check.py
+++ b/src/jackdawspread/decisions/sessions/operation_check.py
@@ -40,7 +40,7 @@
         Newest version that is known to exist, for the log.
     """
     if configuration is None or age_s > max_age_s:
-        return refuse_unconfirmed(configuration, age_s)
+        return refuse_without_configuration(configuration, age_s)
     route = configuration.route_by_database.get(database)
     if route is None:
         detail = f"there is no route for the database {database}"
@@ -63,10 +63,10 @@
     )
 
 
-def refuse_unconfirmed(
+def refuse_without_configuration(
     configuration: FleetConfiguration | None, age_s: float
 ) -> Refusal:
-    """Return the refusal while there is no configuration, or it is too old."""
+    """Return the refusal while no configuration is known, or only an old one."""
     if configuration is None:
         return _refuse("busy", "no configuration has been read yet", RETRY_AFTER_MS)
     detail = f"the configuration was last confirmed {age_s:.1f} s ago"
--- a/src/jackdawspread/tasks/sessions/session_operations.py
+++ b/src/jackdawspread/tasks/sessions/session_operations.py
@@ -1,13 +1,6 @@
 """Runs the statements of one session."""
 
-from absl import logging
-from trio import (
-    MemoryReceiveChannel,
-    MemorySendChannel,
-    WouldBlock,
-    current_time,
-    open_memory_channel,
-)
+from trio import MemorySendChannel, current_time
 
 from jackdawspread.decisions.sessions.answer_locally import AnswerLocally
 from jackdawspread.decisions.sessions.connection_wait import connection_wait_s
@@ -32,10 +25,7 @@
 from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.admission_event import AdmissionEvent
-from jackdawspread.messages.fleet.admission_request import AdmissionRequest
-from jackdawspread.messages.fleet.continuation_request import ContinuationRequest
 from jackdawspread.messages.fleet.operation_admitted import OperationAdmitted
-from jackdawspread.messages.fleet.operation_not_run import OperationNotRun
 from jackdawspread.messages.fleet.router_event import RouterEvent
 from jackdawspread.messages.pool_hosts.lease_broker_event import LeaseBrokerEvent
 from jackdawspread.messages.refusal import Refusal
@@ -45,6 +35,7 @@
 from jackdawspread.messages.statements.session_request import SessionRequest
 from jackdawspread.messages.statements.statement_success import StatementSuccess
 from jackdawspread.settings.stop_times import StopTimes
+from jackdawspread.tasks.sessions.admission_calls import AdmissionCalls
 from jackdawspread.tasks.sessions.member_calls import MemberCalls
 from jackdawspread.tasks.sessions.single_statement import run_single
 from jackdawspread.tasks.sessions.statement_log import log_statement
@@ -75,7 +66,7 @@
         acknowledgements: MemorySendChannel[AcknowledgementEvent],
     ) -> None:
         self._handshake = handshake
-        self._admission = admission
+        self._admissions = AdmissionCalls(handshake, admission)
         self._calls = MemberCalls(broker, router, admission, acknowledgements)
         self._state = SessionState()
         self._admitted: OperationAdmitted | None = None
@@ -97,7 +88,8 @@
 
     async def renew_idle_limit(self) -> float:
         """Return the limit in force for the idle transaction; 0 if it must end."""
-        admitted = await self._check_continuation()
+        assert self._admitted is not None
+        admitted = await self._admissions.check_continuation(self._admitted)
         if isinstance(admitted, Refusal):
             return 0.0
         self._admitted = admitted
@@ -118,7 +110,7 @@
             refusal = refuse_handshake(self._stop_times, current_time())
             if refusal is not None:
                 return refusal
-        admitted = await self._admit(consume_token=False)
+        admitted = await self._admissions.admit(counts_against_rate=False)
         return admitted if isinstance(admitted, Refusal) else None
 
     async def answer(self, request: SessionRequest) -> SessionAnswer:
@@ -207,9 +199,10 @@
             self.close()
             return StatementOutcome(StatementSuccess(), end_transaction(self._state))
         if in_transaction:
-            admitted = await self._check_continuation()
+            assert self._admitted is not None
+            admitted = await self._admissions.check_continuation(self._admitted)
         else:
-            admitted = await self._admit(consume_token=True)
+            admitted = await self._admissions.admit(counts_against_rate=True)
         if isinstance(admitted, Refusal):
             self.close()
             return self._refused(admitted, plan)
@@ -217,7 +210,7 @@
         return await self._run_at_member(request, plan, in_transaction)
 
     async def _start(self, plan: StartTransaction) -> StatementOutcome:
-        admitted = await self._admit(consume_token=True)
+        admitted = await self._admissions.admit(counts_against_rate=True)
         if isinstance(admitted, Refusal):
             return StatementOutcome(admitted, self._state)
         self._admitted = admitted
@@ -253,12 +246,7 @@
         assert self._admitted is not None
         result = outcome.result
         if isinstance(result, Refusal) and result.ran is ExecutionStatus.NOT_RUN:
-            try:
-                self._admission.send_nowait(OperationNotRun(self._admitted.workspace))
-            except WouldBlock:
-                logging.vlog(
-                    1, "session: rate token not returned, admission inbox full"
-                )
+            self._admissions.return_token(self._admitted.workspace)
 
     def _operation(self, request: SessionRequest) -> Operation:
         assert self._admitted is not None
@@ -271,32 +259,3 @@
             now + connection_wait_s(route),
             now + route.latency_target_s,
         )
-
-    async def _admit(self, consume_token: bool) -> OperationAdmitted | Refusal:
-        """Have a new operation, or the session itself, admitted or refused."""
-        send, receive = open_memory_channel[OperationAdmitted | Refusal](1)
-        handshake = self._handshake
-        request = AdmissionRequest(
-            handshake.database, handshake.key, consume_token, send
-        )
-        return await self._ask_admission(request, receive)
-
-    async def _check_continuation(self) -> OperationAdmitted | Refusal:
-        """Have the next statement of the open transaction admitted or refused."""
-        assert self._admitted is not None
-        send, receive = open_memory_channel[OperationAdmitted | Refusal](1)
-        request = ContinuationRequest(self._admitted, self._handshake.key, send)
-        return await self._ask_admission(request, receive)
-
-    async def _ask_admission(
-        self,
-        request: AdmissionRequest | ContinuationRequest,
-        replies: MemoryReceiveChannel[OperationAdmitted | Refusal],
-    ) -> OperationAdmitted | Refusal:
-        try:
-            self._admission.send_nowait(request)
-        except WouldBlock:
-            logging.warning("session: admission inbox full")
-            detail = "the instance is overloaded"
-            return Refusal("busy", ExecutionStatus.NOT_RUN, "admission", "", detail)
-        return await replies.receive()
