Test that the HTTP front end refuses a lost key in an open transaction

The owner compares the key's workspace with that of the request just before sending, and that of the request with that of the transaction.

--- a/features/owner.feature
+++ b/features/owner.feature
@@ -160,6 +160,21 @@
     Then each transaction ran on its own connection
     And the statement with a wrong id is refused with unknown_transaction and ran not_run
 
+  Scenario Outline: A key that is lost ends the statements of its open transaction
+    # Guards against statements and commits in a transaction of a workspace that no
+    # longer holds the caller's key, also if they were admitted before the change.
+    When the key of a transaction <change> and its <statement> comes from <workspace>
+    Then the statement is refused with <code> and has not reached a member
+    And the transaction is rolled back once it is idle for too long
+
+    Examples:
+      | change      | statement | workspace | code                |
+      | is removed  | execute   | w1        | unauthorized        |
+      | is removed  | commit    | w1        | unauthorized        |
+      | passes on   | execute   | w1        | unauthorized        |
+      | passes on   | commit    | w1        | unauthorized        |
+      | passes on   | execute   | w2        | unknown_transaction |
+
   Scenario: An idle transaction is rolled back
     # Guards against a caller that occupies a connection indefinitely.
     When a transaction is left idle for 11 s
--- a/features/steps/owner_transaction_steps.py
+++ b/features/steps/owner_transaction_steps.py
@@ -3,9 +3,10 @@
 from behave import then, when
 from behave.runner import Context
 from features.fakes.owner_script import play
-from features.fakes.owner_world import A, OwnerWorld
+from features.fakes.owner_world import A, OwnerWorld, snapshot
 from trio import sleep
 
+from jackdawspread.messages.execution_status import ExecutionStatus
 from jackdawspread.messages.request_kind import RequestKind
 
 READ, BEGIN = RequestKind.READ, RequestKind.BEGIN
@@ -43,6 +44,46 @@
     assert not used["first"] & used["second"]
 
 
+@when(
+    "the key of a transaction {change} and its {statement} comes from {workspace}",
+)
+def key_lost(context: Context, change: str, statement: str, workspace: str) -> None:
+    """Change the configuration between two statements of a transaction."""
+    keys = dict(snapshot().configuration["key_by_id"])
+    del keys["key-w1"]
+    if change == "passes on":
+        keys["key-w1"] = {"workspace": "w2", "withdrawn": False}
+
+    async def script(world: OwnerWorld) -> None:
+        await world.add_owner()
+        id = (await world.submit_and_wait("begin", BEGIN)).ok.transaction_id
+        await world.submit_and_wait("kept", EXECUTE, transaction_id=id)
+        world.inboxes[0].send_nowait(snapshot(key_by_id=keys))
+        fields = {"transaction_id": id, "workspace": workspace}
+        await world.submit_and_wait("late", RequestKind(statement), **fields)
+        world.inboxes[0].send_nowait(snapshot())
+        await sleep(11)
+        await world.submit_and_wait("after", EXECUTE, transaction_id=id)
+
+    play(context, script)
+
+
+@then("the statement is refused with {code} and has not reached a member")
+def late_refused(context: Context, code: str) -> None:
+    """Compare the reply with the calls that the members received."""
+    refusal = context.world.replies["late"][0].error
+    assert (refusal.code, refusal.ran) == (code, ExecutionStatus.NOT_RUN), refusal
+    labels = {label for _, _, label in context.world.ran("execute", "commit")}
+    assert labels == {"kept"}, labels
+
+
+@then("the transaction is rolled back once it is idle for too long")
+def rolled_back_idle(context: Context) -> None:
+    """With the key valid again its next statement finds no transaction."""
+    refusal = context.world.replies["after"][0].error
+    assert refusal.code == "unknown_transaction", refusal
+
+
 @when("a transaction is left idle for 11 s")
 def left_idle(context: Context) -> None:
     """Begin a transaction, wait, and send its next statement."""
