--- a/scripts/proofs/catalogue.py
+++ b/scripts/proofs/catalogue.py
@@ -193,4 +193,22 @@
         "owner.feature",
         "A burst of one workspace",
     ),
+    Proof(
+        "own-workspace",
+        "the comparison with the workspace of an open transaction",
+        "decisions/sessions/continuation_check.py",
+        "if workspace != transaction.workspace:",
+        "if not workspace and transaction.workspace:",
+        "open_transactions.feature",
+        "A key that passed to another workspace",
+    ),
+    Proof(
+        "withdrawn-key",
+        "the key check of an open transaction whose route is gone",
+        "decisions/sessions/continuation_check.py",
+        "if workspace != transaction.workspace:",
+        "if workspace and workspace != transaction.workspace:",
+        "open_transactions.feature",
+        "A key that is withdrawn with its route",
+    ),
 )
