--- a/features/steps/acknowledgement_task_steps.py
+++ b/features/steps/acknowledgement_task_steps.py
@@ -1,6 +1,6 @@
 """Steps for the acknowledgement task."""
 
-import logging
+from contextlib import ExitStack
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -11,6 +11,7 @@
     PRIMARY,
     AcknowledgingInstance,
 )
+from features.support.log_lines import collect_log_lines
 from trio import WouldBlock
 
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
@@ -192,12 +193,9 @@
 @when("the log lines are collected")
 def collect(context: Context) -> None:
     """Collect log lines from now on."""
-    lines = context.lines = []
-    handler = logging.Handler()
-    handler.emit = lambda record: lines.append(record.getMessage())
-    logger = logging.getLogger("absl")
-    logger.addHandler(handler)
-    context.add_cleanup(logger.removeHandler, handler)
+    lines = ExitStack()
+    context.lines = lines.enter_context(collect_log_lines())
+    context.add_cleanup(lines.close)
 
 
 def _confirmation(context: Context):
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,10 +1,7 @@
 """Steps for the gateway."""
 
-import logging as standard_logging
-from io import StringIO
 from typing import Any
 
-from absl import logging
 from behave import given, then, when
 from behave.runner import Context
 from expression import Ok
@@ -15,6 +12,7 @@
     WITHDRAWN_KEY,
     GatewayWorld,
 )
+from features.support.log_lines import collect_log_lines
 from trio import WouldBlock, current_time, sleep
 from trio.testing import wait_all_tasks_blocked
 
@@ -83,17 +81,9 @@
 
 
 def _run(context: Context) -> None:
-    capture = StringIO()
-    handler = standard_logging.StreamHandler(capture)
-    logging.get_absl_logger().addHandler(handler)
-    previous = logging.get_verbosity()
-    logging.set_verbosity(logging.INFO)
-    try:
+    with collect_log_lines() as lines:
         context.reply, context.routed = context.world.run(context.script)
-    finally:
-        logging.set_verbosity(previous)
-        logging.get_absl_logger().removeHandler(handler)
-    context.log_text = capture.getvalue()
+    context.log_text = "\n".join(lines)
 
 
 def _routed(world: GatewayWorld) -> list[Any]:
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -1,15 +1,14 @@
 """Steps for the operators' commands."""
 
-import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from absl import logging as absl_logging
 from behave import then, when
 from behave.runner import Context
 from features.fakes.control_instance import CREDENTIAL, ControlInstance
+from features.support.log_lines import collect_log_lines
 from msgspec import json
 from trio import CancelScope, open_nursery, run, sleep, to_thread
 from typer.testing import CliRunner, Result
@@ -61,12 +60,6 @@
 
 @when("an operator issues a key and withdraws it")
 def issue(context: Context) -> None:
-    lines: list[str] = []
-
-    class LineCollector(logging.Handler):
-        def emit(self, record: logging.LogRecord) -> None:
-            lines.append(record.getMessage())
-
     async def script(instance: ControlInstance, invoke: Invoke) -> None:
         await invoke("workspace create branch")
         issued = json.decode((await invoke("key issue branch --output json")).output)
@@ -74,16 +67,8 @@
         withdraw = f"key withdraw {issued['key_id']} --output json"
         context.withdrawn = json.decode((await invoke(withdraw)).output)
 
-    handler, logger = LineCollector(), absl_logging.get_absl_logger()
-    logger.addHandler(handler)
-    verbosity = absl_logging.get_verbosity()
-    absl_logging.set_verbosity(absl_logging.INFO)
-    try:
+    with collect_log_lines() as context.lines:
         context.instance = with_instance(script)
-    finally:
-        absl_logging.set_verbosity(verbosity)
-        logger.removeHandler(handler)
-    context.lines = lines
 
 
 @then("the key appears in no stored row and in no log line")
--- a/features/steps/session_acknowledgement_steps.py
+++ b/features/steps/session_acknowledgement_steps.py
@@ -1,10 +1,9 @@
 """Steps for what sessions ask the acknowledgement task."""
 
-import logging
-
 from behave import given, then, when
 from behave.runner import Context
 from features.fakes.gated_session import STATEMENT_BY_WORD, GatedSession
+from features.support.log_lines import collect_log_lines
 
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.refusal import Refusal
@@ -83,15 +82,8 @@
 @then('the log line of the statement ends with "{end}"')
 def line_ends(context: Context, end: str) -> None:
     """Log the outcome and compare the end of the line."""
-    lines: list[str] = []
-    handler = logging.Handler()
-    handler.emit = lambda record: lines.append(record.getMessage())
-    logger = logging.getLogger("absl")
-    logger.addHandler(handler)
-    try:
+    with collect_log_lines() as lines:
         request = SessionRequest("id", STATEMENT_BY_WORD["write"])
         outcome = context.session.outcome
         log_statement("d", request, SessionPhase.IDLE, None, outcome, 0.001)
-    finally:
-        logger.removeHandler(handler)
     assert lines[0].endswith(end), lines
