Log an answer that has several versions of the configuration

The line names the versions of the row and the chosen one.

The stand-in of the store now keeps each change, and its feed has a row once for each, as the platform's feed does: before, it had only the newest version, so that no scenario could meet this answer. It can also leave requests waiting.

--- a/features/wire/table_store.py
+++ b/features/wire/table_store.py
@@ -28,9 +28,12 @@
         self._version = 1
         self._changed = Event()
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
-        self._removed_at: dict[tuple[str, str], int] = {}
+        # Each write and removal, in order.
+        self._changes: list[Row] = []
         self.tokens: list[int] = []
         self.is_down = False
+        # Whether requests wait, and are handled once this is False again.
+        self.is_silent = False
         self.refused_calls = 0
         # Targets of the requests that were handled.
         self.calls: list[str] = []
@@ -43,17 +46,19 @@
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row, as an operator or a member does."""
         self._version += 1
-        self.rows[table, key] = (value, self._version)
-        self._changed.set()
-        self._changed = Event()
+        self._write(table, key, value)
+        self._notify()
 
     def delete(self, table: str, key: str) -> None:
         """Remove a row."""
         self._version += 1
-        if self.rows.pop((table, key), None) is not None:
-            self._removed_at[table, key] = self._version
-        self._changed.set()
-        self._changed = Event()
+        self._remove(table, key)
+        self._notify()
+
+    def set_silent(self, is_silent: bool) -> None:
+        """Let requests wait, or handle those that are waiting."""
+        self.is_silent = is_silent
+        self._notify()
 
     def copy(self) -> None:
         """Keep a copy of all rows and of the counter of versions."""
@@ -63,7 +68,7 @@
         """Return to the copy; requests that are waiting go on without an error."""
         self._version, rows = self._copy
         self.rows = dict(rows)
-        self._removed_at = {}
+        self._changes = [row for row in self._changes if row["Ver"] <= self._version]
         self.epoch += 1
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -73,6 +78,7 @@
         return response._replace(headers=response.headers + era)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        await self._wait_while_silent()
         if self.is_down:
             self.refused_calls += 1
             return _respond(503, {})
@@ -109,22 +115,16 @@
         if after > self._version:
             return _respond(410, {})
         with move_on_after(int(query["WaitMs"]) / 1000):
-            while not (changed := self._newer(table, after)):
+            while not self._newer(table, after):
                 await self._changed.wait()
+        await self._wait_while_silent()
+        changed = self._newer(table, after)
         return _respond(200, {"rows": changed, **self._version_and_time()})
 
     def _newer(self, table: str, after: int) -> list[Row]:
-        changed = [
-            self._row(*name)
-            for name, (_, version) in self.rows.items()
-            if name[0] == table and version > after
-        ]
-        removed = [
-            {"Table": table, "part": "", "Key": name[1], "Ver": at, "Tombstone": True}
-            for name, at in self._removed_at.items()
-            if name[0] == table and name not in self.rows and at > after
+        return [
+            row for row in self._changes if row["Table"] == table and row["Ver"] > after
         ]
-        return changed + removed
 
     def _transact(self, body: dict[str, list[Row]]) -> HttpResponse:
         conditions = {
@@ -140,13 +140,29 @@
         # All rows of a transaction get one version.
         self._version += 1
         for row in body["Remove"]:
-            self.rows.pop((str(row["Table"]), str(row["Key"])), None)
+            self._remove(str(row["Table"]), str(row["Key"]))
         for row in body["Puts"]:
             value = b64decode(str(row["Value"]))
-            self.rows[str(row["Table"]), str(row["Key"])] = (value, self._version)
+            self._write(str(row["Table"]), str(row["Key"]), value)
+        self._notify()
+        return _respond(200, self._version_and_time())
+
+    def _write(self, table: str, key: str, value: bytes) -> None:
+        self.rows[table, key] = (value, self._version)
+        self._changes.append(self._row(table, key))
+
+    def _remove(self, table: str, key: str) -> None:
+        if self.rows.pop((table, key), None) is not None:
+            name = {"Table": table, "part": "", "Key": key}
+            self._changes.append({**name, "Ver": self._version, "Tombstone": True})
+
+    async def _wait_while_silent(self) -> None:
+        while self.is_silent:
+            await self._changed.wait()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = Event()
-        return _respond(200, self._version_and_time())
 
     def _handle_promotion(self, request: HttpRequest) -> HttpResponse:
         token = int(request.headers["jackdawspread-fencing-token"])
--- a/src/jackdawspread/platform/configuration_answer.py
+++ b/src/jackdawspread/platform/configuration_answer.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from absl import logging
+
 from jackdawspread.codecs.configuration_copies import configuration_revision
 from jackdawspread.messages.fleet.configuration_revision import NO_REVISION
 from jackdawspread.messages.fleet.configuration_way import ConfigurationWay
@@ -43,6 +45,7 @@
     """
     rows = tuple(decode_rows(outcome.body))
     configuration = _configuration(rows, ignored)
+    _log_versions(rows, configuration)
     has_row = any(row.key == CONFIGURATION_KEY for row in rows)
     return StoredConfigurationSeen(
         way,
@@ -70,6 +73,19 @@
     return None
 
 
+def _log_versions(
+    rows: Iterable[StoreRow], configuration: FleetConfiguration | None
+) -> None:
+    """Log an answer that has several versions of the configuration."""
+    versions = [row.version for row in rows if row.key == CONFIGURATION_KEY]
+    if len(versions) > 1:
+        logging.info(
+            "configuration: several versions in an answer row_versions=%s chosen=%s",
+            ",".join(map(str, versions)),
+            configuration.version if configuration is not None else "none",
+        )
+
+
 def _evacuations(rows: Iterable[StoreRow]) -> dict[str, int | None]:
     return {
         row.key.removeprefix(EVACUATION_PREFIX): None if row.deleted else row.version
