Take the newest of several versions of a row in one answer

Cause: the feed has a row once for each change. The first one, the oldest, was decoded, while reading went on behind the last one, so that the newer versions were never read, and each later answer confirmed the old one. Peers could not help, as each had read the same answer.

Change: versions_by_key in store_rows orders the versions of each row of an answer, the newest first. The configuration is the newest one that can be read, a request for an evacuation the newest one.

--- a/src/jackdawspread/platform/configuration_answer.py
+++ b/src/jackdawspread/platform/configuration_answer.py
@@ -1,6 +1,6 @@
 """What an answer of the platform's store says about the configuration."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping, Sequence
 
 from absl import logging
 
@@ -19,6 +19,7 @@
     decode_rows,
     newest_version,
     store_time_s,
+    versions_by_key,
 )
 
 TABLE = "op"
@@ -30,7 +31,9 @@
 def decode_answer(
     outcome: HttpOutcome, way: ConfigurationWay, epoch: int, ignored: IgnoredRows
 ) -> StoredConfigurationSeen:
-    """Decode an answer; a row that can't be read leaves the last good one in use.
+    """Decode an answer; the newest version of each row counts.
+
+    A configuration that can't be read leaves the last good one in use.
 
     Parameters
     ----------
@@ -43,16 +46,16 @@
     ignored : IgnoredRows
         Logs the rows that can't be read.
     """
-    rows = tuple(decode_rows(outcome.body))
-    configuration = _configuration(rows, ignored)
-    _log_versions(rows, configuration)
-    has_row = any(row.key == CONFIGURATION_KEY for row in rows)
+    found = versions_by_key(decode_rows(outcome.body))
+    stored = found.get(CONFIGURATION_KEY, [])
+    configuration = _newest_readable(stored, ignored)
+    _log_versions(stored, configuration)
     return StoredConfigurationSeen(
         way,
         configuration,
-        way is ConfigurationWay.READ and not has_row,
+        way is ConfigurationWay.READ and not stored,
         configuration_revision(configuration) if configuration else NO_REVISION,
-        _evacuations(rows),
+        _evacuations(found),
         epoch,
         newest_version(outcome.body),
         store_time_s(outcome.body),
@@ -60,11 +63,11 @@
     )
 
 
-def _configuration(
-    rows: Iterable[StoreRow], ignored: IgnoredRows
+def _newest_readable(
+    versions: Sequence[StoreRow], ignored: IgnoredRows
 ) -> FleetConfiguration | None:
-    for row in rows:
-        if row.key != CONFIGURATION_KEY or row.deleted:
+    for row in versions:
+        if row.deleted:
             continue
         try:
             return decode_configuration(row.value)
@@ -74,21 +77,22 @@
 
 
 def _log_versions(
-    rows: Iterable[StoreRow], configuration: FleetConfiguration | None
+    versions: Sequence[StoreRow], configuration: FleetConfiguration | None
 ) -> None:
     """Log an answer that has several versions of the configuration."""
-    versions = [row.version for row in rows if row.key == CONFIGURATION_KEY]
     if len(versions) > 1:
         logging.info(
             "configuration: several versions in an answer row_versions=%s chosen=%s",
-            ",".join(map(str, versions)),
+            ",".join(str(row.version) for row in versions),
             configuration.version if configuration is not None else "none",
         )
 
 
-def _evacuations(rows: Iterable[StoreRow]) -> dict[str, int | None]:
+def _evacuations(
+    versions_by_key: Mapping[str, Sequence[StoreRow]],
+) -> dict[str, int | None]:
     return {
-        row.key.removeprefix(EVACUATION_PREFIX): None if row.deleted else row.version
-        for row in rows
-        if row.key.startswith(EVACUATION_PREFIX)
+        key.removeprefix(EVACUATION_PREFIX): None if newest.deleted else newest.version
+        for key, (newest, *_) in versions_by_key.items()
+        if key.startswith(EVACUATION_PREFIX)
     }
--- a/src/jackdawspread/platform/store_rows.py
+++ b/src/jackdawspread/platform/store_rows.py
@@ -2,7 +2,7 @@
 
 from base64 import b64decode
 from binascii import Error as Base64Error
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 # Versions are numbers of at most 64 bits with a sign.
@@ -45,6 +45,17 @@
             yield StoreRow(row["Key"], value, version, bool(row.get("Tombstone")))
 
 
+def versions_by_key(rows: Iterable[StoreRow]) -> dict[str, list[StoreRow]]:
+    """Return the versions of each row by its key, the newest one first.
+
+    An answer with changes has a row once for each change.
+    """
+    versions: dict[str, list[StoreRow]] = {}
+    for row in sorted(rows, key=lambda row: row.version, reverse=True):
+        versions.setdefault(row.key, []).append(row)
+    return versions
+
+
 def store_time_s(body: dict[str, Any]) -> float:
     """Return the store's monotonic clock in seconds, or 0 if the answer lacks it."""
     now_ms = body.get("NowMs")
