Count an instance as outdated since the first version that it lacks

Callers could see: a withdrawn key works longer at an instance that is some versions behind, as each version that arrives there extends the time.

Cause: an outdated configuration may be used for max_outdated_s. Only the newest known version was kept, and when another one arrived before it, the time since which a newer one was known began anew. In a series of versions, each of which arrives late, the instance never counted as outdated.

Change: NewerVersions keeps every version that was announced and has not arrived, with the time of its announcement. The first of them decides. A version that the store did not have later is dropped also when another one arrives, not only when the held one is confirmed.

--- a/features/configuration_keeper.feature
+++ b/features/configuration_keeper.feature
@@ -50,6 +50,34 @@
     And 3 s later another instance announces version 3 as of 0 s ago
     Then admission is told that version 3 is the newest one
 
+  Scenario: A version arrives that is not the newest one known
+    # Guards against a withdrawn key that works longer with each version in between: the
+    # time for which an outdated configuration may be used began anew.
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And instance "a" announces version 7, and no fetch succeeds
+    And 1 s later the store answers with version 5
+    Then version 7 is the newest one, and one is missing for 1 s
+
+  Scenario: Versions come in quick succession, and each arrives late
+    # Guards against an instance that is always some versions behind, and never counts as
+    # outdated since a newer one has just been announced.
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And instance "a" announces version 5, and no fetch succeeds
+    And 1 s later it announces version 7
+    And 1 s later it announces version 9
+    And it gives a copy of version 5 as of 2 s ago
+    Then version 9 is the newest one, and one is missing for 1 s
+
+  Scenario: A version arrives that the store had long after a newer one was announced
+    # Guards against refusals for an announced version that does not exist.
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And instance "a" announces version 99, and no fetch succeeds
+    And 2 s later the store answers with version 5
+    Then admission is told that version 5 is the newest one
+
   Scenario: A copy does not lead to what was announced
     # Guards against the use of changes that were applied to another configuration.
     Given an instance that has just started
--- a/features/steps/configuration_keeper_steps.py
+++ b/features/steps/configuration_keeper_steps.py
@@ -134,6 +134,13 @@
     _store_answers(context, version, epoch, 0)
 
 
+@when("{seconds:d} s later the store answers with version {version:d}")
+def store_answers_later(context: Context, seconds: int, version: int) -> None:
+    """Report a complete answer."""
+    context.thread.advance(seconds, 0.1)
+    _store_answers(context, version, 1, 0)
+
+
 def _store_answers(context: Context, version: int, epoch: int, age: int) -> None:
     configuration = _configuration(version)
     answered_at = _now(context) - age
@@ -255,6 +262,28 @@
     assert newer[-1] == NewerConfigurationKnown(version, inf), newer
 
 
+@when("{seconds:d} s later it announces version {version:d}")
+def announces_later(context: Context, seconds: int, version: int) -> None:
+    """Announce a version that the instance does not get."""
+    context.thread.advance(seconds, 0.1)
+    _announce(context, "a", version)
+
+
+@when("it gives a copy of version {version:d} as of {age:d} s ago")
+def late_copy(context: Context, version: int, age: int) -> None:
+    """Answer a fetch whose transfer has taken as long as its age."""
+    _give_copy(context, _digest(context, "a", version, 1, age))
+
+
+@then("version {version:d} is the newest one, and one is missing for {seconds:d} s")
+def missing_since(context: Context, version: int, seconds: int) -> None:
+    """Compare the last report, after which no other configuration was reported."""
+    newer = _received(context.admission)[-1]
+    assert isinstance(newer, NewerConfigurationKnown), newer
+    known_s = _now(context) + BOOT_OFFSET_S - newer.known_since
+    assert newer.version == version and abs(known_s - seconds) < 0.1, (newer, known_s)
+
+
 @when(
     'instance "a" announces version {version:d} and gives the changes to version '
     "{given_version:d}"
--- a/src/jackdawspread/messages/fleet/newer_configuration_known.py
+++ b/src/jackdawspread/messages/fleet/newer_configuration_known.py
@@ -11,8 +11,8 @@
     version : int
         The newest version.
     known_since : float
-        Boot-time clock in seconds at which this instance learned of it; infinite if it
-        is the one in use.
+        Boot-time clock in seconds at which this instance learned of the first version
+        after the one in use; infinite if that is the newest one.
     """
 
     version: int
--- a/src/jackdawspread/tasks/fleet/admission_task.py
+++ b/src/jackdawspread/tasks/fleet/admission_task.py
@@ -180,9 +180,7 @@
 
     @_handle.register
     def _(self, event: NewerConfigurationKnown) -> None:
-        is_outdated = event.known_since < inf
-        since = min(self._outdated_since, event.known_since)
-        self._outdated_since = since if is_outdated else inf
+        self._outdated_since = event.known_since
         self._report_newest(event.version)
 
     @_handle.register
--- a/src/jackdawspread/tasks/fleet/configuration_in_use.py
+++ b/src/jackdawspread/tasks/fleet/configuration_in_use.py
@@ -16,6 +16,11 @@
     choose_configuration,
 )
 from jackdawspread.decisions.store_reads.held_configuration import HeldConfiguration
+from jackdawspread.decisions.store_reads.newer_versions import (
+    NewerVersions,
+    add_version,
+    versions_after,
+)
 from jackdawspread.decisions.store_reads.store_clock_offset import (
     StoreClockOffset,
     to_local_time,
@@ -79,10 +84,7 @@
         self._clock = StoreClockOffset()
         self._history = ConfigurationHistory()
         self.held: HeldConfiguration | None = None
-        # Newest version that is known to exist, if it is not the one that is held, and
-        # since when (boot-clock time in seconds).
-        self._newer_version = 0
-        self._newer_since = 0.0
+        self._newer = NewerVersions()
 
     @property
     def revision(self) -> ConfigurationRevision:
@@ -154,8 +156,8 @@
         changes = configuration_changes(old, found.configuration)
         configuration = apply_changes(old, changes)
         is_restored = self.held is not None and found.epoch > self.held.epoch
-        if is_restored or found.revision.version >= self._newer_version:
-            self._newer_version = 0
+        if is_restored:
+            self._newer = NewerVersions()
         self.held = found._replace(configuration=configuration)
         self._history.add(found.revision, configuration)
         seen = ConfigurationSeen(configuration, found.confirmed_at, way)
@@ -163,8 +165,7 @@
         self._check_regions(configuration)
         await self._router.send(seen)
         await self._acknowledgements.send(seen)
-        if self._newer_version:
-            await self._send_newer()
+        await self._check_newer(found.confirmed_at)
 
     async def confirm(self, found: HeldConfiguration) -> bool:
         """Note that the store had what is held; return whether this is news."""
@@ -182,15 +183,14 @@
             store_version=store_version,
         )
         await self._admission.send(ConfigurationSeen(None, as_of))
-        if self._newer_version and as_of > self._newer_since + CLOCK_MARGIN_S:
-            await self._drop_newer()
+        await self._check_newer(as_of)
         return True
 
     async def report_newer(self, version: int, peer: str) -> None:
         """Note that a newer version exists, as another instance has it."""
-        if version <= self._newer_version:
+        if version <= self._newer.newest:
             return
-        self._newer_version = version
+        self._newer = add_version(self._newer, version, seconds_since_boot())
         logging.info(
             "configuration: newer version known to a peer peer=%s version=%d own=%d",
             peer,
@@ -199,22 +199,25 @@
         )
         await self._send_newer()
 
+    async def _check_newer(self, as_of: float) -> None:
+        """Report which newer versions are missing after the store had the held one."""
+        newest, version = self._newer.newest, self.revision.version
+        if not newest:
+            return
+        self._newer = versions_after(self._newer, version, as_of - CLOCK_MARGIN_S)
+        if newest > version and not self._newer.newest:
+            logging.warning(
+                "configuration: newer version does not exist version=%d own=%d",
+                newest,
+                version,
+            )
+        await self._send_newer()
+
     async def _send_newer(self) -> None:
-        self._newer_since = seconds_since_boot()
-        newer = NewerConfigurationKnown(self._newer_version, self._newer_since)
+        newest = self._newer.newest or self.revision.version
+        newer = NewerConfigurationKnown(newest, self._newer.outdated_since)
         await self._admission.send(newer)
 
-    async def _drop_newer(self) -> None:
-        """Forget a newer version: the store has had the held one since it was named."""
-        version = self.revision.version
-        logging.warning(
-            "configuration: newer version does not exist version=%d own=%d",
-            self._newer_version,
-            version,
-        )
-        self._newer_version = 0
-        await self._admission.send(NewerConfigurationKnown(version, inf))
-
     async def update_evacuations(
         self, requested: Mapping[str, int | None], is_complete: bool, epoch: int
     ) -> None:
