Stop confirming a configuration that was removed from the store

Cause: a complete read without the row means that the store has no configuration; what an instance holds is then no longer confirmed, and refused once it is too old. The feed reports the same by a deleted row, which was passed over, so that each later answer confirmed the held configuration. Instances that had read and those that had followed the feed decided differently.

Change: an answer whose newest version of the row is a deleted one says that the store has none any more. A version in the same answer is taken first, since it may withdraw a key.

Tests: two examples of features/store_answers.feature fail without the change and pass with it. The scenario of the keeper passes before too, as the keeper did its part.

--- a/features/configuration_keeper.feature
+++ b/features/configuration_keeper.feature
@@ -78,6 +78,14 @@
     And 2 s later the store answers with version 5
     Then admission is told that version 5 is the newest one
 
+  Scenario: The configuration is removed from the store
+    # Guards against an instance that goes on with what the store no longer has, while
+    # one that starts refuses everything.
+    Given an instance that has just started
+    When the store answers with version 3 as of 0 s ago
+    And the feed reports its removal, and 4 s later that nothing has changed
+    Then the age of the configuration is 4 s
+
   Scenario: A copy does not lead to what was announced
     # Guards against the use of changes that were applied to another configuration.
     Given an instance that has just started
--- a/features/steps/configuration_keeper_steps.py
+++ b/features/steps/configuration_keeper_steps.py
@@ -336,20 +336,38 @@
 )
 def evacuated_before_copy(context: Context, position: int) -> None:
     """Report a change, then deliver a copy from before it."""
+    _feed_answers(context, position, evacuations={"z1": position})
+    _give_copy(context, context.digest)
+
+
+def _feed_answers(
+    context: Context,
+    position: int,
+    is_absent: bool = False,
+    evacuations: dict[str, int | None] | None = None,
+) -> None:
+    """Report an answer of the feed without a version of the configuration."""
     now = _now(context)
-    change = StoredConfigurationSeen(
+    answer = StoredConfigurationSeen(
         ConfigurationWay.FEED,
         None,
-        False,
+        is_absent,
         NO_REVISION,
-        {"z1": position},
+        evacuations or {},
         1,
         position,
         now + STORE_OFFSET_S,
         now + BOOT_OFFSET_S,
     )
-    _deliver(context, change)
-    _give_copy(context, context.digest)
+    _deliver(context, answer)
+
+
+@when("the feed reports its removal, and {seconds:d} s later that nothing has changed")
+def removed(context: Context, seconds: int) -> None:
+    """Report the removal as the feed's answer is decoded."""
+    _feed_answers(context, 4, is_absent=True)
+    context.thread.advance(seconds, 0.1)
+    _feed_answers(context, 5)
 
 
 @then("the instance knows all changes up to position {position:d}")
--- a/features/steps/store_answer_steps.py
+++ b/features/steps/store_answer_steps.py
@@ -107,7 +107,7 @@
     _decode(context, rows)
 
 
-@then("the configuration is {used}, and the store {has} one")
+@then("the configuration is {used}, and the store {has} it still")
 def configuration_is(context: Context, used: str, has: str) -> None:
     """Compare the version."""
     seen = context.seen
--- a/features/store_answers.feature
+++ b/features/store_answers.feature
@@ -18,7 +18,7 @@
   Scenario Outline: The newest readable configuration of an answer is used
     # Guards against an older configuration that is used, or counts as the newest one.
     When an answer has the configurations <versions>
-    Then the configuration is <used>, and the store <has> one
+    Then the configuration is <used>, and the store <has> it still
 
     Examples:
       | versions               | used | has     |
@@ -29,6 +29,8 @@
       | 4, unreadable, 6       | 6    | has     |
       | unreadable             | none | has     |
       | 4, removed, 6          | 6    | has     |
+      | removed                | none | has not |
+      | 4, removed             | 4    | has not |
 
   Scenario Outline: The newest request for an evacuation counts
     # Guards against an evacuation that was taken back within one answer, and lasts.
--- a/src/jackdawspread/messages/fleet/stored_configuration_seen.py
+++ b/src/jackdawspread/messages/fleet/stored_configuration_seen.py
@@ -18,7 +18,7 @@
     configuration : FleetConfiguration or None
         Configuration in the answer; None if it has none that could be decoded.
     is_absent : bool
-        Whether a complete answer has no configuration at all.
+        Whether the store has no configuration, or none any more.
     revision : ConfigurationRevision
         Its identity; ``NO_REVISION`` without a configuration.
     evacuation_version_by_domain : mapping
--- a/src/jackdawspread/platform/configuration_answer.py
+++ b/src/jackdawspread/platform/configuration_answer.py
@@ -53,7 +53,7 @@
     return StoredConfigurationSeen(
         way,
         configuration,
-        way is ConfigurationWay.READ and not stored,
+        stored[0].deleted if stored else way is ConfigurationWay.READ,
         configuration_revision(configuration) if configuration else NO_REVISION,
         _evacuations(found),
         epoch,
--- a/src/jackdawspread/tasks/fleet/configuration_keeper.py
+++ b/src/jackdawspread/tasks/fleet/configuration_keeper.py
@@ -99,14 +99,20 @@
         await in_use.update_evacuations(
             event.evacuation_version_by_domain, is_complete, event.epoch
         )
-        if event.is_absent:
-            self._stored = None
-        elif event.configuration is not None:
+        self._exchange.store_answered()
+        if event.is_absent or event.configuration is not None:
             self._stored = event.configuration
             self._stored_revision = event.revision
-        self._exchange.store_answered()
-        if self._stored is None:
-            return
+        if self._stored is not None:
+            await self._consider_stored(event)
+        if event.is_absent:
+            # An answer may have a version and its removal.
+            self._stored = None
+
+    async def _consider_stored(self, event: StoredConfigurationSeen) -> None:
+        """Use or confirm what the store had in an answer."""
+        assert self._stored is not None
+        in_use = self._in_use
         found = HeldConfiguration(
             self._stored,
             self._stored_revision,
