Take the newest version of a row in every list and record that is read

A lease, a lock or a marker was the first of several versions, a list had all of them, and each reader looked for removed rows itself. present_rows now gives the newest version of each row that exists.

A list also ended at a page all of whose entries were invalid, and counted as complete. Reading now goes on behind the last key of the page, or the list is unknown.

A complete read of the platform's store names each row once, so callers saw nothing of it there.

--- a/features/store_answers.feature
+++ b/features/store_answers.feature
@@ -48,3 +48,42 @@
     Given an instance with stand-ins for the store and the members
     When the store answers nobody while 3 versions are published, the last with no change
     Then a line of the log names the 3 versions and the chosen one
+
+  Scenario Outline: A list that is read has the newest version of each row
+    # Guards against a removed or replaced entry that counts, and against a list that ends
+    # at a page with entries that can't be read, and counts as complete.
+    When a list is read whose pages are <pages>
+    Then the list is <rows>
+
+    Examples:
+      | pages              | rows     |
+      | a@1 a@2            | a@2      |
+      | a@2 a@1            | a@2      |
+      | a@1 a@2-removed    | empty    |
+      | a@0                | empty    |
+      | a@1 / b@2          | a@1 b@2  |
+      | a@odd / b@2        | b@2      |
+      | a@1 b@odd / c@2    | a@1 c@2  |
+      | odd / b@2          | unknown  |
+
+  Scenario Outline: A record that is read has its newest version
+    # Guards against a lease or a lock that is taken from an older version.
+    When a record is read and the answer has <rows>
+    Then the record has version <version>
+
+    Examples:
+      | rows            | version |
+      | a@4 a@6         | 6       |
+      | a@6 a@4         | 6       |
+      | a@4 a@6-removed | 0       |
+      | a@0             | 0       |
+
+  Scenario Outline: The marker of an epoch that is read has its newest version
+    # Guards against writes that depend on a marker that was replaced.
+    When the marker of epoch 3 is read and the answer has <rows>
+    Then the marker has version <version>
+
+    Examples:
+      | rows                    | version |
+      | epoch-3@4 epoch-3@6     | 6       |
+      | epoch-2@8 epoch-3@6     | 6       |
--- a/src/jackdawspread/platform/epoch_marker.py
+++ b/src/jackdawspread/platform/epoch_marker.py
@@ -63,7 +63,7 @@
         If the content of the row is not that of a marker.
     """
     for row in rows:
-        if row.key == marker_key(number) and row.version and not row.deleted:
+        if row.key == marker_key(number):
             content = decode_stored(row.value, _Content)
             return EpochMarker(StoreEpoch(number, content.began_s), row.version)
     return None
--- a/src/jackdawspread/platform/epoch_markers.py
+++ b/src/jackdawspread/platform/epoch_markers.py
@@ -20,7 +20,7 @@
     put_entry,
     removal_entry,
 )
-from jackdawspread.platform.store_rows import StoreRow, decode_rows, store_time_s
+from jackdawspread.platform.store_rows import StoreRow, present_rows, store_time_s
 from jackdawspread.tasks.http_client import HttpClient
 
 CALL_TIMEOUT_S = 1.0
@@ -94,7 +94,7 @@
             return None
         if outcome.status == CONFLICT:
             # Another instance was first.
-            return _find(list(decode_rows(outcome.body)), number)
+            return _find(present_rows(outcome.body), number)
         logging.info("store: epoch=%d began at=%.3f", number, began_s)
         return EpochMarker(epoch, self._tracker.version)
 
--- a/src/jackdawspread/platform/promotion_rows.py
+++ b/src/jackdawspread/platform/promotion_rows.py
@@ -37,7 +37,7 @@
             self._epoch, self._record_by_row = epoch, {}
         known, self._record_by_row = self._record_by_row, {}
         for row in rows:
-            if row.deleted or not row.key.startswith(PREFIX):
+            if not row.key.startswith(PREFIX):
                 continue
             record = known[row] if row in known else _decode(row)
             self._record_by_row[row] = record
--- a/src/jackdawspread/platform/read_rows.py
+++ b/src/jackdawspread/platform/read_rows.py
@@ -6,7 +6,7 @@
 from trio import current_time
 
 from jackdawspread.messages.http_outcome import HttpOutcome
-from jackdawspread.platform.store_rows import StoreRow, decode_rows
+from jackdawspread.platform.store_rows import StoreRow, last_key, present_rows
 from jackdawspread.tasks.http_client import HttpClient
 
 PAGE_ROWS = 500
@@ -56,8 +56,11 @@
                 return None
             continue
         failures = 0
-        page = list(decode_rows(outcome.body))
-        rows += page
-        if not outcome.body.get("HasMore") or not page:
+        rows += present_rows(outcome.body)
+        if not outcome.body.get("HasMore"):
             return rows
-        start = f"&From={quote(page[-1].key)}%00"
+        key = last_key(outcome.body)
+        if key is None:
+            # The rows after this page can't be read.
+            return None
+        start = f"&From={quote(key)}%00"
--- a/src/jackdawspread/platform/record_store.py
+++ b/src/jackdawspread/platform/record_store.py
@@ -36,8 +36,8 @@
     removal_entry,
 )
 from jackdawspread.platform.store_rows import (
-    decode_rows,
     newest_version,
+    present_rows,
     store_time_s,
 )
 from jackdawspread.tasks.http_client import HttpClient
@@ -203,7 +203,7 @@
     status: RecordStatus, name: str, outcome: HttpOutcome
 ) -> RecordOutcome:
     now_s, epoch = store_time_s(outcome.body), read_epoch(outcome)
-    for row in decode_rows(outcome.body):
-        if row.key == name and not row.deleted and row.version:
+    for row in present_rows(outcome.body):
+        if row.key == name:
             return RecordOutcome(status, row.version, row.value, now_s, epoch)
     return RecordOutcome(status, 0, b"", now_s, epoch)
--- a/src/jackdawspread/platform/store_rows.py
+++ b/src/jackdawspread/platform/store_rows.py
@@ -56,6 +56,22 @@
     return versions
 
 
+def present_rows(body: dict[str, Any]) -> list[StoreRow]:
+    """Return the rows that exist according to an answer, the newest version of each."""
+    newest = (versions[0] for versions in versions_by_key(decode_rows(body)).values())
+    # The version of a row that does not exist is 0.
+    return sorted(row for row in newest if row.version and not row.deleted)
+
+
+def last_key(body: dict[str, Any]) -> str | None:
+    """Return the last key of an answer, also of an invalid row; None without one."""
+    rows = body.get("rows")
+    for row in reversed(rows if isinstance(rows, list) else ()):
+        if isinstance(row, dict) and isinstance(row.get("Key"), str):
+            return str(row["Key"])
+    return None
+
+
 def store_time_s(body: dict[str, Any]) -> float:
     """Return the store's monotonic clock in seconds, or 0 if the answer lacks it."""
     now_ms = body.get("NowMs")
