Test that the last of several versions is handed on, and reaches the HTTP front end

A neighbour without a path to the store gets what an instance has taken: with the oldest version chosen (trial) the scenario fails, it passes now. The HTTP front end reads its table by keys, so an answer has each row once; an instance that was cut off during three changes gets the last one. That scenario passes before the fix too and refutes the fault there.

--- a/features/control.feature
+++ b/features/control.feature
@@ -224,6 +224,16 @@
     Then the preset "maintenance" is active on every instance
     And no instance ever went back to an older configuration
 
+  Scenario: An instance that was cut off gets the last of several changes
+    # Guards against an instance that uses one of the versions that it has missed, and
+    # counts it as the newest one.
+    Given 4 instances with seed 28 that have run for 10 s
+    When "c" is isolated
+    And "a" selects peak, ordinary and maintenance one after the other
+    And every partition ends and 3 s pass
+    Then the preset "maintenance" is active on every instance
+    And no instance ever went back to an older configuration
+
   Scenario: A graceful shutdown transfers ownership before the view changes
     # Guards against a shutdown that aborts requests because the instance leaves the
     # view too early, and against shares that remain unused afterwards.
--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -110,8 +110,22 @@
 
 @when("6 changes of preset are made one after the other on different instances")
 def six_changes(context: Context) -> None:
-    presets = ["peak", "ordinary", "maintenance"] * 2
-    for number, (name, preset) in enumerate(zip("abcdab", presets, strict=True)):
+    _select_presets(context, "abcdab", ["peak", "ordinary", "maintenance"] * 2)
+
+
+@when('"{name}" selects peak, ordinary and maintenance one after the other')
+def three_changes(context: Context, name: str) -> None:
+    _select_presets(context, 3 * name, ["peak", "ordinary", "maintenance"])
+
+
+@when("every partition ends and {seconds:d} s pass")
+def partitions_end(context: Context, seconds: int) -> None:
+    context.fleet.heal()
+    context.fleet.run(seconds)
+
+
+def _select_presets(context: Context, names: str, presets: list[str]) -> None:
+    for number, (name, preset) in enumerate(zip(names, presets, strict=True)):
         context.fleet.ask(name, SelectPreset(preset), f"change{number}")
         context.fleet.run(2)
         outcome = context.fleet.result_by_id[f"change{number}"].outcome
--- a/features/store_answers.feature
+++ b/features/store_answers.feature
@@ -15,6 +15,15 @@
       | its route removed                   | NODB                  |
       | a lower rate of its workspace       | above its rate of 1/s |
 
+  Scenario: An instance hands the last of several versions on
+    # Guards against neighbours without a path to the store that get an older version, and
+    # to which it is confirmed.
+    Given 2 instances in one failure domain, with links of 9000 kB/s to the store
+    When instance 2 loses its link to the store
+    And the store answers nobody while 3 versions are published, the last with its key withdrawn
+    Then instance 1 refuses the key within 3 s
+    And instance 2 refuses the key within 3 s
+
   Scenario Outline: The newest readable configuration of an answer is used
     # Guards against an older configuration that is used, or counts as the newest one.
     When an answer has the configurations <versions>
