--- a/scripts/proofs/catalogue.py
+++ b/scripts/proofs/catalogue.py
@@ -211,4 +211,22 @@
         "open_transactions.feature",
         "A key that is withdrawn with its route",
     ),
+    Proof(
+        "configuration",
+        "the order of the versions of a row in one answer",
+        "platform/store_rows.py",
+        "key=lambda row: row.version, reverse=True",
+        "key=lambda row: row.version",
+        "store_answers.feature",
+        "The last of the versions that an outage has held back",
+    ),
+    Proof(
+        "configuration",
+        "the time since which an instance is outdated",
+        "decisions/store_reads/newer_versions.py",
+        "return min(self.known_since_by_version.values(), default=inf)",
+        "return max(self.known_since_by_version.values(), default=inf)",
+        "configuration_keeper.feature",
+        "Versions come in quick succession",
+    ),
 )
