--- a/features/fakes/paged_store.py
+++ b/features/fakes/paged_store.py
@@ -37,13 +37,11 @@
 
     def __init__(self, pages: Iterable[str]) -> None:
         self._pages = list(pages)
-        self.targets: list[str] = []
 
     async def call(
         self, method: str, target: str, body: object, deadline: float
     ) -> HttpOutcome:
         """Return the next page."""
-        self.targets.append(target)
         rows = [decode_row(text) for text in self._pages.pop(0).split()]
         answer = {"rows": rows, "HasMore": bool(self._pages), "Ver": 9, "NowMs": 1000}
         return HttpOutcome(1, 1, 200, answer, True, headers={"store-era": EPOCH})
--- a/src/jackdawspread/platform/configuration_answer.py
+++ b/src/jackdawspread/platform/configuration_answer.py
@@ -88,11 +88,9 @@
         )
 
 
-def _evacuations(
-    versions_by_key: Mapping[str, Sequence[StoreRow]],
-) -> dict[str, int | None]:
+def _evacuations(found: Mapping[str, Sequence[StoreRow]]) -> dict[str, int | None]:
     return {
         key.removeprefix(EVACUATION_PREFIX): None if newest.deleted else newest.version
-        for key, (newest, *_) in versions_by_key.items()
+        for key, (newest, *_) in found.items()
         if key.startswith(EVACUATION_PREFIX)
     }
