Read the table with the configuration to its last page

Cause: the complete read at a start and after a lost history was one call. The store ends a page after 500 rows or 1 MB, and requests for evacuations come behind the configuration in the order of keys. With a configuration of that size they were missed, the read counted as complete, and the feed went on behind it. An instance that started would have sent work to an evacuated failure domain until the next change there.

Change: ConfigurationPages joins the pages. Versions and times are those of the first page, so that the feed brings what has changed since. If the store is restored between two pages, reading begins anew.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -116,3 +116,11 @@
     When the member is missing in one list and present in the next one
     And z1 is cut off
     Then nothing more can be sent on the connection
+
+  Scenario: An instance starts while the configuration fills a page of the store's answer
+    # Guards against an evacuation that a restarted instance never learns of, as the row
+    # that requests it is on the second page of the read.
+    Given an instance whose members m0, m1 and m2 are in z1, z2 and z3
+    And the store ends a page after the configuration
+    When z2 is evacuated and the instance starts again
+    Then it has read that z2 is evacuated
--- a/features/steps/evacuation_session_steps.py
+++ b/features/steps/evacuation_session_steps.py
@@ -2,12 +2,15 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from features.support.log_lines import collect_log_lines
 from features.wire.platform_world import PlatformWorld
 from trio import sleep
 
 LIMIT_S = 0.6
 DOMAINS = ("z1", "z2", "z3")
 ATTEMPTS = 100
+# An instance has read the configuration within this time.
+START_S = 2.0
 
 
 @given("an instance whose members m0, m1 and m2 are in z1, z2 and z3")
@@ -77,6 +80,30 @@
     context.platform.call(sleep, LIMIT_S)
 
 
+@given("the store ends a page after the configuration")
+def small_pages(context: Context) -> None:
+    """Let the first row fill a page."""
+    context.platform.store.page_bytes = 1
+
+
+@when("{domain:w} is evacuated and the instance starts again")
+def evacuated_and_restarted(context: Context, domain: str) -> None:
+    """Restart the instance, which reads the store before it serves."""
+    with collect_log_lines() as context.log_lines:
+        context.platform.evacuate(domain)
+        context.platform.kill(0)
+        context.log_lines.clear()
+        context.platform.restart(0)
+        context.platform.call(sleep, START_S)
+
+
+@then("it has read that {domain:w} is evacuated")
+def has_read(context: Context, domain: str) -> None:
+    """Look for the line of the evacuation."""
+    line = f"evacuation: begun failure_domain={domain}"
+    assert any(line in found for found in context.log_lines), context.log_lines
+
+
 @when("the store is copied, z1 is evacuated and the copy is restored")
 def restored_to_before(context: Context) -> None:
     """Restore the store to a moment before the evacuation."""
--- a/features/store_answers.feature
+++ b/features/store_answers.feature
@@ -75,6 +75,19 @@
       | a@1 b@odd / c@2    | a@1 c@2  |
       | odd / b@2          | unknown  |
 
+  Scenario Outline: The configuration is read to the last page, of one epoch
+    # Guards against requests on a later page that are missed, and against a page of a
+    # restored store that counts beside one of the lost history.
+    When the configuration is read whose pages are <pages>
+    Then evacuations of <domains> are known in epoch <epoch> after <calls> calls
+
+    Examples:
+      | pages                                                                   | domains | epoch | calls |
+      | config@4 evacuate/z1@5                                                  | z1      | 3     | 1     |
+      | config@4 / evacuate/z1@5                                                | z1      | 3     | 2     |
+      | config@4 / evacuate/z1@5 / evacuate/z2@6                                | z1 z2   | 3     | 3     |
+      | config@4 / epoch=4 evacuate/z1@5 end / config@4 / evacuate/z2@5         | z2      | 4     | 4     |
+
   Scenario Outline: A record that is read has its newest version
     # Guards against a lease or a lock that is taken from an older version.
     When a record is read and the answer has <rows>
--- a/features/wire/table_store.py
+++ b/features/wire/table_store.py
@@ -3,6 +3,7 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable
+from itertools import accumulate
 from urllib.parse import parse_qs, urlsplit
 
 from trio import Event, current_time, move_on_after, sleep_forever
@@ -11,6 +12,7 @@
 from jackdawspread.messages.http_response import HttpResponse
 
 Row = dict[str, object]
+PAGE_BYTES = 1_000_000
 
 
 class TableStore:
@@ -35,6 +37,8 @@
         # Whether requests wait, and are handled once this is False again.
         self.is_silent = False
         self.refused_calls = 0
+        # A page of a read ends with the row that reaches this size in bytes.
+        self.page_bytes = PAGE_BYTES
         # Targets of the requests that were handled.
         self.calls: list[str] = []
         # Number of writes to execute without an answer.
@@ -106,8 +110,11 @@
             for table, key in sorted(self.rows)
             if table == query["Table"] and start <= key < end
         ]
+        sizes = accumulate(len(json.dumps(row)) for row in rows)
+        count = 1 + sum(size < self.page_bytes for size in sizes)
+        page, has_more = rows[:count], count < len(rows)
         return _respond(
-            200, {"rows": rows, "HasMore": False, **self._version_and_time()}
+            200, {"rows": page, "HasMore": has_more, **self._version_and_time()}
         )
 
     async def _feed(self, query: dict[str, str]) -> HttpResponse:
--- a/src/jackdawspread/platform/configuration_reader.py
+++ b/src/jackdawspread/platform/configuration_reader.py
@@ -27,6 +27,7 @@
     log_attempt,
     log_cancelled,
 )
+from jackdawspread.platform.configuration_pages import ConfigurationPages
 from jackdawspread.platform.epoch_tracker import UNKNOWN_EPOCH, EpochTracker
 from jackdawspread.platform.ignored_rows import IgnoredRows
 from jackdawspread.platform.store_availability import StoreAvailability
@@ -78,6 +79,7 @@
         self._version: int | None = None
         self._version_epoch = UNKNOWN_EPOCH
         self._must_confirm = False
+        self._pages = ConfigurationPages(READ_TARGET)
         # Kind of the call in progress.
         self._way = ConfigurationWay.READ
         self._failures = 0
@@ -130,7 +132,7 @@
     async def _call(self, client: HttpClient) -> HttpOutcome | None:
         """Return an answer of the store, None if the wait for it was ended."""
         begun_at = seconds_since_boot()
-        self._way, target, wait_s = ConfigurationWay.READ, READ_TARGET, 0.0
+        self._way, target, wait_s = ConfigurationWay.READ, self._pages.next_target, 0.0
         if self._version is not None:
             self._way = ConfigurationWay.FEED
             wait_s = CONFIRMATION_WAIT_S if self._must_confirm else self._order.wait_s
@@ -152,7 +154,10 @@
         is_answered = outcome.status in (OK, HISTORY_GONE)
         reason = outcome.error or f"status {outcome.status}"
         self._availability.report(is_answered, reason, current_time())
-        self._epoch.observe(outcome)
+        if self._epoch.observe(outcome) and self._pages.are_begun:
+            # The pages before this one are from the lost history.
+            self._pages.clear()
+            return
         if not is_answered:
             self._must_confirm = True
             self._failures += 1
@@ -167,6 +172,11 @@
             # The answer goes on from a version of the lost history.
             self._version = None
             return
+        if self._way is ConfigurationWay.READ:
+            joined = self._pages.add(outcome)
+            if joined is None:
+                return
+            outcome = joined
         self._version = newest_version(outcome.body)
         self._version_epoch = self._epoch.number
         epoch = self._epoch.number
