--- a/features/control.feature
+++ b/features/control.feature
@@ -230,7 +230,8 @@
     Given 4 instances with seed 28 that have run for 10 s
     When "c" is isolated
     And "a" selects peak, ordinary and maintenance one after the other
-    And every partition ends and 3 s pass
+    And all faults end
+    And 3 s pass
     Then the preset "maintenance" is active on every instance
     And no instance ever went back to an older configuration
 
--- a/features/steps/configuration_transfer_steps.py
+++ b/features/steps/configuration_transfer_steps.py
@@ -78,7 +78,7 @@
     context.platform.restart(number - 1)
 
 
-@when("the store refuses instance {number:d} and a key is withdrawn")
+@when("the store refuses instance {number:d}")
 def refused(context: Context, number: int) -> None:
     """Close the instance's connections to the store, also new ones."""
 
@@ -86,6 +86,12 @@
         context.platform.links[number - 1].refuse()
 
     context.platform.call(refuse)
+
+
+@when("the store refuses instance {number:d} and a key is withdrawn")
+def refused_and_withdrawn(context: Context, number: int) -> None:
+    """Withdraw a key that the instance can't read of in the store."""
+    refused(context, number)
     _withdraw_key(context)
 
 
--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -118,12 +118,6 @@
     _select_presets(context, 3 * name, ["peak", "ordinary", "maintenance"])
 
 
-@when("every partition ends and {seconds:d} s pass")
-def partitions_end(context: Context, seconds: int) -> None:
-    context.fleet.heal()
-    context.fleet.run(seconds)
-
-
 def _select_presets(context: Context, names: str, presets: list[str]) -> None:
     for number, (name, preset) in enumerate(zip(names, presets, strict=True)):
         context.fleet.ask(name, SelectPreset(preset), f"change{number}")
--- a/features/steps/store_answer_steps.py
+++ b/features/steps/store_answer_steps.py
@@ -30,16 +30,6 @@
 FIRST_ROW_VERSION = 40
 
 
-@when("instance {number:d} loses its link to the store")
-def link_lost(context: Context, number: int) -> None:
-    """Close the instance's connections to the store, also new ones."""
-
-    async def refuse() -> None:
-        context.platform.links[number - 1].refuse()
-
-    context.platform.call(refuse)
-
-
 @when(
     "the store answers nobody while {count:d} versions are published, the last with "
     "{change}"
--- a/features/store_answers.feature
+++ b/features/store_answers.feature
@@ -19,7 +19,7 @@
     # Guards against neighbours without a path to the store that get an older version, and
     # to which it is confirmed.
     Given 2 instances in one failure domain, with links of 9000 kB/s to the store
-    When instance 2 loses its link to the store
+    When the store refuses instance 2
     And the store answers nobody while 3 versions are published, the last with its key withdrawn
     Then instance 1 refuses the key within 3 s
     And instance 2 refuses the key within 3 s
