Log which members a list is the first to name or to lack

Cause: the log of a promotion names the members that were compared, but not since when each was listed, so an unlisted replica that confirmed commits can't be told from one whose log was lost. Change: one line for each change of a group's list, "router: members changed".

--- a/features/commit_check.feature
+++ b/features/commit_check.feature
@@ -92,3 +92,9 @@
     When the lines of an attempt on an unreachable primary are collected
     Then one line contains "succession: fence group=g token=2 instances=3 confirmed=2 waited_ms=2500 missing=i3"
     And one line contains "succession: requests ended group=g members=m2 by=effect of m2"
+
+  Scenario: A line names the members that a list is the first to name or to lack
+    # Guards against a loss whose log does not tell since when a member was listed.
+    When the lists of members name "m0,m1", "m0,m1" and "m0,m2"
+    Then one line contains "added=m0@10.0.0.0:1,m1@10.0.0.1:1 removed=none members=2"
+    And one line contains "added=m2@10.0.0.2:1 removed=m1 members=2"
--- a/features/steps/commit_check_steps.py
+++ b/features/steps/commit_check_steps.py
@@ -15,6 +15,7 @@
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
 from jackdawspread.messages.fleet.member_lease import MemberLease
 from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.position_seen import PositionSeen
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.statements.demote_primary import DemotePrimary
@@ -67,6 +68,19 @@
             monitor.handle_observation(event, answered_at)
 
 
+@when('the lists of members name "{first}", "{second}" and "{third}"')
+def listed(context: Context, first: str, second: str, third: str) -> None:
+    """Deliver one list each second."""
+    _collect(context)
+    monitor = GroupMonitor(*(open_memory_channel(10)[0] for _ in range(3)))
+    for as_of, text in enumerate((first, second, third), start=10):
+        listing_by_id = {
+            id: MEMBER._replace(id=id, address=f"10.0.0.{id[1:]}:1")
+            for id in text.split(",")
+        }
+        monitor.update_members(MembersSeen(listing_by_id, as_of), as_of)
+
+
 @then("commits are reported missing {count:d} times")
 def reported(context: Context, count: int) -> None:
     """Compare the lines and the counter."""
--- a/src/jackdawspread/logs/request_lines.py
+++ b/src/jackdawspread/logs/request_lines.py
@@ -11,6 +11,7 @@
     "admission: configuration",
     "router: primary changed",
     "router: member unreachable",
+    "router: members changed",
     "router: term changed",
     "router: acknowledged commits missing",
     "succession: ",
--- a/src/jackdawspread/tasks/members/group_monitor.py
+++ b/src/jackdawspread/tasks/members/group_monitor.py
@@ -97,10 +97,25 @@
                 if listing.group == group
             }
             state = apply_member_list(self.state(group), listings, event.as_of, now)
+            self._log_members(group, state)
             self._log_cold(group, state, now)
             self._set_state(group, state, "list")
             self.report_failover_trigger(group, now)
 
+    def _log_members(self, group: str, state: GroupState) -> None:
+        """Log the members that this list is the first to name, or not to name."""
+        before, after = self.state(group).listing_by_id, state.listing_by_id
+        if before.keys() == after.keys():
+            return
+        added = (after[id] for id in sorted(after.keys() - before.keys()))
+        logging.info(
+            "router: members changed group=%s added=%s removed=%s members=%d",
+            group,
+            ",".join(f"{member.id}@{member.address}" for member in added) or "none",
+            ",".join(sorted(before.keys() - after.keys())) or "none",
+            len(after),
+        )
+
     def _log_cold(self, group: str, state: GroupState, now: float) -> None:
         """Log the members that this list is the first to name as cold."""
         before = self.state(group).cold_until_by_member
