Annotate the rows of an answer

Cause: mypy reported "Need type annotation" in three of six runs, first in a fresh environment; the type of an element of a list or an empty tuple seems to depend on the order in which it checks the modules. Change: the list is annotated.

--- a/src/jackdawspread/platform/store_rows.py
+++ b/src/jackdawspread/platform/store_rows.py
@@ -65,8 +65,9 @@
 
 def last_key(body: dict[str, Any]) -> str | None:
     """Return the last key of an answer, also of an invalid row; None without one."""
-    rows = body.get("rows")
-    for row in reversed(rows if isinstance(rows, list) else ()):
+    listed = body.get("rows")
+    rows: list[Any] = listed if isinstance(listed, list) else []
+    for row in reversed(rows):
         if isinstance(row, dict) and isinstance(row.get("Key"), str):
             return str(row["Key"])
     return None
