Promote by no list from just after an outage of the store

Cause: a replica that starts while the store is away can't register, and alone confirms commits if the others receive nothing. The first list after the outage was taken for complete, so a promotion neither paused nor compared it. Change: MembersSeen says whether each member that lives can have registered (decisions/members/list_completeness.py): not before 2.5 s after the first list since a failed call, a gap or the start of the instance. By another list an unreachable primary is not replaced; with a demoted one the list counts as having an unknown member. The rule of one uncovered member then waits for the replica.

--- a/features/fakes/failover_world.py
+++ b/features/fakes/failover_world.py
@@ -7,6 +7,7 @@
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.promotion_result import PromotionResult
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.statements.pause_replication import PauseReplication
@@ -132,14 +133,14 @@
         self.is_released = True
         return lock
 
-    async def _members_since(self, since: float) -> dict[str, MemberListing]:
+    async def _members_since(self, since: float) -> MembersSeen:
         listings = dict(LISTINGS)
         if self.joining_replica:
             listing = LISTINGS["m1"]._replace(
                 id=self.joining_replica, address="10.0.0.9:1"
             )
             listings[self.joining_replica] = listing
-        return listings
+        return MembersSeen(listings, since)
 
     async def _answer_promotions(self, inbox) -> None:
         async for request in inbox:
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -26,6 +26,7 @@
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.promotion_result import PromotionResult
 from jackdawspread.messages.fleet.store_epoch import StoreEpoch
 from jackdawspread.messages.position import Position
@@ -100,6 +101,8 @@
         self.evacuated = ""
         # Whether no list of members can be read during an attempt.
         self.is_list_late = False
+        # Whether each member that lives can have registered.
+        self.is_list_whole = True
         self.leaders = {PRIMARY}
         # Terms of members that were promoted.
         self.term_by_leader: dict[str, int] = {}
@@ -112,6 +115,8 @@
         self.missing_log_timeout_s = inf
         # Seconds for which the promotion lock is held.
         self.held_s = 60.0
+        # Time of the store's clock at which the attempts begin.
+        self.store_start_s = STORE_START_S
         # Whether attempts fence acknowledgements, withdraw requests.
         self.is_fenced = False
         self.withdraws_requests = False
@@ -238,7 +243,7 @@
         """Let the attempt acquire the promotion lock."""
         free = self.record.copy()
         free["holder"] = ""
-        now = STORE_START_S + current_time()
+        now = self.store_start_s + current_time()
         record = acquire_promotion_lock(free, "i", now, StoreEpoch(0, began_s=0.0))
         assert record is not None
         self.record = record
@@ -296,8 +301,10 @@
         self.journal.append(f"write {suspended} {outstanding}")
         return lock._replace(version=lock.version + 1, record=record)
 
-    async def _members_since(self, since: float) -> dict[str, MemberListing] | None:
-        return None if self.is_list_late else self._list()
+    async def _members_since(self, since: float) -> MembersSeen | None:
+        if self.is_list_late:
+            return None
+        return MembersSeen(self._list(), since, self.is_list_whole)
 
     def _list(self) -> dict[str, MemberListing]:
         listed = {
--- a/features/process/unlisted_members.feature
+++ b/features/process/unlisted_members.feature
@@ -6,7 +6,6 @@
     Given three instance processes, three members and callers that write
     And every instance has a permit to acknowledge commits
 
-  @known_red
   Scenario: The first list after an outage of the store lacks the only replica with the commits
     # Guards against a promotion that compares only the members of that list.
     When the store is away for 1.6 s
--- a/features/steps/acknowledgement_fence_steps.py
+++ b/features/steps/acknowledgement_fence_steps.py
@@ -160,6 +160,20 @@
     context.group.execution_delay_s = delay
 
 
+@given('logs that end at "{ends}"')
+def given_logs(context: Context, ends: str) -> None:
+    """Set the sequence numbers, such as ``m0=10``; all members are listed."""
+    pairs = (pair.split("=") for pair in ends.split(","))
+    context.group.end_by_member = {id: Position(1, int(end)) for id, end in pairs}
+    context.group.listed = set(context.group.end_by_member)
+
+
+@given("a list that may lack a member")
+def given_incomplete_list(context: Context) -> None:
+    """Read lists just after an outage of the store."""
+    context.group.is_list_whole = False
+
+
 @given("no list of members can be read in an attempt")
 def given_no_list(context: Context) -> None:
     """Lose the lists of members."""
@@ -217,6 +231,13 @@
     assert abs(group.compared_at - seconds) < TOLERANCE_S, group.compared_at
 
 
+@then('the promoted member is "{member}"')
+def then_promoted(context: Context, member: str) -> None:
+    """Compare the calls."""
+    group = context.group
+    assert group.promoted == names(member), (group.promoted, group.outcomes)
+
+
 @then("the lock was extended by {seconds:g} s")
 def then_extended(context: Context, seconds: float) -> None:
     """Compare the expiry after the attempt."""
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -11,6 +11,11 @@
     open_nursery,
 )
 
+from jackdawspread.decisions.members.list_completeness import (
+    UNKNOWN_COMPLETENESS,
+    add_list,
+    is_whole,
+)
 from jackdawspread.decisions.members.listing_retention import retain_members
 from jackdawspread.decisions.members.restored_entries import (
     TRUSTED_AFTER_S,
@@ -104,6 +109,7 @@
         self._rank = MAX_RANK
         self._listing_by_id: dict[str, MemberListing] = {}
         self._outage_ended_at = -OUTAGE_S
+        self._completeness = UNKNOWN_COMPLETENESS
         self._skipped: set[str] = set()
         self._restored = RestoredEntries()
         self._is_restored = False
@@ -174,6 +180,7 @@
             trusted_at = requested_at + TRUSTED_AFTER_S
             self._restored = RestoredEntries(version_by_id, trusted_at)
             self._outage_ended_at = requested_at
+            self._completeness = UNKNOWN_COMPLETENESS
             self._is_restored = False
         listed = replace_copied_entries(
             self._listing_by_id,
@@ -206,19 +213,25 @@
         self._availability.report(outcome.status == OK, reason, current_time())
         # Kept until a list is complete, as a later page may fail.
         self._is_restored = self._epoch.observe(outcome) or self._is_restored
-        if outcome.status == OK:
+        if outcome.status != OK:
+            self._completeness = UNKNOWN_COMPLETENESS
+        else:
             store_now_s = store_time_s(outcome.body)
             self._clock = update_offset(self._clock, store_now_s, outcome.began_at)
 
     async def _publish(self, listed: dict[str, MemberListing], read_at: float) -> None:
         if self._read_at and read_at - self._read_at > OUTAGE_S:
             self._outage_ended_at = read_at
+            self._completeness = UNKNOWN_COMPLETENESS
+        self._completeness = add_list(self._completeness, read_at)
         self._read_at, self._arrived_at = read_at, current_time()
         self._is_requested = False
         self._listing_by_id = retain_members(
             self._listing_by_id, listed, self._outage_ended_at, read_at
         )
-        seen = MembersSeen(self._listing_by_id, read_at)
+        seen = MembersSeen(
+            self._listing_by_id, read_at, is_whole(self._completeness, read_at)
+        )
         await self._router.send(seen)
         await self._failover.send(seen)
         await self._acknowledgements.send(seen)
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -24,6 +24,7 @@
 from jackdawspread.decisions.failover.promotion_lock import PROMOTION_LOCK_TTL_S
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.primary_responded import PrimaryResponded
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.messages.fleet.promotion_request import PromotionRequest
@@ -122,9 +123,12 @@
         """
         domains = trigger.evacuated_domains
 
-        async def marked_members_since(time: float) -> dict[str, MemberListing] | None:
-            listed = await members_since(time)
-            return mark_evacuated(listed, domains) if listed is not None else None
+        async def marked_members_since(time: float) -> MembersSeen | None:
+            seen = await members_since(time)
+            if seen is None:
+                return None
+            listing_by_id = mark_evacuated(seen.listing_by_id, domains)
+            return seen._replace(listing_by_id=listing_by_id)
 
         listing_by_id = mark_evacuated(listing_by_id, domains)
         primary = listing_by_id.get(trigger.member)
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -41,6 +41,8 @@
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.replication_pause import ReplicationPause
 
+LIST_NOT_WHOLE = "a member may not be listed yet after an outage of the store"
+
 
 class FailoverSelection:
     """Compares the logs of a group once they can't grow any more.
@@ -174,11 +176,15 @@
                 trigger, replicas, primary, demoted[0], term, record, members_since
             )
         listed_since = current_time()
-        listing_by_id = await members_since(listed_since) if status_by_member else None
-        if status_by_member is None or listing_by_id is None:
+        seen = await members_since(listed_since) if status_by_member else None
+        if status_by_member is None or seen is None:
             return PromotionPlan(
                 reason="no replica is known to have every commit", paused=replicas
             )
+        if not seen.is_whole:
+            # The primary may have confirmed commits through the one that is missing.
+            return PromotionPlan(reason=LIST_NOT_WHOLE, paused=replicas)
+        listing_by_id = seen.listing_by_id
         evidence = _collect(trigger, replicas, listing_by_id, record, status_by_member)
         candidate = self._choose(trigger, evidence, listing_by_id, record)
         if candidate is None:
@@ -225,8 +231,10 @@
     ) -> PromotionPlan:
         """Compare all logs, which can't grow once the primary is demoted."""
         demoted_at = current_time()
-        listed_after = await members_since(demoted_at)
-        listing_by_id = listed_after or {m.id: m for m in (*replicas, primary)}
+        seen = await members_since(demoted_at)
+        listing_by_id = {m.id: m for m in (*replicas, primary)}
+        if seen is not None:
+            listing_by_id = seen.listing_by_id
         joined = _joined_replicas(trigger, replicas, listing_by_id)
         await self._pause.run(joined, term)
         paused = (*replicas, *joined)
@@ -238,8 +246,9 @@
         evidence = _collect(
             trigger, (*paused, primary), listing_by_id, record, status_by_member
         )
-        # Without a new list a replica may have joined.
-        joiner = {UNKNOWN_ADDRESS} if listed_after is None else set()
+        # A replica may have joined that the list does not name.
+        is_whole = seen is not None and seen.is_whole
+        joiner = set() if is_whole else {UNKNOWN_ADDRESS}
         evidence = evidence._replace(
             demoted_primary=primary.id, roster=evidence.roster | joiner
         )
@@ -253,7 +262,7 @@
             evidence.roster,
             paused,
             tuple(status_by_member.values()),
-            demoted_at if listed_after is not None else 0.0,
+            demoted_at if seen is not None else 0.0,
         )
 
     def _choose(
--- a/src/jackdawspread/tasks/fleet/failover_task.py
+++ b/src/jackdawspread/tasks/fleet/failover_task.py
@@ -18,7 +18,6 @@
 
 from jackdawspread.messages.fleet.failover_event import FailoverEvent
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
-from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.refresh_members import RefreshMembers
 from jackdawspread.tasks.fleet.failover_attempt import FailoverAttempt
@@ -54,8 +53,7 @@
         self._attempt = attempt
         self._inbox = inbox
         self._refresh = refresh
-        self._listing_by_id: dict[str, MemberListing] = {}
-        self._listed_at = -inf
+        self._members = MembersSeen({}, -inf)
         self._list_received = Event()
         self._busy: set[str] = set()
 
@@ -71,8 +69,7 @@
 
     @_handle.register
     def _(self, event: MembersSeen, attempts: Nursery) -> None:
-        self._listing_by_id = event.listing_by_id
-        self._listed_at = event.as_of
+        self._members = event
         self._list_received.set()
         self._list_received = Event()
 
@@ -87,7 +84,7 @@
         started_at = current_time()
         try:
             outcome = await self._attempt.run(
-                trigger, self._listing_by_id, self._members_since
+                trigger, self._members.listing_by_id, self._members_since
             )
             promoted = outcome.startswith("promotion accepted")
             elapsed_s = current_time() - started_at
@@ -108,17 +105,17 @@
         finally:
             self._busy.discard(trigger.group)
 
-    async def _members_since(self, since: float) -> dict[str, MemberListing] | None:
+    async def _members_since(self, since: float) -> MembersSeen | None:
         """Return a list of members that was read at ``since`` or later.
 
         ``since`` is a monotonic time in seconds. The result is None if no such list
         arrives before the timeout.
         """
         with move_on_after(LIST_TIMEOUT_S):
-            while self._listed_at < since:
+            while self._members.as_of < since:
                 self._request_refresh("list before a promotion", own_read=True)
                 await self._list_received.wait()
-            return self._listing_by_id
+            return self._members
         return None
 
     def _request_refresh(self, reason: str, own_read: bool) -> None:
--- a/src/jackdawspread/tasks/fleet/read_members_since.py
+++ b/src/jackdawspread/tasks/fleet/read_members_since.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Awaitable, Callable
 
-from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 
 # Returns a list that was read after a monotonic time in seconds; None if none could be
 # read.
-ReadMembersSince = Callable[[float], Awaitable[dict[str, MemberListing] | None]]
+ReadMembersSince = Callable[[float], Awaitable[MembersSeen | None]]
--- a/src/jackdawspread/tasks/fleet/switchover_selection.py
+++ b/src/jackdawspread/tasks/fleet/switchover_selection.py
@@ -13,11 +13,12 @@
     recorded_term,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
-from jackdawspread.decisions.failover.roster import group_roster
+from jackdawspread.decisions.failover.roster import UNKNOWN_ADDRESS, group_roster
 from jackdawspread.decisions.failover.unpaused_replica import choose_unpaused
 from jackdawspread.messages.fleet.catch_up import CatchUp
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.tasks.fleet.acknowledgement_fence import (
     NOT_FENCED,
@@ -78,13 +79,13 @@
         catch_up = await self._search.catch_up(
             listing_by_id[unpaused], to_pause, primary, term
         )
-        listed_after = await members_since(paused_at) if catch_up.is_complete else None
-        if listed_after is None:
+        seen = await members_since(paused_at) if catch_up.is_complete else None
+        if seen is None:
             return PromotionPlan(
                 reason="no replica is known to have every commit", paused=to_pause
             )
-        roster = group_roster(trigger, listed_after.values(), recorded)
-        missing = _missing_logs(roster, replicas, listed_after, catch_up)
+        roster = group_roster(trigger, seen.listing_by_id.values(), recorded)
+        missing = _missing_logs(roster, replicas, seen, catch_up)
         if len(missing) > MAX_UNCOVERED:
             reason = f"logs are missing addresses={','.join(sorted(missing))}"
             return PromotionPlan(reason=reason, paused=to_pause)
@@ -96,14 +97,15 @@
 def _missing_logs(
     roster: frozenset[str],
     queried: tuple[MemberListing, ...],
-    listing_by_id: dict[str, MemberListing],
+    seen: MembersSeen,
     catch_up: CatchUp,
 ) -> frozenset[str]:
     """Return the addresses whose log the unpaused replica may lack.
 
-    Members that have left can't have confirmed more than the primary then had.
+    Members that have left, or are not listed yet, can't have confirmed more than the
+    primary then had.
     """
     missing = roster - {replica.address for replica in queried}
-    if not catch_up.has_primary_log:
-        return missing
-    return missing & {listing.address for listing in listing_by_id.values()}
+    if catch_up.has_primary_log:
+        return missing & {entry.address for entry in seen.listing_by_id.values()}
+    return missing if seen.is_whole else missing | {UNKNOWN_ADDRESS}
