Move the positions that were known at a time to a class of their own

Change: KnownPositions, taken out of CommitCheck; the acknowledgement task will use it too. Behaviour stays as it is. Measured: features/commit_check.feature passes.

--- a/src/jackdawspread/tasks/members/commit_check.py
+++ b/src/jackdawspread/tasks/members/commit_check.py
@@ -1,7 +1,5 @@
 """Compares acknowledged commits with the log of a new primary."""
 
-from collections import deque
-
 from absl import logging
 
 from jackdawspread.decisions.members.missing_commits import (
@@ -13,10 +11,8 @@
 from jackdawspread.messages.position import Position
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.fleet_metrics import LOST_COMMITS
+from jackdawspread.tasks.members.known_positions import KnownPositions
 
-# Positions closer together than this do not improve the comparison.
-MIN_INTERVAL_S = 0.005
-MAX_POSITIONS = 256
 # A late answer of a former primary belongs to one of the terms before.
 MAX_TERMS = 3
 
@@ -33,9 +29,7 @@
     def __init__(self, group: str) -> None:
         self._group = group
         self._commits_by_term: dict[int, TermCommits] = {}
-        # Highest positions of a term, and the boot-time clock in seconds at which they
-        # were known.
-        self._known_by_term: dict[int, deque[tuple[float, Position]]] = {}
+        self._known_by_term: dict[int, KnownPositions] = {}
         self._reported: set[tuple[int, int]] = set()
 
     def observe(self, event: PositionSeen) -> None:
@@ -47,9 +41,9 @@
         commits = self._commits_by_term.get(term)
         if commits is None:
             return
-        before = self._known_at(term, event.sent_at)
-        self._commits_by_term[term] = _update(commits, event, before)
-        self._remember(event.position)
+        known = self._known_by_term[term]
+        self._commits_by_term[term] = _update(commits, event, known.at(event.sent_at))
+        known.add(event.position, seconds_since_boot())
         if len(self._commits_by_term) > 1:
             self._compare()
 
@@ -68,28 +62,12 @@
                 *commits.shown,
             )
         self._commits_by_term[position.term] = TermCommits(position, none, none)
-        self._known_by_term[position.term] = deque(maxlen=MAX_POSITIONS)
+        self._known_by_term[position.term] = KnownPositions()
         if len(self._commits_by_term) > MAX_TERMS:
             oldest = min(self._commits_by_term)
             del self._commits_by_term[oldest], self._known_by_term[oldest]
             self._reported = {pair for pair in self._reported if oldest not in pair}
 
-    def _known_at(self, term: int, at: float) -> Position | None:
-        """Return the highest position that was known at a time."""
-        for known_at, position in reversed(self._known_by_term[term]):
-            if known_at <= at:
-                return position
-        return None
-
-    def _remember(self, position: Position) -> None:
-        now = seconds_since_boot()
-        known = self._known_by_term[position.term]
-        if known:
-            last_at, last = known[-1]
-            if position <= last or now - last_at < MIN_INTERVAL_S:
-                return
-        known.append((now, position))
-
     def _compare(self) -> None:
         terms = sorted(self._commits_by_term)
         for earlier, later in zip(terms, terms[1:], strict=False):
