Promote only a member that reaches what instances have acknowledged

Cause: a promotion rests on the logs of the members that a list names. A replica that joins confirms commits before its entry is in the list, for some milliseconds or, if the entry is late, for seconds; if the listed ones lag, it alone has them. Change: with its confirmation of a fence each instance tells how far its acknowledged commits reach (AcknowledgedPositions), and a candidate has to reach the highest one. The answer to a commit may show later commits that nobody has confirmed, so that position is waited for only until every member that lives must be listed (2.5 s of refused attempts); what is certain is waited for like a missing log. A switchover's replica has to reach it too. An attempt that ends without a promotion records the positions, so that they count after the instance has ended. Why it works: it compares with what must not be lost, in place of with who may have it.

--- a/features/fakes/acknowledging_instance.py
+++ b/features/fakes/acknowledging_instance.py
@@ -13,6 +13,7 @@
     sleep,
 )
 
+from jackdawspread.messages.fleet.acknowledged_positions import AcknowledgedPositions
 from jackdawspread.messages.fleet.await_writable import AwaitWritable
 from jackdawspread.messages.fleet.confirm_commit import ConfirmCommit
 from jackdawspread.messages.fleet.instance_registered import InstanceRegistered
@@ -103,9 +104,11 @@
         """Deliver an announcement of another instance."""
         self.send(PromotionAnnouncement(PromotionAnnounced(id, state), peer))
 
-    def announce_own(self, state: PromotionState) -> MemoryReceiveChannel[bool]:
+    def announce_own(
+        self, state: PromotionState
+    ) -> MemoryReceiveChannel[AcknowledgedPositions]:
         """Deliver an announcement of this instance."""
-        reply_to, receive = open_memory_channel[bool](1)
+        reply_to, receive = open_memory_channel[AcknowledgedPositions](1)
         announced = PromotionAnnounced(0, state)
         self.send(PromotionAnnouncement(announced, reply_to=reply_to))
         return receive
--- a/features/fakes/announced_instances.py
+++ b/features/fakes/announced_instances.py
@@ -12,6 +12,10 @@
     sleep,
 )
 
+from jackdawspread.messages.fleet.acknowledged_positions import (
+    NOTHING_ACKNOWLEDGED,
+    AcknowledgedPositions,
+)
 from jackdawspread.messages.fleet.announcement_event import AnnouncementEvent
 from jackdawspread.messages.fleet.promotion_announcement_received import (
     PromotionAnnouncementReceived,
@@ -46,6 +50,8 @@
         self.received: dict[str, list[tuple[int, PromotionState]]] = {
             instance: [] for instance in lost_by_instance
         }
+        # What instances have acknowledged before a state.
+        self.acknowledged_by_instance: dict[str, AcknowledgedPositions] = {}
         # Times at which an instance confirmed a state.
         self.confirmed_at: dict[str, float] = {}
 
@@ -78,13 +84,20 @@
         if self._is_lost(instance, event.message):
             return
         await sleep(DATAGRAM_DELAY_S)
-        await send.send(PromotionAnnouncementReceived(event.message.id, instance))
+        await send.send(
+            PromotionAnnouncementReceived(
+                event.message.id, instance, self._acknowledged(instance)
+            )
+        )
 
     async def _confirm_own(self, announcements) -> None:
         async for event in announcements:
             is_lost = self._is_lost(OWN, event.announced)
             if event.reply_to is not None and not is_lost:
-                event.reply_to.send_nowait(True)
+                event.reply_to.send_nowait(self._acknowledged(OWN))
+
+    def _acknowledged(self, instance: str) -> AcknowledgedPositions:
+        return self.acknowledged_by_instance.get(instance, NOTHING_ACKNOWLEDGED)
 
     def _is_lost(self, instance: str, announced) -> bool:
         received = self.received[instance]
--- a/features/process/unlisted_members.feature
+++ b/features/process/unlisted_members.feature
@@ -15,7 +15,6 @@
     Then callers can write again and no acknowledged write is lost
     And the replica that joined leads
 
-  @known_red
   Scenario Outline: The only replica with the commits gets its entry after <seconds> s
     # Guards against a promotion that takes no member for one that nobody has listed.
     When a replica joins that gets its entry after <seconds> s and the others receive nothing
--- a/features/steps/acknowledgement_task_steps.py
+++ b/features/steps/acknowledgement_task_steps.py
@@ -14,6 +14,7 @@
 from features.support.log_lines import collect_log_lines
 from trio import WouldBlock
 
+from jackdawspread.messages.fleet.acknowledged_positions import NOTHING_ACKNOWLEDGED
 from jackdawspread.messages.fleet.configuration_seen import ConfigurationSeen
 from jackdawspread.messages.fleet.member_group import MemberGroup
 from jackdawspread.messages.fleet.promotion_announcement_received import (
@@ -274,7 +275,7 @@
 @then("the fence has got the confirmation and no datagram was sent")
 def fence_confirmed(context: Context) -> None:
     """Compare the confirmation."""
-    assert context.confirmation.receive_nowait() is True
+    assert context.confirmation.receive_nowait() == NOTHING_ACKNOWLEDGED
     assert not context.instance.datagrams()
 
 
--- a/features/steps/promotion_announcement_steps.py
+++ b/features/steps/promotion_announcement_steps.py
@@ -33,7 +33,7 @@
             addresses = context.instances.address_by_instance
             expires_at = started_at + seconds
             await send.send(AnnouncePromotion(STATE, addresses, expires_at, reply_to))
-            context.missing = await replies.receive()
+            context.missing = (await replies.receive()).missing
             context.elapsed_s = current_time() - started_at
             # Announcements that were repeated afterwards would be counted too.
             await sleep(1.0)
--- a/src/jackdawspread/codecs/peer_datagrams.py
+++ b/src/jackdawspread/codecs/peer_datagrams.py
@@ -182,6 +182,8 @@
 def _(message: PromotionAnnouncementReceived) -> None:
     _check_integers(message.id)
     check_name(message.instance)
+    for position in message.acknowledged:
+        _check_integers(*(position or ()))
 
 
 def _check_promotion_state(state: PromotionState) -> None:
--- a/src/jackdawspread/decisions/failover/promotion_candidate.py
+++ b/src/jackdawspread/decisions/failover/promotion_candidate.py
@@ -2,7 +2,9 @@
 
 With synchronous replication every acknowledged commit is on two members of the roster:
 on the primary and on a replica. A member whose log is at least as advanced as those of
-all other members of the roster but one therefore has every acknowledged commit.
+all other members of the roster but one therefore has every acknowledged commit. A
+replica that no list names yet is not in the roster, so the log also has to reach what
+instances say that they have acknowledged.
 """
 
 from collections.abc import Collection, Iterable
@@ -102,6 +104,9 @@
 
 
 def _is_complete(status: LogStatus, evidence: PromotionEvidence) -> bool:
+    acknowledged = evidence.acknowledged
+    if acknowledged is not None and status.received < acknowledged:
+        return False
     if _was_newest_primary(status.member, evidence):
         return True
     return len(uncovered_members(status, evidence)) <= MAX_UNCOVERED
--- a/src/jackdawspread/decisions/failover/promotion_evidence.py
+++ b/src/jackdawspread/decisions/failover/promotion_evidence.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from jackdawspread.messages.fleet.log_status import LogStatus
+from jackdawspread.messages.position import Position
 
 
 class PromotionEvidence(NamedTuple):
@@ -26,6 +27,8 @@
     requested_earlier : str
         Member whose promotion an earlier attempt requested. That request may still be
         executed. Empty if there was none.
+    acknowledged : Position or None
+        Position that instances have acknowledged; None if none is known.
     """
 
     roster: frozenset[str]
@@ -34,3 +37,4 @@
     leaving: frozenset[str] = frozenset()
     demoted_primary: str = ""
     requested_earlier: str = ""
+    acknowledged: Position | None = None
--- a/src/jackdawspread/decisions/failover/promotion_lock_record.py
+++ b/src/jackdawspread/decisions/failover/promotion_lock_record.py
@@ -43,6 +43,10 @@
     log_end : list of int
         Term and sequence at which the log of ``ordered`` ended when logs were compared.
         Missing if its log went on growing, and in records of earlier versions.
+    acknowledged, shown : list of int
+        Terms and sequences of the highest positions that acknowledged commits have
+        reached for certain, and that answers to them have shown. Missing if no attempt
+        has ended without a promotion since they were told.
     """
 
     token: int
@@ -58,3 +62,5 @@
     suspended: NotRequired[bool]
     fenced_token: NotRequired[int]
     log_end: NotRequired[list[int]]
+    acknowledged: NotRequired[list[int]]
+    shown: NotRequired[list[int]]
--- a/src/jackdawspread/messages/fleet/announce_promotion.py
+++ b/src/jackdawspread/messages/fleet/announce_promotion.py
@@ -4,6 +4,7 @@
 
 from trio import MemorySendChannel
 
+from jackdawspread.messages.fleet.announcement_result import AnnouncementResult
 from jackdawspread.messages.fleet.promotion_state import PromotionState
 
 
@@ -19,12 +20,12 @@
     expires_at : float
         Monotonic time in seconds after which confirmations are not awaited.
     reply_to : trio.MemorySendChannel or None
-        Receives the ids of the instances that have not confirmed: empty as soon as all
-        have, or those that are missing at ``expires_at``. None if confirmations are not
-        awaited; the state is then announced once.
+        Receives the result as soon as all instances have confirmed, or at
+        ``expires_at``. None if confirmations are not awaited; the state is then
+        announced once.
     """
 
     state: PromotionState
     address_by_instance: dict[str, str]
     expires_at: float
-    reply_to: MemorySendChannel[frozenset[str]] | None
+    reply_to: MemorySendChannel[AnnouncementResult] | None
--- a/src/jackdawspread/messages/fleet/promotion_announcement.py
+++ b/src/jackdawspread/messages/fleet/promotion_announcement.py
@@ -4,6 +4,7 @@
 
 from trio import MemorySendChannel
 
+from jackdawspread.messages.fleet.acknowledged_positions import AcknowledgedPositions
 from jackdawspread.messages.fleet.promotion_announced import PromotionAnnounced
 
 
@@ -18,10 +19,10 @@
         ``IP:port`` of the sender, to which the confirmation is sent; empty if this
         instance has announced it.
     reply_to : trio.MemorySendChannel or None
-        Receives True once this instance follows the state, if it has announced it
-        itself and awaits the confirmation.
+        Receives what this instance has acknowledged once it follows the state, if it
+        has announced it itself and awaits the confirmation.
     """
 
     announced: PromotionAnnounced
     peer: str = ""
-    reply_to: MemorySendChannel[bool] | None = None
+    reply_to: MemorySendChannel[AcknowledgedPositions] | None = None
--- a/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
@@ -25,8 +25,14 @@
 from jackdawspread.decisions.failover.held_promotion_lock import HeldPromotionLock
 from jackdawspread.decisions.failover.outstanding_requests import outstanding_requests
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
+from jackdawspread.decisions.failover.recorded_acknowledged import recorded_acknowledged
+from jackdawspread.messages.fleet.acknowledged_positions import (
+    AcknowledgedPositions,
+    merge_acknowledged,
+)
 from jackdawspread.messages.fleet.announce_promotion import AnnouncePromotion
 from jackdawspread.messages.fleet.announcement_event import AnnouncementEvent
+from jackdawspread.messages.fleet.announcement_result import AnnouncementResult
 from jackdawspread.messages.fleet.promotion_state import PromotionState
 from jackdawspread.messages.fleet.stored_record import StoredRecord
 from jackdawspread.tasks.boot_clock import seconds_since_boot
@@ -35,6 +41,7 @@
     decode_instance_entry,
 )
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
+from jackdawspread.tasks.fleet.promotion_log import describe_acknowledged
 from jackdawspread.tasks.fleet.record_client import RecordClient
 
 # Why an attempt ends if its fence is not complete.
@@ -83,12 +90,18 @@
         self._instance_count = 0
         # None until it is known which instances have not confirmed.
         self._missing: frozenset[str] | None = None
+        self._acknowledged = recorded_acknowledged(lock.record)
 
     @property
     def lock(self) -> HeldPromotionLock:
         """The lock of the attempt, without the part of its extension not waited for."""
         return self._lock
 
+    @property
+    def acknowledged(self) -> AcknowledgedPositions:
+        """What the instances that have confirmed a state had acknowledged before it."""
+        return self._acknowledged
+
     @property
     def has_written(self) -> bool:
         """Whether instances have to learn how the attempt ends."""
@@ -182,7 +195,7 @@
             else:
                 self._address_by_instance[instance] = entry.address
         self._instance_count = len(records)
-        reply_to, replies = open_memory_channel[frozenset[str]](1)
+        reply_to, replies = open_memory_channel[AnnouncementResult](1)
         is_sent = self._send(
             AnnouncePromotion(
                 self._state(self._lock), self._address_by_instance, expires_at, reply_to
@@ -190,7 +203,11 @@
         )
         if not is_sent:
             return frozenset(self._address_by_instance) | unreadable
-        return await replies.receive() | unreadable
+        result = await replies.receive()
+        self._acknowledged = merge_acknowledged(
+            (self._acknowledged, result.acknowledged)
+        )
+        return result.missing | unreadable
 
     def _state(self, lock: HeldPromotionLock) -> PromotionState:
         store_time_s = lock.record["until"] - lock.held_until + seconds_since_boot()
@@ -225,11 +242,12 @@
             confirmed = self._instance_count - len(self._missing)
         logging.info(
             "succession: fence group=%s token=%d instances=%d confirmed=%d "
-            "waited_ms=%.0f missing=%s",
+            "waited_ms=%.0f missing=%s %s",
             self._group,
             self._lock.record["token"],
             self._instance_count,
             confirmed,
             waited_ms,
             missing,
+            describe_acknowledged(self._acknowledged),
         )
--- a/src/jackdawspread/tasks/fleet/acknowledgement_task.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_task.py
@@ -19,10 +19,6 @@
 )
 
 from jackdawspread.decisions.acknowledgement.acknowledge_commit import AcknowledgeCommit
-from jackdawspread.decisions.acknowledgement.acknowledged_positions import (
-    add_acknowledged,
-    find_missing,
-)
 from jackdawspread.decisions.acknowledgement.decide_acknowledgement import (
     AcknowledgementDecision,
     decide_acknowledgement,
@@ -58,6 +54,7 @@
 from jackdawspread.messages.fleet.promotion_states_seen import PromotionStatesSeen
 from jackdawspread.messages.fleet.send_datagram import SendDatagram
 from jackdawspread.tasks.boot_clock import seconds_since_boot
+from jackdawspread.tasks.fleet.acknowledged_commits import AcknowledgedCommits
 from jackdawspread.tasks.fleet.acknowledgement_log import AcknowledgementLog
 from jackdawspread.tasks.fleet.commit_verification import CommitVerification
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
@@ -119,7 +116,8 @@
         )
         self._changed_by_group: defaultdict[str, Event] = defaultdict(Event)
         self._held_until_by_group: dict[str, float] = {}
-        self._sequences_by_group: defaultdict[str, dict[int, int]] = defaultdict(dict)
+        self._commits_by_group: defaultdict[str, AcknowledgedCommits]
+        self._commits_by_group = defaultdict(AcknowledgedCommits)
 
     async def run(self) -> None:
         """Handle events until cancelled."""
@@ -151,13 +149,16 @@
     def _(self, event: PromotionAnnouncement, waits: Nursery) -> None:
         announced = event.announced
         self._apply(announced.state, "announcement", waits)
+        acknowledged = self._commits_by_group[announced.state.group].positions
         if event.reply_to is not None:
-            event.reply_to.send_nowait(True)
+            event.reply_to.send_nowait(acknowledged)
         # A group that counts as asynchronous here is acknowledged whatever its state.
         if announced.state.group in self._asynchronous:
             return
         if announced.id and event.peer:
-            reply = PromotionAnnouncementReceived(announced.id, self._instance)
+            reply = PromotionAnnouncementReceived(
+                announced.id, self._instance, acknowledged
+            )
             try:
                 self._peers.send_nowait(SendDatagram(reply, event.peer))
             except WouldBlock:
@@ -204,11 +205,13 @@
     def _(self, event: ConfigurationSeen, waits: Nursery) -> None:
         if event.configuration is None:
             return
+        groups = event.configuration.group_by_name
         self._asynchronous = frozenset(
-            group.name
-            for group in event.configuration.group_by_name.values()
-            if group.sync_replicas == 0
+            group.name for group in groups.values() if group.sync_replicas == 0
         )
+        for group_name in self._commits_by_group.keys() - groups.keys():
+            # A group that is added again begins with another log.
+            del self._commits_by_group[group_name]
         for group_name in list(self._changed_by_group):
             self._wake(group_name)
 
@@ -223,7 +226,7 @@
         now = self._boot_clock()
         self._view_by_group[state.group] = replace_state(view, state, now)
         self._log.log_change(view.state, state, source)
-        missing = find_missing(self._sequences_by_group.get(state.group, {}), state)
+        missing = self._commits_by_group[state.group].find_missing(state)
         if missing is not None:
             self._log.log_missing(state, missing)
         self._wake(state.group)
@@ -325,8 +328,8 @@
 
     def _acknowledge(self, commit: ConfirmCommit, basis: str) -> None:
         if commit.position is not None:
-            sequences = self._sequences_by_group[commit.group]
-            add_acknowledged(sequences, commit.position)
+            commits = self._commits_by_group[commit.group]
+            commits.add(commit.position, commit.sent_at, self._boot_clock())
         _reply_commit(commit, CommitConfirmation(True, basis))
 
     async def _await_writable(self, request: AwaitWritable) -> None:
--- a/src/jackdawspread/tasks/fleet/candidate_search.py
+++ b/src/jackdawspread/tasks/fleet/candidate_search.py
@@ -7,6 +7,7 @@
 from jackdawspread.messages.fleet.catch_up import CatchUp
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
+from jackdawspread.messages.position import Position
 from jackdawspread.messages.statements.query_status import QueryStatus
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 
@@ -62,11 +63,13 @@
         paused: tuple[MemberListing, ...],
         primary: MemberListing | None,
         term: int,
+        acknowledged: Position | None,
     ) -> CatchUp:
         """Wait until the unpaused replica has the logs of the others.
 
         The first answer of the primary after the pauses is included, as members that
-        have left before it can't have confirmed anything newer.
+        have left before it can't have confirmed anything newer. The replica also has to
+        reach what was acknowledged, as one that is not listed may have confirmed it.
         """
         deadline = current_time() + CATCH_UP_TIMEOUT_S
         others = (*paused, unpaused)
@@ -83,7 +86,7 @@
                 return CatchUp(False, False)
             if former is not None and has_primary_log:
                 needed.append(former)
-            if status is not None and _has_received(status, needed):
+            if status is not None and _has_received(status, needed, acknowledged):
                 return CatchUp(True, has_primary_log, (status, *needed))
             if current_time() >= deadline:
                 return CatchUp(False, False)
@@ -109,8 +112,12 @@
     return not status.claims_primary and status.paused_term == term
 
 
-def _has_received(status: LogStatus, needed: list[LogStatus]) -> bool:
-    """Whether a replica has received the ends of the other logs."""
+def _has_received(
+    status: LogStatus, needed: list[LogStatus], acknowledged: Position | None
+) -> bool:
+    """Whether a replica has received the ends of the other logs, and a position."""
     if status.claims_primary:
         return False
+    if acknowledged is not None and status.received < acknowledged:
+        return False
     return all(status.received >= other.received for other in needed)
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -22,6 +22,7 @@
     replicas_to_query,
 )
 from jackdawspread.decisions.failover.promotion_lock import PROMOTION_LOCK_TTL_S
+from jackdawspread.decisions.failover.recorded_acknowledged import record_acknowledged
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.members_seen import MembersSeen
@@ -248,7 +249,8 @@
             is_resumed = await self._resume(resumable, fence.lock)
             reason = plan.reason or "the promotion lock was not written"
             # A member that was required was not requested.
-            lock = fence.lock._replace(record=acquired.record)
+            record = record_acknowledged(acquired.record, fence.acknowledged)
+            lock = fence.lock._replace(record=record)
             return AttemptResult(reason, lock, is_resumed)
         fence.announce(recorded)
         is_resumed = True
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -26,6 +26,11 @@
     paused_replicas,
 )
 from jackdawspread.decisions.failover.roster import UNKNOWN_ADDRESS, group_roster
+from jackdawspread.decisions.members.listing_retention import REREGISTRATION_S
+from jackdawspread.messages.fleet.acknowledged_positions import (
+    NOTHING_ACKNOWLEDGED,
+    AcknowledgedPositions,
+)
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_listing import MemberListing
@@ -37,6 +42,7 @@
 )
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
+from jackdawspread.tasks.fleet.promotion_log import describe_acknowledged
 from jackdawspread.tasks.fleet.read_members_since import ReadMembersSince
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.replication_pause import ReplicationPause
@@ -99,7 +105,9 @@
         evidence = _collect(trigger, queried, listing_by_id, record, status_by_member)
         if trigger.member in status_by_member:
             evidence = evidence._replace(demoted_primary=trigger.member)
-        candidate = self._choose(trigger, evidence, listing_by_id, record)
+        candidate = self._choose(
+            trigger, evidence, listing_by_id, record, fence.acknowledged
+        )
         left_paused = paused_replicas(replicas, status_by_member)
         is_replaceable = candidate is not None and candidate.member != trigger.member
         is_kept = not (is_replaceable and may_be_demoted)
@@ -108,7 +116,7 @@
                 trigger.member, paused=left_paused, repeats_request=True
             )
         if candidate is None:
-            return _refuse(evidence, left_paused)
+            return _refuse(evidence, left_paused, fence.acknowledged)
         if candidate.member == trigger.member:
             return PromotionPlan(
                 reason="only the primary has every commit", paused=left_paused
@@ -186,9 +194,11 @@
             return PromotionPlan(reason=LIST_NOT_WHOLE, paused=replicas)
         listing_by_id = seen.listing_by_id
         evidence = _collect(trigger, replicas, listing_by_id, record, status_by_member)
-        candidate = self._choose(trigger, evidence, listing_by_id, record)
+        candidate = self._choose(
+            trigger, evidence, listing_by_id, record, fence.acknowledged
+        )
         if candidate is None:
-            return _refuse(evidence, replicas)
+            return _refuse(evidence, replicas, fence.acknowledged)
         return PromotionPlan(
             candidate.member,
             "",
@@ -271,13 +281,20 @@
         evidence: PromotionEvidence,
         listing_by_id: dict[str, MemberListing],
         record: PromotionLockRecord,
+        acknowledged: AcknowledgedPositions,
     ) -> LogStatus | None:
         """Return the member to promote.
 
-        Members that are gone are waited for. Where the settings limit that time, the
-        most advanced of the listed replicas is then taken if all of them answer.
+        A position that may not have been acknowledged is waited for until every member
+        that lives must be listed. Members that are gone are waited for. Where the
+        settings limit that time, the most advanced of the listed replicas is then taken
+        if all of them answer.
         """
-        candidate = choose_candidate(evidence)
+        candidate = choose_candidate(evidence._replace(acknowledged=acknowledged.shown))
+        if candidate is None and is_overdue(record, REREGISTRATION_S):
+            candidate = choose_candidate(
+                evidence._replace(acknowledged=acknowledged.certain)
+            )
         if candidate is not None or not is_overdue(record, self._missing_log_timeout_s):
             return candidate
         listed = {listing.address for listing in listing_by_id.values()}
@@ -329,13 +346,15 @@
 
 
 def _refuse(
-    evidence: PromotionEvidence, paused: tuple[MemberListing, ...]
+    evidence: PromotionEvidence,
+    paused: tuple[MemberListing, ...],
+    acknowledged: AcknowledgedPositions = NOTHING_ACKNOWLEDGED,
 ) -> PromotionPlan:
     """Return a plan without a promotion, because logs are missing."""
     names = ",".join(sorted(silent_addresses(evidence))) or "none"
     return PromotionPlan(
         reason="no replica is known to have every commit, "
-        f"logs missing addresses={names}",
+        f"logs missing addresses={names} {describe_acknowledged(acknowledged)}",
         roster=evidence.roster,
         paused=paused,
     )
--- a/src/jackdawspread/tasks/fleet/promotion_announcement_task.py
+++ b/src/jackdawspread/tasks/fleet/promotion_announcement_task.py
@@ -16,9 +16,14 @@
     open_nursery,
 )
 
+from jackdawspread.messages.fleet.acknowledged_positions import (
+    AcknowledgedPositions,
+    merge_acknowledged,
+)
 from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.announce_promotion import AnnouncePromotion
 from jackdawspread.messages.fleet.announcement_event import AnnouncementEvent
+from jackdawspread.messages.fleet.announcement_result import AnnouncementResult
 from jackdawspread.messages.fleet.peer_event import PeerEvent
 from jackdawspread.messages.fleet.promotion_announced import PromotionAnnounced
 from jackdawspread.messages.fleet.promotion_announcement import PromotionAnnouncement
@@ -86,7 +91,7 @@
 
     @_handle.register
     def _(self, event: PromotionAnnouncementReceived, announcements: Nursery) -> None:
-        self._confirm(event.id, event.instance)
+        self._confirm(event)
 
     def _announce_once(self, event: AnnouncePromotion) -> None:
         announced = PromotionAnnounced(UNCONFIRMED_ID, event.state)
@@ -99,12 +104,12 @@
             logging.warning("succession: state not announced here, the inbox is full")
 
     async def _announce(
-        self, event: AnnouncePromotion, reply_to: MemorySendChannel[frozenset[str]]
+        self, event: AnnouncePromotion, reply_to: MemorySendChannel[AnnouncementResult]
     ) -> None:
         """Repeat an announcement until all have confirmed it, or until it expires."""
         announced = PromotionAnnounced(next(self._ids), event.state)
         missing = {self._instance, *event.address_by_instance}
-        awaited = AwaitedAnnouncement(missing, Event())
+        awaited = AwaitedAnnouncement(missing, [], Event())
         self._awaited_by_id[announced.id] = awaited
         try:
             with move_on_at(event.expires_at):
@@ -114,13 +119,16 @@
                     nursery.cancel_scope.cancel()
         finally:
             del self._awaited_by_id[announced.id]
-        reply_to.send_nowait(frozenset(missing))
+        acknowledged = merge_acknowledged(awaited.acknowledged)
+        reply_to.send_nowait(AnnouncementResult(frozenset(missing), acknowledged))
 
     async def _announce_here(self, announced: PromotionAnnounced) -> None:
-        send, replies = open_memory_channel[bool](1)
+        send, replies = open_memory_channel[AcknowledgedPositions](1)
         await self._acknowledgements.send(PromotionAnnouncement(announced, "", send))
-        if await replies.receive():
-            self._confirm(announced.id, self._instance)
+        acknowledged = await replies.receive()
+        self._confirm(
+            PromotionAnnouncementReceived(announced.id, self._instance, acknowledged)
+        )
 
     async def _announce_to_others(
         self,
@@ -134,11 +142,12 @@
             with move_on_at(current_time() + REPEAT_INTERVAL_S):
                 await awaited.confirmed.wait()
 
-    def _confirm(self, id: int, instance: str) -> None:
-        awaited = self._awaited_by_id.get(id)
+    def _confirm(self, event: PromotionAnnouncementReceived) -> None:
+        awaited = self._awaited_by_id.get(event.id)
         if awaited is None:
             return
-        awaited.missing.discard(instance)
+        awaited.missing.discard(event.instance)
+        awaited.acknowledged.append(event.acknowledged)
         if not awaited.missing:
             awaited.confirmed.set()
 
--- a/src/jackdawspread/tasks/fleet/promotion_log.py
+++ b/src/jackdawspread/tasks/fleet/promotion_log.py
@@ -10,9 +10,11 @@
     outstanding_requests,
 )
 from jackdawspread.decisions.failover.promotion_lock_record import PromotionLockRecord
+from jackdawspread.messages.fleet.acknowledged_positions import AcknowledgedPositions
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
+from jackdawspread.tasks.fleet.acknowledgement_log import describe_position
 
 
 def log_comparison(
@@ -51,6 +53,11 @@
         )
 
 
+def describe_acknowledged(acknowledged: AcknowledgedPositions) -> str:
+    """Return acknowledged positions as fields of a log line."""
+    certain = describe_position(acknowledged.certain)
+    return f"acknowledged={certain} shown={describe_position(acknowledged.shown)}"
+
+
 def _describe(status: LogStatus) -> str:
-    position = status.received
-    return f"{status.member}={position.term}.{position.sequence}"
+    return f"{status.member}={describe_position(status.received)}"
--- a/src/jackdawspread/tasks/fleet/switchover_selection.py
+++ b/src/jackdawspread/tasks/fleet/switchover_selection.py
@@ -77,7 +77,11 @@
         paused_at = current_time()
         primary = listing_by_id.get(trigger.member)
         catch_up = await self._search.catch_up(
-            listing_by_id[unpaused], to_pause, primary, term
+            listing_by_id[unpaused],
+            to_pause,
+            primary,
+            term,
+            fence.acknowledged.shown,
         )
         seen = await members_since(paused_at) if catch_up.is_complete else None
         if seen is None:
