Compare a demoted primary with what instances have acknowledged

After a demotion the rule of one uncovered member let a replica be promoted that only the demoted primary was ahead of. The primary and a replica without an entry can both have an acknowledged commit then. The fence was not waited for, so nobody had told what was acknowledged. Change: the fence is waited for after a demotion too, also by the instance that demotes a primary that answers, and the candidate has to reach what was shown. If only the primary does, it is requested again; a primary whose writes are not confirmed is held to what is certain. The two rows of features/acknowledgement_fence.feature that asked for no confirmation rested on the wrong belief; they ask for both instances now. Why it works: as for unlisted replicas. An attempt with an instance that does not confirm takes up to 2.5 s longer after a demotion, as without one.

--- a/features/acknowledged_positions.feature
+++ b/features/acknowledged_positions.feature
@@ -17,6 +17,12 @@
       | is unreachable          | m0=10,m1=10,m2=9    | 1.10    | 1.10  | m1       |
       | is unreachable          | m0=10,m1=9,m2=9     | 1.9     | 1.10  | none     |
       | is unreachable          | m0=9,m1=9,m2=9      | none    | none  | m1       |
+      | only others reach       | m0=10,m1=9,m2=9     | 1.10    | 1.10  | m0       |
+      | only others reach       | m0=10,m1=9,m2=9     | 1.9     | 1.10  | m0       |
+      | only others reach       | m0=10,m1=9,m2=9     | 1.9     | 1.9   | m1       |
+      | gets no write confirmed | m0=10,m1=9,m2=9     | 1.10    | 1.10  | m0       |
+      | gets no write confirmed | m0=10,m1=9,m2=9     | 1.9     | 1.10  | m1       |
+      | gets no write confirmed | m0=10,m1=9,m2=9     | 1.9     | 1.9   | m1       |
       | leaves                  | m0=9,m1=9,m2=9      | 1.10    | 1.10  | none     |
       | leaves                  | m0=10,m1=10,m2=10   | 1.10    | 1.10  | m1       |
 
--- a/features/acknowledgement_fence.feature
+++ b/features/acknowledgement_fence.feature
@@ -52,8 +52,8 @@
 
   Scenario Outline: Nothing is acknowledged between the comparison and the effect
     # Guards against commits that a replica which nobody paused confirms for a primary
-    # that is alive, after the logs were compared (issue 47). A demoted primary confirms
-    # none, so nobody is waited for unless a request may make another member the primary.
+    # that is alive, after the logs were compared (issue 47), and against a comparison
+    # without what was acknowledged before a demotion (issue 61).
     Given a group whose attempts fence acknowledgements at "i1=0,i2=0,i3=0"
     And outstanding requests "<outstanding>" from before
     When a fenced attempt is made on a primary that <trouble>
@@ -64,9 +64,9 @@
       | trouble                 | outstanding | confirmed | order                                                                                             |
       | is unreachable          | none        | i2,i3     | write suspended none; compare; write suspended m1; call m1; write open none                       |
       | is unreachable          | m1          | i2,i3     | write suspended m1; compare; write suspended m1; call m1; write open none                         |
-      | only others reach       | none        | none      | write suspended none; compare; write suspended m1; call m1; write open none                       |
+      | only others reach       | none        | i2,i3     | write suspended none; compare; write suspended m1; call m1; write open none                       |
       | only others reach       | m2          | i2,i3     | write suspended m2; compare; write suspended m2; call m2; write open none                         |
-      | gets no write confirmed | none        | none      | compare; write open m1; call m1; write open none                                                  |
+      | gets no write confirmed | none        | i2,i3     | write suspended none; compare; write suspended m1; call m1; write open none                       |
       | gets no write confirmed | m2          | i2,i3     | write suspended m2; compare; write suspended m2; call m2; write open none                         |
 
   Scenario Outline: An instance that does not confirm delays the comparison by its permit
--- a/features/process/unlisted_members.feature
+++ b/features/process/unlisted_members.feature
@@ -27,3 +27,10 @@
       | 1       |
       | 3       |
       | 6       |
+
+  Scenario: A primary that one instance can't reach has commits of a replica without an entry
+    # Guards against a comparison in which the log of the demoted primary is one that may be missing.
+    When a replica joins that gets its entry after 6 s and the others receive nothing
+    And i1 is cut off from the primary
+    And a replacement is requested
+    Then callers can write again and no acknowledged write is lost
--- a/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
@@ -4,14 +4,11 @@
 
 from absl import logging
 from trio import (
-    CancelScope,
-    Event,
     MemorySendChannel,
     WouldBlock,
     current_time,
     move_on_at,
     open_memory_channel,
-    open_nursery,
     sleep,
 )
 
@@ -85,7 +82,6 @@
         self._announcements = announcements
         self._has_written = False
         self._keeps_extension = False
-        self._wait_ended = Event()
         self._address_by_instance: dict[str, str] = {}
         self._instance_count = 0
         # None until it is known which instances have not confirmed.
@@ -133,10 +129,6 @@
             require_member(record, member, term, roster, outstanding)
         )
 
-    def end_wait(self) -> None:
-        """End the wait, as the primary was demoted: nobody can acknowledge."""
-        self._wait_ended.set()
-
     def announce(self, written: HeldPromotionLock | None) -> None:
         """Announce a written state once, if the attempt has fenced acknowledgements."""
         if written is not None and self._has_written:
@@ -152,20 +144,13 @@
         self._has_written = True
         started_at = seconds_since_boot()
         deadline = started_at + PERMIT_S
-        async with open_nursery() as nursery:
-            nursery.start_soon(self._cancel_wait, nursery.cancel_scope)
-            await self._wait(deadline)
-            nursery.cancel_scope.cancel()
+        await self._wait(deadline)
         ended_at = seconds_since_boot()
         if not self._keeps_extension:
             self._take_back(max(deadline - ended_at, 0.0))
         self._log(1000 * (ended_at - started_at))
         return ended_at < self._lock.held_until
 
-    async def _cancel_wait(self, wait: CancelScope) -> None:
-        await self._wait_ended.wait()
-        wait.cancel()
-
     async def _wait(self, deadline: float) -> None:
         """Wait until all instances have confirmed, or until permits have lapsed.
 
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -124,11 +124,8 @@
         term = pause_term(status_by_member.values(), recorded_term(record))
         term, _ = await self._pause.run(replicas, term)
         if primary is not None and primary.id in status_by_member:
-            # Without outstanding requests nobody acknowledges after the demotion.
-            if outstanding and not await fence.suspend():
-                return PromotionPlan(reason=NOT_FENCED, paused=replicas)
             return await self._demote_and_select(
-                trigger, replicas, primary, term, record, members_since
+                trigger, replicas, primary, term, record, members_since, fence
             )
         unreachable = listing_by_id.get(trigger.member)
         if unreachable is not None and not may_be_demoted:
@@ -158,8 +155,8 @@
         A replica that joins in the meantime may confirm commits of a primary that is
         alive, so other instances are asked to demote ``primary`` while acknowledgements
         are fenced. If none does, the list is read last, as only the replicas in it are
-        known. A demoted primary acknowledges nothing, so the fence is then waited for
-        only if a request may make a member the primary meanwhile.
+        known. The fence is waited for although a demoted primary acknowledges nothing:
+        it tells what was acknowledged before.
         """
         demoted: list[LogStatus] = []
 
@@ -167,8 +164,6 @@
             status = await self._peer_demotion.demote(primary, term)
             if status is not None:
                 demoted.append(status)
-                if not outstanding_requests(record):
-                    fence.end_wait()
 
         async with open_nursery() as nursery:
             if primary is not None:
@@ -181,7 +176,14 @@
             return PromotionPlan(reason=NOT_FENCED, paused=replicas)
         if primary is not None and demoted:
             return await self._select_demoted(
-                trigger, replicas, primary, demoted[0], term, record, members_since
+                trigger,
+                replicas,
+                primary,
+                demoted[0],
+                term,
+                record,
+                members_since,
+                fence.acknowledged,
             )
         listed_since = current_time()
         seen = await members_since(listed_since) if status_by_member else None
@@ -217,8 +219,11 @@
         term: int,
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
+        fence: AcknowledgementFence,
     ) -> PromotionPlan:
         """Demote a primary that answers, so that all logs can be compared."""
+        if not await fence.suspend():
+            return PromotionPlan(reason=NOT_FENCED, paused=replicas)
         demoted = await self._replication.send(primary, DemotePrimary(term))
         if demoted is None or demoted.claims_primary:
             # It may go on acknowledging commits. If it no longer responds, the next
@@ -226,7 +231,14 @@
             return PromotionPlan(reason="the primary was not demoted", paused=replicas)
         logging.info("succession: demoted member=%s term=%d", primary.id, term)
         return await self._select_demoted(
-            trigger, replicas, primary, demoted, term, record, members_since
+            trigger,
+            replicas,
+            primary,
+            demoted,
+            term,
+            record,
+            members_since,
+            fence.acknowledged,
         )
 
     async def _select_demoted(
@@ -238,8 +250,13 @@
         term: int,
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
+        acknowledged: AcknowledgedPositions,
     ) -> PromotionPlan:
-        """Compare all logs, which can't grow once the primary is demoted."""
+        """Compare all logs, which can't grow once the primary is demoted.
+
+        The log of the primary may be ahead of all others by commits that only a replica
+        without an entry has confirmed, or that nobody has.
+        """
         demoted_at = current_time()
         seen = await members_since(demoted_at)
         listing_by_id = {m.id: m for m in (*replicas, primary)}
@@ -262,9 +279,16 @@
         evidence = evidence._replace(
             demoted_primary=primary.id, roster=evidence.roster | joiner
         )
-        candidate = choose_candidate(evidence)
+        candidate = choose_candidate(evidence._replace(acknowledged=acknowledged.shown))
+        if trigger.writes_stalled and (
+            candidate is None or candidate.member == primary.id
+        ):
+            # Nobody confirms what it has beyond the acknowledged commits.
+            candidate = choose_candidate(
+                evidence._replace(acknowledged=acknowledged.certain)
+            )
         if candidate is None:
-            return _refuse(evidence, paused)
+            return _refuse(evidence, paused, acknowledged)
         return PromotionPlan(
             candidate.member,
             "",
