Count a replica whose entry has expired while it answers

What callers saw: acknowledged commits were gone after a promotion, with the store, all listed replicas and the crashed or split-off primary's log in order. Cause: a replica that can't reach the store goes on confirming. Its entry expires, and the roster task took that for its end: it was dropped as soon as a listed replica had what the primary had. From then on nothing paused it, compared it or waited for it. One that answers stays in the recorded roster. An attempt on a primary that can't be reached pauses those that answer first, then the listed ones, and compares them; they are not promoted, as nobody finds them. If only such a one has the newest commits, the replicas are resumed and receive them before the next attempt. A member that does not answer within 0.15 s, or claims to be the primary, is treated as before. The router opens a connection to a named member without an entry until the next list. Why it works: the evidence is the member's own answer, not the absence of its entry.

--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -109,6 +109,10 @@
         # Whether attempts are made because the primary leaves.
         self.is_planned = False
         self.paused: dict[str, int] = {}
+        # Members in the order of the pauses that had an effect.
+        self.pause_order: list[str] = []
+        # Members that have left the list.
+        self.departed: tuple[str, ...] = ()
         self.demoted: list[str] = []
         self.promoted: list[str] = []
         self.outcomes: list[str] = []
@@ -177,7 +181,12 @@
                 )
             nursery.start_soon(self._promote, inbox)
             self.outcomes.append(
-                await acting.run(trigger, self._list(), self._members_since)
+                await acting.run(
+                    trigger,
+                    self._list(),
+                    self._members_since,
+                    tuple(map(listing, self.departed)),
+                )
             )
             if self.announced is not None:
                 await sleep(0.1)  # The last announcement is not awaited.
@@ -212,6 +221,7 @@
             return None
         if isinstance(command, PauseReplication) and command.term > self.newest_term:
             self.paused[id] = command.term
+            self.pause_order.append(id)
         if isinstance(command, ResumeReplication):
             self.paused.pop(id, None)
         if isinstance(command, DemotePrimary) and command.term > self.newest_term:
--- a/features/process/unlisted_members.feature
+++ b/features/process/unlisted_members.feature
@@ -34,3 +34,10 @@
     And i1 is cut off from the primary
     And a replacement is requested
     Then callers can write again and no acknowledged write is lost
+
+  Scenario: A replica whose entry has expired confirms commits behind a partition
+    # Guards against a promotion that takes a member without an entry for gone.
+    When a replica joins and its entry expires
+    And i1 is cut off from the primary and from the other instances
+    And a replacement is requested
+    Then callers can write again and no acknowledged write is lost
--- a/features/roster.feature
+++ b/features/roster.feature
@@ -23,6 +23,18 @@
       | m0,m1,m2    | is held | m0,m1                | 1.9 | m0,m1,m2    |
       | m0,m1,m2    | is free | m1                   | 1.9 | m0,m1,m2    |
 
+  Scenario Outline: A member whose entry has expired stays in the roster while it answers
+    # Guards against a promotion without a replica that can't reach the store (issue 61).
+    Given a recorded roster "m0,m1,m2" and a lock that is free
+    And m2 <state> after it has left the list
+    When an instance reads lists with "m0,m1,m2;m0,m1;m0,m1" while m1 has 1.9 of 1.9
+    Then the recorded roster is "<roster>" and the lock is unchanged
+
+    Examples:
+      | state                     | roster   |
+      | answers                   | m0,m1,m2 |
+      | does not answer           | m0,m1    |
+
   Scenario Outline: A list does not remove members that were recorded after it
     # Guards against a list from before a replica joined: another instance has recorded
     # the replica, which may confirm commits, and an instance with the older list took it
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -34,11 +34,19 @@
     context.recorded_between = roster
 
 
+@given("{member} {state} after it has left the list")
+def after_departure(context: Context, member: str, state: str) -> None:
+    """Let the member end, or only its entry."""
+    context.answers_without_entry = member if state == "answers" else ""
+
+
 @when('an instance reads lists with "{lists}" while {replica} has {end} of 1.9')
 def reads_lists(context: Context, lists: str, replica: str, end: str) -> None:
     """Pass lists of members to the task that keeps the roster."""
     term, _, sequence = end.partition(".")
     ends = {"m0": Position(1, 9), replica: Position(int(term), int(sequence))}
+    if "answers_without_entry" in context and context.answers_without_entry:
+        ends[context.answers_without_entry] = Position(1, 9)
     group = ReplicatedGroup(ends, set())
     send, receive = open_memory_channel(10)
     task = RosterTask(RosterClient(context.records), group, receive)
--- a/features/steps/unlisted_member_steps.py
+++ b/features/steps/unlisted_member_steps.py
@@ -14,10 +14,7 @@
 @given("every instance has a permit to acknowledge commits")
 def permits(context: Context) -> None:
     """Without one it verifies commits at the listed members."""
-    deadline = monotonic() + TIMEOUT_S
-    while len(context.fleet.log_lines("permit regained")) < len(context.fleet.names):
-        assert monotonic() < deadline, "an instance got no permit"
-        sleep(POLL_INTERVAL_S)
+    _wait_for_lines(context, "permit regained")
 
 
 @when("the store is away for {seconds:g} s")
@@ -42,6 +39,16 @@
     _join_alone(context, seconds)
 
 
+@when("a replica joins and its entry expires")
+def join_and_expire(context: Context) -> None:
+    """It can't reach the store any more, and goes on confirming."""
+    fleet = context.fleet
+    joined = fleet.wait(fleet.group.join)
+    _wait_for_lines(context, f"added={joined.id}@")
+    fleet.run(fleet.group.entries.expire, joined.id)
+    _wait_for_lines(context, f"removed={joined.id}")
+
+
 @when("the store is back")
 def store_back(context: Context) -> None:
     """Members write their entries again somewhat later."""
@@ -55,6 +62,15 @@
     assert leader is context.joined, f"{leader.id} leads, not {context.joined.id}"
 
 
+def _wait_for_lines(context: Context, text: str) -> None:
+    """Wait until each instance has logged a text."""
+    fleet = context.fleet
+    deadline = monotonic() + TIMEOUT_S
+    while len(fleet.log_lines(text)) < len(fleet.names):
+        assert monotonic() < deadline, f"not logged by every instance: {text}"
+        sleep(POLL_INTERVAL_S)
+
+
 def _join_alone(context: Context, entry_delay_s: float) -> None:
     fleet = context.fleet
     primary, *others = fleet.group.running
--- a/features/wire/member_entries.py
+++ b/features/wire/member_entries.py
@@ -35,6 +35,11 @@
         self._entry_by_id.pop(id, None)
         self._store.delete(TABLE, id)
 
+    def expire(self, id: str) -> None:
+        """Remove the entry of a member that can't reach the store any more."""
+        self._holds_by_id[id] += 1
+        self._store.delete(TABLE, id)
+
     def hold(self, id: str, seconds: float) -> None:
         """Keep what a member writes from now on until a time has passed."""
         self._holds_by_id[id] += 1
--- a/src/jackdawspread/messages/fleet/connection_request.py
+++ b/src/jackdawspread/messages/fleet/connection_request.py
@@ -7,6 +7,7 @@
 
 from jackdawspread.messages.fleet.departure import Departure
 from jackdawspread.messages.fleet.member_lease import MemberLease
+from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
 from jackdawspread.messages.position import Position
 from jackdawspread.messages.refusal import Refusal
@@ -50,6 +51,8 @@
         Regions in which the statement may run; any region if empty.
     departure : Departure
         Whether the statement may be served in another failure domain.
+    unlisted : MemberListing or None
+        Entry of the named member, if it may have left the list.
     """
 
     group: str
@@ -67,3 +70,4 @@
     caller_domain: str = ""
     allowed_regions: frozenset[str] = frozenset()
     departure: Departure = Departure.STAY
+    unlisted: MemberListing | None = None
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -116,11 +116,12 @@
         trigger: FailoverTrigger,
         listing_by_id: dict[str, MemberListing],
         members_since: ReadMembersSince,
+        departed: tuple[MemberListing, ...] = (),
     ) -> str:
         """Return the outcome of the attempt in a few words.
 
         ``members_since`` waits for a list of members that was read after a monotonic
-        time.
+        time. ``departed`` are members that have left the list.
         """
         domains = trigger.evacuated_domains
 
@@ -156,7 +157,7 @@
         # A silent primary may have been demoted, after which a late request counts.
         others = await self._other_members(outstanding, primary if is_alive else None)
         plan = await self._select(
-            trigger, listing_by_id, lock, marked_members_since, fence
+            trigger, listing_by_id, lock, marked_members_since, fence, departed
         )
         resumable = replicas_to_resume(plan.paused, replicas, others)
         result = await self._promote(
@@ -187,6 +188,7 @@
         lock: HeldPromotionLock,
         members_since: ReadMembersSince,
         fence: AcknowledgementFence,
+        departed: tuple[MemberListing, ...],
     ) -> PromotionPlan:
         """Return the member to promote, once acknowledgements are fenced for it."""
         record = lock.record
@@ -198,7 +200,7 @@
             )
         else:
             plan = await self._failover.run(
-                trigger, listing_by_id, record, members_since, fence
+                trigger, listing_by_id, record, members_since, fence, departed
             )
         if not plan.repeats_request:
             return plan
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -1,7 +1,9 @@
 """Selection of the member that replaces a failed primary."""
 
+from collections.abc import Collection
+
 from absl import logging
-from trio import current_time, open_nursery
+from trio import current_time, move_on_after, open_nursery
 
 from jackdawspread.decisions.failover.blocked_promotion import is_overdue
 from jackdawspread.decisions.failover.outstanding_requests import (
@@ -36,6 +38,7 @@
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.promotion_plan import PromotionPlan
 from jackdawspread.messages.statements.demote_primary import DemotePrimary
+from jackdawspread.messages.statements.query_status import QueryStatus
 from jackdawspread.tasks.fleet.acknowledgement_fence import (
     NOT_FENCED,
     AcknowledgementFence,
@@ -47,6 +50,8 @@
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.replication_pause import ReplicationPause
 
+# A member that lives answers in a few milliseconds.
+UNLISTED_TIMEOUT_S = 0.15
 LIST_NOT_WHOLE = "a member may not be listed yet after an outage of the store"
 
 
@@ -83,6 +88,7 @@
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
         fence: AcknowledgementFence,
+        departed: tuple[MemberListing, ...],
     ) -> PromotionPlan:
         """Return the member to promote and the replicas that were paused for it.
 
@@ -98,15 +104,25 @@
         # A primary that does not answer was queried when it was suspected.
         primary = listing_by_id.get(trigger.member) if trigger.writes_stalled else None
         queried = replicas if primary is None else (*replicas, primary)
-        status_by_member = await self._search.query(queried)
+        found: list[MemberListing] = []
+        async with open_nursery() as nursery:
+            nursery.start_soon(self._find_unlisted, departed, found)
+            status_by_member = await self._search.query(queried)
+        unlisted = tuple(found)
         refusal = find_other_primary(trigger.member, status_by_member)
         if refusal:
             return PromotionPlan(reason=refusal)
         evidence = _collect(trigger, queried, listing_by_id, record, status_by_member)
         if trigger.member in status_by_member:
             evidence = evidence._replace(demoted_primary=trigger.member)
+        # Those that answer are compared once all are paused.
+        answering = {member.address for member in unlisted}
         candidate = self._choose(
-            trigger, evidence, listing_by_id, record, fence.acknowledged
+            trigger,
+            evidence._replace(roster=evidence.roster - answering),
+            listing_by_id,
+            record,
+            fence.acknowledged,
         )
         left_paused = paused_replicas(replicas, status_by_member)
         is_replaceable = candidate is not None and candidate.member != trigger.member
@@ -122,6 +138,9 @@
                 reason="only the primary has every commit", paused=left_paused
             )
         term = pause_term(status_by_member.values(), recorded_term(record))
+        if unlisted:
+            # Paused first, so that the others receive what these have confirmed.
+            term, _ = await self._pause.run(unlisted, term)
         term, _ = await self._pause.run(replicas, term)
         if primary is not None and primary.id in status_by_member:
             return await self._demote_and_select(
@@ -137,9 +156,39 @@
             )
             unreachable = None
         return await self._select_unreachable(
-            trigger, replicas, unreachable, term, record, members_since, fence
+            trigger,
+            replicas,
+            unreachable,
+            term,
+            record,
+            members_since,
+            fence,
+            unlisted,
         )
 
+    async def _find_unlisted(
+        self, departed: tuple[MemberListing, ...], found: list[MemberListing]
+    ) -> None:
+        """Add the replicas that answer although they have left the list.
+
+        Their entries have expired, but they may go on confirming.
+        """
+
+        async def query(member: MemberListing) -> None:
+            status = await self._replication.send(member, QueryStatus())
+            if status is not None and not status.claims_primary:
+                found.append(member)
+                logging.info(
+                    "succession: replica answers without an entry member=%s group=%s",
+                    member.id,
+                    member.group,
+                )
+
+        with move_on_after(UNLISTED_TIMEOUT_S):
+            async with open_nursery() as nursery:
+                for member in departed:
+                    nursery.start_soon(query, member)
+
     async def _select_unreachable(
         self,
         trigger: FailoverTrigger,
@@ -149,6 +198,7 @@
         record: PromotionLockRecord,
         members_since: ReadMembersSince,
         fence: AcknowledgementFence,
+        unlisted: tuple[MemberListing, ...],
     ) -> PromotionPlan:
         """Compare the logs of paused replicas while the primary is unreachable.
 
@@ -156,7 +206,8 @@
         alive, so other instances are asked to demote ``primary`` while acknowledgements
         are fenced. If none does, the list is read last, as only the replicas in it are
         known. The fence is waited for although a demoted primary acknowledges nothing:
-        it tells what was acknowledged before.
+        it tells what was acknowledged before. The logs of ``unlisted`` members, paused
+        too, count, but they are not promoted.
         """
         demoted: list[LogStatus] = []
 
@@ -169,13 +220,12 @@
             if primary is not None:
                 nursery.start_soon(demote, primary)
             is_fenced = await fence.suspend()
-            status_by_member = None
-            if is_fenced:
-                status_by_member = await self._search.query_paused(replicas, term)
+        compared = (*replicas, *unlisted)
         if not is_fenced:
-            return PromotionPlan(reason=NOT_FENCED, paused=replicas)
+            return PromotionPlan(reason=NOT_FENCED, paused=compared)
+        status_by_member = await self._search.query_paused(compared, term)
         if primary is not None and demoted:
-            return await self._select_demoted(
+            plan = await self._select_demoted(
                 trigger,
                 replicas,
                 primary,
@@ -185,28 +235,30 @@
                 members_since,
                 fence.acknowledged,
             )
+            return plan._replace(paused=(*plan.paused, *unlisted))
         listed_since = current_time()
         seen = await members_since(listed_since) if status_by_member else None
         if status_by_member is None or seen is None:
             return PromotionPlan(
-                reason="no replica is known to have every commit", paused=replicas
+                reason="no replica is known to have every commit", paused=compared
             )
         if not seen.is_whole:
             # The primary may have confirmed commits through the one that is missing.
-            return PromotionPlan(reason=LIST_NOT_WHOLE, paused=replicas)
+            return PromotionPlan(reason=LIST_NOT_WHOLE, paused=compared)
         listing_by_id = seen.listing_by_id
-        evidence = _collect(trigger, replicas, listing_by_id, record, status_by_member)
+        evidence = _collect(trigger, compared, listing_by_id, record, status_by_member)
+        evidence = _with_unlisted(evidence, unlisted)
         candidate = self._choose(
             trigger, evidence, listing_by_id, record, fence.acknowledged
         )
-        if candidate is None:
-            return _refuse(evidence, replicas, fence.acknowledged)
+        if candidate is None or candidate.member in {m.id for m in unlisted}:
+            return _refuse(evidence, compared, fence.acknowledged)
         return PromotionPlan(
             candidate.member,
             "",
             term,
             evidence.roster,
-            replicas,
+            compared,
             tuple(status_by_member.values()),
             listed_since,
         )
@@ -358,6 +410,20 @@
     )
 
 
+def _with_unlisted(
+    evidence: PromotionEvidence, unlisted: Collection[MemberListing]
+) -> PromotionEvidence:
+    """Return the evidence with members that answer without an entry.
+
+    Their logs count, and others are preferred to them.
+    """
+    addresses = {member.address for member in unlisted}
+    ids = {member.id for member in unlisted}
+    return evidence._replace(
+        roster=evidence.roster | addresses, leaving=evidence.leaving | ids
+    )
+
+
 def _joined_replicas(
     trigger: FailoverTrigger,
     replicas: tuple[MemberListing, ...],
--- a/src/jackdawspread/tasks/fleet/failover_task.py
+++ b/src/jackdawspread/tasks/fleet/failover_task.py
@@ -16,6 +16,11 @@
     sleep,
 )
 
+from jackdawspread.decisions.members.departed_members import (
+    DepartedMember,
+    departed_of,
+    update_departed,
+)
 from jackdawspread.messages.fleet.failover_event import FailoverEvent
 from jackdawspread.messages.fleet.failover_trigger import FailoverTrigger
 from jackdawspread.messages.fleet.members_seen import MembersSeen
@@ -54,6 +59,7 @@
         self._inbox = inbox
         self._refresh = refresh
         self._members = MembersSeen({}, -inf)
+        self._departed_by_id: dict[str, DepartedMember] = {}
         self._list_received = Event()
         self._busy: set[str] = set()
 
@@ -69,6 +75,12 @@
 
     @_handle.register
     def _(self, event: MembersSeen, attempts: Nursery) -> None:
+        self._departed_by_id = update_departed(
+            self._departed_by_id,
+            self._members.listing_by_id,
+            event.listing_by_id,
+            event.as_of,
+        )
         self._members = event
         self._list_received.set()
         self._list_received = Event()
@@ -84,7 +96,10 @@
         started_at = current_time()
         try:
             outcome = await self._attempt.run(
-                trigger, self._members.listing_by_id, self._members_since
+                trigger,
+                self._members.listing_by_id,
+                self._members_since,
+                departed_of(self._departed_by_id, trigger.group),
             )
             promoted = outcome.startswith("promotion accepted")
             elapsed_s = current_time() - started_at
--- a/src/jackdawspread/tasks/fleet/replication_control.py
+++ b/src/jackdawspread/tasks/fleet/replication_control.py
@@ -134,6 +134,7 @@
             expires_at=deadline,
             is_single_statement=False,
             reply_to=send,
+            unlisted=listing,
         )
         await self._router.send(request)
         return await receive.receive()
--- a/src/jackdawspread/tasks/fleet/roster_task.py
+++ b/src/jackdawspread/tasks/fleet/roster_task.py
@@ -9,6 +9,11 @@
 
 from jackdawspread.decisions.failover.promotion_lock import recorded_roster
 from jackdawspread.decisions.failover.roster import next_roster
+from jackdawspread.decisions.members.departed_members import (
+    DepartedMember,
+    departed_of,
+    update_departed,
+)
 from jackdawspread.messages.fleet.member_listing import MemberListing
 from jackdawspread.messages.fleet.members_seen import MembersSeen
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
@@ -32,8 +37,9 @@
 
     A replica that leaves takes its log with it. It stays in the roster until a listed
     replica has received what the primary had after the replica was gone, because all
-    that it confirmed is then on two listed members. Only instances that read the list
-    from the store receive lists here.
+    that it confirmed is then on two listed members. One that answers although it is not
+    listed is not gone. Only instances that read the list from the store receive lists
+    here.
 
     Parameters
     ----------
@@ -62,6 +68,8 @@
         self._compared_at_by_group: dict[str, float] = {}
         # Time until which the replicas of a group are not asked again for its coverage.
         self._uncovered_until_by_group: dict[str, float] = {}
+        self._listing_by_id: dict[str, MemberListing] = {}
+        self._departed_by_id: dict[str, DepartedMember] = {}
         self._busy: set[str] = set()
 
     async def run(self) -> None:
@@ -71,6 +79,13 @@
                 self._compare(event, updates)
 
     def _compare(self, event: MembersSeen, updates: Nursery) -> None:
+        self._departed_by_id = update_departed(
+            self._departed_by_id,
+            self._listing_by_id,
+            event.listing_by_id,
+            event.as_of,
+        )
+        self._listing_by_id = event.listing_by_id
         listings_by_group = defaultdict(list)
         for listing in event.listing_by_id.values():
             listings_by_group[listing.group].append(listing)
@@ -109,6 +124,12 @@
         previous = self._roster_by_group.get(group, frozenset())
         has_departed = bool((recorded | previous) - listed)
         is_covered = has_departed and await self._check_coverage(group, listings)
+        # A member that can't reach the store goes on confirming without an entry.
+        if is_covered and await self._search.query(
+            departed_of(self._departed_by_id, group)
+        ):
+            is_covered = False
+            self._postpone_check(group)
         roster = next_roster(recorded, previous, listed, is_covered)
         if roster != recorded:
             if not await self._rosters.write(stored, roster):
@@ -135,10 +156,12 @@
             return False
         is_covered = await self._is_covered(listings)
         if not is_covered:
-            retry_at = current_time() + UNCOVERED_RETRY_S
-            self._uncovered_until_by_group[group] = retry_at
+            self._postpone_check(group)
         return is_covered
 
+    def _postpone_check(self, group: str) -> None:
+        self._uncovered_until_by_group[group] = current_time() + UNCOVERED_RETRY_S
+
     async def _is_covered(self, listings: tuple[MemberListing, ...]) -> bool:
         """Whether a staying replica receives all that the primary now has."""
         primaries = tuple(listing for listing in listings if listing.claims_primary)
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -90,6 +90,10 @@
             if member not in self.pool_by_member:
                 self._add_pool(listing)
 
+    def add_unlisted(self, listing: MemberListing) -> None:
+        """Create the pool of a member without an entry, until the next list."""
+        self._add_pool(listing)
+
     def cut_off(self, failure_domains: set[str]) -> None:
         """Close all connections to the members of evacuated failure domains.
 
--- a/src/jackdawspread/tasks/members/member_router.py
+++ b/src/jackdawspread/tasks/members/member_router.py
@@ -283,6 +283,8 @@
             refuse(request, code, "served in another failure domain")
             return
         member = self._choose(request, now)
+        if request.unlisted is not None and member not in self._pools.pool_by_member:
+            self._pools.add_unlisted(request.unlisted)
         if member in self._pools.pool_by_member:
             self._pools.request(member, request, now)
         elif request.requirement is MemberRequirement.NAMED:
