Add random faults of the store, entries, logs and configuration to the process rig

Cause: random runs had no outage of the store, late or lapsed entries, lost logs, changed configurations, instances that stop in a fence, or an instance of another version.

Change: these faults are types of their own, chosen by named mixes; the mix 'recorded' plays what it played. random_run takes the name of a mix and the packages of another version for one instance. Members wait for SyncReplicas replicas, and the checker passes over commits that no replica had to receive.

--- a/features/support/instance_process.py
+++ b/features/support/instance_process.py
@@ -6,7 +6,7 @@
 
 from features.support.logged_process import LoggedProcess
 
-ROOT = Path(__file__).resolve().parents[2]
+SOURCE = Path(__file__).resolve().parents[2] / "src"
 RUN = "from jackdawspread.platform.daemon import main; main()"
 
 
@@ -21,6 +21,8 @@
         Settings by their names in the settings file.
     max_descriptors : int or None
         Limit of open file descriptors that the kernel enforces; None to leave it.
+    source : pathlib.Path
+        Folder of the packages, also of another version.
     """
 
     def __init__(
@@ -28,12 +30,13 @@
         folder: Path,
         settings: dict[str, str],
         max_descriptors: int | None = None,
+        source: Path = SOURCE,
     ) -> None:
         path = folder / "node.conf"
         path.write_text("".join(f"{k}={v}\n" for k, v in settings.items()))
         environment = {
             **os.environ,
-            "PYTHONPATH": str(ROOT / "src"),
+            "PYTHONPATH": str(source),
             "JACKDAWSPREAD_CONFIG": str(path),
         }
         super().__init__(
--- a/features/wire/commit_checker.py
+++ b/features/wire/commit_checker.py
@@ -8,9 +8,13 @@
 
 
 class CommitChecker:
-    """Notes the faults that callers could see."""
+    """Notes the faults that callers could see.
+
+    A commit that no replica had to receive may be missing after a promotion.
+    """
 
     def __init__(self, group: ReplicatedGroup, ledger: WriteLedger) -> None:
+        self._group = group
         self._ledger = ledger
         self.faults: list[str] = []
         self.promotions = 0
@@ -32,7 +36,7 @@
 
     def _check_acknowledged(self, leader: ReplicatedMember, event: str) -> None:
         instance_by_id = self._ledger.instance_by_acknowledged
-        held = set(leader.log.ids)
+        held = self._group.asynchronous_ids | set(leader.log.ids)
         lost = [id for id in instance_by_id if id not in held]
         if lost:
             by_instance = Counter(instance_by_id[id] for id in lost)
--- a/features/wire/member_entries.py
+++ b/features/wire/member_entries.py
@@ -40,6 +40,11 @@
         self._holds_by_id[id] += 1
         self._nursery.start_soon(self._release_later, id, seconds)
 
+    def lapse(self, id: str, seconds: float) -> None:
+        """Remove the entry of a member that can't write it until a time has passed."""
+        self.hold(id, seconds)
+        self._store.delete(TABLE, id)
+
     async def stop_store(self, seconds: float) -> None:
         """Let the store refuse all calls for a time."""
         self._store.set_down(True)
--- a/features/wire/process_fleet.py
+++ b/features/wire/process_fleet.py
@@ -4,12 +4,13 @@
 import os
 import signal
 from base64 import b64decode, b64encode
+from copy import deepcopy
 from functools import partial
 from pathlib import Path
 from socket import SOCK_DGRAM, socket
 from urllib.parse import urlsplit
 
-from features.support.instance_process import InstanceProcess
+from features.support.instance_process import SOURCE, InstanceProcess
 from features.support.trio_thread import TrioThread
 from features.wire.commit_checker import CommitChecker
 from features.wire.datagram_forwarder import DatagramForwarder
@@ -46,10 +47,18 @@
         Folder for settings files and logs.
     instances : int
         Number of instances, each in a failure domain of its own.
+    source_by_name : dict
+        Folders of the packages of instances that run another version.
     """
 
-    def __init__(self, folder: Path, instances: int = 3) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        instances: int = 3,
+        source_by_name: dict[str, Path] | None = None,
+    ) -> None:
         self._folder = folder
+        self._source_by_name = source_by_name or {}
         self._thread = TrioThread(real_time=True)
         self._reserved, self._block = _reserve_block()
         self.names = [f"i{number + 1}" for number in range(instances)]
@@ -62,6 +71,9 @@
         # Set at a write of a record by an instance; the test may stop it there.
         self.on_record = lambda instance, name, value: None
         self._stopped: set[str] = set()
+        self._configuration = initial_configuration()
+        self._configuration["Services"][0]["MaxConns"] = 64
+        self._configuration["Tenants"][0].update(RatePerS=10_000, Burst=10_000)
         self._loads: list[WriteLoad] = []
 
     def start(self) -> None:
@@ -119,6 +131,17 @@
         self.process_by_name[name].end()
         self._start_process(name, is_first_start=False)
 
+    @property
+    def configuration(self) -> dict:
+        """Copy of the newest configuration."""
+        return deepcopy(self._configuration)
+
+    def configure(self, configuration: dict) -> None:
+        """Write a configuration under the next version, as an operator does."""
+        version = self._configuration["Version"] + 1
+        self._configuration = {**configuration, "Version": version}
+        self.store.put("op", "config", json.dumps(self._configuration).encode())
+
     def finish(self) -> list[str]:
         """Let the callers end after their last statement; return all faults."""
         self.wait(self._stop_load)
@@ -147,10 +170,7 @@
             self.promotions = PromotionCall(self.group, self.nursery)
             self.checker = CommitChecker(self.group, self.ledger)
             await self.group.start(MEMBERS)
-            configuration = initial_configuration()
-            configuration["Services"][0]["MaxConns"] = 64
-            configuration["Tenants"][0].update(RatePerS=10_000, Burst=10_000)
-            self.store.put("op", "config", json.dumps(configuration).encode())
+            self.configure(self._configuration)
             self._ports = [await self._free_port() for _ in range(3)]
             self._store_address_by_name = {
                 name: await self._listen_store(name) for name in self.names
@@ -229,7 +249,9 @@
         }
         folder = self._folder / f"{name}-{len(self._started)}"
         folder.mkdir()
-        process = InstanceProcess(folder, settings)
+        process = InstanceProcess(
+            folder, settings, source=self._source_by_name.get(name, SOURCE)
+        )
         self.process_by_name[name] = process
         self._started.append((name, process))
         self.run(self.group.instance_by_pid.__setitem__, process.pid, name)
--- a/features/wire/random_faults.py
+++ b/features/wire/random_faults.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 from functools import singledispatchmethod
-from typing import TypeVar
 
 from features.wire.fault_step import FaultStep
 from features.wire.faults.crash_member import CrashMember
@@ -14,9 +13,12 @@
 from features.wire.faults.freeze_instance import FreezeInstance
 from features.wire.faults.join_replica import JoinReplica
 from features.wire.faults.kill_instance import KillInstance
+from features.wire.faults.lose_log import LoseLog
 from features.wire.faults.remove_member import RemoveMember
 from features.wire.faults.split_instance import SplitInstance
+from features.wire.pick import pick
 from features.wire.process_fleet import STORE, ProcessFleet
+from features.wire.random_platform_faults import RandomPlatformFaults
 from features.wire.replicated_member import ReplicatedMember
 from trio import current_time, open_nursery, sleep, sleep_until, to_thread
 
@@ -25,7 +27,6 @@
 MIN_AGE_S = 3.0
 # Answers of members are awaited for 0.4 s.
 DELAY_S = 0.5
-Item = TypeVar("Item")
 
 
 class RandomFaults:
@@ -40,6 +41,7 @@
         self._group = fleet.group
         self._links = fleet.links
         self._busy_instances: set[str] = set()
+        self._platform_faults = RandomPlatformFaults(fleet, self._busy_instances)
         self._is_crashed = False
         self._is_leaving = False
 
@@ -54,7 +56,7 @@
         self._fleet.promotions.release()
 
     def _instance(self, step: FaultStep) -> str:
-        return _pick(self._fleet.names, step.choice)
+        return pick(self._fleet.names, step.choice)
 
     def _pick_member(
         self, step: FaultStep, is_primary: bool
@@ -62,11 +64,11 @@
         members = [
             member for member in self._group.running if member.is_primary == is_primary
         ]
-        return _pick(members, step.other_choice) if members else None
+        return pick(members, step.other_choice) if members else None
 
     @singledispatchmethod
     async def _execute(self, fault: object, step: FaultStep) -> None:
-        raise TypeError(f"no fault of type {type(fault).__name__}")
+        await self._platform_faults.execute(fault, step)
 
     @_execute.register
     async def _(self, fault: CrashMember, step: FaultStep) -> None:
@@ -81,6 +83,27 @@
         await self._group.restart(member)
         self._is_crashed = False
 
+    @_execute.register
+    async def _(self, fault: LoseLog, step: FaultStep) -> None:
+        promotions, running = self._fleet.promotions, self._group.member_by_id
+        member = self._pick_member(step, is_primary=False)
+        if fault.is_requested:
+            count = len(promotions.requests) + 1
+            await promotions.wait_for_request_or(count, step.duration_s)
+            if len(promotions.requests) < count:
+                return
+            member = running.get(promotions.requests[-1].member)
+        if member is None or member.is_primary or self._is_crashed:
+            return
+        self._is_crashed = True
+        lost_end = member.log.end
+        member = await self._group.restart_empty(member)
+        while member.is_running and not member.is_primary:
+            if member.log.end >= lost_end:
+                break
+            await self._group.changed.wait()
+        self._is_crashed = False
+
     @_execute.register
     async def _(self, fault: JoinReplica, step: FaultStep) -> None:
         if fault.at_request:
@@ -145,7 +168,7 @@
 
     @_execute.register
     async def _(self, fault: DelayMember, step: FaultStep) -> None:
-        member = _pick(self._group.running, step.other_choice)
+        member = pick(self._group.running, step.other_choice)
         instance = self._instance(step)
         self._links.delay(member.id, instance, DELAY_S)
         await sleep(step.duration_s)
@@ -177,7 +200,3 @@
         self._busy_instances.add(name)
         await to_thread.run_sync(self._fleet.restart, name)
         self._busy_instances.discard(name)
-
-
-def _pick(items: Sequence[Item], choice: float) -> Item:
-    return items[int(choice * len(items))]
--- a/features/wire/random_run.py
+++ b/features/wire/random_run.py
@@ -1,13 +1,16 @@
 """Runs seeded random faults: ``python -m features.wire.random_run FIRST LAST SECONDS``.
 
-With ``found`` in place of the numbers it repeats the seeds that have lost writes.
-Prints one line for each seed, and the logs of those with a fault.
+The name of a mix of faults may follow (``fault_mixes.py``), and then the folder of the
+packages of another version, which one instance runs. With ``found`` in place of the
+numbers it repeats the seeds that have lost writes. Prints one line for each seed, and
+the logs of those with a fault.
 """
 
 import sys
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+from features.wire.fault_mixes import MIX_BY_NAME
 from features.wire.fault_step import FaultStep
 from features.wire.found_seeds import FOUND_SEEDS
 from features.wire.plan_faults import plan_faults
@@ -18,16 +21,19 @@
 # Bounds a hang only. A request without an answer may block a group for about 35 s.
 PROGRESS_TIMEOUT_S = 120.0
 ACKNOWLEDGED_AT_END = 30
+OTHER_VERSION = "i3"
 LOG_WORDS = ("succession:", "acknowledg", "term changed")
 
 
-def run_seed(seed: int, seconds: float) -> tuple[list[str], str, list[str]]:
+def run_seed(
+    seed: int, seconds: float, mix: str, source_by_name: dict[str, Path]
+) -> tuple[list[str], str, list[str]]:
     """Return the faults of a run, its counts, and lines of the logs."""
     with TemporaryDirectory() as folder:
-        fleet = ProcessFleet(Path(folder))
+        fleet = ProcessFleet(Path(folder), source_by_name=source_by_name)
         try:
             fleet.start()
-            steps = plan_faults(seed, seconds)
+            steps = plan_faults(seed, seconds, MIX_BY_NAME[mix])
             found = _execute(fleet, steps, seconds)
             ledger = fleet.ledger
             counts = (
@@ -58,13 +64,17 @@
 
 def main() -> None:
     """Run a range of seeds."""
+    mix, source_by_name = "recorded", {}
     if sys.argv[1:] == ["found"]:
         runs = [(found.seed, found.seconds) for found in FOUND_SEEDS]
     else:
         first, last, seconds = (int(text) for text in sys.argv[1:4])
         runs = [(seed, seconds) for seed in range(first, last + 1)]
+        mix, *sources = sys.argv[4:] or [mix]
+        if sources:
+            source_by_name[OTHER_VERSION] = Path(sources[0])
     for seed, seconds in runs:
-        faults, counts, lines = run_seed(seed, seconds)
+        faults, counts, lines = run_seed(seed, seconds, mix, source_by_name)
         print(f"seed={seed} {counts} faults={faults or 'none'}", flush=True)
         if faults:
             print(*lines, sep="\n", flush=True)
--- a/features/wire/replicated_group.py
+++ b/features/wire/replicated_group.py
@@ -11,6 +11,8 @@
 
 # The entry of a member that has crashed expires in the list.
 ENTRY_TTL_S = 1.0
+# Time in which a member that starts again at once opens its address.
+RESTART_S = 0.2
 
 
 class ReplicatedGroup:
@@ -22,6 +24,10 @@
         self.name = name
         self.links = links
         self.term = 1
+        # Replicas that receive a commit before it is confirmed.
+        self.sync_replicas = 1
+        # Statements of commits that no replica had to receive.
+        self.asynchronous_ids: set[str] = set()
         self.leader: ReplicatedMember | None = None
         self.member_by_id: dict[str, ReplicatedMember] = {}
         self.changed = Event()
@@ -90,6 +96,17 @@
         self._run(member)
         return member
 
+    async def restart_empty(self, replica: ReplicatedMember) -> ReplicatedMember:
+        """Start a replica again under its id, with an empty log."""
+        self._remove(replica)
+        await sleep(RESTART_S)
+        host, port = replica.address.rsplit(":", 1)
+        (listener,) = await open_tcp_listeners(int(port), host=host)
+        member = ReplicatedMember(replica.id, self, listener)
+        member.born = replica.born + 1
+        self._run(member)
+        return member
+
     def demote(self, member: ReplicatedMember, term: int) -> None:
         """Make a primary of a lower term a replica."""
         if self.leader is member and term > self.term:
@@ -124,7 +141,7 @@
                 "ColdRemainingMs": 0,
                 "DbRole": "primary" if is_primary else "replica",
                 "Seq": 1,
-                "born": 1,
+                "born": member.born,
             }
             self.entries.write(member.id, json.dumps(entry).encode())
         self.notify()
--- a/features/wire/replicated_member.py
+++ b/features/wire/replicated_member.py
@@ -42,6 +42,7 @@
         self.is_leaving = False
         self.is_running = True
         self.connections = 0
+        self.born = 1
         self.started_at = current_time()
         host, port = listener.socket.getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -81,21 +82,24 @@
         self.group.notify()
 
     async def commit(self, ids: tuple[str, ...], writes: dict[str, str]) -> str | None:
-        """Append a commit and return its position once a replica has received it.
+        """Append a commit and return its position once enough replicas received it.
 
         The result is None if this member has lost the lead before.
         """
         group, term = self.group, self.group.term
         number = self.log.append(term, ids, writes)
+        if not group.sync_replicas:
+            group.asynchronous_ids.update(ids)
         group.notify()
         while True:
             if not self.is_primary or group.term != term:
                 return None
-            if any(
+            received = sum(
                 other.log.holds(term, number)
                 for other in group.running
                 if other is not self and not self._is_cut_from(other)
-            ):
+            )
+            if received >= group.sync_replicas or group.asynchronous_ids >= {*ids}:
                 return f"{term}.{number}"
             await group.changed.wait()
 
