Add scenarios for lapsed entries, lost logs and changed replication during promotions

Cause: no test had a replica that goes on confirming after its entry lapsed, one that starts again under its id without its log, or a group that becomes synchronous or loses its routes while a promotion is under way.

Change: five scenarios with instances as processes. The end of a run is a function of its own now.

--- a/features/steps/late_promotion_steps.py
+++ b/features/steps/late_promotion_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from features.wire.end_run import PROGRESS_TIMEOUT_S, end_run
 from features.wire.plan_faults import plan_faults
 from features.wire.platform_world import KEY
 from features.wire.process_fleet import ProcessFleet
@@ -14,10 +15,7 @@
 from features.wire.wire_caller import WireCaller
 from features.wire.write_load import DATABASE
 
-# Bounds a hang only. A request whose answer was lost may block a group for about 35 s.
-PROGRESS_TIMEOUT_S = 90.0
 OUTCOMES = 150
-ACKNOWLEDGED_AT_END = 30
 DRAIN_S = 20.0
 LOCK = "duty-"
 
@@ -196,11 +194,7 @@
 def check(context: Context) -> None:
     """Check all promotions and the log at the end."""
     fleet = context.fleet
-    fleet.run(fleet.links.restore_all)
-    _wait(context, fleet.ledger.wait_for_acknowledged, ACKNOWLEDGED_AT_END)
-    faults = fleet.finish()
-    print(fleet.promotions.requests)
-    assert not faults, "\n".join([*faults, *fleet.log_lines("succession:", "acknow")])
+    end_run(fleet)
     # A request that a later one has withdrawn has no effect any more.
     tokens = {request.token for request in fleet.promotions.requests}
     has_ended = fleet.checker.promotions or len(tokens) > 1
--- a/features/steps/unlisted_member_steps.py
+++ b/features/steps/unlisted_member_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from features.wire.replicated_member import ReplicatedMember
 
 # Bounds a hang only.
 TIMEOUT_S = 30.0
@@ -42,6 +43,36 @@
     _join_alone(context, seconds)
 
 
+@given("a fourth member is recorded")
+def fourth_member(context: Context) -> None:
+    """Two listed replicas remain when its entry lapses."""
+    fleet = context.fleet
+    context.lapsed = fleet.wait(fleet.group.join)
+    _wait_for_roster(context, "listed=4 departed=0")
+
+
+@when("its entry lapses for {seconds:g} s and its departure is recorded")
+def lapse(context: Context, seconds: float) -> None:
+    """The replica goes on, cut off from the store."""
+    fleet = context.fleet
+    fleet.run(fleet.group.entries.lapse, context.lapsed.id, seconds)
+    _wait_for_roster(context, "listed=3 departed=0")
+
+
+@when("the other replicas receive nothing")
+def cut_others(context: Context) -> None:
+    """Wait until callers know of commits that only the lapsed replica has confirmed."""
+    primary, *others, _ = context.fleet.group.running
+    _cut(context, primary, others)
+
+
+@then("the replica whose entry lapsed leads")
+def lapsed_leads(context: Context) -> None:
+    """Only its log was complete."""
+    leader = context.fleet.group.leader
+    assert leader is context.lapsed, f"{leader.id} leads, not {context.lapsed.id}"
+
+
 @when("the store is back")
 def store_back(context: Context) -> None:
     """Members write their entries again somewhat later."""
@@ -59,6 +90,24 @@
     fleet = context.fleet
     primary, *others = fleet.group.running
     context.joined = fleet.wait(fleet.group.join, entry_delay_s)
+    _cut(context, primary, others)
+
+
+def _cut(
+    context: Context, primary: ReplicatedMember, others: list[ReplicatedMember]
+) -> None:
+    fleet = context.fleet
     for other in others:
         fleet.run(fleet.links.cut, primary.id, other.id)
     fleet.wait(fleet.ledger.wait_for_acknowledged, ACKNOWLEDGED, timeout_s=TIMEOUT_S)
+
+
+def _wait_for_roster(context: Context, text: str) -> None:
+    """Wait until the newest record of the roster is of this kind."""
+    deadline = monotonic() + TIMEOUT_S
+    while True:
+        lines = context.fleet.log_lines("succession: roster")
+        if lines and text in lines[-1]:
+            return
+        assert monotonic() < deadline, f"no roster with {text}"
+        sleep(POLL_INTERVAL_S)
