Add the scenario of an unlisted replica that confirms while replicas are paused

An instance that is cut off from the primary and from the other instances pauses all listed replicas. The others acknowledge with their permits what a replica without an entry confirms, until they read of the suspension, and the fence ends after PERMIT_S without their confirmations.

Change: a scenario, known red, and the two seeds that lost writes, with their mixes.

The seeds recorded before were not run again.

--- a/features/process/unlisted_members.feature
+++ b/features/process/unlisted_members.feature
@@ -39,3 +39,11 @@
     And the primary crashes and its replacement is requested
     Then callers can write again and no acknowledged write is lost
     And the replica whose entry lapsed leads
+
+  @known_red
+  Scenario: Replicas are paused while one without an entry goes on confirming
+    # Guards against acknowledgements between the pauses and the news of the suspension.
+    When a replica joins that gets its entry after 6 s
+    And i1 is cut off from the primary and from the other instances
+    And the promotion takes effect
+    Then callers can write again and no acknowledged write is lost
--- a/features/steps/unlisted_member_steps.py
+++ b/features/steps/unlisted_member_steps.py
@@ -73,6 +73,12 @@
     assert leader is context.lapsed, f"{leader.id} leads, not {context.lapsed.id}"
 
 
+@when("a replica joins that gets its entry after {seconds:g} s")
+def join_with_others(context: Context, seconds: float) -> None:
+    """The other replicas receive too."""
+    context.fleet.wait(context.fleet.group.join, seconds)
+
+
 @when("the store is back")
 def store_back(context: Context) -> None:
     """Members write their entries again somewhat later."""
--- a/features/wire/found_seed.py
+++ b/features/wire/found_seed.py
@@ -14,8 +14,11 @@
         Time for which faults happen.
     cause : str
         What led to the loss.
+    mix : str
+        Name of the mix of faults.
     """
 
     seed: int
     seconds: int
     cause: str
+    mix: str = "recorded"
--- a/features/wire/found_seeds.py
+++ b/features/wire/found_seeds.py
@@ -20,4 +20,6 @@
     FoundSeed(35, 25, "an earlier request forbids the demotion"),
     FoundSeed(46, 25, "the demotion through peers is not answered"),
     FoundSeed(49, 25, "the demotion through peers is not answered"),
+    FoundSeed(111, 25, "a replica has no entry during a split", "listing"),
+    FoundSeed(102, 25, "the requested replica loses its log", "lost-requested-logs"),
 )
--- a/features/wire/random_run.py
+++ b/features/wire/random_run.py
@@ -64,16 +64,16 @@
 
 def main() -> None:
     """Run a range of seeds."""
-    mix, source_by_name = "recorded", {}
+    source_by_name = {}
     if sys.argv[1:] == ["found"]:
-        runs = [(found.seed, found.seconds) for found in FOUND_SEEDS]
+        runs = [(found.seed, found.seconds, found.mix) for found in FOUND_SEEDS]
     else:
         first, last, seconds = (int(text) for text in sys.argv[1:4])
-        runs = [(seed, seconds) for seed in range(first, last + 1)]
-        mix, *sources = sys.argv[4:] or [mix]
+        mix, *sources = sys.argv[4:] or ["recorded"]
+        runs = [(seed, seconds, mix) for seed in range(first, last + 1)]
         if sources:
             source_by_name[OTHER_VERSION] = Path(sources[0])
-    for seed, seconds in runs:
+    for seed, seconds, mix in runs:
         faults, counts, lines = run_seed(seed, seconds, mix, source_by_name)
         print(f"seed={seed} {counts} faults={faults or 'none'}", flush=True)
         if faults:
