Model a replica that confirms commits before a list names it

Change: a list may lack a replica that has joined, because its entry is late or because the store was away. The candidate has to reach the positions that instances tell with their confirmation of the fence, and the log of a demoted primary that was read; a list that may not be whole counts as one with an unknown member. All of it is switched off in the earlier models.

--- a/spec/acknowledgement/attempt.py
+++ b/spec/acknowledgement/attempt.py
@@ -15,7 +15,9 @@
     ``earlier`` are the members that were outstanding before it, as a bit mask.
     ``requested`` is the member that a switchover or a withdrawal has recorded, and
     ``end`` the primary's last entry that a switchover waits for. ``target`` is set once
-    the member may be requested.
+    the member may be requested. ``certain`` and ``shown`` are the highest positions
+    that the instances which confirmed the fence have told. ``has_primary_log`` states
+    that the fence ended early with the log of the demoted primary.
     """
 
     kind: str
@@ -25,6 +27,9 @@
     end: int = NONE
     target: int = NONE
     is_requested: bool = False
+    certain: int = 0
+    shown: int = 0
+    has_primary_log: bool = False
 
 
 IDLE = Attempt("")
--- a/spec/acknowledgement/attempts.py
+++ b/spec/acknowledgement/attempts.py
@@ -14,17 +14,25 @@
     WITHDRAWAL,
     Attempt,
 )
+from spec.acknowledgement.comparison import (
+    end_of,
+    listed_replicas,
+    named_members,
+    reaches_acknowledged,
+    told_positions,
+    unknown_members,
+)
 from spec.acknowledgement.instance import NONE, OLD_PERMIT, PERMIT, Instance
 from spec.acknowledgement.members import MEMBERS, bit, replicas
 from spec.acknowledgement.rules import Rules
-from spec.acknowledgement.state import State
+from spec.acknowledgement.state import AWAY, State
 
 Steps = Iterator[tuple[str, State]]
 
 
 def acquire(state: State, rules: Rules) -> Steps:
     """Acquire the lock, and write what the fence announces."""
-    if not state.is_free or state.token == rules.max_tokens:
+    if not state.is_free or state.token == rules.max_tokens or state.store == AWAY:
         return
     earlier = state.outstanding if rules.keep_requests else 0
     taken = state._replace(
@@ -35,6 +43,8 @@
     )
     for kind in rules.kinds:
         attempt = Attempt(kind, earlier)
+        if not rules.positions_at_fence:
+            attempt = told_positions(attempt, state.instances, rules)
         if kind == FAILOVER:
             yield kind, taken._replace(is_suspended=True, attempt=attempt)
         elif kind == WITHDRAWAL and state.leads and earlier:
@@ -55,7 +65,7 @@
     attempt = state.attempt
     if not attempt.kind or attempt.is_fenced:
         return
-    fenced = state._replace(attempt=attempt._replace(is_fenced=True))
+    fenced = attempt._replace(is_fenced=True)
     is_demoted = attempt.kind == FAILOVER and not state.leads
     needed = {
         FAILOVER: rules.fence_failover,
@@ -63,30 +73,42 @@
         WITHDRAWAL: rules.fence_withdrawal,
     }[attempt.kind]
     if not needed or all(_is_fenced(state, i, rules) for i in state.instances):
-        yield "", fenced
+        confirmed = [i for i in state.instances if i.token == state.token]
+        if rules.positions_at_fence:
+            fenced = told_positions(fenced, confirmed, rules)
+        yield "", state._replace(attempt=fenced)
     elif is_demoted and (not attempt.earlier or rules.skip_fence_despite_requests):
-        yield "demoted", fenced
+        fenced = fenced._replace(has_primary_log=rules.compare_demoted)
+        yield "demoted", state._replace(attempt=fenced)
 
 
 def compare(state: State, rules: Rules) -> Steps:
     """Compare the paused logs and choose a member.
 
-    At most one member of the roster, or one that has joined, may have no answer or a
-    longer log. A demoted primary counts like a replica.
+    At most one member of the roster, or one that the list names or may lack, may have
+    no answer or a longer log. A demoted primary counts like a replica.
     """
     attempt = state.attempt
     if attempt.kind != FAILOVER or not attempt.is_fenced or attempt.target >= 0:
         return
+    if state.store == AWAY:
+        return
     known = {m for m in MEMBERS if state.present[m] and state.roster[m]}
     if state.leads:
         known -= {state.primary}
-    counted = {m for m in MEMBERS if state.roster[m] or state.present[m]}
+    counted = named_members(state, rules)
     for missing in (NONE, *known):
+        if missing == state.primary and attempt.has_primary_log:
+            continue
         seen = known - {missing}
+        has_primary_log = state.primary in seen
+        unknown = unknown_members(state, has_primary_log, rules)
         for member in seen:
             log = state.logs[member]
             ahead = sum(end_of(state.logs[m]) > end_of(log) for m in seen)
-            if len(counted - seen) + ahead <= 1:
+            if len(counted - seen) + ahead + unknown > 1:
+                continue
+            if reaches_acknowledged(state, member, has_primary_log, rules):
                 target = attempt._replace(target=member)
                 yield f"member={member}", state._replace(attempt=target)
 
@@ -106,11 +128,36 @@
     attempt = state.attempt
     if attempt.kind != SWITCHOVER or attempt.end == NONE or attempt.target >= 0:
         return
-    if end_of(state.logs[attempt.requested]) >= attempt.end:
+    if end_of(state.logs[attempt.requested]) < attempt.end:
+        return
+    if reaches_acknowledged(state, attempt.requested, True, rules):
         caught_up = attempt._replace(target=attempt.requested)
         yield "", state._replace(attempt=caught_up)
 
 
+def catch_up_with_replicas(state: State, rules: Rules) -> Steps:
+    """See that the replica of a switchover has the logs of the other listed ones.
+
+    The primary does not answer, so it may be the only member whose log is missing.
+    """
+    attempt = state.attempt
+    if attempt.kind != SWITCHOVER or not attempt.is_fenced or attempt.target >= 0:
+        return
+    if not rules.silent_primary or state.store == AWAY:
+        return
+    member = attempt.requested
+    seen = listed_replicas(state)
+    is_newest = all(
+        end_of(state.logs[member]) >= end_of(state.logs[other]) for other in seen
+    )
+    missing = len(named_members(state, rules) - seen)
+    if missing + unknown_members(state, False, rules) > 1 or not is_newest:
+        return
+    if member in seen and reaches_acknowledged(state, member, False, rules):
+        caught_up = attempt._replace(target=member)
+        yield "", state._replace(attempt=caught_up)
+
+
 def check_primary(state: State, rules: Rules) -> Steps:
     """See after the fence of a withdrawal that the primary still leads."""
     attempt = state.attempt
@@ -126,7 +173,7 @@
     """Record the member, unless that was done before the fence, and send the call."""
     attempt = state.attempt
     target = attempt.target
-    if target < 0 or attempt.is_requested:
+    if target < 0 or attempt.is_requested or state.store == AWAY:
         return
     recorded = bit(target) if attempt.kind == FAILOVER else 0
     after = state._replace(
@@ -180,11 +227,6 @@
             yield "late write", state._replace(is_free=True, is_suspended=False)
 
 
-def end_of(log: tuple[int, ...]) -> int:
-    """Return the last entry of a log, 0 if it is empty."""
-    return log[-1] if log else 0
-
-
 def _ended(state: State) -> State:
     return state._replace(attempt=IDLE, is_free=True, is_suspended=False)
 
@@ -206,4 +248,6 @@
 def _is_fenced(state: State, instance: Instance, rules: Rules) -> bool:
     """Return whether an instance knows the announced state or has no old permit."""
     known = instance.token == state.token
+    if rules.all_confirm:
+        return known
     return known or instance.permit != OLD_PERMIT or not rules.await_permits
--- a/spec/acknowledgement/commits.py
+++ b/spec/acknowledgement/commits.py
@@ -11,7 +11,7 @@
 )
 from spec.acknowledgement.members import MEMBERS, bit, replaced, replicas
 from spec.acknowledgement.rules import Rules
-from spec.acknowledgement.state import State
+from spec.acknowledgement.state import AWAY, State
 
 Steps = Iterator[tuple[str, State]]
 WAIT = -1
@@ -23,10 +23,9 @@
     The check for a suspension is made before, so one may have begun meanwhile.
     """
     log = state.logs[state.primary]
-    written = sum(entry // 10 == state.term for entry in log)
-    if not state.leads or written == rules.max_commits:
+    entry = _next_entry(state, rules)
+    if entry is None:
         return
-    entry = 10 * state.term + written
     for index, instance in enumerate(state.instances):
         sent = _without_commit(instance)._replace(
             entry=entry, position=len(log), member=state.primary
@@ -35,6 +34,14 @@
         yield f"instance={index}", _with(state, index, sent)._replace(logs=longer)
 
 
+def write_elsewhere(state: State, rules: Rules) -> Steps:
+    """Append a commit of an instance that acknowledges nothing any more."""
+    entry = _next_entry(state, rules)
+    if rules.other_writes and entry is not None:
+        longer = (*state.logs[state.primary], entry)
+        yield "", state._replace(logs=replaced(state.logs, state.primary, longer))
+
+
 def answer(state: State, rules: Rules) -> Steps:
     """Answer a commit that one replica, listed or not, has received."""
     for index, instance in enumerate(state.instances):
@@ -43,7 +50,8 @@
         if instance.member != state.primary or instance.entry // 10 != state.term:
             continue
         if any(instance.entry in state.logs[m] for m in replicas(state)):
-            answered = instance._replace(is_answered=True)
+            end = state.logs[state.primary][-1] if rules.check_acknowledged else 0
+            answered = instance._replace(is_answered=True, end=end)
             yield f"instance={index}", _with(state, index, answered)
 
 
@@ -59,7 +67,8 @@
             waiting = instance._replace(remaining=members)
             yield f"instance={index} verify={members:b}", _with(state, index, waiting)
         else:
-            yield f"instance={index} acknowledged", _acknowledged(state, index)
+            after = _acknowledged(state, index, rules)
+            yield f"instance={index} acknowledged", after
 
 
 def verify(state: State, rules: Rules) -> Steps:
@@ -77,7 +86,7 @@
             if remaining:
                 yield label, after
             else:
-                yield f"{label} acknowledged", _acknowledged(after, index)
+                yield f"{label} acknowledged", _acknowledged(after, index, rules)
 
 
 def shows(state: State, instance: Instance, member: int, rules: Rules) -> bool:
@@ -95,6 +104,8 @@
 
 def read_evidence(state: State, rules: Rules) -> Steps:
     """Read the record from the store, which gives a permit."""
+    if state.store == AWAY:
+        return
     for index, instance in enumerate(state.instances):
         known = _learn(state, instance, rules)._replace(permit=PERMIT)
         yield f"instance={index}", _with(state, index, known)
@@ -142,6 +153,16 @@
     return outstanding & ~own
 
 
+def _next_entry(state: State, rules: Rules) -> int | None:
+    """Return the entry that the primary writes next, None at the bounds."""
+    written = sum(entry // 10 == state.term for entry in state.logs[state.primary])
+    if not state.leads or written == rules.max_commits:
+        return None
+    if state.term > rules.max_written_term:
+        return None
+    return 10 * state.term + written
+
+
 def _learn(state: State, instance: Instance, rules: Rules) -> Instance:
     is_changed = (state.token, state.outstanding) != (
         instance.token,
@@ -158,13 +179,29 @@
     )
 
 
-def _acknowledged(state: State, index: int) -> State:
+def _acknowledged(state: State, index: int, rules: Rules) -> State:
     instance = state.instances[index]
     known = tuple(sorted({*state.acknowledged, instance.entry}))
+    if rules.check_acknowledged:
+        instance = instance._replace(
+            certain=max(instance.certain, _certain_position(instance, rules)),
+            shown=max(instance.shown, instance.end),
+        )
     after = _with(state, index, _without_commit(instance))
     return after._replace(acknowledged=known)
 
 
+def _certain_position(instance: Instance, rules: Rules) -> int:
+    """Return a position that a commit has reached whatever others have written.
+
+    It is in the term of its answer, and after the end that an earlier answer has shown.
+    """
+    if rules.certain_is_exact:
+        return instance.entry
+    first = 10 * (instance.end // 10)
+    return max(first, instance.shown + 1 if instance.shown >= first else 0)
+
+
 def _without_commit(instance: Instance) -> Instance:
     return instance._replace(
         entry=0,
@@ -173,6 +210,7 @@
         is_answered=False,
         is_changed=False,
         remaining=UNDECIDED,
+        end=0,
     )
 
 
--- a/spec/acknowledgement/instance.py
+++ b/spec/acknowledgement/instance.py
@@ -17,7 +17,9 @@
     ``position``, 0 for none; ``is_changed`` states that the known token, the
     suspension or the outstanding members have changed since. ``remaining`` are the
     members that have to receive it, as a bit mask, ``UNDECIDED`` before the rule was
-    applied.
+    applied. ``end`` is the end of the member's log in its answer. ``shown`` is the
+    highest one of acknowledged commits, and ``certain`` a position that these have
+    reached in any case, as ``end`` may include later commits of others.
     """
 
     token: int = 0
@@ -31,3 +33,6 @@
     is_answered: bool = False
     is_changed: bool = False
     remaining: int = UNDECIDED
+    end: int = 0
+    certain: int = 0
+    shown: int = 0
--- a/spec/acknowledgement/members.py
+++ b/spec/acknowledgement/members.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 
 from spec.acknowledgement.rules import Rules
-from spec.acknowledgement.state import State
+from spec.acknowledgement.state import AWAY, State
 
 Steps = Iterator[tuple[str, State]]
 MEMBERS = (0, 1, 2, 3)
@@ -35,16 +35,21 @@
 
 def enlist(state: State, rules: Rules) -> Steps:
     """Let the list name the replica that has joined."""
+    if state.store == AWAY:
+        return
     if state.present[JOINING] and not state.roster[JOINING]:
         yield "", state._replace(roster=replaced(state.roster, JOINING, True))
 
 
 def depart(state: State, rules: Rules) -> Steps:
-    """Let a listed member leave for good; its log is gone with it."""
+    """Let a member leave for good; its log is gone with it.
+
+    It is a listed one, or one that no list has named yet.
+    """
     if state.departures == rules.max_departures:
         return
     for member in MEMBERS:
-        if state.present[member] and state.roster[member]:
+        if state.present[member] and state.roster[member] != rules.unlisted_departs:
             yield (
                 f"member={member}",
                 state._replace(
@@ -56,6 +61,26 @@
             )
 
 
+def restart(state: State, rules: Rules) -> Steps:
+    """Start a replica again without its log, under its id.
+
+    It happens before logs are compared; later the chosen log itself may be lost.
+    """
+    if state.restarts == rules.max_restarts or state.attempt.target >= 0:
+        return
+    if state.calls:
+        return
+    for member in replicas(state):
+        if state.logs[member]:
+            yield (
+                f"member={member}",
+                state._replace(
+                    logs=replaced(state.logs, member, ()),
+                    restarts=state.restarts + 1,
+                ),
+            )
+
+
 def demote(state: State, rules: Rules) -> Steps:
     """Demote the primary, by a command of this attempt or a late one."""
     if state.leads and state.token and not state.outstanding & bit(state.primary):
--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -2,8 +2,10 @@
 
 from typing import Any
 
+from spec.acknowledgement.late_entry import MODEL_LATE_ENTRY, MODEL_LATE_ENTRY_COMMITS
 from spec.acknowledgement.model import MODEL as ACKNOWLEDGEMENT
 from spec.acknowledgement.model import MODEL_INSTANCES, MODEL_JOIN
+from spec.acknowledgement.outage import MODEL_OUTAGE
 from spec.acknowledgement.recovery import MODEL_RECOVERY
 from spec.binding.model import MODEL as BINDING
 from spec.configuration.model import MODEL as CONFIGURATION
@@ -41,4 +43,7 @@
     MODEL_JOIN,
     MODEL_INSTANCES,
     MODEL_RECOVERY,
+    MODEL_LATE_ENTRY,
+    MODEL_LATE_ENTRY_COMMITS,
+    MODEL_OUTAGE,
 )
