Check that the shown positions block no promotion for ever

Cause: an answer may show later commits of others, which no replica ever receives. Change: a recovery model. From each state in which an attempt has fenced acknowledgements and a listed replica has every acknowledged commit, a promotion is reachable without the former primary.

--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from spec.acknowledgement.late_entry import MODEL_LATE_ENTRY, MODEL_LATE_ENTRY_COMMITS
+from spec.acknowledgement.late_entry_recovery import MODEL_LATE_ENTRY_RECOVERY
 from spec.acknowledgement.model import MODEL as ACKNOWLEDGEMENT
 from spec.acknowledgement.model import MODEL_INSTANCES, MODEL_JOIN
 from spec.acknowledgement.outage import MODEL_OUTAGE
@@ -45,5 +46,6 @@
     MODEL_RECOVERY,
     MODEL_LATE_ENTRY,
     MODEL_LATE_ENTRY_COMMITS,
+    MODEL_LATE_ENTRY_RECOVERY,
     MODEL_OUTAGE,
 )
