Model a replica that starts again without its log

Change: a replica loses its log at any time before the comparison, while two instances acknowledge. The positions that they tell keep the commit.

--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -8,6 +8,7 @@
 from spec.acknowledgement.model import MODEL_INSTANCES, MODEL_JOIN
 from spec.acknowledgement.outage import MODEL_OUTAGE
 from spec.acknowledgement.recovery import MODEL_RECOVERY
+from spec.acknowledgement.restart import MODEL_RESTART, MODEL_RESTART_COMMITS
 from spec.binding.model import MODEL as BINDING
 from spec.configuration.model import MODEL as CONFIGURATION
 from spec.copies.model import MODEL as COPIES
@@ -48,4 +49,6 @@
     MODEL_LATE_ENTRY_COMMITS,
     MODEL_LATE_ENTRY_RECOVERY,
     MODEL_OUTAGE,
+    MODEL_RESTART,
+    MODEL_RESTART_COMMITS,
 )
