Take the positions that an instance told first, not those at the end of the fence

Cause: a confirmation is sent when the announcement arrives, and the fence may end later. The model took what the instance had acknowledged by the end. Change: an instance keeps what it told when it learned of the token.

--- a/spec/acknowledgement/commits.py
+++ b/spec/acknowledgement/commits.py
@@ -170,6 +170,10 @@
     )
     if rules.suspension_is_change:
         is_changed = is_changed or state.is_suspended != instance.is_suspended
+    if rules.check_acknowledged and state.token != instance.token:
+        instance = instance._replace(
+            told_certain=instance.certain, told_shown=instance.shown
+        )
     return instance._replace(
         token=state.token,
         is_suspended=state.is_suspended,
--- a/spec/acknowledgement/comparison.py
+++ b/spec/acknowledgement/comparison.py
@@ -35,13 +35,16 @@
 def told_positions(
     attempt: Attempt, instances: Iterable[Instance], rules: Rules
 ) -> Attempt:
-    """Return the attempt with the highest positions that instances have told."""
+    """Return the attempt with the highest positions that instances have told.
+
+    Those of an earlier attempt are told before the token of this one is known.
+    """
     if not rules.check_acknowledged:
         return attempt
     choose = max if rules.positions_of_all else min
     return attempt._replace(
-        certain=choose((i.certain for i in instances), default=0),
-        shown=choose((i.shown for i in instances), default=0),
+        certain=choose((i.told_certain for i in instances), default=0),
+        shown=choose((i.told_shown for i in instances), default=0),
     )
 
 
--- a/spec/acknowledgement/instance.py
+++ b/spec/acknowledgement/instance.py
@@ -19,7 +19,8 @@
     members that have to receive it, as a bit mask, ``UNDECIDED`` before the rule was
     applied. ``end`` is the end of the member's log in its answer. ``shown`` is the
     highest one of acknowledged commits, and ``certain`` a position that these have
-    reached in any case, as ``end`` may include later commits of others.
+    reached in any case, as ``end`` may include later commits of others. ``told_shown``
+    and ``told_certain`` are those of its first confirmation of the known token.
     """
 
     token: int = 0
@@ -36,3 +37,5 @@
     end: int = 0
     certain: int = 0
     shown: int = 0
+    told_certain: int = 0
+    told_shown: int = 0
