Apply the rule for a commit again when the state changes, in the new models

Cause: the models let a verification go on during a suspension, so that a commit is acknowledged after its instance has told its positions. The code decides again.

--- a/spec/acknowledgement/commits.py
+++ b/spec/acknowledgement/commits.py
@@ -170,6 +170,7 @@
     )
     if rules.suspension_is_change:
         is_changed = is_changed or state.is_suspended != instance.is_suspended
+    is_again = rules.decide_again and is_changed
     if rules.check_acknowledged and state.token != instance.token:
         instance = instance._replace(
             told_certain=instance.certain, told_shown=instance.shown
@@ -179,6 +180,7 @@
         is_suspended=state.is_suspended,
         outstanding=state.outstanding,
         ordered=state.ordered,
+        remaining=UNDECIDED if is_again else instance.remaining,
         is_changed=instance.entry > 0 and (instance.is_changed or is_changed),
     )
 
--- a/spec/acknowledgement/rules.py
+++ b/spec/acknowledgement/rules.py
@@ -41,6 +41,7 @@
     keep_earlier_at_refusal: bool = True
     lists_are_current: bool = True
     write_needs_lock: bool = True
+    decide_again: bool = False
     count_unlisted: bool = False
     count_unlisted_when_demoted: bool = True
     check_acknowledged: bool = False
--- a/spec/acknowledgement/unlisted.py
+++ b/spec/acknowledgement/unlisted.py
@@ -29,6 +29,7 @@
     max_tokens=1,
     max_term=2,
     silent_primary=True,
+    decide_again=True,
     compare_demoted=True,
     reach_demoted_log=True,
 )
