Wait for the fence of a demoted primary in the models of unlisted members

Cause: the models asked a candidate to reach the demoted primary's log, the code asks it to reach what instances have told once the fence is complete. With a tail that nobody can confirm the former rule would only ever request the same primary again. Change: await_fence_when_demoted in place of reach_demoted_log, with its mutants.

--- a/spec/acknowledgement/attempts.py
+++ b/spec/acknowledgement/attempts.py
@@ -60,7 +60,7 @@
     """Find that no instance acknowledges by a state from before the write.
 
     Nobody acknowledges either while the primary is demoted and no earlier request may
-    make a member the primary.
+    make a member the primary, but then nobody has told what was acknowledged.
     """
     attempt = state.attempt
     if not attempt.kind or attempt.is_fenced:
@@ -77,7 +77,11 @@
         if rules.positions_at_fence:
             fenced = told_positions(fenced, confirmed, rules)
         yield "", state._replace(attempt=fenced)
-    elif is_demoted and (not attempt.earlier or rules.skip_fence_despite_requests):
+    elif (
+        is_demoted
+        and not rules.await_fence_when_demoted
+        and (not attempt.earlier or rules.skip_fence_despite_requests)
+    ):
         fenced = fenced._replace(has_primary_log=rules.compare_demoted)
         yield "demoted", state._replace(attempt=fenced)
 
@@ -108,7 +112,7 @@
             ahead = sum(end_of(state.logs[m]) > end_of(log) for m in seen)
             if len(counted - seen) + ahead + unknown > 1:
                 continue
-            if reaches_acknowledged(state, member, has_primary_log, rules):
+            if reaches_acknowledged(state, member, rules):
                 target = attempt._replace(target=member)
                 yield f"member={member}", state._replace(attempt=target)
 
@@ -130,7 +134,7 @@
         return
     if end_of(state.logs[attempt.requested]) < attempt.end:
         return
-    if reaches_acknowledged(state, attempt.requested, True, rules):
+    if reaches_acknowledged(state, attempt.requested, rules):
         caught_up = attempt._replace(target=attempt.requested)
         yield "", state._replace(attempt=caught_up)
 
@@ -153,7 +157,7 @@
     missing = len(named_members(state, rules) - seen)
     if missing + unknown_members(state, False, rules) > 1 or not is_newest:
         return
-    if member in seen and reaches_acknowledged(state, member, False, rules):
+    if member in seen and reaches_acknowledged(state, member, rules):
         caught_up = attempt._replace(target=member)
         yield "", state._replace(attempt=caught_up)
 
--- a/spec/acknowledgement/comparison.py
+++ b/spec/acknowledgement/comparison.py
@@ -48,9 +48,7 @@
     )
 
 
-def reaches_acknowledged(
-    state: State, member: int, has_primary_log: bool, rules: Rules
-) -> bool:
+def reaches_acknowledged(state: State, member: int, rules: Rules) -> bool:
     """Return whether the log of a member reaches what was acknowledged.
 
     The certain position is enough once attempts have been refused for some time, by
@@ -58,8 +56,6 @@
     """
     attempt = state.attempt
     end = end_of(state.logs[member])
-    if attempt.kind != SWITCHOVER and has_primary_log and rules.reach_demoted_log:
-        return end >= end_of(state.logs[state.primary])
     if not rules.check_acknowledged:
         return True
     if attempt.kind == SWITCHOVER and not rules.check_switchover:
--- a/spec/acknowledgement/late_entry.py
+++ b/spec/acknowledgement/late_entry.py
@@ -14,7 +14,11 @@
     actions=ACTIONS,
     mutants=(
         Mutant("acknowledged-ignored", RULES._replace(check_acknowledged=False), KEPT),
-        Mutant("demoted-log-ignored", RULES._replace(reach_demoted_log=False), KEPT),
+        Mutant(
+            "demoted-not-awaited",
+            RULES._replace(await_fence_when_demoted=False),
+            KEPT,
+        ),
         Mutant("switchover-not-checked", RULES._replace(check_switchover=False), KEPT),
         Mutant(
             "positions-of-earlier-attempt",
--- a/spec/acknowledgement/outage.py
+++ b/spec/acknowledgement/outage.py
@@ -19,7 +19,7 @@
         Mutant("outage-ignored", RULES._replace(count_unlisted=False), KEPT),
         Mutant(
             "demoted-not-counted",
-            RULES._replace(count_unlisted_when_demoted=False, reach_demoted_log=False),
+            RULES._replace(count_unlisted_when_demoted=False),
             KEPT,
         ),
         Mutant(
--- a/spec/acknowledgement/restart.py
+++ b/spec/acknowledgement/restart.py
@@ -16,7 +16,11 @@
     actions=ACTIONS_WITH_PERMIT,
     mutants=(
         Mutant("acknowledged-ignored", RULES._replace(check_acknowledged=False), KEPT),
-        Mutant("demoted-log-ignored", RULES._replace(reach_demoted_log=False), KEPT),
+        Mutant(
+            "demoted-not-awaited",
+            RULES._replace(await_fence_when_demoted=False),
+            KEPT,
+        ),
         Mutant(
             "positions-of-one-instance", RULES._replace(positions_of_all=False), KEPT
         ),
--- a/spec/acknowledgement/rules.py
+++ b/spec/acknowledgement/rules.py
@@ -46,7 +46,7 @@
     count_unlisted_when_demoted: bool = True
     check_acknowledged: bool = False
     compare_demoted: bool = False
-    reach_demoted_log: bool = False
+    await_fence_when_demoted: bool = False
     check_switchover: bool = True
     falls_back: bool = True
     fall_back_at_once: bool = False
--- a/spec/acknowledgement/unlisted.py
+++ b/spec/acknowledgement/unlisted.py
@@ -31,5 +31,5 @@
     silent_primary=True,
     decide_again=True,
     compare_demoted=True,
-    reach_demoted_log=True,
+    await_fence_when_demoted=True,
 )
