--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -2,9 +2,13 @@
 
 from typing import Any
 
+from spec.acknowledgement.late_entry import MODEL_LATE_ENTRY, MODEL_LATE_ENTRY_COMMITS
+from spec.acknowledgement.late_entry_recovery import MODEL_LATE_ENTRY_RECOVERY
 from spec.acknowledgement.model import MODEL as ACKNOWLEDGEMENT
 from spec.acknowledgement.model import MODEL_INSTANCES, MODEL_JOIN
+from spec.acknowledgement.outage import MODEL_OUTAGE
 from spec.acknowledgement.recovery import MODEL_RECOVERY
+from spec.acknowledgement.restart import MODEL_RESTART, MODEL_RESTART_COMMITS
 from spec.binding.model import MODEL as BINDING
 from spec.configuration.model import MODEL as CONFIGURATION
 from spec.copies.model import MODEL as COPIES
@@ -41,4 +45,10 @@
     MODEL_JOIN,
     MODEL_INSTANCES,
     MODEL_RECOVERY,
+    MODEL_LATE_ENTRY,
+    MODEL_LATE_ENTRY_COMMITS,
+    MODEL_LATE_ENTRY_RECOVERY,
+    MODEL_OUTAGE,
+    MODEL_RESTART,
+    MODEL_RESTART_COMMITS,
 )
