Report acknowledged positions through the store where no announcement arrives

Cause: an instance tells what it has acknowledged only when it confirms an announcement. For one that no announcement reaches the fence waits until its permit has lapsed, but compares the logs without its positions. Change: an instance that learns of a suspension from the store, and not from an announcement, writes its positions to the record acknowledged-GROUP-INSTANCE, once for each token, if it has acknowledged anything in a group that is not asynchronous. A fence that is not complete reads these records once permits have lapsed, for at most 0.5 s, and counts those whose token is not lower than that of its lock. Why it works: a commit is not acknowledged while the state is suspended, so what the report says is final for its token. Nothing is written or read in normal operation, or at a promotion whose announcements are confirmed.

--- a/features/fakes/acknowledging_instance.py
+++ b/features/fakes/acknowledging_instance.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from contextlib import suppress
 
+from features.fakes.troubled_records import TroubledRecords
 from features.support.trio_thread import TrioThread
 from trio import (
     EndOfChannel,
@@ -56,11 +57,13 @@
         self._events, inbox = open_memory_channel(INBOX)
         peers, self._datagrams = open_memory_channel(INBOX)
         failover, self._triggers = open_memory_channel(INBOX)
+        self.records = TroubledRecords()
         task = AcknowledgementTask(
             inbox,
             FakeReplication(self),
             peers,
             failover,
+            self.records,
             INSTANCE,
             self.boot_time,
         )
--- a/features/fakes/replicated_group.py
+++ b/features/fakes/replicated_group.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from features.fakes.announced_instances import AnnouncedInstances
-from features.fakes.memory_records import MemoryRecords
+from features.fakes.troubled_records import TroubledRecords
 from trio import (
     MemoryReceiveChannel,
     current_time,
@@ -125,7 +125,7 @@
         self.is_fenced = False
         self.withdraws_requests = False
         # Registered instances, and the inbox of the task that announces states to them.
-        self.instances = MemoryRecords()
+        self.instances = TroubledRecords()
         self.announced: AnnouncedInstances | None = None
         self.announcements, self.announcement_inbox = open_memory_channel(100)
         # Seconds until an accepted promotion takes effect, infinite if it never does.
--- a/src/jackdawspread/platform/composition.py
+++ b/src/jackdawspread/platform/composition.py
@@ -429,14 +429,16 @@
             self._acknowledgements,
         )
         tasks.start_soon(announcement_task.run)
-        # Calls about rosters must not delay the promotion lock.
-        rosters = RosterClient(self._open_records("rosters", tasks))
+        # Calls about rosters and reports must not delay the promotion lock.
+        roster_records = self._open_records("rosters", tasks)
+        rosters = RosterClient(roster_records)
         roster_task = RosterTask(rosters, replication, self._rosters_inbox)
         acknowledgements = AcknowledgementTask(
             self._acknowledgements_inbox,
             replication,
             self._peers,
             self._failover,
+            roster_records,
             self._instance_id,
         )
         failover_task = FailoverTask(attempt, self._failover_inbox, self._members)
--- a/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
@@ -7,6 +7,7 @@
     MemorySendChannel,
     WouldBlock,
     current_time,
+    move_on_after,
     move_on_at,
     open_memory_channel,
     sleep,
@@ -37,12 +38,15 @@
     INSTANCE_PREFIX,
     decode_instance_entry,
 )
+from jackdawspread.tasks.fleet.position_reports import read_reports
 from jackdawspread.tasks.fleet.promotion_lock_client import PromotionLockClient
 from jackdawspread.tasks.fleet.promotion_log import describe_acknowledged
 from jackdawspread.tasks.fleet.record_client import RecordClient
 
 # Why an attempt ends if its fence is not complete.
 NOT_FENCED = "acknowledgements were not fenced"
+# The lock is held while the reports are read.
+REPORTS_TIMEOUT_S = 0.5
 
 
 class AcknowledgementFence:
@@ -60,7 +64,7 @@
     locks : PromotionLockClient
         Client of the promotion locks.
     records : RecordClient
-        Access to the list of instances in the store.
+        Access to the list of instances and to their reports in the store.
     announcements : trio.MemorySendChannel
         Inbox of the announcement task.
     """
@@ -95,7 +99,7 @@
 
     @property
     def acknowledged(self) -> AcknowledgedPositions:
-        """What the instances that have confirmed a state had acknowledged before it."""
+        """What instances say they had acknowledged before they followed a state."""
         return self._acknowledged
 
     @property
@@ -166,6 +170,21 @@
         if self._missing is None or self._missing:
             while (left := deadline - seconds_since_boot()) > 0:
                 await sleep(left)
+            await self._read_reports()
+
+    async def _read_reports(self) -> None:
+        """Count what instances that were not reached have reported in the store."""
+        reports = None
+        with move_on_after(REPORTS_TIMEOUT_S):
+            reports = await read_reports(self._records, self._group)
+        if reports is None:
+            logging.warning(
+                "succession: reported positions not read group=%s", self._group
+            )
+            return
+        token = self._lock.record["token"]
+        reported = [each.acknowledged for each in reports if each.token >= token]
+        self._acknowledged = merge_acknowledged((self._acknowledged, *reported))
 
     async def _announce(
         self, records: list[StoredRecord], expires_at: float
--- a/src/jackdawspread/tasks/fleet/acknowledgement_fences.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_fences.py
@@ -17,7 +17,7 @@
     locks : PromotionLockClient
         Client of the promotion locks.
     records : RecordClient
-        Access to the list of instances in the store.
+        Access to the list of instances and to their reports in the store.
     announcements : trio.MemorySendChannel
         Inbox of the announcement task.
     """
--- a/src/jackdawspread/tasks/fleet/acknowledgement_task.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_task.py
@@ -19,6 +19,9 @@
 )
 
 from jackdawspread.decisions.acknowledgement.acknowledge_commit import AcknowledgeCommit
+from jackdawspread.decisions.acknowledgement.begins_suspension import (
+    begins_suspension,
+)
 from jackdawspread.decisions.acknowledgement.decide_acknowledgement import (
     AcknowledgementDecision,
     decide_acknowledgement,
@@ -36,6 +39,7 @@
 from jackdawspread.decisions.acknowledgement.permit import has_permit
 from jackdawspread.decisions.acknowledgement.registration import Registration, renew
 from jackdawspread.decisions.acknowledgement.wait_for_state import WaitForState
+from jackdawspread.messages.fleet.acknowledged_positions import NOTHING_ACKNOWLEDGED
 from jackdawspread.messages.fleet.acknowledgement_event import AcknowledgementEvent
 from jackdawspread.messages.fleet.await_writable import AwaitWritable
 from jackdawspread.messages.fleet.commit_confirmation import CommitConfirmation
@@ -52,11 +56,14 @@
 )
 from jackdawspread.messages.fleet.promotion_state import PromotionState
 from jackdawspread.messages.fleet.promotion_states_seen import PromotionStatesSeen
+from jackdawspread.messages.fleet.reported_positions import ReportedPositions
 from jackdawspread.messages.fleet.send_datagram import SendDatagram
 from jackdawspread.tasks.boot_clock import seconds_since_boot
 from jackdawspread.tasks.fleet.acknowledged_commits import AcknowledgedCommits
 from jackdawspread.tasks.fleet.acknowledgement_log import AcknowledgementLog
 from jackdawspread.tasks.fleet.commit_verification import CommitVerification
+from jackdawspread.tasks.fleet.position_reports import write_report
+from jackdawspread.tasks.fleet.record_client import RecordClient
 from jackdawspread.tasks.fleet.replication_control import ReplicationControl
 from jackdawspread.tasks.fleet.withdrawal_triggers import WithdrawalTriggers
 from jackdawspread.tasks.run_isolated import call_isolated, run_isolated
@@ -85,6 +92,8 @@
         Inbox of the peers task.
     failover : trio.MemorySendChannel
         Inbox of the failover task.
+    records : RecordClient
+        Access to the store, for reports of acknowledged positions.
     instance : str
         Id of this instance.
     boot_clock : callable
@@ -97,11 +106,13 @@
         replication: ReplicationControl,
         peers: MemorySendChannel[PeerEvent],
         failover: MemorySendChannel[FailoverEvent],
+        records: RecordClient,
         instance: str,
         boot_clock: Callable[[], float] = seconds_since_boot,
     ) -> None:
         self._inbox = inbox
         self._peers = peers
+        self._records = records
         self._instance = instance
         self._boot_clock = boot_clock
         self._log = AcknowledgementLog()
@@ -173,8 +184,12 @@
         self._evidence = add_evidence(
             self._evidence, event.epoch, event.as_of, now, event.epoch_age_s
         )
-        for state in event.states:
-            self._apply(state, "evidence", waits)
+        for seen in event.states:
+            before = self._view(seen.group).state
+            self._apply(seen, "evidence", waits)
+            if begins_suspension(before, self._view(seen.group).state):
+                # Its holder may not have reached this instance with an announcement.
+                self._report_positions(seen.group, waits)
         if is_epoch_settled(self._evidence, now):
             for view in list(self._view_by_group.values()):
                 ended = end_suspension(view.state, self._evidence.epoch)
@@ -232,6 +247,16 @@
         self._wake(state.group)
         self._trigger_withdrawal(state.group, waits)
 
+    def _report_positions(self, group: str, waits: Nursery) -> None:
+        """Write to the store what this instance acknowledged before a suspension."""
+        acknowledged = self._commits_by_group[group].positions
+        if group in self._asynchronous or acknowledged == NOTHING_ACKNOWLEDGED:
+            return
+        token = self._view(group).state.token
+        report = ReportedPositions(self._instance, token, acknowledged)
+        write = partial(write_report, self._records, group, report)
+        waits.start_soon(run_isolated, PART, write)
+
     def _trigger_withdrawal(self, group: str, waits: Nursery) -> None:
         if self._primary_to_keep(group) and self._triggers.begin(group):
             run = partial(self._triggers.run, group)
