--- a/features/process/unlisted_members.feature
+++ b/features/process/unlisted_members.feature
@@ -52,7 +52,6 @@
     And a replacement is requested
     Then callers can write again and no acknowledged write is lost
 
-  @known_red
   Scenario: Replicas are paused while one without an entry goes on confirming
     # Guards against acknowledgements between the pauses and the news of the suspension.
     When a replica joins that gets its entry after 6 s
