Say why the read of the reports is bounded

Cause: the comment did not give the reason, and the status was rebuilt from its name. Change: a comment, and the value of the status in the log line.

--- a/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
+++ b/src/jackdawspread/tasks/fleet/acknowledgement_fence.py
@@ -45,7 +45,7 @@
 
 # Why an attempt ends if its fence is not complete.
 NOT_FENCED = "acknowledgements were not fenced"
-# The lock is held while the reports are read.
+# The lock is not extended for the read of the reports.
 REPORTS_TIMEOUT_S = 0.5
 
 
--- a/src/jackdawspread/tasks/fleet/position_reports.py
+++ b/src/jackdawspread/tasks/fleet/position_reports.py
@@ -36,7 +36,7 @@
             "acknowledgements: positions not reported group=%s token=%d reason=%s",
             group,
             report.token,
-            outcome.status.name.lower(),
+            outcome.status.value,
         )
 
 
