Report the error of a task that ends the event loop of a scenario

Cause: an error of a stand-in or of an instance in the test's process ends the event loop of TrioThread. The call in progress gets trio.Cancelled, a BaseException, which behave does not handle: it ended without a summary. The error itself was printed by the thread to sys.stderr, which is the capture of the step then, and was lost. An error that occurred while the tasks were cancelled at the end of a scenario was not reported at all. Change: TrioThread keeps the error. `call` and `stop` raise FailedTaskError, with it as the cause, so that the scenario fails with the traceback and the run goes on.

--- /dev/null
+++ b/features/steps/test_support_steps.py
@@ -0,0 +1,73 @@
+"""Steps for failures in the support of the tests."""
+
+from behave import given, then, when
+from behave.runner import Context
+from features.support.failed_task_error import FailedTaskError
+from features.support.trio_thread import TrioThread
+from trio import sleep, sleep_forever
+
+
+@given("an event loop in a thread")
+def thread(context: Context) -> None:
+    """Each scenario ends it."""
+    context.thread = TrioThread(real_time=True)
+
+
+@when("one of its tasks ends by an error while a call is in progress")
+def fail_in_call(context: Context) -> None:
+    """The call itself would last for ever."""
+
+    async def fail() -> None:
+        await sleep(0)
+        raise ValueError("cause")
+
+    context.thread.start(fail)
+    context.error = _failure(context.thread.call, sleep_forever)
+
+
+@when("one of its tasks ends by an error once it is cancelled")
+def fail_when_cancelled(context: Context) -> None:
+    """The end of the thread cancels it."""
+
+    async def fail() -> None:
+        try:
+            await sleep_forever()
+        finally:
+            raise ValueError("cause")
+
+    context.thread.start(fail)
+    context.thread.call(sleep, 0)
+
+
+@then("the call fails with that error as its cause")
+def call_fails(context: Context) -> None:
+    """The error of the task is in a group."""
+    _check(context.error)
+
+
+@then("further calls and the end of the thread fail in the same way")
+def further_calls_fail(context: Context) -> None:
+    """The event loop has ended."""
+    _check(_failure(context.thread.call, sleep, 0))
+    _check(_failure(context.thread.stop))
+
+
+@then("the end of the thread fails with that error as its cause")
+def stop_fails(context: Context) -> None:
+    """Stop it, as the cleanup of a scenario does."""
+    _check(_failure(context.thread.stop))
+
+
+def _failure(function, *args) -> BaseException | None:
+    try:
+        function(*args)
+    except BaseException as error:
+        return error
+    return None
+
+
+def _check(error: BaseException | None) -> None:
+    assert isinstance(error, FailedTaskError), repr(error)
+    group = error.__cause__
+    assert isinstance(group, ExceptionGroup), repr(group)
+    assert group.subgroup(ValueError), repr(group)
