Choose different ports for the instances of a test

Cause: PlatformWorld and ProcessFleet opened and closed one listening socket after the other to find free ports. The second task of an instance that listens on such a port ends the instance, and with it the event loop of the test. Change: free_ports keeps all sockets open until the last port is chosen, also those of the following ports, one of which serves copies of the configuration; ProcessFleet did not check that one before. The steps of the HTTP front end use it too, in place of their own function.

--- a/features/steps/hostile_http_steps.py
+++ b/features/steps/hostile_http_steps.py
@@ -1,6 +1,5 @@
 """Steps for clients of the HTTP front end that do not behave."""
 
-import socket
 import sys
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
@@ -10,6 +9,7 @@
 from behave import given, then
 from behave.runner import Context
 from features.steps.hostile_client_steps import ATTEMPTS, lives_within_limits
+from features.support.free_ports import free_ports
 from features.support.logged_process import LoggedProcess
 
 IP = "127.0.77.9"
@@ -41,7 +41,7 @@
     """Start it without a platform, as bad input is handled before any routing."""
     context.memory_mb, context.descriptors = memory_mb, DESCRIPTORS
     names = ("callers", "administration", "peers", "platform")
-    context.port_by_name = dict(zip(names, _free_ports(len(names)), strict=True))
+    context.port_by_name = dict(zip(names, free_ports(IP, len(names)), strict=True))
     context.ip = IP
     folder = TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
@@ -66,14 +66,6 @@
         sleep(0.1)
 
 
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server((IP, 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 def _is_answered(context: Context) -> bool:
     connection = HTTPConnection(IP, context.port_by_name["callers"], timeout=10)
     try:
--- a/features/steps/test_support_steps.py
+++ b/features/steps/test_support_steps.py
@@ -3,9 +3,12 @@
 from behave import given, then, when
 from behave.runner import Context
 from features.support.failed_task_error import FailedTaskError
+from features.support.free_ports import free_ports
 from features.support.trio_thread import TrioThread
 from trio import sleep, sleep_forever
 
+IP = "127.0.77.1"
+
 
 @given("an event loop in a thread")
 def thread(context: Context) -> None:
@@ -71,3 +74,16 @@
     group = error.__cause__
     assert isinstance(group, ExceptionGroup), repr(group)
     assert group.subgroup(ValueError), repr(group)
+
+
+@when("{count:d} free ports are chosen")
+def choose_ports(context: Context, count: int) -> None:
+    """Choose them as the stand-ins do."""
+    context.ports = free_ports(IP, count)
+
+
+@then("all of them and the ports after them are different")
+def all_different(context: Context) -> None:
+    """No two instances or tasks listen on the same port."""
+    ports = {*context.ports, *(port + 1 for port in context.ports)}
+    assert len(ports) == 2 * len(context.ports), sorted(context.ports)
--- a/features/test_support.feature
+++ b/features/test_support.feature
@@ -13,3 +13,8 @@
     Given an event loop in a thread
     When one of its tasks ends by an error once it is cancelled
     Then the end of the thread fails with that error as its cause
+
+  Scenario: The free ports of an address are different
+    # Guards against instances that can't listen, as the kernel repeats closed ports.
+    When 300 free ports are chosen
+    Then all of them and the ports after them are different
--- a/features/wire/platform_world.py
+++ b/features/wire/platform_world.py
@@ -2,6 +2,7 @@
 
 import json
 
+from features.support.free_ports import free_ports
 from features.support.trio_thread import TrioThread
 from features.wire.store_link import StoreLink
 from features.wire.table_store import TableStore
@@ -24,6 +25,9 @@
 
 INSTANCE_IP = "127.0.77.{}"
 FAILURE_DOMAINS = ("z1", "z2", "z3")
+# Sessions, readiness, peers and metrics. Copies of the configuration have the port
+# after that of the peers.
+PORTS = 4
 REGION_BY_DOMAIN = {"z1": "north", "z2": "north", "z3": "south"}
 MAX_CONNECTIONS = 16
 GROUP = "ledger"
@@ -75,7 +79,7 @@
         self.configuration = initial_configuration()
         self.configuration["Services"][0]["MaxConns"] = max_connections
         self.addresses: list[str] = []
-        # Ports of every instance: sessions, readiness, peers and metrics.
+        # Ports of every instance, in the order given at PORTS.
         self.ports: tuple[int, ...] = ()
         self.store_address = ""
 
@@ -161,7 +165,7 @@
             self.group.register()
             value = json.dumps(self.configuration).encode()
             self.store.put("op", "config", value)
-            self.ports = await _free_ports()
+            self.ports = free_ports(INSTANCE_IP.format(1), PORTS)
             for number in range(self._instances):
                 await self.start_instance(number)
             for address in self.addresses:
@@ -239,28 +243,6 @@
             await sleep(0.02)
 
 
-async def _free_ports() -> tuple[int, ...]:
-    """Return four ports, which are the same for all instances, as on the platform.
-
-    The one after the third, for copies of the configuration, is free too.
-    """
-    while True:
-        ports = [await _free_port() for _ in range(4)]
-        copies = ports[2] + 1
-        try:
-            if copies not in ports and await _free_port(copies):
-                return tuple(ports)
-        except OSError:
-            continue
-
-
-async def _free_port(port: int = 0) -> int:
-    (listener,) = await open_tcp_listeners(port, host=INSTANCE_IP.format(1))
-    found = listener.socket.getsockname()[1]
-    await listener.aclose()
-    return found
-
-
 def initial_configuration() -> dict:
     """Return a configuration with one database for each consistency of route."""
     consistencies = ("primary", "bounded", "session")
--- a/features/wire/process_fleet.py
+++ b/features/wire/process_fleet.py
@@ -10,6 +10,7 @@
 from socket import SOCK_DGRAM, socket
 from urllib.parse import urlsplit
 
+from features.support.free_ports import free_ports
 from features.support.instance_process import SOURCE, InstanceProcess
 from features.support.trio_thread import TrioThread
 from features.wire.commit_checker import CommitChecker
@@ -29,6 +30,9 @@
 
 INSTANCE_IP, FRONT_IP = "127.77.{}.{}", "127.78.{}.{}"
 BLOCKS = range(1, 250)
+# Sessions, readiness and peers. Copies of the configuration have the port after that of
+# the peers.
+PORTS = 3
 RESERVED_HOST, RESERVED_PORT = 250, 9464
 MEMBERS = 3
 CALLERS = 3
@@ -171,7 +175,7 @@
             self.checker = CommitChecker(self.group, self.ledger)
             await self.group.start(MEMBERS)
             self.configure(self._configuration)
-            self._ports = [await self._free_port() for _ in range(3)]
+            self._ports = free_ports(self._ip(self.names[0]), PORTS)
             self._store_address_by_name = {
                 name: await self._listen_store(name) for name in self.names
             }
@@ -259,12 +263,6 @@
     def _ip(self, name: str, pattern: str = INSTANCE_IP) -> str:
         return pattern.format(self._block, self.names.index(name) + 1)
 
-    async def _free_port(self) -> int:
-        (listener,) = await open_tcp_listeners(0, host=self._ip(self.names[0]))
-        port = listener.socket.getsockname()[1]
-        await listener.aclose()
-        return port
-
 
 def _reserve_block() -> tuple[socket, int]:
     """Reserve a block of addresses, as the port of the metrics is fixed."""
