--- a/features/environment.py
+++ b/features/environment.py
@@ -1,7 +1,9 @@
-"""Hooks that run a fleet of processes for each feature with the tag ``fleet``."""
+"""Hooks for all features, and those that run a fleet for the tag ``fleet``."""
 
 import sys
 from pathlib import Path
+from traceback import print_exception
+from types import TracebackType
 
 from behave.model import Feature, Scenario
 from behave.runner import Context
@@ -11,6 +13,18 @@
 from bench.runs.process_world import ProcessWorld
 
 
+def before_all(context: Context) -> None:
+    """Print the error that ends behave, which handles no `BaseException`."""
+    sys.excepthook = _print_error
+
+
+def _print_error(
+    kind: type[BaseException], error: BaseException, trace: TracebackType | None
+) -> None:
+    # During a step, sys.stderr is a buffer that behave does not print then.
+    print_exception(kind, error, trace, file=sys.__stderr__)
+
+
 def before_feature(context: Context, feature: Feature) -> None:
     """Start a fleet for a feature with the tag ``fleet``."""
     if "fleet" in feature.tags:
--- a/features/test_support.feature
+++ b/features/test_support.feature
@@ -14,6 +14,12 @@
     When one of its tasks ends by an error once it is cancelled
     Then the end of the thread fails with that error as its cause
 
+  Scenario: An error ends behave in a step
+    # Guards against a traceback that is lost in the captured output of the step.
+    Given a feature whose step raises an error that behave does not handle
+    When the script of the checks runs it
+    Then the step counts as failed, and the output ends with the traceback
+
   Scenario: The free ports of an address are different
     # Guards against instances that can't listen, as the kernel repeats closed ports.
     When 300 free ports are chosen
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -4,6 +4,7 @@
 ``known_red`` are passed over and printed; KNOWN-RED.txt must name each of them.
 """
 
+import os
 import re
 import subprocess
 import sys
@@ -32,7 +33,13 @@
     """Run one step and return how many of its checks passed and failed."""
     print(f"== {name}", flush=True)
     done = subprocess.run(
-        command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+        command,
+        cwd=ROOT,
+        # Output and errors keep their order, so that a traceback stands at the end.
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
     )
     print(done.stdout, flush=True)
     counts = [tuple(map(int, c)) for c in COUNTED.findall(done.stdout)]
