Let the processes of a test fleet settle before faults begin

Cause: an instance that has started takes its lists for incomplete for 2.5 s, and promotes nobody meanwhile. Change: ProcessFleet.start waits 3 s after the first acknowledged writes. What the scenarios check is unchanged; their faults now meet a fleet that may promote, as before the rule.

--- a/features/wire/process_fleet.py
+++ b/features/wire/process_fleet.py
@@ -22,8 +22,16 @@
 from features.wire.table_store import TableStore
 from features.wire.write_ledger import WriteLedger
 from features.wire.write_load import WriteLoad
-from trio import Event, fail_after, open_nursery, open_tcp_listeners, sleep_forever
-
+from trio import (
+    Event,
+    fail_after,
+    open_nursery,
+    open_tcp_listeners,
+    sleep,
+    sleep_forever,
+)
+
+from jackdawspread.decisions.members.listing_retention import REREGISTRATION_S
 from jackdawspread.messages.http_request import HttpRequest
 from jackdawspread.messages.http_response import HttpResponse
 from jackdawspread.tasks.http_server import HttpServer
@@ -37,6 +45,7 @@
 MEMBERS = 3
 CALLERS = 3
 START_TIMEOUT_S = 30.0
+SETTLED_S = REREGISTRATION_S + 0.5
 STORE = "store"
 UNAVAILABLE = 503
 REGISTRATION = "instance-"
@@ -81,7 +90,10 @@
         self._loads: list[WriteLoad] = []
 
     def start(self) -> None:
-        """Start everything, and wait until every instance has acknowledged a write."""
+        """Start everything, and wait until every instance writes and may promote.
+
+        An instance that has just started takes the list of members for incomplete.
+        """
         ready = Event()
         self._thread.start(self._run, ready)
         self.call(ready.wait)
@@ -90,6 +102,7 @@
         self.call(self._start_load)
         for name in self.names:
             self.wait(self.ledger.wait_for_acknowledged, 5, name)
+        self.call(sleep, SETTLED_S)
 
     def address(self, name: str) -> str:
         """Return ``IP:port`` for the callers of an instance."""
