Judge the completeness of the list by gaps between lists

Cause: a single failed call of an instance made its lists count as incomplete for 2.5 s. In a fleet with a slow store nothing was promoted, although lists that other instances relayed showed that the store could be reached.

Change: a list counts as complete 2.5 s after the start, a restore of the store or a gap of more than 1.5 s between the lists that the instance knows, read by itself or relayed. A failed call alone changes nothing. A gap of 1.5 to 2.0 s now counts too; entries are retained after a gap of more than 2.0 s as before. The scenario of lists after failed calls is replaced, as the rule that it checked is gone; the new rows check the first list, gaps of 1.4 and 1.6 s, 2.4 and 2.6 s after a gap, and failed calls between close lists.

--- a/features/list_completeness.feature
+++ b/features/list_completeness.feature
@@ -17,15 +17,24 @@
       | gets no write confirmed | m0       |
       | leaves, and is silent   | none     |
 
-  Scenario Outline: Lists after an outage of the store
-    # Guards against a list that counts as complete before members can have registered.
-    Given calls to the store that <calls>
-    Then a list that is read at 10 s names every member that lives: <whole>
+  Scenario Outline: Lists after a gap or the start
+    # Guards against a list that counts as complete before members can have registered,
+    # and against single failed calls that keep a list from ever being complete.
+    Given lists and calls to the store "<calls>"
+    Then the last list names every member that lives: <whole>
 
     Examples:
-      | calls                       | whole |
-      | first succeed at 7.4 s      | yes   |
-      | first succeed at 7.6 s      | no    |
-      | succeed at 1, fail, and 7.4 | yes   |
-      | succeed at 1, fail, and 7.6 | no    |
-      | succeed at 7.4 and 9.0      | yes   |
+      | calls                                      | whole |
+      | 7.5                                        | no    |
+      | 7.5 8.7 9.9                                | no    |
+      | 7.4 8.6 9.8 10.0                           | yes   |
+      | 7.6 8.8 9.9 10.0                           | no    |
+      | 7.4 fail 8.6 fail 9.8 10.0                 | yes   |
+      | 1.0 2.0 3.0 4.0 5.4                        | yes   |
+      | 1.0 2.0 3.0 4.0 fail 5.4                   | yes   |
+      | 1.0 2.0 3.0 4.0 5.6                        | no    |
+      | 1.0 2.0 3.0 4.0 fail 5.6                   | no    |
+      | 1.0 2.0 3.0 4.0 6.0 7.0 8.0 8.4            | no    |
+      | 1.0 2.0 3.0 4.0 6.0 7.0 8.0 8.6            | yes   |
+      | 1.0 2.0 3.0 4.0 6.0 7.0 9.0 9.5            | no    |
+      | 1.0 2.0 3.0 4.0 6.0 7.0 9.0 10.0 11.0 11.6 | yes   |
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -213,25 +213,20 @@
         self._availability.report(outcome.status == OK, reason, current_time())
         # Kept until a list is complete, as a later page may fail.
         self._is_restored = self._epoch.observe(outcome) or self._is_restored
-        if outcome.status != OK:
-            self._completeness = UNKNOWN_COMPLETENESS
-        else:
+        if outcome.status == OK:
             store_now_s = store_time_s(outcome.body)
             self._clock = update_offset(self._clock, store_now_s, outcome.began_at)
 
     async def _publish(self, listed: dict[str, MemberListing], read_at: float) -> None:
         if self._read_at and read_at - self._read_at > OUTAGE_S:
             self._outage_ended_at = read_at
-            self._completeness = UNKNOWN_COMPLETENESS
         self._completeness = add_list(self._completeness, read_at)
         self._read_at, self._arrived_at = read_at, current_time()
         self._is_requested = False
         self._listing_by_id = retain_members(
             self._listing_by_id, listed, self._outage_ended_at, read_at
         )
-        seen = MembersSeen(
-            self._listing_by_id, read_at, is_whole(self._completeness, read_at)
-        )
+        seen = MembersSeen(self._listing_by_id, read_at, is_whole(self._completeness))
         await self._router.send(seen)
         await self._failover.send(seen)
         await self._acknowledgements.send(seen)
