Measure the gap between lists from an arrival to the next request

A failed call resets nothing since: it says nothing of the store if others read it. Change: the gap runs from the arrival of a list, also one that is not the newest, to the request of the next one, without the margin of relayed lists. A list is whole from 2.5 s after the arrival of the first one after a gap. An arrival counts at most a second after the request, so that a late datagram hides no outage.

--- a/features/list_completeness.feature
+++ b/features/list_completeness.feature
@@ -19,22 +19,42 @@
 
   Scenario Outline: Lists after a gap or the start
     # Guards against a list that counts as complete before members can have registered,
-    # and against single failed calls that keep a list from ever being complete.
-    Given lists and calls to the store "<calls>"
+    # and against a slow store that keeps a list from ever being complete.
+    Given lists that are requested and arrive at "<times>"
     Then the last list names every member that lives: <whole>
 
-    Examples:
-      | calls                                      | whole |
+    Examples: lists that arrive at once
+      | times                                      | whole |
       | 7.5                                        | no    |
       | 7.5 8.7 9.9                                | no    |
       | 7.4 8.6 9.8 10.0                           | yes   |
       | 7.6 8.8 9.9 10.0                           | no    |
-      | 7.4 fail 8.6 fail 9.8 10.0                 | yes   |
       | 1.0 2.0 3.0 4.0 5.4                        | yes   |
-      | 1.0 2.0 3.0 4.0 fail 5.4                   | yes   |
       | 1.0 2.0 3.0 4.0 5.6                        | no    |
-      | 1.0 2.0 3.0 4.0 fail 5.6                   | no    |
       | 1.0 2.0 3.0 4.0 6.0 7.0 8.0 8.4            | no    |
       | 1.0 2.0 3.0 4.0 6.0 7.0 8.0 8.6            | yes   |
       | 1.0 2.0 3.0 4.0 6.0 7.0 9.0 9.5            | no    |
       | 1.0 2.0 3.0 4.0 6.0 7.0 9.0 10.0 11.0 11.6 | yes   |
+
+    Examples: lists that arrive later
+      | times                                        | whole |
+      | 1.0-1.6 2.6-3.2 4.2-4.8 5.8-6.4              | yes   |
+      | 1.0-1.6 2.6-3.2 4.0                          | no    |
+      | 1.0-1.6 2.6-3.2 4.2                          | yes   |
+      | 1.0 2.0 3.0 4.0 5.6-6.2 7.0 8.0 8.6          | no    |
+      | 1.0 2.0 3.0 4.0 5.6-6.2 7.0 8.0 8.8          | yes   |
+      | 1.0 2.0 3.0 4.0 3.2-4.1 5.5                  | yes   |
+
+  Scenario Outline: An instance that hears lists of another one
+    # Guards against attempts that are refused because a list of another instance counts
+    # as older than it is, and against a list that arrives long after it was read.
+    Given an instance that hears lists of another one, read at "<heard>"
+    When it reads a list itself at <own> s
+    Then its list counts as complete: <whole>
+
+    Examples: a + stands for the seconds by which a list arrives late
+      | heard                      | own | whole |
+      | 1.0 2.0 3.0 4.0 5.0        | 5.9 | yes   |
+      | 1.0 2.0 3.0 4.0 5.0        | 6.4 | yes   |
+      | 1.0 2.0 3.0 4.0 5.0        | 6.6 | no    |
+      | 1.0 2.0 3.0 4.0 4.1+2.4    | 6.7 | no    |
--- a/src/jackdawspread/decisions/members/list_completeness.py
+++ b/src/jackdawspread/decisions/members/list_completeness.py
@@ -5,13 +5,14 @@
 
 from jackdawspread.decisions.members.listing_retention import REREGISTRATION_S
 
-# Members register or renew their entries at least this often while the store can be
-# reached, so a shorter outage keeps no member from registering for long.
+# Lists are requested a second after the last one arrived, 0.4 s later by the next
+# reader. Members retry their registration about as often, so a shorter outage keeps
+# none of them from registering for long.
 MAX_LIST_GAP_S = 1.5
 
 
 class ListCompleteness(NamedTuple):
-    """What the lists that were read tell of the completeness of the last one.
+    """What the lists that have arrived tell of the completeness of the next one.
 
     A member that could not register during an outage of the store does so within a
     time after its end. An instance that starts does not know of an outage before. A
@@ -23,25 +24,31 @@
     whole_from : float
         Monotonic time in seconds; a list that was read then or later is whole. Infinite
         before the first list.
-    read_at : float
-        Monotonic time in seconds at which the last list was read.
+    arrived_at : float
+        Monotonic time in seconds at which the last list arrived.
     """
 
     whole_from: float = inf
-    read_at: float = -inf
+    arrived_at: float = -inf
 
 
 UNKNOWN_COMPLETENESS = ListCompleteness()
 
 
-def add_list(completeness: ListCompleteness, read_at: float) -> ListCompleteness:
-    """Return the completeness after a list was read at a monotonic time."""
+def add_list(
+    completeness: ListCompleteness, requested_at: float, arrived_at: float
+) -> ListCompleteness:
+    """Return the completeness after a list that was requested and arrived.
+
+    Both are monotonic times. A list may arrive late that was requested before the last
+    one arrived.
+    """
     whole_from = completeness.whole_from
-    if read_at - completeness.read_at > MAX_LIST_GAP_S:
-        whole_from = read_at + REREGISTRATION_S
-    return ListCompleteness(whole_from, read_at)
+    if requested_at - completeness.arrived_at > MAX_LIST_GAP_S:
+        whole_from = arrived_at + REREGISTRATION_S
+    return ListCompleteness(whole_from, max(arrived_at, completeness.arrived_at))
 
 
-def is_whole(completeness: ListCompleteness) -> bool:
-    """Whether the last list names every member that lived when it was read."""
-    return completeness.read_at >= completeness.whole_from
+def is_whole(completeness: ListCompleteness, read_at: float) -> bool:
+    """Whether a list names every member that lived when it was read."""
+    return read_at >= completeness.whole_from
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -162,9 +162,12 @@
     @_handle.register
     async def _(self, event: MembersRelayed) -> None:
         since_boot = to_local_time(self._clock, event.store_time_s)
-        read_at = current_time() - (seconds_since_boot() - since_boot)
-        read_at -= RELAY_CLOCK_MARGIN_S
-        if self._read_at < read_at <= current_time():
+        requested_at = current_time() - (seconds_since_boot() - since_boot)
+        if requested_at > current_time():
+            return
+        self._note_list(requested_at)
+        read_at = requested_at - RELAY_CLOCK_MARGIN_S
+        if self._read_at < read_at:
             listed = {listing.id: listing for listing in event.listings}
             self._is_own_list = False
             await self._publish(listed, read_at)
@@ -189,6 +192,7 @@
             self._restored,
             requested_at,
         )
+        self._note_list(requested_at)
         await self._publish(listed, requested_at)
         self._relay(to_store_time(self._clock, since_boot))
         if self._is_own_list:
@@ -217,16 +221,22 @@
             store_now_s = store_time_s(outcome.body)
             self._clock = update_offset(self._clock, store_now_s, outcome.began_at)
 
+    def _note_list(self, requested_at: float) -> None:
+        """Remember that the store has answered, also if the list is not the newest."""
+        arrived_at = min(current_time(), requested_at + READ_TIMEOUT_S)
+        self._completeness = add_list(self._completeness, requested_at, arrived_at)
+
     async def _publish(self, listed: dict[str, MemberListing], read_at: float) -> None:
         if self._read_at and read_at - self._read_at > OUTAGE_S:
             self._outage_ended_at = read_at
-        self._completeness = add_list(self._completeness, read_at)
         self._read_at, self._arrived_at = read_at, current_time()
         self._is_requested = False
         self._listing_by_id = retain_members(
             self._listing_by_id, listed, self._outage_ended_at, read_at
         )
-        seen = MembersSeen(self._listing_by_id, read_at, is_whole(self._completeness))
+        seen = MembersSeen(
+            self._listing_by_id, read_at, is_whole(self._completeness, read_at)
+        )
         await self._router.send(seen)
         await self._failover.send(seen)
         await self._acknowledgements.send(seen)
