Say what the directory of instances is relied on for

Cause: its docstring said that no promise depends on the list, although the registration gives permits and the fence reads the registered instances. Change: the docstring.

--- a/src/jackdawspread/tasks/fleet/instance_directory.py
+++ b/src/jackdawspread/tasks/fleet/instance_directory.py
@@ -36,7 +36,8 @@
 class InstanceDirectory:
     """Registers this instance in the store, and reads which others there are.
 
-    The list only directs messages; no promise depends on it.
+    The list only directs messages. The fence of a promotion reads the registered
+    instances from the store itself.
 
     Parameters
     ----------
