Accept relayed lists that seem to be requested in the future

The lists that are dropped also count as a gap, after which nothing is promoted for 2.5 s. Change: the margin holds again, and a list counts as requested when it arrived at the latest, which can only make a gap longer. Measured: the new row with a clock 10 ms ahead fails without the change; features/list_completeness.feature and store_restore.feature: 52 scenarios pass.

--- a/features/list_completeness.feature
+++ b/features/list_completeness.feature
@@ -58,3 +58,8 @@
       | 1.0 2.0 3.0 4.0 5.0        | 6.4 | yes   |
       | 1.0 2.0 3.0 4.0 5.0        | 6.6 | no    |
       | 1.0 2.0 3.0 4.0 4.1+2.4    | 6.7 | no    |
+
+    Examples: the clock of the sender is 10 ms ahead
+      | heard                                             | own | whole |
+      | 1.0+-0.01 2.0+-0.01 3.0+-0.01 4.0+-0.01 5.0+-0.01 | 5.9 | yes   |
+      | 1.0+-0.01 2.0+-0.01 3.0+-0.01 4.0+-0.01 5.0+-0.01 | 6.6 | no    |
--- a/src/jackdawspread/platform/member_poll.py
+++ b/src/jackdawspread/platform/member_poll.py
@@ -162,9 +162,12 @@
     @_handle.register
     async def _(self, event: MembersRelayed) -> None:
         since_boot = to_local_time(self._clock, event.store_time_s)
-        requested_at = current_time() - (seconds_since_boot() - since_boot)
-        if requested_at > current_time():
+        now = current_time()
+        requested_at = now - (seconds_since_boot() - since_boot)
+        if requested_at - RELAY_CLOCK_MARGIN_S > now:
             return
+        # The list was requested before it arrived; a later time is an error of a clock.
+        requested_at = min(requested_at, now)
         self._note_list(requested_at)
         read_at = requested_at - RELAY_CLOCK_MARGIN_S
         if self._read_at < read_at:
