Keep a query of an unlisted member when a list without it arrives

Cause: each list removes the pools of members that it does not name, and refuses what waits in them. A query of a departed replica waits there until its connection has opened, and during an attempt lists are read as often as every 0.15 s. The replica then counted as silent and its log was not compared, or the roster task took it for gone. Change: requests that name the entry of the member wait on in a new pool.

--- a/features/departed_members.feature
+++ b/features/departed_members.feature
@@ -79,3 +79,15 @@
       | m0,m1    | 150     | m2       |
       | m0,m1    | 152     | none     |
       | m0,m1,m2 | 2       | none     |
+
+  Scenario Outline: A list is read while the connection to an unlisted replica opens
+    # Guards against a replica that counts as silent, so that its log is not compared,
+    # because a list without it arrives before it has been queried.
+    Given a query of m3, which is not listed, that waits for its connection
+    When a list of "<members>" arrives
+    Then the query <state>
+
+    Examples:
+      | members  | state   |
+      | m0,m1    | goes on |
+      | m0,m1,m3 | goes on |
--- a/features/steps/departed_member_steps.py
+++ b/features/steps/departed_member_steps.py
@@ -1,10 +1,17 @@
 """Steps for members that have left the list."""
 
+from unittest.mock import Mock
+
 from behave import given, then, when
 from behave.runner import Context
 from features.fakes.replicated_group import listing
+from trio import MemoryReceiveChannel, open_memory_channel, open_nursery, run
+from trio.testing import MockClock
 
 from jackdawspread.decisions.members.departed_members import update_departed
+from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.member_requirement import MemberRequirement
+from jackdawspread.tasks.members.connection_pools import ConnectionPools
 
 
 def _listings(text: str) -> dict:
@@ -58,3 +65,40 @@
     """Compare the ids."""
     expected = set() if members == "none" else set(members.split(","))
     assert context.departed_by_id.keys() == expected, context.departed_by_id
+
+
+@given("a query of m3, which is not listed, that waits for its connection")
+def given_query(context: Context) -> None:
+    """Describe the request of a query."""
+    send, receive = open_memory_channel(1)
+    context.reply: MemoryReceiveChannel = receive
+    context.query = ConnectionRequest(
+        *("g", "w", MemberRequirement.NAMED, "m3", 0.0, None),
+        *(frozenset(), 0, 0.4, False, send),
+        unlisted=listing("m3"),
+    )
+
+
+@when('a list of "{members}" arrives')
+def when_list_arrives(context: Context, members: str) -> None:
+    """Let the list arrive before the connection has opened."""
+
+    async def play() -> None:
+        router, _ = open_memory_channel(10)
+        async with open_nursery() as nursery:
+            pools = ConnectionPools(nursery, Mock, router, lambda *_: True)
+            pools.add_unlisted(listing("m3"))
+            pools.request("m3", context.query, 0.0)
+            pools.update_members(_listings(members), 0.1)
+            pool = pools.pool_by_member.get("m3")
+            context.waiting = pool.waiting if pool is not None else []
+            nursery.cancel_scope.cancel()
+
+    run(play, clock=MockClock())
+
+
+@then("the query goes on")
+def then_query_waits(context: Context) -> None:
+    """Look for the request, and for a refusal."""
+    assert context.waiting == [context.query], context.waiting
+    assert not context.reply.statistics().current_buffer_used
--- a/src/jackdawspread/tasks/members/connection_pools.py
+++ b/src/jackdawspread/tasks/members/connection_pools.py
@@ -79,10 +79,18 @@
     def update_members(
         self, listing_by_id: dict[str, MemberListing], now: float
     ) -> None:
-        """Create and remove pools according to the list of members."""
+        """Create and remove pools according to the list of members.
+
+        Requests that name a member without an entry wait on in another pool.
+        """
         for member, pool in list(self.pool_by_member.items()):
             listing = listing_by_id.get(member)
-            if listing is None or listing.address != pool.listing.address:
+            if listing is None:
+                unlisted = pool.take_unlisted()
+                self._remove_pool(pool, "the member is no longer listed")
+                for request in unlisted:
+                    self._request_unlisted(member, request, now)
+            elif listing.address != pool.listing.address:
                 self._remove_pool(pool, "the member is no longer listed")
             else:
                 pool.listing = listing
@@ -245,6 +253,13 @@
         if request is not None:
             refuse(request, "unreachable", event.error, pool.listing.id)
 
+    def _request_unlisted(
+        self, member: str, request: ConnectionRequest, now: float
+    ) -> None:
+        if member not in self.pool_by_member and request.unlisted is not None:
+            self.add_unlisted(request.unlisted)
+        self.request(member, request, now)
+
     def _add_pool(self, listing: MemberListing) -> MemberPool:
         pool = MemberPool(listing, self._admits_by_priority)
         self.pool_by_member[listing.id] = pool
--- a/src/jackdawspread/tasks/members/member_pool.py
+++ b/src/jackdawspread/tasks/members/member_pool.py
@@ -67,6 +67,12 @@
             + len(self.workspace_by_pending_connection)
         )
 
+    def take_unlisted(self) -> list[ConnectionRequest]:
+        """Remove and return the requests that the member need not be listed for."""
+        unlisted = [request for request in self.waiting if request.unlisted is not None]
+        self.waiting = [request for request in self.waiting if request.unlisted is None]
+        return unlisted
+
     @property
     def statement_duration_s(self) -> float:
         """Moving average of the time in seconds for which a statement lasts."""
