Ask for a whole list only in groups that fence acknowledgements

Cause: an attempt in an asynchronous group was refused for 2.5 s after an outage of the store, a gap between lists or the start of its instance. No commit of such a group has to be on a replica; these groups were to be served as before. Change: without a fence a list counts as whole.

--- a/features/list_completeness.feature
+++ b/features/list_completeness.feature
@@ -17,6 +17,21 @@
       | gets no write confirmed | m0       |
       | leaves, and is silent   | none     |
 
+  Scenario Outline: A list that may lack a member of an asynchronous group
+    # Guards against a wait for a replica in a group whose commits need not be on any.
+    Given a group whose attempts fence no acknowledgements
+    And logs that end at "m0=10,m1=10,m2=9"
+    And a list that may lack a member
+    When an attempt is made on a primary that <trouble>
+    Then the promoted member is "m1"
+
+    Examples:
+      | trouble                 |
+      | is unreachable          |
+      | only others reach       |
+      | gets no write confirmed |
+      | leaves, and is silent   |
+
   Scenario Outline: Lists after a gap or the start
     # Guards against a list that counts as complete before members can have registered,
     # and against a slow store that keeps a list from ever being complete.
--- a/features/steps/acknowledgement_fence_steps.py
+++ b/features/steps/acknowledgement_fence_steps.py
@@ -96,6 +96,13 @@
     run(register)
 
 
+@given("a group whose attempts fence no acknowledgements")
+def given_unfenced_group(context: Context) -> None:
+    """Make an asynchronous group."""
+    ends = dict.fromkeys(("m0", "m1", "m2"), Position(1, 9))
+    context.group = ReplicatedGroup(ends, set())
+
+
 @given('outstanding requests "{members}" from before')
 def given_outstanding(context: Context, members: str) -> None:
     """Record requests of earlier attempts."""
@@ -187,6 +194,7 @@
 
 
 @when("a fenced attempt is made on a primary that {trouble}")
+@when("an attempt is made on a primary that {trouble}")
 def when_attempt(context: Context, trouble: str) -> None:
     """Run one attempt."""
     group = context.group
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -136,7 +136,9 @@
             if seen is None:
                 return None
             listing_by_id = mark_evacuated(seen.listing_by_id, domains)
-            return seen._replace(listing_by_id=listing_by_id)
+            # An acknowledged commit of an asynchronous group need not be on a replica.
+            is_whole = seen.is_whole or not trigger.fences_acknowledgements
+            return seen._replace(listing_by_id=listing_by_id, is_whole=is_whole)
 
         listing_by_id = mark_evacuated(listing_by_id, domains)
         primary = listing_by_id.get(trigger.member)
