Query departed members beside the first steps of an attempt

What callers saw: a failover within 150 s of a departure took longer. Cause: the attempt waited for members that are gone up to the time limit of a command, 0.4 s, after it had the lock. Change: DepartedQuery begins with the attempt, beside the probe and the acquisition of the lock, and its answers are waited for until 0.15 s from then. Answers that come later, while another step takes longer, count too.

--- a/features/departed_members.feature
+++ b/features/departed_members.feature
@@ -54,6 +54,20 @@
     And another one is made 3 s later
     Then the promoted members are "m1"
 
+  Scenario Outline: How long an attempt waits for members that have left
+    # Guards against a slow failover after each departure, and against an answer that is
+    # dropped because another step of the attempt took longer.
+    Given departed members of which m3 answers after <answer> s and m4 never
+    When the answers are asked for after <asked> s
+    Then "<members>" have answered after <seconds> s
+
+    Examples:
+      | answer | asked | members | seconds |
+      | 0.01   | 0.0   | m3      | 0.15    |
+      | 0.01   | 0.3   | m3      | 0.3     |
+      | 0.2    | 0.0   | none    | 0.15    |
+      | 0.2    | 0.3   | m3      | 0.3     |
+
   Scenario Outline: Which members may still confirm
     # Guards against a member that is forgotten with its entry, and against an attempt
     # that waits for one whose address another uses.
--- a/features/steps/departed_member_steps.py
+++ b/features/steps/departed_member_steps.py
@@ -5,12 +5,24 @@
 from behave import given, then, when
 from behave.runner import Context
 from features.fakes.replicated_group import listing
-from trio import MemoryReceiveChannel, open_memory_channel, open_nursery, run
+from trio import (
+    MemoryReceiveChannel,
+    current_time,
+    open_memory_channel,
+    open_nursery,
+    run,
+    sleep,
+    sleep_forever,
+)
 from trio.testing import MockClock
 
 from jackdawspread.decisions.members.departed_members import update_departed
 from jackdawspread.messages.fleet.connection_request import ConnectionRequest
+from jackdawspread.messages.fleet.log_status import LogStatus
 from jackdawspread.messages.fleet.member_requirement import MemberRequirement
+from jackdawspread.messages.position import Position
+from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.departed_query import DepartedQuery
 from jackdawspread.tasks.members.connection_pools import ConnectionPools
 
 
@@ -102,3 +114,52 @@
     """Look for the request, and for a refusal."""
     assert context.waiting == [context.query], context.waiting
     assert not context.reply.statistics().current_buffer_used
+
+
+class _SlowReplication:
+    """Answers for one member after a time, and never for others."""
+
+    def __init__(self, member: str, delay_s: float) -> None:
+        self._member = member
+        self._delay_s = delay_s
+
+    async def send_all(self, members: tuple, command: object) -> dict[str, LogStatus]:
+        if members[0].id != self._member:
+            await sleep_forever()
+        await sleep(self._delay_s)
+        return {self._member: LogStatus(self._member, False, 1, Position(1, 9))}
+
+
+@given(
+    "departed members of which {member} answers after {delay:g} s and {silent} never"
+)
+def given_slow(context: Context, member: str, delay: float, silent: str) -> None:
+    """Remember who answers."""
+    context.replication = _SlowReplication(member, delay)
+    context.departed = (listing(member), listing(silent))
+
+
+@when("the answers are asked for after {seconds:g} s")
+def when_asked(context: Context, seconds: float) -> None:
+    """Let another step of the attempt last for this time."""
+
+    async def play() -> None:
+        started_at = current_time()
+        async with open_nursery() as queries:
+            search = CandidateSearch(context.replication)
+            query = DepartedQuery(search, context.departed)
+            query.start(queries)
+            await sleep(seconds)
+            context.answered = await query.wait()
+            context.elapsed_s = current_time() - started_at
+            queries.cancel_scope.cancel()
+
+    run(play, clock=MockClock(autojump_threshold=0))
+
+
+@then('"{members}" have answered after {seconds:g} s')
+def then_answered(context: Context, members: str, seconds: float) -> None:
+    """Compare the members and the time."""
+    found = ",".join(context.answered) or "none"
+    assert found == members, found
+    assert abs(context.elapsed_s - seconds) < 1e-6, context.elapsed_s
--- a/src/jackdawspread/decisions/members/list_completeness.py
+++ b/src/jackdawspread/decisions/members/list_completeness.py
@@ -5,9 +5,9 @@
 
 from jackdawspread.decisions.members.listing_retention import REREGISTRATION_S
 
-# Lists are requested a second after the last one arrived, 0.4 s later by the next
-# reader. Members retry their registration about as often, so a shorter outage keeps
-# none of them from registering for long.
+# Lists are requested a second after the last one arrived, by the second reader of a
+# failure domain 0.4 s later. Members retry their registration about as often, so a
+# shorter outage keeps none of them from registering for long.
 MAX_LIST_GAP_S = 1.5
 
 
--- a/src/jackdawspread/tasks/fleet/failover_attempt.py
+++ b/src/jackdawspread/tasks/fleet/failover_attempt.py
@@ -3,7 +3,7 @@
 from math import inf
 
 from absl import logging
-from trio import MemorySendChannel
+from trio import MemorySendChannel, open_nursery
 
 from jackdawspread.decisions.evacuations.evacuated_members import mark_evacuated
 from jackdawspread.decisions.failover.acknowledgement_suspension import (
@@ -45,6 +45,8 @@
 )
 from jackdawspread.tasks.fleet.acknowledgement_fences import AcknowledgementFences
 from jackdawspread.tasks.fleet.attempt_result import AttemptResult
+from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.departed_query import DepartedQuery
 from jackdawspread.tasks.fleet.failover_context import FailoverContext
 from jackdawspread.tasks.fleet.failover_selection import FailoverSelection
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
@@ -106,6 +108,7 @@
         missing_log_timeout_s: float = inf,
     ) -> None:
         self._replication = replication
+        self._search = CandidateSearch(replication)
         self._failover = FailoverSelection(
             replication, peer_demotion, missing_log_timeout_s
         )
@@ -129,6 +132,21 @@
         ``members_since`` waits for a list of members that was read after a monotonic
         time. ``departed`` are members that have left the list.
         """
+        async with open_nursery() as queries:
+            query = DepartedQuery(
+                self._search, tuple(m for m in departed if m.id != trigger.member)
+            )
+            if not (trigger.is_planned or trigger.withdraws_requests):
+                query.start(queries)
+            return await self._run(trigger, listing_by_id, members_since, query)
+
+    async def _run(
+        self,
+        trigger: FailoverTrigger,
+        listing_by_id: dict[str, MemberListing],
+        members_since: ReadMembersSince,
+        departed: DepartedQuery,
+    ) -> str:
         domains = trigger.evacuated_domains
 
         async def marked_members_since(time: float) -> MembersSeen | None:
@@ -196,7 +214,7 @@
         lock: HeldPromotionLock,
         members_since: ReadMembersSince,
         fence: AcknowledgementFence,
-        departed: tuple[MemberListing, ...],
+        departed: DepartedQuery,
     ) -> PromotionPlan:
         """Return the member to promote, once acknowledgements are fenced for it."""
         record = lock.record
--- a/src/jackdawspread/tasks/fleet/failover_selection.py
+++ b/src/jackdawspread/tasks/fleet/failover_selection.py
@@ -1,7 +1,5 @@
 """Selection of the member that replaces a failed primary."""
 
-from collections.abc import Mapping
-
 from absl import logging
 from trio import current_time, open_nursery
 
@@ -33,6 +31,7 @@
 from jackdawspread.messages.statements.demote_primary import DemotePrimary
 from jackdawspread.tasks.fleet.acknowledgement_fence import NOT_FENCED
 from jackdawspread.tasks.fleet.candidate_search import CandidateSearch
+from jackdawspread.tasks.fleet.departed_query import DepartedQuery
 from jackdawspread.tasks.fleet.failover_context import FailoverContext
 from jackdawspread.tasks.fleet.peer_demotion_client import PeerDemotionClient
 from jackdawspread.tasks.fleet.promotion_chooser import PromotionChooser
@@ -72,12 +71,12 @@
         self,
         context: FailoverContext,
         listing_by_id: dict[str, MemberListing],
-        departed: tuple[MemberListing, ...],
+        departed: DepartedQuery,
     ) -> PromotionPlan:
         """Return the member to promote and the replicas that were paused for it.
 
-        ``departed`` are members that have left the list. Those that answer may go on
-        confirming commits.
+        ``departed`` queries the members that have left the list. Those that answer may
+        go on confirming commits.
 
         A primary that a late request may promote again is not demoted, but requested
         once more. So is a primary that can't be replaced while any request is
@@ -92,10 +91,9 @@
         # A primary that does not answer was queried when it was suspected.
         primary = listing_by_id.get(trigger.member) if trigger.writes_stalled else None
         queried = replicas if primary is None else (*replicas, primary)
-        departed = tuple(m for m in departed if m.id != trigger.member)
-        answered = await self._search.query((*queried, *departed))
-        status_by_member = {m.id: answered[m.id] for m in queried if m.id in answered}
-        unlisted = _answering_replicas(departed, answered)
+        status_by_member = await self._search.query(queried)
+        status_by_departed = await departed.wait()
+        unlisted = departed.replicas(status_by_departed)
         refusal = find_other_primary(trigger.member, status_by_member)
         if refusal:
             return PromotionPlan(reason=refusal)
@@ -128,9 +126,9 @@
                 paused=left_paused,
                 awaits_shown=choice.awaits_shown,
             )
-        paused = await self._pause_all(
-            replicas, unlisted, pause_term(answered.values(), recorded_term(record))
-        )
+        statuses = (*status_by_member.values(), *status_by_departed.values())
+        term = pause_term(statuses, recorded_term(record))
+        paused = await self._pause_all(replicas, unlisted, term)
         if primary is not None and primary.id in status_by_member:
             return await self._demote_and_select(context, paused, primary)
         unreachable = listing_by_id.get(trigger.member)
@@ -280,24 +278,6 @@
         )
 
 
-def _answering_replicas(
-    departed: tuple[MemberListing, ...], answered: Mapping[str, LogStatus]
-) -> tuple[MemberListing, ...]:
-    """Return the replicas that answer although their entries have expired."""
-    unlisted = tuple(
-        member
-        for member in departed
-        if member.id in answered and not answered[member.id].claims_primary
-    )
-    for member in unlisted:
-        logging.info(
-            "succession: replica answers without an entry member=%s group=%s",
-            member.id,
-            member.group,
-        )
-    return unlisted
-
-
 def _collect(
     context: FailoverContext,
     queried: tuple[MemberListing, ...],
