--- a/features/acknowledged_positions.feature
+++ b/features/acknowledged_positions.feature
@@ -86,6 +86,16 @@
     And another one is made 0.3 s later
     Then the promoted member is "none"
 
+  @known_red
+  Scenario: An instance that has acknowledged a commit ends before it is asked
+    # Guards against the loss of a commit of which nobody who is left can tell.
+    Given a group whose attempts fence acknowledgements at "i1=0,i2=0,i3=99"
+    And logs that end at "m0=10,m1=9,m2=9,m3=10"
+    And m3 is not listed
+    And instance i3 has acknowledged "1.10" for certain and has shown "1.10"
+    When a fenced attempt is made on a primary that is unreachable
+    Then the promoted member is "none"
+
   Scenario Outline: What an instance says of its commits
     # Guards against a promotion that is refused for a position that nobody acknowledged,
     # and against one that lacks a commit that was acknowledged.
